--- /dev/null
+++ b/fault/error.go
@@ -0,0 +1,66 @@
+package fault
+
+import (
+	"errors"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// Error is an error of a known kind; its text says what was tried and on what.
+type Error struct {
+	Kind  Kind
+	Retry time.Duration // overrides the table's Retry-After where it is positive
+	err   error
+}
+
+// Error returns the text of the cause.
+func (e *Error) Error() string {
+	return e.err.Error()
+}
+
+// Unwrap returns the cause, which carries the stack where it arose.
+func (e *Error) Unwrap() error {
+	return e.err
+}
+
+// New returns an error of kind k with a formatted text.
+func New(k Kind, format string, args ...any) error {
+	return &Error{Kind: k, err: oops.Code(k.String()).Errorf(format, args...)}
+}
+
+// Wrap returns err as an error of kind k with context before its text, or nil where err is nil.
+func Wrap(k Kind, err error, format string, args ...any) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Kind: k, err: oops.Code(k.String()).Wrapf(err, format, args...)}
+}
+
+// After returns an error of kind k that tells the caller to come back after retry.
+func After(k Kind, retry time.Duration, format string, args ...any) error {
+	return &Error{Kind: k, Retry: retry, err: oops.Code(k.String()).Errorf(format, args...)}
+}
+
+// KindOf returns the outermost kind in err's chain; an error without one is Internal.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Is tells whether the outermost kind in err's chain is k.
+func Is(err error, k Kind) bool {
+	return err != nil && KindOf(err) == k
+}
+
+// RetryAfter returns how long a caller is told to wait: the error's own value, else its kind's default.
+func RetryAfter(err error) time.Duration {
+	var e *Error
+	if errors.As(err, &e) && e.Retry > 0 {
+		return e.Retry
+	}
+	return AnswerTo(KindOf(err)).Retry
+}
--- /dev/null
+++ b/fault/fault_test.go
@@ -0,0 +1,39 @@
+package fault
+
+import (
+	"errors"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestEveryKindHasItsOwnAnswer(t *testing.T) {
+	names := map[string]Kind{}
+	for _, k := range Kinds() {
+		a := AnswerTo(k)
+		require.NotEmpty(t, a.Name)
+		require.NotContains(t, names, a.Name)
+		names[a.Name] = k
+		require.GreaterOrEqual(t, a.Status, 400)
+		require.Contains(t, []Outcome{Ran, NotRun, Unknown}, a.Outcome)
+	}
+}
+
+func TestOutermostKindWins(t *testing.T) {
+	inner := New(StoreDown, "read row %q", "a")
+	outer := Wrap(NoUpstream, inner, "pick a runner")
+	require.Equal(t, NoUpstream, KindOf(outer))
+	require.Equal(t, Internal, KindOf(errors.New("plain")))
+	require.NoError(t, Wrap(Internal, nil, "nothing"))
+}
+
+func TestWriteTellsWhenToComeBack(t *testing.T) {
+	w := httptest.NewRecorder()
+	Write(w, After(Overload, 1500*time.Millisecond, "queue of %s is full", "texts"))
+	require.Equal(t, 503, w.Code)
+	require.Equal(t, "2", w.Header().Get("Retry-After"))
+	require.Equal(t, "notrun", w.Header().Get(HeaderOutcome))
+	require.JSONEq(t, `{"kind":"overload","outcome":"notrun","text":"queue of texts is full","retry":2}`, w.Body.String())
+}
--- /dev/null
+++ b/journal/writer.go
@@ -0,0 +1,250 @@
+package journal
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"gypsumlead/audit"
+	"gypsumlead/fault"
+	"gypsumlead/platform"
+	"gypsumlead/record"
+)
+
+const (
+	acceptTries = 12                    // a change that loses the head row more often gives up
+	acceptPause = 20 * time.Millisecond // first pause after a lost race; doubles up to acceptLimit
+	acceptLimit = 500 * time.Millisecond
+)
+
+// Writer accepts changes into the log; several writers of several daemons may race.
+type Writer struct {
+	table platform.Table
+	now   func() time.Time
+	sleep func(ctx context.Context, d time.Duration) error
+}
+
+// Option changes a Writer under construction.
+type Option func(*Writer)
+
+// WithClock sets the clock and the pause between tries.
+func WithClock(now func() time.Time, sleep func(context.Context, time.Duration) error) Option {
+	return func(w *Writer) {
+		w.now = now
+		w.sleep = sleep
+	}
+}
+
+// NewWriter returns a writer to table.
+func NewWriter(table platform.Table, opts ...Option) *Writer {
+	w := &Writer{table: table, now: time.Now, sleep: sleep}
+	for _, o := range opts {
+		o(w)
+	}
+	return w
+}
+
+// Accept decides p and commits it with its log entry and audit entry in one transaction. A
+// proposal whose ID was accepted before returns that change and writes nothing. An error of
+// kind fault.StoreDown leaves open whether the change was accepted: ask again under the same ID.
+func (w *Writer) Accept(ctx context.Context, p Proposal) (Change, error) {
+	if p.ID == "" {
+		return Change{}, fault.New(fault.Invalid, "a change needs an ID")
+	}
+	pause := acceptPause
+	var last error
+	for range acceptTries {
+		c, err := w.try(ctx, p)
+		if err == nil {
+			return c, nil
+		}
+		last = err
+		if !isRace(err) && !fault.Is(err, fault.StoreDown) {
+			return Change{}, err
+		}
+		if w.sleep(ctx, pause) != nil {
+			break
+		}
+		pause = min(2*pause, acceptLimit)
+	}
+	if isRace(last) {
+		return Change{}, fault.Wrap(fault.Overload, last, "accept change %s: other changes kept coming first", p.ID)
+	}
+	return Change{}, last
+}
+
+// try reads, decides and commits once.
+func (w *Writer) try(ctx context.Context, p Proposal) (Change, error) {
+	keys := append([]string{keyHead, keyID(p.ID)}, p.Rows...)
+	for _, k := range p.Records {
+		keys = append(keys, RecordKey(k))
+	}
+	read, err := w.table.Read(ctx, keys...)
+	if err != nil {
+		return Change{}, err
+	}
+	rows := NewRows(w.now(), read...)
+	if old, done, err := w.accepted(ctx, rows, p); done || err != nil {
+		return old, err
+	}
+	d, err := p.Decide(rows)
+	if err != nil {
+		return Change{}, err
+	}
+	c, tx, err := w.build(rows, p, d)
+	if err != nil {
+		return Change{}, err
+	}
+	if err := w.table.Commit(ctx, tx); err != nil {
+		if fault.Is(err, fault.Conflict) {
+			return Change{}, &raceError{err}
+		}
+		return Change{}, err
+	}
+	return c, nil
+}
+
+// accepted looks for an earlier acceptance of the same ID.
+func (w *Writer) accepted(ctx context.Context, rows Rows, p Proposal) (Change, bool, error) {
+	var seq int64
+	ok, err := rows.Load(keyID(p.ID), &seq)
+	if err != nil || !ok {
+		return Change{}, false, err
+	}
+	found, err := w.table.Read(ctx, keyLog(seq))
+	if err != nil {
+		return Change{}, false, err
+	}
+	if found[0].Version == 0 {
+		return Change{Seq: seq, ID: p.ID}, true, nil // trimmed since; its effect is in the snapshot
+	}
+	var c Change
+	if err := json.Unmarshal(found[0].Value, &c); err != nil {
+		return Change{}, false, fault.Wrap(fault.Internal, err, "decode change %d", seq)
+	}
+	if c.Digest != p.Digest {
+		return Change{}, false, fault.New(fault.Reused, "change ID %s was used for another change (number %d)", p.ID, seq)
+	}
+	return c, true, nil
+}
+
+// build makes the change and its transaction.
+func (w *Writer) build(rows Rows, p Proposal, d Decision) (Change, platform.Tx, error) {
+	var head Head
+	if _, err := rows.Load(keyHead, &head); err != nil {
+		return Change{}, platform.Tx{}, err
+	}
+	head.Seq++
+	head.Low = max(head.Low, 1)
+	c := Change{Seq: head.Seq, ID: p.ID, Digest: p.Digest, Actor: p.Actor, Why: p.Why, At: rows.Now}
+	ops := d.Ops
+	for _, e := range d.Edits {
+		e.Version = c.Seq
+		c.Records = append(c.Records, e)
+		op, err := rows.PutRow(RecordKey(e.Key()), e)
+		if err != nil {
+			return Change{}, platform.Tx{}, err
+		}
+		ops = append(ops, op)
+	}
+	for _, row := range []struct {
+		key string
+		v   any
+	}{{keyHead, head}, {keyLog(c.Seq), c}, {keyID(c.ID), c.Seq}} {
+		op, err := rows.PutRow(row.key, row.v)
+		if err != nil {
+			return Change{}, platform.Tx{}, err
+		}
+		ops = append(ops, op)
+	}
+	auditOps, err := audit.Ops(fillAudit(d.Audit, c))
+	if err != nil {
+		return Change{}, platform.Tx{}, err
+	}
+	return c, platform.Tx{Ops: append(ops, auditOps...)}, nil
+}
+
+// fillAudit completes the entry from its change; records without a subject of their own get one.
+func fillAudit(e audit.Entry, c Change) audit.Entry {
+	if e.ID == "" {
+		e.ID = c.ID
+	}
+	if e.Actor == "" {
+		e.Actor = c.Actor
+	}
+	if e.Why == "" {
+		e.Why = c.Why
+	}
+	if e.Act == "" {
+		e.Act = "accept"
+	}
+	e.At = c.At
+	e.Version = c.Seq
+	if len(e.Subjects) == 0 {
+		for _, r := range c.Records {
+			e.Subjects = append(e.Subjects, audit.Subject{Kind: string(r.Kind), Name: r.Name})
+		}
+	}
+	return e
+}
+
+// EditOn returns the decision to write r under key if the newest version is ifVersion; 0 demands that there is none.
+func EditOn(rows Rows, key record.Key, ifVersion int64, r record.Record) (record.Envelope, error) {
+	old, live, err := rows.Envelope(key)
+	if err != nil {
+		return record.Envelope{}, err
+	}
+	if err := checkVersion(key, old, live, ifVersion); err != nil {
+		return record.Envelope{}, err
+	}
+	return record.Rewrite(old, key.Name, r)
+}
+
+// DeleteOn returns the decision to delete key's record if its newest version is ifVersion.
+func DeleteOn(rows Rows, key record.Key, ifVersion int64) (record.Envelope, error) {
+	old, live, err := rows.Envelope(key)
+	if err != nil {
+		return record.Envelope{}, err
+	}
+	if !live {
+		return record.Envelope{}, fault.New(fault.Missing, "there is no %s", key)
+	}
+	if err := checkVersion(key, old, live, ifVersion); err != nil {
+		return record.Envelope{}, err
+	}
+	return record.Envelope{Kind: key.Kind, Name: key.Name, Schema: old.Schema, Gone: true}, nil
+}
+
+func checkVersion(key record.Key, old record.Envelope, live bool, want int64) error {
+	have := int64(0)
+	if live {
+		have = old.Version
+	}
+	if have != want {
+		return fault.New(fault.Conflict, "%s has version %d, not %d: read it again and repeat the change on it", key, have, want)
+	}
+	return nil
+}
+
+// raceError is a commit that lost to another one; deciding again on fresh rows may succeed.
+type raceError struct{ err error }
+
+func (e *raceError) Error() string { return e.err.Error() }
+func (e *raceError) Unwrap() error { return e.err }
+
+func isRace(err error) bool {
+	_, ok := err.(*raceError)
+	return ok
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/peer/wire/doc.go
@@ -0,0 +1,2 @@
+// Package wire holds the generated messages of the protocol between daemons.
+package wire
