Serve callers through owned upstream connections

Ruled out: http.Transport.RoundTrip (sends again by itself), httputil.ReverseProxy (house style), answers without length or chunks (their end can't be told from a kill). Conclusion: a base to widen; claims answer keyed requests as not run until they exist.

--- /dev/null
+++ b/runner/do.go
@@ -0,0 +1,208 @@
+package runner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"gypsumlead/fault"
+)
+
+// Do sends req to a runner of the pool and returns its answer once the headers are there. An
+// error of a kind that means not run says that nothing was handed to any upstream. The
+// exchange ends when the answer's body is read to its end or closed.
+func (f *Fleet) Do(ctx context.Context, poolName string, req *Request) (*Response, error) {
+	p := f.pool(poolName)
+	if p == nil {
+		return nil, fault.New(fault.NoUpstream, "pool %s has no runners", poolName)
+	}
+	f.retry.earn()
+	x := &exchange{req: req}
+	var avoid *upstream
+	for {
+		resp, u, err := f.attempt(ctx, p, x, avoid)
+		if err == nil {
+			return resp, nil
+		}
+		if u != nil {
+			x.last = err
+		}
+		if u == nil || isFinal(err) || ctx.Err() != nil || !x.again(f.retry) {
+			return nil, f.told(x.fail(err))
+		}
+		avoid = u
+		f.count.resends.Add(1)
+	}
+}
+
+// isFinal tells whether another attempt would meet the same error.
+func isFinal(err error) bool {
+	var g *gateError
+	return errors.As(err, &g) || fault.Is(err, fault.Breach)
+}
+
+// told reports a breach before it is returned.
+func (f *Fleet) told(err error) error {
+	if fault.Is(err, fault.Breach) {
+		f.count.breaches.Add(1)
+		f.cfg.breach(err)
+	}
+	return err
+}
+
+// attempt picks an upstream and sends the request to it once; the upstream is nil if there was none.
+func (f *Fleet) attempt(ctx context.Context, p *pool, x *exchange, avoid *upstream) (*Response, *upstream, error) {
+	u, err := p.acquire(ctx, avoid)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := x.begin(); err != nil {
+		p.release(u)
+		return nil, u, err
+	}
+	c, err := f.connect(ctx, p, u)
+	if err != nil {
+		p.release(u)
+		return nil, u, err
+	}
+	resp, err := f.send(ctx, p, u, c, x)
+	if err != nil {
+		p.release(u)
+		return nil, u, err
+	}
+	return resp, u, nil
+}
+
+// connect returns a reserved connection: an idle one that proved itself lately, or a new one.
+func (f *Fleet) connect(ctx context.Context, p *pool, u *upstream) (*channel, error) {
+	for {
+		c := p.takeIdle(u, f.cfg.idle)
+		if c == nil {
+			break
+		}
+		if c.ready(ctx) {
+			f.count.reuses.Add(1)
+			return c, nil
+		}
+		c.close()
+	}
+	return f.open(ctx, p, u)
+}
+
+// open dials a new connection within the dial limit.
+func (f *Fleet) open(ctx context.Context, p *pool, u *upstream) (*channel, error) {
+	dialCtx, cancel := context.WithTimeout(ctx, f.cfg.limit)
+	defer cancel()
+	f.count.dials.Add(1)
+	c, err := f.dial.open(dialCtx, u.instance.Addr)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, fault.Wrap(fault.Overload, err, "connect to runner %s: the time is up", u.instance.ID)
+		}
+		p.dialFailed(u)
+		return nil, fault.Wrap(fault.NoUpstream, err, "connect to runner %s at %s", u.instance.ID, u.instance.Addr)
+	}
+	c.proved = time.Now()
+	if c.ready(ctx) {
+		return c, nil
+	}
+	c.close()
+	return nil, fault.New(fault.NoUpstream, "runner %s closed a new connection", u.instance.ID)
+}
+
+// gateError is a refusal of the request's own gate; no other upstream would help.
+type gateError struct{ err error }
+
+func (e *gateError) Error() string { return e.err.Error() }
+func (e *gateError) Unwrap() error { return e.err }
+
+// errLeaves is the gate's refusal for an upstream that began to leave after it was picked.
+var errLeaves = fault.New(fault.NoUpstream, "the runner is leaving")
+
+// send carries out one exchange up to the answer's headers.
+func (f *Fleet) send(ctx context.Context, p *pool, u *upstream, c *channel, x *exchange) (*Response, error) {
+	if !c.link.begin(f.gate(p, u, x)) {
+		c.close()
+		return nil, fault.New(fault.NoUpstream, "runner %s sent bytes that no request asked for", u.instance.ID)
+	}
+	t := newTry(ctx, x, c)
+	resp, err := c.client.RoundTrip(x.httpRequest(t.ctx, u.instance.Addr.String()))
+	if t.gaveUp() && err == nil {
+		err = errSilent
+	}
+	touched, refused := c.link.sent()
+	if touched {
+		x.sent++
+	}
+	if err == nil {
+		err = checkAnswer(resp)
+	}
+	if err == nil {
+		return f.answer(p, u, c, x, resp, t), nil
+	}
+	c.close()
+	t.cancel(nil)
+	if refused != nil {
+		return nil, refused
+	}
+	return nil, f.failed(ctx, p, u, t, touched, err)
+}
+
+// gate joins the upstream's state and the request's own gate.
+func (f *Fleet) gate(p *pool, u *upstream, x *exchange) func() error {
+	return func() error {
+		if p.isLeaving(u) {
+			return errLeaves
+		}
+		if x.req.Gate == nil {
+			return nil
+		}
+		if err := x.req.Gate(); err != nil {
+			return &gateError{err: err}
+		}
+		return nil
+	}
+}
+
+// failed says what an exchange without an answer means, and draws the conclusions for the upstream.
+func (f *Fleet) failed(ctx context.Context, p *pool, u *upstream, t *try, touched bool, err error) error {
+	who := u.instance.ID
+	if !touched && ctx.Err() != nil {
+		return fault.Wrap(fault.Overload, err, "send to runner %s: the time is up", who)
+	}
+	if !touched {
+		return fault.Wrap(fault.NoUpstream, err, "send to runner %s: nothing was sent", who)
+	}
+	if ctx.Err() != nil || t.silent {
+		f.silent(p, u, t.started, !errors.Is(ctx.Err(), context.Canceled))
+		return fault.Wrap(fault.Timeout, err, "no answer from runner %s in time", who)
+	}
+	p.answered(u, false)
+	return fault.Wrap(fault.Broken, err, "the answer of runner %s broke off", who)
+}
+
+// silent condemns the idle connections that have proved nothing since an exchange that timed
+// out began; new connections are used at once.
+func (f *Fleet) silent(p *pool, u *upstream, started time.Time, timedOut bool) {
+	if !timedOut {
+		return
+	}
+	p.answered(u, false)
+	f.count.condemned.Add(int64(p.condemn(u, started)))
+}
+
+// checkAnswer refuses answers whose end can't be told from a broken connection.
+func checkAnswer(resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK {
+		return fault.New(fault.Broken, "the answer has status %d", resp.StatusCode)
+	}
+	if resp.ContentLength < 0 && !isChunked(resp) && resp.Body != http.NoBody {
+		return fault.New(fault.Broken, "the answer has neither a length nor chunks")
+	}
+	return nil
+}
+
+func isChunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) > 0 && resp.TransferEncoding[0] == "chunked"
+}
--- /dev/null
+++ b/runner/target.go
@@ -0,0 +1,22 @@
+package runner
+
+import (
+	"gypsumlead/platform"
+)
+
+// Target is one upstream instance as the configuration and the platform's list describe it.
+type Target struct {
+	Instance platform.Instance
+	Pool     string
+	Leaving  bool // gets no new work; sticky for the instance's boot
+}
+
+// identity tells one boot of an instance from another.
+type identity struct {
+	id   string
+	boot string
+}
+
+func (t Target) identity() identity {
+	return identity{id: t.Instance.ID, boot: t.Instance.Boot}
+}
--- /dev/null
+++ b/runner/upstream.go
@@ -0,0 +1,107 @@
+package runner
+
+import (
+	"math"
+	"time"
+
+	"gypsumlead/platform"
+)
+
+const (
+	backoffFirst = 100 * time.Millisecond // after one failed dial; doubles with each further one
+	backoffLimit = 5 * time.Second
+	doubtLimit   = 16.0            // failed answers beyond this many weigh no more
+	doubtHalf    = 5 * time.Second // half-life of the weight of failed answers
+)
+
+// upstream is one boot of one instance in one pool; its fields are guarded by the pool's lock.
+// The count of exchanges in progress includes one from before its connection is chosen until it has ended.
+type upstream struct {
+	target     Target
+	instance   platform.Instance
+	leaving    bool
+	inProgress int64
+	idle       []*channel // last used at the end
+	fails      int        // failed dials in a row
+	until      time.Time  // no exchange before
+	doubt      float64    // recent failed answers, decaying
+	doubtAt    time.Time
+}
+
+// eligible tells whether an exchange may start now; after a failed dial one at a time may.
+func (u *upstream) eligible(now time.Time, limit int64) bool {
+	if u.leaving || now.Before(u.until) {
+		return false
+	}
+	if u.fails > 0 {
+		return u.inProgress == 0
+	}
+	return u.inProgress < limit
+}
+
+// weight orders eligible upstreams: the load, times the doubt that recent failures cast.
+func (u *upstream) weight(now time.Time) float64 {
+	return float64(u.inProgress+1) * (1 + u.doubtNow(now))
+}
+
+// doubtNow returns the decayed weight of failed answers.
+func (u *upstream) doubtNow(now time.Time) float64 {
+	if u.doubt == 0 {
+		return 0
+	}
+	return u.doubt * math.Exp2(-float64(now.Sub(u.doubtAt))/float64(doubtHalf))
+}
+
+// dialFailed backs off; jitter is in [0, 1).
+func (u *upstream) dialFailed(now time.Time, jitter float64) {
+	d := backoffLimit
+	if u.fails < 6 {
+		d = min(backoffFirst<<u.fails, backoffLimit)
+	}
+	u.fails++
+	u.until = now.Add(time.Duration(float64(d) * (0.5 + jitter/2)))
+}
+
+// answered notes how an exchange went after something was sent.
+func (u *upstream) answered(now time.Time, good bool) {
+	doubt := u.doubtNow(now)
+	if good {
+		u.fails = 0
+		u.doubt = doubt / 2
+	} else {
+		u.doubt = min(doubt+1, doubtLimit)
+	}
+	u.doubtAt = now
+}
+
+// takeIdle removes and returns the youngest idle connection, and those too old to be trusted.
+func (u *upstream) takeIdle(now time.Time, life time.Duration) (fresh *channel, stale []*channel) {
+	for len(u.idle) > 0 && fresh == nil {
+		last := len(u.idle) - 1
+		c := u.idle[last]
+		u.idle[last] = nil
+		u.idle = u.idle[:last]
+		if now.Sub(c.proved) < life && c.client.Err() == nil {
+			fresh = c
+			continue
+		}
+		stale = append(stale, c)
+	}
+	return fresh, stale
+}
+
+// expire removes the idle connections that proved themselves last before the instant.
+func (u *upstream) expire(before time.Time) []*channel {
+	var old []*channel
+	kept := u.idle[:0]
+	for _, c := range u.idle {
+		if c.proved.Before(before) || c.client.Err() != nil {
+			old = append(old, c)
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(u.idle[len(kept):])
+	u.idle = kept
+	return old
+}
