--- /dev/null
+++ b/peer/dialer.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/peer/wire"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	pingMisses  = 3 // a session whose ping has waited for this many intervals is given up
+	farFactor   = 5 // pings to another data centre are this many times rarer
+	redialFirst = 100 * time.Millisecond
+	redialLimit = 5 * time.Second
+)
+
+// dialer keeps a session with one target until it is told to stop.
+type dialer struct {
+	mesh   *Mesh
+	target Target
+	cancel context.CancelFunc
+}
+
+// run dials, pings and dials again, with pauses that grow while the target doesn't answer.
+func (d *dialer) run(ctx context.Context) {
+	pause := redialFirst
+	for ctx.Err() == nil {
+		s, err := d.dial(ctx)
+		if err != nil {
+			d.mesh.log.Debug("dial peer", zap.Stringer("addr", d.target.Addr), zap.Error(err))
+			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
+			pause = min(2*pause, redialLimit)
+			continue
+		}
+		pause = redialFirst
+		d.keep(ctx, s)
+	}
+}
+
+func (d *dialer) dial(ctx context.Context) (*session, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.mesh.dial(ctx, d.target.Addr)
+	if err != nil {
+		return nil, err
+	}
+	s, err := open(ctx, conn, d.mesh.us)
+	if err != nil {
+		_ = conn.Close()
+	}
+	return s, err
+}
+
+// keep pings the session until it fails or ctx ends.
+func (d *dialer) keep(ctx context.Context, s *session) {
+	defer s.close()
+	if s.them.Instance == d.mesh.us.Instance {
+		wait(ctx, redialLimit) // our own address; look again in case it moves to another
+		return
+	}
+	d.mesh.join(s)
+	defer d.mesh.part(s)
+	every := d.mesh.ping
+	if s.them.Centre != d.mesh.us.Centre {
+		every *= farFactor
+	}
+	for ctx.Err() == nil {
+		pong, err := s.pingOnce(d.mesh.seq(), pingMisses*d.mesh.ping)
+		if err != nil {
+			d.mesh.log.Info("peer session ended", zap.String("peer", s.them.Instance), zap.Error(err))
+			return
+		}
+		d.mesh.onPong(s.them, pong)
+		select {
+		case <-ctx.Done():
+		case <-s.mux.CloseChan():
+		case <-time.After(every):
+		}
+	}
+}
+
+// dialTCP is how a mesh dials unless it is told otherwise.
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var nd net.Dialer
+	return nd.DialContext(ctx, "tcp", addr.String())
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Pong is what the mesh's owner is told of each answered ping.
+type Pong = wire.Pong
--- /dev/null
+++ b/peer/mesh.go
@@ -0,0 +1,180 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sort"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/fault"
+	"gypsumlead/peer/wire"
+)
+
+// Mesh keeps sessions with other daemons: all of its own data centre and a few of each other one.
+type Mesh struct {
+	us     Identity
+	log    *zap.Logger
+	ping   time.Duration
+	dial   func(context.Context, netip.AddrPort) (net.Conn, error)
+	seq    func() int64
+	onPong func(Identity, *Pong)
+
+	mu      sync.Mutex
+	ctx     context.Context // of Run; nil before
+	dialers map[netip.AddrPort]*dialer
+	targets []Target
+	open    map[string]*session // by instance
+	wg      sync.WaitGroup
+}
+
+// MeshOption changes a Mesh under construction.
+type MeshOption func(*Mesh)
+
+// WithPing sets the time between two pings in the own data centre.
+func WithPing(every time.Duration) MeshOption {
+	return func(m *Mesh) { m.ping = every }
+}
+
+// WithDial sets how connections are made.
+func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) MeshOption {
+	return func(m *Mesh) { m.dial = dial }
+}
+
+// WithSeq sets where the number of the newest change in force comes from, and who hears of the peers' numbers.
+func WithSeq(seq func() int64, onPong func(Identity, *Pong)) MeshOption {
+	return func(m *Mesh) {
+		m.seq = seq
+		m.onPong = onPong
+	}
+}
+
+const pingDefault = time.Second
+
+// NewMesh returns a mesh without sessions.
+func NewMesh(us Identity, log *zap.Logger, opts ...MeshOption) *Mesh {
+	m := &Mesh{
+		us:      us,
+		log:     log,
+		ping:    pingDefault,
+		dial:    dialTCP,
+		seq:     func() int64 { return 0 },
+		onPong:  func(Identity, *Pong) {},
+		dialers: map[netip.AddrPort]*dialer{},
+		open:    map[string]*session{},
+	}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
+}
+
+// Run keeps the sessions until ctx ends.
+func (m *Mesh) Run(ctx context.Context) error {
+	m.mu.Lock()
+	m.ctx = ctx
+	m.adjust()
+	m.mu.Unlock()
+	<-ctx.Done()
+	m.wg.Wait()
+	return nil
+}
+
+// SetTargets replaces the daemons to keep sessions with.
+func (m *Mesh) SetTargets(targets []Target) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.targets = targets
+	m.adjust()
+}
+
+// adjust starts and stops dialers, so that there is one a target.
+func (m *Mesh) adjust() {
+	if m.ctx == nil || m.ctx.Err() != nil {
+		return
+	}
+	want := make(map[netip.AddrPort]bool, len(m.targets))
+	for _, t := range m.targets {
+		want[t.Addr] = true
+		if m.dialers[t.Addr] != nil || t.Instance == m.us.Instance {
+			continue
+		}
+		ctx, cancel := context.WithCancel(m.ctx)
+		d := &dialer{mesh: m, target: t, cancel: cancel}
+		m.dialers[t.Addr] = d
+		m.wg.Go(func() { d.run(ctx) })
+	}
+	for addr, d := range m.dialers {
+		if !want[addr] {
+			d.cancel()
+			delete(m.dialers, addr)
+		}
+	}
+}
+
+func (m *Mesh) join(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.open[s.them.Instance] = s
+}
+
+func (m *Mesh) part(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.open[s.them.Instance] == s {
+		delete(m.open, s.them.Instance)
+	}
+}
+
+// Peers returns the daemons with an open session, sorted by instance.
+func (m *Mesh) Peers() []Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ids := make([]Identity, 0, len(m.open))
+	for _, s := range m.open {
+		ids = append(ids, s.them)
+	}
+	sort.Slice(ids, func(i, j int) bool { return ids[i].Instance < ids[j].Instance })
+	return ids
+}
+
+// Call asks one daemon; without an open session it fails at once with fault.NoUpstream.
+func (m *Mesh) Call(ctx context.Context, instance string, req *wire.Request) (*wire.Response, error) {
+	m.mu.Lock()
+	s := m.open[instance]
+	m.mu.Unlock()
+	if s == nil {
+		return nil, fault.New(fault.NoUpstream, "no session with peer %s", instance)
+	}
+	resp, err := s.call(ctx, req)
+	if err == nil {
+		s.learn(resp.GetAck().GetSeq())
+	}
+	return resp, err
+}
+
+// Behind returns the daemons with an open session that aren't known to have change seq.
+func (m *Mesh) Behind(seq int64) []Identity {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var ids []Identity
+	for _, s := range m.open {
+		if s.seen.Load() < seq {
+			ids = append(ids, s.them)
+		}
+	}
+	return ids
+}
+
+// Learn notes that a daemon is known to have change seq.
+func (m *Mesh) Learn(instance string, seq int64) {
+	m.mu.Lock()
+	s := m.open[instance]
+	m.mu.Unlock()
+	if s != nil {
+		s.learn(seq)
+	}
+}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,109 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/yamux"
+
+	"gypsumlead/fault"
+	"gypsumlead/peer/wire"
+)
+
+// session is an outgoing session: requests go out, answers come back. Each request has a
+// stream of its own, but for the pings, which share one.
+type session struct {
+	mux  *yamux.Session
+	them Identity
+	seen atomic.Int64 // newest configuration that the other end is known to have
+
+	pingMu sync.Mutex
+	ping   net.Conn
+	pingIn *bufio.Reader
+}
+
+// open starts a session on conn and learns who is at the other end.
+func open(ctx context.Context, conn net.Conn, us Identity) (*session, error) {
+	mux, err := yamux.Client(conn, yamuxConfig())
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "start session")
+	}
+	s := &session{mux: mux}
+	resp, err := s.call(ctx, &wire.Request{Body: &wire.Request_Hello{Hello: us.hello()}})
+	if err != nil {
+		_ = mux.Close()
+		return nil, err
+	}
+	h := resp.GetHello()
+	if h.GetProtocol() != protocol {
+		_ = mux.Close()
+		return nil, fault.New(fault.Invalid, "peer %s speaks protocol %d, not %d", h.GetInstance(), h.GetProtocol(), protocol)
+	}
+	s.them = identityOf(h)
+	return s, nil
+}
+
+// call sends one request on a stream of its own and waits for its answer.
+func (s *session) call(ctx context.Context, req *wire.Request) (*wire.Response, error) {
+	st, err := s.mux.Open()
+	if err != nil {
+		return nil, fault.Wrap(fault.NoUpstream, err, "open stream to %s", s.them.Instance)
+	}
+	defer st.Close()
+	stop := context.AfterFunc(ctx, func() { _ = st.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	return exchange(st, bufio.NewReader(st), req, s.them.Instance)
+}
+
+// pingOnce asks on the session's ping stream; an error condemns the session.
+func (s *session) pingOnce(seq int64, wait time.Duration) (*wire.Pong, error) {
+	s.pingMu.Lock()
+	defer s.pingMu.Unlock()
+	if s.ping == nil {
+		st, err := s.mux.Open()
+		if err != nil {
+			return nil, err
+		}
+		s.ping = st
+		s.pingIn = bufio.NewReader(st)
+	}
+	if err := s.ping.SetDeadline(time.Now().Add(wait)); err != nil {
+		return nil, err
+	}
+	resp, err := exchange(s.ping, s.pingIn, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{Seq: seq}}}, s.them.Instance)
+	if err != nil {
+		return nil, err
+	}
+	s.learn(resp.GetPong().GetSeq())
+	return resp.GetPong(), nil
+}
+
+// learn raises what the other end is known to have.
+func (s *session) learn(seq int64) {
+	for {
+		old := s.seen.Load()
+		if seq <= old || s.seen.CompareAndSwap(old, seq) {
+			return
+		}
+	}
+}
+
+func (s *session) close() {
+	_ = s.mux.Close()
+}
+
+// exchange sends req and reads its answer.
+func exchange(st net.Conn, in *bufio.Reader, req *wire.Request, whom string) (*wire.Response, error) {
+	if err := write(st, req); err != nil {
+		return nil, fault.Wrap(fault.Broken, err, "send to peer %s", whom)
+	}
+	resp := &wire.Response{}
+	if err := read(in, resp); err != nil {
+		return nil, fault.Wrap(fault.Broken, err, "answer of peer %s", whom)
+	}
+	return resp, errorOf(resp)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Settings is what one daemon is told at its start; the doc tags make the reference page.
+type Settings struct {
+	Instance string         `json:"instance" validate:"required" doc:"ID of this instance in the platform's list."`
+	Region   string         `json:"region" validate:"required" doc:"Region that the data centre is in."`
+	Centre   string         `json:"centre" validate:"required" doc:"Data centre that this instance is in."`
+	Rack     string         `json:"rack" doc:"Rack that this instance is in."`
+	Platform netip.AddrPort `json:"platform" validate:"required" doc:"Address of the platform's HTTP interface."`
+	Listen   Listen         `json:"listen" doc:"Addresses that the daemon listens on."`
+	Peers    []Peer         `json:"peers" validate:"unique,dive" doc:"Daemons to ask for the configuration while the platform does not answer; a few of each data centre are enough."`
+	Tokens   []Token        `json:"tokens" validate:"unique=Name,dive" doc:"Who may call the operators' interface. Without any, every change is refused."`
+	Calls    Calls          `json:"calls" doc:"Limits on callers' requests."`
+	Runners  Runners        `json:"runners" doc:"Limits on connections to runners."`
+	Sync     Sync           `json:"sync" doc:"How the configuration spreads."`
+	Duties   Duties         `json:"duties" doc:"Control duties that are shared between the daemons under leases."`
+	Stop     Stop           `json:"stop" doc:"How the daemon stops."`
+	Log      string         `json:"log" validate:"oneof=debug info warn error" doc:"Least severe level that is logged."`
+}
+
+// Listen has the daemon's own addresses.
+type Listen struct {
+	Callers   netip.AddrPort `json:"callers" validate:"required" doc:"Callers' HTTP."`
+	Operators netip.AddrPort `json:"operators" validate:"required" doc:"Operators' HTTP, metrics and readiness."`
+	Peers     netip.AddrPort `json:"peers" validate:"required" doc:"Sessions with other daemons."`
+}
+
+// Peer is another daemon's peer address.
+type Peer struct {
+	Addr   netip.AddrPort `json:"addr" validate:"required" doc:"Peer address of the daemon."`
+	Centre string         `json:"centre" validate:"required" doc:"Data centre that it is in."`
+}
+
+// Token lets one operator or program in.
+type Token struct {
+	Name   string `json:"name" validate:"required" doc:"Name that the audit trail shows."`
+	Secret string `json:"secret" validate:"required,min=16" doc:"Bearer token, 16 characters at least."`
+}
+
+// Calls has the limits on callers' requests.
+type Calls struct {
+	Body    int64         `json:"body" validate:"min=1" doc:"Largest request body in bytes that is held in memory; a larger one is refused."`
+	Header  int           `json:"header" validate:"min=1024" doc:"Largest request head in bytes."`
+	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
+	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
+	Claims  int           `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
+	Life    time.Duration `json:"life" validate:"min=1s" doc:"Time that a claim of an idempotency key is kept where the caller does not say."`
+}
+
+// Runners has the limits on connections to runners.
+type Runners struct {
+	Slots   int           `json:"slots" validate:"min=1" doc:"Requests that a runner serves at once."`
+	Conns   int           `json:"conns" validate:"min=1" doc:"Connections that a runner accepts in all."`
+	Connect time.Duration `json:"connect" validate:"min=1ms" doc:"Time allowed for opening a connection."`
+	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is closed."`
+}
+
+// Sync says how the configuration spreads.
+type Sync struct {
+	Poll time.Duration `json:"poll" validate:"min=10ms" doc:"Time between two looks at the log in the platform's table."`
+	Ping time.Duration `json:"ping" validate:"min=10ms" doc:"Time between two pings to a peer; three without an answer end the session."`
+	List time.Duration `json:"list" validate:"min=10ms" doc:"Time between two looks at the platform's list of instances."`
+}
+
+// Duties says how the control duties are run.
+type Duties struct {
+	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within about twice this time."`
+	Step time.Duration `json:"step" validate:"min=10ms" doc:"Time between two steps of a duty."`
+}
+
+// Stop says how the daemon stops.
+type Stop struct {
+	Wait time.Duration `json:"wait" validate:"min=0" doc:"Time that the daemon goes on serving after it failed its readiness check, until the balancer has moved on."`
+	Most time.Duration `json:"most" validate:"min=1s" doc:"Longest that requests in progress are waited for after that."`
+}
+
+// Defaults returns the settings that hold where the file says nothing.
+func Defaults() Settings {
+	return Settings{
+		Calls: Calls{
+			Body:    1 << 20,
+			Header:  32 << 10,
+			Timeout: 10 * time.Second,
+			Memory:  64 << 20,
+			Claims:  60,
+			Life:    24 * time.Hour,
+		},
+		Runners: Runners{
+			Slots:   8,
+			Conns:   64,
+			Connect: 500 * time.Millisecond,
+			Idle:    5 * time.Second,
+		},
+		Sync: Sync{
+			Poll: time.Second,
+			Ping: time.Second,
+			List: time.Second,
+		},
+		Duties: Duties{
+			Life: 5 * time.Second,
+			Step: 500 * time.Millisecond,
+		},
+		Stop: Stop{
+			Wait: 5 * time.Second,
+			Most: time.Minute,
+		},
+		Log: "info",
+	}
+}
