Operators' interface over the generated server; spread of changes

Decisions of the interface run on the newest configuration: every change conditions on the log's head row, so a decide that saw state at that number is serialisable without reading more rows. Ruled out: index rows for references between records (more writes a change).

--- /dev/null
+++ b/api/handler.go
@@ -0,0 +1,163 @@
+package api
+
+import (
+	"context"
+
+	"gypsumlead/api/oas"
+	"gypsumlead/audit"
+	"gypsumlead/fault"
+	"gypsumlead/journal"
+	"gypsumlead/platform"
+	"gypsumlead/record"
+)
+
+// Configuration is what the handlers need of the daemon's configuration.
+type Configuration interface {
+	// CatchUp brings the newest accepted change into force here before it returns.
+	CatchUp(ctx context.Context) error
+	// Accepted brings a change that was just accepted into force here.
+	Accepted(c journal.Change)
+}
+
+// Trail reads the audit trail.
+type Trail interface {
+	// Entries returns every decision on s, oldest first.
+	Entries(ctx context.Context, s audit.Subject) ([]audit.Entry, error)
+	// Refuse notes a decision not to do something.
+	Refuse(ctx context.Context, e audit.Entry) error
+}
+
+// Fleet lists the platform's instances as this daemon last saw them.
+type Fleet interface {
+	// Instances returns the newest list.
+	Instances() []platform.Instance
+}
+
+// Mover proposes to put an instance into a pool.
+type Mover func(id, actor, why, instance, from, to string) journal.Proposal
+
+// Handler serves the operators' interface; it implements the generated oas.Handler.
+type Handler struct {
+	state  *journal.State
+	writer *journal.Writer
+	config Configuration
+	trail  Trail
+	fleet  Fleet
+	move   Mover
+	status func() oas.Status
+}
+
+var _ oas.Handler = (*Handler)(nil)
+
+// Parts are what a Handler is made from.
+type Parts struct {
+	State  *journal.State
+	Writer *journal.Writer
+	Config Configuration
+	Trail  Trail
+	Fleet  Fleet
+	Move   Mover
+	Status func() oas.Status
+}
+
+// NewHandler returns the handlers of the operators' interface.
+func NewHandler(p Parts) *Handler {
+	return &Handler{
+		state:  p.State,
+		writer: p.Writer,
+		config: p.Config,
+		trail:  p.Trail,
+		fleet:  p.Fleet,
+		move:   p.Move,
+		status: p.Status,
+	}
+}
+
+// GetStatus tells what the daemon is and has in force.
+func (h *Handler) GetStatus(context.Context) (*oas.Status, error) {
+	s := h.status()
+	return &s, nil
+}
+
+// ListRecords returns the records of a kind in force.
+func (h *Handler) ListRecords(_ context.Context, p oas.ListRecordsParams) (*oas.ListRecordsOK, error) {
+	seq := h.state.Seq()
+	list := h.state.List(record.Kind(p.Kind))
+	out := &oas.ListRecordsOK{Seq: seq, Records: make([]oas.Record, len(list))}
+	for i, e := range list {
+		out.Records[i] = recordOf(e)
+	}
+	return out, nil
+}
+
+// GetRecord returns one record in force.
+func (h *Handler) GetRecord(_ context.Context, p oas.GetRecordParams) (*oas.Record, error) {
+	k := record.Key{Kind: record.Kind(p.Kind), Name: p.Name}
+	e, ok := h.state.Get(k)
+	if !ok {
+		return nil, fault.New(fault.Missing, "there is no %s", k)
+	}
+	r := recordOf(e)
+	return &r, nil
+}
+
+// ListInstances returns the platform's instances with their pools.
+func (h *Handler) ListInstances(context.Context) (*oas.ListInstancesOK, error) {
+	out := &oas.ListInstancesOK{Instances: []oas.Instance{}}
+	for _, in := range h.fleet.Instances() {
+		pool, err := h.poolOf(in.ID)
+		if err != nil {
+			return nil, err
+		}
+		out.Instances = append(out.Instances, oas.Instance{
+			ID:      in.ID,
+			Boot:    in.Boot,
+			Role:    string(in.Role),
+			State:   string(in.State),
+			Region:  oas.NewOptString(in.Region),
+			Centre:  in.Centre,
+			Rack:    in.Rack,
+			Addr:    in.Addr.String(),
+			Pool:    pool,
+			Drained: oas.NewOptBool(h.drained(in)),
+		})
+	}
+	return out, nil
+}
+
+func (h *Handler) poolOf(instance string) (string, error) {
+	e, ok := h.state.Get(record.Key{Kind: record.KindMember, Name: instance})
+	if !ok {
+		return "", nil
+	}
+	var m record.Member
+	err := record.Decode(e, &m)
+	return m.Pool, err
+}
+
+func (h *Handler) drained(in platform.Instance) bool {
+	e, ok := h.state.Get(record.Key{Kind: record.KindDrain, Name: in.ID})
+	if !ok {
+		return false
+	}
+	var d record.Drain
+	return record.Decode(e, &d) == nil && d.Boot == in.Boot
+}
+
+// Explain returns every decision on something.
+func (h *Handler) Explain(ctx context.Context, p oas.ExplainParams) (*oas.ExplainOK, error) {
+	entries, err := h.trail.Entries(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name})
+	if err != nil {
+		return nil, err
+	}
+	out := &oas.ExplainOK{Entries: make([]oas.Entry, len(entries))}
+	for i, e := range entries {
+		out.Entries[i] = entryOf(e)
+	}
+	return out, nil
+}
+
+// NewError turns a fault into its answer by the one table.
+func (h *Handler) NewError(_ context.Context, err error) *oas.FaultStatusCodeWithHeaders {
+	return answerOf(err)
+}
--- /dev/null
+++ b/api/oas/doc.go
@@ -0,0 +1,2 @@
+// Package oas is the client and server generated from the OpenAPI document.
+package oas
--- /dev/null
+++ b/api/references.go
@@ -0,0 +1,48 @@
+package api
+
+import (
+	"gypsumlead/fault"
+	"gypsumlead/record"
+)
+
+// checkReferences refuses a record that names another one that isn't there.
+func (h *Handler) checkReferences(r record.Record) error {
+	switch r := r.(type) {
+	case *record.Service:
+		return h.demandPool(r.Pool)
+	}
+	return nil
+}
+
+func (h *Handler) demandPool(name string) error {
+	if _, ok := h.state.Get(record.Key{Kind: record.KindPool, Name: name}); !ok {
+		return fault.New(fault.Missing, "there is no pool/%s: make it first", name)
+	}
+	return nil
+}
+
+// checkUnused refuses to delete a pool that services or instances still refer to.
+func (h *Handler) checkUnused(key record.Key) error {
+	if key.Kind != record.KindPool {
+		return nil
+	}
+	for _, e := range h.state.List(record.KindService) {
+		var s record.Service
+		if err := record.Decode(e, &s); err != nil {
+			return err
+		}
+		if s.Pool == key.Name {
+			return fault.New(fault.Conflict, "%s is the pool of %s: change or delete that first", key, e.Key())
+		}
+	}
+	for _, e := range h.state.List(record.KindMember) {
+		var m record.Member
+		if err := record.Decode(e, &m); err != nil {
+			return err
+		}
+		if m.Pool == key.Name || m.Home == key.Name {
+			return fault.New(fault.Conflict, "instance %s belongs to %s: move it first", e.Name, key)
+		}
+	}
+	return nil
+}
--- a/journal/proposal.go
+++ b/journal/proposal.go
@@ -76,3 +76,20 @@
 	}
 	return platform.Put{Key: key, IfVersion: r.Row(key).Version, Value: value}, nil
 }
+
+// Seq returns the number of the newest accepted change, on which the whole transaction is conditioned.
+func (r Rows) Seq() int64 {
+	var h Head
+	// A row that can't be read counts as an empty log; the writer has reported it before Decide is called.
+	_, _ = r.Load(keyHead, &h)
+	return h.Seq
+}
+
+// Current makes sure that s has the newest accepted change, so that Decide may rely on any
+// record in s: every change conditions on the head of the log.
+func (r Rows) Current(s *State) error {
+	if s.Seq() == r.Seq() {
+		return nil
+	}
+	return &raceError{fault.New(fault.Overload, "configuration in force is change %d, the newest is %d", s.Seq(), r.Seq())}
+}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -194,7 +194,7 @@
 	if err != nil {
 		return record.Envelope{}, err
 	}
-	if err := checkVersion(key, old, live, ifVersion); err != nil {
+	if err := CheckVersion(key, old, live, ifVersion); err != nil {
 		return record.Envelope{}, err
 	}
 	return record.Rewrite(old, key.Name, r)
@@ -209,13 +209,14 @@
 	if !live {
 		return record.Envelope{}, fault.New(fault.Missing, "there is no %s", key)
 	}
-	if err := checkVersion(key, old, live, ifVersion); err != nil {
+	if err := CheckVersion(key, old, live, ifVersion); err != nil {
 		return record.Envelope{}, err
 	}
 	return record.Envelope{Kind: key.Kind, Name: key.Name, Schema: old.Schema, Gone: true}, nil
 }
 
-func checkVersion(key record.Key, old record.Envelope, live bool, want int64) error {
+// CheckVersion returns an error of kind fault.Conflict unless the newest version of key is want; 0 means that there is none.
+func CheckVersion(key record.Key, old record.Envelope, live bool, want int64) error {
 	have := int64(0)
 	if live {
 		have = old.Version
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -156,17 +156,23 @@
 	return resp, err
 }
 
+// Lag is a daemon and the newest change that it is known to have.
+type Lag struct {
+	Identity
+	Seq int64
+}
+
 // Behind returns the daemons with an open session that aren't known to have change seq.
-func (m *Mesh) Behind(seq int64) []Identity {
+func (m *Mesh) Behind(seq int64) []Lag {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var ids []Identity
+	var lags []Lag
 	for _, s := range m.open {
-		if s.seen.Load() < seq {
-			ids = append(ids, s.them)
+		if has := s.seen.Load(); has < seq {
+			lags = append(lags, Lag{Identity: s.them, Seq: has})
 		}
 	}
-	return ids
+	return lags
 }
 
 // Learn notes that a daemon is known to have change seq.
--- a/record/codec.go
+++ b/record/codec.go
@@ -55,8 +55,12 @@
 	if len(old.Body) == 0 || old.Gone {
 		return body, nil
 	}
+	oldBody, err := upgrade(old)
+	if err != nil {
+		return nil, err
+	}
 	var before, known, after fields
-	if err := json.Unmarshal(old.Body, &before); err != nil {
+	if err := json.Unmarshal(oldBody, &before); err != nil {
 		return nil, fault.Wrap(fault.Invalid, err, "read the old body of %s", old.Key())
 	}
 	if err := json.Unmarshal(schemaFields(r), &known); err != nil {
--- a/record/record_test.go
+++ b/record/record_test.go
@@ -41,3 +41,35 @@
 	_, err = Encode("a", &Pool{Budget: Budget{Out: 1, Rack: 2}})
 	require.True(t, fault.Is(err, fault.Invalid))
 }
+
+func TestAccept(t *testing.T) {
+	draft := func(schema int, body string) Envelope {
+		return Envelope{Kind: KindPool, Name: "a", Schema: schema, Body: json.RawMessage(body)}
+	}
+	for _, tc := range []struct {
+		name       string
+		old, draft Envelope
+		schema     int
+		body       string
+		kind       fault.Kind
+	}{
+		{name: "older schema of a new record stays", draft: draft(1, `{"out": 3}`), schema: 1, body: `{"out":3}`},
+		{name: "newer over older drops the older form", old: draft(1, `{"out":3,"x":1}`), draft: draft(2, `{"budget":{"out":2}}`), schema: 2, body: `{"budget":{"out":2}}`},
+		{name: "older over newer is upgraded", old: draft(2, `{"budget":{"out":1},"x":1}`), draft: draft(1, `{"out":4}`), schema: 2, body: `{"budget":{"out":4},"x":1}`},
+		{name: "unknown field of a draft stays", draft: draft(2, `{"budget":{"out":1},"y":2}`), schema: 2, body: `{"budget":{"out":1},"y":2}`},
+		{name: "schema of the future", draft: draft(9, `{}`), kind: fault.Invalid},
+		{name: "no schema", draft: draft(0, `{}`), kind: fault.Invalid},
+		{name: "wrong type", draft: draft(2, `{"budget":7}`), kind: fault.Invalid},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e, _, err := Accept(tc.old, tc.draft)
+			if tc.kind != 0 {
+				require.True(t, fault.Is(err, tc.kind), "%v", err)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, tc.schema, e.Schema)
+			require.JSONEq(t, tc.body, string(e.Body))
+		})
+	}
+}
