Add share: floors, lending and the gate

Cause: the entry needs admission of work to a pool's slots under load, and the lead needs its signatures to wire. Conclusion: a pure aggregate (Pool.Apply) with floors by square-root staffing, lending by tiers and a reserve, deadline-ordered queues, and a gate sharded by pool.

--- /dev/null
+++ b/share/kind.go
@@ -0,0 +1,83 @@
+package share
+
+import (
+	"math"
+	"time"
+
+	"gypsumlead/record"
+)
+
+const (
+	meanGain = 1.0 / 64 // weight of the newest run time
+	highDevs = 2        // deviations above the mean that count as a long run
+)
+
+// group is a service of the pool: its kinds of work lend to each other before others borrow.
+type group struct {
+	name    string
+	first   *kind
+	floor   float64 // sum of its kinds' floors
+	running int
+	kinds   int
+}
+
+// kind is one kind of work of a service.
+type kind struct {
+	group   *group
+	work    record.Work
+	gone    bool // no longer configured; kept until its last request ends
+	floor   float64
+	running int
+	queue   queue
+	run     float64 // seconds, moving average
+	dev     float64 // seconds, moving mean deviation
+	runs    int     // run times measured
+	credit  float64 // slot-seconds of its floor left unused
+	since   time.Time
+	booked  time.Time // when the last refused caller was told to come back
+}
+
+// rate returns the requests a second that the kind can count on now.
+func (k *kind) rate() float64 {
+	return math.Max(k.floor, float64(k.running)) / k.run
+}
+
+// long returns a run time in seconds that few of the kind's requests exceed.
+func (k *kind) long() float64 {
+	return k.run + highDevs*k.dev
+}
+
+// measured takes in the run time of a finished request.
+func (k *kind) measured(d time.Duration) {
+	sec := math.Max(d.Seconds(), time.Microsecond.Seconds())
+	k.runs++
+	gain := math.Max(meanGain, 1/float64(k.runs))
+	k.dev += gain * (math.Abs(sec-k.run) - k.dev)
+	k.run += gain * (sec - k.run)
+}
+
+// accrue brings the credit up to now: the floor adds to it and running requests use it.
+func (k *kind) accrue(now time.Time, burst time.Duration) {
+	sec := now.Sub(k.since).Seconds()
+	k.since = now
+	if sec <= 0 {
+		return
+	}
+	k.credit += sec * (k.floor - float64(k.running))
+	k.credit = math.Min(k.credit, k.floor*burst.Seconds())
+	k.credit = math.Max(k.credit, -k.run)
+}
+
+// idle returns the whole slots of the floor that the kind doesn't use.
+func (k *kind) idle() int {
+	return max(0, int(math.Ceil(k.floor))-k.running)
+}
+
+// hopeless returns when r, if still waiting, can no longer end by its deadline.
+func (k *kind) hopeless(r *request) time.Time {
+	return r.deadline.Add(-seconds(k.run))
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/share/lend.go
@@ -0,0 +1,108 @@
+package share
+
+import (
+	"math"
+	"time"
+)
+
+// tier is the claim that a kind of work has on the next idle slot; a lower one goes first.
+type tier int
+
+const (
+	tierFloor    tier = iota // the slot is within its floor
+	tierFraction             // the slot is the fraction on top of its whole floor, and it has credit
+	tierCredit               // above its floor, using what it left unused before
+	tierService              // above its floor, within that of its service
+	tierLent                 // above both
+	tierNone                 // may not take a slot now
+)
+
+// tierOf returns the claim of k on one more slot.
+func (p *Pool) tierOf(k *kind, free, spare int) tier {
+	held := float64(k.running)
+	switch {
+	case free <= 0:
+		return tierNone
+	case held+1 <= k.floor:
+		return tierFloor
+	case held < k.floor && k.credit > 0:
+		return tierFraction
+	case free <= spare || k.long() > p.opts.reclaim.Seconds():
+		return tierNone
+	case k.credit > 0:
+		return tierCredit
+	case float64(k.group.running)+1 <= k.group.floor:
+		return tierService
+	}
+	return tierLent
+}
+
+// next returns the waiting kind of work with the best claim on an idle slot, or nil.
+func (p *Pool) next(now time.Time) *kind {
+	free := p.slots - p.running
+	if free <= 0 || p.waiting == 0 {
+		return nil
+	}
+	load := p.load()
+	var best *kind
+	bestTier := tierNone
+	for _, k := range p.kinds {
+		if len(k.queue) == 0 {
+			continue
+		}
+		k.accrue(now, p.opts.burst)
+		t := p.tierOf(k, free, load.reserve(k, free, p.opts.short))
+		if t < bestTier || t == bestTier && t != tierNone && before(k, best, t) {
+			best, bestTier = k, t
+		}
+	}
+	return best
+}
+
+// before orders two kinds of the same tier: guaranteed slots go to the one that has used the
+// least of its floor, lent ones to the more urgent.
+func before(a, b *kind, t tier) bool {
+	if t == tierLent && a.work.Urgency != b.work.Urgency {
+		return a.work.Urgency > b.work.Urgency
+	}
+	return a.credit*b.floor > b.credit*a.floor
+}
+
+// load sums up what decides how many idle slots must not be lent.
+type load struct {
+	idle  int     // whole slots of floors that are not in use
+	asked float64 // requests a second of the kinds that have such slots
+	freed float64 // slots a second given back by the requests that run
+}
+
+func (p *Pool) load() load {
+	var l load
+	for _, k := range p.kinds {
+		l.freed += float64(k.running) / k.run
+		if n := k.idle(); n > 0 {
+			l.idle += n
+			l.asked += k.work.Mean * p.part()
+		}
+	}
+	return l
+}
+
+// reserve returns how many of the free slots are not lent to k, so that a request within its
+// floor finds one at once but for the accepted chance. The idle slots are a birth-death
+// process: requests within their floors take them and every finished request gives one back,
+// among them those that k would run on what is lent.
+func (l load) reserve(k *kind, free int, short float64) int {
+	least := l.needed(l.freed+float64(free)/k.run, short)
+	return l.needed(l.freed+float64(max(0, free-least))/k.run, short)
+}
+
+// needed returns the idle slots that keep the chance of finding none below short.
+func (l load) needed(freed, short float64) int {
+	switch {
+	case l.idle == 0 || l.asked <= 0:
+		return 0
+	case l.asked >= freed:
+		return l.idle
+	}
+	return min(l.idle, int(math.Ceil(math.Log(short)/math.Log(l.asked/freed))))
+}
--- /dev/null
+++ b/share/option.go
@@ -0,0 +1,57 @@
+package share
+
+import (
+	"time"
+)
+
+const (
+	defaultRun     = 100 * time.Millisecond // run time of a kind before its first answer
+	defaultReclaim = 2 * time.Second
+	defaultBurst   = 30 * time.Second
+	defaultShort   = 0.01 // chance that a request within its floor finds no idle slot
+	defaultPerSlot = 16   // queued requests
+)
+
+type options struct {
+	reclaim time.Duration
+	burst   time.Duration
+	short   float64
+	perSlot int
+}
+
+// Option changes how a pool shares its slots.
+type Option func(*options)
+
+// WithReclaim sets the time within which a lent floor is whole again: only kinds of work
+// that run shorter may borrow.
+func WithReclaim(d time.Duration) Option {
+	return func(o *options) { o.reclaim = d }
+}
+
+// WithBurst sets for how long a kind's unused floor is remembered, to be used above the floor later.
+func WithBurst(d time.Duration) Option {
+	return func(o *options) { o.burst = d }
+}
+
+// WithShort sets the accepted chance that a request within its floor finds all slots lent.
+func WithShort(chance float64) Option {
+	return func(o *options) { o.short = chance }
+}
+
+// WithQueue sets the bound on queued requests, a slot of the pool.
+func WithQueue(perSlot int) Option {
+	return func(o *options) { o.perSlot = perSlot }
+}
+
+func applied(opts []Option) options {
+	o := options{
+		reclaim: defaultReclaim,
+		burst:   defaultBurst,
+		short:   defaultShort,
+		perSlot: defaultPerSlot,
+	}
+	for _, f := range opts {
+		f(&o)
+	}
+	return o
+}
--- /dev/null
+++ b/share/pool.go
@@ -0,0 +1,285 @@
+package share
+
+import (
+	"time"
+
+	"gypsumlead/fault"
+	"gypsumlead/record"
+)
+
+// lendEvery is the time after which held-back slots are looked at again.
+const lendEvery = 10 * time.Millisecond
+
+// Pool shares the slots of one pool: never more started requests than slots, and none above
+// a floor while another kind of work waits below its own.
+type Pool struct {
+	name      string
+	opts      options
+	slots     int
+	total     int
+	groups    []*group
+	kinds     []*kind // in the order of configuration, so that decisions repeat
+	requests  map[uint64]*request
+	running   int
+	waiting   int
+	at        time.Time // of the last event
+	refreshed time.Time
+	started   int // requests that the present event has started
+	lent      int // those of them above their floors
+}
+
+// New returns a pool without slots or services.
+func New(name string, opts ...Option) *Pool {
+	return &Pool{name: name, opts: applied(opts), requests: map[uint64]*request{}}
+}
+
+// Apply takes in an event and returns what has to be done; it depends on nothing but the
+// pool's state, the event and now. An error of kind fault.Breach tells of a broken invariant.
+func (p *Pool) Apply(ev Event, now time.Time) ([]Effect, error) {
+	p.started, p.lent, p.at = 0, 0, now
+	var out []Effect
+	switch e := ev.(type) {
+	case Arrive:
+		out = p.arrive(e, now)
+	case Finish:
+		p.end(e.ID, now, true)
+	case Cancel:
+		p.end(e.ID, now, false)
+	case Capacity:
+		p.slots, p.total = max(0, e.Slots), max(e.Slots, e.Total)
+		p.refresh(now)
+	case Configure:
+		out = p.configure(e, now)
+	case Tick:
+	}
+	if now.Sub(p.refreshed) >= refreshEvery {
+		p.refresh(now)
+	}
+	out = p.turnAway(out, now)
+	out = p.fill(out, now)
+	return out, p.check()
+}
+
+func (p *Pool) arrive(e Arrive, now time.Time) []Effect {
+	k := p.find(e.Service, e.Work)
+	if k == nil {
+		return []Effect{Refuse{ID: e.ID, Kind: fault.Missing}}
+	}
+	r := &request{id: e.ID, kind: k, deadline: e.Deadline}
+	if !p.hopeful(r, now) {
+		return []Effect{p.refusal(r, now)}
+	}
+	p.requests[r.id] = r
+	k.queue.add(r)
+	p.waiting++
+	return nil
+}
+
+// hopeful tells whether r can wait in the queue and still end by its deadline.
+func (p *Pool) hopeful(r *request, now time.Time) bool {
+	k := r.kind
+	if p.slots == 0 || !now.Before(k.hopeless(r)) {
+		return false
+	}
+	if len(k.queue) == 0 {
+		return true
+	}
+	if len(k.queue) >= p.queueLimit(k) {
+		return false
+	}
+	return !now.Add(k.wait()).After(k.hopeless(r))
+}
+
+// queueLimit bounds the kind's queue by its part of the pool, so that a flood can't take the
+// memory of the others' queues.
+func (p *Pool) queueLimit(k *kind) int {
+	return max(p.opts.perSlot, int(float64(p.opts.perSlot)*k.floor))
+}
+
+func (p *Pool) refusal(r *request, now time.Time) Refuse {
+	why := fault.Overload
+	if p.slots == 0 {
+		why = fault.NoUpstream
+	}
+	return Refuse{ID: r.id, Kind: why, Retry: r.kind.book(r.id, now)}
+}
+
+// end forgets a request that finished or whose caller left.
+func (p *Pool) end(id uint64, now time.Time, finished bool) {
+	r, ok := p.requests[id]
+	if !ok {
+		return
+	}
+	if r.started.IsZero() {
+		p.drop(r)
+		return
+	}
+	delete(p.requests, id)
+	k := r.kind
+	k.accrue(now, p.opts.burst)
+	k.running--
+	k.group.running--
+	p.running--
+	if finished {
+		k.measured(now.Sub(r.started))
+	}
+	p.prune()
+}
+
+// drop forgets a waiting request.
+func (p *Pool) drop(r *request) {
+	delete(p.requests, r.id)
+	r.kind.queue.remove(r)
+	p.waiting--
+}
+
+// turnAway refuses the waiting requests that can no longer end by their deadlines.
+func (p *Pool) turnAway(out []Effect, now time.Time) []Effect {
+	for _, k := range p.kinds {
+		for len(k.queue) > 0 {
+			r := k.queue.first()
+			if now.Before(k.hopeless(r)) && p.slots > 0 && !k.gone {
+				break
+			}
+			p.drop(r)
+			out = append(out, p.refusal(r, now))
+		}
+	}
+	return out
+}
+
+// fill starts waiting requests while slots can be given out.
+func (p *Pool) fill(out []Effect, now time.Time) []Effect {
+	for k := p.next(now); k != nil; k = p.next(now) {
+		r := k.queue.first()
+		k.queue.remove(r)
+		p.waiting--
+		if float64(k.running)+1 > k.floor {
+			p.lent++
+		}
+		r.started = now
+		k.running++
+		k.group.running++
+		p.running++
+		p.started++
+		out = append(out, Start{ID: r.id})
+	}
+	return out
+}
+
+// configure replaces the services; a kind that stays keeps its queue and measurements.
+func (p *Pool) configure(e Configure, now time.Time) []Effect {
+	for _, k := range p.kinds {
+		k.gone = true
+	}
+	for _, g := range p.groups {
+		g.first = nil
+	}
+	for _, s := range e.Services {
+		g := p.groupOf(s.Name)
+		for _, w := range s.Works {
+			k := p.kindOf(g, w, now)
+			if g.first == nil {
+				g.first = k
+			}
+		}
+	}
+	p.refresh(now)
+	out := p.turnAway(nil, now)
+	p.prune()
+	return out
+}
+
+func (p *Pool) groupOf(name string) *group {
+	for _, g := range p.groups {
+		if g.name == name {
+			return g
+		}
+	}
+	g := &group{name: name}
+	p.groups = append(p.groups, g)
+	return g
+}
+
+func (p *Pool) kindOf(g *group, w record.Work, now time.Time) *kind {
+	for _, k := range p.kinds {
+		if k.group == g && k.work.Name == w.Name {
+			k.work, k.gone = w, false
+			return k
+		}
+	}
+	k := &kind{group: g, work: w, run: defaultRun.Seconds(), since: now}
+	g.kinds++
+	p.kinds = append(p.kinds, k)
+	return k
+}
+
+// prune forgets the kinds that are gone and whose last request has ended.
+func (p *Pool) prune() {
+	kept := p.kinds[:0]
+	for _, k := range p.kinds {
+		if k.gone && k.running == 0 && len(k.queue) == 0 {
+			k.group.kinds--
+			continue
+		}
+		kept = append(kept, k)
+	}
+	clear(p.kinds[len(kept):])
+	p.kinds = kept
+	groups := p.groups[:0]
+	for _, g := range p.groups {
+		if g.kinds > 0 {
+			groups = append(groups, g)
+		}
+	}
+	clear(p.groups[len(groups):])
+	p.groups = groups
+}
+
+// find returns the configured kind of work, or nil.
+func (p *Pool) find(service, work string) *kind {
+	for _, k := range p.kinds {
+		if k.gone || k.group.name != service {
+			continue
+		}
+		if work == "" {
+			return k.group.first
+		}
+		if k.work.Name == work {
+			return k
+		}
+	}
+	return nil
+}
+
+// part returns this entry's part of the pool's slots.
+func (p *Pool) part() float64 {
+	if p.total <= p.slots {
+		return 1
+	}
+	return float64(p.slots) / float64(p.total)
+}
+
+// Next returns when the next Tick is due, or the zero time.
+func (p *Pool) Next() time.Time {
+	var next time.Time
+	if p.waiting > 0 && p.running < p.slots {
+		next = p.at.Add(lendEvery)
+	}
+	for _, k := range p.kinds {
+		if len(k.queue) == 0 {
+			continue
+		}
+		at := k.hopeless(k.queue.first())
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// Running returns the number of started requests.
+func (p *Pool) Running() int { return p.running }
+
+// Waiting returns the number of queued requests.
+func (p *Pool) Waiting() int { return p.waiting }
