--- a/share/shard.go
+++ b/share/shard.go
@@ -54,7 +54,8 @@
 func (s *shard) answered(a Effect, e Arrive) (func(), error) {
 	switch a := a.(type) {
 	case Start:
-		return sync.OnceFunc(func() { s.apply(Finish{ID: a.ID}) }), nil
+		id := a.ID
+		return sync.OnceFunc(func() { s.apply(Finish{ID: id}) }), nil
 	case Refuse:
 		return nil, fault.After(a.Kind, a.Retry, "admit request of %s/%s: pool %s can't serve it by its deadline", e.Service, e.Work, s.name)
 	}
