--- a/claim/ticket.go
+++ b/claim/ticket.go
@@ -9,7 +9,9 @@
 
 // Ticket is a claim that was won; it allows sending for a short time.
 type Ticket struct {
-	until time.Time // by the monotonic clock
+	from  time.Time // when the claim's write began
+	wall  time.Time // the same by the wall clock alone, which goes on while a machine is suspended
+	life  time.Duration
 	end   func(outcome)
 	ended atomic.Bool
 }
@@ -29,7 +31,8 @@
 
 // Gate tells whether the request may be sent now; a claimant that was paused too long must not.
 func (t *Ticket) Gate() error {
-	if time.Now().After(t.until) {
+	now := time.Now()
+	if now.Sub(t.from) > t.life || now.Round(0).Sub(t.wall) > t.life {
 		return fault.New(fault.Overload, "the claim on the key was made too long ago to send the request")
 	}
 	return nil
