Leave the caller's connection alone after its body has ended

Cause: a streamed request could fail with a cancelled context: closing the upload moved the read deadline into the past while net/http was already watching the connection, which took the error for the caller's leaving and cancelled the next request on it. Conclusion: no deadline is set after the body's end; a connection whose upload was given up is closed after the answer.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -78,6 +78,9 @@
 	for name, values := range resp.Header {
 		h[name] = values
 	}
+	if !c.body.reusable() {
+		h.Set("Connection", "close")
+	}
 	h.Set(fault.HeaderOutcome, string(fault.Ran))
 	h.Del(fault.HeaderKind)
 	h.Del(HeaderReplay)
--- a/entry/body.go
+++ b/entry/body.go
@@ -25,6 +25,11 @@
 	}
 }
 
+// reusable tells whether the caller's connection is fit for a further request.
+func (b *body) reusable() bool {
+	return b.rest == nil || b.rest.reusable()
+}
+
 // close makes sure that nothing reads the rest after the handler has returned.
 func (b *body) close() {
 	if b.rest != nil {
--- a/entry/call.go
+++ b/entry/call.go
@@ -139,6 +139,9 @@
 	if c.free != nil {
 		c.free()
 	}
+	if !c.body.reusable() {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.writeWithin(replyTime)
 	fault.Write(c.w, c.scoped(err))
 }
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -76,7 +76,7 @@
 				defer resp.Body.Close()
 				got, err := io.ReadAll(resp.Body)
 				require.NoError(t, err)
-				require.Equal(t, http.StatusAccepted, resp.StatusCode)
+				require.Equal(t, http.StatusAccepted, resp.StatusCode, "%.300s", got)
 				require.Equal(t, tc.method, resp.Header.Get("X-Method"))
 				require.Empty(t, resp.Header.Get("X-Connection"))
 				require.Equal(t, "ran", resp.Header.Get(fault.HeaderOutcome))
--- a/entry/upload.go
+++ b/entry/upload.go
@@ -27,6 +27,7 @@
 	stopped atomic.Bool
 
 	mu    sync.Mutex // held during a read
+	end   sync.Mutex // guards ended, and the deadline against it
 	ended bool       // the body was read to its end
 }
 
@@ -38,7 +39,7 @@
 func (u *upload) Read(p []byte) (int, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	// A stop after this check moves the deadline into the past, after the one set here.
+	// An abort after this check moves the deadline into the past, after the one set here.
 	u.deadline(time.Now().Add(uploadGrace + time.Duration(len(p)/u.rate)*time.Second))
 	if u.stopped.Load() {
 		return 0, errGivenUp
@@ -48,9 +49,8 @@
 	if u.left < 0 {
 		return 0, errTooLong
 	}
-	if errors.Is(err, io.EOF) {
-		u.ended = true
-		u.deadline(time.Time{})
+	if err == io.EOF {
+		u.finish()
 	}
 	return n, err
 }
@@ -60,19 +60,35 @@
 	_ = u.ctl.SetReadDeadline(t)
 }
 
-// abort ends a read in progress and refuses further ones.
+// finish lifts the deadline at the body's end, where net/http begins to watch for the caller's leaving.
+func (u *upload) finish() {
+	u.end.Lock()
+	defer u.end.Unlock()
+	u.ended = true
+	u.deadline(time.Time{})
+}
+
+// abort ends a read in progress and refuses further ones. After the body's end it must not touch
+// the deadline: net/http would take the error for the caller's leaving and cancel the next request.
 func (u *upload) abort() {
 	u.stopped.Store(true)
-	u.deadline(time.Now().Add(-time.Second))
+	u.end.Lock()
+	defer u.end.Unlock()
+	if !u.ended {
+		u.deadline(time.Now().Add(-time.Second))
+	}
 }
 
-// close waits until no read is in progress; only a connection whose body was read to its end is
-// fit for a further request.
+// close waits until no read is in progress.
 func (u *upload) close() {
 	u.abort()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.ended {
-		u.deadline(time.Time{})
-	}
+}
+
+// reusable tells whether the caller's connection is fit for a further request.
+func (u *upload) reusable() bool {
+	u.end.Lock()
+	defer u.end.Unlock()
+	return u.ended && !u.stopped.Load()
 }
