Prove the callers' promises in randomised storms

Cause: whole answers, not run, at most once and keys must hold with runners that fail at every step, silent connections, reboots, blackouts, cancelled callers and three entries. Real servers and clients run over pipes on virtual time; runners' accounts are the judge. Found by it: Update wrote an upstream's instance while an exchange read it; it is fixed now.

--- /dev/null
+++ b/entry/world_test.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gypsumlead/claim"
+	"gypsumlead/platform"
+	"gypsumlead/platform/standin"
+	"gypsumlead/runner"
+)
+
+// world is several entries in front of several runners, all real servers over pipes.
+type world struct {
+	t       *testing.T
+	runners []*standin.Runner
+	pipes   map[netip.AddrPort]*standin.Pipes
+	fleets  []*runner.Fleet
+	keepers []*claim.Keeper
+	entries []*Entry
+	servers []*http.Server
+	fronts  []*standin.Pipes
+	served  sync.WaitGroup
+}
+
+// parts is what a baseline replaces.
+type parts struct {
+	upstreams func(w *world, e int, f *runner.Fleet) Upstreams // nil for the fleet itself
+	table     func(e int) platform.Table                       // nil for one table of all entries
+}
+
+const (
+	worldEntries = 3
+	worldRunners = 4
+)
+
+// newWorld starts everything; stop must be called inside the bubble.
+func newWorld(t *testing.T, seed uint64, p parts) *world {
+	w := &world{t: t, pipes: map[netip.AddrPort]*standin.Pipes{}}
+	for i := range worldRunners {
+		addr := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1))
+		w.pipes[addr] = standin.NewPipes(addr)
+		id := fmt.Sprintf("u%d", i+1)
+		w.runners = append(w.runners, standin.NewRunner(w.pipes[addr],
+			standin.WithInstance(platform.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}),
+			standin.WithRunnerSeed(seed+uint64(i))))
+	}
+	shared := standin.New().Table
+	for e := range worldEntries {
+		w.addEntry(e, seed, shared, p)
+	}
+	w.update()
+	return w
+}
+
+func (w *world) addEntry(e int, seed uint64, shared platform.Table, p parts) {
+	fleet := runner.NewFleet(runner.WithZone("c1", "r1"), runner.WithSeed(seed+uint64(e)),
+		runner.WithDial(w.dial), runner.WithBreach(w.breach))
+	table := shared
+	if p.table != nil {
+		table = p.table(e)
+	}
+	keeper := claim.NewKeeper(table, claim.WithEntry(fmt.Sprint("e", e)), claim.WithBreach(w.breach))
+	var ups Upstreams = fleet
+	if p.upstreams != nil {
+		ups = p.upstreams(w, e, fleet)
+	}
+	entry := New(oneService{}, ups, WithClaims(keeper), WithBreach(w.breach))
+	srv := NewServer(entry)
+	front := standin.NewPipes(netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:80", e+1)))
+	w.served.Go(func() { _ = srv.Serve(front) })
+	w.fleets = append(w.fleets, fleet)
+	w.keepers = append(w.keepers, keeper)
+	w.entries = append(w.entries, entry)
+	w.servers = append(w.servers, srv)
+	w.fronts = append(w.fronts, front)
+}
+
+func (w *world) breach(err error) { w.t.Error(err) }
+
+func (w *world) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return w.pipes[addr].Dial(ctx, "tcp", addr.String())
+}
+
+// update gives every fleet the runners as they are now.
+func (w *world) update() {
+	var targets []runner.Target
+	for _, r := range w.runners {
+		targets = append(targets, runner.Target{Pool: "p", Instance: r.Instance()})
+	}
+	for _, f := range w.fleets {
+		f.Update(targets)
+	}
+}
+
+// seen returns how often each request reached any runner.
+func (w *world) seen() map[string]int {
+	out := map[string]int{}
+	for _, r := range w.runners {
+		for _, run := range r.Account().Runs {
+			out[run.ID] += run.Seen
+		}
+	}
+	return out
+}
+
+func (w *world) stop() {
+	for i := range w.servers {
+		_ = w.servers[i].Close()
+		w.keepers[i].Close()
+		w.fleets[i].Close()
+	}
+	w.served.Wait()
+	for _, r := range w.runners {
+		r.Close()
+	}
+}
+
+// client returns a caller's client of one entry, which opens a connection a request.
+func (w *world) client(e int) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: w.fronts[e].Dial, DisableKeepAlives: true}}
+}
+
+// chaos does one random harm to the runners until ctx ends, every now and then.
+func (w *world) chaos(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		r := w.runners[rng.IntN(len(w.runners))]
+		switch rng.IntN(5) {
+		case 0:
+			r.Silence()
+		case 1:
+			r.Reboot(fmt.Sprint("b", rng.IntN(1000)+2))
+			w.update()
+		case 2:
+			r.SetFaults(standin.RunnerFaults{Off: rng.IntN(2) == 0, Silent: rng.IntN(4) == 0})
+		case 3:
+			r.SetFaults(standin.RunnerFaults{Mishaps: standin.Mishaps(), Odds: 0.4, Chunked: rng.IntN(2) == 0})
+		case 4:
+			w.blackout(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		}
+		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
+	}
+}
+
+// blackout makes all runners refuse connections for a while.
+func (w *world) blackout(d time.Duration) {
+	for _, r := range w.runners {
+		r.SetFaults(standin.RunnerFaults{Off: true})
+		r.Silence()
+	}
+	time.Sleep(d)
+	for _, r := range w.runners {
+		r.SetFaults(standin.RunnerFaults{})
+	}
+}
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -129,20 +129,18 @@
 	defer p.mu.Unlock()
 	old := make(map[identity]*upstream, len(p.members))
 	for _, u := range p.members {
-		old[u.target.identity()] = u
+		old[u.identity()] = u
 	}
 	p.members = p.members[:0:0]
 	for _, t := range targets {
 		who := t.identity()
 		u := old[who]
-		if u == nil || u.target.Instance.Addr != t.Instance.Addr {
-			u = &upstream{}
+		if u == nil || !u.is(t.Instance) {
+			u = &upstream{instance: t.Instance}
 			f.boots[who] = append(f.boots[who], placed{pool: p, upstream: u})
 		} else {
 			delete(old, who)
 		}
-		u.target = t
-		u.instance = t.Instance
 		_, u.leaving = f.left[who]
 		if u.leaving {
 			closeAll(u.idle)
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -17,8 +17,7 @@
 // upstream is one boot of one instance in one pool; its fields are guarded by the pool's lock.
 // The count of exchanges in progress includes one from before its connection is chosen until it has ended.
 type upstream struct {
-	target     Target
-	instance   platform.Instance
+	instance   platform.Instance // never changes
 	leaving    bool
 	inProgress int64
 	idle       []*channel // last used at the end
@@ -28,6 +27,17 @@
 	doubtAt    time.Time
 }
 
+// identity returns the instance's boot.
+func (u *upstream) identity() identity {
+	return identity{id: u.instance.ID, boot: u.instance.Boot}
+}
+
+// is tells whether i is the same boot in the same place.
+func (u *upstream) is(i platform.Instance) bool {
+	h := u.instance
+	return h.ID == i.ID && h.Boot == i.Boot && h.Addr == i.Addr && h.Centre == i.Centre && h.Region == i.Region
+}
+
 // eligible tells whether an exchange may start now; after a failed dial one at a time may.
 func (u *upstream) eligible(now time.Time, limit int64) bool {
 	if u.leaving || now.Before(u.until) {
