Prove the fleet: cut, surplus and late answers, silence, leaving, failing runners

Cause: each mechanism of runner has to be seen failing when it is off. Found by it: a 101 answer left its connection open for good, because net/http hands it to the caller; closing a channel now closes the network connection itself. Exchange numbers, which an upstream may echo, were added because surplus bytes that cross the next request can't be told from its answer otherwise. Ruled out: telling crossing surplus by the order of writes: TCP doesn't show it.

--- a/runner/answer.go
+++ b/runner/answer.go
@@ -12,7 +12,7 @@
 )
 
 // httpRequest builds the request for one attempt.
-func (x *exchange) httpRequest(ctx context.Context, addr string) *http.Request {
+func (x *exchange) httpRequest(ctx context.Context, addr, number string) *http.Request {
 	target := *x.req.URL
 	target.Scheme = "http"
 	target.Host = addr
@@ -30,6 +30,7 @@
 	if _, ok := hr.Header["User-Agent"]; !ok {
 		hr.Header["User-Agent"] = []string{""} // keeps net/http from adding its own
 	}
+	hr.Header[HeaderExchange] = []string{number}
 	return hr.WithContext(ctx)
 }
 
@@ -65,6 +66,7 @@
 		Instance: u.instance.ID,
 		Boot:     u.instance.Boot,
 	}
+	delete(out.Header, HeaderExchange)
 	if resp.Body == http.NoBody || x.req.Method == http.MethodHead {
 		a.finish(nil)
 	}
@@ -119,7 +121,11 @@
 		return
 	}
 	a.err = io.EOF
-	a.pool.answered(a.upstream, a.resp.StatusCode < http.StatusInternalServerError)
+	if a.resp.StatusCode < http.StatusInternalServerError {
+		a.pool.answered(a.upstream, true)
+	} else {
+		a.fleet.failedOnce(a.pool, a.upstream)
+	}
 	a.channel.settle = a.channel.link.end()
 	a.channel.proved = time.Now()
 	if a.resp.Close || a.channel.client.Available() == 0 {
@@ -140,6 +146,6 @@
 		a.fleet.silent(a.pool, a.upstream, a.try.started, true)
 		return fault.Wrap(fault.Timeout, err, "the answer of runner %s did not end in time", who)
 	}
-	a.pool.answered(a.upstream, false)
+	a.fleet.failedOnce(a.pool, a.upstream)
 	return fault.Wrap(fault.Broken, err, "the answer of runner %s broke off", who)
 }
--- a/runner/channel.go
+++ b/runner/channel.go
@@ -20,6 +20,7 @@
 	settle <-chan struct{} // closed once the last answer is known to have no surplus
 	proved time.Time       // when the last whole answer came, or when it was dialled
 	used   bool            // has carried an exchange
+	echoes bool            // an answer on it has carried its exchange's number
 }
 
 // linkKey is the context key under which a dial hands its link to whoever asked for the connection.
@@ -33,7 +34,7 @@
 // DialFunc opens a network connection to an upstream.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
-func newDialer(dial DialFunc) *dialer {
+func newDialer(dial DialFunc, trust bool) *dialer {
 	return &dialer{transport: &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: headerLimit,
@@ -46,7 +47,7 @@
 			if err != nil {
 				return nil, err
 			}
-			l := newLink(c)
+			l := newLink(c, trust)
 			if out, ok := ctx.Value(linkKey{}).(**link); ok {
 				*out = l
 			}
@@ -96,6 +97,8 @@
 func (c *channel) close() {
 	// Nothing is left to be done about an error of a connection that is given up.
 	_ = c.client.Close()
+	// After a 101 net/http leaves the connection to its caller.
+	_ = c.link.Conn.Close()
 }
 
 func closeAll(cs []*channel) {
--- a/runner/do.go
+++ b/runner/do.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"gypsumlead/fault"
@@ -127,7 +128,8 @@
 		return nil, fault.New(fault.NoUpstream, "runner %s sent bytes that no request asked for", u.instance.ID)
 	}
 	t := newTry(ctx, x, c)
-	resp, err := c.client.RoundTrip(x.httpRequest(t.ctx, u.instance.Addr.String()))
+	number := strconv.FormatInt(f.numbers.Add(1), 10)
+	resp, err := c.client.RoundTrip(x.httpRequest(t.ctx, u.instance.Addr.String(), number))
 	if t.gaveUp() && err == nil {
 		err = errSilent
 	}
@@ -138,6 +140,9 @@
 	if err == nil {
 		err = checkAnswer(resp)
 	}
+	if err == nil && !f.cfg.off.echo {
+		err = c.checkNumber(resp, number)
+	}
 	if err == nil {
 		return f.answer(p, u, c, x, resp, t), nil
 	}
@@ -152,7 +157,7 @@
 // gate joins the upstream's state and the request's own gate.
 func (f *Fleet) gate(p *pool, u *upstream, x *exchange) func() error {
 	return func() error {
-		if p.isLeaving(u) {
+		if !f.cfg.off.gate && p.isLeaving(u) {
 			return errLeaves
 		}
 		if x.req.Gate == nil {
@@ -178,17 +183,27 @@
 		f.silent(p, u, t.started, !errors.Is(ctx.Err(), context.Canceled))
 		return fault.Wrap(fault.Timeout, err, "no answer from runner %s in time", who)
 	}
-	p.answered(u, false)
+	f.failedOnce(p, u)
 	return fault.Wrap(fault.Broken, err, "the answer of runner %s broke off", who)
 }
 
+// failedOnce casts doubt on an upstream.
+func (f *Fleet) failedOnce(p *pool, u *upstream) {
+	if !f.cfg.off.doubt {
+		p.answered(u, false)
+	}
+}
+
 // silent condemns the idle connections that have proved nothing since an exchange that timed
 // out began; new connections are used at once.
 func (f *Fleet) silent(p *pool, u *upstream, started time.Time, timedOut bool) {
 	if !timedOut {
 		return
 	}
-	p.answered(u, false)
+	f.failedOnce(p, u)
+	if f.cfg.off.condemn {
+		return
+	}
 	f.count.condemned.Add(int64(p.condemn(u, started)))
 }
 
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -4,18 +4,20 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Fleet is all upstreams that this entry may send to. An upstream that leaves starts no new
 // exchange for the rest of its boot, and its exchanges are counted until the last has ended.
 type Fleet struct {
-	cfg    config
-	dial   *dialer
-	retry  *retryBudget
-	count  counters
-	cancel context.CancelFunc
-	done   chan struct{}
+	cfg     config
+	dial    *dialer
+	retry   *retryBudget
+	count   counters
+	numbers atomic.Int64 // of exchanges
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu    sync.RWMutex
 	pools map[string]*pool
@@ -41,8 +43,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg:    cfg,
-		dial:   newDialer(cfg.dial),
-		retry:  newRetryBudget(),
+		dial:   newDialer(cfg.dial, cfg.off.stray),
+		retry:  newRetryBudget(cfg.off.budget),
 		cancel: cancel,
 		done:   make(chan struct{}),
 		pools:  map[string]*pool{},
--- a/runner/link.go
+++ b/runner/link.go
@@ -28,6 +28,7 @@
 type link struct {
 	net.Conn
 
+	trust   bool // bytes outside of an exchange are let through
 	mu      sync.Mutex
 	phase   phase
 	gate    func() error  // asked right before the first byte
@@ -39,15 +40,15 @@
 	parked  chan struct{} // closed when the link has settled
 }
 
-func newLink(c net.Conn) *link {
-	return &link{Conn: c}
+func newLink(c net.Conn, trust bool) *link {
+	return &link{Conn: c, trust: trust}
 }
 
 // begin starts an exchange; it fails on a link that isn't known to be clean.
 func (l *link) begin(gate func() error) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.phase != phaseFresh && l.phase != phaseIdle {
+	if l.phase != phaseFresh && l.phase != phaseIdle && !l.trust {
 		return false
 	}
 	l.phase = phaseBusy
@@ -68,7 +69,7 @@
 		return l.parked
 	}
 	l.phase = phaseSettling
-	if l.reading {
+	if l.reading || l.trust {
 		l.settle()
 	}
 	return l.parked
@@ -109,7 +110,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reading = false
-	if n == 0 {
+	if n == 0 || l.trust {
 		return true
 	}
 	if l.phase == phaseBusy && l.touched {
--- a/runner/option.go
+++ b/runner/option.go
@@ -23,6 +23,17 @@
 	seed   uint64
 	dial   DialFunc
 	breach func(error)
+	off    switches
+}
+
+// switches turn mechanisms off, so that a test can show what each is for.
+type switches struct {
+	stray   bool // bytes outside of an exchange are let through
+	echo    bool // an answer's exchange number is not looked at
+	gate    bool // an upstream that began to leave after it was picked is sent to
+	condemn bool // a connection that timed out says nothing of its siblings
+	doubt   bool // failed answers don't make an upstream less likely
+	budget  bool // repeated sends are not bounded
 }
 
 // Option changes a Fleet under construction.
--- a/runner/retry.go
+++ b/runner/retry.go
@@ -11,12 +11,13 @@
 
 // retryBudget keeps repeated sends to a share of the requests, so that retries can't amplify a flood.
 type retryBudget struct {
+	open   bool // no bound
 	mu     sync.Mutex
 	tokens float64
 }
 
-func newRetryBudget() *retryBudget {
-	return &retryBudget{tokens: retryBurst}
+func newRetryBudget(open bool) *retryBudget {
+	return &retryBudget{open: open, tokens: retryBurst}
 }
 
 // earn counts one request.
@@ -30,6 +31,9 @@
 func (b *retryBudget) spend() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.open {
+		return true
+	}
 	if b.tokens < 1 {
 		return false
 	}
