Assemble the daemon: roster, routes, app

The app is put together in one place; leaving boots go to the fleet before anything else hears of them, so that no pick can follow the knowledge.

--- /dev/null
+++ b/app/app.go
@@ -0,0 +1,242 @@
+package app
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"gypsumlead/api"
+	"gypsumlead/claim"
+	"gypsumlead/entry"
+	"gypsumlead/fault"
+	"gypsumlead/journal"
+	"gypsumlead/peer"
+	"gypsumlead/platform"
+	"gypsumlead/roster"
+	"gypsumlead/runner"
+	"gypsumlead/settings"
+	"gypsumlead/share"
+	"gypsumlead/spread"
+)
+
+// App is one daemon.
+type App struct {
+	common
+	platform Platform
+	metrics  *metrics
+
+	state  *journal.State
+	writer *journal.Writer
+	spread *spread.Spreader
+	roster *roster.Roster
+	mesh   *peer.Mesh
+	peers  *peers
+	server *peer.Server
+	poller *poller
+	router *router
+	fleet  *runner.Fleet
+	gate   *share.Gate
+	claims *claim.Book
+	entry  *entry.Entry
+	teller *teller
+	duties *duties
+
+	callers   *http.Server
+	operators *http.Server
+	listeners listeners
+}
+
+// Addrs are the addresses that a daemon listens on.
+type Addrs struct {
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+}
+
+// New assembles a daemon and opens its listeners; Run starts it.
+func New(set settings.Settings, p Platform, log *zap.Logger) (*App, error) {
+	a := &App{
+		common:   common{set: set, boot: rand.Text(), log: log.With(zap.String("instance", set.Instance))},
+		platform: p,
+	}
+	a.makeConfiguration()
+	a.makeCallerPath()
+	a.makePeers()
+	a.makeDuties()
+	if err := a.makeServers(); err != nil {
+		return nil, err
+	}
+	var err error
+	a.listeners, err = listen(set.Listen)
+	return a, err
+}
+
+// makeConfiguration builds what holds the configuration and the roster.
+func (a *App) makeConfiguration() {
+	a.roster = roster.New(roster.WithChanged(a.rosterChanged), roster.WithLearned(a.leavingLearned))
+	a.state = journal.NewState(a.applied)
+	a.writer = journal.NewWriter(a.platform.Table)
+	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
+	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))
+	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
+	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
+	a.poller = &poller{common: a.common, list: a.platform.Instances, roster: a.roster, mesh: a.mesh}
+}
+
+// makeCallerPath builds what a caller's request goes through.
+func (a *App) makeCallerPath() {
+	a.fleet = runner.NewFleet(
+		runner.WithZone(a.set.Centre, a.set.Region),
+		runner.WithConns(a.set.Runners.Slots),
+		runner.WithIdle(a.set.Runners.Idle),
+		runner.WithDialLimit(a.set.Runners.Connect),
+		runner.WithBreach(a.breach),
+	)
+	a.gate = share.NewGate(share.WithBreach(a.breach))
+	a.router = newRouter(a.common, a.state, a.roster, a.fleet, a.gate)
+	a.claims = claim.New(a.platform.Table, claim.WithRate(a.set.Calls.Claims))
+	a.entry = entry.New(a.router, a.fleet,
+		entry.WithGate(a.gate),
+		entry.WithClaims(a.claims),
+		entry.WithTimeout(a.set.Calls.Timeout),
+		entry.WithBodyLimit(a.set.Calls.Body),
+		entry.WithMemory(a.set.Calls.Memory),
+		entry.WithBreach(a.breach),
+	)
+}
+
+func (a *App) makePeers() {
+	a.teller = newTeller()
+	a.peers = &peers{
+		common:  a.common,
+		mesh:    a.mesh,
+		spread:  a.spread,
+		roster:  a.roster,
+		fleet:   a.fleet,
+		router:  a.router,
+		leaving: a.entry.Leaving,
+	}
+	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
+	a.server = peer.NewServer(us, a.peers, a.log)
+	a.peers.retarget()
+}
+
+func (a *App) makeServers() error {
+	a.callers = entry.NewServer(a.entry)
+	a.callers.MaxHeaderBytes = a.set.Calls.Header
+	var err error
+	if a.metrics, err = newMetrics(a); err != nil {
+		return err
+	}
+	handler := api.NewHandler(api.Parts{
+		State:  a.state,
+		Writer: a.writer,
+		Config: a.spread,
+		Trail:  &trail{table: a.platform.Table},
+		Fleet:  a.roster,
+		Move:   move,
+		Status: a.status,
+	})
+	guard := api.NewGuard(a.set.Tokens)
+	a.operators, err = newOperators(handler, guard, a.metrics, a.entry)
+	return err
+}
+
+// Addrs returns the addresses that the daemon listens on.
+func (a *App) Addrs() Addrs {
+	return a.listeners.addrs()
+}
+
+// Run serves until ctx ends, then leaves without cutting a request, and returns when all has stopped.
+func (a *App) Run(ctx context.Context) error {
+	defer a.fleet.Close()
+	// The parts outlive ctx: they are needed until the last request has been served.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g run.Group
+	add := func(f func(context.Context) error) {
+		ctx, stop := context.WithCancel(inner)
+		g.Add(func() error { return f(ctx) }, func(error) { stop() })
+	}
+	addServer(&g, a.callers, a.listeners.callers)
+	addServer(&g, a.operators, a.listeners.operators)
+	add(func(ctx context.Context) error { return a.server.Serve(ctx, a.listeners.peers) })
+	add(a.mesh.Run)
+	add(a.spread.Run)
+	add(a.poller.run)
+	add(a.router.run)
+	add(a.runTeller)
+	add(a.duties.run)
+	stop, stopNow := context.WithCancel(ctx)
+	g.Add(func() error { return a.leave(stop) }, func(error) { stopNow() })
+	a.log.Info("daemon starts", zap.Any("listen", a.Addrs()), zap.String("boot", a.boot), zap.String("centre", a.set.Centre))
+	err := g.Run()
+	a.log.Info("daemon has stopped", zap.Error(err))
+	return err
+}
+
+// leave waits for ctx to end and then for the last request.
+func (a *App) leave(ctx context.Context) error {
+	<-ctx.Done()
+	a.log.Info("leaving: readiness fails, requests are served until the balancer has moved on")
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), a.set.Stop.Wait+a.set.Stop.Most)
+	defer cancel()
+	a.duties.release(ctx)
+	return a.entry.Stop(ctx, a.callers, a.set.Stop.Wait)
+}
+
+// applied is called after each change that is put in force.
+func (a *App) applied(c journal.Change) {
+	a.spread.Applied(c)
+	a.router.wake()
+}
+
+// rosterChanged is called after each change of the roster.
+func (a *App) rosterChanged() {
+	a.router.wake()
+	a.peers.retarget()
+}
+
+// leavingLearned is called when a boot of an instance becomes known to be leaving: no new work
+// goes there from now on, and the peers are told.
+func (a *App) leavingLearned(id, boot string) {
+	a.fleet.Leave(id, boot)
+	a.teller.tell(id, boot)
+}
+
+// ponged is called after each answered ping.
+func (a *App) ponged(from peer.Identity, p *peer.Pong) {
+	a.spread.Saw(from.Instance, p.GetSeq())
+}
+
+// breach reports an invariant that doesn't hold.
+func (a *App) breach(err error) {
+	a.metrics.breaches.Add(1)
+	a.log.Error("invariant broken", zap.Error(err), zap.String("kind", fault.KindOf(err).String()))
+}
+
+// addServer adds an HTTP server to the group; closing it is abrupt, for callers have been waited for by then.
+func addServer(g *run.Group, s *http.Server, l net.Listener) {
+	g.Add(func() error {
+		err := s.Serve(l)
+		if err == http.ErrServerClosed {
+			return nil
+		}
+		return err
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	})
+}
+
+var _ api.Fleet = (*roster.Roster)(nil)
+var _ platform.Table = platform.Table(nil)
--- /dev/null
+++ b/app/duties.go
@@ -0,0 +1,47 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/journal"
+)
+
+const compactEvery = 10 * time.Second
+
+// duties runs the control duties that this daemon holds.
+type duties struct {
+	common
+	platform Platform
+	state    *journal.State
+}
+
+func (a *App) makeDuties() {
+	a.duties = &duties{common: a.common, platform: a.platform, state: a.state}
+}
+
+// run steps the duties until ctx ends.
+func (d *duties) run(ctx context.Context) error {
+	tick := time.NewTicker(compactEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if _, err := journal.Compact(ctx, d.platform.Table, d.platform.Objects, d.state); err != nil {
+			d.log.Debug("compact the log", zap.Error(err))
+		}
+	}
+}
+
+// release hands back what this daemon holds.
+func (d *duties) release(context.Context) {}
+
+// held names the duties held here.
+func (d *duties) held() []string {
+	return nil
+}
--- a/spread/spreader.go
+++ b/spread/spreader.go
@@ -121,6 +121,11 @@
 	return err
 }
 
+// Seq returns the number of the newest change in force.
+func (s *Spreader) Seq() int64 {
+	return s.state.Seq()
+}
+
 // Store returns the last fault of the table, or nil while it answers.
 func (s *Spreader) Store() error {
 	return s.store.last()
