--- a/app/app.go
+++ b/app/app.go
@@ -12,12 +12,10 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/api"
-	"gypsumlead/claim"
 	"gypsumlead/entry"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
 	"gypsumlead/peer"
-	"gypsumlead/platform"
 	"gypsumlead/roster"
 	"gypsumlead/runner"
 	"gypsumlead/settings"
@@ -42,7 +40,6 @@
 	router *router
 	fleet  *runner.Fleet
 	gate   *share.Gate
-	claims *claim.Book
 	entry  *entry.Entry
 	teller *teller
 	duties *duties
@@ -100,10 +97,8 @@
 	)
 	a.gate = share.NewGate(share.WithBreach(a.breach))
 	a.router = newRouter(a.common, a.state, a.roster, a.fleet, a.gate)
-	a.claims = claim.New(a.platform.Table, claim.WithRate(a.set.Calls.Claims))
 	a.entry = entry.New(a.router, a.fleet,
 		entry.WithGate(a.gate),
-		entry.WithClaims(a.claims),
 		entry.WithTimeout(a.set.Calls.Timeout),
 		entry.WithBodyLimit(a.set.Calls.Body),
 		entry.WithMemory(a.set.Calls.Memory),
@@ -237,6 +232,3 @@
 		}
 	})
 }
-
-var _ api.Fleet = (*roster.Roster)(nil)
-var _ platform.Table = platform.Table(nil)
--- a/app/status.go
+++ b/app/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"gypsumlead/api/oas"
+	"gypsumlead/journal"
 )
 
 // status tells what the daemon is and has in force.
@@ -12,7 +13,7 @@
 		Centre:   a.set.Centre,
 		Region:   a.set.Region,
 		Seq:      a.state.Seq(),
-		Ready:    a.ready(),
+		Ready:    a.Ready(),
 		Leaving:  a.entry.Leaving(),
 		Progress: int(a.entry.Stats().Active),
 		Duties:   a.duties.held(),
@@ -26,7 +27,17 @@
 	return s
 }
 
-// ready tells whether the daemon has something to serve by.
-func (a *App) ready() bool {
+// State returns the configuration in force.
+func (a *App) State() *journal.State {
+	return a.state
+}
+
+// Seq returns the number of the newest change that the caller path follows.
+func (a *App) Seq() int64 {
+	return a.router.seq.Load()
+}
+
+// Ready tells whether the daemon has something to serve by and isn't leaving.
+func (a *App) Ready() bool {
 	return a.router.seq.Load() > 0 && !a.entry.Leaving()
 }
--- /dev/null
+++ b/cli/serve.go
@@ -0,0 +1,68 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"gypsumlead/app"
+	"gypsumlead/fault"
+	"gypsumlead/platform/client"
+	"gypsumlead/settings"
+)
+
+func runServe(ctx context.Context, e *env, args []string) error {
+	set, err := loadSettings(e, args)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(set.Log)
+	if err != nil {
+		return err
+	}
+	c := client.New(set.Platform)
+	defer c.Close()
+	p := app.Platform{Table: c.Table, Objects: c.Objects, Instances: c.Instances, Workers: c.Workers}
+	a, err := app.New(set, p, log)
+	if err != nil {
+		return err
+	}
+	return a.Run(ctx)
+}
+
+func runCheck(_ context.Context, e *env, args []string) error {
+	set, err := loadSettings(e, args)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "settings of %s in data centre %s are fine\n", set.Instance, set.Centre)
+	return nil
+}
+
+func loadSettings(e *env, args []string) (settings.Settings, error) {
+	fs := e.flags()
+	file := fs.String("settings", "", "settings `FILE`")
+	if _, err := parse(fs, args, 0, 0); err != nil {
+		return settings.Settings{}, err
+	}
+	if *file == "" {
+		return settings.Settings{}, usageError{"-settings is missing"}
+	}
+	return settings.Load(*file)
+}
+
+// newLogger writes JSON lines to standard error.
+func newLogger(level string) (*zap.Logger, error) {
+	at, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, fault.Wrap(fault.Invalid, err, "log level")
+	}
+	c := zap.NewProductionConfig()
+	c.Level = zap.NewAtomicLevelAt(at)
+	c.Sampling = nil
+	c.DisableStacktrace = true
+	log, err := c.Build()
+	return log, fault.Wrap(fault.Internal, err, "make the logger")
+}
--- /dev/null
+++ b/cli/verbs.go
@@ -0,0 +1,21 @@
+package cli
+
+// verbs lists every command, in the order of the help.
+func verbs() []verb {
+	return []verb{
+		{"serve", "Runs the daemon of an entry instance.", "-settings FILE", "gypsumlead serve -settings entry-1.json", runServe},
+		{"check", "Checks a settings file and names every fault in it.", "-settings FILE", "gypsumlead check -settings entry-1.json", runCheck},
+		{"demo", "Runs the whole path on embedded stand-ins and counts breaches.", "[-seed N] [-duration D]", "gypsumlead demo -seed 1 -duration 20s", runDemo},
+		{"trial", "Measures one decision on virtual time and prints one JSON line.", "NAME [flags]", "gypsumlead trial flood -seed 1", runTrial},
+		{"status", "Shows what a daemon is and has in force.", "[-at ADDR]", "gypsumlead status -at 127.0.0.1:8081", runStatus},
+		{"list", "Lists the records of a kind: pool, service, member, drain, wave, job, team.", "KIND [-json]", "gypsumlead list pool", runList},
+		{"get", "Shows one record.", "KIND NAME [-json]", "gypsumlead get pool texts", runGet},
+		{"put", "Makes or changes a record from a JSON file.", "KIND NAME -file FILE [-version N] [-why TEXT]", "gypsumlead put pool texts -file texts.json -why 'first pool'", runPut},
+		{"delete", "Deletes a record.", "KIND NAME -version N [-why TEXT]", "gypsumlead delete pool texts -version 7", runDelete},
+		{"instances", "Lists the platform's instances with their pools.", "[-json]", "gypsumlead instances", runInstances},
+		{"move", "Puts an instance into a pool.", "INSTANCE -to POOL [-from POOL] [-why TEXT]", "gypsumlead move runner-7 -from accounts -to texts", runMove},
+		{"wave", "Pauses, resumes or cancels a maintenance wave.", "pause|resume|cancel NAME [-why TEXT]", "gypsumlead wave pause kernel-12 -why 'rack a3 is slow'", runWave},
+		{"explain", "Prints every decision on something, refused ones too.", "KIND NAME [-json]", "gypsumlead explain pool texts", runExplain},
+		{"settings", "Prints the reference of the settings file, or its JSON Schema.", "[-schema]", "gypsumlead settings -schema", runSettings},
+	}
+}
--- a/cmd/gypsumlead/main.go
+++ b/cmd/gypsumlead/main.go
@@ -1,4 +1,17 @@
 // Command gypsumlead is the daemon and the operators' tool.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"gypsumlead/cli"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(cli.Run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -23,6 +23,11 @@
 	e.leaving.Store(true)
 }
 
+// Leaving tells whether Leave was called.
+func (e *Entry) Leaving() bool {
+	return e.leaving.Load()
+}
+
 // Quiet waits until no request has come for the given time and none is in progress, or ctx ends.
 func (e *Entry) Quiet(ctx context.Context, quiet time.Duration) error {
 	t := time.NewTicker(quietStep)
--- a/route/table.go
+++ b/route/table.go
@@ -33,6 +33,9 @@
 	Capacities []Capacity
 }
 
+// none is the Slots of a target that this entry sends nothing to.
+const none = -1
+
 // Self is the entry that a table is made for.
 type Self struct {
 	Instance string
@@ -110,7 +113,9 @@
 		b.near[poolCentre{m.Pool, in.Centre}] = b.near[poolCentre{m.Pool, in.Centre}] || !out[len(out)-1].Leaving
 	}
 	for i, t := range out {
-		out[i].Slots = b.part(t.Instance, t.Pool)
+		if out[i].Slots = b.part(t.Instance, t.Pool); out[i].Slots == 0 {
+			out[i].Slots = none
+		}
 	}
 	return out
 }
@@ -172,7 +177,7 @@
 		if c == nil || t.Leaving {
 			continue
 		}
-		c.Slots += t.Slots
+		c.Slots += max(t.Slots, 0)
 		c.Total += b.self.Slots
 	}
 	flat := make([]Capacity, len(out))
--- a/runner/target.go
+++ b/runner/target.go
@@ -9,6 +9,7 @@
 	Instance platform.Instance
 	Pool     string
 	Leaving  bool // gets no new work; sticky for the instance's boot
+	Slots    int  // most exchanges of this entry at a time; 0 means the fleet's bound, less than 0 none
 }
 
 // identity tells one boot of an instance from another.
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -33,8 +33,11 @@
 	if u.leaving || now.Before(u.until) {
 		return false
 	}
+	if u.target.Slots != 0 {
+		limit = min(limit, int64(u.target.Slots))
+	}
 	if u.fails > 0 {
-		return u.inProgress == 0
+		limit = min(limit, 1)
 	}
 	return u.inProgress < limit
 }
--- /dev/null
+++ b/settings/reference.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"time"
+
+	"gypsumlead/fault"
+)
+
+// Reference returns the settings' reference page in Markdown, made from the struct and its defaults.
+func Reference() string {
+	var b strings.Builder
+	b.WriteString("# Settings\n\nMade by `gypsumlead settings`. Durations are texts with a unit, such as \"500ms\".\n\n")
+	b.WriteString("| key | type | default | rule | meaning |\n| --- | --- | --- | --- | --- |\n")
+	for _, f := range fieldsOf(reflect.ValueOf(Defaults()), "") {
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.path, f.kind, f.value, f.rule, f.doc)
+	}
+	return b.String()
+}
+
+// field is one line of the reference.
+type field struct {
+	path, kind, value, rule, doc string
+}
+
+// fieldsOf lists the leaves below v.
+func fieldsOf(v reflect.Value, prefix string) []field {
+	var out []field
+	t := v.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		path := prefix + f.Tag.Get("json")
+		rule := strings.ReplaceAll(f.Tag.Get("validate"), ",dive", "")
+		switch {
+		case f.Type.Kind() == reflect.Struct && f.Type != reflect.TypeFor[netip.AddrPort]():
+			out = append(out, fieldsOf(v.Field(i), path+".")...)
+		case f.Type.Kind() == reflect.Slice:
+			out = append(out, field{path, "list", "", rule, f.Tag.Get("doc")})
+			out = append(out, fieldsOf(reflect.New(f.Type.Elem()).Elem(), path+"[].")...)
+		default:
+			out = append(out, field{path, typeName(f.Type), valueText(v.Field(i)), rule, f.Tag.Get("doc")})
+		}
+	}
+	return out
+}
+
+func typeName(t reflect.Type) string {
+	switch t {
+	case reflect.TypeFor[time.Duration]():
+		return "duration"
+	case reflect.TypeFor[netip.AddrPort]():
+		return "address"
+	case reflect.TypeFor[string]():
+		return "text"
+	}
+	return "number"
+}
+
+func valueText(v reflect.Value) string {
+	if v.IsZero() {
+		return ""
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
+
+// node is one part of a JSON Schema.
+type node struct {
+	Schema      string           `json:"$schema,omitempty"`
+	Title       string           `json:"title,omitempty"`
+	Description string           `json:"description,omitempty"`
+	Type        string           `json:"type"`
+	Default     any              `json:"default,omitempty"`
+	Properties  map[string]*node `json:"properties,omitempty"`
+	Required    []string         `json:"required,omitempty"`
+	Items       *node            `json:"items,omitempty"`
+	Additional  *bool            `json:"additionalProperties,omitempty"`
+}
+
+// Schema returns the settings' JSON Schema, made from the struct and its defaults.
+func Schema() ([]byte, error) {
+	n := objectNode(reflect.ValueOf(Defaults()))
+	n.Schema = "https://json-schema.org/draft/2020-12/schema"
+	n.Title = "gypsumlead settings"
+	data, err := json.MarshalIndent(n, "", "  ")
+	return data, fault.Wrap(fault.Internal, err, "encode the settings' schema")
+}
+
+func objectNode(v reflect.Value) *node {
+	closed := false
+	n := &node{Type: "object", Properties: map[string]*node{}, Additional: &closed}
+	t := v.Type()
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name := f.Tag.Get("json")
+		child := nodeOf(v.Field(i))
+		child.Description = f.Tag.Get("doc")
+		n.Properties[name] = child
+		if strings.HasPrefix(f.Tag.Get("validate"), "required") {
+			n.Required = append(n.Required, name)
+		}
+	}
+	return n
+}
+
+func nodeOf(v reflect.Value) *node {
+	switch {
+	case v.Type() == reflect.TypeFor[netip.AddrPort]():
+		return &node{Type: "string"}
+	case v.Type() == reflect.TypeFor[time.Duration]():
+		return &node{Type: "string", Default: time.Duration(v.Int()).String()}
+	case v.Kind() == reflect.Struct:
+		return objectNode(v)
+	case v.Kind() == reflect.Slice:
+		return &node{Type: "array", Items: nodeOf(reflect.New(v.Type().Elem()).Elem())}
+	case v.Kind() == reflect.String:
+		return &node{Type: "string", Default: orNil(v)}
+	}
+	return &node{Type: "integer", Default: orNil(v)}
+}
+
+func orNil(v reflect.Value) any {
+	if v.IsZero() {
+		return nil
+	}
+	return v.Interface()
+}
