--- a/app/duties.go
+++ b/app/duties.go
@@ -26,13 +26,20 @@
 func (d *duties) run(ctx context.Context) error {
 	tick := time.NewTicker(compactEvery)
 	defer tick.Stop()
+	compaction := &journal.Compaction{
+		Table:   d.platform.Table,
+		Objects: d.platform.Objects,
+		State:   d.state,
+		Long:    journal.LongDefault,
+		Short:   journal.ShortDefault,
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
-		if _, err := journal.Compact(ctx, d.platform.Table, d.platform.Objects, d.state); err != nil {
+		if _, err := compaction.Step(ctx); err != nil {
 			d.log.Debug("compact the log", zap.Error(err))
 		}
 	}
--- a/journal/compact.go
+++ b/journal/compact.go
@@ -9,19 +9,33 @@
 	"gypsumlead/platform"
 )
 
+// Compaction keeps the log short: a snapshot goes to the object store before the rows that it
+// covers are trimmed, so that a daemon always finds one or the other.
+type Compaction struct {
+	Table   platform.Table
+	Objects platform.Objects
+	State   *State
+	Long    int64 // changes in the log that start a compaction
+	Short   int64 // changes that it leaves, for daemons that are a little behind and for repeated change IDs
+
+	snapped  int64 // newest snapshot that this compaction has stored
+	trimming bool  // a compaction has begun and goes on until Short changes are left
+}
+
+// Defaults of a compaction: at 14,000 changes a day, a change ID can be asked again for six hours at least.
 const (
-	logLong    = 1000 // changes in the log that make a compaction worth it
-	logShort   = 500  // changes that a compaction leaves, for daemons that are a little behind
-	trimAtOnce = 50   // log rows trimmed in one transaction
+	LongDefault  = 5000
+	ShortDefault = 4000
 )
 
+const trimAtOnce = 50 // changes trimmed in one transaction
+
 var zeroTime time.Time
 
-// Compact writes a snapshot and trims the log before it when the log has grown long; at most
-// trimAtOnce changes are trimmed a call. The snapshot is stored before anything is trimmed,
-// and the head row's version makes racing compactions harmless.
-func Compact(ctx context.Context, table platform.Table, objects platform.Objects, s *State) (bool, error) {
-	read, err := table.Read(ctx, keyHead)
+// Step trims at most trimAtOnce changes and tells whether there is more to trim. The head row's
+// version makes racing compactions harmless.
+func (c *Compaction) Step(ctx context.Context) (bool, error) {
+	read, err := c.Table.Read(ctx, keyHead)
 	if err != nil {
 		return false, err
 	}
@@ -30,28 +44,44 @@
 	if _, err := rows.Load(keyHead, &head); err != nil {
 		return false, err
 	}
-	snap := s.Snapshot()
-	if snap.Seq-head.Low < logLong || snap.Seq > head.Seq {
+	low := head.Seq - c.Short
+	if head.Seq-head.Low < c.Long && !c.trimming || low <= head.Low {
+		c.trimming = false
+		return false, nil
+	}
+	c.trimming = true
+	if c.snapped < low {
+		if err := c.snap(ctx, low); err != nil {
+			return false, err
+		}
+	}
+	low = min(low, head.Low+trimAtOnce, c.snapped+1)
+	if low <= head.Low {
 		return false, nil
 	}
+	return true, c.trim(ctx, rows, head, low)
+}
+
+// snap stores the configuration in force here if it covers the changes before low.
+func (c *Compaction) snap(ctx context.Context, low int64) error {
+	snap := c.State.Snapshot()
+	if snap.Seq < low {
+		return fault.New(fault.Overload, "this daemon has change %d in force, the compaction needs %d", snap.Seq, low)
+	}
 	data, err := json.Marshal(snap)
 	if err != nil {
-		return false, fault.Wrap(fault.Internal, err, "encode snapshot %d", snap.Seq)
+		return fault.Wrap(fault.Internal, err, "encode snapshot %d", snap.Seq)
 	}
-	if err := objects.Put(ctx, snapshotName(snap.Seq), data); err != nil {
-		return false, err
+	if err := c.Objects.Put(ctx, snapshotName(snap.Seq), data); err != nil {
+		return err
 	}
-	return true, trim(ctx, table, rows, head, snap.Seq-logShort)
+	c.snapped = snap.Seq
+	return nil
 }
 
-// trim deletes the log rows before low, a bounded number of them, together with the step of the head.
-func trim(ctx context.Context, table platform.Table, rows Rows, head Head, low int64) error {
-	low = min(low, head.Low+trimAtOnce)
-	keys := make([]string, 0, low-head.Low)
-	for seq := head.Low; seq < low; seq++ {
-		keys = append(keys, keyLog(seq))
-	}
-	old, err := table.Read(ctx, keys...)
+// trim deletes the log rows before low and their change IDs, together with the step of the head.
+func (c *Compaction) trim(ctx context.Context, rows Rows, head Head, low int64) error {
+	old, err := c.read(ctx, head.Low, low)
 	if err != nil {
 		return err
 	}
@@ -62,9 +92,41 @@
 	}
 	tx := platform.Tx{Ops: []platform.Op{op}}
 	for _, row := range old {
+		tx.Ops = append(tx.Ops, platform.Delete{Key: row.Key, IfVersion: row.Version})
+	}
+	return c.Table.Commit(ctx, tx)
+}
+
+// read returns the existing rows of the changes from one number up to another, with those of their IDs.
+func (c *Compaction) read(ctx context.Context, from, to int64) ([]platform.Row, error) {
+	var keys []string
+	for seq := from; seq < to; seq++ {
+		keys = append(keys, keyLog(seq))
+	}
+	logs, err := c.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	keys = keys[:0]
+	for _, row := range logs {
+		var ch Change
+		if row.Version == 0 {
+			continue
+		}
+		if err := json.Unmarshal(row.Value, &ch); err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "decode row %s", row.Key)
+		}
+		keys = append(keys, keyID(ch.ID))
+	}
+	ids, err := c.Table.Read(ctx, keys...)
+	if err != nil {
+		return nil, err
+	}
+	var out []platform.Row
+	for _, row := range append(logs, ids...) {
 		if row.Version > 0 {
-			tx.Ops = append(tx.Ops, platform.Delete{Key: row.Key, IfVersion: row.Version})
+			out = append(out, row)
 		}
 	}
-	return table.Commit(ctx, tx)
+	return out, nil
 }
