--- /dev/null
+++ b/peer/mesh_test.go
@@ -0,0 +1,88 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"gypsumlead/fault"
+	"gypsumlead/peer/wire"
+)
+
+const patience = 30 * time.Second
+
+// echo answers pings and refuses the rest.
+type echo struct{ seq atomic.Int64 }
+
+func (e *echo) ServePeer(_ context.Context, _ Identity, req *wire.Request) (*wire.Response, error) {
+	if p := req.GetPing(); p != nil {
+		return &wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{Seq: e.seq.Load()}}}, nil
+	}
+	return nil, fault.New(fault.Missing, "nothing here")
+}
+
+// hole is a connection that something in between can lose track of: from then on it delivers
+// nothing and reports nothing.
+type hole struct {
+	net.Conn
+	lost *atomic.Bool
+}
+
+func (h *hole) Write(b []byte) (int, error) {
+	if h.lost.Load() {
+		return len(b), nil
+	}
+	return h.Conn.Write(b)
+}
+
+func TestMesh(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &echo{}
+	e.seq.Store(7)
+	server := NewServer(Identity{Instance: "b", Centre: "c"}, e, zap.NewNop())
+	done := make(chan struct{}, 2)
+	go func() { _ = server.Serve(ctx, l); done <- struct{}{} }()
+
+	var lost atomic.Pointer[atomic.Bool]
+	var dials atomic.Int64
+	dial := func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		c, err := dialTCP(ctx, addr)
+		flag := &atomic.Bool{}
+		lost.Store(flag)
+		dials.Add(1)
+		return &hole{c, flag}, err
+	}
+	var pongs atomic.Int64
+	m := NewMesh(Identity{Instance: "a", Centre: "c"}, zap.NewNop(), WithPing(10*time.Millisecond), WithDial(dial),
+		WithSeq(func() int64 { return 3 }, func(_ Identity, p *Pong) { pongs.Store(p.GetSeq()) }))
+	go func() { _ = m.Run(ctx); done <- struct{}{} }()
+	m.SetTargets([]Target{{Instance: "b", Addr: netip.MustParseAddrPort(l.Addr().String()), Centre: "c"}})
+
+	joined := func() bool { return len(m.Peers()) == 1 }
+	require.Eventually(t, joined, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return pongs.Load() == 7 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return len(m.Behind(8)) == 1 && len(m.Behind(7)) == 0 }, patience, time.Millisecond)
+	_, err = m.Call(ctx, "b", &wire.Request{Body: &wire.Request_Pull{Pull: &wire.Pull{}}})
+	require.True(t, fault.Is(err, fault.Missing), "a peer's fault keeps its kind: %v", err)
+	_, err = m.Call(ctx, "nobody", &wire.Request{})
+	require.True(t, fault.Is(err, fault.NoUpstream), "%v", err)
+
+	// The open connection goes silent while new ones work: the session is replaced.
+	lost.Load().Store(true)
+	require.Eventually(t, func() bool { return dials.Load() >= 2 && joined() }, patience, time.Millisecond)
+
+	// A target that is taken away loses its session.
+	m.SetTargets(nil)
+	require.Eventually(t, func() bool { return len(m.Peers()) == 0 }, patience, time.Millisecond)
+	cancel()
+	<-done
+	<-done
+}
