--- /dev/null
+++ b/trial/timeline/doc.go
@@ -0,0 +1,2 @@
+// Package timeline orders the events of a trial on virtual time.
+package timeline
