share: hold back by delay, and queue by a dynamic threshold

Change: half of the queue's room is guaranteed by floors, the rest a dynamic threshold; the reserve bounds the wait to a quarter of a run, not the chance of no idle slot; what is asked now, not the mean, decides how many are held.

--- a/share/floor.go
+++ b/share/floor.go
@@ -13,6 +13,9 @@
 
 // refresh computes the floors anew from the means and the measured run times.
 func (p *Pool) refresh(now time.Time) {
+	for _, k := range p.kinds {
+		k.observe(now.Sub(p.refreshed))
+	}
 	p.refreshed = now
 	demand := p.demands()
 	c := headroom(demand, float64(p.slots))
--- a/share/kind.go
+++ b/share/kind.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	meanGain = 1.0 / 64 // weight of the newest run time
-	highDevs = 2        // deviations above the mean that count as a long run
+	askedOver     = 2 * time.Second // time constant of the arrival rate
+	leastExpected = 0.2             // of the mean
+	meanGain      = 1.0 / 64        // weight of the newest run time
+	highDevs      = 2               // deviations above the mean that count as a long run
 )
 
 // group is a service of the pool: its kinds of work lend to each other before others borrow.
@@ -34,6 +36,8 @@
 	runs    int     // run times measured
 	credit  float64 // slot-seconds of its floor left unused
 	since   time.Time
+	arrived int       // since the floors were last computed
+	asked   float64   // requests a second, moving average
 	booked  time.Time // when the last refused caller was told to come back
 }
 
@@ -68,6 +72,24 @@
 	k.credit = math.Max(k.credit, -k.run)
 }
 
+// observe takes the arrivals since the last call into the rate at which the kind is asked for.
+func (k *kind) observe(passed time.Duration) {
+	sec := passed.Seconds()
+	if sec <= 0 {
+		return
+	}
+	keep := math.Exp(-sec / askedOver.Seconds())
+	k.asked = keep*k.asked + (1-keep)*float64(k.arrived)/sec
+	k.arrived = 0
+}
+
+// expected returns the requests a second that the kind's floor has to be ready for: what is
+// asked now, at least a part of the mean and no more than the mean.
+func (k *kind) expected(part float64) float64 {
+	mean := k.work.Mean * part
+	return math.Min(mean, math.Max(k.asked, mean*leastExpected))
+}
+
 // idle returns the whole slots of the floor that the kind doesn't use.
 func (k *kind) idle() int {
 	return max(0, int(math.Ceil(k.floor))-k.running)
--- a/share/lend.go
+++ b/share/lend.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// waitPart is the part of its run time that a request within its floor may wait for a lent slot.
+const waitPart = 0.25
+
 // tier is the claim that a kind of work has on the next idle slot; a lower one goes first.
 type tier int
 
@@ -70,33 +73,37 @@
 
 // load sums up what decides how many idle slots must not be lent.
 type load struct {
-	idle  int     // whole slots of floors that are not in use
-	asked float64 // requests a second of the kinds that have such slots
-	freed float64 // slots a second given back by the requests that run
+	idle     int     // whole slots of floors that are not in use
+	asked    float64 // requests a second of the kinds that have such slots
+	freed    float64 // slots a second given back by the requests that run
+	patience float64 // seconds that such a request may wait without harm to its delay
 }
 
 func (p *Pool) load() load {
-	var l load
+	l := load{patience: math.Inf(1)}
 	for _, k := range p.kinds {
 		l.freed += float64(k.running) / k.run
 		if n := k.idle(); n > 0 {
 			l.idle += n
-			l.asked += k.work.Mean * p.part()
+			l.asked += k.expected(p.part())
+			l.patience = math.Min(l.patience, k.run*waitPart)
 		}
 	}
 	return l
 }
 
 // reserve returns how many of the free slots are not lent to k, so that a request within its
-// floor finds one at once but for the accepted chance. The idle slots are a birth-death
-// process: requests within their floors take them and every finished request gives one back,
-// among them those that k would run on what is lent.
+// floor waits no longer than its patience but for the accepted chance. The idle slots are a
+// birth-death process: requests within their floors take them and every finished request
+// gives one back, among them those that k would run on what is lent.
 func (l load) reserve(k *kind, free int, short float64) int {
 	least := l.needed(l.freed+float64(free)/k.run, short)
 	return l.needed(l.freed+float64(max(0, free-least))/k.run, short)
 }
 
-// needed returns the idle slots that keep the chance of finding none below short.
+// needed returns the idle slots with which the chance of a longer wait stays below short: of
+// r idle slots none is left with a chance of (asked/freed)^r, and a wait then passes t with a
+// chance of exp(-(freed-asked)*t).
 func (l load) needed(freed, short float64) int {
 	switch {
 	case l.idle == 0 || l.asked <= 0:
@@ -104,5 +111,6 @@
 	case l.asked >= freed:
 		return l.idle
 	}
-	return min(l.idle, int(math.Ceil(math.Log(short)/math.Log(l.asked/freed))))
+	need := (math.Log(short) + (freed-l.asked)*l.patience) / math.Log(l.asked/freed)
+	return max(0, min(l.idle, int(math.Ceil(need))))
 }
--- a/share/option.go
+++ b/share/option.go
@@ -9,7 +9,7 @@
 	defaultReclaim = 2 * time.Second
 	defaultBurst   = 30 * time.Second
 	defaultShort   = 0.01 // chance that a request within its floor finds no idle slot
-	defaultPerSlot = 16   // queued requests
+	defaultPerSlot = 64   // queued requests
 )
 
 type options struct {
--- a/share/pool.go
+++ b/share/pool.go
@@ -65,6 +65,7 @@
 	if k == nil {
 		return []Effect{Refuse{ID: e.ID, Kind: fault.Missing}}
 	}
+	k.arrived++
 	r := &request{id: e.ID, kind: k, deadline: e.Deadline}
 	if !p.hopeful(r, now) {
 		return []Effect{p.refusal(r, now)}
@@ -84,16 +85,19 @@
 	if len(k.queue) == 0 {
 		return true
 	}
-	if len(k.queue) >= p.queueLimit(k) {
+	if !p.roomFor(k) {
 		return false
 	}
 	return !now.Add(k.wait()).After(k.hopeless(r))
 }
 
-// queueLimit bounds the kind's queue by its part of the pool, so that a flood can't take the
-// memory of the others' queues.
-func (p *Pool) queueLimit(k *kind) int {
-	return max(p.opts.perSlot, int(float64(p.opts.perSlot)*k.floor))
+// roomFor tells whether one more request of k may be queued. Half of the room is guaranteed
+// by the floors; of the rest a kind takes no more than is left to the others (a dynamic
+// threshold), so that a flood can't take the memory of their queues.
+func (p *Pool) roomFor(k *kind) bool {
+	waits := len(k.queue)
+	own := int(float64(p.opts.perSlot) * k.floor / 2)
+	return waits <= own || waits < p.opts.perSlot*p.slots-p.waiting
 }
 
 func (p *Pool) refusal(r *request, now time.Time) Refuse {
--- a/trial/flood/first.go
+++ b/trial/flood/first.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	queuedPerSlot = 16 // the same bound as package share has
+	queuedPerSlot = 64 // the same bound as package share has
 	firstRetry    = time.Second
 )
 
