Race operators at pools; first waves

Cause: the budget and the one pool of an instance are promised under racing operators and lost answers. The waves are written, not run yet.

--- a/pool/budget.go
+++ b/pool/budget.go
@@ -47,6 +47,13 @@
 	o.what = append(o.what, item{m, why})
 }
 
+// Fits tells whether one more of m's failure domains may be out.
+func (o Out) Fits(b record.Budget, m Member) bool {
+	return o.All < b.Out &&
+		(b.Rack == 0 || o.Rack[m.Rack] < b.Rack) &&
+		(b.Centre == 0 || o.Centre[m.Centre] < b.Centre)
+}
+
 // Room returns nil if one more of m's failure domains may be out, else an error of kind
 // fault.Budget that names the bound and what counted against it.
 func (o Out) Room(b record.Budget, m Member) error {
--- /dev/null
+++ b/wave/driver.go
@@ -0,0 +1,162 @@
+package wave
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/fault"
+	"gypsumlead/journal"
+	"gypsumlead/platform"
+	"gypsumlead/pool"
+)
+
+// Lease is the right to act for one pool.
+type Lease interface {
+	// Check returns an error of kind fault.Fenced once the lease may have lapsed.
+	Check() error
+	// Cond returns the step that fails a transaction after a newer holder took the lease.
+	Cond() platform.Op
+}
+
+// Entries asks the entry instances about drained boots.
+type Entries interface {
+	// Quiet returns the newest change that the entry has in force, and how many of its requests
+	// are in progress on the instance. It fails if the entry doesn't hold boot for drained.
+	Quiet(ctx context.Context, entry platform.Instance, instance, boot string, seq int64) (have, progress int64, err error)
+}
+
+// Driver steps the waves in one pool, under the pool's lease. It isn't safe for concurrent use.
+type Driver struct {
+	pool    string
+	actor   string
+	table   platform.Table
+	writer  *journal.Writer
+	insts   platform.Instances
+	entries Entries
+	lease   Lease
+	view    func() pool.View
+	names   func() []string
+	now     func() time.Time
+	limits  Limits
+	log     *zap.Logger
+
+	ended map[string]bool      // waves that are over in this pool
+	acks  map[ack]bool         // answers that need no repeating
+	asked map[string]time.Time // when a reboot was last asked for
+}
+
+// ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
+// drain is never taken back.
+type ack struct {
+	instance, boot, entry, entryBoot string
+}
+
+// Option changes a Driver under construction.
+type Option func(*Driver)
+
+// WithLimits sets the limits.
+func WithLimits(l Limits) Option {
+	return func(d *Driver) { d.limits = l }
+}
+
+// WithClock sets the clock.
+func WithClock(now func() time.Time) Option {
+	return func(d *Driver) { d.now = now }
+}
+
+// WithActor sets the name that the audit trail gives for what the driver decides.
+func WithActor(name string) Option {
+	return func(d *Driver) { d.actor = name }
+}
+
+// WithLog sets the logger.
+func WithLog(l *zap.Logger) Option {
+	return func(d *Driver) { d.log = l }
+}
+
+// Parts are what a driver works with.
+type Parts struct {
+	Table     platform.Table
+	Writer    *journal.Writer
+	Instances platform.Instances
+	Entries   Entries
+	Lease     Lease
+	View      func() pool.View // the daemon's newest reading of the platform's list
+	Waves     func() []string  // names of the wave records in force that cover the pool
+}
+
+// NewDriver returns a driver of the waves in a pool, for a holder of the pool's lease.
+func NewDriver(name string, p Parts, opts ...Option) *Driver {
+	d := &Driver{
+		pool:    name,
+		actor:   "wave",
+		table:   p.Table,
+		writer:  p.Writer,
+		insts:   p.Instances,
+		entries: p.Entries,
+		lease:   p.Lease,
+		view:    p.View,
+		names:   p.Waves,
+		now:     time.Now,
+		limits:  DefaultLimits(),
+		log:     zap.NewNop(),
+		ended:   map[string]bool{},
+		acks:    map[ack]bool{},
+		asked:   map[string]time.Time{},
+	}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
+}
+
+// Step does what is due in each wave of the pool and writes how far it came. A step that lost a
+// race or was cut off is simply done again. The first error is returned after all waves had their turn.
+func (d *Driver) Step(ctx context.Context) error {
+	if err := d.lease.Check(); err != nil {
+		return err
+	}
+	waves, err := d.waves(ctx)
+	if err != nil {
+		return err
+	}
+	var first error
+	for _, name := range waves {
+		err := d.stepWave(ctx, name)
+		if fault.Is(err, fault.Fenced) {
+			return err
+		}
+		if fault.Is(err, fault.Conflict) {
+			continue // another decision came first; the next step starts from its result
+		}
+		if first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// waves returns the waves that aren't over: those in force, and those that have instances out
+// though their record is gone.
+func (d *Driver) waves(ctx context.Context) ([]string, error) {
+	names := slices.Clone(d.names())
+	rows, err := d.table.Read(ctx, pool.Key(d.pool))
+	if err != nil {
+		return nil, err
+	}
+	var s pool.State
+	if _, err := journal.NewRows(d.now(), rows...).Load(pool.Key(d.pool), &s); err != nil {
+		return nil, err
+	}
+	for _, t := range s.Takes {
+		if t.Cause == pool.CauseWave {
+			names = append(names, t.By)
+		}
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] }), nil
+}
--- /dev/null
+++ b/wave/snapshot.go
@@ -0,0 +1,91 @@
+package wave
+
+import (
+	"context"
+
+	"gypsumlead/fault"
+	"gypsumlead/journal"
+	"gypsumlead/pool"
+	"gypsumlead/record"
+)
+
+// RecordKey is the key of a wave's record.
+func RecordKey(name string) record.Key {
+	return record.Key{Kind: record.KindWave, Name: name}
+}
+
+// snapshot is a wave in a pool as one reading of the table shows it.
+type snapshot struct {
+	rows journal.Rows
+	rec  record.Wave
+	pool pool.Loaded
+	part Part
+	stop Stop
+}
+
+// keys are the rows of a snapshot.
+func keys(wave, name string) (rows []string, records []record.Key) {
+	rows = []string{pool.Key(name), Key(wave, name), StopKey(wave)}
+	return rows, []record.Key{pool.RecordKey(name), RecordKey(wave)}
+}
+
+// read reads a snapshot.
+func (d *Driver) read(ctx context.Context, wave string) (snapshot, error) {
+	names, records := keys(wave, d.pool)
+	for _, k := range records {
+		names = append(names, journal.RecordKey(k))
+	}
+	rows, err := d.table.Read(ctx, names...)
+	if err != nil {
+		return snapshot{}, err
+	}
+	return load(journal.NewRows(d.now(), rows...), wave, d.pool)
+}
+
+// load decodes a snapshot; a wave whose record is gone counts as cancelled.
+func load(rows journal.Rows, wave, name string) (snapshot, error) {
+	s := snapshot{rows: rows}
+	var err error
+	if s.pool, err = pool.Load(rows, name); err != nil {
+		return s, err
+	}
+	e, ok, err := rows.Envelope(RecordKey(wave))
+	if err != nil {
+		return s, err
+	}
+	if ok {
+		err = record.Decode(e, &s.rec)
+	} else {
+		s.rec.Cancelled = true
+	}
+	if err != nil {
+		return s, err
+	}
+	if ok, err = rows.Load(Key(wave, name), &s.part); err != nil {
+		return s, err
+	}
+	if !ok {
+		s.part = Part{Wave: wave, Pool: name, Began: rows.Now}
+	}
+	_, err = rows.Load(StopKey(wave), &s.stop)
+	return s, err
+}
+
+// stopped tells whether the wave stopped itself and the operator neither resumed nor cancelled it.
+func (s snapshot) stopped() bool {
+	return s.stop.Holds(s.rec) && !s.rec.Cancelled
+}
+
+// hold says why the wave takes no further instance at all.
+func (s snapshot) hold() error {
+	if s.stopped() {
+		return fault.New(fault.Budget, "stopped: %s", s.stop.Why)
+	}
+	if s.rec.Paused {
+		return fault.New(fault.Budget, "paused by the operator")
+	}
+	if s.rec.Cancelled {
+		return fault.New(fault.Budget, "cancelled by the operator")
+	}
+	return nil
+}
