--- /dev/null
+++ b/job/evidence.go
@@ -0,0 +1,245 @@
+package job
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"gypsumlead/audit"
+	"gypsumlead/fault"
+)
+
+const (
+	strikeWeight = 3.0 // weight of the failure of a task whose job runs well elsewhere
+	crowdedGuess = 4   // factor on what a task may use of which nothing is known
+)
+
+// fail takes in a failed try: it speaks against the job, the worker, or both, until one of them
+// is seen to do well without the other.
+func (p *Pool) fail(t *Task, w *Worker, now time.Time) error {
+	j := t.job
+	p.stats.Wasted += t.lostWork(now)
+	if p.isCrowded(w, t) {
+		t.avoid(w.ID)
+		if err := p.follow(t, "failed on a worker whose memory was used up", t.isRepeatable(), now); err != nil {
+			return err
+		}
+		return p.complete(j, now)
+	}
+	t.Fails++
+	t.avoid(w.ID)
+	s := Strike{Job: j.Name, Worker: w.ID, At: now}
+	j.Evidence.Counted++
+	j.Evidence.Bad++
+	j.Evidence.Fails = remember(j.Evidence.Fails, s)
+	w.strikes = remember(w.strikes, s)
+	j.dirty = true
+	p.changes.touch(j)
+	onProbation := w.bad.Health == Probation
+	if err := p.follow(t, "failed too often", t.isRepeatable(), now); err != nil {
+		return err
+	}
+	if onProbation {
+		p.quarantine(w, "failed on probation", now)
+	} else {
+		p.judgeWorker(w, now)
+	}
+	if err := p.judgeJob(j, now); err != nil {
+		return err
+	}
+	return p.complete(j, now)
+}
+
+func remember(list []Strike, s Strike) []Strike {
+	if len(list) == strikeLimit {
+		list = slices.Delete(list, 0, 1)
+	}
+	return append(list, s)
+}
+
+// isCrowded tells whether the worker's memory may have been too small for what was on it; then
+// the failure is the estimate's fault.
+func (p *Pool) isCrowded(w *Worker, t *Task) bool {
+	sum := w.foreign.Memory
+	for _, o := range w.tasks {
+		switch {
+		case o.live.peak.Memory > 0:
+			sum += o.live.peak.Memory
+		case o.job.isKnown():
+			sum += o.Size.Memory
+		default:
+			sum += o.Size.Memory * crowdedGuess
+		}
+	}
+	return len(w.tasks) > 1 && sum > w.total.Memory
+}
+
+// succeed clears the worker, and turns earlier failures on it against the jobs that failed.
+func (p *Pool) succeed(t *Task, w *Worker, now time.Time) {
+	j := t.job
+	j.Evidence.Good++
+	j.Evidence.Fails, j.Evidence.Counted = nil, 0
+	p.clear(t, w)
+	if w.bad.Health == Probation {
+		w.bad = Ban{Health: InService}
+		p.changes.pool = true
+		p.noteWorker(w, "release", "a task succeeded on probation", now, "task", t.ID())
+	}
+}
+
+// prove counts a task that has run for long like a success, once.
+func (p *Pool) prove(t *Task, w *Worker) {
+	if !t.live.proved {
+		t.live.proved = true
+		p.clear(t, w)
+	}
+}
+
+func (p *Pool) clear(t *Task, w *Worker) {
+	w.strikes = slices.DeleteFunc(w.strikes, func(s Strike) bool { return t.Began.After(s.At) || t.State == Done })
+	for _, o := range p.jobs {
+		if o == t.job || o.Phase != Open {
+			continue
+		}
+		for i, s := range o.Evidence.Fails {
+			if s.Worker == w.ID && !s.Clear && t.Began.After(s.At) {
+				o.Evidence.Fails[i].Clear = true
+			}
+		}
+	}
+}
+
+// judgeWorker quarantines a worker on which jobs fail that do well elsewhere. A failure weighs
+// as much as it is improbable by the job's own rate of failures.
+func (p *Pool) judgeWorker(w *Worker, now time.Time) {
+	if p.policy.NoQuarantine || w.bad.Health != InService {
+		return
+	}
+	weight := 0.0
+	counted := map[string]bool{}
+	for _, s := range w.strikes {
+		j := p.byName[s.Job]
+		if j == nil || j.Phase == Bad {
+			continue
+		}
+		weight += p.weight(j, w, counted)
+		counted[s.Job] = true
+	}
+	if weight < float64(p.policy.Strikes)*strikeWeight {
+		return
+	}
+	p.quarantine(w, "tasks fail on it that do well elsewhere", now)
+}
+
+func (p *Pool) weight(j *Job, w *Worker, counted map[string]bool) float64 {
+	if j.Evidence.Good > 0 {
+		rate := float64(j.Evidence.Bad+1) / float64(j.Evidence.Bad+j.Evidence.Good+2)
+		return min(-math.Log(rate), strikeWeight)
+	}
+	if counted[j.Name] || j.failedElsewhere(w) {
+		return 0
+	}
+	return strikeWeight
+}
+
+func (j *Job) failedElsewhere(w *Worker) bool {
+	return slices.ContainsFunc(j.Evidence.Fails, func(s Strike) bool { return s.Worker != w.ID })
+}
+
+// quarantine takes the worker out of service for a time; what failed on it is no longer held
+// against the jobs.
+func (p *Pool) quarantine(w *Worker, why string, now time.Time) {
+	span := min(max(2*w.bad.Span, p.policy.Quarantine), p.policy.QuarantineMx)
+	w.bad = Ban{Health: Quarantine, Until: now.Add(span), Span: span}
+	p.stats.Quarantined++
+	p.changes.pool = true
+	jobs := map[string]int{}
+	for _, s := range w.strikes {
+		jobs[s.Job]++
+		if j := p.byName[s.Job]; j != nil {
+			p.pardon(j, w.ID)
+		}
+	}
+	p.noteWorker(w, "quarantine", why, now, "until", w.bad.Until, "failures", len(w.strikes), "jobs", len(jobs))
+	w.strikes = nil
+}
+
+// pardon takes back what failed on the worker; a task's tries stay bounded all the same.
+func (p *Pool) pardon(j *Job, worker string) {
+	n := len(j.Evidence.Fails)
+	j.Evidence.Fails = slices.DeleteFunc(j.Evidence.Fails, func(s Strike) bool { return s.Worker == worker })
+	j.Evidence.Counted = max(j.Evidence.Counted-(n-len(j.Evidence.Fails)), 0)
+	j.Evidence.Bad = max(j.Evidence.Bad-(n-len(j.Evidence.Fails)), 0)
+	for _, t := range j.queue {
+		if t.Fails > 0 && slices.Contains(t.Avoid, worker) {
+			t.Fails--
+		}
+	}
+	j.dirty = true
+	p.changes.touch(j)
+}
+
+// judgeJob stops a job that fails on workers that run others.
+func (p *Pool) judgeJob(j *Job, now time.Time) error {
+	if j.Phase != Open {
+		return nil
+	}
+	all, cleared := j.failedOn()
+	often := j.Evidence.Counted >= p.policy.BadFails
+	apart := min(p.policy.BadWorkers, max(p.usable(), 1))
+	switch {
+	case cleared >= p.policy.BadWorkers && (often || j.Evidence.Good == 0):
+	case often && j.Evidence.Good == 0 && all >= apart:
+	default:
+		return nil
+	}
+	p.stats.BadJobs++
+	why := "it fails on workers that run other jobs"
+	p.noteBad(j, why, all, cleared, now)
+	if err := p.close(j, Bad, why, now); err != nil {
+		return err
+	}
+	return nil
+}
+
+func (p *Pool) noteBad(j *Job, why string, all, cleared int, now time.Time) {
+	kind := fault.Unfit
+	p.note(j.Name, "stop", why, now, &kind, []audit.Subject{{Kind: "job", Name: j.Name}},
+		audit.Facts("failures", j.Evidence.Counted, "successes", j.Evidence.Good, "workers", all, "cleared", cleared))
+}
+
+// failedOn counts the workers that the job failed on, and those that have run others since.
+func (j *Job) failedOn() (all, cleared int) {
+	seen := map[string]bool{}
+	good := map[string]bool{}
+	for _, s := range j.Evidence.Fails {
+		seen[s.Worker] = true
+		if s.Clear {
+			good[s.Worker] = true
+		}
+	}
+	return len(seen), len(good)
+}
+
+// usable counts the workers that may get tasks.
+func (p *Pool) usable() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.member && w.present && !w.silent && w.bad.Health == InService {
+			n++
+		}
+	}
+	return n
+}
+
+// release puts workers whose quarantine is over on probation.
+func (p *Pool) releaseWorkers(now time.Time) {
+	for _, w := range p.workers {
+		if w.bad.Health != Quarantine || now.Before(w.bad.Until) {
+			continue
+		}
+		w.bad.Health = Probation
+		p.changes.pool = true
+		p.noteWorker(w, "probation", "its quarantine is over", now, "span", w.bad.Span)
+	}
+}
--- /dev/null
+++ b/job/worker.go
@@ -0,0 +1,78 @@
+package job
+
+import (
+	"time"
+
+	"gypsumlead/platform"
+)
+
+// Health is whether a worker gets new tasks.
+type Health string
+
+// The healths of a worker.
+const (
+	InService  Health = "inservice"
+	Quarantine Health = "quarantine" // gets no tasks until a time
+	Probation  Health = "probation"  // gets one task, whose end decides
+)
+
+const strikeLimit = 16 // failures that a worker or job remembers
+
+// Ban is what is kept in the table about a worker that was in quarantine.
+type Ban struct {
+	Health Health        `json:"health"`
+	Until  time.Time     `json:"until"`
+	Span   time.Duration `json:"span"`
+}
+
+// Worker is a worker as the pool's holder sees it: its tasks' sizes never sum to more than its total.
+type Worker struct {
+	platform.Worker
+
+	total   Amount
+	used    Amount
+	foreign Amount // reported of tasks that other pools started
+	tasks   []*Task
+	member  bool // of the pool
+	present bool // listed as live
+	silent  bool
+	bad     Ban
+	strikes []Strike  // failures since the last success
+	read    time.Time // when its reports were last read
+	victim  time.Time // when a task was last displaced for an estimate that grew
+	plan    plan
+}
+
+// plan is room that is being made on a worker.
+type plan struct {
+	job   *Job
+	tasks int
+	until time.Time
+}
+
+func (w *Worker) free() Amount {
+	return w.total.minus(w.used).minus(w.foreign)
+}
+
+// takes tells whether the worker may get new tasks of j.
+func (w *Worker) takes(j *Job) bool {
+	if !w.member || !w.present || w.silent {
+		return false
+	}
+	switch w.bad.Health {
+	case Quarantine:
+		return false
+	case Probation:
+		return len(w.tasks) == 0 && j.Evidence.Good > 0 && j.Spec.Restart
+	}
+	return true
+}
+
+func (w *Worker) remove(t *Task) {
+	for i, o := range w.tasks {
+		if o == t {
+			w.tasks = append(w.tasks[:i], w.tasks[i+1:]...)
+			return
+		}
+	}
+}
