Claims and pool moves in the daemon

Moves go through the pool's row; an instance that the lagging list doesn't show yet is refused, which the demo and the end-to-end test now wait for.

--- a/api/change.go
+++ b/api/change.go
@@ -29,7 +29,7 @@
 		},
 	})
 	if err != nil {
-		return nil, h.refused(ctx, key, p.ChangeID, p.Why.Or(""), err)
+		return nil, h.refused(ctx, subjectOf(key), p.ChangeID, p.Why.Or(""), err)
 	}
 	for _, e := range c.Records {
 		if e.Key() == key {
@@ -57,7 +57,7 @@
 		},
 	})
 	if err != nil {
-		return nil, h.refused(ctx, key, p.ChangeID, p.Why.Or(""), err)
+		return nil, h.refused(ctx, subjectOf(key), p.ChangeID, p.Why.Or(""), err)
 	}
 	return &oas.Accepted{Seq: c.Seq, ID: c.ID}, nil
 }
@@ -66,8 +66,8 @@
 func (h *Handler) MoveInstance(ctx context.Context, req *oas.MoveInstanceReq, p oas.MoveInstanceParams) (*oas.Accepted, error) {
 	c, err := h.accept(ctx, h.move(p.ChangeID, actor(ctx), p.Why.Or(""), p.Name, req.From.Or(""), req.Pool))
 	if err != nil {
-		key := record.Key{Kind: record.KindMember, Name: p.Name}
-		return nil, h.refused(ctx, key, p.ChangeID, p.Why.Or(""), err)
+		about := audit.Subject{Kind: "instance", Name: p.Name}
+		return nil, h.refused(ctx, about, p.ChangeID, p.Why.Or(""), err)
 	}
 	return &oas.Accepted{Seq: c.Seq, ID: c.ID}, nil
 }
@@ -131,7 +131,7 @@
 }
 
 // refused notes in the audit trail that a change was decided against, and returns its error.
-func (h *Handler) refused(ctx context.Context, key record.Key, id, why string, err error) error {
+func (h *Handler) refused(ctx context.Context, about audit.Subject, id, why string, err error) error {
 	k := fault.KindOf(err)
 	if k == fault.StoreDown || k == fault.Overload {
 		return err // nothing was decided
@@ -142,7 +142,7 @@
 		Act:      "refuse",
 		Why:      why,
 		Refused:  k.String(),
-		Subjects: []audit.Subject{{Kind: string(key.Kind), Name: key.Name}},
+		Subjects: []audit.Subject{about},
 		Inputs:   audit.Facts("fault", err.Error()),
 	}
 	if noteErr := h.trail.Refuse(ctx, entry); noteErr != nil {
@@ -152,6 +152,10 @@
 	return err
 }
 
+func subjectOf(k record.Key) audit.Subject {
+	return audit.Subject{Kind: string(k.Kind), Name: k.Name}
+}
+
 // refuseOwned keeps operators from writing what only the system's own transactions may write.
 func refuseOwned(k record.Kind) error {
 	switch k {
--- a/app/app.go
+++ b/app/app.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/api"
+	"gypsumlead/claim"
 	"gypsumlead/entry"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
@@ -40,6 +41,7 @@
 	router *router
 	fleet  *runner.Fleet
 	gate   *share.Gate
+	claims *claim.Keeper
 	entry  *entry.Entry
 	teller *teller
 	duties *duties
@@ -97,8 +99,14 @@
 	)
 	a.gate = share.NewGate(share.WithBreach(a.breach))
 	a.router = newRouter(a.common, a.state, a.roster, a.fleet, a.gate)
+	a.claims = claim.NewKeeper(a.platform.Table,
+		claim.WithEntry(a.set.Instance),
+		claim.WithWrites(a.set.Calls.Claims),
+		claim.WithBreach(a.breach),
+	)
 	a.entry = entry.New(a.router, a.fleet,
 		entry.WithGate(a.gate),
+		entry.WithClaims(a.claims),
 		entry.WithTimeout(a.set.Calls.Timeout),
 		entry.WithBodyLimit(a.set.Calls.Body),
 		entry.WithMemory(a.set.Calls.Memory),
@@ -135,7 +143,7 @@
 		Config: a.spread,
 		Trail:  &trail{table: a.platform.Table},
 		Fleet:  a.roster,
-		Move:   move,
+		Move:   a.move,
 		Status: a.status,
 	})
 	guard := api.NewGuard(a.set.Tokens)
@@ -151,6 +159,7 @@
 // Run serves until ctx ends, then leaves without cutting a request, and returns when all has stopped.
 func (a *App) Run(ctx context.Context) error {
 	defer a.fleet.Close()
+	defer a.claims.Close()
 	// The parts outlive ctx: they are needed until the last request has been served.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/app/move.go
+++ b/app/move.go
@@ -1,51 +1,39 @@
 package app
 
 import (
-	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/record"
+	"gypsumlead/platform"
+	"gypsumlead/pool"
 )
 
-// move proposes to put an instance into a pool.
-func move(id, actor, why, instance, from, to string) journal.Proposal {
-	member := record.Key{Kind: record.KindMember, Name: instance}
-	pool := record.Key{Kind: record.KindPool, Name: to}
-	return journal.Proposal{
-		ID:      id,
-		Digest:  journal.Digest([]byte("move"), []byte(instance), []byte(from), []byte(to)),
-		Actor:   actor,
-		Why:     why,
-		Records: []record.Key{member, pool},
-		Decide: func(rows journal.Rows) (journal.Decision, error) {
-			if _, ok, err := rows.Envelope(pool); err != nil || !ok {
-				return journal.Decision{}, fault.New(fault.Missing, "there is no %s", pool)
-			}
-			old, live, err := rows.Envelope(member)
-			if err != nil {
-				return journal.Decision{}, err
-			}
-			var m record.Member
-			if live {
-				if err := record.Decode(old, &m); err != nil {
-					return journal.Decision{}, err
-				}
-			}
-			if m.Pool != from {
-				return journal.Decision{}, fault.New(fault.Conflict, "instance %s is in pool %q, not %q", instance, m.Pool, from)
-			}
-			e, err := record.Rewrite(old, instance, &record.Member{Pool: to})
-			if err != nil {
-				return journal.Decision{}, err
-			}
-			subjects := []audit.Subject{{Kind: "instance", Name: instance}, {Kind: "pool", Name: to}}
-			if from != "" {
-				subjects = append(subjects, audit.Subject{Kind: "pool", Name: from})
-			}
-			return journal.Decision{
-				Edits: []record.Envelope{e},
-				Audit: audit.Entry{Act: "move", Subjects: subjects, Inputs: audit.Facts("from", from, "to", to)},
-			}, nil
-		},
+// view is the roster as decisions about pools read it.
+func (a *App) view() pool.View {
+	return pool.NewView(a.roster.Instances(), a.roster.At(), a.set.Sync.Lag)
+}
+
+// move proposes to put an instance into a pool, or from one pool into another.
+func (a *App) move(id, actor, why, instance, from, to string) journal.Proposal {
+	r := pool.Request{ID: id, Actor: actor, Why: why, View: a.view()}
+	p := a.proposeMove(r, instance, from, to)
+	p.Digest = journal.Digest([]byte("move"), []byte(instance), []byte(from), []byte(to))
+	return p
+}
+
+func (a *App) proposeMove(r pool.Request, instance, from, to string) journal.Proposal {
+	if from != "" {
+		return pool.ProposeMove(r, pool.Transfer{Instance: instance, From: from, To: to})
 	}
+	in, ok := r.View.Find(instance)
+	if !ok || in.State == platform.StateGone {
+		return refuse(r, fault.New(fault.Missing, "instance %s isn't in the platform's list", instance))
+	}
+	return pool.ProposeAssign(r, to, in)
+}
+
+// refuse is a proposal that is decided against.
+func refuse(r pool.Request, err error) journal.Proposal {
+	return journal.Proposal{ID: r.ID, Actor: r.Actor, Why: r.Why, Decide: func(journal.Rows) (journal.Decision, error) {
+		return journal.Decision{}, err
+	}}
 }
--- a/demo/operator.go
+++ b/demo/operator.go
@@ -61,6 +61,9 @@
 			return err
 		}
 	}
+	if err := o.awaitListed(ctx); err != nil {
+		return err
+	}
 	for i, r := range o.site.runners {
 		req := &oas.MoveInstanceReq{Pool: pools[i%len(pools)].name}
 		if _, err := o.client.MoveInstance(ctx, req, oas.MoveInstanceParams{Name: r.Instance().ID, ChangeID: o.id()}); err != nil {
@@ -70,6 +73,20 @@
 	return o.awaitReady()
 }
 
+// awaitListed waits until the platform's lagging list has every runner.
+func (o *operator) awaitListed(ctx context.Context) error {
+	for end := time.Now().Add(readyLimit); time.Now().Before(end); time.Sleep(readyStep) {
+		res, err := o.client.ListInstances(ctx)
+		if err != nil {
+			return err
+		}
+		if len(res.Instances) >= len(o.site.runners) {
+			return nil
+		}
+	}
+	return fault.New(fault.Timeout, "the platform doesn't list every runner after %v", readyLimit)
+}
+
 func (o *operator) awaitReady() error {
 	for _, d := range o.site.daemons() {
 		if err := d.awaitReady(); err != nil {
--- a/e2e/whole_path_test.go
+++ b/e2e/whole_path_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -27,6 +28,10 @@
 	}})
 	s.must(one, "put", "pool", "texts", "-file", pool, "-why", "first pool")
 	s.must(one, "put", "service", "notices", "-file", service)
+	eventually(t, "the lagging list has both runners", func() bool {
+		out := s.must(one, "instances")
+		return strings.Contains(out, "runner-1") && strings.Contains(out, "runner-2")
+	})
 	s.must(one, "move", "runner-1", "-to", "texts")
 	s.must(one, "move", "runner-2", "-to", "texts")
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -48,7 +48,7 @@
 	Header  int           `json:"header" validate:"min=1024" doc:"Largest request head in bytes."`
 	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
 	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
-	Claims  int           `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
+	Claims  float64       `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
 	Life    time.Duration `json:"life" validate:"min=1s" doc:"Time that a claim of an idempotency key is kept where the caller does not say."`
 }
 
@@ -65,6 +65,7 @@
 	Poll time.Duration `json:"poll" validate:"min=10ms" doc:"Time between two looks at the log in the platform's table."`
 	Ping time.Duration `json:"ping" validate:"min=10ms" doc:"Time between two pings to a peer; three without an answer end the session."`
 	List time.Duration `json:"list" validate:"min=10ms" doc:"Time between two looks at the platform's list of instances."`
+	Lag  time.Duration `json:"lag" validate:"min=10ms" doc:"Age at which an instance's last sign of life in the platform's list proves nothing any more: the list's lag and some heartbeats."`
 }
 
 // Duties says how the control duties are run.
@@ -87,7 +88,7 @@
 			Header:  32 << 10,
 			Timeout: 10 * time.Second,
 			Memory:  64 << 20,
-			Claims:  60,
+			Claims:  40,
 			Life:    24 * time.Hour,
 		},
 		Runners: Runners{
@@ -100,6 +101,7 @@
 			Poll: time.Second,
 			Ping: time.Second,
 			List: time.Second,
+			Lag:  15 * time.Second,
 		},
 		Duties: Duties{
 			Life: 5 * time.Second,
