--- a/app/peers.go
+++ b/app/peers.go
@@ -35,7 +35,7 @@
 }
 
 // ServePeer answers one request of another daemon.
-func (p *peers) ServePeer(_ context.Context, from peer.Identity, req *wire.Request) (*wire.Response, error) {
+func (p *peers) ServePeer(ctx context.Context, from peer.Identity, req *wire.Request) (*wire.Response, error) {
 	switch b := req.GetBody().(type) {
 	case *wire.Request_Ping:
 		p.spread.Saw(from.Instance, b.Ping.GetSeq())
@@ -47,7 +47,7 @@
 		pulled, err := p.spread.Pull(b.Pull)
 		return &wire.Response{Body: &wire.Response_Pulled{Pulled: pulled}}, err
 	case *wire.Request_Quiet:
-		return p.quiet(b.Quiet), nil
+		return p.serveQuiet(ctx, b.Quiet)
 	case *wire.Request_Leave:
 		p.roster.Leave(b.Leave.GetInstance(), b.Leave.GetBoot())
 		return &wire.Response{Body: &wire.Response_Ack{Ack: &wire.Ack{Seq: p.spread.Seq()}}}, nil
@@ -57,14 +57,6 @@
 	return nil, fault.New(fault.Invalid, "peer %s asked for something that this daemon doesn't know", from.Instance)
 }
 
-// quiet tells how far the routes follow the configuration, and then what is in progress: read
-// the other way round, an exchange could start between the two.
-func (p *peers) quiet(q *wire.Quiet) *wire.Response {
-	seq := p.router.seq.Load()
-	n := p.fleet.InProgress(q.GetInstance(), q.GetBoot())
-	return &wire.Response{Body: &wire.Response_Quieted{Quieted: &wire.Quieted{Seq: seq, Progress: n}}}
-}
-
 // retarget chooses the daemons to keep sessions with from the roster and the settings.
 func (p *peers) retarget() {
 	p.mesh.SetTargets(chooseTargets(p.set.Instance, p.set.Centre, p.roster.Instances(), p.seeds()))
