--- a/job/configure.go
+++ b/job/configure.go
@@ -13,6 +13,11 @@
 	if v.Version < p.seen {
 		return fault.New(fault.StoreDown, "pool %s: the configuration here has version %d, version %d was acted on", p.name, v.Version, p.seen)
 	}
+	if p.configured && v.Version == p.applied {
+		p.forget()
+		return nil
+	}
+	p.configured, p.applied = true, v.Version
 	before := p.seen
 	p.setMembers(v.Members)
 	p.setTeams(v)
--- a/job/driver.go
+++ b/job/driver.go
@@ -49,6 +49,7 @@
 
 	pool     *Pool // nil when it must be read from the table
 	versions map[string]int64
+	stats    Stats // of pools that were dropped
 }
 
 // DriverOption changes a Driver under construction.
@@ -91,6 +92,20 @@
 	return d.pool
 }
 
+// Stats returns what this driver decided so far.
+func (d *Driver) Stats() Stats {
+	if d.pool == nil {
+		return d.stats
+	}
+	return d.stats.plus(d.pool.stats)
+}
+
+// drop forgets the state, which is read from the table again.
+func (d *Driver) drop() {
+	d.stats = d.Stats()
+	d.pool = nil
+}
+
 // Step reads what has changed, decides, commits and acts. After an error the state is read from
 // the table again, since a commit without an answer may have taken effect.
 func (d *Driver) Step(ctx context.Context) error {
@@ -101,7 +116,7 @@
 	if err == nil {
 		return nil
 	}
-	d.pool = nil
+	d.drop()
 	if fault.Is(err, fault.Breach) {
 		d.noteBreach(ctx, err)
 	}
@@ -135,6 +150,7 @@
 
 // load reads the rows of the last holder.
 func (d *Driver) load(ctx context.Context) error {
+	d.drop()
 	p := New(d.name, d.hold.Epoch(), d.opts...)
 	d.versions = map[string]int64{}
 	after := ""
--- a/job/estimate.go
+++ b/job/estimate.go
@@ -8,10 +8,11 @@
 
 const (
 	ringSize    = 16   // samples that an estimate remembers
-	priorWeight = 2.0  // samples that the prior counts for
+	priorWeight = 1.0  // samples that the prior counts for
 	ratioLow    = 0.05 // a ratio outside of low and high is taken as the bound
 	ratioHigh   = 50.0
-	sizeRank    = 0.9 // quantile of the samples that sizes are taken from
+	sizeRank    = 0.9  // quantile of a job's own samples that sizes are taken from
+	priorRank   = 0.75 // quantile of a team's jobs
 	timeRank    = 0.5
 	leastMilli  = 10
 	leastMemory = 1 << 20
@@ -80,7 +81,7 @@
 // blend weighs a job's samples against its team's prior; samples above the prior count in full
 // at once, since a guarantee that is too small does harm.
 func blend(own, prior *Ring, margin float64) float64 {
-	before := prior.quantile(sizeRank, 1)
+	before := prior.quantile(priorRank, 1)
 	n := float64(len(own.Ratios))
 	if n == 0 {
 		return before
--- a/job/fit.go
+++ b/job/fit.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/audit"
@@ -53,7 +54,6 @@
 
 // admit refuses jobs that can never run and takes up refused ones when that has changed.
 func (p *Pool) admit(now time.Time) error {
-	shapes := p.shapes()
 	for _, j := range p.jobs {
 		if j.Phase != Open && j.Phase != Refused {
 			continue
@@ -62,7 +62,12 @@
 			continue
 		}
 		tm := p.team(j.Team)
-		err := unfit(j.Declared, j.Spec.Racks, shapes, tm.quota)
+		facts := facts{p.shaped, j.Spec.Version, tm.quota, tm.has}
+		if j.facts == facts {
+			continue
+		}
+		j.facts = facts
+		err := unfit(j.Declared, j.Spec.Racks, p.shapes, tm.quota)
 		if !tm.has {
 			err = fault.New(fault.Unfit, "team %s has no quota in pool %s", j.Team, p.name)
 		}
@@ -88,15 +93,29 @@
 	p.changes.touch(j)
 }
 
-// shapes returns what is known of the pool's workers, also of those that are away now.
-func (p *Pool) shapes() []Shape {
-	out := make([]Shape, 0, len(p.workers))
+// facts are what a verdict on whether a job can ever run depends on.
+type facts struct {
+	shaped  int
+	version int64
+	quota   Amount
+	has     bool
+}
+
+// shape notes which shapes of workers there are, those that are away now included.
+func (p *Pool) shape() {
+	seen := map[Shape]bool{}
+	var out []Shape
 	for _, w := range p.workers {
-		if w.member && w.total != (Amount{}) {
-			out = append(out, Shape{Total: w.total, Rack: w.Rack})
+		s := Shape{Total: w.total, Rack: w.Rack}
+		if w.member && w.total != (Amount{}) && !seen[s] {
+			seen[s] = true
+			out = append(out, s)
 		}
 	}
-	return out
+	if !slices.Equal(out, p.shapes) {
+		p.shapes = out
+		p.shaped++
+	}
 }
 
 // need returns what the job's next try is guaranteed: no more than the largest worker has, for
--- a/job/list.go
+++ b/job/list.go
@@ -40,6 +40,7 @@
 			return err
 		}
 	}
+	p.shape()
 	return nil
 }
 
--- a/job/place.go
+++ b/job/place.go
@@ -258,6 +258,7 @@
 func (p *Pool) start(s *pass, j *Job, w *Worker, need Amount) error {
 	t := j.next()
 	t.Try++
+	t.name()
 	t.Worker, t.Boot, t.Seen, t.Began, t.Size = w.ID, w.Boot, w.Seen, s.now, need
 	t.live = volatile{fresh: true, since: s.now}
 	p.tries[t.ID()] = t
--- a/job/policy.go
+++ b/job/policy.go
@@ -48,7 +48,7 @@
 		Resend:       2 * time.Second,
 		SaveWait:     1200 * time.Millisecond,
 		Verdict:      30 * time.Second,
-		Settled:      time.Minute,
+		Settled:      30 * time.Second,
 		Throttled:    0.5,
 		Headroom:     0.05,
 		Margins:      1.2,
--- a/job/pool.go
+++ b/job/pool.go
@@ -14,6 +14,9 @@
 	epoch  int64
 	policy Policy
 
+	configured bool
+	applied    int64 // version of the configuration that this holder took in last
+
 	until   time.Time // no try has a lease that ends later
 	seen    int64     // version of the configuration that was last acted on
 	workers []*Worker // sorted by ID
@@ -21,6 +24,8 @@
 	jobs    []*Job // in the order of their first records
 	byName  map[string]*Job
 	teams   map[string]*team
+	shapes  []Shape          // of members
+	shaped  int              // changes with shapes
 	tries   map[string]*Task // by ID: tries that hold a size or wait for a verdict
 	total   Amount           // of all workers that were ever listed
 	urgent  Amount           // held by urgent jobs
@@ -41,6 +46,18 @@
 	Wasted      float64 // core-seconds of tries that were cut off and not checkpointed
 }
 
+func (s Stats) plus(o Stats) Stats {
+	return Stats{
+		Started:     s.Started + o.Started,
+		Displaced:   s.Displaced + o.Displaced,
+		Shed:        s.Shed + o.Shed,
+		Stopped:     s.Stopped + o.Stopped,
+		Quarantined: s.Quarantined + o.Quarantined,
+		BadJobs:     s.BadJobs + o.BadJobs,
+		Wasted:      s.Wasted + o.Wasted,
+	}
+}
+
 // team is what a team may hold in the pool and what it holds.
 type team struct {
 	name  string
@@ -199,3 +216,40 @@
 func (p *Pool) noteWorker(w *Worker, act, why string, now time.Time, pairs ...any) {
 	p.note("", act, why, now, nil, []audit.Subject{{Kind: "instance", Name: w.ID}}, audit.Facts(pairs...))
 }
+
+// Quarantined returns the workers in quarantine, sorted.
+func (p *Pool) Quarantined() []string {
+	var out []string
+	for _, w := range p.workers {
+		if w.bad.Health == Quarantine {
+			out = append(out, w.ID)
+		}
+	}
+	return out
+}
+
+// Phase returns where the job of that name stands.
+func (p *Pool) Phase(name string) (Phase, bool) {
+	j := p.byName[name]
+	if j == nil {
+		return "", false
+	}
+	return j.Phase, true
+}
+
+// Count is how much a pool's holder keeps in mind.
+type Count struct {
+	Workers int
+	Jobs    int
+	Tries   int // tasks that hold a size or wait for a verdict
+	Waiting int
+}
+
+// Count returns how much the holder keeps in mind.
+func (p *Pool) Count() Count {
+	c := Count{Workers: len(p.workers), Jobs: len(p.jobs), Tries: len(p.tries)}
+	for _, j := range p.jobs {
+		c.Waiting += j.pending()
+	}
+	return c
+}
--- a/job/rows.go
+++ b/job/rows.go
@@ -240,6 +240,7 @@
 		j.fresh = max(j.fresh, c.top()+1)
 		for _, t := range c.Tasks {
 			t.job = j
+			t.name()
 			p.restoreTask(t)
 		}
 	}
--- a/job/spec.go
+++ b/job/spec.go
@@ -61,6 +61,7 @@
 	guess  Amount         // size guaranteed to the next try
 	stuck  string         // why its tasks wait, for the audit trail
 	shrunk Amount         // guess that the running tasks were last lowered to
+	facts  facts          // that the last verdict was made from
 	dirty  bool
 }
 
--- a/job/task.go
+++ b/job/task.go
@@ -27,6 +27,7 @@
 	Avoid  []string  `json:"avoid,omitempty"` // workers that it failed on
 	Why    string    `json:"why,omitempty"`   // why it is stopped or was dropped
 
+	id   string
 	job  *Job
 	live volatile
 }
@@ -45,9 +46,14 @@
 	proved  bool      // ran long enough to speak for its worker
 }
 
-// ID names the try; it is never used again, also when a job of the same name is made anew.
+// ID returns the name of the try; it is never used again, also when a job of the same name is made anew.
 func (t *Task) ID() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.job.Name, t.job.Born, t.Index, t.Try)
+	return t.id
+}
+
+// name makes the ID of the newest try.
+func (t *Task) name() {
+	t.id = fmt.Sprintf("%s.%d.%d.%d", t.job.Name, t.job.Born, t.Index, t.Try)
 }
 
 // enter moves the task by the table of states.
