--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -143,6 +143,7 @@
 		} else {
 			delete(old, who)
 		}
+		u.slots = t.Slots
 		_, u.leaving = f.left[who]
 		if u.leaving {
 			closeAll(u.idle)
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -163,7 +163,7 @@
 	var first time.Time
 	usable := false
 	for _, u := range p.members {
-		if u.leaving {
+		if u.leaving || u.slots < 0 {
 			continue
 		}
 		usable = true
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -18,6 +18,7 @@
 // The count of exchanges in progress includes one from before its connection is chosen until it has ended.
 type upstream struct {
 	instance   platform.Instance // never changes
+	slots      int               // as in Target
 	leaving    bool
 	inProgress int64
 	idle       []*channel // last used at the end
@@ -43,8 +44,8 @@
 	if u.leaving || now.Before(u.until) {
 		return false
 	}
-	if u.target.Slots != 0 {
-		limit = min(limit, int64(u.target.Slots))
+	if u.slots != 0 {
+		limit = min(limit, int64(u.slots))
 	}
 	if u.fails > 0 {
 		limit = min(limit, 1)
