--- a/entry/storm_test.go
+++ b/entry/storm_test.go
@@ -33,6 +33,7 @@
 	key     string // empty for an unkeyed one
 	safe    bool   // idempotent
 	size    int
+	patient bool   // sets no timeout
 	outcome string // what the caller was told; "cut" where the answer broke off
 	wrong   string // what was wrong with an answer that looked whole
 }
@@ -60,7 +61,9 @@
 	req, _ := http.NewRequestWithContext(ctx, method, "http://entry/texts/a", strings.NewReader(body))
 	req.Header.Set(standin.HeaderID, a.id)
 	req.Header.Set(standin.HeaderSize, strconv.Itoa(a.size))
-	req.Header.Set(HeaderTimeout, strconv.Itoa(200+rng.IntN(2000)))
+	if !a.patient {
+		req.Header.Set(HeaderTimeout, strconv.Itoa(200+rng.IntN(2000)))
+	}
 	if a.key != "" {
 		req.Header.Set(HeaderKey, a.key)
 		req.Header.Set(HeaderCaller, "school")
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -19,21 +19,23 @@
 
 // world is several entries in front of several runners, all real servers over pipes.
 type world struct {
-	t       *testing.T
-	runners []*standin.Runner
-	pipes   map[netip.AddrPort]*standin.Pipes
-	fleets  []*runner.Fleet
-	keepers []*claim.Keeper
-	entries []*Entry
-	servers []*http.Server
-	fronts  []*standin.Pipes
-	served  sync.WaitGroup
+	t        *testing.T
+	platform *standin.Platform
+	runners  []*standin.Runner
+	pipes    map[netip.AddrPort]*standin.Pipes
+	fleets   []*runner.Fleet
+	keepers  []*claim.Keeper
+	entries  []*Entry
+	servers  []*http.Server
+	fronts   []*standin.Pipes
+	served   sync.WaitGroup
 }
 
 // parts is what a baseline replaces.
 type parts struct {
 	upstreams func(w *world, e int, f *runner.Fleet) Upstreams // nil for the fleet itself
 	table     func(e int) platform.Table                       // nil for one table of all entries
+	options   []Option                                         // of the entries
 }
 
 const (
@@ -52,9 +54,9 @@
 			standin.WithInstance(platform.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}),
 			standin.WithRunnerSeed(seed+uint64(i))))
 	}
-	shared := standin.New().Table
+	w.platform = standin.New(standin.WithSeed(seed))
 	for e := range worldEntries {
-		w.addEntry(e, seed, shared, p)
+		w.addEntry(e, seed, w.platform.Table, p)
 	}
 	w.update()
 	return w
@@ -72,7 +74,7 @@
 	if p.upstreams != nil {
 		ups = p.upstreams(w, e, fleet)
 	}
-	entry := New(oneService{}, ups, WithClaims(keeper), WithBreach(w.breach))
+	entry := New(oneService{}, ups, append([]Option{WithClaims(keeper), WithBreach(w.breach)}, p.options...)...)
 	srv := NewServer(entry)
 	front := standin.NewPipes(netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:80", e+1)))
 	w.served.Go(func() { _ = srv.Serve(front) })
@@ -132,7 +134,7 @@
 func (w *world) chaos(ctx context.Context, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		r := w.runners[rng.IntN(len(w.runners))]
-		switch rng.IntN(5) {
+		switch rng.IntN(6) {
 		case 0:
 			r.Silence()
 		case 1:
@@ -143,12 +145,27 @@
 		case 3:
 			r.SetFaults(standin.RunnerFaults{Mishaps: standin.Mishaps(), Odds: 0.4, Chunked: rng.IntN(2) == 0})
 		case 4:
+			w.platform.SetFaults(tableFaults(rng), standin.ServiceTable)
+		case 5:
 			w.blackout(time.Duration(rng.IntN(3000)) * time.Millisecond)
 		}
 		time.Sleep(time.Duration(rng.IntN(1000)) * time.Millisecond)
 	}
 }
 
+// tableFaults returns a table that is well, unreliable, slow, or gone.
+func tableFaults(rng *rand.Rand) standin.Faults {
+	switch rng.IntN(4) {
+	case 0:
+		return standin.Faults{Odds: standin.Odds{Down: 0.1, Lose: 0.2, Slow: 0.1, Most: 3 * time.Second}}
+	case 1:
+		return standin.Faults{Slow: 400 * time.Millisecond}
+	case 2:
+		return standin.Faults{Freeze: rng.IntN(2) == 0, Down: rng.IntN(2) == 0}
+	}
+	return standin.Faults{}
+}
+
 // blackout makes all runners refuse connections for a while.
 func (w *world) blackout(d time.Duration) {
 	for _, r := range w.runners {
