--- a/runner/answer.go
+++ b/runner/answer.go
@@ -128,10 +128,14 @@
 	}
 	a.channel.settle = a.channel.link.end()
 	a.channel.proved = time.Now()
-	if a.resp.Close || a.channel.client.Available() == 0 {
+	if a.resp.Close {
 		a.channel.close()
 		return
 	}
+	if a.channel.client.Available() == 0 {
+		a.pool.distrust(a.upstream, a.channel)
+		return
+	}
 	a.pool.giveBack(a.upstream, a.channel)
 }
 
--- a/runner/answer_test.go
+++ b/runner/answer_test.go
@@ -155,10 +155,32 @@
 	require.Zero(t, mixed(t, apart, time.Millisecond))
 }
 
+func TestSurplusEndsReuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answer: func(c net.Conn, r *http.Request, n int) {
+			if r.URL.Path == "/bad" {
+				together(c, r, n)
+				return
+			}
+			_, _ = io.WriteString(c, rightAnswer(r, false))
+		}}
+		f := newFleet(t, 1, WithDial(s.dial))
+		for _, name := range []string{"a", "b", "bad", "c", "d"} {
+			got, err := within(t, f, request(name, 0), time.Second)
+			requireBody(t, "/"+name, got, err)
+			synctest.Wait()
+		}
+		require.EqualValues(t, 2, f.Stats().Reuses)
+		require.True(t, f.Stats().Upstreams[0].Single)
+		f.Close()
+		s.conns.Wait()
+	})
+}
+
 func TestCrossingAnswersReachNobody(t *testing.T) {
-	without := mixed(t, crossing, 0, func(c *config) { c.off.echo = true })
+	without := mixed(t, crossing, 0, func(c *config) { c.off = switches{stray: true, echo: true} })
 	with := mixed(t, crossing, 0)
-	t.Logf("of %d requests, %d got a surplus answer that crossed them with the check of numbers off, %d with it", mixedRequests, without, with)
+	t.Logf("of %d requests, %d got a surplus answer that crossed them with both checks off, %d with them", mixedRequests, without, with)
 	require.Positive(t, without)
 	require.Zero(t, with)
 }
--- a/runner/do.go
+++ b/runner/do.go
@@ -86,7 +86,7 @@
 			f.count.reuses.Add(1)
 			return c, nil
 		}
-		c.close()
+		p.distrust(u, c)
 	}
 	return f.open(ctx, p, u)
 }
@@ -124,7 +124,7 @@
 // send carries out one exchange up to the answer's headers.
 func (f *Fleet) send(ctx context.Context, p *pool, u *upstream, c *channel, x *exchange) (*Response, error) {
 	if !c.link.begin(f.gate(p, u, x)) {
-		c.close()
+		p.distrust(u, c)
 		return nil, fault.New(fault.NoUpstream, "runner %s sent bytes that no request asked for", u.instance.ID)
 	}
 	t := newTry(ctx, x, c)
--- a/runner/link.go
+++ b/runner/link.go
@@ -37,6 +37,7 @@
 	bytes   int64         // of the exchange that the kernel took
 	refused error         // why gate said no
 	reading bool          // a Read is in progress
+	stray   bool          // bytes came outside of an exchange
 	parked  chan struct{} // closed when the link has settled
 }
 
@@ -117,9 +118,18 @@
 		return true
 	}
 	l.phase = phaseDead
+	l.stray = true
 	return false
 }
 
+// surplus tells of a closed link whether the upstream sent more than the answers it was asked
+// for: bytes outside of an exchange, or bytes after an answer that the reader never drained.
+func (l *link) surplus() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stray || l.phase == phaseSettling
+}
+
 // Write asks the gate before the first byte of an exchange.
 func (l *link) Write(p []byte) (int, error) {
 	if err := l.admit(); err != nil {
--- a/runner/member.go
+++ b/runner/member.go
@@ -35,7 +35,7 @@
 	defer p.mu.Unlock()
 	var old []*channel
 	for _, u := range p.members {
-		old = append(old, u.expire(before)...)
+		old = append(old, u.expire(time.Now(), before)...)
 	}
 	return old
 }
@@ -43,7 +43,11 @@
 // takeIdle takes a connection that proved itself lately, or none.
 func (p *pool) takeIdle(u *upstream, life time.Duration) *channel {
 	p.mu.Lock()
-	fresh, stale := u.takeIdle(time.Now(), life)
+	now := time.Now()
+	if now.Before(u.single) {
+		life = 0
+	}
+	fresh, stale := u.takeIdle(now, life)
 	p.mu.Unlock()
 	closeAll(stale)
 	return fresh
@@ -52,7 +56,7 @@
 // giveBack keeps a connection whose answer was whole for the next exchange.
 func (p *pool) giveBack(u *upstream, c *channel) {
 	p.mu.Lock()
-	keep := !u.leaving && int64(len(u.idle)) < p.limit
+	keep := !u.leaving && time.Now().After(u.single) && int64(len(u.idle)) < p.limit
 	if keep {
 		u.idle = append(u.idle, c)
 	}
@@ -62,10 +66,18 @@
 	}
 }
 
+// distrust gives up a connection that was taken and turned out not to be clean.
+func (p *pool) distrust(u *upstream, c *channel) {
+	p.mu.Lock()
+	u.inspect(time.Now(), c)
+	p.mu.Unlock()
+	c.close()
+}
+
 // condemn closes the idle connections of u that have proved nothing since the instant, and returns how many.
 func (p *pool) condemn(u *upstream, since time.Time) int {
 	p.mu.Lock()
-	old := u.expire(since)
+	old := u.expire(time.Now(), since)
 	p.mu.Unlock()
 	closeAll(old)
 	return len(old)
--- a/runner/stats.go
+++ b/runner/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 )
 
 // counters count what the fleet did since it started.
@@ -31,7 +32,8 @@
 	Leaving    bool
 	InProgress int64
 	Idle       int
-	Fails      int // failed dials in a row
+	Fails      int  // failed dials in a row
+	Single     bool // has sent surplus bytes, so that no connection to it is used again
 }
 
 // Stats returns the counts so far and the state of each upstream.
@@ -65,6 +67,7 @@
 			InProgress: u.inProgress,
 			Idle:       len(u.idle),
 			Fails:      u.fails,
+			Single:     time.Now().Before(u.single),
 		})
 	}
 	return out
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -11,6 +11,7 @@
 	backoffFirst = 100 * time.Millisecond // after one failed dial; doubles with each further one
 	backoffLimit = 5 * time.Second
 	doubtLimit   = 16.0            // failed answers beyond this many weigh no more
+	distrustTime = time.Minute     // without reuse after surplus bytes
 	doubtHalf    = 5 * time.Second // half-life of the weight of failed answers
 )
 
@@ -22,6 +23,7 @@
 	leaving    bool
 	inProgress int64
 	idle       []*channel // last used at the end
+	single     time.Time  // has sent surplus bytes: until then each connection carries one exchange only
 	fails      int        // failed dials in a row
 	until      time.Time  // no exchange before
 	doubt      float64    // recent failed answers, decaying
@@ -99,17 +101,19 @@
 			fresh = c
 			continue
 		}
+		u.inspect(now, c)
 		stale = append(stale, c)
 	}
 	return fresh, stale
 }
 
 // expire removes the idle connections that proved themselves last before the instant.
-func (u *upstream) expire(before time.Time) []*channel {
+func (u *upstream) expire(now, before time.Time) []*channel {
 	var old []*channel
 	kept := u.idle[:0]
 	for _, c := range u.idle {
 		if c.proved.Before(before) || c.client.Err() != nil {
+			u.inspect(now, c)
 			old = append(old, c)
 			continue
 		}
@@ -119,3 +123,12 @@
 	u.idle = kept
 	return old
 }
+
+// inspect draws the conclusion from a connection that is given up after a whole answer. One that
+// was closed before its reader was done may have been closed for another reason, so that the
+// distrust ends after a while.
+func (u *upstream) inspect(now time.Time, c *channel) {
+	if c.client.Err() != nil && c.link.surplus() {
+		u.single = now.Add(distrustTime)
+	}
+}
