--- a/lease/holder.go
+++ b/lease/holder.go
@@ -76,9 +76,12 @@
 
 // Next returns what to do at now; the outcome goes to Looked or Wrote before the next call.
 func (h *Holder) Next(now time.Time) Effect {
-	if !h.known || !h.look.IsZero() && !now.Before(h.look) {
+	if !h.look.After(now) && (!h.known || !h.look.IsZero()) {
 		return Look{Key: BeatKey(h.duty)}
 	}
+	if !h.known {
+		return Wait{Until: h.look}
+	}
 	if h.epoch != 0 {
 		return h.keep(now)
 	}
@@ -152,6 +155,8 @@
 		return err
 	}
 	if b.Epoch < h.high {
+		h.known = false
+		h.lose()
 		return fault.New(fault.Breach, "lease of %s: epoch went back from %d to %d", h.duty, h.high, b.Epoch)
 	}
 	if !h.known || row.Version != h.version {
@@ -212,6 +217,11 @@
 	h.forget(now)
 }
 
+// Unsent takes in that the Write that Next returned last was not sent at all.
+func (h *Holder) Unsent(now time.Time) {
+	h.look = now
+}
+
 // missed plans a look, at once where another write came first, else when the store may be well again.
 func (h *Holder) missed(now time.Time, err error) {
 	h.look = now
