--- a/api/change.go
+++ b/api/change.go
@@ -133,7 +133,7 @@
 // refused notes in the audit trail that a change was decided against, and returns its error.
 func (h *Handler) refused(ctx context.Context, about audit.Subject, id, why string, err error) error {
 	k := fault.KindOf(err)
-	if k == fault.StoreDown || k == fault.Overload {
+	if k == fault.StoreDown || k == fault.Overload || k == fault.Broken {
 		return err // nothing was decided
 	}
 	entry := audit.Entry{
--- a/api/handler.go
+++ b/api/handler.go
@@ -40,6 +40,7 @@
 type Handler struct {
 	state  *journal.State
 	writer *journal.Writer
+	table  platform.Table
 	config Configuration
 	trail  Trail
 	fleet  Fleet
@@ -53,6 +54,7 @@
 type Parts struct {
 	State  *journal.State
 	Writer *journal.Writer
+	Table  platform.Table
 	Config Configuration
 	Trail  Trail
 	Fleet  Fleet
@@ -65,6 +67,7 @@
 	return &Handler{
 		state:  p.State,
 		writer: p.Writer,
+		table:  p.Table,
 		config: p.Config,
 		trail:  p.Trail,
 		fleet:  p.Fleet,
--- a/api/oas/oas_client_gen.go
+++ b/api/oas/oas_client_gen.go
@@ -34,6 +34,12 @@
 	//
 	// GET /v1/explain/{kind}/{name}
 	Explain(ctx context.Context, params ExplainParams) (*ExplainOK, error)
+	// GetJobProgress invokes getJobProgress operation.
+	//
+	// Where a job stands, and why its tasks wait.
+	//
+	// GET /v1/jobs/{name}/progress
+	GetJobProgress(ctx context.Context, params GetJobProgressParams) (*JobProgress, error)
 	// GetRecord invokes getRecord operation.
 	//
 	// One record in force here.
@@ -46,6 +52,12 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// GetWaveProgress invokes getWaveProgress operation.
+	//
+	// How far a wave is with each instance, and what it waits for.
+	//
+	// GET /v1/waves/{name}/progress
+	GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (*WaveProgress, error)
 	// ListInstances invokes listInstances operation.
 	//
 	// The platform's instances with the pool of each.
@@ -386,6 +398,101 @@
 	return result, nil
 }
 
+// GetJobProgress invokes getJobProgress operation.
+//
+// Where a job stands, and why its tasks wait.
+//
+// GET /v1/jobs/{name}/progress
+func (c *Client) GetJobProgress(ctx context.Context, params GetJobProgressParams) (*JobProgress, error) {
+	res, err := c.sendGetJobProgress(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetJobProgress(ctx context.Context, params GetJobProgressParams) (res *JobProgress, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/jobs/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/progress"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityToken(ctx, GetJobProgressOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Token\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetJobProgressResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // GetRecord invokes getRecord operation.
 //
 // One record in force here.
@@ -542,6 +649,101 @@
 	return result, nil
 }
 
+// GetWaveProgress invokes getWaveProgress operation.
+//
+// How far a wave is with each instance, and what it waits for.
+//
+// GET /v1/waves/{name}/progress
+func (c *Client) GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (*WaveProgress, error) {
+	res, err := c.sendGetWaveProgress(ctx, params)
+	return res, err
+}
+
+func (c *Client) sendGetWaveProgress(ctx context.Context, params GetWaveProgressParams) (res *WaveProgress, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [3]string
+	pathParts[0] = "/v1/waves/"
+	{
+		// Encode "name" parameter.
+		e := uri.NewPathEncoder(uri.PathEncoderConfig{
+			Param:   "name",
+			Style:   uri.PathStyleSimple,
+			Explode: false,
+		})
+		if err := func() error {
+			return e.EncodeValue(conv.StringToString(params.Name))
+		}(); err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		encoded, err := e.Result()
+		if err != nil {
+			return res, errors.Wrap(err, "encode path")
+		}
+		pathParts[1] = encoded
+	}
+	pathParts[2] = "/progress"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+
+			switch err := c.securityToken(ctx, GetWaveProgressOperation, r); {
+			case err == nil: // if NO error
+				satisfied[0] |= 1 << 0
+			case errors.Is(err, ogenerrors.ErrSkipClientSecurity):
+				// Skip this security.
+			default:
+				return res, errors.Wrap(err, "security \"Token\"")
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			return res, ogenerrors.ErrSecurityRequirementIsNotSatisfied
+		}
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeGetWaveProgressResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
+
 // ListInstances invokes listInstances operation.
 //
 // The platform's instances with the pool of each.
--- a/api/oas/oas_handlers_gen.go
+++ b/api/oas/oas_handlers_gen.go
@@ -330,6 +330,147 @@
 	}
 }
 
+// handleGetJobProgressRequest handles getJobProgress operation.
+//
+// Where a job stands, and why its tasks wait.
+//
+// GET /v1/jobs/{name}/progress
+func (s *Server) handleGetJobProgressRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetJobProgressOperation,
+			ID:   "getJobProgress",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityToken(ctx, GetJobProgressOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Token",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Token", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetJobProgressParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *JobProgress
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetJobProgressOperation,
+			OperationSummary: "Where a job stands, and why its tasks wait.",
+			OperationID:      "getJobProgress",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetJobProgressParams
+			Response = *JobProgress
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetJobProgressParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetJobProgress(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetJobProgress(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FaultStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetJobProgressResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleGetRecordRequest handles getRecord operation.
 //
 // One record in force here.
@@ -551,6 +692,147 @@
 	}
 }
 
+// handleGetWaveProgressRequest handles getWaveProgress operation.
+//
+// How far a wave is with each instance, and what it waits for.
+//
+// GET /v1/waves/{name}/progress
+func (s *Server) handleGetWaveProgressRequest(args [1]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err          error
+		opErrContext = ogenerrors.OperationContext{
+			Name: GetWaveProgressOperation,
+			ID:   "getWaveProgress",
+		}
+	)
+	{
+		type bitset = [1]uint8
+		var satisfied bitset
+		{
+			sctx, ok, err := s.securityToken(ctx, GetWaveProgressOperation, r)
+			if err != nil {
+				err = &ogenerrors.SecurityError{
+					OperationContext: opErrContext,
+					Security:         "Token",
+					Err:              err,
+				}
+				if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+					defer recordError("Security:Token", err)
+				}
+				return
+			}
+			if ok {
+				satisfied[0] |= 1 << 0
+				ctx = sctx
+			}
+		}
+
+		if ok := func() bool {
+		nextRequirement:
+			for _, requirement := range []bitset{
+				{0b00000001},
+			} {
+				for i, mask := range requirement {
+					if satisfied[i]&mask != mask {
+						continue nextRequirement
+					}
+				}
+				return true
+			}
+			return false
+		}(); !ok {
+			err = &ogenerrors.SecurityError{
+				OperationContext: opErrContext,
+				Err:              ogenerrors.ErrSecurityRequirementIsNotSatisfied,
+			}
+			if encodeErr := encodeErrorResponse(s.h.NewError(ctx, err), w); encodeErr != nil {
+				defer recordError("Security", err)
+			}
+			return
+		}
+	}
+	params, err := decodeGetWaveProgressParams(args, argsEscaped, r)
+	if err != nil {
+		err = &ogenerrors.DecodeParamsError{
+			OperationContext: opErrContext,
+			Err:              err,
+		}
+		defer recordError("DecodeParams", err)
+		s.cfg.ErrorHandler(ctx, w, r, err)
+		return
+	}
+
+	var rawBody []byte
+
+	var response *WaveProgress
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    GetWaveProgressOperation,
+			OperationSummary: "How far a wave is with each instance, and what it waits for.",
+			OperationID:      "getWaveProgress",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params: middleware.Parameters{
+				{
+					Name: "name",
+					In:   "path",
+				}: params.Name,
+			},
+			Raw: r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = GetWaveProgressParams
+			Response = *WaveProgress
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			unpackGetWaveProgressParams,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.GetWaveProgress(ctx, params)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.GetWaveProgress(ctx, params)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FaultStatusCodeWithHeaders](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeGetWaveProgressResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
+
 // handleListInstancesRequest handles listInstances operation.
 //
 // The platform's instances with the pool of each.
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -1120,6 +1120,204 @@
 	return s.Decode(d)
 }
 
+// Encode implements json.Marshaler.
+func (s *JobProgress) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *JobProgress) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("pool")
+		e.Str(s.Pool)
+	}
+	{
+		e.FieldStart("phase")
+		e.Str(s.Phase)
+	}
+	{
+		e.FieldStart("why")
+		e.Str(s.Why)
+	}
+	{
+		e.FieldStart("count")
+		e.Int(s.Count)
+	}
+	{
+		e.FieldStart("done")
+		e.Int(s.Done)
+	}
+	{
+		e.FieldStart("ended")
+		e.Int(s.Ended)
+	}
+}
+
+var jsonFieldsNameOfJobProgress = [7]string{
+	0: "name",
+	1: "pool",
+	2: "phase",
+	3: "why",
+	4: "count",
+	5: "done",
+	6: "ended",
+}
+
+// Decode decodes JobProgress from json.
+func (s *JobProgress) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode JobProgress to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "pool":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Pool = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"pool\"")
+			}
+		case "phase":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Str()
+				s.Phase = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"phase\"")
+			}
+		case "why":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Why = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"why\"")
+			}
+		case "count":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				v, err := d.Int()
+				s.Count = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"count\"")
+			}
+		case "done":
+			requiredBitSet[0] |= 1 << 5
+			if err := func() error {
+				v, err := d.Int()
+				s.Done = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"done\"")
+			}
+		case "ended":
+			requiredBitSet[0] |= 1 << 6
+			if err := func() error {
+				v, err := d.Int()
+				s.Ended = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"ended\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode JobProgress")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b01111111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfJobProgress) {
+					name = jsonFieldsNameOfJobProgress[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *JobProgress) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *JobProgress) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *ListInstancesOK) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -2131,3 +2329,464 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *WaveProgress) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WaveProgress) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("done")
+		e.Bool(s.Done)
+	}
+	{
+		e.FieldStart("left")
+		e.Int(s.Left)
+	}
+	{
+		if s.Stop.Set {
+			e.FieldStart("stop")
+			s.Stop.Encode(e)
+		}
+	}
+	{
+		e.FieldStart("parts")
+		e.ArrStart()
+		for _, elem := range s.Parts {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfWaveProgress = [5]string{
+	0: "name",
+	1: "done",
+	2: "left",
+	3: "stop",
+	4: "parts",
+}
+
+// Decode decodes WaveProgress from json.
+func (s *WaveProgress) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WaveProgress to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "done":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Bool()
+				s.Done = bool(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"done\"")
+			}
+		case "left":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int()
+				s.Left = int(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"left\"")
+			}
+		case "stop":
+			if err := func() error {
+				s.Stop.Reset()
+				if err := s.Stop.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"stop\"")
+			}
+		case "parts":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				s.Parts = make([]WaveProgressPartsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem WaveProgressPartsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Parts = append(s.Parts, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"parts\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WaveProgress")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00010111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWaveProgress) {
+					name = jsonFieldsNameOfWaveProgress[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WaveProgress) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WaveProgress) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WaveProgressPartsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WaveProgressPartsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("pool")
+		e.Str(s.Pool)
+	}
+	{
+		e.FieldStart("why")
+		e.Str(s.Why)
+	}
+	{
+		e.FieldStart("items")
+		e.ArrStart()
+		for _, elem := range s.Items {
+			elem.Encode(e)
+		}
+		e.ArrEnd()
+	}
+}
+
+var jsonFieldsNameOfWaveProgressPartsItem = [3]string{
+	0: "pool",
+	1: "why",
+	2: "items",
+}
+
+// Decode decodes WaveProgressPartsItem from json.
+func (s *WaveProgressPartsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WaveProgressPartsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "pool":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Pool = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"pool\"")
+			}
+		case "why":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.Why = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"why\"")
+			}
+		case "items":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				s.Items = make([]WaveProgressPartsItemItemsItem, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem WaveProgressPartsItemItemsItem
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					s.Items = append(s.Items, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"items\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WaveProgressPartsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWaveProgressPartsItem) {
+					name = jsonFieldsNameOfWaveProgressPartsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WaveProgressPartsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WaveProgressPartsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode implements json.Marshaler.
+func (s *WaveProgressPartsItemItemsItem) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *WaveProgressPartsItemItemsItem) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("instance")
+		e.Str(s.Instance)
+	}
+	{
+		e.FieldStart("state")
+		e.Str(s.State)
+	}
+	{
+		e.FieldStart("since")
+		json.EncodeDateTime(e, s.Since)
+	}
+	{
+		e.FieldStart("why")
+		e.Str(s.Why)
+	}
+}
+
+var jsonFieldsNameOfWaveProgressPartsItemItemsItem = [4]string{
+	0: "instance",
+	1: "state",
+	2: "since",
+	3: "why",
+}
+
+// Decode decodes WaveProgressPartsItemItemsItem from json.
+func (s *WaveProgressPartsItemItemsItem) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode WaveProgressPartsItemItemsItem to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "instance":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Instance = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"instance\"")
+			}
+		case "state":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Str()
+				s.State = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"state\"")
+			}
+		case "since":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := json.DecodeDateTime(d)
+				s.Since = v
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"since\"")
+			}
+		case "why":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				v, err := d.Str()
+				s.Why = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"why\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode WaveProgressPartsItemItemsItem")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00001111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWaveProgressPartsItemItemsItem) {
+					name = jsonFieldsNameOfWaveProgressPartsItemItemsItem[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *WaveProgressPartsItemItemsItem) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *WaveProgressPartsItemItemsItem) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/api/oas/oas_operations_gen.go
+++ b/api/oas/oas_operations_gen.go
@@ -6,12 +6,14 @@
 type OperationName = string
 
 const (
-	DeleteRecordOperation  OperationName = "DeleteRecord"
-	ExplainOperation       OperationName = "Explain"
-	GetRecordOperation     OperationName = "GetRecord"
-	GetStatusOperation     OperationName = "GetStatus"
-	ListInstancesOperation OperationName = "ListInstances"
-	ListRecordsOperation   OperationName = "ListRecords"
-	MoveInstanceOperation  OperationName = "MoveInstance"
-	PutRecordOperation     OperationName = "PutRecord"
+	DeleteRecordOperation    OperationName = "DeleteRecord"
+	ExplainOperation         OperationName = "Explain"
+	GetJobProgressOperation  OperationName = "GetJobProgress"
+	GetRecordOperation       OperationName = "GetRecord"
+	GetStatusOperation       OperationName = "GetStatus"
+	GetWaveProgressOperation OperationName = "GetWaveProgress"
+	ListInstancesOperation   OperationName = "ListInstances"
+	ListRecordsOperation     OperationName = "ListRecords"
+	MoveInstanceOperation    OperationName = "MoveInstance"
+	PutRecordOperation       OperationName = "PutRecord"
 )
--- a/api/oas/oas_parameters_gen.go
+++ b/api/oas/oas_parameters_gen.go
@@ -513,6 +513,91 @@
 	return params, nil
 }
 
+// GetJobProgressParams is parameters of getJobProgress operation.
+type GetJobProgressParams struct {
+	Name string
+}
+
+func unpackGetJobProgressParams(packed middleware.Parameters) (params GetJobProgressParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetJobProgressParams(args [1]string, argsEscaped bool, r *http.Request) (params GetJobProgressParams, _ error) {
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Name = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     100,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         regexMap["^[a-z0-9][a-z0-9._-]*$"],
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Name)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // GetRecordParams is parameters of getRecord operation.
 type GetRecordParams struct {
 	Kind Kind
@@ -659,6 +744,91 @@
 	return params, nil
 }
 
+// GetWaveProgressParams is parameters of getWaveProgress operation.
+type GetWaveProgressParams struct {
+	Name string
+}
+
+func unpackGetWaveProgressParams(packed middleware.Parameters) (params GetWaveProgressParams) {
+	{
+		key := middleware.ParameterKey{
+			Name: "name",
+			In:   "path",
+		}
+		params.Name = packed[key].(string)
+	}
+	return params
+}
+
+func decodeGetWaveProgressParams(args [1]string, argsEscaped bool, r *http.Request) (params GetWaveProgressParams, _ error) {
+	// Decode path: name.
+	if err := func() error {
+		param := args[0]
+		if argsEscaped {
+			unescaped, err := url.PathUnescape(args[0])
+			if err != nil {
+				return errors.Wrap(err, "unescape path")
+			}
+			param = unescaped
+		}
+		if len(param) > 0 {
+			d := uri.NewPathDecoder(uri.PathDecoderConfig{
+				Param:   "name",
+				Value:   param,
+				Style:   uri.PathStyleSimple,
+				Explode: false,
+			})
+
+			if err := func() error {
+				val, err := d.DecodeValue()
+				if err != nil {
+					return err
+				}
+
+				c, err := conv.ToString(val)
+				if err != nil {
+					return err
+				}
+
+				params.Name = c
+				return nil
+			}(); err != nil {
+				return err
+			}
+			if err := func() error {
+				if err := (validate.String{
+					MinLength:     1,
+					MinLengthSet:  true,
+					MaxLength:     100,
+					MaxLengthSet:  true,
+					Email:         false,
+					Hostname:      false,
+					Regex:         regexMap["^[a-z0-9][a-z0-9._-]*$"],
+					MinNumeric:    0,
+					MinNumericSet: false,
+					MaxNumeric:    0,
+					MaxNumericSet: false,
+				}).Validate(string(params.Name)); err != nil {
+					return errors.Wrap(err, "string")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		} else {
+			return validate.ErrFieldRequired
+		}
+		return nil
+	}(); err != nil {
+		return params, &ogenerrors.DecodeParamError{
+			Name: "name",
+			In:   "path",
+			Err:  err,
+		}
+	}
+	return params, nil
+}
+
 // ListRecordsParams is parameters of listRecords operation.
 type ListRecordsParams struct {
 	Kind Kind
--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -266,6 +266,127 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetJobProgressResponse(resp *http.Response) (res *JobProgress, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response JobProgress
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FaultStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Fault
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper FaultStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeGetRecordResponse(resp *http.Response) (res *Record, _ error) {
 	switch resp.StatusCode {
 	case 200:
@@ -517,6 +638,136 @@
 	return res, errors.Wrap(defRes, "error")
 }
 
+func decodeGetWaveProgressResponse(resp *http.Response) (res *WaveProgress, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response WaveProgress
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if err := response.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return &response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FaultStatusCodeWithHeaders, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Fault
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			var wrapper FaultStatusCodeWithHeaders
+			wrapper.Response = response
+			wrapper.StatusCode = resp.StatusCode
+			h := uri.NewHeaderDecoder(resp.Header)
+			// Parse "Retry-After" header.
+			{
+				cfg := uri.HeaderParameterDecodingConfig{
+					Name:    "Retry-After",
+					Explode: false,
+				}
+				if err := func() error {
+					if err := h.HasParam(cfg); err == nil {
+						if err := h.DecodeParam(cfg, func(d uri.Decoder) error {
+							var wrapperDotRetryAfterVal int
+							if err := func() error {
+								val, err := d.DecodeValue()
+								if err != nil {
+									return err
+								}
+
+								c, err := conv.ToInt(val)
+								if err != nil {
+									return err
+								}
+
+								wrapperDotRetryAfterVal = c
+								return nil
+							}(); err != nil {
+								return err
+							}
+							wrapper.RetryAfter.SetTo(wrapperDotRetryAfterVal)
+							return nil
+						}); err != nil {
+							return err
+						}
+					}
+					return nil
+				}(); err != nil {
+					return res, errors.Wrap(err, "parse Retry-After header")
+				}
+			}
+			return &wrapper, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
+
 func decodeListInstancesResponse(resp *http.Response) (res *ListInstancesOK, _ error) {
 	switch resp.StatusCode {
 	case 200:
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -38,6 +38,19 @@
 	return nil
 }
 
+func encodeGetJobProgressResponse(response *JobProgress, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeGetRecordResponse(response *Record, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
@@ -64,6 +77,19 @@
 	return nil
 }
 
+func encodeGetWaveProgressResponse(response *WaveProgress, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	response.Encode(e)
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeListInstancesResponse(response *ListInstancesOK, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	w.WriteHeader(200)
--- a/api/oas/oas_router_gen.go
+++ b/api/oas/oas_router_gen.go
@@ -14,12 +14,15 @@
 	rn9AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn11AllowedHeaders = map[string]string{
+	rn17AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
-	rn14AllowedHeaders = map[string]string{
+	rn20AllowedHeaders = map[string]string{
 		"POST": "Authorization,Change-Id,Content-Type",
 	}
+	rn12AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 	rn2AllowedHeaders = map[string]string{
 		"GET": "Authorization",
 	}
@@ -28,6 +31,9 @@
 		"GET":    "Authorization",
 		"PUT":    "Authorization,Change-Id,Content-Type",
 	}
+	rn16AllowedHeaders = map[string]string{
+		"GET": "Authorization",
+	}
 )
 
 func (s *Server) cutPrefix(path string) (string, bool) {
@@ -156,7 +162,7 @@
 					default:
 						s.notAllowed(w, r, notAllowedParams{
 							allowedMethods: "GET",
-							allowedHeaders: rn11AllowedHeaders,
+							allowedHeaders: rn17AllowedHeaders,
 							acceptPost:     "",
 							acceptPatch:    "",
 						})
@@ -204,7 +210,7 @@
 							default:
 								s.notAllowed(w, r, notAllowedParams{
 									allowedMethods: "POST",
-									allowedHeaders: rn14AllowedHeaders,
+									allowedHeaders: rn20AllowedHeaders,
 									acceptPost:     "application/json",
 									acceptPatch:    "",
 								})
@@ -217,6 +223,56 @@
 
 				}
 
+			case 'j': // Prefix: "jobs/"
+
+				if l := len("jobs/"); len(elem) >= l && elem[0:l] == "jobs/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "name"
+				// Match until "/"
+				idx := strings.IndexByte(elem, '/')
+				if idx < 0 {
+					idx = len(elem)
+				}
+				args[0] = elem[:idx]
+				elem = elem[idx:]
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/progress"
+
+					if l := len("/progress"); len(elem) >= l && elem[0:l] == "/progress" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetJobProgressRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn12AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			case 'r': // Prefix: "records/"
 
 				if l := len("records/"); len(elem) >= l && elem[0:l] == "records/" {
@@ -326,6 +382,56 @@
 					return
 				}
 
+			case 'w': // Prefix: "waves/"
+
+				if l := len("waves/"); len(elem) >= l && elem[0:l] == "waves/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "name"
+				// Match until "/"
+				idx := strings.IndexByte(elem, '/')
+				if idx < 0 {
+					idx = len(elem)
+				}
+				args[0] = elem[:idx]
+				elem = elem[idx:]
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/progress"
+
+					if l := len("/progress"); len(elem) >= l && elem[0:l] == "/progress" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch r.Method {
+						case "GET":
+							s.handleGetWaveProgressRequest([1]string{
+								args[0],
+							}, elemIsEscaped, w, r)
+						default:
+							s.notAllowed(w, r, notAllowedParams{
+								allowedMethods: "GET",
+								allowedHeaders: rn16AllowedHeaders,
+								acceptPost:     "",
+								acceptPatch:    "",
+							})
+						}
+
+						return
+					}
+
+				}
+
 			}
 
 		}
@@ -557,6 +663,54 @@
 
 				}
 
+			case 'j': // Prefix: "jobs/"
+
+				if l := len("jobs/"); len(elem) >= l && elem[0:l] == "jobs/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "name"
+				// Match until "/"
+				idx := strings.IndexByte(elem, '/')
+				if idx < 0 {
+					idx = len(elem)
+				}
+				args[0] = elem[:idx]
+				elem = elem[idx:]
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/progress"
+
+					if l := len("/progress"); len(elem) >= l && elem[0:l] == "/progress" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetJobProgressOperation
+							r.summary = "Where a job stands, and why its tasks wait."
+							r.operationID = "getJobProgress"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/jobs/{name}/progress"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			case 'r': // Prefix: "records/"
 
 				if l := len("records/"); len(elem) >= l && elem[0:l] == "records/" {
@@ -669,6 +823,54 @@
 					}
 				}
 
+			case 'w': // Prefix: "waves/"
+
+				if l := len("waves/"); len(elem) >= l && elem[0:l] == "waves/" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				// Param: "name"
+				// Match until "/"
+				idx := strings.IndexByte(elem, '/')
+				if idx < 0 {
+					idx = len(elem)
+				}
+				args[0] = elem[:idx]
+				elem = elem[idx:]
+
+				if len(elem) == 0 {
+					break
+				}
+				switch elem[0] {
+				case '/': // Prefix: "/progress"
+
+					if l := len("/progress"); len(elem) >= l && elem[0:l] == "/progress" {
+						elem = elem[l:]
+					} else {
+						break
+					}
+
+					if len(elem) == 0 {
+						// Leaf node.
+						switch method {
+						case "GET":
+							r.name = GetWaveProgressOperation
+							r.summary = "How far a wave is with each instance, and what it waits for."
+							r.operationID = "getWaveProgress"
+							r.operationGroup = ""
+							r.pathPattern = "/v1/waves/{name}/progress"
+							r.args = args
+							r.count = 1
+							return r, true
+						default:
+							return
+						}
+					}
+
+				}
+
 			}
 
 		}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -484,6 +484,89 @@
 	s.Drained = val
 }
 
+// Ref: #/components/schemas/JobProgress
+type JobProgress struct {
+	Name  string `json:"name"`
+	Pool  string `json:"pool"`
+	Phase string `json:"phase"`
+	Why   string `json:"why"`
+	Count int    `json:"count"`
+	// Tasks that succeeded.
+	Done int `json:"done"`
+	// Tasks done or dropped.
+	Ended int `json:"ended"`
+}
+
+// GetName returns the value of Name.
+func (s *JobProgress) GetName() string {
+	return s.Name
+}
+
+// GetPool returns the value of Pool.
+func (s *JobProgress) GetPool() string {
+	return s.Pool
+}
+
+// GetPhase returns the value of Phase.
+func (s *JobProgress) GetPhase() string {
+	return s.Phase
+}
+
+// GetWhy returns the value of Why.
+func (s *JobProgress) GetWhy() string {
+	return s.Why
+}
+
+// GetCount returns the value of Count.
+func (s *JobProgress) GetCount() int {
+	return s.Count
+}
+
+// GetDone returns the value of Done.
+func (s *JobProgress) GetDone() int {
+	return s.Done
+}
+
+// GetEnded returns the value of Ended.
+func (s *JobProgress) GetEnded() int {
+	return s.Ended
+}
+
+// SetName sets the value of Name.
+func (s *JobProgress) SetName(val string) {
+	s.Name = val
+}
+
+// SetPool sets the value of Pool.
+func (s *JobProgress) SetPool(val string) {
+	s.Pool = val
+}
+
+// SetPhase sets the value of Phase.
+func (s *JobProgress) SetPhase(val string) {
+	s.Phase = val
+}
+
+// SetWhy sets the value of Why.
+func (s *JobProgress) SetWhy(val string) {
+	s.Why = val
+}
+
+// SetCount sets the value of Count.
+func (s *JobProgress) SetCount(val int) {
+	s.Count = val
+}
+
+// SetDone sets the value of Done.
+func (s *JobProgress) SetDone(val int) {
+	s.Done = val
+}
+
+// SetEnded sets the value of Ended.
+func (s *JobProgress) SetEnded(val int) {
+	s.Ended = val
+}
+
 type Kind string
 
 const (
@@ -1047,3 +1130,149 @@
 func (s *Token) SetRoles(val []string) {
 	s.Roles = val
 }
+
+// Ref: #/components/schemas/WaveProgress
+type WaveProgress struct {
+	Name string `json:"name"`
+	// Every pool that began is through with its instances.
+	Done bool `json:"done"`
+	// Instances that the wave is not through with.
+	Left int `json:"left"`
+	// Why the wave stopped itself; empty while it goes on.
+	Stop  OptString               `json:"stop"`
+	Parts []WaveProgressPartsItem `json:"parts"`
+}
+
+// GetName returns the value of Name.
+func (s *WaveProgress) GetName() string {
+	return s.Name
+}
+
+// GetDone returns the value of Done.
+func (s *WaveProgress) GetDone() bool {
+	return s.Done
+}
+
+// GetLeft returns the value of Left.
+func (s *WaveProgress) GetLeft() int {
+	return s.Left
+}
+
+// GetStop returns the value of Stop.
+func (s *WaveProgress) GetStop() OptString {
+	return s.Stop
+}
+
+// GetParts returns the value of Parts.
+func (s *WaveProgress) GetParts() []WaveProgressPartsItem {
+	return s.Parts
+}
+
+// SetName sets the value of Name.
+func (s *WaveProgress) SetName(val string) {
+	s.Name = val
+}
+
+// SetDone sets the value of Done.
+func (s *WaveProgress) SetDone(val bool) {
+	s.Done = val
+}
+
+// SetLeft sets the value of Left.
+func (s *WaveProgress) SetLeft(val int) {
+	s.Left = val
+}
+
+// SetStop sets the value of Stop.
+func (s *WaveProgress) SetStop(val OptString) {
+	s.Stop = val
+}
+
+// SetParts sets the value of Parts.
+func (s *WaveProgress) SetParts(val []WaveProgressPartsItem) {
+	s.Parts = val
+}
+
+type WaveProgressPartsItem struct {
+	Pool string `json:"pool"`
+	// What keeps it from its next instance.
+	Why   string                           `json:"why"`
+	Items []WaveProgressPartsItemItemsItem `json:"items"`
+}
+
+// GetPool returns the value of Pool.
+func (s *WaveProgressPartsItem) GetPool() string {
+	return s.Pool
+}
+
+// GetWhy returns the value of Why.
+func (s *WaveProgressPartsItem) GetWhy() string {
+	return s.Why
+}
+
+// GetItems returns the value of Items.
+func (s *WaveProgressPartsItem) GetItems() []WaveProgressPartsItemItemsItem {
+	return s.Items
+}
+
+// SetPool sets the value of Pool.
+func (s *WaveProgressPartsItem) SetPool(val string) {
+	s.Pool = val
+}
+
+// SetWhy sets the value of Why.
+func (s *WaveProgressPartsItem) SetWhy(val string) {
+	s.Why = val
+}
+
+// SetItems sets the value of Items.
+func (s *WaveProgressPartsItem) SetItems(val []WaveProgressPartsItemItemsItem) {
+	s.Items = val
+}
+
+type WaveProgressPartsItemItemsItem struct {
+	Instance string    `json:"instance"`
+	State    string    `json:"state"`
+	Since    time.Time `json:"since"`
+	Why      string    `json:"why"`
+}
+
+// GetInstance returns the value of Instance.
+func (s *WaveProgressPartsItemItemsItem) GetInstance() string {
+	return s.Instance
+}
+
+// GetState returns the value of State.
+func (s *WaveProgressPartsItemItemsItem) GetState() string {
+	return s.State
+}
+
+// GetSince returns the value of Since.
+func (s *WaveProgressPartsItemItemsItem) GetSince() time.Time {
+	return s.Since
+}
+
+// GetWhy returns the value of Why.
+func (s *WaveProgressPartsItemItemsItem) GetWhy() string {
+	return s.Why
+}
+
+// SetInstance sets the value of Instance.
+func (s *WaveProgressPartsItemItemsItem) SetInstance(val string) {
+	s.Instance = val
+}
+
+// SetState sets the value of State.
+func (s *WaveProgressPartsItemItemsItem) SetState(val string) {
+	s.State = val
+}
+
+// SetSince sets the value of Since.
+func (s *WaveProgressPartsItemItemsItem) SetSince(val time.Time) {
+	s.Since = val
+}
+
+// SetWhy sets the value of Why.
+func (s *WaveProgressPartsItemItemsItem) SetWhy(val string) {
+	s.Why = val
+}
--- a/api/oas/oas_security_gen.go
+++ b/api/oas/oas_security_gen.go
@@ -34,13 +34,15 @@
 
 // operationRolesToken is a private map storing roles per operation.
 var operationRolesToken = map[string][]string{
-	DeleteRecordOperation:  []string{},
-	ExplainOperation:       []string{},
-	GetRecordOperation:     []string{},
-	ListInstancesOperation: []string{},
-	ListRecordsOperation:   []string{},
-	MoveInstanceOperation:  []string{},
-	PutRecordOperation:     []string{},
+	DeleteRecordOperation:    []string{},
+	ExplainOperation:         []string{},
+	GetJobProgressOperation:  []string{},
+	GetRecordOperation:       []string{},
+	GetWaveProgressOperation: []string{},
+	ListInstancesOperation:   []string{},
+	ListRecordsOperation:     []string{},
+	MoveInstanceOperation:    []string{},
+	PutRecordOperation:       []string{},
 }
 
 // GetRolesForToken returns the required roles for the given operation.
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -20,6 +20,12 @@
 	//
 	// GET /v1/explain/{kind}/{name}
 	Explain(ctx context.Context, params ExplainParams) (*ExplainOK, error)
+	// GetJobProgress implements getJobProgress operation.
+	//
+	// Where a job stands, and why its tasks wait.
+	//
+	// GET /v1/jobs/{name}/progress
+	GetJobProgress(ctx context.Context, params GetJobProgressParams) (*JobProgress, error)
 	// GetRecord implements getRecord operation.
 	//
 	// One record in force here.
@@ -32,6 +38,12 @@
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
+	// GetWaveProgress implements getWaveProgress operation.
+	//
+	// How far a wave is with each instance, and what it waits for.
+	//
+	// GET /v1/waves/{name}/progress
+	GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (*WaveProgress, error)
 	// ListInstances implements listInstances operation.
 	//
 	// The platform's instances with the pool of each.
--- a/api/oas/oas_unimplemented_gen.go
+++ b/api/oas/oas_unimplemented_gen.go
@@ -31,6 +31,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetJobProgress implements getJobProgress operation.
+//
+// Where a job stands, and why its tasks wait.
+//
+// GET /v1/jobs/{name}/progress
+func (UnimplementedHandler) GetJobProgress(ctx context.Context, params GetJobProgressParams) (r *JobProgress, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // GetRecord implements getRecord operation.
 //
 // One record in force here.
@@ -49,6 +58,15 @@
 	return r, ht.ErrNotImplemented
 }
 
+// GetWaveProgress implements getWaveProgress operation.
+//
+// How far a wave is with each instance, and what it waits for.
+//
+// GET /v1/waves/{name}/progress
+func (UnimplementedHandler) GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (r *WaveProgress, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // ListInstances implements listInstances operation.
 //
 // The platform's instances with the pool of each.
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -3,6 +3,8 @@
 package oas
 
 import (
+	"fmt"
+
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
@@ -175,3 +177,66 @@
 	}
 	return nil
 }
+
+func (s *WaveProgress) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Parts == nil {
+			return errors.New("nil is invalid value")
+		}
+		var failures []validate.FieldError
+		for i, elem := range s.Parts {
+			if err := func() error {
+				if err := elem.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				failures = append(failures, validate.FieldError{
+					Name:  fmt.Sprintf("[%d]", i),
+					Error: err,
+				})
+			}
+		}
+		if len(failures) > 0 {
+			return &validate.Error{Fields: failures}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "parts",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
+
+func (s *WaveProgressPartsItem) Validate() error {
+	if s == nil {
+		return validate.ErrNilPointer
+	}
+
+	var failures []validate.FieldError
+	if err := func() error {
+		if s.Items == nil {
+			return errors.New("nil is invalid value")
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "items",
+			Error: err,
+		})
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+	return nil
+}
--- a/api/references.go
+++ b/api/references.go
@@ -10,6 +10,28 @@
 	switch r := r.(type) {
 	case *record.Service:
 		return h.demandPool(r.Pool)
+	case *record.Wave:
+		return h.demandPools(r.Pools)
+	case *record.Job:
+		if _, ok := h.state.Get(record.Key{Kind: record.KindTeam, Name: r.Team}); !ok {
+			return fault.New(fault.Missing, "there is no team/%s: make it first", r.Team)
+		}
+		return h.demandPool(r.Pool)
+	case *record.Team:
+		for _, q := range r.Quotas {
+			if err := h.demandPools([]string{q.Pool}); q.Pool != "" && err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (h *Handler) demandPools(names []string) error {
+	for _, name := range names {
+		if err := h.demandPool(name); err != nil {
+			return err
+		}
 	}
 	return nil
 }
--- a/app/app.go
+++ b/app/app.go
@@ -140,6 +140,7 @@
 	handler := api.NewHandler(api.Parts{
 		State:  a.state,
 		Writer: a.writer,
+		Table:  a.platform.Table,
 		Config: a.spread,
 		Trail:  &trail{table: a.platform.Table},
 		Fleet:  a.roster,
--- /dev/null
+++ b/app/steppers.go
@@ -0,0 +1,136 @@
+package app
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"strings"
+
+	"gypsumlead/fault"
+	"gypsumlead/job"
+	"gypsumlead/journal"
+	"gypsumlead/lease"
+	"gypsumlead/platform"
+	"gypsumlead/record"
+	"gypsumlead/wave"
+)
+
+// stepperOf returns what a duty does under a tenure.
+func (a *App) stepperOf(t lease.Tenure) stepper {
+	switch t.Duty {
+	case dutyJournal:
+		return a.journalStepper()
+	case dutyAudit:
+		return func(context.Context) error { return nil }
+	}
+	return a.poolStepper(strings.TrimPrefix(t.Duty, dutyPool), t)
+}
+
+// journalStepper keeps the log of the configuration short.
+func (a *App) journalStepper() stepper {
+	c := &journal.Compaction{
+		Table:   a.platform.Table,
+		Objects: a.platform.Objects,
+		State:   a.state,
+		Long:    journal.LongDefault,
+		Short:   journal.ShortDefault,
+	}
+	return func(ctx context.Context) error {
+		_, err := c.Step(ctx)
+		return err
+	}
+}
+
+// poolStepper steps the waves and the jobs of one pool.
+func (a *App) poolStepper(pool string, t lease.Tenure) stepper {
+	waves := wave.NewDriver(pool, wave.Parts{
+		Table:     a.platform.Table,
+		Writer:    a.writer,
+		Instances: a.platform.Instances,
+		Entries:   a.peers,
+		Lease:     t,
+		View:      a.view,
+		Waves:     func() []string { return a.wavesOf(pool) },
+	}, wave.WithActor("wave@"+a.set.Instance), wave.WithLog(a.log))
+	jobs := job.NewDriver(pool, a.platform.Table, a.platform.Workers, &jobRecords{a}, hold{t}, job.WithLog(a.log))
+	return func(ctx context.Context) error {
+		err := waves.Step(ctx)
+		if !a.runsJobs(pool) {
+			return err
+		}
+		return joined(err, jobs.Step(ctx))
+	}
+}
+
+// joined returns both errors under the kind of the first.
+func joined(first, second error) error {
+	if first == nil || second == nil {
+		return errors.Join(first, second)
+	}
+	return fault.Wrap(fault.KindOf(first), errors.Join(first, second), "waves and jobs")
+}
+
+// wavesOf names the waves in force that cover a pool.
+func (a *App) wavesOf(pool string) []string {
+	var out []string
+	for _, e := range a.state.List(record.KindWave) {
+		var w record.Wave
+		if record.Decode(e, &w) == nil && w.Covers(pool) {
+			out = append(out, e.Name)
+		}
+	}
+	return out
+}
+
+// runsJobs tells whether any job in force is meant for the pool.
+func (a *App) runsJobs(pool string) bool {
+	for _, e := range a.state.List(record.KindJob) {
+		var j record.Job
+		if record.Decode(e, &j) == nil && j.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// hold is a tenure as the jobs' driver sees it.
+type hold struct{ lease.Tenure }
+
+// Epoch returns the fencing epoch.
+func (h hold) Epoch() int64 { return h.Tenure.Epoch }
+
+// Alive tells whether the lease is surely held right now.
+func (h hold) Alive() bool { return h.Check() == nil }
+
+// Fence conditions a transaction on the epoch.
+func (h hold) Fence() platform.Op { return h.Cond() }
+
+// jobRecords gives the jobs' driver the configuration in force.
+type jobRecords struct{ app *App }
+
+// View returns what the configuration says of a pool of workers.
+func (r *jobRecords) View(pool string) (job.View, bool) {
+	state := r.app.state
+	v := job.View{Version: state.Seq(), Teams: map[string]record.Team{}}
+	for _, e := range state.List(record.KindJob) {
+		var j record.Job
+		if record.Decode(e, &j) == nil && j.Pool == pool {
+			v.Jobs = append(v.Jobs, job.Spec{Name: e.Name, Version: e.Version, Job: j})
+		}
+	}
+	for _, e := range state.List(record.KindTeam) {
+		var t record.Team
+		if record.Decode(e, &t) == nil {
+			v.Teams[e.Name] = t
+		}
+	}
+	for _, e := range state.List(record.KindMember) {
+		var m record.Member
+		if record.Decode(e, &m) == nil && m.Pool == pool {
+			v.Members = append(v.Members, e.Name)
+		}
+	}
+	slices.SortFunc(v.Jobs, func(x, y job.Spec) int { return cmp.Compare(x.Version, y.Version) })
+	return v, v.Version > 0
+}
--- a/app/trail.go
+++ b/app/trail.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
@@ -42,6 +43,7 @@
 
 // Refuse notes a decision not to do something.
 func (t *trail) Refuse(ctx context.Context, e audit.Entry) error {
+	e.At = time.Now()
 	ops, err := audit.Ops(e)
 	if err != nil {
 		return err
--- a/cli/verbs.go
+++ b/cli/verbs.go
@@ -14,7 +14,8 @@
 		{"delete", "Deletes a record.", "KIND NAME -version N [-why TEXT]", "gypsumlead delete pool texts -version 7", runDelete},
 		{"instances", "Lists the platform's instances with their pools.", "[-json]", "gypsumlead instances", runInstances},
 		{"move", "Puts an instance into a pool.", "INSTANCE -to POOL [-from POOL] [-why TEXT]", "gypsumlead move runner-7 -from accounts -to texts", runMove},
-		{"wave", "Pauses, resumes or cancels a maintenance wave.", "pause|resume|cancel NAME [-why TEXT]", "gypsumlead wave pause kernel-12 -why 'rack a3 is slow'", runWave},
+		{"wave", "Shows, pauses, resumes or cancels a maintenance wave.", "status|pause|resume|cancel NAME [-why TEXT]", "gypsumlead wave pause kernel-12 -why 'rack a3 is slow'", runWave},
+		{"job", "Shows where a job stands.", "NAME [-json]", "gypsumlead job nightly-summary", runJob},
 		{"explain", "Prints every decision on something, refused ones too.", "KIND NAME [-json]", "gypsumlead explain pool texts", runExplain},
 		{"settings", "Prints the reference of the settings file, or its JSON Schema.", "[-schema]", "gypsumlead settings -schema", runSettings},
 	}
--- a/demo/demo.go
+++ b/demo/demo.go
@@ -100,6 +100,9 @@
 	}
 	load.wait()
 	r := judge(s, load.calls)
+	if text := reasons(load.calls); text != "" {
+		say("not served: %s", text)
+	}
 	r.Budget = watch.stop()
 	return r, nil
 }
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -1,6 +1,11 @@
 package demo
 
 import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
 	"gypsumlead/fault"
 	"gypsumlead/platform/standin"
 )
@@ -52,3 +57,20 @@
 		r.Cut++
 	}
 }
+
+// reasons counts the calls that weren't served by the daemon's reason, with one text of each.
+func reasons(calls []call) string {
+	count := map[string]int{}
+	text := map[string]string{}
+	for _, c := range calls {
+		if c.outcome != fault.Ran {
+			count[c.kind]++
+			text[c.kind] = c.text
+		}
+	}
+	var parts []string
+	for _, k := range slices.Sorted(maps.Keys(count)) {
+		parts = append(parts, fmt.Sprintf("%d %s (such as %s)", count[k], k, strings.TrimSpace(text[k])))
+	}
+	return strings.Join(parts, "; ")
+}
--- a/demo/load.go
+++ b/demo/load.go
@@ -31,6 +31,7 @@
 	outcome    fault.Outcome
 	mixed      bool
 	broken     bool // the answer broke off
+	kind       string // of the daemon's own answer
 	text       string
 }
 
@@ -42,6 +43,8 @@
 	n      atomic.Uint64
 	wg     sync.WaitGroup
 
+	through atomic.Bool // the script has ended
+
 	mu    sync.Mutex
 	calls []call
 }
@@ -53,7 +56,7 @@
 	}}
 }
 
-// start begins the callers, which ask for the given time.
+// start begins the callers, which ask for the given time and until the script is through.
 func (l *load) start(d time.Duration) {
 	end := time.Now().Add(d)
 	for i := range callers {
@@ -63,12 +66,13 @@
 
 // wait waits until every caller has its last answer.
 func (l *load) wait() {
+	l.through.Store(true)
 	l.wg.Wait()
 	l.client.CloseIdleConnections()
 }
 
 func (l *load) ask(rnd *rand.Rand, end time.Time) {
-	for time.Now().Before(end) {
+	for time.Now().Before(end) || !l.through.Load() {
 		c := l.one(rnd)
 		l.mu.Lock()
 		l.calls = append(l.calls, c)
@@ -129,6 +133,7 @@
 	}
 	if res.Header.Get(fault.HeaderKind) != "" {
 		c.outcome = fault.Outcome(res.Header.Get(fault.HeaderOutcome))
+		c.kind = res.Header.Get(fault.HeaderKind)
 		c.text = string(body)
 		return
 	}
--- a/demo/operator.go
+++ b/demo/operator.go
@@ -16,6 +16,9 @@
 const (
 	forceLimit = 4 * time.Second // the target for a change to be in force everywhere
 	forceStep  = 5 * time.Millisecond
+	waveName   = "kernel-1"
+	waveStep   = 50 * time.Millisecond
+	waveLimit  = 2 * time.Minute
 )
 
 // operator makes records through the operators' interface.
@@ -172,7 +175,28 @@
 	return true
 }
 
-// runWave says that it isn't part of the demo yet.
-func (o *operator) runWave(context.Context) (string, error) {
-	return "left out: the maintenance wave isn't wired into the daemon yet", nil
+// runWave takes every runner of both pools through a reboot, while callers ask.
+func (o *operator) runWave(ctx context.Context) (string, error) {
+	start := time.Now()
+	w := &record.Wave{}
+	for _, p := range pools {
+		w.Pools = append(w.Pools, p.name)
+	}
+	if _, err := o.put(ctx, waveName, w, 0); err != nil {
+		return "", err
+	}
+	for time.Since(start) < waveLimit {
+		p, err := o.client.GetWaveProgress(ctx, oas.GetWaveProgressParams{Name: waveName})
+		if err != nil {
+			return "", err
+		}
+		if stop, ok := p.Stop.Get(); ok {
+			return "", fault.New(fault.Breach, "the wave stopped itself: %s", stop)
+		}
+		if p.Done && len(p.Parts) == len(pools) {
+			return fmt.Sprintf("maintenance wave over %d runners done in %v", len(o.site.runners), time.Since(start).Round(time.Millisecond)), nil
+		}
+		time.Sleep(waveStep)
+	}
+	return "", fault.New(fault.Timeout, "the wave isn't done after %v", waveLimit)
 }
--- a/demo/site.go
+++ b/demo/site.go
@@ -23,6 +23,7 @@
 	region   = "georgia"
 	token    = "demo-operator-token"
 	listLag  = 300 * time.Millisecond
+	evidence = time.Second // age at which the list proves nothing: its lag and some heartbeats
 	bootTime = 500 * time.Millisecond
 	beat     = 100 * time.Millisecond
 	runTime  = 5 * time.Millisecond
@@ -122,6 +123,7 @@
 	set.Listen = settings.Listen{Callers: any, Operators: any, Peers: any}
 	set.Tokens = []settings.Token{{Name: "demo", Secret: token}}
 	set.Stop.Wait = stopWait
+	set.Sync.Lag = evidence
 	c := client.New(s.addr)
 	a, err := app.New(set, app.Platform{Table: c.Table, Objects: c.Objects, Instances: c.Instances, Workers: c.Workers}, zap.NewNop())
 	if err != nil {
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -61,6 +63,7 @@
 		"listen": map[string]any{"callers": e.callers, "operators": e.operators, "peers": e.peers},
 		"tokens": []any{map[string]any{"name": "maria", "secret": secret}},
 		"stop":   map[string]any{"wait": "100ms"},
+		"peers":  s.seeds(),
 	})
 	e.process = start(s.t, s.bin.gypsumlead, "serve", "-settings", file)
 	s.post(standin.PathInstance, platform.Instance{
@@ -71,6 +74,60 @@
 	return e
 }
 
+// seeds are the daemons started so far, as the settings of the next one name them.
+func (s *site) seeds() []any {
+	out := []any{}
+	for _, e := range s.entries {
+		out = append(out, map[string]any{"addr": e.peers, "centre": "c"})
+	}
+	return out
+}
+
+// setFaults sets what is wrong with all of the platform's services.
+func (s *site) setFaults(f standin.Faults) {
+	s.t.Helper()
+	s.post(standin.PathFaults, standin.SetFaults{Faults: f})
+}
+
+// basics makes a pool with a service and puts the runners into it.
+func (s *site) basics(at *entryProcess, runners ...string) {
+	s.t.Helper()
+	pool := writeJSON(s.t, "pool.json", map[string]any{"schema": 2, "body": map[string]any{"budget": map[string]any{"out": 1}}})
+	service := writeJSON(s.t, "service.json", map[string]any{"schema": 1, "body": map[string]any{
+		"pool": "texts", "works": []any{map[string]any{"name": "closure", "urgency": 1, "mean": 10}},
+	}})
+	eventually(s.t, "the daemon answers operators", func() bool {
+		_, code := s.operator(at, "status")
+		return code == 0
+	})
+	s.must(at, "put", "pool", "texts", "-file", pool, "-why", "first pool")
+	s.must(at, "put", "service", "notices", "-file", service)
+	eventually(s.t, "the lagging list has the runners", func() bool {
+		out := s.must(at, "instances")
+		for _, r := range runners {
+			if !strings.Contains(out, r) {
+				return false
+			}
+		}
+		return true
+	})
+	for _, r := range runners {
+		s.must(at, "move", r, "-to", "texts")
+	}
+}
+
+// serves waits until a daemon serves a request whole, and returns its ID.
+func (s *site) serves(at *entryProcess) string {
+	s.t.Helper()
+	id := "request-" + at.id
+	eventually(s.t, at.id+" serves", func() bool {
+		id += "x"
+		code, _, body := s.ask(at, "/notices/send", id)
+		return code == http.StatusOK && body == string(standin.AnswerBody(id, len(body)))
+	})
+	return id
+}
+
 // post asks the platform's stand-in for something.
 func (s *site) post(path string, v any) {
 	s.t.Helper()
@@ -99,13 +156,16 @@
 	return out
 }
 
-// ask sends a caller's request and returns the answer's status, fault and body.
+// ask sends a caller's request and returns the answer's status, fault and body; 0 while nobody listens.
 func (s *site) ask(at *entryProcess, path, id string) (int, string, string) {
 	s.t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+at.callers.String()+path, strings.NewReader("body of "+id))
 	require.NoError(s.t, err)
 	req.Header.Set(standin.HeaderID, id)
 	res, err := http.DefaultClient.Do(req)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return 0, "", "" // the daemon doesn't listen yet
+	}
 	require.NoError(s.t, err)
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
--- a/job/rows.go
+++ b/job/rows.go
@@ -25,9 +25,14 @@
 	return "job/" + pool + "/"
 }
 
+// HeadKey is the table key of the row that holds a job's progress but for its tasks.
+func HeadKey(pool, name string) string {
+	return Prefix(pool) + "head/" + name
+}
+
 func (p *Pool) keyPool() string            { return Prefix(p.name) + "pool" }
 func (p *Pool) keyTeam(name string) string { return Prefix(p.name) + "team/" + name }
-func (p *Pool) keyHead(name string) string { return Prefix(p.name) + "head/" + name }
+func (p *Pool) keyHead(name string) string { return HeadKey(p.name, name) }
 func (p *Pool) keyChunk(j string, n int) string {
 	return fmt.Sprintf("%stask/%s/%05d", Prefix(p.name), j, n)
 }
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"gypsumlead/audit"
@@ -15,6 +16,7 @@
 	acceptTries = 12                    // a change that loses the head row more often gives up
 	acceptPause = 20 * time.Millisecond // first pause after a lost race; doubles up to acceptLimit
 	acceptLimit = 500 * time.Millisecond
+	retryLost   = 5 * time.Second // told to whoever must ask again
 )
 
 // Writer accepts changes into the log; several writers of several daemons may race.
@@ -46,20 +48,19 @@
 
 // Accept decides p and commits it with its log entry and audit entry in one transaction. A
 // proposal whose ID was accepted before returns that change and writes nothing. An error of
-// kind fault.StoreDown leaves open whether the change was accepted: ask again under the same ID.
+// kind fault.Broken leaves open whether the change was accepted: ask again under the same ID.
 func (w *Writer) Accept(ctx context.Context, p Proposal) (Change, error) {
 	if p.ID == "" {
 		return Change{}, fault.New(fault.Invalid, "a change needs an ID")
 	}
+	t := tries{id: p.ID}
 	pause := acceptPause
-	var last error
 	for range acceptTries {
 		c, err := w.try(ctx, p)
 		if err == nil {
 			return c, nil
 		}
-		last = err
-		if !isRace(err) && !fault.Is(err, fault.StoreDown) {
+		if !t.again(err) {
 			return Change{}, err
 		}
 		if w.sleep(ctx, pause) != nil {
@@ -67,10 +68,39 @@
 		}
 		pause = min(2*pause, acceptLimit)
 	}
-	if isRace(last) {
-		return Change{}, fault.Wrap(fault.Overload, last, "accept change %s: other changes kept coming first", p.ID)
-	}
-	return Change{}, last
+	return Change{}, t.err()
+}
+
+// tries remembers what came of the tries of one change.
+type tries struct {
+	id   string
+	last error
+	lost error // the answer to a commit that may have taken effect
+}
+
+// again takes in the outcome of a try and tells whether another one may end otherwise.
+func (t *tries) again(err error) bool {
+	t.last = err
+	var lost *lostError
+	if errors.As(err, &lost) {
+		t.lost = err
+		return true
+	}
+	if isRace(err) {
+		return true
+	}
+	return fault.Is(err, fault.StoreDown)
+}
+
+// err is the answer after the last try.
+func (t *tries) err() error {
+	switch {
+	case t.lost != nil:
+		return fault.After(fault.Broken, retryLost, "it is unknown whether change %s was accepted, ask again under the same ID: %v", t.id, t.lost)
+	case isRace(t.last):
+		return fault.Wrap(fault.Overload, t.last, "accept change %s: other changes kept coming first", t.id)
+	}
+	return t.last
 }
 
 // try reads, decides and commits once.
@@ -99,7 +129,7 @@
 		if fault.Is(err, fault.Conflict) {
 			return Change{}, &raceError{err}
 		}
-		return Change{}, err
+		return Change{}, &lostError{err}
 	}
 	return c, nil
 }
@@ -233,6 +263,12 @@
 func (e *raceError) Error() string { return e.err.Error() }
 func (e *raceError) Unwrap() error { return e.err }
 
+// lostError is a commit without an answer: it may have taken effect.
+type lostError struct{ err error }
+
+func (e *lostError) Error() string { return e.err.Error() }
+func (e *lostError) Unwrap() error { return e.err }
+
 func isRace(err error) bool {
 	_, ok := err.(*raceError)
 	return ok
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -81,6 +81,22 @@
 	require.True(t, fault.Is(err, fault.StoreDown), "%v", err)
 }
 
+func TestAcceptWhoseOutcomeStaysUnknownSaysSo(t *testing.T) {
+	p := standin.New()
+	w := NewWriter(p.Table, WithClock(time.Now, func(context.Context, time.Duration) error {
+		p.SetFaults(standin.Faults{Down: true}, standin.ServiceTable)
+		return nil
+	}))
+	p.SetFaults(standin.Faults{Lose: 1}, standin.ServiceTable)
+	_, err := w.Accept(context.Background(), proposal("one", 0, 1))
+	require.True(t, fault.Is(err, fault.Broken), "%v", err)
+	require.Equal(t, fault.Unknown, fault.AnswerTo(fault.KindOf(err)).Outcome)
+	p.SetFaults(standin.Faults{}, standin.ServiceTable)
+	c, err := w.Accept(context.Background(), proposal("one", 0, 1))
+	require.NoError(t, err)
+	require.EqualValues(t, 1, c.Seq)
+}
+
 func TestDecideIsRepeatedAfterALostRace(t *testing.T) {
 	ctx := context.Background()
 	p := standin.New()
--- a/record/accept.go
+++ b/record/accept.go
@@ -17,6 +17,12 @@
 		return &Member{}, nil
 	case KindDrain:
 		return &Drain{}, nil
+	case KindWave:
+		return &Wave{}, nil
+	case KindJob:
+		return &Job{}, nil
+	case KindTeam:
+		return &Team{}, nil
 	}
 	return nil, fault.New(fault.Invalid, "records of kind %q are unknown", k)
 }
@@ -42,6 +48,9 @@
 	if err := r.Check(); err != nil {
 		return Envelope{}, nil, err
 	}
+	if old.Gone {
+		old = Envelope{}
+	}
 	if draft.Schema == r.Schema() || draft.Schema < old.Schema {
 		draft.Body, err = upgrade(draft)
 		if err != nil {
