--- a/roster/roster.go
+++ b/roster/roster.go
@@ -67,7 +67,8 @@
 	known := make(map[string]bool, len(list))
 	for _, in := range list {
 		known[in.ID] = true
-		if in.State != platform.StateLive && r.left[in.ID] != in.Boot {
+		// A boot that is gone may be one that is still coming up, so it isn't remembered.
+		if in.State == platform.StateLeaving && r.left[in.ID] != in.Boot {
 			r.left[in.ID] = in.Boot
 			fresh = append(fresh, in)
 		}
