--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -4,18 +4,20 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Fleet is all upstreams that this entry may send to. An upstream that leaves starts no new
 // exchange for the rest of its boot, and its exchanges are counted until the last has ended.
 type Fleet struct {
-	cfg    config
-	dial   *dialer
-	retry  *retryBudget
-	count  counters
-	cancel context.CancelFunc
-	done   chan struct{}
+	cfg     config
+	dial    *dialer
+	retry   *retryBudget
+	count   counters
+	numbers atomic.Int64 // of exchanges
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu    sync.RWMutex
 	pools map[string]*pool
@@ -41,8 +43,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg:    cfg,
-		dial:   newDialer(cfg.dial),
-		retry:  newRetryBudget(),
+		dial:   newDialer(cfg.dial, cfg.off.stray),
+		retry:  newRetryBudget(cfg.off.budget),
 		cancel: cancel,
 		done:   make(chan struct{}),
 		pools:  map[string]*pool{},
@@ -129,20 +131,19 @@
 	defer p.mu.Unlock()
 	old := make(map[identity]*upstream, len(p.members))
 	for _, u := range p.members {
-		old[u.target.identity()] = u
+		old[u.identity()] = u
 	}
 	p.members = p.members[:0:0]
 	for _, t := range targets {
 		who := t.identity()
 		u := old[who]
-		if u == nil || u.target.Instance.Addr != t.Instance.Addr {
-			u = &upstream{}
+		if u == nil || !u.is(t.Instance) {
+			u = &upstream{instance: t.Instance}
 			f.boots[who] = append(f.boots[who], placed{pool: p, upstream: u})
 		} else {
 			delete(old, who)
 		}
-		u.target = t
-		u.instance = t.Instance
+		u.slots = t.Slots
 		_, u.leaving = f.left[who]
 		if u.leaving {
 			closeAll(u.idle)
