--- a/trial/flood/flood_test.go
+++ b/trial/flood/flood_test.go
@@ -1,27 +1,109 @@
 package flood
 
 import (
-	"fmt"
-	"os"
+	"bytes"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gypsumlead/fault"
+)
+
+const (
+	leastKept  = 0.95
+	mostDelay  = 2.0
+	testWarmUp = time.Second
+	testLength = 2 * time.Second
+	testTimes  = 2
 )
 
-func TestPrint(t *testing.T) {
+func plan(site, design, load string) Plan {
+	return Plan{Seed: 1, Site: site, Design: design, Flood: load, Times: testTimes, Warm: testWarmUp, Length: testLength}
+}
+
+func try(t *testing.T, p Plan) Line {
+	t.Helper()
+	l, err := p.Try()
+	require.NoError(t, err)
+	return l
+}
+
+func TestFloodTakesNothingFromTheOthers(t *testing.T) {
+	t.Parallel()
 	for _, site := range []string{"peachtree", "tarjeta"} {
-		for _, f := range []string{"least", "most", "turns"} {
-			for _, d := range []string{"first", "split", "share"} {
-				p := Plan{Seed: 1, Site: site, Design: d, Flood: f, Times: 5, Length: 20 * time.Second}
-				at := time.Now()
-				l, err := p.Try()
-				require.NoError(t, err)
-				fmt.Fprintf(os.Stderr, "%s %s %s kept %.3f ratio %.2f (%.1fs)\n", site, f, d, l.Kept, l.Ratio, time.Since(at).Seconds())
+		for _, load := range []string{floodLeast, floodMost} {
+			t.Run(site+"/"+load, func(t *testing.T) {
+				t.Parallel()
+				l := try(t, plan(site, designShare, load))
 				for _, k := range l.Kinds {
-					fmt.Fprintf(os.Stderr, "    %-20s fl=%v kept %.3f served %.3f p99 %.0f base %.0f x%.2f refused %d/%d asked %d\n", k.Name, k.Floods, k.Kept, k.Served, k.P99, k.Base99, k.Ratio, k.Refused, k.Told, k.Asked)
+					require.Equal(t, k.Refused, k.Told, "refused without Retry-After")
+					if k.Floods {
+						require.Positive(t, k.Refused)
+						continue
+					}
+					require.GreaterOrEqual(t, k.Kept, leastKept, "%+v", k)
+					require.LessOrEqual(t, k.Ratio, mostDelay, "%+v", k)
 				}
-			}
+			})
 		}
 	}
 }
+
+func TestFirstComeLosesTheOthers(t *testing.T) {
+	t.Parallel()
+	for _, load := range []string{floodLeast, floodMost} {
+		t.Run(load, func(t *testing.T) {
+			t.Parallel()
+			p := plan("peachtree", designFirst, load)
+			p.Length = 3 * testLength // longer than what its queue holds
+			p.Times = 1
+			l := try(t, p)
+			require.Less(t, l.Kept, leastKept)
+			require.Greater(t, l.Ratio, mostDelay)
+		})
+	}
+}
+
+func TestBurstsInTurnAreServed(t *testing.T) {
+	t.Parallel()
+	cases := []struct {
+		site, design string
+		served       bool
+	}{
+		{"peachtree", designShare, true},
+		{"peachtree", designSplit, false},
+	}
+	for _, c := range cases {
+		t.Run(c.site+"/"+c.design, func(t *testing.T) {
+			t.Parallel()
+			st, err := siteOf(c.site)
+			require.NoError(t, err)
+			p := plan(c.site, c.design, floodTurns)
+			p.Length = 5*burstLength - testWarmUp
+			tallies, _, err := p.one(st, false)
+			require.NoError(t, err)
+			least := 1.0
+			for _, y := range tallies {
+				least = min(least, y.share())
+			}
+			require.Equal(t, c.served, least >= leastKept, "least served share %.3f", least)
+		})
+	}
+}
+
+func TestRunPrintsOneLine(t *testing.T) {
+	args := []string{"-seed", "7", "-flood", "most", "-warm", "0s", "-length", "500ms", "-times", "1"}
+	var one, two bytes.Buffer
+	require.NoError(t, Run(args, &one))
+	require.NoError(t, Run(args, &two))
+	require.Equal(t, one.String(), two.String(), "the same seed gives the same line")
+	var l Line
+	require.NoError(t, json.Unmarshal(one.Bytes(), &l))
+	require.EqualValues(t, 7, l.Seed)
+	require.Len(t, l.Kinds, 10)
+	for _, bad := range [][]string{{"-site", "x"}, {"-design", "x"}, {"-flood", "x"}, {"-none"}} {
+		require.True(t, fault.Is(Run(bad, &bytes.Buffer{}), fault.Invalid), bad)
+	}
+}
--- a/trial/flood/run.go
+++ b/trial/flood/run.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	warmUp      = 10 * time.Second
+	defaultWarm = 10 * time.Second
 	burstLength = 4 * time.Second
 )
 
@@ -22,6 +22,7 @@
 	Design string
 	Flood  string        // least, most, turns or none
 	Times  float64       // the flood, in what the whole fleet can take
+	Warm   time.Duration // ordinary load before the flood
 	Length time.Duration // of the flood
 	Bursts bool          // the other kinds burst in turn below the flood
 }
@@ -65,6 +66,7 @@
 	fs.StringVar(&p.Design, "design", designShare, "share, first or split")
 	fs.StringVar(&p.Flood, "flood", floodLeast, "least, most, turns or none")
 	fs.Float64Var(&p.Times, "times", 5, "size of the flood in what the whole fleet can take")
+	fs.DurationVar(&p.Warm, "warm", defaultWarm, "ordinary load before the flood")
 	fs.DurationVar(&p.Length, "length", 20*time.Second, "length of the flood")
 	fs.BoolVar(&p.Bursts, "bursts", false, "the other kinds burst in turn below the flood")
 	if err := fs.Parse(args); err != nil {
@@ -105,8 +107,8 @@
 		bursts: p.Bursts || p.Flood == floodTurns && !calm,
 		turn:   burstLength,
 		turns:  srcs[len(srcs)-1].turn + 1,
-		begin:  warmUp,
-		end:    warmUp + p.Length,
+		begin:  p.Warm,
+		end:    p.Warm + p.Length,
 	}
 	for _, s := range srcs {
 		if s.floods && !calm {
