--- a/share/lend.go
+++ b/share/lend.go
@@ -106,7 +106,7 @@
 // chance of exp(-(freed-asked)*t).
 func (l load) needed(freed, short float64) int {
 	switch {
-	case l.idle == 0 || l.asked <= 0:
+	case l.idle == 0 || l.asked <= 0 || short >= 1:
 		return 0
 	case l.asked >= freed:
 		return l.idle
