trial/flood: pooled slots and a skewed balancer

Cause: the choice between a fixed split of a runner's slots over entries and lending needs the gain that lending can have at most.

--- a/trial/flood/drive.go
+++ b/trial/flood/drive.go
@@ -56,6 +56,7 @@
 type drive struct {
 	site    site
 	shape   shape
+	skew    float64   // part of the requests that the balancer sends to the first entry at once
 	stop    time.Time // no new requests after it
 	line    *timeline.Timeline[event]
 	gates   [][][]*gate // by pool, data centre, entry
@@ -69,20 +70,21 @@
 // epoch returns the start of virtual time.
 func epoch() time.Time { return time.Unix(0, 0) }
 
-func newDrive(st site, designName string, seed uint64, srcs []*source, sh shape, length time.Duration) (*drive, error) {
+func newDrive(st site, p Plan, srcs []*source, sh shape) (*drive, error) {
 	d := &drive{
 		site:    st,
 		shape:   sh,
-		stop:    epoch().Add(length),
+		skew:    p.Skew,
+		stop:    epoch().Add(sh.end),
 		line:    timeline.New[event](),
 		open:    map[uint64]*request{},
-		retries: rand.New(rand.NewPCG(seed, retryDraws)),
+		retries: rand.New(rand.NewPCG(p.Seed, retryDraws)),
 		tallies: make([]tally, len(srcs)),
 	}
 	for i := range d.tallies {
 		d.tallies[i] = newTally()
 	}
-	if err := d.build(designName); err != nil {
+	if err := d.build(p.Design, p.Pooled); err != nil {
 		return nil, err
 	}
 	for _, s := range srcs {
@@ -91,18 +93,29 @@
 	return d, nil
 }
 
-// build gives each entry a fixed split of the slots of its data centre.
-func (d *drive) build(designName string) error {
+// divided returns the slots of each entry: a fixed split, or all in one place as lending
+// between entries without any delay would have it.
+func divided(slots, entries int, pooled bool) []int {
+	if pooled {
+		return []int{slots}
+	}
+	out := make([]int, entries)
+	for i := range out {
+		out[i] = slots / entries
+		if i < slots%entries {
+			out[i]++
+		}
+	}
+	return out
+}
+
+// build makes the entries of each data centre with their slots of each pool.
+func (d *drive) build(designName string, pooled bool) error {
 	for _, p := range d.site.pools {
 		var inPool [][]*gate
 		for ci, c := range d.site.centres {
 			var inCentre []*gate
-			slots := p.slotsIn(ci, len(d.site.centres))
-			for e := range c.entries {
-				own := slots / c.entries
-				if e < slots%c.entries {
-					own++
-				}
+			for _, own := range divided(p.slotsIn(ci, len(d.site.centres)), c.entries, pooled) {
 				g, err := newDesign(designName, p, own, p.slots())
 				if err != nil {
 					return err
@@ -153,11 +166,16 @@
 	d.line.Add(now.Add(s.gap(d.shape)), candidate{s})
 }
 
-// pick chooses a data centre and then one of its entries, each alike.
+// pick chooses a data centre and then one of its entries, each alike but for the skew of the
+// balancer towards the first.
 func (d *drive) pick(s *source, rng *rand.Rand) *gate {
 	centres := d.gates[s.pool]
 	entries := centres[rng.IntN(len(centres))]
-	return entries[rng.IntN(len(entries))]
+	e := rng.IntN(len(entries))
+	if rng.Float64() < d.skew {
+		e = 0
+	}
+	return entries[e]
 }
 
 // counted tells whether r came while the flood was on.
--- a/trial/flood/run.go
+++ b/trial/flood/run.go
@@ -25,6 +25,8 @@
 	Warm   time.Duration // ordinary load before the flood
 	Length time.Duration // of the flood
 	Bursts bool          // the other kinds burst in turn below the flood
+	Pooled bool          // the entries of a data centre share all of its slots
+	Skew   float64       // part of the requests that the balancer sends to each data centre's first entry at once
 }
 
 // Line is the trial's result.
@@ -34,6 +36,8 @@
 	Design string  `json:"design"`
 	Flood  string  `json:"flood"`
 	Bursts bool    `json:"bursts"`
+	Pooled bool    `json:"pooled"`
+	Skew   float64 `json:"skew"`
 	Times  float64 `json:"times"`
 	Length float64 `json:"length"` // seconds
 	Kept   float64 `json:"kept"`   // the least of the other kinds
@@ -69,6 +73,8 @@
 	fs.DurationVar(&p.Warm, "warm", defaultWarm, "ordinary load before the flood")
 	fs.DurationVar(&p.Length, "length", 20*time.Second, "length of the flood")
 	fs.BoolVar(&p.Bursts, "bursts", false, "the other kinds burst in turn below the flood")
+	fs.BoolVar(&p.Pooled, "pooled", false, "the entries of a data centre share all of its slots, in place of a fixed split")
+	fs.Float64Var(&p.Skew, "skew", 0, "part of the requests that the balancer sends to each data centre's first entry at once")
 	if err := fs.Parse(args); err != nil {
 		return fault.Wrap(fault.Invalid, err, "trial flood")
 	}
@@ -115,7 +121,7 @@
 			sh.flood = p.Times * float64(st.slots()) / s.work.run.Seconds()
 		}
 	}
-	d, err := newDrive(st, p.Design, p.Seed, srcs, sh, sh.end)
+	d, err := newDrive(st, p, srcs, sh)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -124,7 +130,7 @@
 
 func (p Plan) line(srcs []*source, base, with []tally) Line {
 	l := Line{
-		Seed: p.Seed, Site: p.Site, Design: p.Design, Flood: p.Flood, Bursts: p.Bursts,
+		Seed: p.Seed, Site: p.Site, Design: p.Design, Flood: p.Flood, Bursts: p.Bursts, Pooled: p.Pooled, Skew: p.Skew,
 		Times: p.Times, Length: p.Length.Seconds(), Kept: math.Inf(1),
 	}
 	for i, s := range srcs {
