--- a/share/check.go
+++ b/share/check.go
@@ -28,6 +28,9 @@
 // checkFloors finds a kind of work that waits below its floor while a slot is idle, or while
 // the event has started a request above another's floor.
 func (p *Pool) checkFloors() error {
+	if p.waiting == 0 {
+		return nil
+	}
 	for _, k := range p.kinds {
 		if len(k.queue) == 0 || float64(k.running)+1 > k.floor {
 			continue
--- a/share/kind.go
+++ b/share/kind.go
@@ -14,10 +14,12 @@
 	highDevs      = 2               // deviations above the mean that count as a long run
 )
 
+// kindName names a kind of work in its pool.
+type kindName struct{ service, work string }
+
 // group is a service of the pool: its kinds of work lend to each other before others borrow.
 type group struct {
 	name    string
-	first   *kind
 	floor   float64 // sum of its kinds' floors
 	running int
 	kinds   int
--- a/share/lend.go
+++ b/share/lend.go
@@ -20,17 +20,24 @@
 	tierNone                 // may not take a slot now
 )
 
-// tierOf returns the claim of k on one more slot.
-func (p *Pool) tierOf(k *kind, free, spare int) tier {
+// guaranteed returns the claim of k on one more slot by its floor alone.
+func (k *kind) guaranteed() tier {
 	held := float64(k.running)
 	switch {
-	case free <= 0:
-		return tierNone
 	case held+1 <= k.floor:
 		return tierFloor
 	case held < k.floor && k.credit > 0:
 		return tierFraction
-	case free <= spare || k.long() > p.opts.reclaim.Seconds():
+	}
+	return tierNone
+}
+
+// borrowed returns the claim of k on a slot above its floor.
+func (p *Pool) borrowed(k *kind, l load, free int) tier {
+	switch {
+	case k.long() > p.opts.reclaim.Seconds():
+		return tierNone
+	case free <= l.reserve(k, free, p.opts.short):
 		return tierNone
 	case k.credit > 0:
 		return tierCredit
@@ -46,7 +53,16 @@
 	if free <= 0 || p.waiting == 0 {
 		return nil
 	}
-	load := p.load()
+	best := p.best(now, (*kind).guaranteed)
+	if best != nil {
+		return best
+	}
+	l := p.load()
+	return p.best(now, func(k *kind) tier { return p.borrowed(k, l, free) })
+}
+
+// best returns the waiting kind of work with the lowest tier, or nil where none has a claim.
+func (p *Pool) best(now time.Time, claim func(*kind) tier) *kind {
 	var best *kind
 	bestTier := tierNone
 	for _, k := range p.kinds {
@@ -54,7 +70,7 @@
 			continue
 		}
 		k.accrue(now, p.opts.burst)
-		t := p.tierOf(k, free, load.reserve(k, free, p.opts.short))
+		t := claim(k)
 		if t < bestTier || t == bestTier && t != tierNone && before(k, best, t) {
 			best, bestTier = k, t
 		}
--- a/share/pool.go
+++ b/share/pool.go
@@ -18,7 +18,8 @@
 	slots     int
 	total     int
 	groups    []*group
-	kinds     []*kind // in the order of configuration, so that decisions repeat
+	kinds     []*kind            // in the order of configuration, so that decisions repeat
+	index     map[kindName]*kind // configured ones; the first of a service also under an empty work
 	requests  map[uint64]*request
 	running   int
 	waiting   int
@@ -30,7 +31,12 @@
 
 // New returns a pool without slots or services.
 func New(name string, opts ...Option) *Pool {
-	return &Pool{name: name, opts: applied(opts), requests: map[uint64]*request{}}
+	return &Pool{
+		name:     name,
+		opts:     applied(opts),
+		index:    map[kindName]*kind{},
+		requests: map[uint64]*request{},
+	}
 }
 
 // Apply takes in an event and returns what has to be done; it depends on nothing but the
@@ -127,7 +133,9 @@
 	if finished {
 		k.measured(now.Sub(r.started))
 	}
-	p.prune()
+	if k.gone {
+		p.prune()
+	}
 }
 
 // drop forgets a waiting request.
@@ -139,6 +147,9 @@
 
 // turnAway refuses the waiting requests that can no longer end by their deadlines.
 func (p *Pool) turnAway(out []Effect, now time.Time) []Effect {
+	if p.waiting == 0 {
+		return out
+	}
 	for _, k := range p.kinds {
 		for len(k.queue) > 0 {
 			r := k.queue.first()
@@ -176,15 +187,14 @@
 	for _, k := range p.kinds {
 		k.gone = true
 	}
-	for _, g := range p.groups {
-		g.first = nil
-	}
+	clear(p.index)
 	for _, s := range e.Services {
 		g := p.groupOf(s.Name)
-		for _, w := range s.Works {
+		for i, w := range s.Works {
 			k := p.kindOf(g, w, now)
-			if g.first == nil {
-				g.first = k
+			p.index[kindName{s.Name, w.Name}] = k
+			if i == 0 {
+				p.index[kindName{s.Name, ""}] = k
 			}
 		}
 	}
@@ -242,18 +252,7 @@
 
 // find returns the configured kind of work, or nil.
 func (p *Pool) find(service, work string) *kind {
-	for _, k := range p.kinds {
-		if k.gone || k.group.name != service {
-			continue
-		}
-		if work == "" {
-			return k.group.first
-		}
-		if k.work.Name == work {
-			return k
-		}
-	}
-	return nil
+	return p.index[kindName{service, work}]
 }
 
 // part returns this entry's part of the pool's slots.
--- a/trial/copies/policy.go
+++ b/trial/copies/policy.go
@@ -16,11 +16,11 @@
 )
 
 const (
-	failGain   = 0.01 // weight of the newest try in the measured failure probability
+	failGain   = 0.01  // weight of the newest try in the measured failure probability
 	copyWorth  = 0.005 // gain that a copy must promise on an idle pool
-	hedgeRuns  = 3.0  // mean run times after which the first copy counts as late
-	hedgeLoad  = 0.8  // load above which no copy is hedged
-	loadSmooth = 0.01 // weight of the newest sample in the measured load
+	hedgeRuns  = 3.0   // mean run times after which the first copy counts as late
+	hedgeLoad  = 0.8   // load above which no copy is hedged
+	loadSmooth = 0.01  // weight of the newest sample in the measured load
 )
 
 // policy decides on second copies from what an entry can measure.
