--- a/trial/flood/design.go
+++ b/trial/flood/design.go
@@ -21,24 +21,24 @@
 }
 
 // newDesign returns the design with an entry's slots of a pool.
-func newDesign(name string, p pool, slots, parts int) (design, error) {
+func newDesign(name string, p pool, declared []share.Service, slots int) (design, error) {
 	switch name {
 	case designFirst:
 		return newFirst(slots), nil
 	case designSplit:
 		return newSplit(p, slots), nil
 	case designShare:
-		return newShared(p, slots, parts)
+		return newShared(p, declared, slots)
 	}
 	return nil, fault.New(fault.Invalid, "flag -design: no design %q; known are share, first and split", name)
 }
 
-func newShared(p pool, slots, total int) (design, error) {
+func newShared(p pool, declared []share.Service, slots int) (design, error) {
 	s := share.New(p.name)
 	start := time.Unix(0, 0)
-	if _, err := s.Apply(share.Capacity{Slots: slots, Total: total}, start); err != nil {
+	if _, err := s.Apply(share.Capacity{Slots: slots, Total: p.slots()}, start); err != nil {
 		return nil, err
 	}
-	_, err := s.Apply(share.Configure{Services: p.configured()}, start)
+	_, err := s.Apply(share.Configure{Services: declared}, start)
 	return s, err
 }
--- a/trial/flood/drive.go
+++ b/trial/flood/drive.go
@@ -12,7 +12,8 @@
 const (
 	returns    = 2                // times that a refused caller comes back
 	hop        = time.Millisecond // from the balancer to an entry
-	retryDraws = 1 << 32          // stream of random numbers apart from those of the sources
+	retryDraws = 1 << 32          // streams of random numbers apart from those of the sources
+	offDraws   = 1 << 33
 )
 
 // request is one caller's request through all its tries.
@@ -56,7 +57,7 @@
 type drive struct {
 	site    site
 	shape   shape
-	skew    float64   // part of the requests that the balancer sends to the first entry at once
+	plan    Plan
 	stop    time.Time // no new requests after it
 	line    *timeline.Timeline[event]
 	gates   [][][]*gate // by pool, data centre, entry
@@ -74,7 +75,7 @@
 	d := &drive{
 		site:    st,
 		shape:   sh,
-		skew:    p.Skew,
+		plan:    p,
 		stop:    epoch().Add(sh.end),
 		line:    timeline.New[event](),
 		open:    map[uint64]*request{},
@@ -84,7 +85,7 @@
 	for i := range d.tallies {
 		d.tallies[i] = newTally()
 	}
-	if err := d.build(p.Design, p.Pooled); err != nil {
+	if err := d.build(); err != nil {
 		return nil, err
 	}
 	for _, s := range srcs {
@@ -110,13 +111,14 @@
 }
 
 // build makes the entries of each data centre with their slots of each pool.
-func (d *drive) build(designName string, pooled bool) error {
-	for _, p := range d.site.pools {
+func (d *drive) build() error {
+	for pi, p := range d.site.pools {
+		declared := p.configured(rand.New(rand.NewPCG(d.plan.Seed, offDraws+uint64(pi))), d.plan.Off)
 		var inPool [][]*gate
 		for ci, c := range d.site.centres {
 			var inCentre []*gate
-			for _, own := range divided(p.slotsIn(ci, len(d.site.centres)), c.entries, pooled) {
-				g, err := newDesign(designName, p, own, p.slots())
+			for _, own := range divided(p.slotsIn(ci, len(d.site.centres)), c.entries, d.plan.Pooled) {
+				g, err := newDesign(d.plan.Design, p, declared, own)
 				if err != nil {
 					return err
 				}
@@ -172,7 +174,7 @@
 	centres := d.gates[s.pool]
 	entries := centres[rng.IntN(len(centres))]
 	e := rng.IntN(len(entries))
-	if rng.Float64() < d.skew {
+	if rng.Float64() < d.plan.Skew {
 		e = 0
 	}
 	return entries[e]
--- a/trial/flood/load.go
+++ b/trial/flood/load.go
@@ -68,7 +68,7 @@
 		return nil
 	case floodLeast, floodMost:
 	default:
-		return fault.New(fault.Invalid, "flag -flood: no load %q; known are least, most, turns and none", which)
+		return floodByName(srcs, which)
 	}
 	pick := srcs[0]
 	for _, s := range srcs {
@@ -80,6 +80,17 @@
 	return nil
 }
 
+// floodByName marks the source of the kind of work that is called service/work.
+func floodByName(srcs []*source, name string) error {
+	for _, s := range srcs {
+		if s.service.name+"/"+s.work.name == name {
+			s.floods = true
+			return nil
+		}
+	}
+	return fault.New(fault.Invalid, "flag -flood: no load or kind of work %q; loads are least, most, turns and none", name)
+}
+
 // rate returns the requests a second at an instant.
 func (s *source) rate(sh shape, at time.Duration) float64 {
 	if s.floods && sh.flood > 0 && at >= sh.begin && at < sh.end {
--- a/trial/flood/run.go
+++ b/trial/flood/run.go
@@ -20,12 +20,13 @@
 	Seed   uint64
 	Site   string
 	Design string
-	Flood  string        // least, most, turns or none
+	Flood  string        // least, most, turns, none or the name of a kind of work
 	Times  float64       // the flood, in what the whole fleet can take
 	Warm   time.Duration // ordinary load before the flood
 	Length time.Duration // of the flood
 	Bursts bool          // the other kinds burst in turn below the flood
 	Pooled bool          // the entries of a data centre share all of its slots
+	Off    float64       // declared means are off by up to this factor either way
 	Skew   float64       // part of the requests that the balancer sends to each data centre's first entry at once
 }
 
@@ -38,6 +39,7 @@
 	Bursts bool    `json:"bursts"`
 	Pooled bool    `json:"pooled"`
 	Skew   float64 `json:"skew"`
+	Off    float64 `json:"off"`
 	Times  float64 `json:"times"`
 	Length float64 `json:"length"` // seconds
 	Kept   float64 `json:"kept"`   // the least of the other kinds
@@ -68,13 +70,14 @@
 	fs.Uint64Var(&p.Seed, "seed", 1, "seed of the random load")
 	fs.StringVar(&p.Site, "site", "peachtree", "peachtree or tarjeta")
 	fs.StringVar(&p.Design, "design", designShare, "share, first or split")
-	fs.StringVar(&p.Flood, "flood", floodLeast, "least, most, turns or none")
+	fs.StringVar(&p.Flood, "flood", floodLeast, "least, most, turns, none or a kind of work as service/work")
 	fs.Float64Var(&p.Times, "times", 5, "size of the flood in what the whole fleet can take")
 	fs.DurationVar(&p.Warm, "warm", defaultWarm, "ordinary load before the flood")
 	fs.DurationVar(&p.Length, "length", 20*time.Second, "length of the flood")
 	fs.BoolVar(&p.Bursts, "bursts", false, "the other kinds burst in turn below the flood")
 	fs.BoolVar(&p.Pooled, "pooled", false, "the entries of a data centre share all of its slots, in place of a fixed split")
 	fs.Float64Var(&p.Skew, "skew", 0, "part of the requests that the balancer sends to each data centre's first entry at once")
+	fs.Float64Var(&p.Off, "off", 1, "declared means are off by up to this factor either way")
 	if err := fs.Parse(args); err != nil {
 		return fault.Wrap(fault.Invalid, err, "trial flood")
 	}
@@ -130,7 +133,7 @@
 
 func (p Plan) line(srcs []*source, base, with []tally) Line {
 	l := Line{
-		Seed: p.Seed, Site: p.Site, Design: p.Design, Flood: p.Flood, Bursts: p.Bursts, Pooled: p.Pooled, Skew: p.Skew,
+		Seed: p.Seed, Site: p.Site, Design: p.Design, Flood: p.Flood, Bursts: p.Bursts, Pooled: p.Pooled, Skew: p.Skew, Off: p.Off,
 		Times: p.Times, Length: p.Length.Seconds(), Kept: math.Inf(1),
 	}
 	for i, s := range srcs {
--- a/trial/flood/site.go
+++ b/trial/flood/site.go
@@ -1,6 +1,8 @@
 package flood
 
 import (
+	"math"
+	"math/rand/v2"
 	"time"
 
 	"gypsumlead/fault"
@@ -135,13 +137,15 @@
 	return w.part * float64(p.slots()) / w.run.Seconds()
 }
 
-// configured returns the pool's services as records give them.
-func (p pool) configured() []share.Service {
+// configured returns the pool's services as records give them, with means that are off by a
+// random factor of at most off either way.
+func (p pool) configured(rng *rand.Rand, off float64) []share.Service {
 	var ss []share.Service
 	for _, s := range p.services {
 		v := share.Service{Name: s.name}
 		for _, w := range s.works {
-			v.Works = append(v.Works, record.Work{Name: w.name, Urgency: w.urgency, Mean: p.mean(w)})
+			wrong := math.Pow(math.Max(1, off), 2*rng.Float64()-1)
+			v.Works = append(v.Works, record.Work{Name: w.name, Urgency: w.urgency, Mean: p.mean(w) * wrong})
 		}
 		ss = append(ss, v)
 	}
