Drive waves through storms

Cause: each instance of a wave has to be taken, drained, quiet, rebooted, seen well and returned whatever fails in between. Runs (go test -race ./wave -v): two overlapping waves and moves over two pools of 12, three daemons that are killed before or after any call, paused past their lease, lose answers; table outages, silent entries, racks down, a list that lags by up to 12 s.

--- a/record/accept.go
+++ b/record/accept.go
@@ -17,6 +17,8 @@
 		return &Member{}, nil
 	case KindDrain:
 		return &Drain{}, nil
+	case KindWave:
+		return &Wave{}, nil
 	}
 	return nil, fault.New(fault.Invalid, "records of kind %q are unknown", k)
 }
--- a/wave/event.go
+++ b/wave/event.go
@@ -13,15 +13,15 @@
 // Joined says that a further instance of the pool belongs to the wave.
 type Joined struct{ Instance string }
 
-// Took says that the instance's boot was taken and its drain accepted.
-type Took struct{ Instance, Boot string }
-
-// Told says that the platform knows of the drain, which the change Seq accepted.
-type Told struct {
-	Instance string
-	Seq      int64
+// Took says that the instance's boot was taken, in the change Seq that drains it.
+type Took struct {
+	Instance, Boot string
+	Seq            int64
 }
 
+// Told says that the platform knows of the drain too.
+type Told struct{ Instance string }
+
 // Quieted says that every entry has the drain in force and nothing in progress.
 type Quieted struct{ Instance string }
 
@@ -74,9 +74,9 @@
 	switch e := e.(type) {
 	case Took:
 		it.Boot = e.Boot
+		it.Seq = e.Seq
 		return it.become(Taken, "", now)
 	case Told:
-		it.Seq = e.Seq
 		return it.become(Draining, "", now)
 	case Quieted:
 		return it.become(Quiet, "", now)
--- a/wave/perform.go
+++ b/wave/perform.go
@@ -4,9 +4,7 @@
 	"context"
 
 	"gypsumlead/fault"
-	"gypsumlead/journal"
 	"gypsumlead/pool"
-	"gypsumlead/record"
 )
 
 // perform does the acts that are due and returns what came of them. Only a lost lease or a store
@@ -41,35 +39,16 @@
 	return nil, fault.New(fault.Breach, "act %T is unknown", a)
 }
 
-// tell marks the boot as leaving at the platform and looks up the change that drains it.
+// tell marks the boot as leaving at the platform.
 func (d *Driver) tell(ctx context.Context, s snapshot, a Tell) (Event, error) {
-	key := journal.RecordKey(pool.DrainKey(a.Instance))
-	rows, err := d.table.Read(ctx, key)
-	if err != nil {
-		return nil, err
-	}
-	e, ok, err := journal.NewRows(d.now(), rows...).Envelope(pool.DrainKey(a.Instance))
-	if err != nil {
-		return nil, err
-	}
-	var drain record.Drain
-	if ok {
-		err = record.Decode(e, &drain)
-	}
-	if err != nil {
-		return nil, err
-	}
-	it, _ := s.part.Item(a.Instance)
-	if drain.Boot != a.Boot {
-		return wait(it, "its drain record is of another boot"), nil
-	}
 	if err := d.lease.Check(); err != nil {
 		return nil, err
 	}
 	if err := d.insts.Drain(ctx, a.Instance, a.Boot); err != nil && !fault.Is(err, fault.Fenced) {
+		it, _ := s.part.Item(a.Instance)
 		return refused(it, "drain", err)
 	}
-	return Told{a.Instance, e.Version}, nil
+	return Told{a.Instance}, nil
 }
 
 // restart asks for the reboot, checking the lease right before: a holder that was paused here
--- a/wave/take.go
+++ b/wave/take.go
@@ -80,12 +80,13 @@
 	dec := journal.Decision{Ops: []platform.Op{d.lease.Cond()}}
 	subjects := []audit.Subject{{Kind: string(record.KindWave), Name: s.part.Wave}, {Kind: string(record.KindPool), Name: d.pool}}
 	part := s.part
+	seq := s.rows.Seq() + 1 // of the change that this decision becomes
 	for _, t := range takes {
 		drain, err := pool.DrainOn(s.rows, t)
 		if err != nil {
 			return dec, err
 		}
-		if part, err = part.Apply(Took{t.Instance, t.Boot}, s.rows.Now); err != nil {
+		if part, err = part.Apply(Took{t.Instance, t.Boot, seq}, s.rows.Now); err != nil {
 			return dec, err
 		}
 		dec.Edits = append(dec.Edits, drain)
