Waves stop, wait, pause and cancel; kill at every call

Cause: each stop and wait of a wave needs a scenario, and each step has to resume under a new holder. Found by the scenarios: a driver drove a wave over pool a in pool b too, for it trusted the list of names; now the record itself says whether the pool is covered. A wave whose record is deleted finishes what it has out, known by the takes in the pool's row.

--- a/wave/daemon_test.go
+++ b/wave/daemon_test.go
@@ -58,6 +58,9 @@
 
 // hold renews the lease of a pool or takes it where it has lapsed.
 func (d *daemon) hold(name string) bool {
+	if l := d.leases[name]; l != nil && l.Until.Sub(d.w.now) > leaseLife/2 {
+		return true
+	}
 	var row testLease
 	key := "lease/" + name
 	rows, err := d.gate.Read(context.Background(), key)
@@ -141,6 +144,12 @@
 		return fault.New(fault.StoreDown, "the table is down")
 	}
 	luck := w.rnd.Float64() / max(w.chaos, 1e-9)
+	if g.d != nil {
+		w.calls++
+		if w.calls == w.killAt {
+			luck = map[bool]float64{false: 0, true: 0.5}[w.killAfter]
+		}
+	}
 	if g.d != nil && luck < 1 {
 		switch {
 		case luck < 0.2:
--- a/wave/driver.go
+++ b/wave/driver.go
@@ -24,7 +24,8 @@
 // Entries asks the entry instances about drained boots.
 type Entries interface {
 	// Quiet returns the newest change that the entry has in force, and how many of its requests
-	// are in progress on the instance. It fails if the entry doesn't hold boot for drained.
+	// are in progress on the instance, under whatever boot it knows it by. It fails if the entry
+	// doesn't hold boot for drained, or still sends to the instance under another boot.
 	Quiet(ctx context.Context, entry platform.Instance, instance, boot string, seq int64) (have, progress int64, err error)
 }
 
--- a/wave/observe.go
+++ b/wave/observe.go
@@ -17,7 +17,7 @@
 			events = append(events, e)
 		}
 	}
-	if rec.Cancelled {
+	if rec.Cancelled || !rec.Covers(p.Pool) {
 		return events
 	}
 	for _, m := range s.Members {
@@ -36,7 +36,8 @@
 		return Left{it.Instance, "no longer in the pool"}
 	}
 	if it.State == Queued {
-		return it.observeQueued(rec, v)
+		m, _ := s.Member(it.Instance)
+		return p.observeQueued(m, rec, v)
 	}
 	t, mine := p.takeOf(s, it.Instance)
 	if !mine {
@@ -51,12 +52,15 @@
 	return nil
 }
 
-func (it Item) observeQueued(rec record.Wave, v pool.View) Event {
+func (p Part) observeQueued(m pool.Member, rec record.Wave, v pool.View) Event {
 	if rec.Cancelled {
-		return Left{it.Instance, "wave cancelled"}
+		return Left{m.ID, "wave cancelled"}
+	}
+	if !rec.Covers(p.Pool) || !rec.Holds(m.ID, m.Rack) {
+		return Left{m.ID, "no longer in the wave"}
 	}
-	if in, ok := v.Find(it.Instance); ok && in.State == platform.StateGone {
-		return Left{it.Instance, "gone from the platform"}
+	if in, ok := v.Find(m.ID); ok && in.State == platform.StateGone {
+		return Left{m.ID, "gone from the platform"}
 	}
 	return nil
 }
--- a/wave/run_test.go
+++ b/wave/run_test.go
@@ -160,6 +160,7 @@
 }
 
 func TestWavesThroughStorms(t *testing.T) {
+	t.Parallel()
 	kills, pauses, lost := 0, 0, 0
 	for seed := range *seeds {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
@@ -187,6 +188,7 @@
 }
 
 func TestStormsFindWhatIsSwitchedOff(t *testing.T) {
+	t.Parallel()
 	for off, promise := range map[string]string{"row": "budget", "boot": "service", "silent": "cut"} {
 		t.Run(off, func(t *testing.T) {
 			for seed := range uint64(offSeeds) {
--- a/wave/snapshot.go
+++ b/wave/snapshot.go
@@ -71,6 +71,11 @@
 	return s, err
 }
 
+// strange tells whether the wave has nothing to do with the pool and never had.
+func (s snapshot) strange() bool {
+	return s.rows.Row(Key(s.part.Wave, s.part.Pool)).Version == 0 && (s.rec.Cancelled || !s.rec.Covers(s.part.Pool))
+}
+
 // stopped tells whether the wave stopped itself and the operator neither resumed nor cancelled it.
 func (s snapshot) stopped() bool {
 	return s.stop.Holds(s.rec) && !s.rec.Cancelled
--- a/wave/step.go
+++ b/wave/step.go
@@ -20,6 +20,9 @@
 		d.ended[name] = true
 		return nil
 	}
+	if s.strange() {
+		return nil
+	}
 	v := d.view()
 	events, err := d.perform(ctx, s, v)
 	if err != nil {
--- a/wave/world_test.go
+++ b/wave/world_test.go
@@ -46,6 +46,10 @@
 	down    bool    // the table answers nobody
 	changes int
 
+	calls     int // made by daemons
+	killAt    int // call at which the daemon is cut off; zero for none
+	killAfter bool
+
 	breaches map[string]int // what broke, by name
 	reboots  int
 	kills    int
