--- a/entry/call.go
+++ b/entry/call.go
@@ -186,7 +186,9 @@
 // close gives back everything that the request holds.
 func (c *call) close() {
 	c.body.close()
-	c.memory.free()
+	if err := c.memory.free(); err != nil {
+		c.entry.breach(err)
+	}
 	if c.free != nil {
 		c.free()
 	}
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -2,12 +2,15 @@
 
 import (
 	"sync"
+
+	"gypsumlead/fault"
 )
 
 // serviceShare is the part of the memory that one service may take.
 const serviceShare = 2
 
-// memory bounds the bytes of bodies held at once; no service can take all of it.
+// memory bounds the bytes of bodies held at once; no service can take more than its share, and
+// what the services hold adds up to what is used.
 type memory struct {
 	limit int64
 
@@ -33,14 +36,19 @@
 }
 
 // give returns n bytes of service.
-func (m *memory) give(service string, n int64) {
+func (m *memory) give(service string, n int64) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.used -= n
 	m.taken[service] -= n
-	if m.taken[service] == 0 {
+	left := m.taken[service]
+	if left == 0 {
 		delete(m.taken, service)
 	}
+	if left < 0 || m.used < left {
+		return fault.New(fault.Breach, "memory for bodies: service %s holds %d bytes of %d", service, left, m.used)
+	}
+	return nil
 }
 
 // lease is what one request holds of the memory.
@@ -60,10 +68,11 @@
 }
 
 // free returns everything.
-func (l *lease) free() {
+func (l *lease) free() error {
 	if l.held == 0 {
-		return
+		return nil
 	}
-	l.memory.give(l.service, l.held)
+	n := l.held
 	l.held = 0
+	return l.memory.give(l.service, n)
 }
--- a/runner/do.go
+++ b/runner/do.go
@@ -46,8 +46,7 @@
 // told reports a breach before it is returned.
 func (f *Fleet) told(err error) error {
 	if fault.Is(err, fault.Breach) {
-		f.count.breaches.Add(1)
-		f.cfg.breach(err)
+		f.breach(err)
 	}
 	return err
 }
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -111,6 +111,12 @@
 	return n
 }
 
+// breach counts and reports an invariant that does not hold.
+func (f *Fleet) breach(err error) {
+	f.count.breaches.Add(1)
+	f.cfg.breach(err)
+}
+
 func (f *Fleet) newPool(name string) *pool {
 	seed := f.cfg.seed
 	for _, c := range name {
@@ -122,6 +128,7 @@
 		region: f.cfg.region,
 		limit:  f.cfg.conns,
 		rng:    rand.New(rand.NewPCG(seed, f.cfg.seed)),
+		breach: f.breach,
 	}
 }
 
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -22,6 +22,7 @@
 	region  string
 	limit   int64 // exchanges at a time on one upstream
 	rng     *rand.Rand
+	breach  func(error)
 	members []*upstream
 	waiters []chan struct{}
 	scratch []*upstream
@@ -48,6 +49,7 @@
 	defer p.mu.Unlock()
 	if u := p.pick(now, avoid); u != nil {
 		u.inProgress++
+		p.report(u.check(p.limit))
 		return u, nil, time.Time{}, nil
 	}
 	retry, usable := p.soonest(now)
@@ -179,9 +181,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	u.inProgress--
+	p.report(u.check(p.limit))
 	p.wake()
 }
 
+// report passes on an invariant that does not hold.
+func (p *pool) report(err error) {
+	if err != nil {
+		p.breach(err)
+	}
+}
+
 // isLeaving tells whether u gets no new work by now.
 func (p *pool) isLeaving(u *upstream) bool {
 	p.mu.Lock()
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gypsumlead/fault"
 	"gypsumlead/platform"
 )
 
@@ -41,6 +42,14 @@
 	return h.ID == i.ID && h.Boot == i.Boot && h.Addr == i.Addr && h.Centre == i.Centre && h.Region == i.Region
 }
 
+// check returns a breach if the count of exchanges can't be true.
+func (u *upstream) check(limit int64) error {
+	if u.inProgress < 0 || u.inProgress > limit {
+		return fault.New(fault.Breach, "runner %s of boot %s has %d exchanges in progress, of 0 to %d", u.instance.ID, u.instance.Boot, u.inProgress, limit)
+	}
+	return nil
+}
+
 // eligible tells whether an exchange may start now; after a failed dial one at a time may.
 func (u *upstream) eligible(now time.Time, limit int64) bool {
 	if u.leaving || now.Before(u.until) {
