Storm over TCP; a fleet that never uses a connection again

Cause: pipes have no kernel buffers and no resets, so a short storm runs over loopback too. WithIdle(0) panicked in the ticker; it now means one exchange a connection.

--- a/entry/storm_test.go
+++ b/entry/storm_test.go
@@ -27,6 +27,9 @@
 // seeds is how many seeds the storm runs with; raise it for a long run.
 var seeds = flag.Uint64("seeds", 3, "seeds of the storm")
 
+// tcpSeed is the seed of the storm over TCP.
+var tcpSeed = flag.Uint64("tcpseed", 1, "seed of the storm over TCP")
+
 // asked is one request of a caller and what became of it.
 type asked struct {
 	id      string
@@ -104,9 +107,9 @@
 }
 
 // plan returns the requests of one caller in turn; a keyed one is asked several times.
-func plan(caller int, rng *rand.Rand) []*asked {
+func plan(caller, requests int, rng *rand.Rand) []*asked {
 	var out []*asked
-	for n := range 25 {
+	for n := range requests {
 		name := fmt.Sprintf("c%d.%d", caller, n)
 		size := answerSizes[rng.IntN(len(answerSizes))]
 		switch rng.IntN(3) {
@@ -123,48 +126,60 @@
 	return out
 }
 
-// storm runs callers, entries and failing runners, and returns the promises that were broken.
+// stormCallers ask in parallel, each stormRequests times or more.
+const (
+	stormCallers  = 12
+	stormRequests = 25
+	shortRequests = 6
+)
+
+// storm runs callers, entries and failing runners on virtual time, and returns the promises that
+// were broken.
 func storm(t *testing.T, seed uint64, p parts) (broken, map[string]int) {
 	bad := broken{}
 	count := map[string]int{}
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, seed, p)
-		ctx, cancel := context.WithCancel(t.Context())
-		var chaos, callers sync.WaitGroup
-		chaos.Go(func() { w.chaos(ctx, rand.New(rand.NewPCG(seed, 99))) })
-		var mu sync.Mutex
-		var all []*asked
-		for i := range 12 {
-			callers.Go(func() {
-				rng := rand.New(rand.NewPCG(seed, uint64(i)))
-				for _, a := range plan(i, rng) {
-					limit := time.Minute
-					if rng.IntN(8) == 0 {
-						limit = time.Duration(rng.IntN(300)) * time.Millisecond
-					}
-					ctx, cancel := context.WithTimeout(t.Context(), limit)
-					a.send(ctx, w.client(rng.IntN(worldEntries)), rng)
-					cancel()
-					mu.Lock()
-					all = append(all, a)
-					mu.Unlock()
-					time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
-				}
-			})
-		}
-		callers.Wait()
-		cancel()
-		chaos.Wait()
-		time.Sleep(time.Minute)
-		bad.judge(all, w.seen())
-		for _, a := range all {
-			count[a.outcome]++
-		}
-		w.stop()
+		weather(t, newWorld(t, seed, p), seed, stormRequests, time.Minute, bad, count)
 	})
 	return bad, count
 }
 
+// weather is a storm over w; after the last request it waits for what may still arrive.
+func weather(t *testing.T, w *world, seed uint64, requests int, rest time.Duration, bad broken, count map[string]int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var chaos, callers sync.WaitGroup
+	chaos.Go(func() { w.chaos(ctx, rand.New(rand.NewPCG(seed, 99))) })
+	var mu sync.Mutex
+	var all []*asked
+	for i := range stormCallers {
+		callers.Go(func() {
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			for _, a := range plan(i, requests, rng) {
+				limit := time.Minute
+				if rng.IntN(8) == 0 {
+					limit = time.Duration(rng.IntN(300)) * time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), limit)
+				a.send(ctx, w.client(rng.IntN(worldEntries)), rng)
+				cancel()
+				mu.Lock()
+				all = append(all, a)
+				mu.Unlock()
+				time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	cancel()
+	chaos.Wait()
+	time.Sleep(rest)
+	bad.judge(all, w.seen())
+	for _, a := range all {
+		count[a.outcome]++
+	}
+	w.stop()
+}
+
 // judge holds what callers were told against what the runners saw.
 func (b broken) judge(all []*asked, seen map[string]int) {
 	keyed := map[string]int{}
@@ -204,6 +219,16 @@
 	}
 }
 
+// TestPromisesOverTCP is a short storm over the kernel's sockets, whose resets and buffers pipes
+// don't have; it has no bounds on time.
+func TestPromisesOverTCP(t *testing.T) {
+	bad := broken{}
+	count := map[string]int{}
+	weather(t, newWorld(t, *tcpSeed, parts{tcp: true}), *tcpSeed, shortRequests, time.Second, bad, count)
+	require.Empty(t, bad, "seed %d", *tcpSeed)
+	t.Logf("seed %d, requests by outcome: %v", *tcpSeed, count)
+}
+
 // pooled is the baseline that sends over net/http's own pool and calls a request not run when no
 // answer came. That the pool also sends again is shown in package runner.
 type pooled struct{ transport *http.Transport }
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"gypsumlead/claim"
 	"gypsumlead/platform"
 	"gypsumlead/platform/standin"
@@ -22,12 +24,12 @@
 	t        *testing.T
 	platform *standin.Platform
 	runners  []*standin.Runner
-	pipes    map[netip.AddrPort]*standin.Pipes
+	doors    map[netip.AddrPort]door // of the runners
 	fleets   []*runner.Fleet
 	keepers  []*claim.Keeper
 	entries  []*Entry
 	servers  []*http.Server
-	fronts   []*standin.Pipes
+	fronts   []door // of the entries
 	served   sync.WaitGroup
 }
 
@@ -35,6 +37,7 @@
 type parts struct {
 	upstreams func(w *world, e int, f *runner.Fleet) Upstreams // nil for the fleet itself
 	table     func(e int) platform.Table                       // nil for one table of all entries
+	tcp       bool                                             // over loopback, in real time
 	options   []Option                                         // of the entries
 }
 
@@ -43,14 +46,37 @@
 	worldRunners = 4
 )
 
+// door is a listener that can be dialled: pipes, or a port of the loopback.
+type door interface {
+	net.Listener
+
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+type port struct{ net.Listener }
+
+func (p port) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", p.Addr().String())
+}
+
+func newDoor(t *testing.T, tcp bool, name string) door {
+	if !tcp {
+		return standin.NewPipes(netip.MustParseAddrPort(name))
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return port{l}
+}
+
 // newWorld starts everything; stop must be called inside the bubble.
 func newWorld(t *testing.T, seed uint64, p parts) *world {
-	w := &world{t: t, pipes: map[netip.AddrPort]*standin.Pipes{}}
+	w := &world{t: t, doors: map[netip.AddrPort]door{}}
 	for i := range worldRunners {
-		addr := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:80", i+1))
-		w.pipes[addr] = standin.NewPipes(addr)
+		d := newDoor(t, p.tcp, fmt.Sprintf("10.0.0.%d:80", i+1))
+		addr := netip.MustParseAddrPort(d.Addr().String())
+		w.doors[addr] = d
 		id := fmt.Sprintf("u%d", i+1)
-		w.runners = append(w.runners, standin.NewRunner(w.pipes[addr],
+		w.runners = append(w.runners, standin.NewRunner(d,
 			standin.WithInstance(platform.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}),
 			standin.WithRunnerSeed(seed+uint64(i))))
 	}
@@ -76,7 +102,7 @@
 	}
 	entry := New(oneService{}, ups, append([]Option{WithClaims(keeper), WithBreach(w.breach)}, p.options...)...)
 	srv := NewServer(entry)
-	front := standin.NewPipes(netip.MustParseAddrPort(fmt.Sprintf("10.0.1.%d:80", e+1)))
+	front := newDoor(w.t, p.tcp, fmt.Sprintf("10.0.1.%d:80", e+1))
 	w.served.Go(func() { _ = srv.Serve(front) })
 	w.fleets = append(w.fleets, fleet)
 	w.keepers = append(w.keepers, keeper)
@@ -88,7 +114,7 @@
 func (w *world) breach(err error) { w.t.Error(err) }
 
 func (w *world) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	return w.pipes[addr].Dial(ctx, "tcp", addr.String())
+	return w.doors[addr].Dial(ctx, "tcp", addr.String())
 }
 
 // update gives every fleet the runners as they are now.
--- a/runner/answer.go
+++ b/runner/answer.go
@@ -128,7 +128,7 @@
 	}
 	a.channel.settle = a.channel.link.end()
 	a.channel.proved = time.Now()
-	if a.resp.Close {
+	if a.resp.Close || a.fleet.cfg.idle <= 0 {
 		a.channel.close()
 		return
 	}
--- a/runner/answer_test.go
+++ b/runner/answer_test.go
@@ -177,6 +177,10 @@
 	})
 }
 
+func TestNoIdleTimeMeansNoReuse(t *testing.T) {
+	require.Zero(t, mixed(t, crossing, 0, WithIdle(0), func(c *config) { c.off = switches{stray: true, echo: true} }))
+}
+
 func TestCrossingAnswersReachNobody(t *testing.T) {
 	without := mixed(t, crossing, 0, func(c *config) { c.off = switches{stray: true, echo: true} })
 	with := mixed(t, crossing, 0)
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -31,6 +31,9 @@
 	upstream *upstream
 }
 
+// reapFloor is the shortest time between two looks for connections to close.
+const reapFloor = 100 * time.Millisecond
+
 // leftMemory is how long a leaving boot is remembered after it went from the target list.
 const leftMemory = 24 * time.Hour
 
@@ -189,7 +192,7 @@
 
 // reap closes idle connections that are too old to be used again.
 func (f *Fleet) reap(ctx context.Context) {
-	t := time.NewTicker(f.cfg.idle)
+	t := time.NewTicker(max(f.cfg.idle, reapFloor))
 	defer t.Stop()
 	for {
 		select {
--- a/runner/option.go
+++ b/runner/option.go
@@ -63,7 +63,8 @@
 	return func(c *config) { c.conns = int64(max(n, 1)) }
 }
 
-// WithIdle sets how long a connection may be silent and still be used again.
+// WithIdle sets how long a connection may be silent and still be used again; 0 means that each
+// connection carries one exchange.
 func WithIdle(d time.Duration) Option {
 	return func(c *config) { c.idle = d }
 }
