--- a/cli/trial.go
+++ b/cli/trial.go
@@ -8,6 +8,11 @@
 	"strings"
 
 	"gypsumlead/fault"
+	"gypsumlead/trial/buffer"
+	"gypsumlead/trial/copies"
+	"gypsumlead/trial/flood"
+	jobtrial "gypsumlead/trial/job"
+	wavetrial "gypsumlead/trial/wave"
 )
 
 // trial is one measurement on virtual time.
@@ -18,7 +23,13 @@
 
 // trials lists every measurement.
 func trials() []trial {
-	return []trial{}
+	return []trial{
+		{"flood", flood.Run},
+		{"buffer", buffer.Run},
+		{"copies", copies.Run},
+		{"wave", wavetrial.Run},
+		{"job", jobtrial.Run},
+	}
 }
 
 func runTrial(_ context.Context, e *env, args []string) error {
