--- a/runner/do.go
+++ b/runner/do.go
@@ -46,8 +46,7 @@
 // told reports a breach before it is returned.
 func (f *Fleet) told(err error) error {
 	if fault.Is(err, fault.Breach) {
-		f.count.breaches.Add(1)
-		f.cfg.breach(err)
+		f.breach(err)
 	}
 	return err
 }
@@ -86,7 +85,7 @@
 			f.count.reuses.Add(1)
 			return c, nil
 		}
-		c.close()
+		p.distrust(u, c)
 	}
 	return f.open(ctx, p, u)
 }
@@ -124,7 +123,7 @@
 // send carries out one exchange up to the answer's headers.
 func (f *Fleet) send(ctx context.Context, p *pool, u *upstream, c *channel, x *exchange) (*Response, error) {
 	if !c.link.begin(f.gate(p, u, x)) {
-		c.close()
+		p.distrust(u, c)
 		return nil, fault.New(fault.NoUpstream, "runner %s sent bytes that no request asked for", u.instance.ID)
 	}
 	t := newTry(ctx, x, c)
