--- a/record/codec.go
+++ b/record/codec.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"strings"
 
 	"gypsumlead/fault"
 )
@@ -70,7 +71,7 @@
 		return nil, fault.Wrap(fault.Internal, err, "read the new body of %s", old.Key())
 	}
 	for name, v := range before {
-		if _, ok := known[name]; !ok && !bytes.Equal(v, []byte("null")) {
+		if !known.has(name) && !bytes.Equal(v, []byte("null")) {
 			after[name] = v
 		}
 	}
@@ -80,3 +81,16 @@
 
 // fields is a JSON object whose values are left as written.
 type fields map[string]json.RawMessage
+
+// has tells whether a decode would take name for one of the fields: it ignores case.
+func (f fields) has(name string) bool {
+	if _, ok := f[name]; ok {
+		return true
+	}
+	for n := range f {
+		if strings.EqualFold(n, name) {
+			return true
+		}
+	}
+	return false
+}
