--- a/demo/load.go
+++ b/demo/load.go
@@ -30,7 +30,7 @@
 	idempotent bool
 	outcome    fault.Outcome
 	mixed      bool
-	broken     bool // the answer broke off
+	broken     bool   // the answer broke off
 	kind       string // of the daemon's own answer
 	text       string
 }
--- a/wave/snapshot.go
+++ b/wave/snapshot.go
@@ -5,6 +5,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
+	"gypsumlead/platform"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -39,7 +40,27 @@
 	if err != nil {
 		return snapshot{}, err
 	}
-	return load(journal.NewRows(d.now(), rows...), wave, d.pool)
+	now := d.now()
+	if old, ok := d.loaded[wave]; ok && old.same(rows) {
+		old.rows = journal.NewRows(now, rows...)
+		return old, nil
+	}
+	s, err := load(journal.NewRows(now, rows...), wave, d.pool)
+	if err != nil {
+		return s, err
+	}
+	d.loaded[wave] = s
+	return s, nil
+}
+
+// same tells whether the rows are the ones that the snapshot was decoded from.
+func (s snapshot) same(rows []platform.Row) bool {
+	for _, r := range rows {
+		if s.rows.Row(r.Key).Version != r.Version {
+			return false
+		}
+	}
+	return true
 }
 
 // load decodes a snapshot; a wave whose record is gone counts as cancelled.
@@ -71,6 +92,11 @@
 	return s, err
 }
 
+// strange tells whether the wave has nothing to do with the pool and never had.
+func (s snapshot) strange() bool {
+	return s.rows.Row(Key(s.part.Wave, s.part.Pool)).Version == 0 && (s.rec.Cancelled || !s.rec.Covers(s.part.Pool))
+}
+
 // stopped tells whether the wave stopped itself and the operator neither resumed nor cancelled it.
 func (s snapshot) stopped() bool {
 	return s.stop.Holds(s.rec) && !s.rec.Cancelled
