--- a/wave/driver.go
+++ b/wave/driver.go
@@ -164,6 +164,9 @@
 			names = append(names, t.By)
 		}
 	}
+	for n := range d.loaded {
+		names = append(names, n) // also one that was edited and no longer covers the pool
+	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] }), nil
--- a/wave/explain.go
+++ b/wave/explain.go
@@ -69,7 +69,7 @@
 			Why:      why,
 			Refused:  refused,
 			Subjects: []audit.Subject{{Kind: string(record.KindWave), Name: part.Wave}, {Kind: string(record.KindPool), Name: part.Pool}},
-			Inputs:   t.snapshot.pool.Facts(t.next.state.Count(pool.Losses(t.next.state, t.driver.view(), t.snapshot.rows.Now))),
+			Inputs:   t.snapshot.pool.Facts(t.next.state.Count(pool.Losses(t.next.state, t.next.view, t.snapshot.rows.Now))),
 		})
 	}
 	if instance != "" {
--- a/wave/step.go
+++ b/wave/step.go
@@ -55,13 +55,14 @@
 	events []Event
 	picked []pool.Take // instances that may be taken after this step
 	wait   error       // what forbids a further take
+	view   pool.View
 }
 
 // advance is the pure part of a step: the events of the acts and of the platform's list change
 // the progress, and the result says what to take next.
 func (s snapshot) advance(acted []Event, v pool.View, l Limits) (outcome, error) {
 	now := s.rows.Now
-	n := outcome{part: s.part, state: s.pool.State, stop: s.stop}
+	n := outcome{part: s.part, state: s.pool.State, stop: s.stop, view: v}
 	seen := s.part.Observe(s.rec, n.state, v, l, now)
 	n.events = joinEvents(seen, acted)
 	var err error
