Read the platform's list by what has changed; keep the audit trail short

Cause: each daemon read the whole list each second, about 280 bytes an instance, 32 KB/s at today's 115 instances against 6 KB/s in all. Signs of life change with every heartbeat, so no whole list is ever the same twice. Now the roster leaves them out and is asked for what changed since a stamp; signs of life are looked up only for a pool that has a wave or a move. Ruled out: ETags on the whole list, for the reason above. The audit trail's archive runs as a duty.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -56,7 +57,9 @@
 	require.NoError(b.t, err)
 }
 
-func (b *bench) Entries(context.Context, audit.Subject) ([]audit.Entry, error) { return b.refused, nil }
+func (b *bench) Read(context.Context, audit.Subject, time.Time, time.Time) ([]audit.Entry, error) {
+	return b.refused, nil
+}
 
 func (b *bench) Refuse(_ context.Context, e audit.Entry) error {
 	b.refused = append(b.refused, e)
--- a/api/handler.go
+++ b/api/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gypsumlead/api/oas"
 	"gypsumlead/audit"
@@ -21,8 +22,8 @@
 
 // Trail reads the audit trail.
 type Trail interface {
-	// Entries returns every decision on s, oldest first.
-	Entries(ctx context.Context, s audit.Subject) ([]audit.Entry, error)
+	// Read returns every decision on s between two instants, oldest first; a zero instant is an open end.
+	Read(ctx context.Context, s audit.Subject, from, to time.Time) ([]audit.Entry, error)
 	// Refuse notes a decision not to do something.
 	Refuse(ctx context.Context, e audit.Entry) error
 }
@@ -149,7 +150,7 @@
 
 // Explain returns every decision on something.
 func (h *Handler) Explain(ctx context.Context, p oas.ExplainParams) (*oas.ExplainOK, error) {
-	entries, err := h.trail.Entries(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name})
+	entries, err := h.trail.Read(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name}, time.Time{}, time.Time{})
 	if err != nil {
 		return nil, err
 	}
--- a/app/app.go
+++ b/app/app.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/api"
+	"gypsumlead/audit"
 	"gypsumlead/claim"
 	"gypsumlead/entry"
 	"gypsumlead/fault"
@@ -39,6 +40,7 @@
 	server *peer.Server
 	poller *poller
 	router *router
+	trail  *audit.Trail
 	fleet  *runner.Fleet
 	gate   *share.Gate
 	claims *claim.Keeper
@@ -81,11 +83,12 @@
 	a.roster = roster.New(roster.WithChanged(a.rosterChanged), roster.WithLearned(a.leavingLearned))
 	a.state = journal.NewState(a.applied)
 	a.writer = journal.NewWriter(a.platform.Table)
+	a.trail = audit.NewTrail(a.platform.Table, a.platform.Objects)
 	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
 	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))
 	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
 	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
-	a.poller = &poller{common: a.common, list: a.platform.Instances, roster: a.roster, mesh: a.mesh}
+	a.poller = &poller{common: a.common, source: a.platform.Roster, roster: a.roster, mesh: a.mesh}
 }
 
 // makeCallerPath builds what a caller's request goes through.
@@ -142,7 +145,7 @@
 		Writer: a.writer,
 		Table:  a.platform.Table,
 		Config: a.spread,
-		Trail:  &trail{table: a.platform.Table},
+		Trail:  a.trail,
 		Fleet:  a.roster,
 		Move:   a.move,
 		Status: a.status,
--- a/app/common.go
+++ b/app/common.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/platform"
+	"gypsumlead/platform/client"
 	"gypsumlead/settings"
 )
 
@@ -20,4 +21,16 @@
 	Objects   platform.Objects
 	Instances platform.Instances
 	Workers   platform.Workers
+	Roster    platform.Roster
+}
+
+// OverHTTP returns the services of a platform's client.
+func OverHTTP(c *client.Client) Platform {
+	return Platform{
+		Table:     c.Table,
+		Objects:   c.Objects,
+		Instances: c.Instances,
+		Workers:   c.Workers,
+		Roster:    c.Roster,
+	}
 }
--- a/app/poller.go
+++ b/app/poller.go
@@ -19,10 +19,11 @@
 // poller keeps the roster as new as the platform's list, or as a peer's where the platform doesn't answer.
 type poller struct {
 	common
-	list   platform.Instances
+	source platform.Roster
 	roster *roster.Roster
 	mesh   *peer.Mesh
 	failed bool
+	stamp  platform.Stamp // of the list that the roster has
 }
 
 // run looks at the list at each tick until ctx ends.
@@ -43,10 +44,13 @@
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	at := time.Now()
-	list, err := p.list.List(ctx)
+	list, stamp, err := p.source.Roster(ctx, p.stamp)
 	if err == nil {
 		p.failed = false
-		p.roster.Update(list, at)
+		if stamp != p.stamp {
+			p.roster.Update(list, at)
+		}
+		p.stamp = stamp
 		return
 	}
 	if !p.failed {
--- a/app/steppers.go
+++ b/app/steppers.go
@@ -6,23 +6,27 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"gypsumlead/fault"
 	"gypsumlead/job"
 	"gypsumlead/journal"
 	"gypsumlead/lease"
 	"gypsumlead/platform"
+	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/wave"
 )
 
+const archiveEvery = 10 * time.Minute
+
 // stepperOf returns what a duty does under a tenure.
 func (a *App) stepperOf(t lease.Tenure) stepper {
 	switch t.Duty {
 	case dutyJournal:
 		return a.journalStepper()
 	case dutyAudit:
-		return func(context.Context) error { return nil }
+		return a.auditStepper()
 	}
 	return a.poolStepper(strings.TrimPrefix(t.Duty, dutyPool), t)
 }
@@ -42,21 +46,35 @@
 	}
 }
 
+// auditStepper moves old entries of the audit trail into the object store, now and then.
+func (a *App) auditStepper() stepper {
+	var next time.Time
+	return func(ctx context.Context) error {
+		now := time.Now()
+		if now.Before(next) {
+			return nil
+		}
+		next = now.Add(archiveEvery)
+		_, err := a.trail.Archive(ctx, now.Add(-a.set.Duties.Keep))
+		return err
+	}
+}
+
 // poolStepper steps the waves and the jobs of one pool.
-func (a *App) poolStepper(pool string, t lease.Tenure) stepper {
-	waves := wave.NewDriver(pool, wave.Parts{
+func (a *App) poolStepper(name string, t lease.Tenure) stepper {
+	waves := wave.NewDriver(name, wave.Parts{
 		Table:     a.platform.Table,
 		Writer:    a.writer,
 		Instances: a.platform.Instances,
 		Entries:   a.peers,
 		Lease:     t,
-		View:      a.view,
-		Waves:     func() []string { return a.wavesOf(pool) },
+		View:      func() pool.View { return a.poolView(name) },
+		Waves:     func() []string { return a.wavesOf(name) },
 	}, wave.WithActor("wave@"+a.set.Instance), wave.WithLog(a.log))
-	jobs := job.NewDriver(pool, a.platform.Table, a.platform.Workers, &jobRecords{a}, hold{t}, job.WithLog(a.log))
+	jobs := job.NewDriver(name, a.platform.Table, a.platform.Workers, &jobRecords{a}, hold{t}, job.WithLog(a.log))
 	return func(ctx context.Context) error {
 		err := waves.Step(ctx)
-		if !a.runsJobs(pool) {
+		if !a.runsJobs(name) {
 			return err
 		}
 		return joined(err, jobs.Step(ctx))
@@ -125,12 +143,7 @@
 			v.Teams[e.Name] = t
 		}
 	}
-	for _, e := range state.List(record.KindMember) {
-		var m record.Member
-		if record.Decode(e, &m) == nil && m.Pool == pool {
-			v.Members = append(v.Members, e.Name)
-		}
-	}
+	v.Members = r.app.membersOf(pool)
 	slices.SortFunc(v.Jobs, func(x, y job.Spec) int { return cmp.Compare(x.Version, y.Version) })
 	return v, v.Version > 0
 }
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -24,8 +24,7 @@
 	}
 	c := client.New(set.Platform)
 	defer c.Close()
-	p := app.Platform{Table: c.Table, Objects: c.Objects, Instances: c.Instances, Workers: c.Workers}
-	a, err := app.New(set, p, log)
+	a, err := app.New(set, app.OverHTTP(c), log)
 	if err != nil {
 		return err
 	}
--- a/demo/site.go
+++ b/demo/site.go
@@ -125,7 +125,7 @@
 	set.Stop.Wait = stopWait
 	set.Sync.Lag = evidence
 	c := client.New(s.addr)
-	a, err := app.New(set, app.Platform{Table: c.Table, Objects: c.Objects, Instances: c.Instances, Workers: c.Workers}, zap.NewNop())
+	a, err := app.New(set, app.OverHTTP(c), zap.NewNop())
 	if err != nil {
 		return nil, err
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -72,6 +72,7 @@
 type Duties struct {
 	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within about twice this time."`
 	Step time.Duration `json:"step" validate:"min=10ms" doc:"Time between two steps of a duty."`
+	Keep time.Duration `json:"keep" validate:"min=1m" doc:"Age at which entries of the audit trail move from the table to the object store."`
 }
 
 // Stop says how the daemon stops.
@@ -106,6 +107,7 @@
 		Duties: Duties{
 			Life: 5 * time.Second,
 			Step: 500 * time.Millisecond,
+			Keep: 7 * 24 * time.Hour,
 		},
 		Stop: Stop{
 			Wait: 5 * time.Second,
