--- a/app/app.go
+++ b/app/app.go
@@ -30,6 +30,7 @@
 	common
 	platform Platform
 	metrics  *metrics
+	meshOpts []peer.MeshOption
 
 	state  *journal.State
 	writer *journal.Writer
@@ -60,12 +61,23 @@
 	Peers     netip.AddrPort
 }
 
+// Option changes an App under construction.
+type Option func(*App)
+
+// WithPeerDial sets how connections to other daemons are made.
+func WithPeerDial(dial peer.Dial) Option {
+	return func(a *App) { a.meshOpts = append(a.meshOpts, peer.WithDial(dial)) }
+}
+
 // New assembles a daemon and opens its listeners; Run starts it.
-func New(set settings.Settings, p Platform, log *zap.Logger) (*App, error) {
+func New(set settings.Settings, p Platform, log *zap.Logger, opts ...Option) (*App, error) {
 	a := &App{
 		common:   common{set: set, boot: rand.Text(), log: log.With(zap.String("instance", set.Instance))},
 		platform: p,
 	}
+	for _, o := range opts {
+		o(a)
+	}
 	a.makeConfiguration()
 	a.makeCallerPath()
 	a.makePeers()
@@ -85,7 +97,7 @@
 	a.writer = journal.NewWriter(a.platform.Table)
 	a.trail = audit.NewTrail(a.platform.Table, a.platform.Objects)
 	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
-	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))
+	a.mesh = peer.NewMesh(us, a.log, append(a.meshOpts, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))...)
 	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
 	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
 	a.poller = &poller{common: a.common, source: a.platform.Roster, roster: a.roster, mesh: a.mesh}
--- a/app/status.go
+++ b/app/status.go
@@ -41,3 +41,8 @@
 func (a *App) Ready() bool {
 	return a.router.seq.Load() > 0 && !a.entry.Leaving()
 }
+
+// Peers returns how many daemons have an open session with this one.
+func (a *App) Peers() int {
+	return len(a.mesh.Peers())
+}
--- a/cli/trial.go
+++ b/cli/trial.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/trial/buffer"
+	"gypsumlead/trial/control"
 	"gypsumlead/trial/copies"
 	"gypsumlead/trial/flood"
 	jobtrial "gypsumlead/trial/job"
@@ -27,6 +28,7 @@
 		{"flood", flood.Run},
 		{"buffer", buffer.Run},
 		{"copies", copies.Run},
+		{"control", control.Run},
 		{"wave", wavetrial.Run},
 		{"job", jobtrial.Run},
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -19,7 +19,7 @@
 	us     Identity
 	log    *zap.Logger
 	ping   time.Duration
-	dial   func(context.Context, netip.AddrPort) (net.Conn, error)
+	dial   Dial
 	seq    func() int64
 	onPong func(Identity, *Pong)
 
@@ -31,6 +31,9 @@
 	wg      sync.WaitGroup
 }
 
+// Dial opens a connection to another daemon.
+type Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
 // MeshOption changes a Mesh under construction.
 type MeshOption func(*Mesh)
 
@@ -40,7 +43,7 @@
 }
 
 // WithDial sets how connections are made.
-func WithDial(dial func(context.Context, netip.AddrPort) (net.Conn, error)) MeshOption {
+func WithDial(dial Dial) MeshOption {
 	return func(m *Mesh) { m.dial = dial }
 }
 
