--- a/app/app.go
+++ b/app/app.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/api"
+	"gypsumlead/audit"
 	"gypsumlead/claim"
 	"gypsumlead/entry"
 	"gypsumlead/fault"
@@ -29,6 +30,7 @@
 	common
 	platform Platform
 	metrics  *metrics
+	meshOpts []peer.MeshOption
 
 	state  *journal.State
 	writer *journal.Writer
@@ -39,6 +41,7 @@
 	server *peer.Server
 	poller *poller
 	router *router
+	trail  *audit.Trail
 	fleet  *runner.Fleet
 	gate   *share.Gate
 	claims *claim.Keeper
@@ -58,12 +61,23 @@
 	Peers     netip.AddrPort
 }
 
+// Option changes an App under construction.
+type Option func(*App)
+
+// WithPeerDial sets how connections to other daemons are made.
+func WithPeerDial(dial peer.Dial) Option {
+	return func(a *App) { a.meshOpts = append(a.meshOpts, peer.WithDial(dial)) }
+}
+
 // New assembles a daemon and opens its listeners; Run starts it.
-func New(set settings.Settings, p Platform, log *zap.Logger) (*App, error) {
+func New(set settings.Settings, p Platform, log *zap.Logger, opts ...Option) (*App, error) {
 	a := &App{
 		common:   common{set: set, boot: rand.Text(), log: log.With(zap.String("instance", set.Instance))},
 		platform: p,
 	}
+	for _, o := range opts {
+		o(a)
+	}
 	a.makeConfiguration()
 	a.makeCallerPath()
 	a.makePeers()
@@ -81,11 +95,12 @@
 	a.roster = roster.New(roster.WithChanged(a.rosterChanged), roster.WithLearned(a.leavingLearned))
 	a.state = journal.NewState(a.applied)
 	a.writer = journal.NewWriter(a.platform.Table)
+	a.trail = audit.NewTrail(a.platform.Table, a.platform.Objects)
 	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
-	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))
+	a.mesh = peer.NewMesh(us, a.log, append(a.meshOpts, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))...)
 	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
 	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
-	a.poller = &poller{common: a.common, list: a.platform.Instances, roster: a.roster, mesh: a.mesh}
+	a.poller = &poller{common: a.common, source: a.platform.Roster, roster: a.roster, mesh: a.mesh}
 }
 
 // makeCallerPath builds what a caller's request goes through.
@@ -142,7 +157,7 @@
 		Writer: a.writer,
 		Table:  a.platform.Table,
 		Config: a.spread,
-		Trail:  &trail{table: a.platform.Table},
+		Trail:  a.trail,
 		Fleet:  a.roster,
 		Move:   a.move,
 		Status: a.status,
