share: usage by kind, a bound on all that waits, whole floors for small pools

Cause: a gate over many pools had no bound on queued requests in all; a test of it found that a pool of one slot held its only slot back for 10 ms: computing the floors in steps left 0.99999 of a slot, a kind's own idle floor counted as another's, and a new kind had no credit. Change: floors are compared with a tolerance, a kind's own floor isn't held back from it, only whole slots of floors are, and a new kind has credit for one run.

--- a/share/check.go
+++ b/share/check.go
@@ -32,7 +32,7 @@
 		return nil
 	}
 	for _, k := range p.kinds {
-		if len(k.queue) == 0 || float64(k.running)+1 > k.floor {
+		if len(k.queue) == 0 || !k.below(1) {
 			continue
 		}
 		if p.running < p.slots || p.lent > 0 {
--- a/share/event.go
+++ b/share/event.go
@@ -16,6 +16,7 @@
 	Service  string
 	Work     string // empty means the service's first kind of work
 	Deadline time.Time
+	Full     bool // the entry has no room left for requests that wait for this pool
 }
 
 // Finish is the end of a started request.
--- a/share/gate.go
+++ b/share/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -11,13 +12,16 @@
 	"gypsumlead/record"
 )
 
-// defaultDeadline is how long a request without a deadline may take in all.
-const defaultDeadline = 10 * time.Second
+const (
+	defaultDeadline = 10 * time.Second // for a request without one
+	defaultWaiting  = 4096             // requests that wait, over all pools
+)
 
 // Gate admits requests to the slots of many pools at once, each pool under a lock of its own.
 type Gate struct {
 	opts   []Option
 	now    func() time.Time
+	room   *room
 	mu     sync.RWMutex // guards pools and homes, not what the shards hold
 	pools  map[string]*shard
 	homes  map[string]string // pool of each service
@@ -32,6 +36,11 @@
 	return func(g *Gate) { g.opts = opts }
 }
 
+// WithWaiting bounds the requests that wait, over all pools together.
+func WithWaiting(requests int) GateOption {
+	return func(g *Gate) { g.room.limit = int64(requests) }
+}
+
 // WithNow sets the clock, which must be monotonic.
 func WithNow(now func() time.Time) GateOption {
 	return func(g *Gate) { g.now = now }
@@ -46,6 +55,7 @@
 func NewGate(opts ...GateOption) *Gate {
 	g := &Gate{
 		now:    time.Now,
+		room:   &room{limit: defaultWaiting},
 		pools:  map[string]*shard{},
 		homes:  map[string]string{},
 		breach: func(error) {},
@@ -112,6 +122,21 @@
 	return s.pool.Running(), s.pool.Waiting()
 }
 
+// Usage returns the usage of each kind of work of a pool.
+func (g *Gate) Usage(pool string) []Usage {
+	s := g.shardFor(pool)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pool.Usage()
+}
+
+// Pools returns the names of the pools, sorted.
+func (g *Gate) Pools() []string {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return slices.Sorted(maps.Keys(g.pools))
+}
+
 func (g *Gate) shardOf(service string) *shard {
 	g.mu.RLock()
 	defer g.mu.RUnlock()
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -113,3 +113,42 @@
 		require.Zero(t, running)
 	}
 }
+
+func TestGateBoundsWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, asked = 10, 100
+		g := NewGate(WithWaiting(limit), WithBreach(func(err error) { t.Error(err) }))
+		quiet := record.Service{Pool: "q", Works: []record.Work{{Name: "a", Mean: 1}}}
+		g.SetService("texts", texts())
+		g.SetService("quiet", quiet)
+		g.SetCapacity("p", 1)
+		g.SetCapacity("q", 1)
+		require.Equal(t, []string{"p", "q"}, g.Pools())
+		acquire := func(service string) {
+			release, err := g.Acquire(t.Context(), service, "", time.Now().Add(time.Minute))
+			if err == nil {
+				time.Sleep(100 * time.Millisecond)
+				release()
+			}
+		}
+		for range asked {
+			go acquire("texts")
+		}
+		synctest.Wait()
+		_, waiting := g.Load("p")
+		require.Equal(t, limit, waiting, "a flood fills the room")
+		for range 3 {
+			go acquire("quiet")
+		}
+		synctest.Wait()
+		running, waiting := g.Load("q")
+		require.Equal(t, 1, running)
+		require.Equal(t, 2, waiting, "the other pool still has its part of the room")
+		time.Sleep(time.Minute)
+		refused := uint64(0)
+		for _, u := range g.Usage("p") {
+			refused += u.Refused
+		}
+		require.EqualValues(t, asked-limit-1, refused)
+	})
+}
--- a/share/kind.go
+++ b/share/kind.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	floorError    = 1e-6            // slots, from computing floors in steps
 	askedOver     = 2 * time.Second // time constant of the arrival rate
 	leastExpected = 0.2             // of the mean
 	meanGain      = 1.0 / 64        // weight of the newest run time
@@ -40,6 +41,8 @@
 	since   time.Time
 	arrived int       // since the floors were last computed
 	asked   float64   // requests a second, moving average
+	starts  uint64    // requests started in all
+	refused uint64    // requests refused in all
 	booked  time.Time // when the last refused caller was told to come back
 }
 
@@ -92,9 +95,18 @@
 	return math.Min(mean, math.Max(k.asked, mean*leastExpected))
 }
 
+// below tells whether the running requests and more of them are within the floor; with none
+// more, whether they are below it.
+func (k *kind) below(more int) bool {
+	if more == 0 {
+		return float64(k.running) < k.floor-floorError
+	}
+	return float64(k.running+more) <= k.floor+floorError
+}
+
 // idle returns the whole slots of the floor that the kind doesn't use.
 func (k *kind) idle() int {
-	return max(0, int(math.Ceil(k.floor))-k.running)
+	return max(0, int(k.floor+floorError)-k.running)
 }
 
 // hopeless returns when r, if still waiting, can no longer end by its deadline.
--- a/share/lend.go
+++ b/share/lend.go
@@ -22,11 +22,10 @@
 
 // guaranteed returns the claim of k on one more slot by its floor alone.
 func (k *kind) guaranteed() tier {
-	held := float64(k.running)
 	switch {
-	case held+1 <= k.floor:
+	case k.below(1):
 		return tierFloor
-	case held < k.floor && k.credit > 0:
+	case k.below(0) && k.credit > 0:
 		return tierFraction
 	}
 	return tierNone
@@ -34,6 +33,10 @@
 
 // borrowed returns the claim of k on a slot above its floor.
 func (p *Pool) borrowed(k *kind, l load, free int) tier {
+	if n := k.idle(); n > 0 {
+		l.idle -= n
+		l.asked -= k.expected(p.part())
+	}
 	switch {
 	case k.long() > p.opts.reclaim.Seconds():
 		return tierNone
--- a/share/pool.go
+++ b/share/pool.go
@@ -63,6 +63,9 @@
 	}
 	out = p.turnAway(out, now)
 	out = p.fill(out, now)
+	if a, ok := ev.(Arrive); ok && a.Full {
+		out = p.refuseWaiting(out, a.ID, now)
+	}
 	return out, p.check()
 }
 
@@ -82,6 +85,16 @@
 	return nil
 }
 
+// refuseWaiting refuses a request that got no slot at once.
+func (p *Pool) refuseWaiting(out []Effect, id uint64, now time.Time) []Effect {
+	r, ok := p.requests[id]
+	if !ok || !r.started.IsZero() {
+		return out
+	}
+	p.drop(r)
+	return append(out, p.refusal(r, now))
+}
+
 // hopeful tells whether r can wait in the queue and still end by its deadline.
 func (p *Pool) hopeful(r *request, now time.Time) bool {
 	k := r.kind
@@ -111,6 +124,7 @@
 	if p.slots == 0 {
 		why = fault.NoUpstream
 	}
+	r.kind.refused++
 	return Refuse{ID: r.id, Kind: why, Retry: r.kind.book(r.id, now)}
 }
 
@@ -169,10 +183,11 @@
 		r := k.queue.first()
 		k.queue.remove(r)
 		p.waiting--
-		if float64(k.running)+1 > k.floor {
+		if !k.below(1) {
 			p.lent++
 		}
 		r.started = now
+		k.starts++
 		k.running++
 		k.group.running++
 		p.running++
@@ -222,7 +237,7 @@
 			return k
 		}
 	}
-	k := &kind{group: g, work: w, run: defaultRun.Seconds(), since: now}
+	k := &kind{group: g, work: w, run: defaultRun.Seconds(), credit: defaultRun.Seconds(), since: now}
 	g.kinds++
 	p.kinds = append(p.kinds, k)
 	return k
@@ -280,9 +295,3 @@
 	}
 	return next
 }
-
-// Running returns the number of started requests.
-func (p *Pool) Running() int { return p.running }
-
-// Waiting returns the number of queued requests.
-func (p *Pool) Waiting() int { return p.waiting }
--- a/share/shard.go
+++ b/share/shard.go
@@ -14,6 +14,7 @@
 	mu       sync.Mutex
 	name     string
 	now      func() time.Time
+	room     *room
 	breach   func(error)
 	pool     *Pool
 	services []Service
@@ -27,6 +28,7 @@
 	return &shard{
 		name:    name,
 		now:     g.now,
+		room:    g.room,
 		breach:  g.breach,
 		pool:    New(name, g.opts...),
 		waiters: map[uint64]chan Effect{},
@@ -67,6 +69,7 @@
 	defer s.mu.Unlock()
 	s.lastID++
 	e.ID = s.lastID
+	e.Full = s.room.full(s.pool.Slots(), s.pool.Waiting())
 	s.waiters[e.ID] = answer
 	s.applyLocked(e)
 	return e.ID
@@ -92,7 +95,9 @@
 
 // applyLocked hands the event to the pool and its effects to those who wait for them.
 func (s *shard) applyLocked(ev Event) {
+	slots, waiting := s.pool.Slots(), s.pool.Waiting()
 	effects, err := s.pool.Apply(ev, s.now())
+	s.room.account(s.pool.Slots()-slots, s.pool.Waiting()-waiting)
 	if err != nil {
 		s.breach(err)
 	}
