--- a/wave/driver.go
+++ b/wave/driver.go
@@ -24,7 +24,8 @@
 // Entries asks the entry instances about drained boots.
 type Entries interface {
 	// Quiet returns the newest change that the entry has in force, and how many of its requests
-	// are in progress on the instance. It fails if the entry doesn't hold boot for drained.
+	// are in progress on the instance, under whatever boot it knows it by. It fails if the entry
+	// doesn't hold boot for drained, or still sends to the instance under another boot.
 	Quiet(ctx context.Context, entry platform.Instance, instance, boot string, seq int64) (have, progress int64, err error)
 }
 
@@ -43,9 +44,12 @@
 	limits  Limits
 	log     *zap.Logger
 
-	ended map[string]bool      // waves that are over in this pool
-	acks  map[ack]bool         // answers that need no repeating
-	asked map[string]time.Time // when a reboot was last asked for
+	ended  map[string]bool      // waves that are over in this pool
+	acks   map[ack]bool         // answers that need no repeating
+	asked  map[string]time.Time // when a reboot was last asked for
+	loaded map[string]snapshot  // newest reading of each wave; rows of the same version aren't decoded again
+	state  pool.State           // the pool's row of version stateV
+	stateV int64
 }
 
 // ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
@@ -106,6 +110,7 @@
 		ended:   map[string]bool{},
 		acks:    map[ack]bool{},
 		asked:   map[string]time.Time{},
+		loaded:  map[string]snapshot{},
 	}
 	for _, o := range opts {
 		o(d)
@@ -147,15 +152,21 @@
 	if err != nil {
 		return nil, err
 	}
-	var s pool.State
-	if _, err := journal.NewRows(d.now(), rows...).Load(pool.Key(d.pool), &s); err != nil {
-		return nil, err
+	if rows[0].Version != d.stateV {
+		d.state = pool.State{}
+		if _, err := journal.NewRows(d.now(), rows...).Load(pool.Key(d.pool), &d.state); err != nil {
+			return nil, err
+		}
+		d.stateV = rows[0].Version
 	}
-	for _, t := range s.Takes {
+	for _, t := range d.state.Takes {
 		if t.Cause == pool.CauseWave {
 			names = append(names, t.By)
 		}
 	}
+	for n := range d.loaded {
+		names = append(names, n) // also one that was edited and no longer covers the pool
+	}
 	slices.Sort(names)
 	names = slices.Compact(names)
 	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] }), nil
