--- a/share/gate.go
+++ b/share/gate.go
@@ -22,6 +22,7 @@
 	opts   []Option
 	now    func() time.Time
 	room   *room
+	change sync.Mutex   // held by whole changes of a service, which may touch two shards
 	mu     sync.RWMutex // guards pools and homes, not what the shards hold
 	pools  map[string]*shard
 	homes  map[string]string // pool of each service
@@ -93,6 +94,8 @@
 
 // SetService adds a service or replaces its kinds of work, or moves it to another pool.
 func (g *Gate) SetService(name string, r record.Service) {
+	g.change.Lock()
+	defer g.change.Unlock()
 	g.mu.Lock()
 	old, had := g.homes[name]
 	g.homes[name] = r.Pool
@@ -105,6 +108,8 @@
 
 // DropService forgets a service; its waiting requests are refused.
 func (g *Gate) DropService(name string) {
+	g.change.Lock()
+	defer g.change.Unlock()
 	g.mu.Lock()
 	old, had := g.homes[name]
 	delete(g.homes, name)
