Bound lease operations by the lease's life; report broken rows

Cause: with a life shorter than the default an operation's fixed 2 s limit could outlast the lease; a row whose epoch went back was only logged. Ruled out: taking over a row that went back: workers and rows may have seen higher epochs.

--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	firstRanks = 4  // daemons by rank that watch a duty closely
-	crowdPolls = 4  // polls that a daemon with its fair share leaves a free duty to others
-	idlePolls  = 30 // polls between looks of all other daemons
-	passShare  = 4  // passes a poll
-	opTimeout  = 2 * time.Second
+	firstRanks = 4                // daemons by rank that watch a duty closely
+	crowdPolls = 4                // polls that a daemon with its fair share leaves a free duty to others
+	idlePolls  = 30               // polls between looks of all other daemons
+	passShare  = 4                // passes a poll
+	opTimeout  = 2 * time.Second  // at most; see timeout
 	shedEvery  = 10 * time.Second // between duties given up for balance
 )
 
@@ -32,6 +32,7 @@
 	duties  func() []string
 	members func() []string
 	log     *zap.Logger
+	breach  func(error)
 
 	passing sync.Mutex // one pass at a time
 
@@ -76,6 +77,11 @@
 	return func(k *Keeper) { k.log = l }
 }
 
+// WithBreach sets what is told of a lease row that can't be true, whose duty isn't held then.
+func WithBreach(report func(error)) Option {
+	return func(k *Keeper) { k.breach = report }
+}
+
 // NewKeeper returns a keeper for the daemon self; nonce is unique to its process.
 func NewKeeper(table platform.Table, self, nonce string, opts ...Option) *Keeper {
 	none := func() []string { return nil }
@@ -88,6 +94,7 @@
 		duties:  none,
 		members: none,
 		log:     zap.NewNop(),
+		breach:  func(error) {},
 		seats:   map[string]*seat{},
 	}
 	for _, o := range opts {
--- a/lease/pass.go
+++ b/lease/pass.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -50,13 +51,18 @@
 	return looks, writes
 }
 
+// timeout bounds one operation, so that a renewal can be tried again within a life.
+func (k *Keeper) timeout() time.Duration {
+	return min(opTimeout, k.terms.Life/3)
+}
+
 // read reads the beat rows of the seats in one request.
 func (k *Keeper) read(ctx context.Context, seats []*seat) {
 	keys := make([]string, 0, len(seats))
 	for _, s := range seats {
 		keys = append(keys, BeatKey(s.h.duty))
 	}
-	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.timeout())
 	defer cancel()
 	rows, err := k.table.Read(ctx, keys...)
 	now := k.now()
@@ -66,6 +72,7 @@
 			s.h.LookFailed(now)
 		} else if bad := s.h.Looked(now, rows[i]); bad != nil {
 			k.log.Error("lease row is broken", zap.String("duty", s.h.duty), zap.Error(bad))
+			k.breach(bad)
 		}
 		s.mu.Unlock()
 	}
@@ -117,7 +124,7 @@
 	for _, j := range jobs {
 		ops = append(ops, j.w.Ops...)
 	}
-	ctx, cancel := context.WithTimeout(ctx, opTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.timeout())
 	defer cancel()
 	err := k.table.Commit(ctx, platform.Tx{Ops: ops})
 	now := k.now()
