--- a/wave/pick.go
+++ b/wave/pick.go
@@ -10,6 +10,9 @@
 	"gypsumlead/record"
 )
 
+// takeLimit bounds the takes of one transaction, each of which writes a drain and an audit entry.
+const takeLimit = 32
+
 // candidate is a queued instance with how much of the wave is left in its failure domains.
 type candidate struct {
 	member pool.Member
@@ -25,6 +28,9 @@
 	out := s.Count(lost)
 	var refused *pool.Member
 	for _, c := range p.candidates(rec, s) {
+		if len(takes) == takeLimit {
+			return s, takes, nil // the next step goes on
+		}
 		if err := p.paced(rec, len(takes)); err != nil {
 			return s, takes, err
 		}
--- a/wave/step.go
+++ b/wave/step.go
@@ -108,18 +108,27 @@
 		!reflect.DeepEqual(n.stop, s.stop)
 }
 
+// eventLimit bounds the events of one transaction that write audit entries.
+const eventLimit = 64
+
 // joinEvents keeps one event an instance: what the list shows goes before what the acts gave.
+// What is over the limit comes up again in the next step.
 func joinEvents(seen, acted []Event) []Event {
 	got := make(map[string]bool, len(seen))
-	for _, e := range seen {
+	var out []Event
+	audited := 0
+	for _, e := range append(seen, acted...) {
+		_, joins := e.(Joined)
+		if got[e.instance()] || !joins && audited == eventLimit {
+			continue
+		}
 		got[e.instance()] = true
-	}
-	for _, e := range acted {
-		if !got[e.instance()] {
-			seen = append(seen, e)
+		out = append(out, e)
+		if !joins {
+			audited++
 		}
 	}
-	return seen
+	return out
 }
 
 // commit writes the step's result and its audit entries on the rows read, under the lease.
