--- a/job/answer.go
+++ b/job/answer.go
@@ -28,6 +28,7 @@
 	t.live.fresh = false
 	if err == nil {
 		t.live.started = true
+		t.live.sent = time.Time{}
 		return nil
 	}
 	if !first || !isRefusal(err) {
@@ -46,7 +47,13 @@
 }
 
 func (p *Pool) answerAct(t *Task, e Act, err error, now time.Time) error {
-	if t == nil || err != nil {
+	if t == nil {
+		return nil
+	}
+	if fault.Is(err, fault.Missing) {
+		return p.answerMissing(t, now)
+	}
+	if err != nil {
 		return nil
 	}
 	switch {
@@ -62,60 +69,88 @@
 	return nil
 }
 
+// answerMissing takes in that the worker has never had the try: its start is sent again, but for
+// one that is to be stopped, which can't be started by a late request once its lease has ended.
+func (p *Pool) answerMissing(t *Task, now time.Time) error {
+	t.live.started = false
+	t.live.sent = time.Time{}
+	if t.State != Stopping {
+		return nil
+	}
+	t.Until = p.until
+	return p.move(t, Silence, now)
+}
+
 // never is later than any resend, for effects that were acknowledged.
 var never = time.Unix(1<<40, 0)
 
-// Effects returns what is to be done on the platform by the committed state; it is all derived
-// from the state, so that a new holder goes on where another one was killed.
+// rank orders effects: what urgent work waits for goes first, renewals have the most time.
+type rank int
+
+const (
+	rankUrgent rank = iota // starts of urgent tasks, and what makes room
+	rankStart
+	rankRenew
+	rankCount
+)
+
+// Effects returns what is to be done on the platform by the committed state, a bounded number
+// at a time; it is all derived from the state, so that a new holder goes on where another one
+// was killed.
 func (p *Pool) Effects(now time.Time) []Effect {
-	var out []Effect
+	var ranked [rankCount][]*Task
 	for _, w := range p.workers {
 		for _, t := range w.tasks {
-			if e := p.effect(t, now); e != nil {
-				out = append(out, e)
+			if r, ok := p.rankOf(t, now); ok {
+				ranked[r] = append(ranked[r], t)
 			}
 		}
 	}
+	var out []Effect
+	for _, ts := range ranked {
+		for _, t := range ts[:min(len(ts), p.policy.Acts-len(out))] {
+			t.live.sent = now
+			out = append(out, p.effect(t))
+		}
+	}
 	return out
 }
 
-func (p *Pool) effect(t *Task, now time.Time) Effect {
-	if e := p.renewal(t); e != nil && p.due(t, now) {
-		t.live.sent = now
-		return e
-	}
-	if !p.due(t, now) {
-		return nil
+// rankOf tells whether an effect of the task is due, and how much it matters.
+func (p *Pool) rankOf(t *Task, now time.Time) (rank, bool) {
+	if now.Sub(t.live.sent) < p.policy.Resend {
+		return 0, false
 	}
 	switch t.State {
 	case Live:
 		if t.live.started {
-			return nil
+			return rankRenew, t.live.until.Before(p.until)
 		}
-		t.live.sent, t.live.until = now, p.until
+		if t.job.Urgent {
+			return rankUrgent, true
+		}
+		return rankStart, true
+	case Slow:
+		return rankRenew, t.live.until.Before(p.until)
+	case Throttling, Saving, Stopping:
+		return rankUrgent, true
+	}
+	return 0, false
+}
+
+func (p *Pool) effect(t *Task) Effect {
+	if t.State == Stopping {
+		return Act{Task: t.ID(), Act: platform.ActStop}
+	}
+	if !t.live.started {
+		t.live.until = p.until
 		return Start{Task: p.task(t)}
+	}
+	switch t.State {
 	case Throttling:
-		t.live.sent = now
 		return Act{Task: t.ID(), Act: platform.ActThrottle}
 	case Saving:
-		t.live.sent = now
 		return Act{Task: t.ID(), Act: platform.ActCheckpoint}
-	case Stopping:
-		t.live.sent = now
-		return Act{Task: t.ID(), Act: platform.ActStop}
-	}
-	return nil
-}
-
-// due tells whether the last request for the task is old enough to be repeated.
-func (p *Pool) due(t *Task, now time.Time) bool {
-	return now.Sub(t.live.sent) >= p.policy.Resend
-}
-
-// renewal returns the renewal that a started try needs.
-func (p *Pool) renewal(t *Task) Effect {
-	if !t.State.runs() || !t.live.started || !t.live.until.Before(p.until) {
-		return nil
 	}
 	return Act{Task: t.ID(), Act: platform.ActRenew, Until: p.until}
 }
--- a/job/configure.go
+++ b/job/configure.go
@@ -150,7 +150,13 @@
 	case Waiting:
 		t.Why = why
 		return p.move(t, Drop, now)
-	case Live, Throttling, Slow, Saving, Lost:
+	case Live:
+		t.Why = why
+		if t.live.fresh {
+			return p.move(t, Drop, now) // nobody has asked for its start
+		}
+		return p.move(t, Stop, now)
+	case Throttling, Slow, Saving, Lost:
 		t.Why = why
 		return p.move(t, Stop, now)
 	}
--- a/job/displace.go
+++ b/job/displace.go
@@ -85,7 +85,7 @@
 	var victims []victim
 	least := 0.0
 	for _, w := range p.workers {
-		if !w.takes(j) || w.plan.job != nil || j.racks[w.Rack] >= j.rackLimit() {
+		if !w.takes(j) || w.plan.job != nil && !w.plan.kept || j.racks[w.Rack] >= j.rackLimit() {
 			continue
 		}
 		vs, cost, ok := p.victimsOn(w, need, l, s.now)
@@ -138,7 +138,7 @@
 // victim returns how the task could make room at the level.
 func (p *Pool) victim(t *Task, l level, now time.Time) (victim, bool) {
 	j := t.job
-	if p.isUrgent(j) || !t.State.runs() || t.Stops >= p.policy.Stops {
+	if p.isUrgent(j) || !t.State.runs() || !t.live.started || t.Stops >= p.policy.Stops {
 		return victim{}, false
 	}
 	if l == levelThrottle {
--- a/job/driver.go
+++ b/job/driver.go
@@ -169,7 +169,7 @@
 			break
 		}
 	}
-	if err := p.Restore(all); err != nil {
+	if err := p.Restore(all, d.now()); err != nil {
 		return err
 	}
 	d.pool = p
--- a/job/grow.go
+++ b/job/grow.go
@@ -57,7 +57,7 @@
 func (p *Pool) shed(w *Worker, now time.Time) error {
 	var least *Task
 	for _, t := range w.tasks {
-		if !t.State.runs() || !t.isRepeatable() || t.Stops >= p.policy.Stops || t.Try >= p.policy.Tries {
+		if !t.State.runs() || !t.live.started || !t.isRepeatable() || t.Stops >= p.policy.Stops || t.Try >= p.policy.Tries {
 			continue
 		}
 		if least == nil || t.job.Spec.Urgency < least.job.Spec.Urgency ||
--- a/job/list.go
+++ b/job/list.go
@@ -63,9 +63,12 @@
 		if t.Boot == in.Boot || !in.Seen.After(t.Seen) {
 			continue
 		}
-		if err := p.cutOff(t, "the worker was rebooted", now); err != nil {
-			return err
+		if t.State != Lost {
+			if err := p.move(t, Silence, now); err != nil {
+				return err
+			}
 		}
+		t.Until, t.Why = now.Add(-p.policy.Margin-1), "the worker was rebooted"
 	}
 	if !w.member || in.State == platform.StateLeaving {
 		return p.vacate(w, now)
--- a/job/place.go
+++ b/job/place.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	reserveParts = 8   // at most one worker of so many is kept free for tasks that waited long
 	spreadWeight = 0.3 // of a rack that holds many of the job's tasks
 	accelWeight  = 0.5 // of taking a worker with free accelerators for a task that needs none
 )
@@ -19,6 +20,9 @@
 // Decide starts what can be started, makes room for urgent work, and moves the leases' end.
 func (p *Pool) Decide(now time.Time) error {
 	p.releaseWorkers(now)
+	if err := p.judge(now); err != nil {
+		return err
+	}
 	if err := p.admit(now); err != nil {
 		return err
 	}
@@ -48,6 +52,7 @@
 type pass struct {
 	now     time.Time
 	left    int // starts that are left
+	kept    int // workers kept free for tasks that waited long
 	largest Amount
 	total   Amount
 	misses  []Amount // sizes that no worker has room for
@@ -63,9 +68,12 @@
 		if w.member {
 			s.largest = s.largest.most(w.total)
 		}
-		if now.After(w.plan.until) {
+		if now.After(w.plan.until) || w.plan.job != nil && w.plan.job.pending() == 0 {
 			w.plan = plan{}
 		}
+		if w.plan.kept {
+			s.kept++
+		}
 	}
 	for _, level := range p.levels() {
 		if err := p.placeLevel(s, level); err != nil {
@@ -119,6 +127,30 @@
 	return v
 }
 
+// reserve keeps a worker free for a job whose tasks have waited long for room, so that smaller
+// tasks which fit into every gap don't keep larger ones out for good.
+func (p *Pool) reserve(s *pass, j *Job, need Amount) {
+	if s.now.Sub(j.stuckAt) < p.policy.Patience || s.kept*reserveParts >= len(p.workers) || p.planned(j) > 0 {
+		return
+	}
+	var best *Worker
+	for _, w := range p.workers {
+		if !w.takes(j) || w.plan.job != nil || !need.within(w.total) || j.racks[w.Rack] >= j.rackLimit() {
+			continue
+		}
+		if best == nil || need.minus(w.free()).share(w.total) < need.minus(best.free()).share(best.total) {
+			best = w
+		}
+	}
+	if best == nil {
+		return
+	}
+	s.kept++
+	best.plan = plan{job: j, tasks: 1, until: s.now.Add(p.policy.Patience), kept: true}
+	p.noteJob(j, "reserve", "its tasks waited long for room", s.now, "worker", best.ID, "size", need, "since", j.stuckAt)
+	p.changes.touch(j)
+}
+
 func (p *Pool) placeLevel(s *pass, jobs []*Job) error {
 	byTeam := map[string]*line{}
 	var h lines
@@ -154,7 +186,7 @@
 
 // placeNext starts the job's next task, or tells that the job gets nothing more in this pass.
 func (p *Pool) placeNext(s *pass, j *Job) (bool, error) {
-	if j.pending() == 0 || !j.isKnown() && !p.isUrgent(j) && j.held >= p.policy.Canary {
+	if j.peek(s.now) == nil || !j.isKnown() && !p.isUrgent(j) && j.held >= p.policy.Canary {
 		return false, nil
 	}
 	need := p.need(j, s.largest)
@@ -165,6 +197,7 @@
 	w := p.pick(s, j, need)
 	if w == nil {
 		p.stick(j, "room", s.now)
+		p.reserve(s, j, need)
 		if p.isUrgent(j) {
 			s.wants = append(s.wants, j)
 		}
@@ -183,7 +216,7 @@
 	if j.stuck == why {
 		return
 	}
-	j.stuck = why
+	j.stuck, j.stuckAt = why, now
 	p.noteJob(j, "wait", "its tasks wait for "+why, now, "waiting", j.pending(), "running", j.held, "size", j.guess, "team", p.team(j.Team).used)
 	p.changes.touch(j)
 }
@@ -195,12 +228,12 @@
 			return nil
 		}
 	}
-	t := j.peek()
+	t := j.peek(s.now)
 	var best, second *Worker
 	score := 0.0
 	tight := true // no rule of the job's own kept it off a worker
 	for _, w := range p.workers {
-		if !w.takes(j) || !p.hasRoom(w, need) {
+		if !w.takes(j) || !p.hasRoom(w, j, need) {
 			continue
 		}
 		if j.racks[w.Rack] >= j.rackLimit() || w.plan.bars(j) {
@@ -232,12 +265,13 @@
 	return l.job != nil && l.job != j && l.job.Spec.Urgency >= j.Spec.Urgency
 }
 
-// hasRoom keeps some memory free for estimates that grow, but for a task that needs the worker whole.
-func (p *Pool) hasRoom(w *Worker, need Amount) bool {
+// hasRoom keeps some memory free for estimates that grow, but not from urgent tasks, whose room
+// is made without it, nor from a task that needs the worker whole.
+func (p *Pool) hasRoom(w *Worker, j *Job, need Amount) bool {
 	if !need.within(w.free()) {
 		return false
 	}
-	if p.policy.Declared || len(w.tasks) == 0 {
+	if p.policy.Declared || j.Urgent || len(w.tasks) == 0 {
 		return true
 	}
 	spare := int64(float64(w.total.Memory) * p.policy.Headroom)
@@ -256,7 +290,7 @@
 
 // start decides on a try of the job's next task.
 func (p *Pool) start(s *pass, j *Job, w *Worker, need Amount) error {
-	t := j.next()
+	t := j.next(s.now)
 	t.Try++
 	t.name()
 	t.Worker, t.Boot, t.Seen, t.Began, t.Size = w.ID, w.Boot, w.Seen, s.now, need
--- a/job/policy.go
+++ b/job/policy.go
@@ -21,6 +21,8 @@
 	Plans        int           // most displacements that are planned in a pass
 	UrgentShare  float64       // part of the pool that urgent work may hold by displacing others
 	Starts       int           // most tasks that are started in a pass
+	Acts         int           // most requests to the platform between two decisions
+	Patience     time.Duration // a job whose tasks waited so long for room gets a worker kept free
 	Canary       int           // most tasks at once of a job of which nothing is known yet
 	Fails        int           // a task that failed so often on workers in service is given up
 	Tries        int           // a task that was started so often is given up
@@ -57,6 +59,8 @@
 		Plans:        64,
 		UrgentShare:  0.6,
 		Starts:       128,
+		Patience:     time.Minute,
+		Acts:         64,
 		Canary:       8,
 		Fails:        4,
 		Tries:        16,
--- a/job/pool.go
+++ b/job/pool.go
@@ -139,6 +139,7 @@
 		if t.State == Done {
 			j.Done++
 		}
+		return p.complete(j, now)
 	}
 	return nil
 }
--- a/job/reads.go
+++ b/job/reads.go
@@ -23,8 +23,8 @@
 		if soon[w.ID] {
 			every = readSoon
 		}
-		if (len(w.tasks) > 0 || soon[w.ID]) && now.Sub(w.read) >= every {
-			w.read = now
+		if (len(w.tasks) > 0 || soon[w.ID]) && now.Sub(w.asked) >= every {
+			w.asked = now
 			out = append(out, w.ID)
 		}
 	}
--- a/job/rows.go
+++ b/job/rows.go
@@ -163,7 +163,7 @@
 }
 
 // Restore takes over from the rows of an earlier holder; it comes before any event.
-func (p *Pool) Restore(rows []platform.Row) error {
+func (p *Pool) Restore(rows []platform.Row, now time.Time) error {
 	for _, r := range rows {
 		if err := p.restoreRow(r); err != nil {
 			return err
@@ -173,7 +173,7 @@
 		return cmp.Or(cmp.Compare(a.Born, b.Born), cmp.Compare(a.Name, b.Name))
 	})
 	for _, j := range p.jobs {
-		p.restoreJob(j)
+		p.restoreJob(j, now)
 	}
 	return nil
 }
@@ -229,7 +229,7 @@
 }
 
 // restoreJob gives the job's tasks their sizes back.
-func (p *Pool) restoreJob(j *Job) {
+func (p *Pool) restoreJob(j *Job, now time.Time) {
 	if len(j.order) > 0 {
 		j.Ended, j.Done = 0, 0
 	}
@@ -241,6 +241,7 @@
 		for _, t := range c.Tasks {
 			t.job = j
 			t.name()
+			t.live.since = now
 			p.restoreTask(t)
 		}
 	}
--- a/job/settle.go
+++ b/job/settle.go
@@ -25,12 +25,16 @@
 	return nil
 }
 
-// lapse ends a lost try when its lease has ended on every clock.
+// lapse ends a lost try when its lease has ended on every clock; its worker's last reports are
+// read before, for they may say that it was done.
 func (p *Pool) lapse(t *Task, now time.Time) error {
 	if t.State != Lost || !now.After(t.Until.Add(p.policy.Margin)) {
 		return nil
 	}
-	return p.cutOff(t, "its lease ended on a silent worker", now)
+	if w := p.byID[t.Worker]; !w.read.After(t.live.since) && now.Sub(t.live.since) < p.policy.Verdict {
+		return nil
+	}
+	return p.cutOff(t, whyOr(t, "its lease ended on a silent worker"), now)
 }
 
 // settleOff gives up waiting for the last report of a task that was stopped.
--- a/job/spec.go
+++ b/job/spec.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/record"
@@ -49,36 +50,38 @@
 	Came     time.Time `json:"came"` // when it was first seen
 	First    time.Time `json:"first,omitzero"`
 
-	Spec   Spec `json:"-"`
-	here   bool // its record is in force
-	chunks map[int]*Chunk
-	order  []int          // numbers of chunks, in the order they were made
-	queue  []*Task        // waiting for another try
-	fresh  int            // lowest index that was never started
-	held   int            // tasks that hold a size
-	off    int            // tasks that wait for a verdict
-	racks  map[string]int // tasks that hold a size, by rack
-	guess  Amount         // size guaranteed to the next try
-	stuck  string         // why its tasks wait, for the audit trail
-	shrunk Amount         // guess that the running tasks were last lowered to
-	facts  facts          // that the last verdict was made from
-	dirty  bool
+	Spec    Spec `json:"-"`
+	here    bool // its record is in force
+	chunks  map[int]*Chunk
+	order   []int          // numbers of chunks, in the order they were made
+	queue   []*Task        // waiting for another try
+	fresh   int            // lowest index that was never started
+	held    int            // tasks that hold a size
+	off     int            // tasks that wait for a verdict
+	racks   map[string]int // tasks that hold a size, by rack
+	guess   Amount         // size guaranteed to the next try
+	stuck   string         // why its tasks wait, for the audit trail
+	shrunk  Amount         // guess that the running tasks were last lowered to
+	facts   facts          // that the last verdict was made from
+	longest time.Duration  // that any of its tries was reported to have run without failing
+	stuckAt time.Time
+	dirty   bool
 }
 
 // Evidence is what speaks for and against a job.
 type Evidence struct {
-	Good    int      `json:"good"`              // tasks that succeeded
-	Fails   []Strike `json:"fails,omitempty"`   // newest failures since the last success
-	Counted int      `json:"counted,omitempty"` // failures since the last success
-	Bad     int      `json:"bad,omitempty"`     // failures in all, but those on quarantined workers
+	Good  int      `json:"good"`            // tasks that succeeded
+	Fails []Strike `json:"fails,omitempty"` // newest failures since the last success
+	Bad   int      `json:"bad,omitempty"`   // failures in all, but those on quarantined workers
 }
 
 // Strike is one failure of a task on a worker.
 type Strike struct {
-	Job    string    `json:"job,omitempty"`
-	Worker string    `json:"worker,omitempty"`
-	At     time.Time `json:"at"`
-	Clear  bool      `json:"clear,omitempty"` // the worker has run another job well since
+	Job    string        `json:"job,omitempty"`
+	Worker string        `json:"worker,omitempty"`
+	At     time.Time     `json:"at"`
+	Ran    time.Duration `json:"ran,omitempty"`
+	Clear  bool          `json:"clear,omitempty"` // the worker has run another job well since
 }
 
 func newJob(s Spec, now time.Time) *Job {
@@ -119,10 +122,10 @@
 }
 
 // next takes the task to be started next: one that was cut off before, else one never started.
-func (j *Job) next() *Task {
-	if len(j.queue) > 0 {
-		t := j.queue[0]
-		j.queue = j.queue[1:]
+func (j *Job) next(now time.Time) *Task {
+	if i := j.ready(now); i >= 0 {
+		t := j.queue[i]
+		j.queue = slices.Delete(j.queue, i, i+1)
 		return t
 	}
 	t := &Task{Index: j.fresh, State: Waiting, job: j}
@@ -133,13 +136,21 @@
 }
 
 // peek returns the task that next would take, without taking it.
-func (j *Job) peek() *Task {
-	if len(j.queue) > 0 {
-		return j.queue[0]
+func (j *Job) peek(now time.Time) *Task {
+	if i := j.ready(now); i >= 0 {
+		return j.queue[i]
+	}
+	if j.fresh >= j.Spec.Count {
+		return nil
 	}
 	return &Task{Index: j.fresh, State: Waiting, job: j}
 }
 
+// ready returns the place in the queue of the first task whose pause after a failure is over, or -1.
+func (j *Job) ready(now time.Time) int {
+	return slices.IndexFunc(j.queue, func(t *Task) bool { return !now.Before(t.Ready) })
+}
+
 // rackLimit returns how many tasks may be in one rack.
 func (j *Job) rackLimit() int {
 	if j.Spec.Racks < 2 {
--- a/job/task.go
+++ b/job/task.go
@@ -25,6 +25,7 @@
 	Fails  int       `json:"fails,omitempty"`
 	Stops  int       `json:"stops,omitempty"` // how often it was displaced
 	Avoid  []string  `json:"avoid,omitempty"` // workers that it failed on
+	Ready  time.Time `json:"ready,omitzero"`  // earliest next try after a failure
 	Why    string    `json:"why,omitempty"`   // why it is stopped or was dropped
 
 	id   string
--- a/job/worker.go
+++ b/job/worker.go
@@ -39,6 +39,7 @@
 	bad     Ban
 	strikes []Strike  // failures since the last success
 	read    time.Time // when its reports were last read
+	asked   time.Time // when they were last asked for
 	victim  time.Time // when a task was last displaced for an estimate that grew
 	plan    plan
 }
@@ -48,6 +49,7 @@
 	job   *Job
 	tasks int
 	until time.Time
+	kept  bool // nobody is displaced, the room comes as tasks end
 }
 
 func (w *Worker) free() Amount {
--- a/trial/job/meter.go
+++ b/trial/job/meter.go
@@ -34,6 +34,10 @@
 	m.steps = append(m.steps, d)
 }
 
+// evidenceAge is how old a failure can be when it is judged: the reports' lag, the time between
+// reads, and an outage of a minute.
+const evidenceAge = 75 * time.Second
+
 const lookEvery = 4 // ticks between looks at the truth
 
 // look reads what truly runs on the workers.
@@ -90,7 +94,7 @@
 				continue
 			}
 			w.everBanned[id] = true
-			if w.bad[id].IsZero() {
+			if w.bad[id].IsZero() && w.Clock.Now().Sub(w.mended[id]) > evidenceAge {
 				m.wrong++
 			} else {
 				m.right++
