--- a/job/evidence.go
+++ b/job/evidence.go
@@ -10,6 +10,7 @@
 )
 
 const (
+	fullAt       = 0.8 // part of a worker's memory in use at which new tasks may fail for want of it
 	strikeWeight = 3.0 // weight of the failure of a task whose job runs well elsewhere
 	crowdedGuess = 4   // factor on what a task may use of which nothing is known
 
@@ -134,6 +135,10 @@
 	if p.policy.NoQuarantine || w.bad.Health != InService {
 		return
 	}
+	if w.measured() > int64(fullAt*float64(w.total.Memory)) {
+		p.forgive(w)
+		return
+	}
 	weight := 0.0
 	counted := map[string]bool{}
 	for _, s := range w.strikes {
@@ -175,15 +180,23 @@
 	w.bad = Ban{Health: Quarantine, Until: now.Add(span), Span: span}
 	p.stats.Quarantined++
 	p.changes.pool = true
-	jobs := map[string]int{}
+	failures := len(w.strikes)
+	jobs := p.forgive(w)
+	p.noteWorker(w, "quarantine", why, now, "until", w.bad.Until, "failures", failures, "jobs", jobs)
+}
+
+// forgive takes back all failures on the worker and returns of how many jobs there were any.
+func (p *Pool) forgive(w *Worker) int {
+	jobs := map[string]bool{}
 	for _, s := range w.strikes {
-		jobs[s.Job]++
-		if j := p.byName[s.Job]; j != nil {
+		j := p.byName[s.Job]
+		if !jobs[s.Job] && j != nil {
 			p.pardon(j, w.ID)
 		}
+		jobs[s.Job] = true
 	}
-	p.noteWorker(w, "quarantine", why, now, "until", w.bad.Until, "failures", len(w.strikes), "jobs", len(jobs))
 	w.strikes = nil
+	return len(jobs)
 }
 
 // pardon takes back what failed on the worker; a task's tries stay bounded all the same.
--- a/job/place.go
+++ b/job/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"slices"
 	"strings"
@@ -51,8 +50,9 @@
 // pass is one run over the waiting tasks.
 type pass struct {
 	now     time.Time
-	left    int // starts that are left
-	kept    int // workers kept free for tasks that waited long
+	left    int  // starts that are left
+	lent    bool // urgent work above its share takes what others left
+	kept    int  // workers kept free for tasks that waited long
 	largest Amount
 	total   Amount
 	misses  []Amount // sizes that no worker has room for
@@ -75,9 +75,15 @@
 			s.kept++
 		}
 	}
-	for _, level := range p.levels() {
-		if err := p.placeLevel(s, level); err != nil {
-			return err
+	for _, lent := range []bool{false, true} {
+		s.lent = lent
+		for _, level := range p.levels() {
+			if lent && !level[0].Urgent {
+				continue
+			}
+			if err := p.placeLevel(s, level); err != nil {
+				return err
+			}
 		}
 	}
 	p.notePlaced(s)
@@ -103,87 +109,6 @@
 	return out
 }
 
-// line is a team's jobs of one urgency.
-type line struct {
-	team  *team
-	jobs  []*Job
-	share float64
-	seat  int // first come, which orders equal shares
-}
-
-// lines is a heap of teams; the one with the least share is on top.
-type lines []*line
-
-func (l lines) Len() int { return len(l) }
-func (l lines) Less(i, k int) bool {
-	return l[i].share < l[k].share || l[i].share == l[k].share && l[i].seat < l[k].seat
-}
-func (l lines) Swap(i, k int) { l[i], l[k] = l[k], l[i] }
-func (l *lines) Push(v any)   { *l = append(*l, v.(*line)) }
-func (l *lines) Pop() any {
-	old := *l
-	v := old[len(old)-1]
-	*l = old[:len(old)-1]
-	return v
-}
-
-// reserve keeps a worker free for a job whose tasks have waited long for room, so that smaller
-// tasks which fit into every gap don't keep larger ones out for good.
-func (p *Pool) reserve(s *pass, j *Job, need Amount) {
-	if s.now.Sub(j.stuckAt) < p.policy.Patience || s.kept*reserveParts >= len(p.workers) || p.planned(j) > 0 {
-		return
-	}
-	var best *Worker
-	for _, w := range p.workers {
-		if !w.takes(j) || w.plan.job != nil || !need.within(w.total) || j.racks[w.Rack] >= j.rackLimit() {
-			continue
-		}
-		if best == nil || need.minus(w.free()).share(w.total) < need.minus(best.free()).share(best.total) {
-			best = w
-		}
-	}
-	if best == nil {
-		return
-	}
-	s.kept++
-	best.plan = plan{job: j, tasks: 1, until: s.now.Add(p.policy.Patience), kept: true}
-	p.noteJob(j, "reserve", "its tasks waited long for room", s.now, "worker", best.ID, "size", need, "since", j.stuckAt)
-	p.changes.touch(j)
-}
-
-func (p *Pool) placeLevel(s *pass, jobs []*Job) error {
-	byTeam := map[string]*line{}
-	var h lines
-	for _, j := range jobs {
-		ln := byTeam[j.Team]
-		if ln == nil {
-			tm := p.team(j.Team)
-			ln = &line{team: tm, share: tm.used.share(tm.quota), seat: len(h)}
-			byTeam[j.Team] = ln
-			h = append(h, ln)
-		}
-		ln.jobs = append(ln.jobs, j)
-	}
-	heap.Init(&h)
-	for len(h) > 0 && s.left > 0 {
-		ln := h[0]
-		ok, err := p.placeNext(s, ln.jobs[0])
-		if err != nil {
-			return err
-		}
-		if !ok {
-			ln.jobs = ln.jobs[1:]
-		}
-		if len(ln.jobs) == 0 {
-			heap.Pop(&h)
-			continue
-		}
-		ln.share = ln.team.used.share(ln.team.quota)
-		heap.Fix(&h, 0)
-	}
-	return nil
-}
-
 // placeNext starts the job's next task, or tells that the job gets nothing more in this pass.
 func (p *Pool) placeNext(s *pass, j *Job) (bool, error) {
 	if j.peek(s.now) == nil || !j.isKnown() && !p.isUrgent(j) && j.held >= p.policy.Canary {
@@ -194,11 +119,14 @@
 		p.stick(j, "quota", s.now)
 		return false, nil
 	}
+	if j.Urgent && s.lent != p.isAbove(s, need) {
+		return false, nil
+	}
 	w := p.pick(s, j, need)
 	if w == nil {
 		p.stick(j, "room", s.now)
 		p.reserve(s, j, need)
-		if p.isUrgent(j) {
+		if j.Urgent && !s.lent {
 			s.wants = append(s.wants, j)
 		}
 		return false, nil
@@ -206,6 +134,11 @@
 	return true, p.start(s, j, w, need)
 }
 
+// isAbove tells whether one more task of the size brings urgent work above its share of the pool.
+func (p *Pool) isAbove(s *pass, need Amount) bool {
+	return p.urgent.plus(need).share(s.total) > p.policy.UrgentShare
+}
+
 // allows tells whether the team's quota has room for one more task.
 func (t *team) allows(need Amount) bool {
 	return t.has && t.used.plus(need).within(t.quota)
--- a/job/policy.go
+++ b/job/policy.go
@@ -19,7 +19,7 @@
 	Urgent       int           // jobs of this urgency or above may displace others
 	Victims      int           // most tasks that are displaced on a worker for one task
 	Plans        int           // most displacements that are planned in a pass
-	UrgentShare  float64       // part of the pool that urgent work may hold by displacing others
+	UrgentShare  float64       // part of the pool that urgent work may hold before others; above it takes what is idle
 	Starts       int           // most tasks that are started in a pass
 	Acts         int           // most requests to the platform between two decisions
 	Patience     time.Duration // a job whose tasks waited so long for room gets a worker kept free
@@ -57,7 +57,7 @@
 		Urgent:       8,
 		Victims:      8,
 		Plans:        64,
-		UrgentShare:  0.6,
+		UrgentShare:  0.4,
 		Starts:       128,
 		Patience:     time.Minute,
 		Acts:         64,
--- a/job/worker.go
+++ b/job/worker.go
@@ -56,6 +56,15 @@
 	return w.total.minus(w.used).minus(w.foreign)
 }
 
+// measured returns the memory that the worker's tasks were last reported to use.
+func (w *Worker) measured() int64 {
+	sum := w.foreign.Memory
+	for _, t := range w.tasks {
+		sum += t.live.peak.Memory
+	}
+	return sum
+}
+
 // takes tells whether the worker may get new tasks of j.
 func (w *Worker) takes(j *Job) bool {
 	if !w.member || !w.present || w.silent {
--- a/trial/job/join.go
+++ b/trial/job/join.go
@@ -10,6 +10,7 @@
 	r.Jobs += o.Jobs
 	r.Starts += o.Starts
 	r.Urgent.join(o.Urgent)
+	r.Amid.join(o.Amid)
 	r.Flood.join(o.Flood)
 	r.Plain += o.Plain
 	r.Low += o.Low
--- a/trial/job/load.go
+++ b/trial/job/load.go
@@ -42,13 +42,13 @@
 	for at := time.Duration(0); at < sc.Span; at += g.gap(capacity) {
 		g.plain(at)
 	}
-	for _, part := range []float64{0.15, 0.3, 0.5, 0.65, 0.95} {
+	for _, part := range []float64{0.15, 0.3, 0.5, 0.65, 0.78, 0.95} {
 		for range 3 {
 			g.urgent(g.at(part))
 		}
 	}
-	g.flood(Low, 0, g.at(0.35), capacity)
-	g.flood(High, urgency, g.at(0.75), capacity)
+	g.flood(Low, 0, g.at(lowPart), capacity)
+	g.flood(High, urgency, g.at(highPart), capacity)
 	return g.out
 }
 
@@ -133,7 +133,8 @@
 
 func (g *generator) urgent(at time.Duration) {
 	_, team := g.team()
-	used := platform.Size{Cores: g.sc.Size.Cores * 0.05, Memory: int64(float64(g.sc.Size.Memory) * 0.05)}
+	part := 0.03 + 0.2*g.rnd.Float64()
+	used := platform.Size{Cores: g.sc.Size.Cores * part, Memory: int64(float64(g.sc.Size.Memory) * part)}
 	j := record.Job{Team: team, Count: 2 + g.rnd.IntN(12), Urgency: urgency, Size: used, Time: 60_000, Restart: true}
 	g.add(at, Urgent, j, standin.Profile{Used: used, Run: time.Duration(30+g.rnd.IntN(60)) * time.Second})
 }
--- a/trial/job/meter.go
+++ b/trial/job/meter.go
@@ -72,7 +72,7 @@
 	if a.Kind != Plain {
 		return
 	}
-	for i, from := range []float64{0.35, 0.75} {
+	for i, from := range []float64{lowPart, highPart} {
 		t := w.Elapsed() - time.Duration(from*float64(w.sc.Span))
 		if t >= 0 && t < 5*time.Minute {
 			m.doneIn[i] += work
--- a/trial/job/result.go
+++ b/trial/job/result.go
@@ -19,6 +19,7 @@
 	Jobs     int       `json:"jobs"`
 	Starts   int       `json:"starts"`
 	Urgent   Latency   `json:"urgent"` // urgent tasks, but those of the flood
+	Amid     Latency   `json:"amid"`   // urgent tasks that come while the most urgent flood is on
 	Flood    Latency   `json:"flood"`  // tasks of the most urgent flood that started
 	Used     float64   `json:"used"`   // part of the processors in use, flood included
 	Useful   float64   `json:"useful"` // part of the processors whose work succeeded
@@ -85,7 +86,7 @@
 		useful += work
 	}
 	r.Useful = useful / m.area
-	r.Urgent, r.Flood = w.starts(Urgent, true), w.starts(High, false)
+	r.Urgent, r.Amid, r.Flood = w.starts(Urgent, false), w.starts(Urgent, true), w.starts(High, false)
 	c := w.Truth.Counts(standin.ServiceTable)
 	r.Commits, r.Rows = c.Writes, c.Puts
 	w.judge(&r)
@@ -93,18 +94,18 @@
 }
 
 // starts returns how long tasks waited from their job's acceptance to their start.
-func (w *World) starts(k Kind, all bool) Latency {
+func (w *World) starts(k Kind, amid bool) Latency {
 	var ds []time.Duration
 	never := 0
 	for _, a := range w.came {
-		if a.Kind != k || a.Cancel > 0 {
+		if a.Kind != k || a.Cancel > 0 || k == Urgent && amid != w.isAmid(a.At) {
 			continue
 		}
 		for i := range a.Spec.Count {
 			at := w.Watch.begun[startKey(a.Spec, i)]
 			if !at.IsZero() {
 				ds = append(ds, at.Sub(w.start.Add(a.At)))
-			} else if all {
+			} else if k == Urgent {
 				never++
 			}
 		}
@@ -112,6 +113,18 @@
 	return latencyOf(ds, never)
 }
 
+// isAmid tells whether the most urgent flood is on.
+func (w *World) isAmid(at time.Duration) bool {
+	since := at - time.Duration(highPart*float64(w.sc.Span))
+	return since >= 0 && since < floodTime
+}
+
+const (
+	lowPart   = 0.35 // of the span, when the least urgent flood comes
+	highPart  = 0.75 // of the span, when the most urgent flood comes
+	floodTime = 10 * time.Minute
+)
+
 // judge compares what was decided about jobs with what they truly are.
 func (w *World) judge(r *Result) {
 	for _, h := range slices.Concat(w.Holders, w.retired) {
