--- a/job/place.go
+++ b/job/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,6 +11,7 @@
 )
 
 const (
+	reserveParts = 8   // at most one worker of so many is kept free for tasks that waited long
 	spreadWeight = 0.3 // of a rack that holds many of the job's tasks
 	accelWeight  = 0.5 // of taking a worker with free accelerators for a task that needs none
 )
@@ -19,6 +19,9 @@
 // Decide starts what can be started, makes room for urgent work, and moves the leases' end.
 func (p *Pool) Decide(now time.Time) error {
 	p.releaseWorkers(now)
+	if err := p.judge(now); err != nil {
+		return err
+	}
 	if err := p.admit(now); err != nil {
 		return err
 	}
@@ -47,7 +50,9 @@
 // pass is one run over the waiting tasks.
 type pass struct {
 	now     time.Time
-	left    int // starts that are left
+	left    int  // starts that are left
+	lent    bool // urgent work above its share takes what others left
+	kept    int  // workers kept free for tasks that waited long
 	largest Amount
 	total   Amount
 	misses  []Amount // sizes that no worker has room for
@@ -63,13 +68,22 @@
 		if w.member {
 			s.largest = s.largest.most(w.total)
 		}
-		if now.After(w.plan.until) {
+		if now.After(w.plan.until) || w.plan.job != nil && w.plan.job.pending() == 0 {
 			w.plan = plan{}
 		}
+		if w.plan.kept {
+			s.kept++
+		}
 	}
-	for _, level := range p.levels() {
-		if err := p.placeLevel(s, level); err != nil {
-			return err
+	for _, lent := range []bool{false, true} {
+		s.lent = lent
+		for _, level := range p.levels() {
+			if lent && !level[0].Urgent {
+				continue
+			}
+			if err := p.placeLevel(s, level); err != nil {
+				return err
+			}
 		}
 	}
 	p.notePlaced(s)
@@ -95,66 +109,9 @@
 	return out
 }
 
-// line is a team's jobs of one urgency.
-type line struct {
-	team  *team
-	jobs  []*Job
-	share float64
-	seat  int // first come, which orders equal shares
-}
-
-// lines is a heap of teams; the one with the least share is on top.
-type lines []*line
-
-func (l lines) Len() int { return len(l) }
-func (l lines) Less(i, k int) bool {
-	return l[i].share < l[k].share || l[i].share == l[k].share && l[i].seat < l[k].seat
-}
-func (l lines) Swap(i, k int) { l[i], l[k] = l[k], l[i] }
-func (l *lines) Push(v any)   { *l = append(*l, v.(*line)) }
-func (l *lines) Pop() any {
-	old := *l
-	v := old[len(old)-1]
-	*l = old[:len(old)-1]
-	return v
-}
-
-func (p *Pool) placeLevel(s *pass, jobs []*Job) error {
-	byTeam := map[string]*line{}
-	var h lines
-	for _, j := range jobs {
-		ln := byTeam[j.Team]
-		if ln == nil {
-			tm := p.team(j.Team)
-			ln = &line{team: tm, share: tm.used.share(tm.quota), seat: len(h)}
-			byTeam[j.Team] = ln
-			h = append(h, ln)
-		}
-		ln.jobs = append(ln.jobs, j)
-	}
-	heap.Init(&h)
-	for len(h) > 0 && s.left > 0 {
-		ln := h[0]
-		ok, err := p.placeNext(s, ln.jobs[0])
-		if err != nil {
-			return err
-		}
-		if !ok {
-			ln.jobs = ln.jobs[1:]
-		}
-		if len(ln.jobs) == 0 {
-			heap.Pop(&h)
-			continue
-		}
-		ln.share = ln.team.used.share(ln.team.quota)
-		heap.Fix(&h, 0)
-	}
-	return nil
-}
-
 // placeNext starts the job's next task, or tells that the job gets nothing more in this pass.
 func (p *Pool) placeNext(s *pass, j *Job) (bool, error) {
-	if j.pending() == 0 || !j.isKnown() && !p.isUrgent(j) && j.held >= p.policy.Canary {
+	if j.peek(s.now) == nil || !j.isKnown() && !p.isUrgent(j) && j.held >= p.policy.Canary {
 		return false, nil
 	}
 	need := p.need(j, s.largest)
@@ -162,10 +119,14 @@
 		p.stick(j, "quota", s.now)
 		return false, nil
 	}
+	if j.Urgent && s.lent != p.isAbove(s, need) {
+		return false, nil
+	}
 	w := p.pick(s, j, need)
 	if w == nil {
 		p.stick(j, "room", s.now)
-		if p.isUrgent(j) {
+		p.reserve(s, j, need)
+		if j.Urgent && !s.lent {
 			s.wants = append(s.wants, j)
 		}
 		return false, nil
@@ -173,6 +134,11 @@
 	return true, p.start(s, j, w, need)
 }
 
+// isAbove tells whether one more task of the size brings urgent work above its share of the pool.
+func (p *Pool) isAbove(s *pass, need Amount) bool {
+	return p.urgent.plus(need).share(s.total) > p.policy.UrgentShare
+}
+
 // allows tells whether the team's quota has room for one more task.
 func (t *team) allows(need Amount) bool {
 	return t.has && t.used.plus(need).within(t.quota)
@@ -183,7 +149,7 @@
 	if j.stuck == why {
 		return
 	}
-	j.stuck = why
+	j.stuck, j.stuckAt = why, now
 	p.noteJob(j, "wait", "its tasks wait for "+why, now, "waiting", j.pending(), "running", j.held, "size", j.guess, "team", p.team(j.Team).used)
 	p.changes.touch(j)
 }
@@ -195,12 +161,12 @@
 			return nil
 		}
 	}
-	t := j.peek()
+	t := j.peek(s.now)
 	var best, second *Worker
 	score := 0.0
 	tight := true // no rule of the job's own kept it off a worker
 	for _, w := range p.workers {
-		if !w.takes(j) || !p.hasRoom(w, need) {
+		if !w.takes(j) || !p.hasRoom(w, j, need) {
 			continue
 		}
 		if j.racks[w.Rack] >= j.rackLimit() || w.plan.bars(j) {
@@ -232,12 +198,13 @@
 	return l.job != nil && l.job != j && l.job.Spec.Urgency >= j.Spec.Urgency
 }
 
-// hasRoom keeps some memory free for estimates that grow, but for a task that needs the worker whole.
-func (p *Pool) hasRoom(w *Worker, need Amount) bool {
+// hasRoom keeps some memory free for estimates that grow, but not from urgent tasks, whose room
+// is made without it, nor from a task that needs the worker whole.
+func (p *Pool) hasRoom(w *Worker, j *Job, need Amount) bool {
 	if !need.within(w.free()) {
 		return false
 	}
-	if p.policy.Declared || len(w.tasks) == 0 {
+	if p.policy.Declared || j.Urgent || len(w.tasks) == 0 {
 		return true
 	}
 	spare := int64(float64(w.total.Memory) * p.policy.Headroom)
@@ -256,7 +223,7 @@
 
 // start decides on a try of the job's next task.
 func (p *Pool) start(s *pass, j *Job, w *Worker, need Amount) error {
-	t := j.next()
+	t := j.next(s.now)
 	t.Try++
 	t.name()
 	t.Worker, t.Boot, t.Seen, t.Began, t.Size = w.ID, w.Boot, w.Seen, s.now, need
--- a/trial/job/meter.go
+++ b/trial/job/meter.go
@@ -34,6 +34,10 @@
 	m.steps = append(m.steps, d)
 }
 
+// evidenceAge is how old a failure can be when it is judged: the reports' lag, the time between
+// reads, and an outage of a minute.
+const evidenceAge = 75 * time.Second
+
 const lookEvery = 4 // ticks between looks at the truth
 
 // look reads what truly runs on the workers.
@@ -68,7 +72,7 @@
 	if a.Kind != Plain {
 		return
 	}
-	for i, from := range []float64{0.35, 0.75} {
+	for i, from := range []float64{lowPart, highPart} {
 		t := w.Elapsed() - time.Duration(from*float64(w.sc.Span))
 		if t >= 0 && t < 5*time.Minute {
 			m.doneIn[i] += work
@@ -90,7 +94,7 @@
 				continue
 			}
 			w.everBanned[id] = true
-			if w.bad[id].IsZero() {
+			if w.bad[id].IsZero() && w.Clock.Now().Sub(w.mended[id]) > evidenceAge {
 				m.wrong++
 			} else {
 				m.right++
