--- a/app/steppers.go
+++ b/app/steppers.go
@@ -18,7 +18,10 @@
 	"gypsumlead/wave"
 )
 
-const archiveEvery = 10 * time.Minute
+const (
+	archiveEvery = 10 * time.Minute
+	idleEvery    = 10 * time.Second // between looks at a pool that has no wave
+)
 
 // stepperOf returns what a duty does under a tenure.
 func (a *App) stepperOf(t lease.Tenure) stepper {
@@ -72,8 +75,15 @@
 		Waves:     func() []string { return a.wavesOf(name) },
 	}, wave.WithActor("wave@"+a.set.Instance), wave.WithLog(a.log))
 	jobs := job.NewDriver(name, a.platform.Table, a.platform.Workers, &jobRecords{a}, hold{t}, job.WithLog(a.log))
+	var known []string
+	var next time.Time
 	return func(ctx context.Context) error {
-		err := waves.Step(ctx)
+		var err error
+		if names := a.wavesOf(name); !waves.Idle() || !slices.Equal(names, known) || !time.Now().Before(next) {
+			err = waves.Step(ctx)
+			known = names
+			next = time.Now().Add(idleEvery)
+		}
 		if !a.runsJobs(name) {
 			return err
 		}
--- a/wave/driver.go
+++ b/wave/driver.go
@@ -44,6 +44,7 @@
 	limits  Limits
 	log     *zap.Logger
 
+	idle   bool                 // the last step found no wave that is not over
 	ended  map[string]bool      // waves that are over in this pool
 	acks   map[ack]bool         // answers that need no repeating
 	asked  map[string]time.Time // when a reboot was last asked for
@@ -128,6 +129,7 @@
 	if err != nil {
 		return err
 	}
+	d.idle = len(waves) == 0
 	var first error
 	for _, name := range waves {
 		err := d.stepWave(ctx, name)
@@ -144,6 +146,12 @@
 	return first
 }
 
+// Idle tells whether the last step found no wave that isn't over; until another one comes into
+// force, steps are only needed for takes that were left behind.
+func (d *Driver) Idle() bool {
+	return d.idle
+}
+
 // waves returns the waves that aren't over: those in force, and those that have instances out
 // though their record is gone.
 func (d *Driver) waves(ctx context.Context) ([]string, error) {
