spare: a new holder of the duty takes over what was lent and what moves

Cause: the duty moves between daemons under a lease; a new lender knew neither the instances lent nor the moves under way, and could have passed a budget. Seen: with a move taken over no second one begins in a budget of one; it begins once the first has ended.

--- a/spare/lender.go
+++ b/spare/lender.go
@@ -43,6 +43,10 @@
 	switch e := ev.(type) {
 	case Observe:
 		l.observe(e, now)
+	case Began:
+		if err := l.began(e); err != nil {
+			return nil, err
+		}
 	case Moved:
 		if err := l.moved(e); err != nil {
 			return nil, err
@@ -56,7 +60,7 @@
 func (l *Lender) observe(e Observe, now time.Time) {
 	m, ok := l.members[e.Pool]
 	if !ok {
-		m = &member{name: e.Pool}
+		m = &member{name: e.Pool, lent: e.Lent}
 		l.members[e.Pool] = m
 	}
 	m.have, m.out, m.limit = e.Have, e.Out, e.Limit
@@ -87,6 +91,22 @@
 	return int(math.Ceil(m.demand.ahead(l.opts.lead) / l.opts.busy))
 }
 
+// began takes over a move from an earlier holder; both pools must have been observed.
+func (l *Lender) began(e Began) error {
+	from, to := l.members[e.From], l.members[e.To]
+	if from == nil || to == nil {
+		return fault.New(fault.Conflict, "take over a move from %s to %s: observe both pools first", e.From, e.To)
+	}
+	from.going++
+	to.coming++
+	if e.From == l.spare {
+		to.lent++
+	} else {
+		from.lent = max(0, from.lent-1)
+	}
+	return nil
+}
+
 func (l *Lender) moved(e Moved) error {
 	from, to := l.members[e.From], l.members[e.To]
 	if from == nil || to == nil || from.going == 0 || to.coming == 0 {
--- a/spare/run_test.go
+++ b/spare/run_test.go
@@ -113,3 +113,22 @@
 	l.members["a"].coming = 2
 	require.True(t, fault.Is(l.check(nil), fault.Breach), "sums")
 }
+
+func TestNewHolderGoesOn(t *testing.T) {
+	now := time.Unix(1, 0)
+	l := New("spare", 4, WithSmooth(0), WithHold(0, 0))
+	apply := func(ev Event) []Effect {
+		effects, err := l.Apply(ev, now)
+		require.NoError(t, err)
+		now = now.Add(time.Second)
+		return effects
+	}
+	_, err := l.Apply(Began{From: "spare", To: "a"}, now)
+	require.True(t, fault.Is(err, fault.Conflict), "unknown pools")
+	apply(Observe{Pool: "spare", Have: 6, Limit: 1, Asked: 1})
+	require.Empty(t, apply(Observe{Pool: "a", Have: 12, Lent: 1, Limit: 1, Asked: 9}))
+	require.Empty(t, apply(Began{From: "spare", To: "a"}))
+	require.Equal(t, 2, l.Lent("a"))
+	require.Empty(t, apply(Observe{Pool: "a", Have: 12, Limit: 1, Asked: 20}), "the move taken over uses up the budgets")
+	require.Len(t, apply(Moved{From: "spare", To: "a"}), 1, "then the next may begin")
+}
