--- a/job/worker.go
+++ b/job/worker.go
@@ -39,6 +39,7 @@
 	bad     Ban
 	strikes []Strike  // failures since the last success
 	read    time.Time // when its reports were last read
+	asked   time.Time // when they were last asked for
 	victim  time.Time // when a task was last displaced for an estimate that grew
 	plan    plan
 }
@@ -48,12 +49,22 @@
 	job   *Job
 	tasks int
 	until time.Time
+	kept  bool // nobody is displaced, the room comes as tasks end
 }
 
 func (w *Worker) free() Amount {
 	return w.total.minus(w.used).minus(w.foreign)
 }
 
+// measured returns the memory that the worker's tasks were last reported to use.
+func (w *Worker) measured() int64 {
+	sum := w.foreign.Memory
+	for _, t := range w.tasks {
+		sum += t.live.peak.Memory
+	}
+	return sum
+}
+
 // takes tells whether the worker may get new tasks of j.
 func (w *Worker) takes(j *Job) bool {
 	if !w.member || !w.present || w.silent {
