Let small urgent jobs in amid a flood of urgent work

Above urgent work's share room is taken only from urgent jobs that hold at least twice the tasks. The chaos test left workers that had been silent and then rebooted silent for good, which looked like jobs that don't end; it heals them now.

--- a/job/chaos_test.go
+++ b/job/chaos_test.go
@@ -164,10 +164,14 @@
 	c.later(c.between(40*time.Second, 4*time.Minute), func() {
 		delete(c.silent, id)
 		now, err := c.w.Truth.Instance(id)
-		if err == nil && now.Boot == w.Boot && now.State == platform.StateLive {
+		if err != nil {
+			return
+		}
+		w.Instance = now // it beats again, perhaps under another boot by now
+		if now.State == platform.StateLive {
 			w.Seen = c.w.Clock.Now()
-			c.w.Truth.PutWorker(w)
 		}
+		c.w.Truth.PutWorker(w)
 	})
 }
 
--- a/job/displace.go
+++ b/job/displace.go
@@ -28,6 +28,24 @@
 	cost float64 // core-seconds that are lost
 }
 
+// rivals says whose tasks may be displaced. While urgent work is within its share these are the
+// less urgent jobs; above it, room is only taken from urgent jobs that hold many more tasks, so
+// that a flood of urgent work doesn't keep a smaller urgent job out.
+type rivals struct {
+	above bool
+	held  int // tasks that the job would hold
+}
+
+// rivalFactor is how many times the tasks of the job a rival holds at least.
+const rivalFactor = 2
+
+func (r rivals) include(j *Job) bool {
+	if r.above {
+		return j.Urgent && j.held >= rivalFactor*r.held
+	}
+	return !j.Urgent
+}
+
 // displace makes room for urgent tasks that found none: it throttles, else checkpoints, else stops
 // less urgent tasks, with the least work lost.
 func (p *Pool) displace(s *pass) error {
@@ -65,13 +83,14 @@
 // makeRoom plans room for one task of j on the worker where it costs the least.
 func (p *Pool) makeRoom(s *pass, j *Job) (bool, error) {
 	need := p.need(j, s.largest)
-	ahead := Amount{Milli: need.Milli * int64(p.planned(j)+1), Memory: need.Memory * int64(p.planned(j)+1), Accels: need.Accels * int64(p.planned(j)+1)}
-	if p.urgent.plus(ahead).share(s.total) > p.policy.UrgentShare || !p.team(j.Team).used.plus(ahead).within(p.team(j.Team).quota) {
-		p.stick(j, "its share of the pool", s.now)
+	n := int64(p.planned(j) + 1)
+	ahead := Amount{Milli: need.Milli * n, Memory: need.Memory * n, Accels: need.Accels * n}
+	if !p.team(j.Team).used.plus(ahead).within(p.team(j.Team).quota) {
 		return false, nil
 	}
+	from := rivals{above: p.isAbove(s, ahead), held: j.held + int(n)}
 	for l := levelThrottle; l < levelCount; l++ {
-		w, vs := p.cheapest(s, j, need, l)
+		w, vs := p.cheapest(s, j, need, l, from)
 		if w == nil {
 			continue
 		}
@@ -80,7 +99,7 @@
 	return false, nil
 }
 
-func (p *Pool) cheapest(s *pass, j *Job, need Amount, l level) (*Worker, []victim) {
+func (p *Pool) cheapest(s *pass, j *Job, need Amount, l level, from rivals) (*Worker, []victim) {
 	var best *Worker
 	var victims []victim
 	least := 0.0
@@ -88,7 +107,7 @@
 		if !w.takes(j) || w.plan.job != nil && !w.plan.kept || j.racks[w.Rack] >= j.rackLimit() {
 			continue
 		}
-		vs, cost, ok := p.victimsOn(w, need, l, s.now)
+		vs, cost, ok := p.victimsOn(w, need, l, from, s.now)
 		if ok && (best == nil || cost < least) {
 			best, victims, least = w, vs, cost
 		}
@@ -97,7 +116,7 @@
 }
 
 // victimsOn returns the tasks to displace on the worker so that need fits, cheapest first.
-func (p *Pool) victimsOn(w *Worker, need Amount, l level, now time.Time) ([]victim, float64, bool) {
+func (p *Pool) victimsOn(w *Worker, need Amount, l level, from rivals, now time.Time) ([]victim, float64, bool) {
 	free := w.free()
 	all := make([]victim, 0, len(w.tasks))
 	coming := Amount{}
@@ -106,6 +125,9 @@
 			coming = coming.plus(t.Size)
 			continue
 		}
+		if !from.include(t.job) {
+			continue
+		}
 		if v, ok := p.victim(t, l, now); ok {
 			all = append(all, v)
 		}
@@ -138,7 +160,7 @@
 // victim returns how the task could make room at the level.
 func (p *Pool) victim(t *Task, l level, now time.Time) (victim, bool) {
 	j := t.job
-	if p.isUrgent(j) || !t.State.runs() || !t.live.started || t.Stops >= p.policy.Stops {
+	if !t.State.runs() || !t.live.started || t.Stops >= p.policy.Stops {
 		return victim{}, false
 	}
 	if l == levelThrottle {
--- a/job/place.go
+++ b/job/place.go
@@ -119,7 +119,10 @@
 		p.stick(j, "quota", s.now)
 		return false, nil
 	}
-	if j.Urgent && s.lent != p.isAbove(s, need) {
+	if j.Urgent && s.lent != p.isAbove(s, need) && p.planned(j) == 0 {
+		if !s.lent {
+			s.wants = append(s.wants, j)
+		}
 		return false, nil
 	}
 	w := p.pick(s, j, need)
