Look at once when a daemon's rank for a duty rises

Cause: a daemon that wasn't among the first four by rank looks each 30 s; when those before it died it still waited out the old interval. TestRankThatRisesLooksSooner fails without the change.

--- a/lease/holder.go
+++ b/lease/holder.go
@@ -68,6 +68,9 @@
 	h.want = want
 	h.delay = delay
 	h.idle = max(idle, h.terms.Poll)
+	if soon := h.looked.Add(h.idle); h.known && h.look.After(soon) {
+		h.look = soon
+	}
 	if !want {
 		h.until = time.Time{}
 		h.tries = nil
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -94,6 +94,18 @@
 	require.NoError(t, h.Check(now))
 }
 
+func TestRankThatRisesLooksSooner(t *testing.T) {
+	now := time.Now()
+	h := NewHolder("d", "a", "n", DefaultTerms())
+	h.Want(true, 0, time.Minute)
+	row := platform.Row{Key: BeatKey("d"), Version: 3, Value: encode(Beat{Epoch: 2, Holder: "b", Nonce: "m", Life: 6000})}
+	require.NoError(t, h.Looked(now, row))
+	now = now.Add(time.Second)
+	require.IsType(t, Wait{}, h.Next(now))
+	h.Want(true, 0, time.Second)
+	require.IsType(t, Look{}, h.Next(now))
+}
+
 func TestRowsHaveShortNames(t *testing.T) {
 	require.JSONEq(t, `{"epoch":2,"holder":"a","nonce":"n","seq":3,"life":6000}`, string(encode(Beat{2, "a", "n", 3, 6000})))
 	require.JSONEq(t, `{"holder":"a","nonce":"n"}`, string(encode(owner{"a", "n"})))
