--- a/job/policy.go
+++ b/job/policy.go
@@ -19,8 +19,10 @@
 	Urgent       int           // jobs of this urgency or above may displace others
 	Victims      int           // most tasks that are displaced on a worker for one task
 	Plans        int           // most displacements that are planned in a pass
-	UrgentShare  float64       // part of the pool that urgent work may hold by displacing others
+	UrgentShare  float64       // part of the pool that urgent work may hold before others; above it takes what is idle
 	Starts       int           // most tasks that are started in a pass
+	Acts         int           // most requests to the platform between two decisions
+	Patience     time.Duration // a job whose tasks waited so long for room gets a worker kept free
 	Canary       int           // most tasks at once of a job of which nothing is known yet
 	Fails        int           // a task that failed so often on workers in service is given up
 	Tries        int           // a task that was started so often is given up
@@ -55,8 +57,10 @@
 		Urgent:       8,
 		Victims:      8,
 		Plans:        64,
-		UrgentShare:  0.6,
+		UrgentShare:  0.4,
 		Starts:       128,
+		Patience:     time.Minute,
+		Acts:         64,
 		Canary:       8,
 		Fails:        4,
 		Tries:        16,
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -31,6 +31,9 @@
 	upstream *upstream
 }
 
+// reapFloor is the shortest time between two looks for connections to close.
+const reapFloor = 100 * time.Millisecond
+
 // leftMemory is how long a leaving boot is remembered after it went from the target list.
 const leftMemory = 24 * time.Hour
 
@@ -111,6 +114,12 @@
 	return n
 }
 
+// breach counts and reports an invariant that does not hold.
+func (f *Fleet) breach(err error) {
+	f.count.breaches.Add(1)
+	f.cfg.breach(err)
+}
+
 func (f *Fleet) newPool(name string) *pool {
 	seed := f.cfg.seed
 	for _, c := range name {
@@ -122,6 +131,7 @@
 		region: f.cfg.region,
 		limit:  f.cfg.conns,
 		rng:    rand.New(rand.NewPCG(seed, f.cfg.seed)),
+		breach: f.breach,
 	}
 }
 
@@ -182,7 +192,7 @@
 
 // reap closes idle connections that are too old to be used again.
 func (f *Fleet) reap(ctx context.Context) {
-	t := time.NewTicker(f.cfg.idle)
+	t := time.NewTicker(max(f.cfg.idle, reapFloor))
 	defer t.Stop()
 	for {
 		select {
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gypsumlead/fault"
 	"gypsumlead/platform"
 )
 
@@ -11,6 +12,7 @@
 	backoffFirst = 100 * time.Millisecond // after one failed dial; doubles with each further one
 	backoffLimit = 5 * time.Second
 	doubtLimit   = 16.0            // failed answers beyond this many weigh no more
+	distrustTime = time.Minute     // without reuse after surplus bytes
 	doubtHalf    = 5 * time.Second // half-life of the weight of failed answers
 )
 
@@ -22,6 +24,7 @@
 	leaving    bool
 	inProgress int64
 	idle       []*channel // last used at the end
+	single     time.Time  // has sent surplus bytes: until then each connection carries one exchange only
 	fails      int        // failed dials in a row
 	until      time.Time  // no exchange before
 	doubt      float64    // recent failed answers, decaying
@@ -39,6 +42,14 @@
 	return h.ID == i.ID && h.Boot == i.Boot && h.Addr == i.Addr && h.Centre == i.Centre && h.Region == i.Region
 }
 
+// check returns a breach if the count of exchanges can't be true.
+func (u *upstream) check(limit int64) error {
+	if u.inProgress < 0 || u.inProgress > limit {
+		return fault.New(fault.Breach, "runner %s of boot %s has %d exchanges in progress, of 0 to %d", u.instance.ID, u.instance.Boot, u.inProgress, limit)
+	}
+	return nil
+}
+
 // eligible tells whether an exchange may start now; after a failed dial one at a time may.
 func (u *upstream) eligible(now time.Time, limit int64) bool {
 	if u.leaving || now.Before(u.until) {
@@ -99,17 +110,19 @@
 			fresh = c
 			continue
 		}
+		u.inspect(now, c)
 		stale = append(stale, c)
 	}
 	return fresh, stale
 }
 
 // expire removes the idle connections that proved themselves last before the instant.
-func (u *upstream) expire(before time.Time) []*channel {
+func (u *upstream) expire(now, before time.Time) []*channel {
 	var old []*channel
 	kept := u.idle[:0]
 	for _, c := range u.idle {
 		if c.proved.Before(before) || c.client.Err() != nil {
+			u.inspect(now, c)
 			old = append(old, c)
 			continue
 		}
@@ -119,3 +132,12 @@
 	u.idle = kept
 	return old
 }
+
+// inspect draws the conclusion from a connection that is given up after a whole answer. One that
+// was closed before its reader was done may have been closed for another reason, so that the
+// distrust ends after a while.
+func (u *upstream) inspect(now time.Time, c *channel) {
+	if c.client.Err() != nil && c.link.surplus() {
+		u.single = now.Add(distrustTime)
+	}
+}
