--- a/entry/storm_test.go
+++ b/entry/storm_test.go
@@ -98,7 +98,7 @@
 			return
 		}
 	} else if id != a.id {
-		a.wrong = fmt.Sprintf("%s got the answer to %s", a.id, id)
+		a.wrong = fmt.Sprintf("%s got the answer to %q, %d bytes of runner %q", a.id, id, len(got), resp.Header.Get(standin.HeaderRunner))
 		return
 	}
 	if !bytes.Equal(got, standin.AnswerBody(id, a.size)) {
