Spare pools lend: the daemon gathers demand and moves instances

Entries are asked for what callers ask of each pool (requests a second times run time); questions to entries without a session are passed on by any daemon of their data centre, now for all questions alike.

--- a/app/app.go
+++ b/app/app.go
@@ -137,6 +137,7 @@
 		spread:  a.spread,
 		roster:  a.roster,
 		fleet:   a.fleet,
+		gate:    a.gate,
 		router:  a.router,
 		leaving: a.entry.Leaving,
 	}
--- a/app/duties.go
+++ b/app/duties.go
@@ -18,6 +18,7 @@
 	dutyJournal = "journal"
 	dutyAudit   = "audit"
 	dutyPool    = "pool/"
+	dutySpare   = "spare/"
 )
 
 // duties runs the control duties that this daemon holds, each in a goroutine of its own, so that a
@@ -42,6 +43,7 @@
 		lease.WithDuties(d.names),
 		lease.WithMembers(d.members),
 		lease.WithLog(a.log),
+		lease.WithBreach(a.breach),
 	)
 	a.duties = d
 }
@@ -60,6 +62,10 @@
 	out := []string{dutyJournal, dutyAudit}
 	for _, e := range d.app.state.List(record.KindPool) {
 		out = append(out, dutyPool+e.Name)
+		var p record.Pool
+		if record.Decode(e, &p) == nil && p.Spare {
+			out = append(out, dutySpare+e.Name)
+		}
 	}
 	return out
 }
--- a/app/peers.go
+++ b/app/peers.go
@@ -15,6 +15,7 @@
 	"gypsumlead/platform"
 	"gypsumlead/roster"
 	"gypsumlead/runner"
+	"gypsumlead/share"
 	"gypsumlead/spread"
 )
 
@@ -30,12 +31,16 @@
 	spread  *spread.Spreader
 	roster  *roster.Roster
 	fleet   *runner.Fleet
+	gate    *share.Gate
 	router  *router
 	leaving func() bool
 }
 
 // ServePeer answers one request of another daemon.
 func (p *peers) ServePeer(ctx context.Context, from peer.Identity, req *wire.Request) (*wire.Response, error) {
+	if to := req.GetEntry(); to != "" && to != p.set.Instance {
+		return p.mesh.Call(ctx, to, req)
+	}
 	switch b := req.GetBody().(type) {
 	case *wire.Request_Ping:
 		p.spread.Saw(from.Instance, b.Ping.GetSeq())
@@ -47,16 +52,50 @@
 		pulled, err := p.spread.Pull(b.Pull)
 		return &wire.Response{Body: &wire.Response_Pulled{Pulled: pulled}}, err
 	case *wire.Request_Quiet:
-		return p.serveQuiet(ctx, b.Quiet)
+		return p.quiet(b.Quiet)
 	case *wire.Request_Leave:
 		p.roster.Leave(b.Leave.GetInstance(), b.Leave.GetBoot())
 		return &wire.Response{Body: &wire.Response_Ack{Ack: &wire.Ack{Seq: p.spread.Seq()}}}, nil
+	case *wire.Request_Load:
+		return p.load(), nil
 	case *wire.Request_Roster:
 		return rosterOf(p.roster)
 	}
 	return nil, fault.New(fault.Invalid, "peer %s asked for something that this daemon doesn't know", from.Instance)
 }
 
+// ask asks another entry, or this one. An entry without a session here is asked through a daemon
+// of its data centre, which all have sessions with each other.
+func (p *peers) ask(ctx context.Context, entry platform.Instance, req *wire.Request) (*wire.Response, error) {
+	req.Entry = entry.ID
+	if entry.ID == p.set.Instance {
+		return p.ServePeer(ctx, peer.Identity{Instance: p.set.Instance}, req)
+	}
+	resp, err := p.mesh.Call(ctx, entry.ID, req)
+	if !fault.Is(err, fault.NoUpstream) {
+		return resp, err
+	}
+	for _, near := range p.mesh.Peers() {
+		if near.Centre == entry.Centre {
+			return p.mesh.Call(ctx, near.Instance, req)
+		}
+	}
+	return nil, err
+}
+
+// load tells how much of each pool callers ask for here.
+func (p *peers) load() *wire.Response {
+	out := &wire.Loaded{}
+	for _, name := range p.gate.Pools() {
+		a := &wire.Asked{Pool: name}
+		for _, u := range p.gate.Usage(name) {
+			a.Slots += u.Asked * u.Run.Seconds()
+		}
+		out.Pools = append(out.Pools, a)
+	}
+	return &wire.Response{Body: &wire.Response_Loaded{Loaded: out}}
+}
+
 // retarget chooses the daemons to keep sessions with from the roster and the settings.
 func (p *peers) retarget() {
 	p.mesh.SetTargets(chooseTargets(p.set.Instance, p.set.Centre, p.roster.Instances(), p.seeds()))
--- a/app/router.go
+++ b/app/router.go
@@ -27,6 +27,7 @@
 	seq  atomic.Int64 // newest change that fleet and gate follow
 	mu   sync.RWMutex
 	svcs map[string]record.Service
+	all  []runner.Target
 }
 
 func newRouter(c common, state *journal.State, r *roster.Roster, f *runner.Fleet, g *share.Gate) *router {
@@ -49,6 +50,13 @@
 	return s, s.Pool, ok
 }
 
+// targets returns the upstreams that the fleet follows; they must not be changed.
+func (r *router) targets() []runner.Target {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return r.all
+}
+
 // wake asks for a rebuild.
 func (r *router) wake() {
 	select {
@@ -81,6 +89,9 @@
 		r.gate.SetCapacityOf(c.Pool, c.Slots, c.Total)
 	}
 	r.setServices(t.Services)
+	r.mu.Lock()
+	r.all = t.Targets
+	r.mu.Unlock()
 	r.seq.Store(t.Seq)
 }
 
--- a/app/steppers.go
+++ b/app/steppers.go
@@ -31,6 +31,9 @@
 	case dutyAudit:
 		return a.auditStepper()
 	}
+	if name, ok := strings.CutPrefix(t.Duty, dutySpare); ok {
+		return newLending(a, name, t).step
+	}
 	return a.poolStepper(strings.TrimPrefix(t.Duty, dutyPool), t)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,7 @@
 	Calls    Calls          `json:"calls" doc:"Limits on callers' requests."`
 	Runners  Runners        `json:"runners" doc:"Limits on connections to runners."`
 	Sync     Sync           `json:"sync" doc:"How the configuration spreads."`
+	Lend     Lend           `json:"lend" doc:"How spare pools lend their instances."`
 	Duties   Duties         `json:"duties" doc:"Control duties that are shared between the daemons under leases."`
 	Stop     Stop           `json:"stop" doc:"How the daemon stops."`
 	Log      string         `json:"log" validate:"oneof=debug info warn error" doc:"Least severe level that is logged."`
@@ -68,6 +69,15 @@
 	Lag  time.Duration `json:"lag" validate:"min=10ms" doc:"Age at which an instance's last sign of life in the platform's list proves nothing any more: the list's lag and some heartbeats."`
 }
 
+// Lend says how spare pools lend their instances.
+type Lend struct {
+	Step    time.Duration `json:"step" validate:"min=10ms" doc:"Time between two looks at what callers ask of each pool."`
+	Smooth  time.Duration `json:"smooth" validate:"min=0" doc:"Time constant of the average of what callers ask."`
+	Ahead   time.Duration `json:"ahead" validate:"min=0" doc:"How far the forecast looks ahead: about the time that a move takes."`
+	Sustain time.Duration `json:"sustain" validate:"min=0" doc:"Time that a pool must be short before it borrows."`
+	Rest    time.Duration `json:"rest" validate:"min=0" doc:"Time that a pool must be calm before it gives one back."`
+}
+
 // Duties says how the control duties are run.
 type Duties struct {
 	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within about twice this time."`
@@ -104,6 +114,13 @@
 			List: time.Second,
 			Lag:  15 * time.Second,
 		},
+		Lend: Lend{
+			Step:    5 * time.Second,
+			Smooth:  time.Minute,
+			Ahead:   2 * time.Minute,
+			Sustain: 30 * time.Second,
+			Rest:    10 * time.Minute,
+		},
 		Duties: Duties{
 			Life: 5 * time.Second,
 			Step: 500 * time.Millisecond,
