Keep a caller's audit inputs apart from the trail's own

Cause: the count of dropped refusals was appended to the caller's slice and could overwrite what stands behind it. Conclusion: the slice is clipped first; go test -race ./audit passes.

--- a/audit/trail.go
+++ b/audit/trail.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -84,7 +85,7 @@
 	}
 	lost := t.takeDropped()
 	if lost > 0 {
-		e.Inputs = append(e.Inputs, Input{Name: "dropped", Value: strconv.Itoa(lost)})
+		e.Inputs = append(slices.Clip(e.Inputs), Input{Name: "dropped", Value: strconv.Itoa(lost)})
 	}
 	ops, err := Ops(e)
 	if err != nil {
