Guarantee urgent tasks what they declare until they are measured

A failure counts against a worker only if it had memory left for the job's declared size, and an urgent job's first tries get what is declared.

--- a/job/evidence.go
+++ b/job/evidence.go
@@ -143,8 +143,8 @@
 	counted := map[string]bool{}
 	for _, s := range w.strikes {
 		j := p.byName[s.Job]
-		if j == nil || j.Phase == Bad {
-			continue
+		if j == nil || j.Phase == Bad || w.measured()+max(j.Declared.Memory, j.guess.Memory) > w.total.Memory {
+			continue // or the worker had no memory left for it
 		}
 		weight += p.weight(j, w, s, counted)
 		counted[s.Job] = true
--- a/job/report.go
+++ b/job/report.go
@@ -113,7 +113,11 @@
 	if p.policy.Declared {
 		return j.Declared
 	}
-	return j.Estimate.sized(j.Declared, &p.team(j.Team).prior, p.policy.Margins)
+	size := j.Estimate.sized(j.Declared, &p.team(j.Team).prior, p.policy.Margins)
+	if j.Urgent && len(j.Estimate.Memory.Ratios) == 0 {
+		size.Memory = max(size.Memory, j.Declared.Memory) // a first start that fails costs more than room
+	}
+	return size
 }
 
 func (p *Pool) finish(t *Task, w *Worker, r platform.Report, now time.Time) error {
