--- a/job/chaos_test.go
+++ b/job/chaos_test.go
@@ -42,7 +42,6 @@
 		Name: "chaos", Pools: 1, Workers: chaosWorkers, Teams: 3, Span: span,
 		Size: platform.Size{Cores: 16, Memory: 64 << 30},
 	}
-	y.Lease, y.Renew = 90*time.Second, 20*time.Second
 	c := &chaos{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), opts: []job.Option{job.WithPolicy(y)}, silent: map[string]platform.Worker{}}
 	c.w = jobtrial.NewWorld(sc, "pool", seed, 0)
 	for range 3 {
@@ -51,6 +50,13 @@
 	return c
 }
 
+// shortLeases makes leases end within the faults of a run.
+func shortLeases() job.Policy {
+	y := job.DefaultPolicy()
+	y.Lease, y.Renew = 90*time.Second, 20*time.Second
+	return y
+}
+
 func (c *chaos) spawn() {
 	m := newMortal(c.w)
 	c.procs = append(c.procs, m)
@@ -214,7 +220,7 @@
 	for seed := uint64(1); seed <= seeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			c := newChaos(t, seed, span, job.DefaultPolicy())
+			c := newChaos(t, seed, span, shortLeases())
 			r := c.run(span, calm)
 			t.Logf("seed %d: starts %d doubled %d again %d quarantines right %d wrong %d caught %d/%d accused %d wasted %.1f", seed,
 				r.Starts, r.Doubled, r.Again, r.Right, r.Wrong, r.Caught, r.Broken, r.Accused, r.Wasted)
@@ -236,7 +242,7 @@
 		{"starting at once", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			y := job.DefaultPolicy()
+			y := shortLeases()
 			y.NoLapse = tc.noLapse
 			c := newChaos(t, 1, time.Minute, y)
 			c.run(time.Minute, 0)
@@ -252,3 +258,34 @@
 		})
 	}
 }
+
+func TestTasksRunOnWhileTheTableIsDown(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		y    job.Policy
+		cut  bool
+	}{
+		{"leases of 10 minutes", job.DefaultPolicy(), false},
+		{"leases of 90 seconds", shortLeases(), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.y.NoDisplace = true
+			c := newChaos(t, 1, time.Hour, tc.y)
+			c.run(2*time.Minute, 0)
+			c.w.Truth.SetFaults(standin.Faults{Down: true}, standin.ServiceTable)
+			for range 600 {
+				c.tick()
+			}
+			cut := 0
+			for _, id := range c.w.Members() {
+				for _, r := range c.w.Truth.Tasks(id) {
+					if r.State == platform.TaskStopped {
+						cut++
+					}
+				}
+			}
+			t.Logf("seed 1: %d tasks stopped in 5 minutes without the table", cut)
+			require.Equal(t, tc.cut, cut > 0)
+		})
+	}
+}
