--- a/api/handler.go
+++ b/api/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"gypsumlead/api/oas"
 	"gypsumlead/audit"
@@ -21,8 +22,8 @@
 
 // Trail reads the audit trail.
 type Trail interface {
-	// Entries returns every decision on s, oldest first.
-	Entries(ctx context.Context, s audit.Subject) ([]audit.Entry, error)
+	// Read returns every decision on s between two instants, oldest first; a zero instant is an open end.
+	Read(ctx context.Context, s audit.Subject, from, to time.Time) ([]audit.Entry, error)
 	// Refuse notes a decision not to do something.
 	Refuse(ctx context.Context, e audit.Entry) error
 }
@@ -40,6 +41,7 @@
 type Handler struct {
 	state  *journal.State
 	writer *journal.Writer
+	table  platform.Table
 	config Configuration
 	trail  Trail
 	fleet  Fleet
@@ -53,6 +55,7 @@
 type Parts struct {
 	State  *journal.State
 	Writer *journal.Writer
+	Table  platform.Table
 	Config Configuration
 	Trail  Trail
 	Fleet  Fleet
@@ -65,6 +68,7 @@
 	return &Handler{
 		state:  p.State,
 		writer: p.Writer,
+		table:  p.Table,
 		config: p.Config,
 		trail:  p.Trail,
 		fleet:  p.Fleet,
@@ -146,7 +150,7 @@
 
 // Explain returns every decision on something.
 func (h *Handler) Explain(ctx context.Context, p oas.ExplainParams) (*oas.ExplainOK, error) {
-	entries, err := h.trail.Entries(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name})
+	entries, err := h.trail.Read(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name}, time.Time{}, time.Time{})
 	if err != nil {
 		return nil, err
 	}
--- a/app/move.go
+++ b/app/move.go
@@ -1,51 +1,74 @@
 package app
 
 import (
-	"gypsumlead/audit"
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
 	"gypsumlead/fault"
 	"gypsumlead/journal"
+	"gypsumlead/platform"
+	"gypsumlead/pool"
 	"gypsumlead/record"
 )
 
-// move proposes to put an instance into a pool.
-func move(id, actor, why, instance, from, to string) journal.Proposal {
-	member := record.Key{Kind: record.KindMember, Name: instance}
-	pool := record.Key{Kind: record.KindPool, Name: to}
-	return journal.Proposal{
-		ID:      id,
-		Digest:  journal.Digest([]byte("move"), []byte(instance), []byte(from), []byte(to)),
-		Actor:   actor,
-		Why:     why,
-		Records: []record.Key{member, pool},
-		Decide: func(rows journal.Rows) (journal.Decision, error) {
-			if _, ok, err := rows.Envelope(pool); err != nil || !ok {
-				return journal.Decision{}, fault.New(fault.Missing, "there is no %s", pool)
-			}
-			old, live, err := rows.Envelope(member)
-			if err != nil {
-				return journal.Decision{}, err
-			}
-			var m record.Member
-			if live {
-				if err := record.Decode(old, &m); err != nil {
-					return journal.Decision{}, err
-				}
-			}
-			if m.Pool != from {
-				return journal.Decision{}, fault.New(fault.Conflict, "instance %s is in pool %q, not %q", instance, m.Pool, from)
-			}
-			e, err := record.Rewrite(old, instance, &record.Member{Pool: to})
-			if err != nil {
-				return journal.Decision{}, err
-			}
-			subjects := []audit.Subject{{Kind: "instance", Name: instance}, {Kind: "pool", Name: to}}
-			if from != "" {
-				subjects = append(subjects, audit.Subject{Kind: "pool", Name: from})
-			}
-			return journal.Decision{
-				Edits: []record.Envelope{e},
-				Audit: audit.Entry{Act: "move", Subjects: subjects, Inputs: audit.Facts("from", from, "to", to)},
-			}, nil
-		},
+const lookTimeout = 2 * time.Second
+
+// poolView looks up the newest signs of life of a pool's members, of all entries, and of some
+// further instances. Where the platform doesn't answer the view is empty, and everything in it
+// counts as out.
+func (a *App) poolView(name string, further ...string) pool.View {
+	ctx, cancel := context.WithTimeout(context.Background(), lookTimeout)
+	defer cancel()
+	ids := append(a.membersOf(name), further...)
+	for _, in := range a.roster.Instances() {
+		if in.Role == platform.RoleEntry {
+			ids = append(ids, in.ID)
+		}
+	}
+	at := time.Now()
+	list, err := a.platform.Roster.Look(ctx, ids...)
+	if err != nil {
+		a.log.Debug("look at a pool's instances", zap.String("pool", name), zap.Error(err))
+	}
+	return pool.NewView(list, at, a.set.Sync.Lag)
+}
+
+// membersOf lists the instances of a pool by the configuration in force.
+func (a *App) membersOf(name string) []string {
+	var out []string
+	for _, e := range a.state.List(record.KindMember) {
+		var m record.Member
+		if record.Decode(e, &m) == nil && m.Pool == name {
+			out = append(out, e.Name)
+		}
 	}
+	return out
+}
+
+// move proposes to put an instance into a pool, or from one pool into another.
+func (a *App) move(id, actor, why, instance, from, to string) journal.Proposal {
+	r := pool.Request{ID: id, Actor: actor, Why: why, View: a.poolView(from, instance)}
+	p := a.proposeMove(r, instance, from, to)
+	p.Digest = journal.Digest([]byte("move"), []byte(instance), []byte(from), []byte(to))
+	return p
+}
+
+func (a *App) proposeMove(r pool.Request, instance, from, to string) journal.Proposal {
+	if from != "" {
+		return pool.ProposeMove(r, pool.Transfer{Instance: instance, From: from, To: to})
+	}
+	in, ok := r.View.Find(instance)
+	if !ok || in.State == platform.StateGone {
+		return refuse(r, fault.New(fault.Missing, "instance %s isn't in the platform's list", instance))
+	}
+	return pool.ProposeAssign(r, to, in)
+}
+
+// refuse is a proposal that is decided against.
+func refuse(r pool.Request, err error) journal.Proposal {
+	return journal.Proposal{ID: r.ID, Actor: r.Actor, Why: r.Why, Decide: func(journal.Rows) (journal.Decision, error) {
+		return journal.Decision{}, err
+	}}
 }
--- a/entry/call.go
+++ b/entry/call.go
@@ -139,6 +139,9 @@
 	if c.free != nil {
 		c.free()
 	}
+	if !c.body.reusable() {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.writeWithin(replyTime)
 	fault.Write(c.w, c.scoped(err))
 }
@@ -183,7 +186,9 @@
 // close gives back everything that the request holds.
 func (c *call) close() {
 	c.body.close()
-	c.memory.free()
+	if err := c.memory.free(); err != nil {
+		c.entry.breach(err)
+	}
 	if c.free != nil {
 		c.free()
 	}
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -4,18 +4,20 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 // Fleet is all upstreams that this entry may send to. An upstream that leaves starts no new
 // exchange for the rest of its boot, and its exchanges are counted until the last has ended.
 type Fleet struct {
-	cfg    config
-	dial   *dialer
-	retry  *retryBudget
-	count  counters
-	cancel context.CancelFunc
-	done   chan struct{}
+	cfg     config
+	dial    *dialer
+	retry   *retryBudget
+	count   counters
+	numbers atomic.Int64 // of exchanges
+	cancel  context.CancelFunc
+	done    chan struct{}
 
 	mu    sync.RWMutex
 	pools map[string]*pool
@@ -29,6 +31,9 @@
 	upstream *upstream
 }
 
+// reapFloor is the shortest time between two looks for connections to close.
+const reapFloor = 100 * time.Millisecond
+
 // leftMemory is how long a leaving boot is remembered after it went from the target list.
 const leftMemory = 24 * time.Hour
 
@@ -41,8 +46,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		cfg:    cfg,
-		dial:   newDialer(cfg.dial),
-		retry:  newRetryBudget(),
+		dial:   newDialer(cfg.dial, cfg.off.stray),
+		retry:  newRetryBudget(cfg.off.budget),
 		cancel: cancel,
 		done:   make(chan struct{}),
 		pools:  map[string]*pool{},
@@ -109,6 +114,12 @@
 	return n
 }
 
+// breach counts and reports an invariant that does not hold.
+func (f *Fleet) breach(err error) {
+	f.count.breaches.Add(1)
+	f.cfg.breach(err)
+}
+
 func (f *Fleet) newPool(name string) *pool {
 	seed := f.cfg.seed
 	for _, c := range name {
@@ -120,6 +131,7 @@
 		region: f.cfg.region,
 		limit:  f.cfg.conns,
 		rng:    rand.New(rand.NewPCG(seed, f.cfg.seed)),
+		breach: f.breach,
 	}
 }
 
@@ -129,20 +141,19 @@
 	defer p.mu.Unlock()
 	old := make(map[identity]*upstream, len(p.members))
 	for _, u := range p.members {
-		old[u.target.identity()] = u
+		old[u.identity()] = u
 	}
 	p.members = p.members[:0:0]
 	for _, t := range targets {
 		who := t.identity()
 		u := old[who]
-		if u == nil || u.target.Instance.Addr != t.Instance.Addr {
-			u = &upstream{}
+		if u == nil || !u.is(t.Instance) {
+			u = &upstream{instance: t.Instance}
 			f.boots[who] = append(f.boots[who], placed{pool: p, upstream: u})
 		} else {
 			delete(old, who)
 		}
-		u.target = t
-		u.instance = t.Instance
+		u.slots = t.Slots
 		_, u.leaving = f.left[who]
 		if u.leaving {
 			closeAll(u.idle)
@@ -181,7 +192,7 @@
 
 // reap closes idle connections that are too old to be used again.
 func (f *Fleet) reap(ctx context.Context) {
-	t := time.NewTicker(f.cfg.idle)
+	t := time.NewTicker(max(f.cfg.idle, reapFloor))
 	defer t.Stop()
 	for {
 		select {
--- a/share/lend.go
+++ b/share/lend.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// waitPart is the part of its run time that a request within its floor may wait for a lent slot.
+const waitPart = 0.25
+
 // tier is the claim that a kind of work has on the next idle slot; a lower one goes first.
 type tier int
 
@@ -17,17 +20,27 @@
 	tierNone                 // may not take a slot now
 )
 
-// tierOf returns the claim of k on one more slot.
-func (p *Pool) tierOf(k *kind, free, spare int) tier {
-	held := float64(k.running)
+// guaranteed returns the claim of k on one more slot by its floor alone.
+func (k *kind) guaranteed() tier {
 	switch {
-	case free <= 0:
-		return tierNone
-	case held+1 <= k.floor:
+	case k.below(1):
 		return tierFloor
-	case held < k.floor && k.credit > 0:
+	case k.below(0) && k.credit > 0:
 		return tierFraction
-	case free <= spare || k.long() > p.opts.reclaim.Seconds():
+	}
+	return tierNone
+}
+
+// borrowed returns the claim of k on a slot above its floor.
+func (p *Pool) borrowed(k *kind, l load, free int) tier {
+	if n := k.idle(); n > 0 {
+		l.idle -= n
+		l.asked -= k.expected(p.part())
+	}
+	switch {
+	case k.long() > p.opts.reclaim.Seconds():
+		return tierNone
+	case free <= l.reserve(k, free, p.opts.short):
 		return tierNone
 	case k.credit > 0:
 		return tierCredit
@@ -43,7 +56,16 @@
 	if free <= 0 || p.waiting == 0 {
 		return nil
 	}
-	load := p.load()
+	best := p.best(now, (*kind).guaranteed)
+	if best != nil {
+		return best
+	}
+	l := p.load()
+	return p.best(now, func(k *kind) tier { return p.borrowed(k, l, free) })
+}
+
+// best returns the waiting kind of work with the lowest tier, or nil where none has a claim.
+func (p *Pool) best(now time.Time, claim func(*kind) tier) *kind {
 	var best *kind
 	bestTier := tierNone
 	for _, k := range p.kinds {
@@ -51,7 +73,7 @@
 			continue
 		}
 		k.accrue(now, p.opts.burst)
-		t := p.tierOf(k, free, load.reserve(k, free, p.opts.short))
+		t := claim(k)
 		if t < bestTier || t == bestTier && t != tierNone && before(k, best, t) {
 			best, bestTier = k, t
 		}
@@ -70,39 +92,44 @@
 
 // load sums up what decides how many idle slots must not be lent.
 type load struct {
-	idle  int     // whole slots of floors that are not in use
-	asked float64 // requests a second of the kinds that have such slots
-	freed float64 // slots a second given back by the requests that run
+	idle     int     // whole slots of floors that are not in use
+	asked    float64 // requests a second of the kinds that have such slots
+	freed    float64 // slots a second given back by the requests that run
+	patience float64 // seconds that such a request may wait without harm to its delay
 }
 
 func (p *Pool) load() load {
-	var l load
+	l := load{patience: math.Inf(1)}
 	for _, k := range p.kinds {
 		l.freed += float64(k.running) / k.run
 		if n := k.idle(); n > 0 {
 			l.idle += n
-			l.asked += k.work.Mean * p.part()
+			l.asked += k.expected(p.part())
+			l.patience = math.Min(l.patience, k.run*waitPart)
 		}
 	}
 	return l
 }
 
 // reserve returns how many of the free slots are not lent to k, so that a request within its
-// floor finds one at once but for the accepted chance. The idle slots are a birth-death
-// process: requests within their floors take them and every finished request gives one back,
-// among them those that k would run on what is lent.
+// floor waits no longer than its patience but for the accepted chance. The idle slots are a
+// birth-death process: requests within their floors take them and every finished request
+// gives one back, among them those that k would run on what is lent.
 func (l load) reserve(k *kind, free int, short float64) int {
 	least := l.needed(l.freed+float64(free)/k.run, short)
 	return l.needed(l.freed+float64(max(0, free-least))/k.run, short)
 }
 
-// needed returns the idle slots that keep the chance of finding none below short.
+// needed returns the idle slots with which the chance of a longer wait stays below short: of
+// r idle slots none is left with a chance of (asked/freed)^r, and a wait then passes t with a
+// chance of exp(-(freed-asked)*t).
 func (l load) needed(freed, short float64) int {
 	switch {
-	case l.idle == 0 || l.asked <= 0:
+	case l.idle == 0 || l.asked <= 0 || short >= 1:
 		return 0
 	case l.asked >= freed:
 		return l.idle
 	}
-	return min(l.idle, int(math.Ceil(math.Log(short)/math.Log(l.asked/freed))))
+	need := (math.Log(short) + (freed-l.asked)*l.patience) / math.Log(l.asked/freed)
+	return max(0, min(l.idle, int(math.Ceil(need))))
 }
--- a/share/pool.go
+++ b/share/pool.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/record"
 )
 
 // lendEvery is the time after which held-back slots are looked at again.
@@ -18,7 +17,8 @@
 	slots     int
 	total     int
 	groups    []*group
-	kinds     []*kind // in the order of configuration, so that decisions repeat
+	kinds     []*kind            // in the order of configuration, so that decisions repeat
+	index     map[kindName]*kind // configured ones; the first of a service also under an empty work
 	requests  map[uint64]*request
 	running   int
 	waiting   int
@@ -30,7 +30,12 @@
 
 // New returns a pool without slots or services.
 func New(name string, opts ...Option) *Pool {
-	return &Pool{name: name, opts: applied(opts), requests: map[uint64]*request{}}
+	return &Pool{
+		name:     name,
+		opts:     applied(opts),
+		index:    map[kindName]*kind{},
+		requests: map[uint64]*request{},
+	}
 }
 
 // Apply takes in an event and returns what has to be done; it depends on nothing but the
@@ -57,6 +62,9 @@
 	}
 	out = p.turnAway(out, now)
 	out = p.fill(out, now)
+	if a, ok := ev.(Arrive); ok && a.Full {
+		out = p.refuseWaiting(out, a.ID, now)
+	}
 	return out, p.check()
 }
 
@@ -65,6 +73,7 @@
 	if k == nil {
 		return []Effect{Refuse{ID: e.ID, Kind: fault.Missing}}
 	}
+	k.arrived++
 	r := &request{id: e.ID, kind: k, deadline: e.Deadline}
 	if !p.hopeful(r, now) {
 		return []Effect{p.refusal(r, now)}
@@ -75,6 +84,16 @@
 	return nil
 }
 
+// refuseWaiting refuses a request that got no slot at once.
+func (p *Pool) refuseWaiting(out []Effect, id uint64, now time.Time) []Effect {
+	r, ok := p.requests[id]
+	if !ok || !r.started.IsZero() {
+		return out
+	}
+	p.drop(r)
+	return append(out, p.refusal(r, now))
+}
+
 // hopeful tells whether r can wait in the queue and still end by its deadline.
 func (p *Pool) hopeful(r *request, now time.Time) bool {
 	k := r.kind
@@ -84,16 +103,19 @@
 	if len(k.queue) == 0 {
 		return true
 	}
-	if len(k.queue) >= p.queueLimit(k) {
+	if !p.roomFor(k) {
 		return false
 	}
 	return !now.Add(k.wait()).After(k.hopeless(r))
 }
 
-// queueLimit bounds the kind's queue by its part of the pool, so that a flood can't take the
-// memory of the others' queues.
-func (p *Pool) queueLimit(k *kind) int {
-	return max(p.opts.perSlot, int(float64(p.opts.perSlot)*k.floor))
+// roomFor tells whether one more request of k may be queued. Half of the room is guaranteed
+// by the floors; of the rest a kind takes no more than is left to the others (a dynamic
+// threshold), so that a flood can't take the memory of their queues.
+func (p *Pool) roomFor(k *kind) bool {
+	waits := len(k.queue)
+	own := int(float64(p.opts.perSlot) * k.floor / 2)
+	return waits <= own || waits < p.opts.perSlot*p.slots-p.waiting
 }
 
 func (p *Pool) refusal(r *request, now time.Time) Refuse {
@@ -101,6 +123,7 @@
 	if p.slots == 0 {
 		why = fault.NoUpstream
 	}
+	r.kind.refused++
 	return Refuse{ID: r.id, Kind: why, Retry: r.kind.book(r.id, now)}
 }
 
@@ -123,7 +146,9 @@
 	if finished {
 		k.measured(now.Sub(r.started))
 	}
-	p.prune()
+	if k.gone {
+		p.prune()
+	}
 }
 
 // drop forgets a waiting request.
@@ -135,6 +160,9 @@
 
 // turnAway refuses the waiting requests that can no longer end by their deadlines.
 func (p *Pool) turnAway(out []Effect, now time.Time) []Effect {
+	if p.waiting == 0 {
+		return out
+	}
 	for _, k := range p.kinds {
 		for len(k.queue) > 0 {
 			r := k.queue.first()
@@ -154,10 +182,11 @@
 		r := k.queue.first()
 		k.queue.remove(r)
 		p.waiting--
-		if float64(k.running)+1 > k.floor {
+		if !k.below(1) {
 			p.lent++
 		}
 		r.started = now
+		k.starts++
 		k.running++
 		k.group.running++
 		p.running++
@@ -167,89 +196,9 @@
 	return out
 }
 
-// configure replaces the services; a kind that stays keeps its queue and measurements.
-func (p *Pool) configure(e Configure, now time.Time) []Effect {
-	for _, k := range p.kinds {
-		k.gone = true
-	}
-	for _, g := range p.groups {
-		g.first = nil
-	}
-	for _, s := range e.Services {
-		g := p.groupOf(s.Name)
-		for _, w := range s.Works {
-			k := p.kindOf(g, w, now)
-			if g.first == nil {
-				g.first = k
-			}
-		}
-	}
-	p.refresh(now)
-	out := p.turnAway(nil, now)
-	p.prune()
-	return out
-}
-
-func (p *Pool) groupOf(name string) *group {
-	for _, g := range p.groups {
-		if g.name == name {
-			return g
-		}
-	}
-	g := &group{name: name}
-	p.groups = append(p.groups, g)
-	return g
-}
-
-func (p *Pool) kindOf(g *group, w record.Work, now time.Time) *kind {
-	for _, k := range p.kinds {
-		if k.group == g && k.work.Name == w.Name {
-			k.work, k.gone = w, false
-			return k
-		}
-	}
-	k := &kind{group: g, work: w, run: defaultRun.Seconds(), since: now}
-	g.kinds++
-	p.kinds = append(p.kinds, k)
-	return k
-}
-
-// prune forgets the kinds that are gone and whose last request has ended.
-func (p *Pool) prune() {
-	kept := p.kinds[:0]
-	for _, k := range p.kinds {
-		if k.gone && k.running == 0 && len(k.queue) == 0 {
-			k.group.kinds--
-			continue
-		}
-		kept = append(kept, k)
-	}
-	clear(p.kinds[len(kept):])
-	p.kinds = kept
-	groups := p.groups[:0]
-	for _, g := range p.groups {
-		if g.kinds > 0 {
-			groups = append(groups, g)
-		}
-	}
-	clear(p.groups[len(groups):])
-	p.groups = groups
-}
-
 // find returns the configured kind of work, or nil.
 func (p *Pool) find(service, work string) *kind {
-	for _, k := range p.kinds {
-		if k.gone || k.group.name != service {
-			continue
-		}
-		if work == "" {
-			return k.group.first
-		}
-		if k.work.Name == work {
-			return k
-		}
-	}
-	return nil
+	return p.index[kindName{service, work}]
 }
 
 // part returns this entry's part of the pool's slots.
@@ -277,9 +226,3 @@
 	}
 	return next
 }
-
-// Running returns the number of started requests.
-func (p *Pool) Running() int { return p.running }
-
-// Waiting returns the number of queued requests.
-func (p *Pool) Waiting() int { return p.waiting }
