--- /dev/null
+++ b/app/job_parts.go
@@ -0,0 +1,64 @@
+package app
+
+import (
+	"cmp"
+	"context"
+	"slices"
+
+	"gypsumlead/job"
+	"gypsumlead/lease"
+	"gypsumlead/platform"
+	"gypsumlead/record"
+)
+
+// hold is a tenure as the jobs' driver sees it.
+type hold struct{ lease.Tenure }
+
+// Epoch returns the fencing epoch.
+func (h hold) Epoch() int64 { return h.Tenure.Epoch }
+
+// Alive tells whether the lease is surely held right now.
+func (h hold) Alive() bool { return h.Check() == nil }
+
+// Fence conditions a transaction on the epoch.
+func (h hold) Fence() platform.Op { return h.Cond() }
+
+// jobRecords gives the jobs' driver the configuration in force.
+type jobRecords struct{ app *App }
+
+// View returns what the configuration says of a pool of workers.
+func (r *jobRecords) View(pool string) (job.View, bool) {
+	state := r.app.state
+	v := job.View{Version: state.Seq(), Teams: map[string]record.Team{}}
+	for _, e := range state.List(record.KindJob) {
+		var j record.Job
+		if record.Decode(e, &j) == nil && j.Pool == pool {
+			v.Jobs = append(v.Jobs, job.Spec{Name: e.Name, Version: e.Version, Job: j})
+		}
+	}
+	for _, e := range state.List(record.KindTeam) {
+		var t record.Team
+		if record.Decode(e, &t) == nil {
+			v.Teams[e.Name] = t
+		}
+	}
+	v.Members = r.app.membersOf(pool)
+	slices.SortFunc(v.Jobs, func(x, y job.Spec) int { return cmp.Compare(x.Version, y.Version) })
+	return v, v.Version > 0
+}
+
+// poolWorkers is the platform's workers as the holder of one pool's duty asks for them: only
+// those of the pool, for the whole list grows with the fleet.
+type poolWorkers struct {
+	allWorkers
+	app  *App
+	name string
+}
+
+// allWorkers is the platform's interface under a name that leaves its method's name free.
+type allWorkers interface{ platform.Workers }
+
+// Workers returns the workers of the pool.
+func (w *poolWorkers) Workers(ctx context.Context) ([]platform.Worker, error) {
+	return w.app.platform.Roster.LookWorkers(ctx, w.app.membersOf(w.name)...)
+}
--- /dev/null
+++ b/app/job_test.go
@@ -0,0 +1,71 @@
+package app
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/audit"
+	"gypsumlead/job"
+	"gypsumlead/platform"
+	"gypsumlead/platform/standin"
+	"gypsumlead/pool"
+	"gypsumlead/record"
+	"gypsumlead/settings"
+)
+
+const gigabyte = 1 << 30
+
+// addWorker makes a worker and puts it into a pool.
+func (b *bench) addWorker(id, in string) {
+	b.t.Helper()
+	b.platform.PutWorker(platform.Worker{
+		Instance: platform.Instance{ID: id, Region: "r", Centre: "c", Rack: id},
+		Total:    platform.Size{Cores: 4, Memory: 8 * gigabyte},
+	})
+	w, err := b.platform.Instance(id)
+	require.NoError(b.t, err)
+	b.accept(pool.ProposeAssign(pool.Request{ID: "assign-" + id}, in, w))
+}
+
+// head returns a job's progress as it stands in the table.
+func (b *bench) head(in, name string) job.Job {
+	rows, err := b.platform.Table.Read(b.t.Context(), job.HeadKey(in, name))
+	require.NoError(b.t, err)
+	var j job.Job
+	if rows[0].Version > 0 {
+		require.NoError(b.t, json.Unmarshal(rows[0].Value, &j))
+	}
+	return j
+}
+
+func TestDaemonRunsJobs(t *testing.T) {
+	b := newBench(t, func(s *settings.Settings) {
+		s.Duties.Life = time.Second
+		s.Duties.Step = 20 * time.Millisecond
+	})
+	b.platform.SetProfile("nightly", standin.Profile{Run: 50 * time.Millisecond})
+	b.put("batch", &record.Pool{Budget: record.Budget{Out: 1}})
+	b.put("stock", &record.Team{Quotas: []record.Quota{{Cores: 8, Memory: 16 * gigabyte}}})
+	for i := range 2 {
+		b.addWorker(fmt.Sprintf("worker-%d", i), "batch")
+	}
+	size := platform.Size{Cores: 1, Memory: gigabyte}
+	b.put("nightly", &record.Job{Team: "stock", Pool: "batch", Count: 6, Size: size, Restart: true})
+	huge := platform.Size{Cores: 64, Memory: gigabyte}
+	b.put("huge", &record.Job{Team: "stock", Pool: "batch", Count: 1, Size: huge})
+
+	require.Eventually(t, func() bool { return b.head("batch", "nightly").Phase == job.Complete }, patience, 10*time.Millisecond)
+	require.Equal(t, 6, b.head("batch", "nightly").Done)
+
+	// What can never run is refused with the reason, which the audit trail has too.
+	require.Eventually(t, func() bool { return b.head("batch", "huge").Phase == job.Refused }, patience, 10*time.Millisecond)
+	require.NotEmpty(t, b.head("batch", "huge").Why)
+	entries, err := b.app.trail.Read(t.Context(), audit.Subject{Kind: "job", Name: "huge"}, time.Time{}, time.Time{})
+	require.NoError(t, err)
+	require.Contains(t, audit.Explain(entries), "unfit")
+	require.Zero(t, b.app.metrics.breaches.Load())
+}
--- a/app/steppers.go
+++ b/app/steppers.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -12,7 +11,6 @@
 	"gypsumlead/job"
 	"gypsumlead/journal"
 	"gypsumlead/lease"
-	"gypsumlead/platform"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/wave"
@@ -77,7 +75,7 @@
 		View:      func() pool.View { return a.poolView(name) },
 		Waves:     func() []string { return a.wavesOf(name) },
 	}, wave.WithActor("wave@"+a.set.Instance), wave.WithLog(a.log))
-	jobs := job.NewDriver(name, a.platform.Table, a.platform.Workers, &jobRecords{a}, hold{t}, job.WithLog(a.log))
+	jobs := job.NewDriver(name, a.platform.Table, &poolWorkers{a.platform.Workers, a, name}, &jobRecords{a}, hold{t}, job.WithLog(a.log))
 	var known []string
 	var next time.Time
 	return func(ctx context.Context) error {
@@ -124,39 +122,3 @@
 	}
 	return false
 }
-
-// hold is a tenure as the jobs' driver sees it.
-type hold struct{ lease.Tenure }
-
-// Epoch returns the fencing epoch.
-func (h hold) Epoch() int64 { return h.Tenure.Epoch }
-
-// Alive tells whether the lease is surely held right now.
-func (h hold) Alive() bool { return h.Check() == nil }
-
-// Fence conditions a transaction on the epoch.
-func (h hold) Fence() platform.Op { return h.Cond() }
-
-// jobRecords gives the jobs' driver the configuration in force.
-type jobRecords struct{ app *App }
-
-// View returns what the configuration says of a pool of workers.
-func (r *jobRecords) View(pool string) (job.View, bool) {
-	state := r.app.state
-	v := job.View{Version: state.Seq(), Teams: map[string]record.Team{}}
-	for _, e := range state.List(record.KindJob) {
-		var j record.Job
-		if record.Decode(e, &j) == nil && j.Pool == pool {
-			v.Jobs = append(v.Jobs, job.Spec{Name: e.Name, Version: e.Version, Job: j})
-		}
-	}
-	for _, e := range state.List(record.KindTeam) {
-		var t record.Team
-		if record.Decode(e, &t) == nil {
-			v.Teams[e.Name] = t
-		}
-	}
-	v.Members = r.app.membersOf(pool)
-	slices.SortFunc(v.Jobs, func(x, y job.Spec) int { return cmp.Compare(x.Version, y.Version) })
-	return v, v.Version > 0
-}
