--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -64,6 +64,8 @@
 		"tokens": []any{map[string]any{"name": "maria", "secret": secret}},
 		"stop":   map[string]any{"wait": "100ms"},
 		"peers":  s.seeds(),
+		"sync":   map[string]any{"lag": "2s"},
+		"duties": map[string]any{"life": "2s", "step": "100ms"},
 	})
 	e.process = start(s.t, s.bin.gypsumlead, "serve", "-settings", file)
 	s.post(standin.PathInstance, platform.Instance{
