Runner: pick in one pass, check each attempt

Cause: an attempt that was sent and came back as not run would have been turned into broken by the check at the end, which hid the breach; each attempt is checked by itself now. Picking an upstream made three closures a request.

--- a/runner/do.go
+++ b/runner/do.go
@@ -20,27 +20,29 @@
 	}
 	f.retry.earn()
 	x := &exchange{req: req}
-	var avoid *upstream
 	for {
-		resp, u, err := f.attempt(ctx, p, x, avoid)
+		resp, err := f.attempt(ctx, p, x)
 		if err == nil {
 			return resp, nil
 		}
-		if u != nil {
-			x.last = err
-		}
-		if u == nil || isFinal(err) || ctx.Err() != nil || !x.again(f.retry) {
+		if isFinal(err) || ctx.Err() != nil || !x.again(f.retry) {
 			return nil, f.told(x.fail(err))
 		}
-		avoid = u
 		f.count.resends.Add(1)
 	}
 }
 
+// noneError is the pool's refusal to give an upstream.
+type noneError struct{ err error }
+
+func (e *noneError) Error() string { return e.err.Error() }
+func (e *noneError) Unwrap() error { return e.err }
+
 // isFinal tells whether another attempt would meet the same error.
 func isFinal(err error) bool {
 	var g *gateError
-	return errors.As(err, &g) || fault.Is(err, fault.Breach)
+	var n *noneError
+	return errors.As(err, &g) || errors.As(err, &n) || fault.Is(err, fault.Breach)
 }
 
 // told reports a breach before it is returned.
@@ -51,27 +53,31 @@
 	return err
 }
 
-// attempt picks an upstream and sends the request to it once; the upstream is nil if there was none.
-func (f *Fleet) attempt(ctx context.Context, p *pool, x *exchange, avoid *upstream) (*Response, *upstream, error) {
-	u, err := p.acquire(ctx, avoid)
+// attempt picks an upstream, another one than last time if there is any, and sends the request to it once.
+func (f *Fleet) attempt(ctx context.Context, p *pool, x *exchange) (*Response, error) {
+	u, err := p.acquire(ctx, x.tried)
 	if err != nil {
-		return nil, nil, err
+		return nil, &noneError{err: err}
 	}
-	if err := x.begin(); err != nil {
-		p.release(u)
-		return nil, u, err
-	}
-	c, err := f.connect(ctx, p, u)
+	resp, err := f.carry(ctx, p, u, x)
 	if err != nil {
 		p.release(u)
-		return nil, u, err
+		x.tried = u
+		x.last = err
 	}
-	resp, err := f.send(ctx, p, u, c, x)
+	return resp, err
+}
+
+// carry connects to u and sends the request.
+func (f *Fleet) carry(ctx context.Context, p *pool, u *upstream, x *exchange) (*Response, error) {
+	if err := x.begin(); err != nil {
+		return nil, err
+	}
+	c, err := f.connect(ctx, p, u)
 	if err != nil {
-		p.release(u)
-		return nil, u, err
+		return nil, err
 	}
-	return resp, u, nil
+	return f.send(ctx, p, u, c, x)
 }
 
 // connect returns a reserved connection: an idle one that proved itself lately, or a new one.
@@ -147,10 +153,11 @@
 	}
 	c.close()
 	t.cancel(nil)
-	if refused != nil {
-		return nil, refused
+	why := refused
+	if why == nil {
+		why = f.failed(ctx, p, u, t, touched, err)
 	}
-	return nil, f.failed(ctx, p, u, t, touched, err)
+	return nil, x.attempted(touched, why)
 }
 
 // gate joins the upstream's state and the request's own gate.
--- a/runner/exchange.go
+++ b/runner/exchange.go
@@ -16,6 +16,7 @@
 	sent  int         // attempts of which a byte was handed to the kernel
 	spent atomic.Bool // the body was read, and a part of it can't be read again
 	last  error       // of the newest attempt that had an upstream
+	tried *upstream   // by that attempt
 }
 
 // begin checks that one more attempt is allowed.
@@ -27,6 +28,14 @@
 	return nil
 }
 
+// attempted turns the error of one attempt into a breach if it calls not run what was sent.
+func (x *exchange) attempted(touched bool, err error) error {
+	if touched && fault.AnswerTo(fault.KindOf(err)).Outcome == fault.NotRun {
+		return fault.Wrap(fault.Breach, err, "an attempt of %s %s was sent and is called not run", x.req.Method, x.req.URL.Path)
+	}
+	return err
+}
+
 // again tells whether a failed attempt may be followed by another.
 func (x *exchange) again(budget *retryBudget) bool {
 	if x.tries >= triesLimit || x.spent.Load() {
--- a/runner/fault_test.go
+++ b/runner/fault_test.go
@@ -212,6 +212,8 @@
 			x.req.Idempotent = tc.idempotent
 			require.Equal(t, tc.want, fault.KindOf(x.check(fault.New(tc.told, "x"))))
 			require.Equal(t, tc.sent > 0 && !tc.idempotent, fault.Is(x.begin(), fault.Breach))
+			sentButNotRun := tc.sent > 0 && fault.AnswerTo(tc.told).Outcome == fault.NotRun
+			require.Equal(t, sentButNotRun, fault.Is(x.attempted(tc.sent > 0, fault.New(tc.told, "x")), fault.Breach))
 		})
 	}
 }
--- a/runner/pool.go
+++ b/runner/pool.go
@@ -118,20 +118,28 @@
 	}
 }
 
-// pick returns the better of two random eligible upstreams of the nearest zone that has any.
+// pick returns the better of two random eligible upstreams of the nearest zone that has any; one
+// to avoid is taken only if there is no other.
 func (p *pool) pick(now time.Time, avoid *upstream) *upstream {
-	for _, near := range []func(*upstream) bool{p.sameCentre, p.sameRegion, anywhere} {
-		p.scratch = p.scratch[:0]
-		for _, u := range p.members {
-			if u != avoid && near(u) && u.eligible(now, p.limit) {
-				p.scratch = append(p.scratch, u)
-			}
+	p.scratch = p.scratch[:0]
+	nearest := farthest
+	for _, u := range p.members {
+		if u == avoid || !u.eligible(now, p.limit) {
+			continue
+		}
+		d := p.distance(u)
+		if d < nearest {
+			nearest = d
+			p.scratch = p.scratch[:0]
 		}
-		if len(p.scratch) > 0 {
-			return p.better(now)
+		if d == nearest {
+			p.scratch = append(p.scratch, u)
 		}
 	}
-	if avoid != nil && !avoid.leaving && avoid.eligible(now, p.limit) {
+	if len(p.scratch) > 0 {
+		return p.better(now)
+	}
+	if avoid != nil && avoid.eligible(now, p.limit) {
 		return avoid
 	}
 	return nil
@@ -155,9 +163,24 @@
 	return a
 }
 
-func (p *pool) sameCentre(u *upstream) bool { return u.instance.Centre == p.centre }
-func (p *pool) sameRegion(u *upstream) bool { return u.instance.Region == p.region }
-func anywhere(*upstream) bool               { return true }
+// distance is how far an upstream is from this entry, in zones.
+type distance uint8
+
+const (
+	sameCentre distance = iota
+	sameRegion
+	farthest
+)
+
+func (p *pool) distance(u *upstream) distance {
+	switch {
+	case u.instance.Centre == p.centre:
+		return sameCentre
+	case u.instance.Region == p.region:
+		return sameRegion
+	}
+	return farthest
+}
 
 // soonest tells whether any upstream may take work later, and when the first backoff ends if
 // backoff is all that keeps them from it.
