--- a/job/displace.go
+++ b/job/displace.go
@@ -52,6 +52,7 @@
 	if p.policy.NoDisplace {
 		return nil
 	}
+	p.dropPlans()
 	plans := p.policy.Plans
 	for _, j := range s.wants {
 		missing := j.pending() - p.planned(j)
@@ -69,6 +70,19 @@
 	return nil
 }
 
+// dropPlans gives up plans that came to nothing: no victim is left to wait for, and still the task
+// wasn't placed. Another plan is made in the same pass.
+func (p *Pool) dropPlans() {
+	for _, w := range p.workers {
+		if w.plan.job == nil || w.plan.kept {
+			continue
+		}
+		if !w.takes(w.plan.job) || !w.isClearing() {
+			w.plan = plan{}
+		}
+	}
+}
+
 // planned returns for how many tasks of j room is being made.
 func (p *Pool) planned(j *Job) int {
 	n := 0
--- a/job/grow.go
+++ b/job/grow.go
@@ -25,6 +25,9 @@
 }
 
 func (p *Pool) growOn(w *Worker, now time.Time) error {
+	if w.plan.job != nil && !w.plan.kept {
+		return nil // the room is meant for an urgent task
+	}
 	measured := w.foreign.Memory
 	over := false
 	for _, t := range slices.Clone(w.tasks) {
--- a/job/worker.go
+++ b/job/worker.go
@@ -79,6 +79,17 @@
 	return true
 }
 
+// isClearing tells whether a task is on its way off the worker or being slowed down.
+func (w *Worker) isClearing() bool {
+	for _, t := range w.tasks {
+		switch t.State {
+		case Throttling, Saving, Stopping:
+			return true
+		}
+	}
+	return false
+}
+
 func (w *Worker) remove(t *Task) {
 	for i, o := range w.tasks {
 		if o == t {
--- a/trial/job/result.go
+++ b/trial/job/result.go
@@ -142,6 +142,9 @@
 		}
 	}
 	for _, a := range w.came {
+		if a.Cancel > 0 {
+			continue
+		}
 		phase := w.phases[a.Spec.Name]
 		switch a.Kind {
 		case TooBig:
