--- a/cli/client.go
+++ b/cli/client.go
@@ -53,6 +53,10 @@
 
 // answered turns a daemon's fault back into one, and a failed connection into advice.
 func (r remote) answered(err error) error {
+	var wrong usageError
+	if errors.As(err, &wrong) {
+		return err
+	}
 	var f *oas.FaultStatusCodeWithHeaders
 	if errors.As(err, &f) {
 		for _, k := range fault.Kinds() {
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"strings"
 	"time"
 
@@ -10,50 +11,74 @@
 )
 
 func runStatus(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	if _, err := parse(fs, args, 0, 0); err != nil {
-		return err
-	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
-	s, err := c.GetStatus(ctx)
-	if err != nil {
-		return r.answered(err)
-	}
-	if *r.json {
-		return printJSON(e.out, s)
-	}
-	t := newTable(e.out, "INSTANCE", "CENTRE", "REGION", "CHANGE", "READY", "LEAVING", "PROGRESS", "PEERS", "DUTIES", "PLATFORM")
-	store := s.Store.Or("answers")
-	t.row(s.Instance, s.Centre, s.Region, s.Seq, s.Ready, s.Leaving, s.Progress, len(s.Peers), strings.Join(s.Duties, ","), store)
-	return t.flush()
+	return e.read(args, 0, 0, func(c *oas.Client, _ []string) (answer, error) {
+		s, err := c.GetStatus(ctx)
+		return answer{s, func(out io.Writer) error {
+			t := newTable(out, "INSTANCE", "CENTRE", "REGION", "CHANGE", "READY", "LEAVING", "PROGRESS", "PEERS", "DUTIES", "PLATFORM")
+			store := s.Store.Or("answers")
+			t.row(s.Instance, s.Centre, s.Region, s.Seq, s.Ready, s.Leaving, s.Progress, len(s.Peers), strings.Join(s.Duties, ","), store)
+			return t.flush()
+		}}, err
+	})
 }
 
 func runInstances(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	if _, err := parse(fs, args, 0, 0); err != nil {
-		return err
-	}
-	c, err := r.client()
-	if err != nil {
-		return err
+	return e.read(args, 0, 0, func(c *oas.Client, _ []string) (answer, error) {
+		res, err := c.ListInstances(ctx)
+		return answer{res, func(out io.Writer) error {
+			t := newTable(out, "INSTANCE", "ROLE", "POOL", "STATE", "DRAINED", "CENTRE", "RACK", "BOOT")
+			for _, in := range res.Instances {
+				t.row(in.ID, in.Role, in.Pool, in.State, in.Drained.Or(false), in.Centre, in.Rack, in.Boot)
+			}
+			return t.flush()
+		}}, err
+	})
+}
+
+func runJob(ctx context.Context, e *env, args []string) error {
+	return e.read(args, 1, 1, func(c *oas.Client, rest []string) (answer, error) {
+		p, err := c.GetJobProgress(ctx, oas.GetJobProgressParams{Name: rest[0]})
+		return answer{p, func(out io.Writer) error {
+			t := newTable(out, "JOB", "POOL", "PHASE", "TASKS", "DONE", "ENDED", "WHY")
+			t.row(p.Name, p.Pool, p.Phase, p.Count, p.Done, p.Ended, p.Why)
+			return t.flush()
+		}}, err
+	})
+}
+
+func runExplain(ctx context.Context, e *env, args []string) error {
+	return e.read(args, 2, 2, func(c *oas.Client, rest []string) (answer, error) {
+		kind := oas.ExplainKind(rest[0])
+		if err := kind.Validate(); err != nil {
+			return answer{}, usageError{fmt.Sprintf("nothing of kind %q can be explained", rest[0])}
+		}
+		res, err := c.Explain(ctx, oas.ExplainParams{Kind: kind, Name: rest[1]})
+		return answer{res, func(out io.Writer) error {
+			for _, en := range res.Entries {
+				printEntry(out, en)
+			}
+			return nil
+		}}, err
+	})
+}
+
+// printEntry prints one decision: when, by whom, what, why, and below it the inputs.
+func printEntry(out io.Writer, en oas.Entry) {
+	act := en.Act
+	if kind, ok := en.Refused.Get(); ok {
+		act += " (refused: " + kind + ")"
 	}
-	res, err := c.ListInstances(ctx)
-	if err != nil {
-		return r.answered(err)
+	fmt.Fprintf(out, "%s  %s  %s", en.At.UTC().Format(time.RFC3339Nano), en.Actor, act)
+	if v, ok := en.Version.Get(); ok {
+		fmt.Fprintf(out, "  version %d", v)
 	}
-	if *r.json {
-		return printJSON(e.out, res)
+	if en.Why != "" {
+		fmt.Fprintf(out, "  why: %s", en.Why)
 	}
-	t := newTable(e.out, "INSTANCE", "ROLE", "POOL", "STATE", "DRAINED", "CENTRE", "RACK", "BOOT")
-	for _, in := range res.Instances {
-		t.row(in.ID, in.Role, in.Pool, in.State, in.Drained.Or(false), in.Centre, in.Rack, in.Boot)
+	fmt.Fprintln(out)
+	for _, in := range en.Inputs {
+		fmt.Fprintf(out, "    %s = %s\n", in.Name, in.Value)
 	}
-	return t.flush()
 }
 
 func runMove(ctx context.Context, e *env, args []string) error {
@@ -79,50 +104,3 @@
 	}
 	return printAccepted(e.out, res, *c.json)
 }
-
-func runExplain(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	rest, err := parse(fs, args, 2, 2)
-	if err != nil {
-		return err
-	}
-	kind := oas.ExplainKind(rest[0])
-	if err := kind.Validate(); err != nil {
-		return usageError{fmt.Sprintf("nothing of kind %q can be explained", rest[0])}
-	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
-	res, err := c.Explain(ctx, oas.ExplainParams{Kind: kind, Name: rest[1]})
-	if err != nil {
-		return r.answered(err)
-	}
-	if *r.json {
-		return printJSON(e.out, res)
-	}
-	for _, en := range res.Entries {
-		printEntry(e, en)
-	}
-	return nil
-}
-
-// printEntry prints one decision: when, by whom, what, why, and below it the inputs.
-func printEntry(e *env, en oas.Entry) {
-	act := en.Act
-	if kind, ok := en.Refused.Get(); ok {
-		act += " (refused: " + kind + ")"
-	}
-	fmt.Fprintf(e.out, "%s  %s  %s", en.At.UTC().Format(time.RFC3339Nano), en.Actor, act)
-	if v, ok := en.Version.Get(); ok {
-		fmt.Fprintf(e.out, "  version %d", v)
-	}
-	if en.Why != "" {
-		fmt.Fprintf(e.out, "  why: %s", en.Why)
-	}
-	fmt.Fprintln(e.out)
-	for _, in := range en.Inputs {
-		fmt.Fprintf(e.out, "    %s = %s\n", in.Name, in.Value)
-	}
-}
--- a/cli/records.go
+++ b/cli/records.go
@@ -19,62 +19,31 @@
 const fileLimit = 1 << 20 // bytes of a record's file
 
 func runList(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	rest, err := parse(fs, args, 1, 1)
-	if err != nil {
-		return err
-	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
-	kind, err := kindOf(rest[0])
-	if err != nil {
-		return err
-	}
-	res, err := c.ListRecords(ctx, oas.ListRecordsParams{Kind: kind})
-	if err != nil {
-		return r.answered(err)
-	}
-	if *r.json {
-		return printJSON(e.out, res)
-	}
-	t := newTable(e.out, "NAME", "VERSION", "SCHEMA", "BODY")
-	for _, rec := range res.Records {
-		t.row(rec.Name, rec.Version, rec.Schema, string(rec.Body))
-	}
-	return t.flush()
+	return e.read(args, 1, 1, func(c *oas.Client, rest []string) (answer, error) {
+		kind, err := kindOf(rest[0])
+		if err != nil {
+			return answer{}, err
+		}
+		res, err := c.ListRecords(ctx, oas.ListRecordsParams{Kind: kind})
+		return answer{res, func(out io.Writer) error {
+			t := newTable(out, "NAME", "VERSION", "SCHEMA", "BODY")
+			for _, rec := range res.Records {
+				t.row(rec.Name, rec.Version, rec.Schema, string(rec.Body))
+			}
+			return t.flush()
+		}}, err
+	})
 }
 
 func runGet(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	rest, err := parse(fs, args, 2, 2)
-	if err != nil {
-		return err
-	}
-	rec, err := getRecord(ctx, r, rest[0], rest[1])
-	if err != nil {
-		return err
-	}
-	return printRecord(e.out, rec, *r.json)
-}
-
-func getRecord(ctx context.Context, r remote, kindName, name string) (*oas.Record, error) {
-	c, err := r.client()
-	if err != nil {
-		return nil, err
-	}
-	kind, err := kindOf(kindName)
-	if err != nil {
-		return nil, err
-	}
-	rec, err := c.GetRecord(ctx, oas.GetRecordParams{Kind: kind, Name: name})
-	if err != nil {
-		return nil, r.answered(err)
-	}
-	return rec, nil
+	return e.read(args, 2, 2, func(c *oas.Client, rest []string) (answer, error) {
+		kind, err := kindOf(rest[0])
+		if err != nil {
+			return answer{}, err
+		}
+		rec, err := c.GetRecord(ctx, oas.GetRecordParams{Kind: kind, Name: rest[1]})
+		return answer{rec, func(out io.Writer) error { return printRecord(out, rec, false) }}, err
+	})
 }
 
 // change has the flags of verbs that change something.
--- a/cli/wave.go
+++ b/cli/wave.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"time"
 
 	"github.com/go-faster/jx"
 
@@ -13,6 +15,9 @@
 )
 
 func runWave(ctx context.Context, e *env, args []string) error {
+	if len(args) > 0 && args[0] == "status" {
+		return showWave(ctx, e, args)
+	}
 	fs := e.flags()
 	c := addChange(fs)
 	rest, err := parse(fs, args, 2, 2)
@@ -20,13 +25,14 @@
 		return err
 	}
 	act, name := rest[0], rest[1]
-	if act == "status" {
-		return showWave(ctx, e, c.remote, name)
-	}
-	old, err := getRecord(ctx, c.remote, string(record.KindWave), name)
+	cl, err := c.client()
 	if err != nil {
 		return err
 	}
+	old, err := cl.GetRecord(ctx, oas.GetRecordParams{Kind: oas.Kind(record.KindWave), Name: name})
+	if err != nil {
+		return c.remote.answered(err)
+	}
 	draft, err := editWave(old, act)
 	if err != nil {
 		return err
@@ -62,26 +68,22 @@
 	return &oas.Draft{Schema: w.Schema(), Body: oas.Body(jx.Raw(data))}, nil
 }
 
-func showWave(ctx context.Context, e *env, r remote, name string) error {
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
-	p, err := c.GetWaveProgress(ctx, oas.GetWaveProgressParams{Name: name})
-	if err != nil {
-		return r.answered(err)
-	}
-	if *r.json {
-		return printJSON(e.out, p)
-	}
-	fmt.Fprintf(e.out, "wave %s: %s\n", p.Name, waveState(p))
-	t := newTable(e.out, "POOL", "INSTANCE", "STATE", "SINCE", "WHY")
+func showWave(ctx context.Context, e *env, args []string) error {
+	return e.read(args, 2, 2, func(c *oas.Client, rest []string) (answer, error) {
+		p, err := c.GetWaveProgress(ctx, oas.GetWaveProgressParams{Name: rest[1]})
+		return answer{p, func(out io.Writer) error { return printWave(out, p) }}, err
+	})
+}
+
+func printWave(out io.Writer, p *oas.WaveProgress) error {
+	fmt.Fprintf(out, "wave %s: %s\n", p.Name, waveState(p))
+	t := newTable(out, "POOL", "INSTANCE", "STATE", "SINCE", "WHY")
 	for _, part := range p.Parts {
 		if part.Why != "" {
 			t.row(part.Pool, "", "", "", part.Why)
 		}
 		for _, it := range part.Items {
-			t.row(part.Pool, it.Instance, it.State, it.Since.UTC().Format("15:04:05"), it.Why)
+			t.row(part.Pool, it.Instance, it.State, it.Since.UTC().Format(time.TimeOnly), it.Why)
 		}
 	}
 	return t.flush()
@@ -96,26 +98,3 @@
 	}
 	return fmt.Sprintf("%d instances left", p.Left)
 }
-
-func runJob(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	r := addRemote(fs)
-	rest, err := parse(fs, args, 1, 1)
-	if err != nil {
-		return err
-	}
-	c, err := r.client()
-	if err != nil {
-		return err
-	}
-	p, err := c.GetJobProgress(ctx, oas.GetJobProgressParams{Name: rest[0]})
-	if err != nil {
-		return r.answered(err)
-	}
-	if *r.json {
-		return printJSON(e.out, p)
-	}
-	t := newTable(e.out, "JOB", "POOL", "PHASE", "TASKS", "DONE", "ENDED", "WHY")
-	t.row(p.Name, p.Pool, p.Phase, p.Count, p.Done, p.Ended, p.Why)
-	return t.flush()
-}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,7 +50,6 @@
 	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
 	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
 	Claims  float64       `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
-	Life    time.Duration `json:"life" validate:"min=1s" doc:"Time that a claim of an idempotency key is kept where the caller does not say."`
 }
 
 // Runners has the limits on connections to runners.
@@ -58,7 +57,7 @@
 	Slots   int           `json:"slots" validate:"min=1" doc:"Requests that a runner serves at once."`
 	Conns   int           `json:"conns" validate:"min=1" doc:"Connections that a runner accepts in all."`
 	Connect time.Duration `json:"connect" validate:"min=1ms" doc:"Time allowed for opening a connection."`
-	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is closed."`
+	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is not trusted any more and closed."`
 }
 
 // Sync says how the configuration spreads.
@@ -80,7 +79,7 @@
 
 // Duties says how the control duties are run.
 type Duties struct {
-	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within about twice this time."`
+	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within 2.7 times this."`
 	Step time.Duration `json:"step" validate:"min=10ms" doc:"Time between two steps of a duty."`
 	Keep time.Duration `json:"keep" validate:"min=1m" doc:"Age at which entries of the audit trail move from the table to the object store."`
 }
@@ -100,13 +99,12 @@
 			Timeout: 10 * time.Second,
 			Memory:  64 << 20,
 			Claims:  40,
-			Life:    24 * time.Hour,
 		},
 		Runners: Runners{
 			Slots:   8,
 			Conns:   64,
 			Connect: 500 * time.Millisecond,
-			Idle:    5 * time.Second,
+			Idle:    time.Second,
 		},
 		Sync: Sync{
 			Poll: time.Second,
