share: learn the means in calm times

Change: what is asked while nothing waits and at most 0.8 of the slots are in use is learned over 2 minutes, at most 4 times the declared mean; a floor is for the higher of both, or for the learned one where those leave little of the slots. A flood can't raise its own floor, as it ends the calm. Seen failing first: the test read a mean of 10 where 30 is asked, as every refresh ran with the new arrival waiting; it now runs before the event.

--- a/share/floor.go
+++ b/share/floor.go
@@ -9,12 +9,22 @@
 	refreshEvery = 250 * time.Millisecond
 	leastDemand  = 0.05 // slots, so that a kind without a mean still has a floor
 	staffSteps   = 40   // bisection steps
+	calmLoad     = 0.8  // part of the slots in use
+	mostLearned  = 4.0  // learned mean over the declared one
 )
 
 // refresh computes the floors anew from the means and the measured run times.
 func (p *Pool) refresh(now time.Time) {
+	passed := now.Sub(p.refreshed)
+	calm := p.calm()
+	if calm && !p.refreshed.IsZero() {
+		p.learnt += passed
+	}
 	for _, k := range p.kinds {
-		k.observe(now.Sub(p.refreshed))
+		k.observe(passed)
+		if calm {
+			k.learn(passed, p.opts.learn)
+		}
 	}
 	p.refreshed = now
 	demand := p.demands()
@@ -36,13 +46,42 @@
 	}
 }
 
-// demands returns the slots that each kind holds on average at its mean, by Little's law.
+// calm tells whether the pool serves all that is asked with slots to spare; only then is
+// what is asked taken for the mean, so that a flood can't raise its own floor.
+func (p *Pool) calm() bool {
+	return p.waiting == 0 && float64(p.running) <= calmLoad*float64(p.slots)
+}
+
+// demands returns the slots that each kind holds on average at its mean, by Little's law. The
+// mean is the declared one or, where it is higher, the learned one. Where these leave little
+// of the slots, the learned ones are taken alone once there are any, for what is declared too
+// high takes the floors of others; else the declared ones.
 func (p *Pool) demands() []float64 {
 	part := p.part()
+	ds := p.demandsBy(func(k *kind) float64 {
+		declared := k.work.Mean * part
+		return math.Max(declared, math.Min(k.learned, mostLearned*declared))
+	})
+	if staffed(ds, 0) <= calmLoad*float64(p.slots) {
+		return ds
+	}
+	known := p.learnt >= p.opts.learn && p.opts.learn > 0
+	return p.demandsBy(func(k *kind) float64 {
+		declared := k.work.Mean * part
+		if !known {
+			return declared
+		}
+		return math.Max(declared/mostLearned, math.Min(k.learned, mostLearned*declared))
+	})
+}
+
+// demandsBy sets the means that the floors are for and returns the slots they hold.
+func (p *Pool) demandsBy(mean func(*kind) float64) []float64 {
 	ds := make([]float64, len(p.kinds))
 	for i, k := range p.kinds {
+		k.mean = mean(k)
 		if !k.gone {
-			ds[i] = math.Max(k.work.Mean*part*k.run, leastDemand)
+			ds[i] = math.Max(k.mean*k.run, leastDemand)
 		}
 	}
 	return ds
--- a/share/kind.go
+++ b/share/kind.go
@@ -43,6 +43,8 @@
 	asked   float64   // requests a second, moving average
 	starts  uint64    // requests started in all
 	refused uint64    // requests refused in all
+	learned float64   // requests a second that are asked while the pool is calm
+	mean    float64   // requests a second that the floor is for
 	booked  time.Time // when the last refused caller was told to come back
 }
 
@@ -88,11 +90,19 @@
 	k.arrived = 0
 }
 
+// learn takes what was asked since the last call, as observe found it, into the learned mean.
+func (k *kind) learn(passed, over time.Duration) {
+	if passed <= 0 || over <= 0 {
+		return
+	}
+	keep := math.Exp(-passed.Seconds() / over.Seconds())
+	k.learned = keep*k.learned + (1-keep)*k.asked
+}
+
 // expected returns the requests a second that the kind's floor has to be ready for: what is
 // asked now, at least a part of the mean and no more than the mean.
-func (k *kind) expected(part float64) float64 {
-	mean := k.work.Mean * part
-	return math.Min(mean, math.Max(k.asked, mean*leastExpected))
+func (k *kind) expected() float64 {
+	return math.Min(k.mean, math.Max(k.asked, k.mean*leastExpected))
 }
 
 // below tells whether the running requests and more of them are within the floor; with none
--- a/share/lend.go
+++ b/share/lend.go
@@ -35,7 +35,7 @@
 func (p *Pool) borrowed(k *kind, l load, free int) tier {
 	if n := k.idle(); n > 0 {
 		l.idle -= n
-		l.asked -= k.expected(p.part())
+		l.asked -= k.expected()
 	}
 	switch {
 	case k.long() > p.opts.reclaim.Seconds():
@@ -104,7 +104,7 @@
 		l.freed += float64(k.running) / k.run
 		if n := k.idle(); n > 0 {
 			l.idle += n
-			l.asked += k.expected(p.part())
+			l.asked += k.expected()
 			l.patience = math.Min(l.patience, k.run*waitPart)
 		}
 	}
--- a/share/option.go
+++ b/share/option.go
@@ -8,6 +8,7 @@
 	defaultRun     = 100 * time.Millisecond // run time of a kind before its first answer
 	defaultReclaim = 2 * time.Second
 	defaultBurst   = 30 * time.Second
+	defaultLearn   = 2 * time.Minute
 	defaultShort   = 0.01 // chance that a request within its floor finds no idle slot
 	defaultPerSlot = 64   // queued requests
 )
@@ -17,6 +18,7 @@
 	burst   time.Duration
 	short   float64
 	perSlot int
+	learn   time.Duration
 }
 
 // Option changes how a pool shares its slots.
@@ -38,6 +40,12 @@
 	return func(o *options) { o.short = chance }
 }
 
+// WithLearn sets over what time the means are learned while the pool is calm; zero keeps the
+// declared ones.
+func WithLearn(over time.Duration) Option {
+	return func(o *options) { o.learn = over }
+}
+
 // WithQueue sets the bound on queued requests, a slot of the pool.
 func WithQueue(perSlot int) Option {
 	return func(o *options) { o.perSlot = perSlot }
@@ -49,6 +57,7 @@
 		burst:   defaultBurst,
 		short:   defaultShort,
 		perSlot: defaultPerSlot,
+		learn:   defaultLearn,
 	}
 	for _, f := range opts {
 		f(&o)
--- a/share/pool.go
+++ b/share/pool.go
@@ -24,8 +24,9 @@
 	waiting   int
 	at        time.Time // of the last event
 	refreshed time.Time
-	started   int // requests that the present event has started
-	lent      int // those of them above their floors
+	learnt    time.Duration // calm time in all
+	started   int           // requests that the present event has started
+	lent      int           // those of them above their floors
 }
 
 // New returns a pool without slots or services.
@@ -42,6 +43,9 @@
 // pool's state, the event and now. An error of kind fault.Breach tells of a broken invariant.
 func (p *Pool) Apply(ev Event, now time.Time) ([]Effect, error) {
 	p.started, p.lent, p.at = 0, 0, now
+	if now.Sub(p.refreshed) >= refreshEvery {
+		p.refresh(now)
+	}
 	var out []Effect
 	switch e := ev.(type) {
 	case Arrive:
@@ -57,9 +61,6 @@
 		out = p.configure(e, now)
 	case Tick:
 	}
-	if now.Sub(p.refreshed) >= refreshEvery {
-		p.refresh(now)
-	}
 	out = p.turnAway(out, now)
 	out = p.fill(out, now)
 	if a, ok := ev.(Arrive); ok && a.Full {
--- a/share/usage.go
+++ b/share/usage.go
@@ -12,6 +12,7 @@
 	Running int
 	Waiting int
 	Mean    float64 // requests a second, as the record says, scaled to this entry
+	Guarded float64 // requests a second that the floor is for: the mean, or more where more was learned
 	Asked   float64 // requests a second, measured
 	Run     time.Duration
 	Started uint64 // since the kind was configured
@@ -29,6 +30,7 @@
 			Running: k.running,
 			Waiting: len(k.queue),
 			Mean:    k.work.Mean * p.part(),
+			Guarded: k.mean,
 			Asked:   k.asked,
 			Run:     seconds(k.run),
 			Started: k.starts,
