--- a/route/table.go
+++ b/route/table.go
@@ -1,8 +1,8 @@
 package route
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -50,6 +50,7 @@
 		byID:    make(map[string]platform.Instance, len(list)),
 		entries: []platform.Instance{{ID: self.Instance, Centre: self.Centre}},
 		near:    map[poolCentre]bool{},
+		sharers: map[poolCentre][]string{},
 	}
 	t := Table{Seq: state.Seq()}
 	for _, in := range list {
@@ -58,6 +59,7 @@
 			b.entries = append(b.entries, in)
 		}
 	}
+	slices.SortFunc(b.entries, func(x, y platform.Instance) int { return strings.Compare(x.ID, y.ID) })
 	t.Services = b.services(state)
 	t.Targets = b.targets(state)
 	t.Capacities = b.capacities(state, t.Targets)
@@ -68,8 +70,9 @@
 type builder struct {
 	self    Self
 	byID    map[string]platform.Instance
-	entries []platform.Instance // live ones, this one always among them
+	entries []platform.Instance // live ones, this one always among them, sorted by ID
 	near    map[poolCentre]bool // where each pool has live runners
+	sharers map[poolCentre][]string
 	errs    []error
 }
 
@@ -136,8 +139,8 @@
 // part is how many of a runner's slots this entry may fill. The slots are split over the
 // entries that send to it; which of them get what is left over differs from runner to runner.
 func (b *builder) part(in platform.Instance, pool string) int {
-	share := b.sharers(in.Centre, pool)
-	rank := slices.IndexFunc(share, func(e platform.Instance) bool { return e.ID == b.self.Instance })
+	share := b.sharersOf(poolCentre{pool, in.Centre})
+	rank := slices.Index(share, b.self.Instance)
 	if rank < 0 {
 		return 0
 	}
@@ -150,16 +153,19 @@
 	return part
 }
 
-// sharers are the live entries that send to the pool's runners of a data centre, in an order
+// sharersOf names the live entries that send to the pool's runners of a data centre, in an order
 // that all entries agree on: those of the data centre, and those that have none of the pool near.
-func (b *builder) sharers(centre, pool string) []platform.Instance {
-	var out []platform.Instance
+func (b *builder) sharersOf(at poolCentre) []string {
+	if out, ok := b.sharers[at]; ok {
+		return out
+	}
+	var out []string
 	for _, e := range b.entries {
-		if e.Centre == centre || !b.near[poolCentre{pool, e.Centre}] {
-			out = append(out, e)
+		if e.Centre == at.centre || !b.near[poolCentre{at.pool, e.Centre}] {
+			out = append(out, e.ID)
 		}
 	}
-	slices.SortFunc(out, func(x, y platform.Instance) int { return cmp.Compare(x.ID, y.ID) })
+	b.sharers[at] = out
 	return out
 }
 
