--- a/entry/ahead_test.go
+++ b/entry/ahead_test.go
@@ -25,7 +25,7 @@
 		ran := 0
 		const span = time.Second
 		end := time.Now().Add(span)
-		for i := range 32 {
+		for i := range 64 {
 			wg.Go(func() {
 				for n := 0; time.Now().Before(end); n++ {
 					key := fmt.Sprintf("%d.%d", i, n)
