share: the usage of an idle pool is as of now

Cause: a pool that nobody asks has no events, so what it was asked last stood for good, and the lending duty reads it. Seen failing first: a minute after the last request the kind still showed about 20 requests a second; now 0.

--- a/share/gate.go
+++ b/share/gate.go
@@ -127,11 +127,13 @@
 	return s.pool.Running(), s.pool.Waiting()
 }
 
-// Usage returns the usage of each kind of work of a pool.
+// Usage returns the usage of each kind of work of a pool as of now.
 func (g *Gate) Usage(pool string) []Usage {
 	s := g.shardFor(pool)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// A pool that nobody asks has no events that would bring its averages up to date.
+	s.applyLocked(Tick{})
 	return s.pool.Usage()
 }
 
--- a/share/gate_test.go
+++ b/share/gate_test.go
@@ -152,3 +152,20 @@
 		require.EqualValues(t, asked-limit-1, refused)
 	})
 }
+
+func TestUsageOfAnIdlePoolFades(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewGate(WithBreach(func(err error) { t.Error(err) }))
+		g.SetService("texts", texts())
+		g.SetCapacity("p", 8)
+		for range 100 {
+			release, err := g.Acquire(t.Context(), "texts", "notice", time.Time{})
+			require.NoError(t, err)
+			time.Sleep(50 * time.Millisecond)
+			release()
+		}
+		require.InDelta(t, 20, g.Usage("p")[0].Asked, 5)
+		time.Sleep(time.Minute)
+		require.InDelta(t, 0, g.Usage("p")[0].Asked, 0.1)
+	})
+}
