share: a kind whose runs grow slow doesn't take the floors of others

Cause: a floor grows with the measured run time, so a kind whose runs grew from 50 ms to 1.9 s, as when something behind its runners fails, shrank the others' floors in proportion. Change: a floor allows for 1.5 times the run time that is usual in calm; where demands don't fit the greatest are lowered to one level (max-min fairness) in place of all in proportion.

--- a/share/floor.go
+++ b/share/floor.go
@@ -28,11 +28,8 @@
 	}
 	p.refreshed = now
 	demand := p.demands()
+	capped(demand, float64(p.slots))
 	c := headroom(demand, float64(p.slots))
-	scale := 1.0
-	if sum := staffed(demand, 0); sum > float64(p.slots) {
-		scale = float64(p.slots) / sum
-	}
 	for _, g := range p.groups {
 		g.floor = 0
 	}
@@ -40,7 +37,7 @@
 		k.accrue(now, p.opts.burst)
 		k.floor = 0
 		if !k.gone {
-			k.floor = scale * (demand[i] + c*math.Sqrt(demand[i]))
+			k.floor = demand[i] + c*math.Sqrt(demand[i])
 		}
 		k.group.floor += k.floor
 	}
@@ -81,12 +78,40 @@
 	for i, k := range p.kinds {
 		k.mean = mean(k)
 		if !k.gone {
-			ds[i] = math.Max(k.mean*k.run, leastDemand)
+			ds[i] = math.Max(k.mean*k.usualRun(), leastDemand)
 		}
 	}
 	return ds
 }
 
+// capped lowers the greatest demands to one level where all together don't fit (max-min
+// fairness), so that a great one doesn't shrink the small ones.
+func capped(demand []float64, slots float64) {
+	if staffed(demand, 0) <= slots {
+		return
+	}
+	low, high := 0.0, slots
+	for range staffSteps {
+		mid := (low + high) / 2
+		if sum := staffedUpTo(demand, mid); sum < slots {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	for i := range demand {
+		demand[i] = math.Min(demand[i], low)
+	}
+}
+
+func staffedUpTo(demand []float64, most float64) float64 {
+	sum := 0.0
+	for _, d := range demand {
+		sum += math.Min(d, most)
+	}
+	return sum
+}
+
 // headroom returns the c for which demand + c*sqrt(demand), summed over the kinds, is the
 // pool's slots (square-root staffing: small kinds need more room in proportion).
 func headroom(demand []float64, slots float64) float64 {
--- a/share/kind.go
+++ b/share/kind.go
@@ -13,6 +13,8 @@
 	leastExpected = 0.2             // of the mean
 	meanGain      = 1.0 / 64        // weight of the newest run time
 	highDevs      = 2               // deviations above the mean that count as a long run
+	leastRuns     = 20              // run times that make a first usual one
+	mostSlower    = 1.5             // run time that the floor allows for, over the usual one
 )
 
 // kindName names a kind of work in its pool.
@@ -37,6 +39,7 @@
 	run     float64 // seconds, moving average
 	dev     float64 // seconds, moving mean deviation
 	runs    int     // run times measured
+	usual   float64 // seconds, run time learned while the pool is calm; zero means not yet
 	credit  float64 // slot-seconds of its floor left unused
 	since   time.Time
 	arrived int       // since the floors were last computed
@@ -53,6 +56,15 @@
 	return math.Max(k.floor, float64(k.running)) / k.run
 }
 
+// usualRun returns the run time in seconds that the floor is for: runs that have grown far
+// longer, as when something behind the runners fails, don't raise it.
+func (k *kind) usualRun() float64 {
+	if k.usual == 0 {
+		return k.run
+	}
+	return math.Min(k.run, mostSlower*k.usual)
+}
+
 // long returns a run time in seconds that few of the kind's requests exceed.
 func (k *kind) long() float64 {
 	return k.run + highDevs*k.dev
@@ -90,12 +102,19 @@
 	k.arrived = 0
 }
 
-// learn takes what was asked since the last call, as observe found it, into the learned mean.
+// learn takes what was asked since the last call, as observe found it, into the learned mean,
+// and the run time into the usual one.
 func (k *kind) learn(passed, over time.Duration) {
 	if passed <= 0 || over <= 0 {
 		return
 	}
 	keep := math.Exp(-passed.Seconds() / over.Seconds())
+	switch {
+	case k.usual > 0:
+		k.usual = keep*k.usual + (1-keep)*k.run
+	case k.runs >= leastRuns:
+		k.usual = k.run
+	}
 	k.learned = keep*k.learned + (1-keep)*k.asked
 }
 
