An idle pool reads nothing from the table

A new holder looks once for takes of waves whose record is gone; after that such takes come about under its own lease only.

--- a/wave/driver.go
+++ b/wave/driver.go
@@ -50,6 +50,7 @@
 	loaded map[string]snapshot  // newest reading of each wave; rows of the same version aren't decoded again
 	state  pool.State           // the pool's row of version stateV
 	stateV int64
+	idle   bool // the last reading showed nothing to do
 }
 
 // ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
@@ -145,9 +146,13 @@
 }
 
 // waves returns the waves that aren't over: those in force, and those that have instances out
-// though their record is gone.
+// though their record is gone. Takes of waves come about under this lease only, so a pool that
+// had none needs no reading until a wave is in force.
 func (d *Driver) waves(ctx context.Context) ([]string, error) {
-	names := slices.Clone(d.names())
+	names := d.open(d.names())
+	if len(names) == 0 && d.idle {
+		return nil, nil
+	}
 	rows, err := d.table.Read(ctx, pool.Key(d.pool))
 	if err != nil {
 		return nil, err
@@ -167,7 +172,15 @@
 	for n := range d.loaded {
 		names = append(names, n) // also one that was edited and no longer covers the pool
 	}
+	names = d.open(names)
+	d.idle = len(names) == 0
+	return names, nil
+}
+
+// open returns the names sorted, each once, without the waves that are over in this pool.
+func (d *Driver) open(names []string) []string {
+	names = slices.Clone(names)
 	slices.Sort(names)
 	names = slices.Compact(names)
-	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] }), nil
+	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] })
 }
--- a/wave/step.go
+++ b/wave/step.go
@@ -22,6 +22,7 @@
 		return nil
 	}
 	if s.strange() {
+		delete(d.loaded, name)
 		return nil
 	}
 	v := d.view()
