--- a/wave/driver.go
+++ b/wave/driver.go
@@ -51,7 +51,6 @@
 	loaded map[string]snapshot  // newest reading of each wave; rows of the same version aren't decoded again
 	state  pool.State           // the pool's row of version stateV
 	stateV int64
-	idle   bool // the last reading showed nothing to do
 }
 
 // ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
@@ -130,7 +129,6 @@
 	if err != nil {
 		return err
 	}
-	d.idle = len(waves) == 0
 	var first error
 	for _, name := range waves {
 		err := d.stepWave(ctx, name)
@@ -147,8 +145,8 @@
 	return first
 }
 
-// Idle tells whether the last step found no wave that isn't over; until another one comes into
-// force, steps are only needed for takes that were left behind.
+// Idle tells whether the last step found no wave that isn't over, nor takes of one; until a wave
+// comes into force there is nothing to do under this lease.
 func (d *Driver) Idle() bool {
 	return d.idle
 }
