A wave that waits reads the table every 5 s

Cause: a wave at work read six rows, two of them of 9 KB at the target, in each step, also while its instances only drained or rebooted. Between changes the driver acts on its last reading for up to 5 s; what it writes is conditioned on those rows, the first request for a reboot reads them anew, and a lost race makes the next step read.

--- a/wave/driver.go
+++ b/wave/driver.go
@@ -51,6 +51,7 @@
 	loaded map[string]snapshot  // newest reading of each wave; rows of the same version aren't decoded again
 	state  pool.State           // the pool's row of version stateV
 	stateV int64
+	looked time.Time // when the pool's row was read for takes of waves whose record is gone
 }
 
 // ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
@@ -159,17 +160,9 @@
 	if len(names) == 0 && d.idle {
 		return nil, nil
 	}
-	rows, err := d.table.Read(ctx, pool.Key(d.pool))
-	if err != nil {
+	if err := d.look(ctx); err != nil {
 		return nil, err
 	}
-	if rows[0].Version != d.stateV {
-		d.state = pool.State{}
-		if _, err := journal.NewRows(d.now(), rows...).Load(pool.Key(d.pool), &d.state); err != nil {
-			return nil, err
-		}
-		d.stateV = rows[0].Version
-	}
 	for _, t := range d.state.Takes {
 		if t.Cause == pool.CauseWave {
 			names = append(names, t.By)
@@ -183,6 +176,26 @@
 	return names, nil
 }
 
+// look reads the pool's row, at most once a Refresh.
+func (d *Driver) look(ctx context.Context) error {
+	now := d.now()
+	if now.Sub(d.looked) < d.limits.Refresh {
+		return nil
+	}
+	rows, err := d.table.Read(ctx, pool.Key(d.pool))
+	if err != nil {
+		return err
+	}
+	d.looked = now
+	if rows[0].Version == d.stateV {
+		return nil
+	}
+	d.state = pool.State{}
+	d.stateV = rows[0].Version
+	_, err = journal.NewRows(now, rows...).Load(pool.Key(d.pool), &d.state)
+	return err
+}
+
 // open returns the names sorted, each once, without the waves that are over in this pool.
 func (d *Driver) open(names []string) []string {
 	names = slices.Clone(names)
--- a/wave/limits.go
+++ b/wave/limits.go
@@ -13,6 +13,7 @@
 	Over     int           // unplanned losses in a pool over its budget that stop the wave
 	Ask      time.Duration // longest wait for one entry's answer
 	Parallel int           // entries asked at once
+	Refresh  time.Duration // age at which the table's rows are read again though nothing happened
 }
 
 // DefaultLimits returns the limits in use where none are set.
@@ -25,5 +26,6 @@
 		Over:     2,
 		Ask:      1 * time.Second,
 		Parallel: 8,
+		Refresh:  5 * time.Second,
 	}
 }
--- a/wave/snapshot.go
+++ b/wave/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
@@ -22,6 +24,7 @@
 	pool pool.Loaded
 	part Part
 	stop Stop
+	read time.Time // when the rows were read; zero after they were written
 }
 
 // keys are the rows of a snapshot.
@@ -30,6 +33,31 @@
 	return rows, []record.Key{pool.RecordKey(name), RecordKey(wave)}
 }
 
+// current returns the last snapshot while it is young and nothing is to be rebooted, else a new
+// one. What is written from an older one is conditioned on its rows.
+func (d *Driver) current(ctx context.Context, wave string) (snapshot, error) {
+	now := d.now()
+	s, ok := d.loaded[wave]
+	if !ok || now.Sub(s.read) >= d.limits.Refresh || s.reboots() {
+		return d.read(ctx, wave)
+	}
+	s.rows.Now = now
+	return s, nil
+}
+
+// reboots tells whether the first request for a reboot is due.
+func (s snapshot) reboots() bool {
+	return !s.stopped() && slices.ContainsFunc(s.part.Items, func(it Item) bool { return it.State == Quiet })
+}
+
+// outdate makes the next step read the wave's rows again.
+func (d *Driver) outdate(wave string) {
+	if s, ok := d.loaded[wave]; ok {
+		s.read = time.Time{}
+		d.loaded[wave] = s
+	}
+}
+
 // read reads a snapshot.
 func (d *Driver) read(ctx context.Context, wave string) (snapshot, error) {
 	names, records := keys(wave, d.pool)
@@ -43,12 +71,15 @@
 	now := d.now()
 	if old, ok := d.loaded[wave]; ok && old.same(rows) {
 		old.rows = journal.NewRows(now, rows...)
+		old.read = now
+		d.loaded[wave] = old
 		return old, nil
 	}
 	s, err := load(journal.NewRows(now, rows...), wave, d.pool)
 	if err != nil {
 		return s, err
 	}
+	s.read = now
 	d.loaded[wave] = s
 	return s, nil
 }
--- a/wave/step.go
+++ b/wave/step.go
@@ -12,7 +12,7 @@
 
 // stepWave does what is due in one wave, writes the progress, then takes further instances.
 func (d *Driver) stepWave(ctx context.Context, name string) error {
-	s, err := d.read(ctx, name)
+	s, err := d.current(ctx, name)
 	if err != nil {
 		return err
 	}
@@ -36,6 +36,7 @@
 	}
 	version := s.rows.Row(Key(name, d.pool)).Version
 	if n.changed(s) {
+		d.outdate(name)
 		if err := d.commit(ctx, s, n); err != nil {
 			return err
 		}
@@ -45,6 +46,7 @@
 	if len(n.picked) == 0 {
 		return nil
 	}
+	defer d.outdate(name)
 	return d.take(ctx, name, version, v)
 }
 
