--- a/wave/driver.go
+++ b/wave/driver.go
@@ -51,6 +51,7 @@
 	loaded map[string]snapshot  // newest reading of each wave; rows of the same version aren't decoded again
 	state  pool.State           // the pool's row of version stateV
 	stateV int64
+	looked time.Time // when the pool's row was read for takes of waves whose record is gone
 }
 
 // ack is one boot of an entry that is quiet about one boot of an instance; it stays so, for the
@@ -129,7 +130,6 @@
 	if err != nil {
 		return err
 	}
-	d.idle = len(waves) == 0
 	var first error
 	for _, name := range waves {
 		err := d.stepWave(ctx, name)
@@ -146,26 +146,22 @@
 	return first
 }
 
-// Idle tells whether the last step found no wave that isn't over; until another one comes into
-// force, steps are only needed for takes that were left behind.
+// Idle tells whether the last step found no wave that isn't over, nor takes of one; until a wave
+// comes into force there is nothing to do under this lease.
 func (d *Driver) Idle() bool {
 	return d.idle
 }
 
 // waves returns the waves that aren't over: those in force, and those that have instances out
-// though their record is gone.
+// though their record is gone. Takes of waves come about under this lease only, so a pool that
+// had none needs no reading until a wave is in force.
 func (d *Driver) waves(ctx context.Context) ([]string, error) {
-	names := slices.Clone(d.names())
-	rows, err := d.table.Read(ctx, pool.Key(d.pool))
-	if err != nil {
-		return nil, err
+	names := d.open(d.names())
+	if len(names) == 0 && d.idle {
+		return nil, nil
 	}
-	if rows[0].Version != d.stateV {
-		d.state = pool.State{}
-		if _, err := journal.NewRows(d.now(), rows...).Load(pool.Key(d.pool), &d.state); err != nil {
-			return nil, err
-		}
-		d.stateV = rows[0].Version
+	if err := d.look(ctx); err != nil {
+		return nil, err
 	}
 	for _, t := range d.state.Takes {
 		if t.Cause == pool.CauseWave {
@@ -175,7 +171,35 @@
 	for n := range d.loaded {
 		names = append(names, n) // also one that was edited and no longer covers the pool
 	}
+	names = d.open(names)
+	d.idle = len(names) == 0
+	return names, nil
+}
+
+// look reads the pool's row, at most once a Refresh.
+func (d *Driver) look(ctx context.Context) error {
+	now := d.now()
+	if now.Sub(d.looked) < d.limits.Refresh {
+		return nil
+	}
+	rows, err := d.table.Read(ctx, pool.Key(d.pool))
+	if err != nil {
+		return err
+	}
+	d.looked = now
+	if rows[0].Version == d.stateV {
+		return nil
+	}
+	d.state = pool.State{}
+	d.stateV = rows[0].Version
+	_, err = journal.NewRows(now, rows...).Load(pool.Key(d.pool), &d.state)
+	return err
+}
+
+// open returns the names sorted, each once, without the waves that are over in this pool.
+func (d *Driver) open(names []string) []string {
+	names = slices.Clone(names)
 	slices.Sort(names)
 	names = slices.Compact(names)
-	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] }), nil
+	return slices.DeleteFunc(names, func(n string) bool { return d.ended[n] })
 }
