--- a/job/evidence.go
+++ b/job/evidence.go
@@ -35,7 +35,7 @@
 	j.Evidence.Bad++
 	j.Evidence.Fails = remember(j.Evidence.Fails, s)
 	w.strikes = remember(w.strikes, s)
-	j.dirty = true
+	j.soft = true
 	p.changes.touch(j)
 	onProbation := w.bad.Health == Probation
 	if err := p.follow(t, "failed too often", t.isRepeatable(), now); err != nil {
@@ -210,7 +210,7 @@
 			t.Ready = time.Time{}
 		}
 	}
-	j.dirty = true
+	j.soft = true
 	p.changes.touch(j)
 }
 
--- a/job/place.go
+++ b/job/place.go
@@ -18,6 +18,7 @@
 
 // Decide starts what can be started, makes room for urgent work, and moves the leases' end.
 func (p *Pool) Decide(now time.Time) error {
+	p.now = now
 	p.releaseWorkers(now)
 	if err := p.judge(now); err != nil {
 		return err
--- a/job/pool.go
+++ b/job/pool.go
@@ -30,6 +30,7 @@
 	total   Amount           // of all workers that were ever listed
 	urgent  Amount           // held by urgent jobs
 
+	now     time.Time // of the last call of Settle or Decide
 	changes changes
 	count   int // entries made, which keeps their IDs apart
 	stats   Stats
--- a/job/report.go
+++ b/job/report.go
@@ -104,7 +104,7 @@
 // reckon renews the size that the job's next tries are guaranteed.
 func (p *Pool) reckon(j *Job) {
 	j.guess = p.sized(j)
-	j.dirty = true
+	j.soft = true
 	p.changes.touch(j)
 }
 
--- a/job/rows.go
+++ b/job/rows.go
@@ -20,6 +20,9 @@
 	Bans  map[string]Ban `json:"bans,omitempty"`
 }
 
+// softEvery is the shortest time between writes of a job's row for its estimate and evidence alone.
+const softEvery = 10 * time.Second
+
 // Prefix returns the start of the table keys of a pool's jobs.
 func Prefix(pool string) string {
 	return "job/" + pool + "/"
@@ -160,10 +163,13 @@
 			return u, err
 		}
 	}
+	if j.soft && p.now.Sub(j.wrote) >= softEvery {
+		j.dirty = true
+	}
 	if !j.dirty {
 		return u, nil
 	}
-	j.dirty = false
+	j.dirty, j.soft, j.wrote = false, false, p.now
 	return u, u.put(p.keyHead(j.Name), j)
 }
 
--- a/job/settle.go
+++ b/job/settle.go
@@ -8,6 +8,7 @@
 // Settle ends tries whose end is proved by time, and shrinks what is guaranteed beyond need.
 // What it frees is committed before Decide gives it to others.
 func (p *Pool) Settle(now time.Time) error {
+	p.now = now
 	for _, w := range p.workers {
 		for _, t := range slices.Clone(w.tasks) {
 			if err := p.lapse(t, now); err != nil {
--- a/job/spec.go
+++ b/job/spec.go
@@ -65,6 +65,8 @@
 	facts   facts          // that the last verdict was made from
 	longest time.Duration  // that any of its tries was reported to have run without failing
 	stuckAt time.Time
+	soft    bool      // estimate or evidence changed, which a new holder could learn again
+	wrote   time.Time // when its row was last written
 	dirty   bool
 }
 
