--- a/job/list.go
+++ b/job/list.go
@@ -32,6 +32,7 @@
 		return idle
 	})
 	for _, w := range p.workers {
+		w.stale = newest.Sub(w.Seen) > p.policy.Stale
 		w.silent = !listed[w.ID] || w.State == platform.StateGone || newest.Sub(w.Seen) > p.policy.Silent
 		if w.member {
 			p.total = p.total.plus(w.total)
--- a/job/policy.go
+++ b/job/policy.go
@@ -8,6 +8,7 @@
 	Renew        time.Duration // the leases are renewed when so much of Lease has passed
 	Margin       time.Duration // clocks of holder and worker differ by less
 	Silent       time.Duration // a worker that the platform hasn't heard of for so long is silent
+	Stale        time.Duration // a worker that lags so far behind the others gets no new tasks
 	ReportEvery  time.Duration // a worker's reports are read so often
 	Resend       time.Duration // an effect whose answer is missing is sent again after so long
 	SaveWait     time.Duration // a task that isn't reported as checkpointed after so long is stopped
@@ -46,6 +47,7 @@
 		Renew:        2 * time.Minute,
 		Margin:       5 * time.Second,
 		Silent:       30 * time.Second,
+		Stale:        10 * time.Second,
 		ReportEvery:  5 * time.Second,
 		Resend:       2 * time.Second,
 		SaveWait:     1200 * time.Millisecond,
--- a/job/worker.go
+++ b/job/worker.go
@@ -36,6 +36,7 @@
 	member  bool // of the pool
 	present bool // listed as live
 	silent  bool
+	stale   bool // lags behind the others in the list, and gets no new tasks
 	bad     Ban
 	strikes []Strike  // failures since the last success
 	read    time.Time // when its reports were last read
@@ -67,7 +68,7 @@
 
 // takes tells whether the worker may get new tasks of j.
 func (w *Worker) takes(j *Job) bool {
-	if !w.member || !w.present || w.silent {
+	if !w.member || !w.present || w.silent || w.stale {
 		return false
 	}
 	switch w.bad.Health {
