--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,6 +18,7 @@
 	Calls    Calls          `json:"calls" doc:"Limits on callers' requests."`
 	Runners  Runners        `json:"runners" doc:"Limits on connections to runners."`
 	Sync     Sync           `json:"sync" doc:"How the configuration spreads."`
+	Lend     Lend           `json:"lend" doc:"How spare pools lend their instances."`
 	Duties   Duties         `json:"duties" doc:"Control duties that are shared between the daemons under leases."`
 	Stop     Stop           `json:"stop" doc:"How the daemon stops."`
 	Log      string         `json:"log" validate:"oneof=debug info warn error" doc:"Least severe level that is logged."`
@@ -49,7 +50,6 @@
 	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
 	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
 	Claims  float64       `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
-	Life    time.Duration `json:"life" validate:"min=1s" doc:"Time that a claim of an idempotency key is kept where the caller does not say."`
 }
 
 // Runners has the limits on connections to runners.
@@ -57,7 +57,7 @@
 	Slots   int           `json:"slots" validate:"min=1" doc:"Requests that a runner serves at once."`
 	Conns   int           `json:"conns" validate:"min=1" doc:"Connections that a runner accepts in all."`
 	Connect time.Duration `json:"connect" validate:"min=1ms" doc:"Time allowed for opening a connection."`
-	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is closed."`
+	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is not trusted any more and closed."`
 }
 
 // Sync says how the configuration spreads.
@@ -68,9 +68,18 @@
 	Lag  time.Duration `json:"lag" validate:"min=10ms" doc:"Age at which an instance's last sign of life in the platform's list proves nothing any more: the list's lag and some heartbeats."`
 }
 
+// Lend says how spare pools lend their instances.
+type Lend struct {
+	Step    time.Duration `json:"step" validate:"min=10ms" doc:"Time between two looks at what callers ask of each pool."`
+	Smooth  time.Duration `json:"smooth" validate:"min=0" doc:"Time constant of the average of what callers ask."`
+	Ahead   time.Duration `json:"ahead" validate:"min=0" doc:"How far the forecast looks ahead: about the time that a move takes."`
+	Sustain time.Duration `json:"sustain" validate:"min=0" doc:"Time that a pool must be short before it borrows."`
+	Rest    time.Duration `json:"rest" validate:"min=0" doc:"Time that a pool must be calm before it gives one back."`
+}
+
 // Duties says how the control duties are run.
 type Duties struct {
-	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within about twice this time."`
+	Life time.Duration `json:"life" validate:"min=100ms" doc:"Life of a lease; a duty of a dead holder goes on within 2.7 times this."`
 	Step time.Duration `json:"step" validate:"min=10ms" doc:"Time between two steps of a duty."`
 	Keep time.Duration `json:"keep" validate:"min=1m" doc:"Age at which entries of the audit trail move from the table to the object store."`
 }
@@ -90,13 +99,12 @@
 			Timeout: 10 * time.Second,
 			Memory:  64 << 20,
 			Claims:  40,
-			Life:    24 * time.Hour,
 		},
 		Runners: Runners{
 			Slots:   8,
 			Conns:   64,
 			Connect: 500 * time.Millisecond,
-			Idle:    5 * time.Second,
+			Idle:    time.Second,
 		},
 		Sync: Sync{
 			Poll: time.Second,
@@ -104,6 +112,13 @@
 			List: time.Second,
 			Lag:  15 * time.Second,
 		},
+		Lend: Lend{
+			Step:    5 * time.Second,
+			Smooth:  time.Minute,
+			Ahead:   2 * time.Minute,
+			Sustain: 30 * time.Second,
+			Rest:    10 * time.Minute,
+		},
 		Duties: Duties{
 			Life: 5 * time.Second,
 			Step: 500 * time.Millisecond,
