--- a/job/configure.go
+++ b/job/configure.go
@@ -8,6 +8,9 @@
 	"gypsumlead/fault"
 )
 
+// whyDeleted marks jobs whose records were deleted; one of the same name is another job.
+const whyDeleted = "the job's record is deleted"
+
 // configure puts the accepted records in force; a wave of cancellations takes this one pass.
 func (p *Pool) configure(v View, now time.Time) error {
 	if v.Version < p.seen {
@@ -40,7 +43,7 @@
 		p.seen = v.Version
 		why := "the job is cancelled"
 		if !j.here {
-			why = "the job's record is deleted"
+			why = whyDeleted
 		}
 		if err := p.close(j, Cancelled, why, now); err != nil {
 			return err
@@ -113,6 +116,9 @@
 		j.guess = p.sized(j)
 		return
 	}
+	if j.Why == whyDeleted {
+		return // made anew; it is taken up when nothing of the old one is left
+	}
 	j.here = true
 	if j.Spec.Version == s.Version && j.Spec.Name != "" {
 		return
@@ -170,6 +176,7 @@
 			return false
 		}
 		delete(p.byName, j.Name)
+		p.configured = false // a record of the same name may be waiting
 		p.changes.gone = append(p.changes.gone, j)
 		return true
 	})
--- a/job/pool_test.go
+++ b/job/pool_test.go
@@ -183,3 +183,24 @@
 func sortRows(rows []platform.Row) {
 	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
 }
+
+func TestAJobMadeAnewWaitsForTheOldOne(t *testing.T) {
+	p, v := bench(t, 1)
+	v.add("j", record.Job{Count: 1})
+	for _, e := range p.pass(t, v, testNow) {
+		require.NoError(t, p.Apply(Answered{Effect: e}, testNow))
+	}
+	old := p.workers[0].tasks[0].ID()
+	v.Jobs, v.Version = nil, v.Version+1
+	p.pass(t, v, testNow.Add(time.Second))
+	v.add("j", record.Job{Count: 1})
+	es := p.pass(t, v, testNow.Add(3*time.Second))
+	require.Len(t, es, 1)
+	require.Equal(t, Act{Task: old, Act: platform.ActStop}, es[0])
+	require.NoError(t, p.Apply(Answered{Effect: es[0]}, testNow.Add(3*time.Second)))
+	require.NoError(t, p.Apply(Reported{Worker: "w0", Reports: []platform.Report{{Task: old, State: platform.TaskStopped}}}, testNow.Add(4*time.Second)))
+	require.Empty(t, p.pass(t, v, testNow.Add(5*time.Second)), "the old job's rows are deleted first")
+	es = p.pass(t, v, testNow.Add(6*time.Second))
+	require.Len(t, es, 1)
+	require.NotEqual(t, old, es[0].(Start).Task.ID)
+}
