Mutual TLS between daemons, claims swept, callers' connections bounded; quiet under any boot

An entry whose lagging list still showed an earlier boot as live could send under that boot while it reported the drained one as quiet: the count was of one boot only. Now it counts every boot of the instance and refuses while it would send under another.

--- a/app/app.go
+++ b/app/app.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +18,7 @@
 	"gypsumlead/entry"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
+	"gypsumlead/keys"
 	"gypsumlead/peer"
 	"gypsumlead/roster"
 	"gypsumlead/runner"
@@ -30,7 +32,7 @@
 	common
 	platform Platform
 	metrics  *metrics
-	meshOpts []peer.MeshOption
+	dial     peer.Dial
 
 	state  *journal.State
 	writer *journal.Writer
@@ -52,6 +54,7 @@
 	callers   *http.Server
 	operators *http.Server
 	listeners listeners
+	keys      *keys.Ring // nil where sessions between daemons aren't encrypted
 }
 
 // Addrs are the addresses that a daemon listens on.
@@ -66,7 +69,7 @@
 
 // WithPeerDial sets how connections to other daemons are made.
 func WithPeerDial(dial peer.Dial) Option {
-	return func(a *App) { a.meshOpts = append(a.meshOpts, peer.WithDial(dial)) }
+	return func(a *App) { a.dial = dial }
 }
 
 // New assembles a daemon and opens its listeners; Run starts it.
@@ -78,6 +81,9 @@
 	for _, o := range opts {
 		o(a)
 	}
+	if err := a.loadKeys(); err != nil {
+		return nil, err
+	}
 	a.makeConfiguration()
 	a.makeCallerPath()
 	a.makePeers()
@@ -87,6 +93,9 @@
 	}
 	var err error
 	a.listeners, err = listen(set.Listen)
+	if err == nil && a.keys != nil {
+		a.listeners.peers = tls.NewListener(a.listeners.peers, a.keys.Server())
+	}
 	return a, err
 }
 
@@ -97,7 +106,7 @@
 	a.writer = journal.NewWriter(a.platform.Table)
 	a.trail = audit.NewTrail(a.platform.Table, a.platform.Objects)
 	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
-	a.mesh = peer.NewMesh(us, a.log, append(a.meshOpts, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged))...)
+	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged), peer.WithDial(a.dialPeer))
 	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
 	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
 	a.poller = &poller{common: a.common, source: a.platform.Roster, roster: a.roster, mesh: a.mesh}
@@ -185,7 +194,7 @@
 		ctx, stop := context.WithCancel(inner)
 		g.Add(func() error { return f(ctx) }, func(error) { stop() })
 	}
-	addServer(&g, a.callers, a.listeners.callers)
+	addServer(&g, a.callers, entry.Limit(a.listeners.callers, a.set.Calls.Conns))
 	addServer(&g, a.operators, a.listeners.operators)
 	add(func(ctx context.Context) error { return a.server.Serve(ctx, a.listeners.peers) })
 	add(a.mesh.Run)
@@ -194,6 +203,7 @@
 	add(a.router.run)
 	add(a.runTeller)
 	add(a.duties.run)
+	add(a.sweepClaims)
 	stop, stopNow := context.WithCancel(ctx)
 	g.Add(func() error { return a.leave(stop) }, func(error) { stopNow() })
 	a.log.Info("daemon starts", zap.Any("listen", a.Addrs()), zap.String("boot", a.boot), zap.String("centre", a.set.Centre))
--- a/app/quiet.go
+++ b/app/quiet.go
@@ -29,10 +29,24 @@
 	if seq >= q.GetSeq() && !p.holdsDrain(q.GetInstance(), q.GetBoot()) {
 		return nil, fault.New(fault.Conflict, "entry %s has change %d in force, and no drain of boot %s of instance %s", p.set.Instance, seq, q.GetBoot(), q.GetInstance())
 	}
-	n := p.fleet.InProgress(q.GetInstance(), q.GetBoot())
+	if other, ok := p.sendsUnderOther(q.GetInstance(), q.GetBoot()); ok {
+		return nil, fault.New(fault.Conflict, "entry %s still knows instance %s under boot %s and may send to it", p.set.Instance, q.GetInstance(), other)
+	}
+	n := p.fleet.InProgressAny(q.GetInstance())
 	return &wire.Response{Body: &wire.Response_Quieted{Quieted: &wire.Quieted{Seq: seq, Progress: n}}}, nil
 }
 
+// sendsUnderOther returns another boot than the drained one under which this entry would send to
+// the instance; its list lags, or the instance has rebooted by itself.
+func (p *peers) sendsUnderOther(instance, boot string) (string, bool) {
+	for _, t := range p.router.targets() {
+		if t.Instance.ID == instance && t.Instance.Boot != boot && !t.Leaving {
+			return t.Instance.Boot, true
+		}
+	}
+	return "", false
+}
+
 // holdsDrain tells whether the drain of a boot is in force here.
 func (p *peers) holdsDrain(instance, boot string) bool {
 	e, ok := p.router.state.Get(record.Key{Kind: record.KindDrain, Name: instance})
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -22,6 +22,9 @@
 	if err != nil {
 		return err
 	}
+	// net/http reports some things of its own to the standard logger only.
+	restore := zap.RedirectStdLog(log)
+	defer restore()
 	c := client.New(set.Platform)
 	defer c.Close()
 	a, err := app.New(set, app.OverHTTP(c), log)
--- a/runner/fleet.go
+++ b/runner/fleet.go
@@ -114,6 +114,23 @@
 	return n
 }
 
+// InProgressAny counts the exchanges with any boot of an instance: an entry whose list lags may
+// still send to it under an earlier boot.
+func (f *Fleet) InProgressAny(id string) int64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	n := int64(0)
+	for who, all := range f.boots {
+		if who.id != id {
+			continue
+		}
+		for _, at := range all {
+			n += at.pool.inProgress(at.upstream)
+		}
+	}
+	return n
+}
+
 // breach counts and reports an invariant that does not hold.
 func (f *Fleet) breach(err error) {
 	f.count.breaches.Add(1)
--- a/settings/load.go
+++ b/settings/load.go
@@ -130,7 +130,7 @@
 // explain says what the failed rule demands.
 func explain(b validator.FieldError) string {
 	switch b.Tag() {
-	case "required":
+	case "required", "required_with":
 		return "missing"
 	case "min":
 		return "must be " + b.Param() + " at least"
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -14,6 +14,7 @@
 	Platform netip.AddrPort `json:"platform" validate:"required" doc:"Address of the platform's HTTP interface."`
 	Listen   Listen         `json:"listen" doc:"Addresses that the daemon listens on."`
 	Peers    []Peer         `json:"peers" validate:"unique,dive" doc:"Daemons to ask for the configuration while the platform does not answer; a few of each data centre are enough."`
+	TLS      TLS            `json:"tls" doc:"Keys for sessions between daemons; without them the sessions are open to whoever reaches the port."`
 	Tokens   []Token        `json:"tokens" validate:"unique=Name,dive" doc:"Who may call the operators' interface. Without any, every change is refused."`
 	Calls    Calls          `json:"calls" doc:"Limits on callers' requests."`
 	Runners  Runners        `json:"runners" doc:"Limits on connections to runners."`
@@ -37,6 +38,13 @@
 	Centre string         `json:"centre" validate:"required" doc:"Data centre that it is in."`
 }
 
+// TLS names the files for mutual TLS between daemons, all PEM; replaced files are followed within a second.
+type TLS struct {
+	Cert string `json:"cert" validate:"required_with=Key CA" doc:"Certificate of this daemon, for the DNS name gypsumlead."`
+	Key  string `json:"key" validate:"required_with=Cert CA" doc:"Private key of the certificate."`
+	CA   string `json:"ca" validate:"required_with=Cert Key" doc:"Authorities that sign the daemons' certificates."`
+}
+
 // Token lets one operator or program in.
 type Token struct {
 	Name   string `json:"name" validate:"required" doc:"Name that the audit trail shows."`
@@ -48,6 +56,7 @@
 	Body    int64         `json:"body" validate:"min=1" doc:"Largest request body in bytes that is held in memory; a larger one is refused."`
 	Header  int           `json:"header" validate:"min=1024" doc:"Largest request head in bytes."`
 	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
+	Conns   int           `json:"conns" validate:"min=1" doc:"Connections of callers that are open at once; further ones wait."`
 	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
 	Claims  float64       `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
 }
@@ -97,6 +106,7 @@
 			Body:    1 << 20,
 			Header:  32 << 10,
 			Timeout: 10 * time.Second,
+			Conns:   4096,
 			Memory:  64 << 20,
 			Claims:  40,
 		},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -33,6 +33,7 @@
 		{"unknown keys", `{"colour":1,"listen":{"callres":"127.0.0.1:1"}}`, []string{"colour: unknown key", "listen.callres: unknown key"}},
 		{"wrong types", `{"instance":1,"stop":{"wait":5},"platform":"here"}`, []string{"instance", "stop.wait", "with a unit", "platform"}},
 		{"out of bounds", `{"runners":{"slots":0},"log":"loud"}`, []string{"runners.slots: must be 1 at least", "log: must be one of"}},
+		{"half of the keys", `{"tls":{"cert":"a.pem"}}`, []string{"tls.key: missing", "tls.ca: missing"}},
 		{"not together", `{"runners":{"slots":9,"conns":8},"duties":{"life":"1s","step":"900ms"}}`, []string{"runners.conns", "duties.step"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
