--- a/api/api_test.go
+++ b/api/api_test.go
@@ -40,6 +40,9 @@
 		Config: b,
 		Trail:  b,
 		Fleet:  b,
+		Work: func(context.Context, string) ([]platform.Worker, error) {
+			return []platform.Worker{{Total: platform.Size{Cores: 4, Memory: 1 << 30}}}, nil
+		},
 		Status: func() oas.Status { return oas.Status{Instance: "e1"} },
 	})
 	server, err := NewServer(h, NewGuard([]settings.Token{{Name: "maria", Secret: secret}}))
@@ -121,6 +124,14 @@
 		{"a pool in use", "DELETE", pool + "?version=2", "change-10", secret, "", 409, `change or delete that first`},
 		{"delete the service", "DELETE", service + "?version=3", "change-11", secret, "", 200, `"seq":4`},
 		{"delete the pool", "DELETE", pool + "?version=2", "change-12", secret, "", 200, `"seq":5`},
+		{"a pool of workers", "PUT", "/v1/records/pool/batch?version=0", "change-14", secret, budget1, 200, `"version":6`},
+		{"a team", "PUT", "/v1/records/team/stock?version=0", "change-15", secret, `{"schema":1,"body":{"quotas":[{"cores":8,"memory":8000000000}]}}`, 200, `"version":7`},
+		{"a job of no team", "PUT", "/v1/records/job/a?version=0", "change-16", secret, `{"schema":1,"body":{"team":"none","pool":"batch","count":1,"size":{"cores":1,"memory":1000}}}`, 404, `no team/none`},
+		{"a job that can never run", "PUT", "/v1/records/job/a?version=0", "change-17", secret, `{"schema":1,"body":{"team":"stock","pool":"batch","count":1,"size":{"cores":6,"memory":1000}}}`, 422, `"unfit"`},
+		{"a job", "PUT", "/v1/records/job/a?version=0", "change-18", secret, `{"schema":1,"body":{"team":"stock","pool":"batch","count":1,"size":{"cores":1,"memory":1000}}}`, 200, `"version":8`},
+		{"a wave", "PUT", "/v1/records/wave/kernel?version=0", "change-19", secret, `{"schema":1,"body":{"pools":["batch"]}}`, 200, `"version":9`},
+		{"delete the wave", "DELETE", "/v1/records/wave/kernel?version=9", "change-20", secret, "", 200, `"seq":10`},
+		{"a wave of a used name", "PUT", "/v1/records/wave/kernel?version=0", "change-21", secret, `{"schema":1,"body":{"pools":["batch"]}}`, 409, `take another name`},
 		{"an older schema", "PUT", pool + "?version=0", "change-13", secret, `{"schema":1,"body":{"out":3}}`, 200, `"schema":1`},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -129,7 +140,7 @@
 			require.Contains(t, body, tc.want)
 		})
 	}
-	require.Len(t, b.refused, 5, "each decision against a change is noted")
+	require.Len(t, b.refused, 8, "each decision against a change is noted")
 	require.Equal(t, "reused", b.refused[0].Refused)
 	require.Equal(t, "maria", b.refused[0].Actor)
 }
--- a/api/change.go
+++ b/api/change.go
@@ -25,7 +25,7 @@
 		Why:     p.Why.Or(""),
 		Records: []record.Key{key},
 		Decide: func(rows journal.Rows) (journal.Decision, error) {
-			return h.decidePut(rows, key, p.Version, req)
+			return h.decidePut(ctx, rows, key, p.Version, req)
 		},
 	})
 	if err != nil {
@@ -94,7 +94,7 @@
 	return c, nil
 }
 
-func (h *Handler) decidePut(rows journal.Rows, key record.Key, version int64, req *oas.Draft) (journal.Decision, error) {
+func (h *Handler) decidePut(ctx context.Context, rows journal.Rows, key record.Key, version int64, req *oas.Draft) (journal.Decision, error) {
 	old, live, err := rows.Envelope(key)
 	if err != nil {
 		return journal.Decision{}, err
@@ -102,12 +102,15 @@
 	if err := journal.CheckVersion(key, old, live, version); err != nil {
 		return journal.Decision{}, err
 	}
+	if key.Kind == record.KindWave && old.Gone {
+		return journal.Decision{}, fault.New(fault.Conflict, "there was a wave %s before, and its progress is kept: take another name", key.Name)
+	}
 	draft := record.Envelope{Kind: key.Kind, Name: key.Name, Schema: req.Schema, Body: json.RawMessage(req.Body)}
 	e, r, err := record.Accept(old, draft)
 	if err != nil {
 		return journal.Decision{}, err
 	}
-	if err := h.checkReferences(r); err != nil {
+	if err := h.checkReferences(ctx, r); err != nil {
 		return journal.Decision{}, err
 	}
 	facts := audit.Facts("schema", e.Schema, "body", string(e.Body), "before", string(old.Body))
--- a/api/handler.go
+++ b/api/handler.go
@@ -34,6 +34,9 @@
 	Instances() []platform.Instance
 }
 
+// Workers returns the workers of a pool as the platform last heard of them.
+type Workers func(ctx context.Context, pool string) ([]platform.Worker, error)
+
 // Mover proposes to put an instance into a pool.
 type Mover func(id, actor, why, instance, from, to string) journal.Proposal
 
@@ -46,6 +49,7 @@
 	trail  Trail
 	fleet  Fleet
 	move   Mover
+	work   Workers
 	status func() oas.Status
 }
 
@@ -60,6 +64,7 @@
 	Trail  Trail
 	Fleet  Fleet
 	Move   Mover
+	Work   Workers
 	Status func() oas.Status
 }
 
@@ -73,6 +78,7 @@
 		trail:  p.Trail,
 		fleet:  p.Fleet,
 		move:   p.Move,
+		work:   p.Work,
 		status: p.Status,
 	}
 }
--- a/api/references.go
+++ b/api/references.go
@@ -1,22 +1,22 @@
 package api
 
 import (
+	"context"
+
 	"gypsumlead/fault"
+	"gypsumlead/job"
 	"gypsumlead/record"
 )
 
 // checkReferences refuses a record that names another one that isn't there.
-func (h *Handler) checkReferences(r record.Record) error {
+func (h *Handler) checkReferences(ctx context.Context, r record.Record) error {
 	switch r := r.(type) {
 	case *record.Service:
 		return h.demandPool(r.Pool)
 	case *record.Wave:
 		return h.demandPools(r.Pools)
 	case *record.Job:
-		if _, ok := h.state.Get(record.Key{Kind: record.KindTeam, Name: r.Team}); !ok {
-			return fault.New(fault.Missing, "there is no team/%s: make it first", r.Team)
-		}
-		return h.demandPool(r.Pool)
+		return h.checkJob(ctx, r)
 	case *record.Team:
 		for _, q := range r.Quotas {
 			if err := h.demandPools([]string{q.Pool}); q.Pool != "" && err != nil {
@@ -27,6 +27,27 @@
 	return nil
 }
 
+// checkJob refuses a job that can never run, as far as the workers are known; the holder of the
+// pool's duty goes on to look at it.
+func (h *Handler) checkJob(ctx context.Context, j *record.Job) error {
+	if err := h.demandPool(j.Pool); err != nil {
+		return err
+	}
+	e, ok := h.state.Get(record.Key{Kind: record.KindTeam, Name: j.Team})
+	if !ok {
+		return fault.New(fault.Missing, "there is no team/%s: make it first", j.Team)
+	}
+	var team record.Team
+	if err := record.Decode(e, &team); err != nil {
+		return err
+	}
+	workers, err := h.work(ctx, j.Pool)
+	if err != nil {
+		return err
+	}
+	return job.Admit(*j, job.ShapesOf(workers), team)
+}
+
 func (h *Handler) demandPools(names []string) error {
 	for _, name := range names {
 		if err := h.demandPool(name); err != nil {
--- a/app/app.go
+++ b/app/app.go
@@ -170,6 +170,7 @@
 		Trail:  a.trail,
 		Fleet:  a.roster,
 		Move:   a.move,
+		Work:   a.workersOf,
 		Status: a.status,
 	})
 	guard := api.NewGuard(a.set.Tokens)
--- a/app/job_parts.go
+++ b/app/job_parts.go
@@ -60,5 +60,10 @@
 
 // Workers returns the workers of the pool.
 func (w *poolWorkers) Workers(ctx context.Context) ([]platform.Worker, error) {
-	return w.app.platform.Roster.LookWorkers(ctx, w.app.membersOf(w.name)...)
+	return w.app.workersOf(ctx, w.name)
+}
+
+// workersOf returns the workers of a pool as the platform last heard of them.
+func (a *App) workersOf(ctx context.Context, pool string) ([]platform.Worker, error) {
+	return a.platform.Roster.LookWorkers(ctx, a.membersOf(pool)...)
 }
--- a/job/fit.go
+++ b/job/fit.go
@@ -6,6 +6,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
+	"gypsumlead/platform"
 	"gypsumlead/record"
 )
 
@@ -25,6 +26,15 @@
 	Rack  string
 }
 
+// ShapesOf returns the shapes of workers.
+func ShapesOf(ws []platform.Worker) []Shape {
+	out := make([]Shape, len(ws))
+	for i, w := range ws {
+		out[i] = Shape{Total: amountOf(w.Total), Rack: w.Rack}
+	}
+	return out
+}
+
 // unfit says why no task of the size can ever run, or that one can.
 func unfit(need Amount, racks int, workers []Shape, quota Amount) error {
 	if !need.within(quota) {
