--- a/app/duties.go
+++ b/app/duties.go
@@ -30,6 +30,8 @@
 
 	mu      sync.Mutex
 	running map[lease.Tenure]context.CancelFunc
+	list    []string // of all duties, as of the change listed
+	listed  int64
 	wg      sync.WaitGroup
 }
 
@@ -57,8 +59,20 @@
 	return lease.Terms{Life: life, Margin: scale(t.Margin), Renew: scale(t.Renew), Poll: scale(t.Poll)}
 }
 
-// names lists the duties that there are by the configuration in force.
+// names lists the duties that there are by the configuration in force; it is asked several times
+// a second and made anew when the configuration changes.
 func (d *duties) names() []string {
+	seq := d.app.state.Seq()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.list == nil || d.listed != seq {
+		d.list = d.makeNames()
+		d.listed = seq
+	}
+	return d.list
+}
+
+func (d *duties) makeNames() []string {
 	out := []string{dutyJournal, dutyAudit}
 	for _, e := range d.app.state.List(record.KindPool) {
 		out = append(out, dutyPool+e.Name)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -12,6 +12,7 @@
 type Roster struct {
 	mu      sync.RWMutex
 	list    []platform.Instance
+	marked  []platform.Instance // list with leaving marked; replaced, never altered
 	at      time.Time
 	left    map[string]string // newest boot of each instance known to be leaving
 	changed func()
@@ -80,6 +81,7 @@
 	}
 	r.list = list
 	r.at = at
+	r.mark()
 	return fresh, true
 }
 
@@ -88,6 +90,9 @@
 	r.mu.Lock()
 	news := r.left[id] != boot
 	r.left[id] = boot
+	if news {
+		r.mark()
+	}
 	r.mu.Unlock()
 	if news {
 		r.learned(id, boot)
@@ -96,10 +101,16 @@
 	return news
 }
 
-// Instances returns the list, with every boot that is known to be leaving marked so.
+// Instances returns the list, with every boot that is known to be leaving marked so; it must not
+// be changed.
 func (r *Roster) Instances() []platform.Instance {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	return r.marked
+}
+
+// mark makes the list that is handed out; the lock is held.
+func (r *Roster) mark() {
 	out := make([]platform.Instance, len(r.list))
 	for i, in := range r.list {
 		if in.State == platform.StateLive && r.left[in.ID] == in.Boot {
@@ -107,7 +118,7 @@
 		}
 		out[i] = in
 	}
-	return out
+	r.marked = out
 }
 
 // At returns when the list was taken; it is zero before the first.
