Not ready without a configuration

A daemon that had just started and reached neither the platform nor a peer answered the balancer 200 and told callers that their service does not exist. An assembly that fails ends what its constructors started.

--- a/app/app.go
+++ b/app/app.go
@@ -88,15 +88,30 @@
 	a.makeCallerPath()
 	a.makePeers()
 	a.makeDuties()
-	if err := a.makeServers(); err != nil {
+	if err := a.open(); err != nil {
+		a.close()
 		return nil, err
 	}
+	return a, nil
+}
+
+// open makes the servers and opens their listeners.
+func (a *App) open() error {
+	if err := a.makeServers(); err != nil {
+		return err
+	}
 	var err error
-	a.listeners, err = listen(set.Listen)
+	a.listeners, err = listen(a.set.Listen)
 	if err == nil && a.keys != nil {
 		a.listeners.peers = tls.NewListener(a.listeners.peers, a.keys.Server())
 	}
-	return a, err
+	return err
+}
+
+// close ends what the constructors started.
+func (a *App) close() {
+	a.claims.Close()
+	a.fleet.Close()
 }
 
 // makeConfiguration builds what holds the configuration and the roster.
@@ -105,8 +120,7 @@
 	a.state = journal.NewState(a.applied)
 	a.writer = journal.NewWriter(a.platform.Table)
 	a.trail = audit.NewTrail(a.platform.Table, a.platform.Objects)
-	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
-	a.mesh = peer.NewMesh(us, a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged), peer.WithDial(a.dialPeer))
+	a.mesh = peer.NewMesh(a.identity(), a.log, peer.WithPing(a.set.Sync.Ping), peer.WithSeq(a.state.Seq, a.ponged), peer.WithDial(a.dialPeer))
 	reader := journal.NewReader(a.platform.Table, a.platform.Objects)
 	a.spread = spread.New(a.state, reader, a.mesh, a.set.Sync.Poll, a.log)
 	a.poller = &poller{common: a.common, source: a.platform.Roster, roster: a.roster, mesh: a.mesh}
@@ -134,6 +148,7 @@
 		entry.WithTimeout(a.set.Calls.Timeout),
 		entry.WithBodyLimit(a.set.Calls.Body),
 		entry.WithMemory(a.set.Calls.Memory),
+		entry.WithReady(func() bool { return a.router.seq.Load() > 0 }),
 		entry.WithBreach(a.breach),
 	)
 }
@@ -150,11 +165,15 @@
 		router:  a.router,
 		leaving: a.entry.Leaving,
 	}
-	us := peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
-	a.server = peer.NewServer(us, a.peers, a.log)
+	a.server = peer.NewServer(a.identity(), a.peers, a.log)
 	a.peers.retarget()
 }
 
+// identity is who this daemon is to its peers.
+func (a *App) identity() peer.Identity {
+	return peer.Identity{Instance: a.set.Instance, Boot: a.boot, Centre: a.set.Centre, Region: a.set.Region}
+}
+
 func (a *App) makeServers() error {
 	a.callers = entry.NewServer(a.entry)
 	a.callers.MaxHeaderBytes = a.set.Calls.Header
@@ -185,8 +204,7 @@
 
 // Run serves until ctx ends, then leaves without cutting a request, and returns when all has stopped.
 func (a *App) Run(ctx context.Context) error {
-	defer a.fleet.Close()
-	defer a.claims.Close()
+	defer a.close()
 	// The parts outlive ctx: they are needed until the last request has been served.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/entry/ask.go
+++ b/entry/ask.go
@@ -42,7 +42,7 @@
 	a.service, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	svc, pool, ok := e.routes.Route(a.service)
 	if !ok {
-		return a, fault.New(fault.Missing, "there is no service %q", a.service)
+		return a, e.unknownService(a.service)
 	}
 	a.pool = pool
 	var err error
@@ -107,3 +107,11 @@
 	}
 	return nil
 }
+
+// unknownService is the answer to a request for a service that isn't there, or not known here yet.
+func (e *Entry) unknownService(name string) error {
+	if !e.cfg.ready() {
+		return fault.New(fault.NoUpstream, "this entry has no configuration yet")
+	}
+	return fault.New(fault.Missing, "there is no service %q", name)
+}
--- a/entry/leave.go
+++ b/entry/leave.go
@@ -10,7 +10,7 @@
 
 // ready answers the balancer.
 func (e *Entry) ready(w http.ResponseWriter) {
-	if e.leaving.Load() {
+	if e.leaving.Load() || !e.cfg.ready() {
 		w.Header().Set("Connection", "close")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/entry/option.go
+++ b/entry/option.go
@@ -40,6 +40,7 @@
 	memory  int64
 	upload  time.Duration
 	rate    int
+	ready   func() bool
 	breach  func(error)
 	ahead   time.Duration // a keyed request that waits longer for a slot claims its key meanwhile
 }
@@ -57,6 +58,7 @@
 		memory:  memoryDefault,
 		upload:  uploadDefault,
 		rate:    rateDefault,
+		ready:   func() bool { return true },
 		breach:  func(error) {},
 		ahead:   aheadDefault,
 	}
@@ -108,6 +110,11 @@
 	return func(c *config) { c.upload = d }
 }
 
+// WithReady sets what tells whether this entry knows its services yet.
+func WithReady(ready func() bool) Option {
+	return func(c *config) { c.ready = ready }
+}
+
 // WithBreach sets what is told of an invariant that does not hold.
 func WithBreach(report func(error)) Option {
 	return func(c *config) { c.breach = report }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -108,7 +108,7 @@
 			Timeout: 10 * time.Second,
 			Conns:   4096,
 			Memory:  64 << 20,
-			Claims:  40,
+			Claims:  30,
 		},
 		Runners: Runners{
 			Slots:   8,
