--- a/app/app.go
+++ b/app/app.go
@@ -27,6 +27,9 @@
 	"gypsumlead/spread"
 )
 
+// unknownEntries is how many entries share the budget of claims as long as there is no roster.
+const unknownEntries = 7
+
 // App is one daemon.
 type App struct {
 	common
@@ -139,7 +142,7 @@
 	a.router = newRouter(a.common, a.state, a.roster, a.fleet, a.gate)
 	a.claims = claim.NewKeeper(a.platform.Table,
 		claim.WithEntry(a.set.Instance),
-		claim.WithWrites(a.set.Calls.Claims),
+		claim.WithWrites(a.set.Calls.Claims/unknownEntries),
 		claim.WithBreach(a.breach),
 	)
 	a.entry = entry.New(a.router, a.fleet,
@@ -251,6 +254,7 @@
 func (a *App) rosterChanged() {
 	a.router.wake()
 	a.peers.retarget()
+	a.claims.SetWrites(a.set.Calls.Claims / float64(max(1, len(a.duties.members()))))
 }
 
 // leavingLearned is called when a boot of an instance becomes known to be leaving: no new work
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -75,6 +75,12 @@
 	return k
 }
 
+// SetWrites changes how many commits a second this entry may spend on claims; its part shrinks
+// as entries join.
+func (k *Keeper) SetWrites(perSecond float64) {
+	k.limiter.SetLimit(rate.Limit(perSecond))
+}
+
 // Close stops the keeper; claims that wait are answered as not made.
 func (k *Keeper) Close() {
 	k.cancel()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -58,7 +58,7 @@
 	Timeout time.Duration `json:"timeout" validate:"min=1ms" doc:"Time that a request may take where neither its service nor the caller says less."`
 	Conns   int           `json:"conns" validate:"min=1" doc:"Connections of callers that are open at once; further ones wait."`
 	Memory  int64         `json:"memory" validate:"min=1" doc:"Memory in bytes that the bodies of all waiting requests may take."`
-	Claims  float64       `json:"claims" validate:"min=1" doc:"Writes a second that this daemon may spend on claims of idempotency keys."`
+	Claims  float64       `json:"claims" validate:"min=1" doc:"Commits a second that all daemons together may spend on claims of idempotency keys; each takes an equal part."`
 }
 
 // Runners has the limits on connections to runners.
@@ -108,7 +108,7 @@
 			Timeout: 10 * time.Second,
 			Conns:   4096,
 			Memory:  64 << 20,
-			Claims:  30,
+			Claims:  210,
 		},
 		Runners: Runners{
 			Slots:   8,
