--- a/job/policy.go
+++ b/job/policy.go
@@ -57,7 +57,7 @@
 		Headroom:     0.05,
 		Margins:      1.2,
 		Urgent:       8,
-		Victims:      8,
+		Victims:      16,
 		Plans:        64,
 		UrgentShare:  0.4,
 		Starts:       128,
