--- a/api/change.go
+++ b/api/change.go
@@ -113,7 +113,10 @@
 	if err := h.checkReferences(ctx, r); err != nil {
 		return journal.Decision{}, err
 	}
-	facts := audit.Facts("schema", e.Schema, "body", string(e.Body), "before", string(old.Body))
+	facts := audit.Facts("schema", e.Schema, "body", string(e.Body))
+	if live {
+		facts = append(facts, audit.Facts("before", string(old.Body))...)
+	}
 	return journal.Decision{Edits: []record.Envelope{e}, Audit: audit.Entry{Act: "put", Inputs: facts}}, nil
 }
 
--- a/api/convert.go
+++ b/api/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/go-faster/jx"
 	"github.com/ogen-go/ogen/ogenerrors"
@@ -23,7 +24,7 @@
 }
 
 func entryOf(e audit.Entry) oas.Entry {
-	out := oas.Entry{ID: e.ID, At: e.At, Actor: e.Actor, Act: e.Act, Why: e.Why}
+	out := oas.Entry{ID: e.ID, At: e.At.UTC().Format(time.RFC3339Nano), Actor: e.Actor, Act: e.Act, Why: e.Why}
 	if e.Refused != "" {
 		out.Refused = oas.NewOptString(e.Refused)
 	}
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -293,7 +293,7 @@
 	}
 	{
 		e.FieldStart("at")
-		json.EncodeDateTime(e, s.At)
+		e.Str(s.At)
 	}
 	{
 		e.FieldStart("actor")
@@ -366,8 +366,8 @@
 		case "at":
 			requiredBitSet[0] |= 1 << 1
 			if err := func() error {
-				v, err := json.DecodeDateTime(d)
-				s.At = v
+				v, err := d.Str()
+				s.At = string(v)
 				if err != nil {
 					return err
 				}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -70,11 +70,12 @@
 
 // Ref: #/components/schemas/Entry
 type Entry struct {
-	ID    string    `json:"id"`
-	At    time.Time `json:"at"`
-	Actor string    `json:"actor"`
-	Act   string    `json:"act"`
-	Why   string    `json:"why"`
+	ID string `json:"id"`
+	// RFC 3339 with nanoseconds.
+	At    string `json:"at"`
+	Actor string `json:"actor"`
+	Act   string `json:"act"`
+	Why   string `json:"why"`
 	// Kind of fault where the decision was to refuse.
 	Refused OptString         `json:"refused"`
 	Version OptInt64          `json:"version"`
@@ -87,7 +88,7 @@
 }
 
 // GetAt returns the value of At.
-func (s *Entry) GetAt() time.Time {
+func (s *Entry) GetAt() string {
 	return s.At
 }
 
@@ -127,7 +128,7 @@
 }
 
 // SetAt sets the value of At.
-func (s *Entry) SetAt(val time.Time) {
+func (s *Entry) SetAt(val string) {
 	s.At = val
 }
 
--- a/app/metrics.go
+++ b/app/metrics.go
@@ -11,6 +11,8 @@
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"gypsumlead/share"
 )
 
 // metrics are the daemon's instruments, read when they are asked for.
@@ -21,7 +23,7 @@
 
 func newMetrics(a *App) (*metrics, error) {
 	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, err
 	}
@@ -43,6 +45,9 @@
 	breaches := b.counter("gypsumlead.breaches", "invariants that did not hold")
 	dials := b.counter("gypsumlead.runner.dials", "connections to runners opened or tried")
 	resends := b.counter("gypsumlead.runner.resends", "further tries of a request")
+	waiting := b.gauge("gypsumlead.work.waiting", "requests that wait for a slot, by kind of work")
+	running := b.gauge("gypsumlead.work.running", "requests that have a slot, by kind of work")
+	refused := b.counter("gypsumlead.work.refused", "requests refused at admission, by kind of work")
 	if b.err != nil {
 		return b.err
 	}
@@ -57,6 +62,12 @@
 		for k, n := range e.Faults {
 			o.ObserveInt64(faults, n, metric.WithAttributes(attribute.String("kind", k.String())))
 		}
+		for _, u := range a.usage() {
+			of := metric.WithAttributes(attribute.String("service", u.Service), attribute.String("work", u.Work))
+			o.ObserveInt64(waiting, int64(u.Waiting), of)
+			o.ObserveInt64(running, int64(u.Running), of)
+			o.ObserveInt64(refused, int64(u.Refused), of)
+		}
 		o.ObserveInt64(breaches, m.breaches.Load())
 		o.ObserveInt64(dials, f.Dials)
 		o.ObserveInt64(resends, f.Resends)
@@ -65,6 +76,15 @@
 	return err
 }
 
+// usage lists what each kind of work has of its pool.
+func (a *App) usage() []share.Usage {
+	var out []share.Usage
+	for _, pool := range a.gate.Pools() {
+		out = append(out, a.gate.Usage(pool)...)
+	}
+	return out
+}
+
 // instruments makes instruments and keeps the first error.
 type instruments struct {
 	meter metric.Meter
--- a/cli/fleet.go
+++ b/cli/fleet.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 
 	"gypsumlead/api/oas"
 )
@@ -68,7 +67,7 @@
 	if kind, ok := en.Refused.Get(); ok {
 		act += " (refused: " + kind + ")"
 	}
-	fmt.Fprintf(out, "%s  %s  %s", en.At.UTC().Format(time.RFC3339Nano), en.Actor, act)
+	fmt.Fprintf(out, "%s  %s  %s", en.At, en.Actor, act)
 	if v, ok := en.Version.Get(); ok {
 		fmt.Fprintf(out, "  version %d", v)
 	}
