--- a/settings/load.go
+++ b/settings/load.go
@@ -152,9 +152,6 @@
 	if l.Operators.IsValid() && l.Operators.Port() != 0 && l.Operators == l.Peers {
 		faults = append(faults, "listen.operators: the same address as listen.peers")
 	}
-	if s.Runners.Conns < s.Runners.Slots {
-		faults = append(faults, "runners.conns: must be runners.slots at least")
-	}
 	if 2*s.Duties.Step > s.Duties.Life {
 		faults = append(faults, "duties.step: must be half of duties.life at most, or the lease lapses between steps")
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -64,7 +64,6 @@
 // Runners has the limits on connections to runners.
 type Runners struct {
 	Slots   int           `json:"slots" validate:"min=1" doc:"Requests that a runner serves at once."`
-	Conns   int           `json:"conns" validate:"min=1" doc:"Connections that a runner accepts in all."`
 	Connect time.Duration `json:"connect" validate:"min=1ms" doc:"Time allowed for opening a connection."`
 	Idle    time.Duration `json:"idle" validate:"min=1ms" doc:"Time after which an unused connection is not trusted any more and closed."`
 }
@@ -112,7 +111,6 @@
 		},
 		Runners: Runners{
 			Slots:   8,
-			Conns:   64,
 			Connect: 500 * time.Millisecond,
 			Idle:    time.Second,
 		},
