End peer sessions that bring nothing

Cause: yamux's keep-alive is off and only the dialling end pings, so a session whose other end vanished without a word stayed in the server for good; 512 of them would have shut every daemon out. A session that brings nothing for a minute is closed; pings may be 5 s apart at the most, 25 s to another data centre.

--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"go.uber.org/zap"
@@ -12,7 +13,10 @@
 	"gypsumlead/peer/wire"
 )
 
-const incomingLimit = 512 // sessions; more are closed at once
+const (
+	incomingLimit = 512         // sessions; more are closed at once
+	idleDefault   = time.Minute // more than ten pings of a daemon far away
+)
 
 // Handler answers the requests of other daemons; it may be called by many goroutines.
 type Handler interface {
@@ -25,6 +29,7 @@
 	us      Identity
 	handler Handler
 	log     *zap.Logger
+	idle    time.Duration
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -32,9 +37,22 @@
 	wg    sync.WaitGroup
 }
 
+// ServerOption changes a Server under construction.
+type ServerOption func(*Server)
+
+// WithIdle sets for how long a session may bring nothing before it is closed; its other end has
+// vanished, for a daemon pings.
+func WithIdle(d time.Duration) ServerOption {
+	return func(s *Server) { s.idle = d }
+}
+
 // NewServer returns a server that answers with handler.
-func NewServer(us Identity, handler Handler, log *zap.Logger) *Server {
-	return &Server{us: us, handler: handler, log: log, conns: map[net.Conn]struct{}{}}
+func NewServer(us Identity, handler Handler, log *zap.Logger, opts ...ServerOption) *Server {
+	s := &Server{us: us, handler: handler, log: log, idle: idleDefault, conns: map[net.Conn]struct{}{}}
+	for _, o := range opts {
+		o(s)
+	}
+	return s
 }
 
 // Serve accepts sessions until the listener is closed or ctx ends, and returns when all have ended.
@@ -90,7 +108,7 @@
 
 // serveConn serves the streams of one session until it ends.
 func (s *Server) serveConn(ctx context.Context, conn net.Conn) {
-	mux, err := yamux.Server(conn, yamuxConfig())
+	mux, err := yamux.Server(&watched{conn, s.idle}, yamuxConfig())
 	if err != nil {
 		s.log.Error("start peer session", zap.Error(err))
 		return
@@ -154,3 +172,17 @@
 	defer i.mu.Unlock()
 	return i.them
 }
+
+// watched is a connection that must bring something now and then.
+type watched struct {
+	net.Conn
+	idle time.Duration
+}
+
+// Read fails once nothing has come for the idle time.
+func (w *watched) Read(b []byte) (int, error) {
+	if err := w.SetReadDeadline(time.Now().Add(w.idle)); err != nil {
+		return 0, err
+	}
+	return w.Conn.Read(b)
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -134,6 +134,8 @@
 		return "missing"
 	case "min":
 		return "must be " + b.Param() + " at least"
+	case "max":
+		return "must be " + b.Param() + " at most"
 	case "oneof":
 		return "must be one of " + b.Param()
 	case "unique":
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -71,7 +71,7 @@
 // Sync says how the configuration spreads.
 type Sync struct {
 	Poll time.Duration `json:"poll" validate:"min=10ms" doc:"Time between two looks at the log in the platform's table."`
-	Ping time.Duration `json:"ping" validate:"min=10ms" doc:"Time between two pings to a peer; three without an answer end the session."`
+	Ping time.Duration `json:"ping" validate:"min=10ms,max=5s" doc:"Time between two pings to a peer, five times as long to another data centre; three without an answer end the session."`
 	List time.Duration `json:"list" validate:"min=10ms" doc:"Time between two looks at the platform's list of instances."`
 	Lag  time.Duration `json:"lag" validate:"min=10ms" doc:"Age at which an instance's last sign of life in the platform's list proves nothing any more: the list's lag and some heartbeats."`
 }
