Spread runs: old and new schema side by side, several operators at once

Three operators ask different daemons at the same time, drafts are of schema 1 or 2. Lending's refused moves go into the audit trail.

--- a/app/lending.go
+++ b/app/lending.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
 	"gypsumlead/lease"
@@ -181,7 +182,7 @@
 			}
 			continue
 		}
-		l.app.log.Info("lend an instance", zap.String("from", m.From), zap.String("to", m.To), zap.Error(err))
+		l.refused(ctx, m.Move, err)
 		m.tries++
 		left = append(left, m)
 	}
@@ -235,3 +236,24 @@
 	}
 	return "", false
 }
+
+// refused logs a move that wasn't accepted, and notes a decision against it in the audit trail.
+func (l *lending) refused(ctx context.Context, m spare.Move, err error) {
+	l.app.log.Info("lend an instance", zap.String("from", m.From), zap.String("to", m.To), zap.Error(err))
+	k := fault.KindOf(err)
+	if k != fault.Budget && k != fault.Conflict {
+		return // nothing was decided
+	}
+	entry := audit.Entry{
+		ID:       fmt.Sprintf("lend-%d-%s-%s-%d", l.tenure.Epoch, m.From, m.To, time.Now().UnixNano()),
+		Actor:    "lend@" + l.app.set.Instance,
+		Act:      "lend",
+		Why:      m.Why,
+		Refused:  k.String(),
+		Subjects: []audit.Subject{{Kind: "pool", Name: m.From}, {Kind: "pool", Name: m.To}},
+		Inputs:   audit.Facts("fault", err.Error()),
+	}
+	if err := l.app.trail.Refuse(ctx, entry); err != nil {
+		l.app.log.Debug("note a refused move", zap.Error(err))
+	}
+}
--- a/spread/long_run_test.go
+++ b/spread/long_run_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,32 +18,61 @@
 	"gypsumlead/record"
 )
 
+// wish is a change that an operator asks a daemon for.
+type wish struct {
+	node  *node
+	id    string
+	draft record.Envelope
+}
+
+// wish draws a change: of an old schema or the new one, at any daemon.
+func (w *world) wish(n *node, id string) wish {
+	d := record.Envelope{Kind: record.KindPool, Name: fmt.Sprintf("pool-%d", w.rnd.IntN(8)), Schema: 1 + w.rnd.IntN(2)}
+	d.Body = fmt.Appendf(nil, `{"budget":{"out":%d}}`, w.rnd.IntN(9))
+	if d.Schema == 1 {
+		d.Body = fmt.Appendf(nil, `{"out":%d}`, w.rnd.IntN(9))
+	}
+	return wish{node: n, id: id, draft: d}
+}
+
 // change asks for a change until it is known whether it was accepted.
-func (w *world) change(n *node, id string) {
-	key := record.Key{Kind: record.KindPool, Name: fmt.Sprintf("pool-%d", w.rnd.IntN(8))}
-	budget := w.rnd.IntN(9)
-	c, err := n.writer.Accept(context.Background(), journal.Proposal{
-		ID:      id,
-		Digest:  journal.Digest([]byte(id)),
+func (w *world) change(wish wish) {
+	c, err := wish.node.writer.Accept(context.Background(), journal.Proposal{
+		ID:      wish.id,
+		Digest:  journal.Digest([]byte(wish.id)),
 		Actor:   "operator",
-		Records: []record.Key{key},
+		Records: []record.Key{wish.draft.Key()},
 		Decide: func(rows journal.Rows) (journal.Decision, error) {
-			old, _, err := rows.Envelope(key)
+			old, _, err := rows.Envelope(wish.draft.Key())
 			if err != nil {
 				return journal.Decision{}, err
 			}
-			e, err := record.Rewrite(old, key.Name, &record.Pool{Budget: record.Budget{Out: budget}})
+			e, _, err := record.Accept(old, wish.draft)
 			return journal.Decision{Edits: []record.Envelope{e}}, err
 		},
 	})
 	if err != nil {
-		require.Contains(w.t, []fault.Kind{fault.StoreDown, fault.Overload, fault.Broken}, fault.KindOf(err), "%v", err)
+		if !slices.Contains([]fault.Kind{fault.StoreDown, fault.Overload, fault.Broken}, fault.KindOf(err)) {
+			w.t.Errorf("%s: %v", wish.id, err)
+		}
 		return
 	}
-	n.spread.Accepted(c)
+	wish.node.spread.Accepted(c)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.accepted = append(w.accepted, c)
 }
 
+// changeAtOnce has several operators ask different daemons at the same time.
+func (w *world) changeAtOnce(round int) {
+	var operators sync.WaitGroup
+	for i := range 3 {
+		one := w.wish(w.nodes[w.rnd.IntN(len(w.nodes))], fmt.Sprintf("change-%d-%d", round, i))
+		operators.Go(func() { w.change(one) })
+	}
+	operators.Wait()
+}
+
 // disturb changes which parts reach each other and how the platform fails.
 func (w *world) disturb() {
 	w.mu.Lock()
@@ -90,7 +121,10 @@
 		require.False(w.t, seen[c.ID], "change %s was accepted twice", c.ID)
 		seen[c.ID] = true
 	}
-	newest := w.accepted[len(w.accepted)-1].Seq
+	newest := int64(0)
+	for _, c := range w.accepted {
+		newest = max(newest, c.Seq)
+	}
 	for _, n := range w.nodes {
 		require.GreaterOrEqual(w.t, n.state.Seq(), newest, "%s lacks an accepted change", n.id)
 		require.Equal(w.t, w.nodes[0].state.Snapshot(), n.state.Snapshot(), "%s", n.id)
@@ -108,6 +142,9 @@
 		var e record.Envelope
 		require.NoError(w.t, json.Unmarshal(row.Value, &e))
 		require.Equal(w.t, e, list[i])
+		require.NoError(w.t, record.Decode(e, &record.Pool{}), "readable in either schema")
+		require.GreaterOrEqual(w.t, e.Schema, w.schemas[e.Name], "%s went back to an older schema", e.Name)
+		w.schemas[e.Name] = e.Schema
 	}
 }
 
@@ -131,9 +168,7 @@
 		for more := true; more; {
 			more, _ = compaction.Step(context.Background()) // fails while the table does
 		}
-		for i := range 3 {
-			w.change(w.nodes[w.rnd.IntN(len(w.nodes))], fmt.Sprintf("change-%d-%d", round, i))
-		}
+		w.changeAtOnce(round)
 		// A daemon restarted just now has nothing yet; it catches up before it is held to anything.
 		time.Sleep(inForce)
 		before := make([]int64, len(w.nodes))
@@ -173,7 +208,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, 1, tc.peers)
-				w.change(w.nodes[0], "change-1")
+				w.change(w.wish(w.nodes[0], "change-1"))
 				time.Sleep(inForce)
 				w.mu.Lock()
 				w.offline[0] = true
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -37,6 +37,7 @@
 	cut      map[[2]int]bool // data centres that don't reach each other
 	offline  map[int]bool    // data centres that don't reach the platform
 	accepted []journal.Change
+	schemas  map[string]int // newest seen of each record
 }
 
 // node is one daemon's configuration.
@@ -60,6 +61,7 @@
 		peers:   peers,
 		cut:     map[[2]int]bool{},
 		offline: map[int]bool{},
+		schemas: map[string]int{},
 	}
 	for i := range centreCount * perCentre {
 		n := w.start(i)
