--- a/api/handler.go
+++ b/api/handler.go
@@ -154,19 +154,6 @@
 	return record.Decode(e, &d) == nil && d.Boot == in.Boot
 }
 
-// Explain returns every decision on something.
-func (h *Handler) Explain(ctx context.Context, p oas.ExplainParams) (*oas.ExplainOK, error) {
-	entries, err := h.trail.Read(ctx, audit.Subject{Kind: string(p.Kind), Name: p.Name}, time.Time{}, time.Time{})
-	if err != nil {
-		return nil, err
-	}
-	out := &oas.ExplainOK{Entries: make([]oas.Entry, len(entries))}
-	for i, e := range entries {
-		out.Entries[i] = entryOf(e)
-	}
-	return out, nil
-}
-
 // NewError turns a fault into its answer by the one table.
 func (h *Handler) NewError(_ context.Context, err error) *oas.FaultStatusCodeWithHeaders {
 	return answerOf(err)
--- a/app/job_test.go
+++ b/app/job_test.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gypsumlead/api/oas"
 	"gypsumlead/audit"
 	"gypsumlead/job"
 	"gypsumlead/platform"
@@ -46,6 +48,7 @@
 	b := newBench(t, func(s *settings.Settings) {
 		s.Duties.Life = time.Second
 		s.Duties.Step = 20 * time.Millisecond
+		s.Tokens = []settings.Token{{Name: "maria", Secret: testSecret}}
 	})
 	b.platform.SetProfile("nightly", standin.Profile{Run: 50 * time.Millisecond})
 	b.put("batch", &record.Pool{Budget: record.Budget{Out: 1}})
@@ -67,5 +70,26 @@
 	entries, err := b.app.trail.Read(t.Context(), audit.Subject{Kind: "job", Name: "huge"}, time.Time{}, time.Time{})
 	require.NoError(t, err)
 	require.Contains(t, audit.Explain(entries), "unfit")
+
+	// What was decided on a worker can be explained too.
+	client, err := oas.NewClient("http://"+b.app.Addrs().Operators.String(), secret{})
+	require.NoError(t, err)
+	res, err := client.Explain(t.Context(), oas.ExplainParams{Kind: oas.ExplainKindInstance, Name: "worker-0"})
+	require.NoError(t, err)
+	var acts []string
+	for _, e := range res.Entries {
+		acts = append(acts, e.Act)
+	}
+	require.Contains(t, acts, "assign")
+	require.Contains(t, acts, "place")
 	require.Zero(t, b.app.metrics.breaches.Load())
 }
+
+const testSecret = "a-secret-of-the-test"
+
+// secret is the test's token.
+type secret struct{}
+
+func (secret) Token(context.Context, oas.OperationName) (oas.Token, error) {
+	return oas.Token{Token: testSecret}, nil
+}
