--- a/app/app.go
+++ b/app/app.go
@@ -80,6 +80,7 @@
 	a := &App{
 		common:   common{set: set, boot: rand.Text(), log: log.With(zap.String("instance", set.Instance))},
 		platform: p,
+		dial:     peer.DialTCP,
 	}
 	for _, o := range opts {
 		o(a)
--- a/app/secure.go
+++ b/app/secure.go
@@ -24,7 +24,7 @@
 
 // dialPeer opens a connection to another daemon, encrypted where there are keys.
 func (a *App) dialPeer(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	c, err := a.dialPlain(ctx, addr)
+	c, err := a.dial(ctx, addr)
 	if err != nil || a.keys == nil {
 		return c, err
 	}
@@ -35,11 +35,3 @@
 	}
 	return secure, nil
 }
-
-func (a *App) dialPlain(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-	if a.dial != nil {
-		return a.dial(ctx, addr)
-	}
-	var d net.Dialer
-	return d.DialContext(ctx, "tcp", addr.String())
-}
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -8,6 +8,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/record"
 )
@@ -39,7 +40,7 @@
 
 // NewWriter returns a writer to table.
 func NewWriter(table platform.Table, opts ...Option) *Writer {
-	w := &Writer{table: table, now: time.Now, sleep: sleep}
+	w := &Writer{table: table, now: time.Now, sleep: pause.For}
 	for _, o := range opts {
 		o(w)
 	}
@@ -54,7 +55,7 @@
 		return Change{}, fault.New(fault.Invalid, "a change needs an ID")
 	}
 	t := tries{id: p.ID}
-	pause := acceptPause
+	gap := acceptPause
 	for range acceptTries {
 		c, err := w.try(ctx, p)
 		if err == nil {
@@ -63,10 +64,10 @@
 		if !t.again(err) {
 			return Change{}, err
 		}
-		if w.sleep(ctx, pause) != nil {
+		if w.sleep(ctx, gap) != nil {
 			break
 		}
-		pause = min(2*pause, acceptLimit)
+		gap = min(2*gap, acceptLimit)
 	}
 	return Change{}, t.err()
 }
@@ -273,15 +274,3 @@
 	_, ok := err.(*raceError)
 	return ok
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- /dev/null
+++ b/pause/doc.go
@@ -0,0 +1,2 @@
+// Package pause waits for a time that a context may cut short.
+package pause
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/pause"
 	"gypsumlead/peer/wire"
 )
 
@@ -29,16 +30,17 @@
 
 // run dials, pings and dials again, with pauses that grow while the target doesn't answer.
 func (d *dialer) run(ctx context.Context) {
-	pause := redialFirst
+	gap := redialFirst
 	for ctx.Err() == nil {
 		s, err := d.dial(ctx)
 		if err != nil {
 			d.mesh.log.Debug("dial peer", zap.Stringer("addr", d.target.Addr), zap.Error(err))
-			wait(ctx, pause/2+time.Duration(rand.Int64N(int64(pause))))
-			pause = min(2*pause, redialLimit)
+			// The loop's condition sees the end of ctx.
+			_ = pause.For(ctx, gap/2+time.Duration(rand.Int64N(int64(gap))))
+			gap = min(2*gap, redialLimit)
 			continue
 		}
-		pause = redialFirst
+		gap = redialFirst
 		d.keep(ctx, s)
 	}
 }
@@ -61,7 +63,8 @@
 func (d *dialer) keep(ctx context.Context, s *session) {
 	defer s.close()
 	if s.them.Instance == d.mesh.us.Instance {
-		wait(ctx, redialLimit) // our own address; look again in case it moves to another
+		// Our own address: the caller looks again in case it moves to another, or sees the end of ctx.
+		_ = pause.For(ctx, redialLimit)
 		return
 	}
 	d.mesh.join(s)
@@ -85,20 +88,11 @@
 	}
 }
 
-// dialTCP is how a mesh dials unless it is told otherwise.
-func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+// DialTCP is how a mesh dials unless it is told otherwise.
+func DialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	var nd net.Dialer
 	return nd.DialContext(ctx, "tcp", addr.String())
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Pong is what the mesh's owner is told of each answered ping.
 type Pong = wire.Pong
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -63,7 +63,7 @@
 		us:      us,
 		log:     log,
 		ping:    pingDefault,
-		dial:    dialTCP,
+		dial:    DialTCP,
 		seq:     func() int64 { return 0 },
 		onPong:  func(Identity, *Pong) {},
 		dialers: map[netip.AddrPort]*dialer{},
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -54,7 +54,7 @@
 	var lost atomic.Pointer[atomic.Bool]
 	var dials atomic.Int64
 	dial := func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
-		c, err := dialTCP(ctx, addr)
+		c, err := DialTCP(ctx, addr)
 		flag := &atomic.Bool{}
 		lost.Store(flag)
 		dials.Add(1)
