--- a/job/policy.go
+++ b/job/policy.go
@@ -62,7 +62,7 @@
 		UrgentShare:  0.4,
 		Starts:       128,
 		Patience:     time.Minute,
-		Acts:         256,
+		Acts:         64,
 		Canary:       8,
 		Fails:        4,
 		Tries:        16,
