Stop the tasks of a deleted job

Cause: the daemon stepped a pool's jobs only while a job record was in force, so that the tasks of the last one deleted ran on until their leases ended. Found on reading the change again. TestDeletedJobIsStopped: still running after 20 s before, passes now.

--- a/app/job_test.go
+++ b/app/job_test.go
@@ -12,6 +12,7 @@
 	"gypsumlead/api/oas"
 	"gypsumlead/audit"
 	"gypsumlead/job"
+	"gypsumlead/journal"
 	"gypsumlead/platform"
 	"gypsumlead/platform/standin"
 	"gypsumlead/pool"
@@ -93,3 +94,34 @@
 func (secret) Token(context.Context, oas.OperationName) (oas.Token, error) {
 	return oas.Token{Token: testSecret}, nil
 }
+
+// TestDeletedJobIsStopped deletes the record of a pool's only job while its tasks run.
+func TestDeletedJobIsStopped(t *testing.T) {
+	b := newBench(t, func(s *settings.Settings) {
+		s.Duties.Life = time.Second
+		s.Duties.Step = 20 * time.Millisecond
+	})
+	b.platform.SetProfile("endless", standin.Profile{Run: time.Hour})
+	b.put("batch", &record.Pool{Budget: record.Budget{Out: 1}})
+	b.put("stock", &record.Team{Quotas: []record.Quota{{Cores: 8, Memory: 16 * gigabyte}}})
+	b.addWorker("worker-0", "batch")
+	b.put("endless", &record.Job{Team: "stock", Pool: "batch", Count: 1, Size: platform.Size{Cores: 1, Memory: gigabyte}})
+	running := func() int {
+		n := 0
+		for _, r := range b.platform.Tasks("worker-0") {
+			if r.State == platform.TaskRunning {
+				n++
+			}
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return running() == 1 }, patience, 10*time.Millisecond)
+	key := record.Key{Kind: record.KindJob, Name: "endless"}
+	e, ok := b.app.state.Get(key)
+	require.True(t, ok)
+	b.accept(journal.Proposal{ID: "delete-endless", Records: []record.Key{key}, Decide: func(rows journal.Rows) (journal.Decision, error) {
+		gone, err := journal.DeleteOn(rows, key, e.Version)
+		return journal.Decision{Edits: []record.Envelope{gone}}, err
+	}})
+	require.Eventually(t, func() bool { return running() == 0 }, patience/3, 10*time.Millisecond, "its task runs on")
+}
--- a/app/steppers.go
+++ b/app/steppers.go
@@ -85,7 +85,7 @@
 			known = names
 			next = time.Now().Add(idleEvery)
 		}
-		if !a.runsJobs(name) {
+		if p := jobs.Pool(); p != nil && p.Count().Jobs == 0 && !a.runsJobs(name) {
 			return err
 		}
 		return joined(err, jobs.Step(ctx))
