--- a/api/explain.go
+++ b/api/explain.go
@@ -8,6 +8,7 @@
 
 	"gypsumlead/api/oas"
 	"gypsumlead/audit"
+	"gypsumlead/journal"
 	"gypsumlead/record"
 )
 
@@ -47,10 +48,9 @@
 		return nil, err
 	}
 	var out []audit.Entry
-	for _, e := range h.state.List(record.KindJob) {
-		var j record.Job
-		if err := record.Decode(e, &j); err != nil || j.Pool != pool {
-			continue // a job that can't be read has no decisions
+	for e, j := range journal.Live[record.Job](h.state) {
+		if j.Pool != pool {
+			continue
 		}
 		entries, err := h.trail.Read(ctx, audit.Subject{Kind: string(record.KindJob), Name: e.Name}, time.Time{}, time.Time{})
 		if err != nil {
--- a/api/handler.go
+++ b/api/handler.go
@@ -146,12 +146,8 @@
 }
 
 func (h *Handler) drained(in platform.Instance) bool {
-	e, ok := h.state.Get(record.Key{Kind: record.KindDrain, Name: in.ID})
-	if !ok {
-		return false
-	}
-	var d record.Drain
-	return record.Decode(e, &d) == nil && d.Boot == in.Boot
+	d, ok := journal.Find[record.Drain](h.state, in.ID)
+	return ok && d.Boot == in.Boot
 }
 
 // NewError turns a fault into its answer by the one table.
--- a/app/job_parts.go
+++ b/app/job_parts.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"gypsumlead/job"
+	"gypsumlead/journal"
 	"gypsumlead/lease"
 	"gypsumlead/platform"
 	"gypsumlead/record"
@@ -30,17 +31,13 @@
 func (r *jobRecords) View(pool string) (job.View, bool) {
 	state := r.app.state
 	v := job.View{Version: state.Seq(), Teams: map[string]record.Team{}}
-	for _, e := range state.List(record.KindJob) {
-		var j record.Job
-		if record.Decode(e, &j) == nil && j.Pool == pool {
+	for e, j := range journal.Live[record.Job](state) {
+		if j.Pool == pool {
 			v.Jobs = append(v.Jobs, job.Spec{Name: e.Name, Version: e.Version, Job: j})
 		}
 	}
-	for _, e := range state.List(record.KindTeam) {
-		var t record.Team
-		if record.Decode(e, &t) == nil {
-			v.Teams[e.Name] = t
-		}
+	for e, t := range journal.Live[record.Team](state) {
+		v.Teams[e.Name] = t
 	}
 	v.Members = r.app.membersOf(pool)
 	slices.SortFunc(v.Jobs, func(x, y job.Spec) int { return cmp.Compare(x.Version, y.Version) })
--- a/app/lending.go
+++ b/app/lending.go
@@ -124,9 +124,7 @@
 }
 
 func (l *lending) pool(name string) (record.Pool, bool) {
-	var p record.Pool
-	e, ok := l.app.state.Get(pool.RecordKey(name))
-	return p, ok && record.Decode(e, &p) == nil
+	return journal.Find[record.Pool](l.app.state, name)
 }
 
 // observation is a pool as the configuration, the roster and the entries show it.
@@ -161,9 +159,8 @@
 		live[t.Instance.ID] = !t.Leaving
 	}
 	var out []lendable
-	for _, e := range l.app.state.List(record.KindMember) {
-		var m record.Member
-		if record.Decode(e, &m) == nil && m.Pool == name {
+	for e, m := range journal.Live[record.Member](l.app.state) {
+		if m.Pool == name {
 			out = append(out, lendable{id: e.Name, home: m.Home, well: live[e.Name]})
 		}
 	}
--- a/app/move.go
+++ b/app/move.go
@@ -38,9 +38,8 @@
 // membersOf lists the instances of a pool by the configuration in force.
 func (a *App) membersOf(name string) []string {
 	var out []string
-	for _, e := range a.state.List(record.KindMember) {
-		var m record.Member
-		if record.Decode(e, &m) == nil && m.Pool == name {
+	for e, m := range journal.Live[record.Member](a.state) {
+		if m.Pool == name {
 			out = append(out, e.Name)
 		}
 	}
--- a/app/quiet.go
+++ b/app/quiet.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"gypsumlead/fault"
+	"gypsumlead/journal"
 	"gypsumlead/peer/wire"
 	"gypsumlead/platform"
 	"gypsumlead/record"
@@ -49,10 +50,6 @@
 
 // holdsDrain tells whether the drain of a boot is in force here.
 func (p *peers) holdsDrain(instance, boot string) bool {
-	e, ok := p.router.state.Get(record.Key{Kind: record.KindDrain, Name: instance})
-	if !ok {
-		return false
-	}
-	var d record.Drain
-	return record.Decode(e, &d) == nil && d.Boot == boot
+	d, ok := journal.Find[record.Drain](p.router.state, instance)
+	return ok && d.Boot == boot
 }
--- a/app/steppers.go
+++ b/app/steppers.go
@@ -103,9 +103,8 @@
 // wavesOf names the waves in force that cover a pool.
 func (a *App) wavesOf(pool string) []string {
 	var out []string
-	for _, e := range a.state.List(record.KindWave) {
-		var w record.Wave
-		if record.Decode(e, &w) == nil && w.Covers(pool) {
+	for e, w := range journal.Live[record.Wave](a.state) {
+		if w.Covers(pool) {
 			out = append(out, e.Name)
 		}
 	}
@@ -114,9 +113,8 @@
 
 // runsJobs tells whether any job in force is meant for the pool.
 func (a *App) runsJobs(pool string) bool {
-	for _, e := range a.state.List(record.KindJob) {
-		var j record.Job
-		if record.Decode(e, &j) == nil && j.Pool == pool {
+	for _, j := range journal.Live[record.Job](a.state) {
+		if j.Pool == pool {
 			return true
 		}
 	}
