--- a/api/api_test.go
+++ b/api/api_test.go
@@ -14,8 +14,8 @@
 	"gypsumlead/api/oas"
 	"gypsumlead/audit"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/settings"
 )
 
@@ -40,8 +40,8 @@
 		Config: b,
 		Trail:  b,
 		Fleet:  b,
-		Work: func(context.Context, string) ([]platform.Worker, error) {
-			return []platform.Worker{{Total: platform.Size{Cores: 4, Memory: 1 << 30}}}, nil
+		Work: func(context.Context, string) ([]backing.Worker, error) {
+			return []backing.Worker{{Total: backing.Size{Cores: 4, Memory: 1 << 30}}}, nil
 		},
 		Status: func() oas.Status { return oas.Status{Instance: "e1"} },
 	})
@@ -69,7 +69,7 @@
 	return nil
 }
 
-func (b *bench) Instances() []platform.Instance { return nil }
+func (b *bench) Instances() []backing.Instance { return nil }
 
 // ask sends a request and returns status and body.
 func (b *bench) ask(method, path, id, token, body string) (int, string) {
--- a/api/handler.go
+++ b/api/handler.go
@@ -8,7 +8,7 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -31,11 +31,11 @@
 // Fleet lists the platform's instances as this daemon last saw them.
 type Fleet interface {
 	// Instances returns the newest list.
-	Instances() []platform.Instance
+	Instances() []backing.Instance
 }
 
 // Workers returns the workers of a pool as the platform last heard of them.
-type Workers func(ctx context.Context, pool string) ([]platform.Worker, error)
+type Workers func(ctx context.Context, pool string) ([]backing.Worker, error)
 
 // Mover proposes to put an instance into a pool.
 type Mover func(id, actor, why, instance, from, to string) journal.Proposal
@@ -44,7 +44,7 @@
 type Handler struct {
 	state  *journal.State
 	writer *journal.Writer
-	table  platform.Table
+	table  backing.Table
 	config Configuration
 	trail  Trail
 	fleet  Fleet
@@ -59,7 +59,7 @@
 type Parts struct {
 	State  *journal.State
 	Writer *journal.Writer
-	Table  platform.Table
+	Table  backing.Table
 	Config Configuration
 	Trail  Trail
 	Fleet  Fleet
@@ -145,7 +145,7 @@
 	return m.Pool, err
 }
 
-func (h *Handler) drained(in platform.Instance) bool {
+func (h *Handler) drained(in backing.Instance) bool {
 	d, ok := journal.Find[record.Drain](h.state, in.ID)
 	return ok && d.Boot == in.Boot
 }
--- a/app/bench_test.go
+++ b/app/bench_test.go
@@ -11,8 +11,8 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/settings"
@@ -53,7 +53,7 @@
 		stop()
 		require.NoError(t, <-done)
 	})
-	p.PutInstance(platform.Instance{ID: id, Role: platform.RoleEntry, Addr: a.Addrs().Callers, Peer: a.Addrs().Peers, Region: "r", Centre: "c"})
+	p.PutInstance(backing.Instance{ID: id, Role: backing.RoleEntry, Addr: a.Addrs().Callers, Peer: a.Addrs().Peers, Region: "r", Centre: "c"})
 	return a
 }
 
@@ -79,8 +79,8 @@
 	b.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
-	r := standin.NewRunner(l, standin.WithInstance(platform.Instance{ID: id, Region: "r", Centre: "c", Rack: id}),
-		standin.WithRun(20*time.Millisecond), standin.WithBeat(b.platform.Beat, 50*time.Millisecond))
+	r := standin.NewRunner(l, standin.WithInstance(backing.Instance{ID: id, Region: "r", Centre: "c", Rack: id}),
+		standin.WithRun(20*time.Millisecond), standin.WithBeat(b.backing.Beat, 50*time.Millisecond))
 	b.t.Cleanup(r.Close)
 	b.accept(pool.ProposeAssign(pool.Request{ID: "assign-" + id}, in, r.Instance()))
 }
--- a/app/common.go
+++ b/app/common.go
@@ -3,8 +3,8 @@
 import (
 	"go.uber.org/zap"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/client"
+	"gypsumlead/backing"
+	"gypsumlead/backing/client"
 	"gypsumlead/settings"
 )
 
@@ -17,11 +17,11 @@
 
 // Platform is the platform's services as the daemon uses them.
 type Platform struct {
-	Table     platform.Table
-	Objects   platform.Objects
-	Instances platform.Instances
-	Workers   platform.Workers
-	Roster    platform.Roster
+	Table     backing.Table
+	Objects   backing.Objects
+	Instances backing.Instances
+	Workers   backing.Workers
+	Roster    backing.Roster
 }
 
 // OverHTTP returns the services of a platform's client.
--- a/app/duties.go
+++ b/app/duties.go
@@ -9,7 +9,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/lease"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -88,7 +88,7 @@
 func (d *duties) members() []string {
 	var out []string
 	for _, in := range d.app.roster.Instances() {
-		if in.Role == platform.RoleEntry && in.State == platform.StateLive {
+		if in.Role == backing.RoleEntry && in.State == backing.StateLive {
 			out = append(out, in.ID)
 		}
 	}
--- a/app/job_parts.go
+++ b/app/job_parts.go
@@ -8,7 +8,7 @@
 	"gypsumlead/job"
 	"gypsumlead/journal"
 	"gypsumlead/lease"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -22,7 +22,7 @@
 func (h hold) Alive() bool { return h.Check() == nil }
 
 // Fence conditions a transaction on the epoch.
-func (h hold) Fence() platform.Op { return h.Cond() }
+func (h hold) Fence() backing.Op { return h.Cond() }
 
 // jobRecords gives the jobs' driver the configuration in force.
 type jobRecords struct{ app *App }
@@ -53,14 +53,14 @@
 }
 
 // allWorkers is the platform's interface under a name that leaves its method's name free.
-type allWorkers interface{ platform.Workers }
+type allWorkers interface{ backing.Workers }
 
 // Workers returns the workers of the pool.
-func (w *poolWorkers) Workers(ctx context.Context) ([]platform.Worker, error) {
+func (w *poolWorkers) Workers(ctx context.Context) ([]backing.Worker, error) {
 	return w.app.workersOf(ctx, w.name)
 }
 
 // workersOf returns the workers of a pool as the platform last heard of them.
-func (a *App) workersOf(ctx context.Context, pool string) ([]platform.Worker, error) {
+func (a *App) workersOf(ctx context.Context, pool string) ([]backing.Worker, error) {
 	return a.platform.Roster.LookWorkers(ctx, a.membersOf(pool)...)
 }
--- a/app/lending.go
+++ b/app/lending.go
@@ -12,7 +12,7 @@
 	"gypsumlead/journal"
 	"gypsumlead/lease"
 	"gypsumlead/peer/wire"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/spare"
@@ -70,7 +70,7 @@
 // ask asks every entry what callers ask of each pool; a silent one counts as it last answered.
 func (l *lending) ask(ctx context.Context, now time.Time) {
 	for _, in := range l.app.roster.Instances() {
-		if in.Role != platform.RoleEntry || in.State != platform.StateLive {
+		if in.Role != backing.RoleEntry || in.State != backing.StateLive {
 			continue
 		}
 		one, cancel := context.WithTimeout(ctx, callTimeout)
--- a/app/move.go
+++ b/app/move.go
@@ -8,7 +8,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -23,7 +23,7 @@
 	defer cancel()
 	ids := append(a.membersOf(name), further...)
 	for _, in := range a.roster.Instances() {
-		if in.Role == platform.RoleEntry {
+		if in.Role == backing.RoleEntry {
 			ids = append(ids, in.ID)
 		}
 	}
@@ -59,7 +59,7 @@
 		return pool.ProposeMove(r, pool.Transfer{Instance: instance, From: from, To: to})
 	}
 	in, ok := r.View.Find(instance)
-	if !ok || in.State == platform.StateGone {
+	if !ok || in.State == backing.StateGone {
 		return refuse(r, fault.New(fault.Missing, "instance %s isn't in the platform's list", instance))
 	}
 	return pool.ProposeAssign(r, to, in)
--- a/app/peers.go
+++ b/app/peers.go
@@ -12,7 +12,7 @@
 	"gypsumlead/fault"
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/roster"
 	"gypsumlead/runner"
 	"gypsumlead/share"
@@ -66,7 +66,7 @@
 
 // ask asks another entry, or this one. An entry without a session here is asked through a daemon
 // of its data centre, which all have sessions with each other.
-func (p *peers) ask(ctx context.Context, entry platform.Instance, req *wire.Request) (*wire.Response, error) {
+func (p *peers) ask(ctx context.Context, entry backing.Instance, req *wire.Request) (*wire.Response, error) {
 	req.Entry = entry.ID
 	if entry.ID == p.set.Instance {
 		return p.ServePeer(ctx, peer.Identity{Instance: p.set.Instance}, req)
@@ -127,10 +127,10 @@
 
 // chooseTargets takes all daemons of the own data centre and farPeers of each other one, by
 // rendezvous hashing, so that the choice is stable and spread; without a roster the seeds serve.
-func chooseTargets(self, centre string, list []platform.Instance, seeds []peer.Target) []peer.Target {
+func chooseTargets(self, centre string, list []backing.Instance, seeds []peer.Target) []peer.Target {
 	byCentre := map[string][]peer.Target{}
 	for _, in := range list {
-		if in.Role == platform.RoleEntry && in.State != platform.StateGone && in.ID != self && in.Peer.IsValid() {
+		if in.Role == backing.RoleEntry && in.State != backing.StateGone && in.ID != self && in.Peer.IsValid() {
 			byCentre[in.Centre] = append(byCentre[in.Centre], peer.Target{Instance: in.ID, Addr: in.Peer, Centre: in.Centre})
 		}
 	}
--- a/app/poller.go
+++ b/app/poller.go
@@ -10,7 +10,7 @@
 	"gypsumlead/fault"
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/roster"
 )
 
@@ -19,11 +19,11 @@
 // poller keeps the roster as new as the platform's list, or as a peer's where the platform doesn't answer.
 type poller struct {
 	common
-	source platform.Roster
+	source backing.Roster
 	roster *roster.Roster
 	mesh   *peer.Mesh
 	failed bool
-	stamp  platform.Stamp // of the list that the roster has
+	stamp  backing.Stamp // of the list that the roster has
 }
 
 // run looks at the list at each tick until ctx ends.
@@ -70,7 +70,7 @@
 			p.log.Debug("ask a peer for its roster", zap.String("peer", who.Instance), zap.Error(err))
 			continue
 		}
-		var list []platform.Instance
+		var list []backing.Instance
 		if err := json.Unmarshal(resp.GetRostered().GetInstances(), &list); err != nil {
 			p.log.Error("read a peer's roster", zap.String("peer", who.Instance), zap.Error(err))
 			continue
--- a/app/quiet.go
+++ b/app/quiet.go
@@ -6,13 +6,13 @@
 	"gypsumlead/fault"
 	"gypsumlead/journal"
 	"gypsumlead/peer/wire"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
 // Quiet asks an entry how far its configuration is and what it has in progress on a drained
 // boot; it implements wave.Entries.
-func (p *peers) Quiet(ctx context.Context, entry platform.Instance, instance, boot string, seq int64) (int64, int64, error) {
+func (p *peers) Quiet(ctx context.Context, entry backing.Instance, instance, boot string, seq int64) (int64, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	q := &wire.Quiet{Instance: instance, Boot: boot, Seq: seq}
--- a/app/ready_test.go
+++ b/app/ready_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 	"gypsumlead/settings"
 )
--- a/audit/archive.go
+++ b/audit/archive.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Archive is an object of archived entries about one subject, in the order of time.
@@ -26,7 +26,7 @@
 // part is rows of one subject that go into one object.
 type part struct {
 	subject Subject
-	rows    []platform.Row
+	rows    []backing.Row
 	entries []Entry
 }
 
@@ -59,7 +59,7 @@
 }
 
 // split groups the old ones of rows, which are sorted, by subject and size.
-func (t *Trail) split(rows []platform.Row, before time.Time) ([]part, error) {
+func (t *Trail) split(rows []backing.Row, before time.Time) ([]part, error) {
 	var parts []part
 	for _, r := range rows {
 		e, err := decodeRow(r)
@@ -112,11 +112,11 @@
 
 // remove deletes the rows as they were read; a conflict means that another daemon moved some of them.
 func (t *Trail) remove(ctx context.Context, p part) (int, error) {
-	ops := make([]platform.Op, 0, len(p.rows))
+	ops := make([]backing.Op, 0, len(p.rows))
 	for _, r := range p.rows {
-		ops = append(ops, platform.Delete{Key: r.Key, IfVersion: r.Version})
+		ops = append(ops, backing.Delete{Key: r.Key, IfVersion: r.Version})
 	}
-	err := t.table.Commit(ctx, platform.Tx{Ops: ops})
+	err := t.table.Commit(ctx, backing.Tx{Ops: ops})
 	if fault.Is(err, fault.Conflict) {
 		return 0, nil
 	}
--- a/audit/archive_test.go
+++ b/audit/archive_test.go
@@ -11,8 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 var seeds = flag.Int("seeds", 20, "seeds of each randomised run, from 1 on")
@@ -74,18 +74,18 @@
 
 // hooked lets another daemon run before each operation.
 type hooked struct {
-	platform.Table
-	platform.Objects
+	backing.Table
+	backing.Objects
 
 	w *world
 }
 
-func (h hooked) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (h hooked) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	h.w.between()
 	return h.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (h hooked) Commit(ctx context.Context, tx platform.Tx) error {
+func (h hooked) Commit(ctx context.Context, tx backing.Tx) error {
 	h.w.between()
 	return h.Table.Commit(ctx, tx)
 }
--- a/audit/entry.go
+++ b/audit/entry.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Prefix is where the entries stand in the table: Prefix, subject, time, ID.
@@ -52,14 +52,14 @@
 }
 
 // Ops returns the steps that write e, for the transaction of the change itself.
-func Ops(e Entry) ([]platform.Op, error) {
+func Ops(e Entry) ([]backing.Op, error) {
 	value, err := json.Marshal(e)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode audit entry %s", e.ID)
 	}
-	ops := make([]platform.Op, 0, len(e.Subjects))
+	ops := make([]backing.Op, 0, len(e.Subjects))
 	for _, s := range e.Subjects {
-		ops = append(ops, platform.Put{Key: key(s, e), Value: value})
+		ops = append(ops, backing.Put{Key: key(s, e), Value: value})
 	}
 	return ops, nil
 }
--- a/audit/read.go
+++ b/audit/read.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Read returns all entries about s from the instant from until before the instant to, in the
@@ -91,7 +91,7 @@
 	})
 }
 
-func decodeRow(r platform.Row) (Entry, error) {
+func decodeRow(r backing.Row) (Entry, error) {
 	var e Entry
 	err := json.Unmarshal(r.Value, &e)
 	return e, fault.Wrap(fault.Internal, err, "decode audit row %s", r.Key)
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -10,7 +10,7 @@
 	"golang.org/x/time/rate"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -23,8 +23,8 @@
 // Trail writes refused decisions, reads the trail of a subject, and moves old entries into the
 // object store. An entry that was written is found by every later Read.
 type Trail struct {
-	table   platform.Table
-	objects platform.Objects
+	table   backing.Table
+	objects backing.Objects
 	now     func() time.Time
 	limit   *rate.Limiter
 	batch   int
@@ -53,7 +53,7 @@
 }
 
 // NewTrail returns the trail in a platform's table and object store.
-func NewTrail(table platform.Table, objects platform.Objects, opts ...Option) *Trail {
+func NewTrail(table backing.Table, objects backing.Objects, opts ...Option) *Trail {
 	t := &Trail{
 		table:   table,
 		objects: objects,
@@ -91,7 +91,7 @@
 	if err != nil {
 		return err
 	}
-	err = t.table.Commit(ctx, platform.Tx{Ops: ops})
+	err = t.table.Commit(ctx, backing.Tx{Ops: ops})
 	if fault.Is(err, fault.Conflict) {
 		return nil
 	}
--- a/audit/trail_test.go
+++ b/audit/trail_test.go
@@ -9,8 +9,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 func refusal(id string) Entry {
@@ -78,8 +78,8 @@
 	p := standin.New()
 	tr := NewTrail(p.Table, p.Objects)
 	e := refusal("a")
-	op := platform.Put{Key: Prefix + "pool/b/1", Value: encode(t, e)}
-	require.NoError(t, p.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{op}}))
+	op := backing.Put{Key: Prefix + "pool/b/1", Value: encode(t, e)}
+	require.NoError(t, p.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{op}}))
 	_, err := tr.Archive(t.Context(), began.Add(time.Hour))
 	require.True(t, fault.Is(err, fault.Breach), "%v", err)
 	rows, err := p.Table.Read(t.Context(), op.Key)
@@ -106,7 +106,7 @@
 	golden(t, "archive.golden", append(encode(t, Archive{Schema: archiveSchema, Entries: []Entry{e}}), '\n'))
 	ops, err := Ops(e)
 	require.NoError(t, err)
-	golden(t, "keys.golden", []byte(platform.KeyOf(ops[0])+"\n"+platform.KeyOf(ops[1])+"\n"+objectName(e.Subjects[0], []Entry{e})+"\n"))
+	golden(t, "keys.golden", []byte(backing.KeyOf(ops[0])+"\n"+backing.KeyOf(ops[1])+"\n"+objectName(e.Subjects[0], []Entry{e})+"\n"))
 	plain := Entry{ID: "b", At: began.Add(time.Minute), Actor: "pool-duty@entry-2", Act: "return", Subjects: e.Subjects[:1]}
 	golden(t, "explain.golden", []byte(Explain([]Entry{e, plain})))
 }
--- a/platform/client/bench_test.go
+++ b/backing/client/bench_test.go
@@ -10,19 +10,19 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 const benchRows = 10_000
 
 // benchTable returns the stand-in's table, directly or over HTTP on loopback.
-func benchTable(b *testing.B, remote bool) platform.Table {
+func benchTable(b *testing.B, remote bool) backing.Table {
 	b.Helper()
 	p := standin.New()
 	for i := range benchRows {
-		op := platform.Put{Key: fmt.Sprintf("row/%06d", i), Value: []byte(`{"epoch":1,"holder":"entry-1","nonce":"0123456789abcdef","seq":1,"life":6000}`)}
-		require.NoError(b, p.Table.Commit(b.Context(), platform.Tx{Ops: []platform.Op{op}}))
+		op := backing.Put{Key: fmt.Sprintf("row/%06d", i), Value: []byte(`{"epoch":1,"holder":"entry-1","nonce":"0123456789abcdef","seq":1,"life":6000}`)}
+		require.NoError(b, p.Table.Commit(b.Context(), backing.Tx{Ops: []backing.Op{op}}))
 	}
 	if !remote {
 		return p.Table
@@ -41,16 +41,16 @@
 	for _, where := range []string{"direct", "http"} {
 		for _, op := range []struct {
 			name string
-			do   func(ctx context.Context, t platform.Table, n int64) error
+			do   func(ctx context.Context, t backing.Table, n int64) error
 		}{
-			{"read1", func(ctx context.Context, t platform.Table, n int64) error { return readRows(ctx, t, n, 1) }},
-			{"read10", func(ctx context.Context, t platform.Table, n int64) error { return readRows(ctx, t, n, 10) }},
-			{"scan100", func(ctx context.Context, t platform.Table, n int64) error {
+			{"read1", func(ctx context.Context, t backing.Table, n int64) error { return readRows(ctx, t, n, 1) }},
+			{"read10", func(ctx context.Context, t backing.Table, n int64) error { return readRows(ctx, t, n, 10) }},
+			{"scan100", func(ctx context.Context, t backing.Table, n int64) error {
 				_, err := t.Scan(ctx, "row/", key(n), 100)
 				return err
 			}},
-			{"insert1", func(ctx context.Context, t platform.Table, n int64) error { return insert(ctx, t, n, 1) }},
-			{"insert10", func(ctx context.Context, t platform.Table, n int64) error { return insert(ctx, t, n, 10) }},
+			{"insert1", func(ctx context.Context, t backing.Table, n int64) error { return insert(ctx, t, n, 1) }},
+			{"insert10", func(ctx context.Context, t backing.Table, n int64) error { return insert(ctx, t, n, 10) }},
 		} {
 			b.Run(where+"/"+op.name, func(b *testing.B) {
 				t := benchTable(b, where == "http")
@@ -69,7 +69,7 @@
 
 func key(n int64) string { return fmt.Sprintf("row/%06d", n%benchRows) }
 
-func readRows(ctx context.Context, t platform.Table, n, rows int64) error {
+func readRows(ctx context.Context, t backing.Table, n, rows int64) error {
 	keys := make([]string, 0, rows)
 	for i := range rows {
 		keys = append(keys, key(n+i))
@@ -78,10 +78,10 @@
 	return err
 }
 
-func insert(ctx context.Context, t platform.Table, n, rows int64) error {
-	tx := platform.Tx{}
+func insert(ctx context.Context, t backing.Table, n, rows int64) error {
+	tx := backing.Tx{}
 	for i := range rows {
-		tx.Ops = append(tx.Ops, platform.Put{Key: fmt.Sprintf("new/%d/%d", n, i), Value: []byte(`{"a":1}`)})
+		tx.Ops = append(tx.Ops, backing.Put{Key: fmt.Sprintf("new/%d/%d", n, i), Value: []byte(`{"a":1}`)})
 	}
 	return t.Commit(ctx, tx)
 }
--- a/platform/client/client.go
+++ b/backing/client/client.go
@@ -12,8 +12,8 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 const (
@@ -38,11 +38,11 @@
 
 // The services implement the platform's interfaces.
 var (
-	_ platform.Table     = (*Table)(nil)
-	_ platform.Objects   = (*Objects)(nil)
-	_ platform.Instances = (*Instances)(nil)
-	_ platform.Workers   = (*Workers)(nil)
-	_ platform.Roster    = (*Roster)(nil)
+	_ backing.Table     = (*Table)(nil)
+	_ backing.Objects   = (*Objects)(nil)
+	_ backing.Instances = (*Instances)(nil)
+	_ backing.Workers   = (*Workers)(nil)
+	_ backing.Roster    = (*Roster)(nil)
 )
 
 // Dial opens a connection to the platform.
--- a/platform/client/client_test.go
+++ b/backing/client/client_test.go
@@ -15,8 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 var anyAddr = netip.MustParseAddrPort("127.0.0.1:1")
@@ -37,8 +37,8 @@
 	return c
 }
 
-func put(key string, ifVersion int64) platform.Put {
-	return platform.Put{Key: key, IfVersion: ifVersion, Value: json.RawMessage(`{"a":1}`)}
+func put(key string, ifVersion int64) backing.Put {
+	return backing.Put{Key: key, IfVersion: ifVersion, Value: json.RawMessage(`{"a":1}`)}
 }
 
 func TestServicesOverHTTP(t *testing.T) {
@@ -46,14 +46,14 @@
 		ctx := t.Context()
 		p := standin.New()
 		c := serve(t, p.Handler())
-		require.NoError(t, c.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put("a", 0), put("b", 0), platform.Check{Key: "c"}}}))
+		require.NoError(t, c.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put("a", 0), put("b", 0), backing.Check{Key: "c"}}}))
 		rows, err := c.Table.Read(ctx, "b", "c")
 		require.NoError(t, err)
-		require.Equal(t, []platform.Row{{Key: "b", Version: 1, Value: json.RawMessage(`{"a":1}`)}, {Key: "c"}}, rows)
+		require.Equal(t, []backing.Row{{Key: "b", Version: 1, Value: json.RawMessage(`{"a":1}`)}, {Key: "c"}}, rows)
 		rows, err = c.Table.Scan(ctx, "", "a", 5)
 		require.NoError(t, err)
 		require.Len(t, rows, 1)
-		require.NoError(t, c.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{platform.Delete{Key: "b", IfVersion: 1}}}))
+		require.NoError(t, c.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{backing.Delete{Key: "b", IfVersion: 1}}}))
 
 		require.NoError(t, c.Objects.Put(ctx, "o/1", []byte{0, 255}))
 		data, err := c.Objects.Get(ctx, "o/1")
@@ -63,18 +63,18 @@
 		require.NoError(t, err)
 		require.Equal(t, []string{"o/1"}, names)
 
-		w := platform.Worker{Instance: platform.Instance{ID: "w1", Addr: anyAddr}, Total: platform.Size{Memory: 9}}
+		w := backing.Worker{Instance: backing.Instance{ID: "w1", Addr: anyAddr}, Total: backing.Size{Memory: 9}}
 		p.PutWorker(w)
-		require.NoError(t, c.Workers.Start(ctx, platform.Task{ID: "t", Worker: "w1", Boot: "w1-1", Until: time.Now().Add(time.Hour)}))
-		require.NoError(t, c.Workers.Act(ctx, "t", 0, platform.ActRenew, time.Now().Add(time.Hour)))
+		require.NoError(t, c.Workers.Start(ctx, backing.Task{ID: "t", Worker: "w1", Boot: "w1-1", Until: time.Now().Add(time.Hour)}))
+		require.NoError(t, c.Workers.Act(ctx, "t", 0, backing.ActRenew, time.Now().Add(time.Hour)))
 		reports, err := c.Workers.Reports(ctx, "w1")
 		require.NoError(t, err)
-		require.Equal(t, platform.TaskRunning, reports[0].State)
+		require.Equal(t, backing.TaskRunning, reports[0].State)
 		workers, err := c.Workers.Workers(ctx)
 		require.NoError(t, err)
 		require.Equal(t, w.Total, workers[0].Total)
 		require.NoError(t, c.Instances.Drain(ctx, "w1", "w1-1"))
-		require.NoError(t, c.Instances.Reboot(ctx, platform.Reboot{Instance: "w1", Boot: "w1-1"}))
+		require.NoError(t, c.Instances.Reboot(ctx, backing.Reboot{Instance: "w1", Boot: "w1-1"}))
 		list, err := c.Instances.List(ctx)
 		require.NoError(t, err)
 		require.Equal(t, "w1-2", list[0].Boot)
@@ -90,29 +90,29 @@
 		want fault.Kind
 	}{
 		{"conflict", standin.Faults{}, func(ctx context.Context, c *Client) error {
-			return c.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put("a", 3)}})
+			return c.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put("a", 3)}})
 		}, fault.Conflict},
 		{"missing object", standin.Faults{}, func(ctx context.Context, c *Client) error {
 			_, err := c.Objects.Get(ctx, "none")
 			return err
 		}, fault.Missing},
 		{"fenced reboot", standin.Faults{}, func(ctx context.Context, c *Client) error {
-			return c.Instances.Reboot(ctx, platform.Reboot{Instance: "r1", Boot: "old"})
+			return c.Instances.Reboot(ctx, backing.Reboot{Instance: "r1", Boot: "old"})
 		}, fault.Fenced},
 		{"invalid value", standin.Faults{}, func(ctx context.Context, c *Client) error {
-			return c.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put("", 0)}})
+			return c.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put("", 0)}})
 		}, fault.Invalid},
 		{"down", standin.Faults{Down: true}, readA, fault.StoreDown},
 		{"frozen", standin.Faults{Freeze: true}, readA, fault.StoreDown},
 		{"too slow", standin.Faults{Slow: time.Minute}, readA, fault.StoreDown},
 		{"answer lost", standin.Faults{Lose: 1}, func(ctx context.Context, c *Client) error {
-			return c.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put("a", 0)}})
+			return c.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put("a", 0)}})
 		}, fault.StoreDown},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := standin.New()
-				p.PutInstance(platform.Instance{ID: "r1"})
+				p.PutInstance(backing.Instance{ID: "r1"})
 				p.SetFaults(tc.f)
 				c := serve(t, p.Handler())
 				err := tc.do(t.Context(), c)
@@ -150,7 +150,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := serve(t, tc.h)
-				err := c.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{put("a", 0)}})
+				err := c.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{put("a", 0)}})
 				require.True(t, fault.Is(err, fault.StoreDown), "%v", err)
 			})
 		})
--- a/platform/client/fuzz_test.go
+++ b/backing/client/fuzz_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing/wire"
 )
 
 // FuzzAnswer takes any answer to a read: it is taken as rows, as a refusal that goes with its
--- a/platform/client/once_test.go
+++ b/backing/client/once_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // deaf takes each second request of a connection and closes the connection without an answer.
@@ -69,7 +69,7 @@
 	defer c.Close()
 	failed := int64(0)
 	for range 2 * rounds {
-		err := c.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{put("a", 0)}})
+		err := c.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{put("a", 0)}})
 		if err != nil {
 			require.True(t, fault.Is(err, fault.StoreDown), "%v", err)
 			failed++
--- a/platform/client/roster.go
+++ b/backing/client/roster.go
@@ -6,8 +6,8 @@
 	"slices"
 	"sync"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // Roster is the list of instances over HTTP for those who ask often; it keeps the list and asks
@@ -16,18 +16,18 @@
 	c *conn
 
 	mu    sync.Mutex
-	stamp platform.Stamp
-	list  []platform.Instance // sorted by ID; replaced, never altered
+	stamp backing.Stamp
+	list  []backing.Instance // sorted by ID; replaced, never altered
 }
 
 // Roster returns the instances with Seen left out, and the list's stamp.
-func (r *Roster) Roster(ctx context.Context, _ platform.Stamp) ([]platform.Instance, platform.Stamp, error) {
+func (r *Roster) Roster(ctx context.Context, _ backing.Stamp) ([]backing.Instance, backing.Stamp, error) {
 	r.mu.Lock()
 	known := r.stamp
 	r.mu.Unlock()
 	var d wire.Delta
 	if err := r.c.call(ctx, wire.PathRoster, wire.Roster{Known: known}, &d); err != nil {
-		return nil, platform.Stamp{}, err
+		return nil, backing.Stamp{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -40,7 +40,7 @@
 }
 
 // Look returns the newest signs of life of the named instances.
-func (r *Roster) Look(ctx context.Context, ids ...string) ([]platform.Instance, error) {
+func (r *Roster) Look(ctx context.Context, ids ...string) ([]backing.Instance, error) {
 	var a wire.Instances
 	if err := r.c.call(ctx, wire.PathLook, wire.Look{Instances: ids}, &a); err != nil {
 		return nil, err
@@ -49,7 +49,7 @@
 }
 
 // LookWorkers returns the named workers that exist.
-func (r *Roster) LookWorkers(ctx context.Context, ids ...string) ([]platform.Worker, error) {
+func (r *Roster) LookWorkers(ctx context.Context, ids ...string) ([]backing.Worker, error) {
 	var a wire.Workers
 	if err := r.c.call(ctx, wire.PathLookWorkers, wire.Look{Instances: ids}, &a); err != nil {
 		return nil, err
@@ -58,8 +58,8 @@
 }
 
 // merge returns a new list with the delta in it.
-func merge(list []platform.Instance, d wire.Delta) []platform.Instance {
-	byID := map[string]platform.Instance{}
+func merge(list []backing.Instance, d wire.Delta) []backing.Instance {
+	byID := map[string]backing.Instance{}
 	if !d.Whole {
 		for _, in := range list {
 			byID[in.ID] = in
@@ -71,10 +71,10 @@
 	for _, id := range d.Removed {
 		delete(byID, id)
 	}
-	out := make([]platform.Instance, 0, len(byID))
+	out := make([]backing.Instance, 0, len(byID))
 	for _, in := range byID {
 		out = append(out, in)
 	}
-	slices.SortFunc(out, func(x, y platform.Instance) int { return cmp.Compare(x.ID, y.ID) })
+	slices.SortFunc(out, func(x, y backing.Instance) int { return cmp.Compare(x.ID, y.ID) })
 	return out
 }
--- a/platform/client/roster_test.go
+++ b/backing/client/roster_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // TestRosterFollowsTheList alters instances at random and compares the list made of deltas with
@@ -25,14 +25,14 @@
 			id := "i" + strconv.Itoa(rnd.IntN(20))
 			switch rnd.IntN(3) {
 			case 0:
-				p.PutInstance(platform.Instance{ID: id, Rack: strconv.Itoa(rnd.IntN(3))})
+				p.PutInstance(backing.Instance{ID: id, Rack: strconv.Itoa(rnd.IntN(3))})
 			case 1:
 				// Fails where there is no such instance.
 				_ = p.Remove(id)
 			case 2:
 				_ = p.Instances.Drain(t.Context(), id, id+"-1")
 			}
-			got, stamp, err := c.Roster.Roster(t.Context(), platform.Stamp{})
+			got, stamp, err := c.Roster.Roster(t.Context(), backing.Stamp{})
 			require.NoError(t, err)
 			want, err := p.Instances.List(t.Context())
 			require.NoError(t, err)
@@ -52,8 +52,8 @@
 
 func TestLookReturnsTheNamed(t *testing.T) {
 	p := standin.New()
-	p.PutInstance(platform.Instance{ID: "a"})
-	p.PutInstance(platform.Instance{ID: "b"})
+	p.PutInstance(backing.Instance{ID: "a"})
+	p.PutInstance(backing.Instance{ID: "b"})
 	srv := httptest.NewServer(p.Handler())
 	defer srv.Close()
 	c := New(netip.MustParseAddrPort(srv.Listener.Addr().String()))
--- a/platform/client/services.go
+++ b/backing/client/services.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // Table is the table service over HTTP.
 type Table struct{ c *conn }
 
 // Read returns one row a key, in the order of the keys.
-func (t *Table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *Table) Read(ctx context.Context, keys ...string) ([]backing.Row, error) {
 	var a wire.Rows
 	if err := t.c.call(ctx, wire.PathRead, wire.Read{Keys: keys}, &a); err != nil {
 		return nil, err
@@ -30,7 +30,7 @@
 }
 
 // Scan returns at most limit rows in the order of their keys.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	var a wire.Rows
 	err := t.c.call(ctx, wire.PathScan, wire.Scan{Prefix: prefix, After: after, Limit: limit}, &a)
 	if err != nil {
@@ -40,7 +40,7 @@
 }
 
 // Commit asks once for the transaction.
-func (t *Table) Commit(ctx context.Context, tx platform.Tx) error {
+func (t *Table) Commit(ctx context.Context, tx backing.Tx) error {
 	return t.c.call(ctx, wire.PathCommit, wire.EncodeTx(tx), &wire.None{})
 }
 
@@ -74,7 +74,7 @@
 type Instances struct{ c *conn }
 
 // List returns the instances as the platform last heard of them.
-func (s *Instances) List(ctx context.Context) ([]platform.Instance, error) {
+func (s *Instances) List(ctx context.Context) ([]backing.Instance, error) {
 	var a wire.Instances
 	if err := s.c.call(ctx, wire.PathInstances, wire.None{}, &a); err != nil {
 		return nil, err
@@ -88,7 +88,7 @@
 }
 
 // Reboot restarts the instance while r.Boot is its boot.
-func (s *Instances) Reboot(ctx context.Context, r platform.Reboot) error {
+func (s *Instances) Reboot(ctx context.Context, r backing.Reboot) error {
 	return s.c.call(ctx, wire.PathReboot, r, &wire.None{})
 }
 
@@ -96,7 +96,7 @@
 type Workers struct{ c *conn }
 
 // Workers returns the workers as the platform last heard of them.
-func (s *Workers) Workers(ctx context.Context) ([]platform.Worker, error) {
+func (s *Workers) Workers(ctx context.Context) ([]backing.Worker, error) {
 	var a wire.Workers
 	if err := s.c.call(ctx, wire.PathWorkers, wire.None{}, &a); err != nil {
 		return nil, err
@@ -105,17 +105,17 @@
 }
 
 // Start asks once for the task to be started.
-func (s *Workers) Start(ctx context.Context, t platform.Task) error {
+func (s *Workers) Start(ctx context.Context, t backing.Task) error {
 	return s.c.call(ctx, wire.PathStart, t, &wire.None{})
 }
 
 // Act asks once for act to be done to the task.
-func (s *Workers) Act(ctx context.Context, task string, epoch int64, act platform.TaskAct, until time.Time) error {
+func (s *Workers) Act(ctx context.Context, task string, epoch int64, act backing.TaskAct, until time.Time) error {
 	return s.c.call(ctx, wire.PathAct, wire.Act{Task: task, Epoch: epoch, Act: act, Until: until}, &wire.None{})
 }
 
 // Reports returns the reports of a worker's tasks.
-func (s *Workers) Reports(ctx context.Context, worker string) ([]platform.Report, error) {
+func (s *Workers) Reports(ctx context.Context, worker string) ([]backing.Report, error) {
 	var a wire.Reports
 	if err := s.c.call(ctx, wire.PathReports, wire.Of{Worker: worker}, &a); err != nil {
 		return nil, err
--- a/platform/standin/beat.go
+++ b/backing/standin/beat.go
@@ -9,14 +9,14 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 const beatTimeout = 2 * time.Second
 
 // Beat is p's Heartbeat as an instance of the same process calls it.
-func (p *Platform) Beat(_ context.Context, i platform.Instance) (platform.Instance, error) {
+func (p *Platform) Beat(_ context.Context, i backing.Instance) (backing.Instance, error) {
 	return p.Heartbeat(i), nil
 }
 
@@ -24,7 +24,7 @@
 func BeatOver(addr netip.AddrPort) Beat {
 	h := &http.Client{Timeout: beatTimeout, Transport: &http.Transport{}}
 	url := "http://" + addr.String() + PathHeartbeat
-	return func(ctx context.Context, i platform.Instance) (platform.Instance, error) {
+	return func(ctx context.Context, i backing.Instance) (backing.Instance, error) {
 		body, err := json.Marshal(i)
 		if err != nil {
 			return i, fault.Wrap(fault.Internal, err, "encode a heartbeat of %s", i.ID)
@@ -41,7 +41,7 @@
 		if res.StatusCode != http.StatusOK {
 			return i, fault.New(fault.StoreDown, "a heartbeat of %s was answered with status %d", i.ID, res.StatusCode)
 		}
-		var row platform.Instance
+		var row backing.Instance
 		if err := wire.Decode(res.Body, &row); err != nil {
 			return i, err
 		}
--- a/platform/standin/control.go
+++ b/backing/standin/control.go
@@ -5,15 +5,15 @@
 	"net/http"
 	"time"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // Paths of the control of the stand-in, which no real platform has.
 const (
-	PathHeartbeat = "/control/heartbeat" // platform.Instance, answered by the platform's row of it
-	PathInstance  = "/control/instance"  // platform.Instance
-	PathWorker    = "/control/worker"    // platform.Worker
+	PathHeartbeat = "/control/heartbeat" // backing.Instance, answered by the platform's row of it
+	PathInstance  = "/control/instance"  // backing.Instance
+	PathWorker    = "/control/worker"    // backing.Worker
 	PathFaults    = "/control/faults"    // SetFaults
 	PathLag       = "/control/lag"       // SetLag
 	PathKill      = "/control/kill"      // Named
@@ -62,21 +62,21 @@
 }
 
 func (p *Platform) handleControl(m *http.ServeMux) {
-	handle(m, PathHeartbeat, func(_ context.Context, q platform.Instance) (platform.Instance, error) {
+	handle(m, PathHeartbeat, func(_ context.Context, q backing.Instance) (backing.Instance, error) {
 		return p.Heartbeat(q), nil
 	})
-	handle(m, PathInstance, func(_ context.Context, q platform.Instance) (wire.None, error) {
+	handle(m, PathInstance, func(_ context.Context, q backing.Instance) (wire.None, error) {
 		p.PutInstance(q)
 		return wire.None{}, nil
 	})
-	handle(m, PathWorker, func(_ context.Context, q platform.Worker) (wire.None, error) {
+	handle(m, PathWorker, func(_ context.Context, q backing.Worker) (wire.None, error) {
 		p.PutWorker(q)
 		return wire.None{}, nil
 	})
 	handle(m, PathKill, func(_ context.Context, q Named) (wire.None, error) {
 		return wire.None{}, p.Kill(q.Instance)
 	})
-	handle(m, PathRevive, func(_ context.Context, q Named) (platform.Instance, error) {
+	handle(m, PathRevive, func(_ context.Context, q Named) (backing.Instance, error) {
 		return p.Revive(q.Instance)
 	})
 	handle(m, PathRemove, func(_ context.Context, q Named) (wire.None, error) {
--- a/platform/standin/fleet.go
+++ b/backing/standin/fleet.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // fleet is all instances with what runs on them. One lock guards it: acts on instances are
 // rare, and a worker's tasks are looked at a worker at a time.
 type fleet struct {
 	now      func() time.Time
-	onReboot func(platform.Instance)
+	onReboot func(backing.Instance)
 	bootTime time.Duration
 	saveTime time.Duration
 
@@ -42,14 +42,14 @@
 	}
 }
 
-func (f *fleet) put(w platform.Worker, self bool) {
+func (f *fleet) put(w backing.Worker, self bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if w.Boot == "" {
 		w.Boot = w.ID + "-1"
 	}
 	if w.State == "" {
-		w.State = platform.StateLive
+		w.State = backing.StateLive
 	}
 	now := f.now()
 	if w.Seen.IsZero() {
@@ -65,17 +65,17 @@
 	n.note(now)
 }
 
-func (f *fleet) beat(i platform.Instance) platform.Instance {
+func (f *fleet) beat(i backing.Instance) backing.Instance {
 	f.mu.Lock()
 	n := f.nodes[i.ID]
 	if n == nil {
 		f.mu.Unlock()
-		f.put(platform.Worker{Instance: i}, false)
+		f.put(backing.Worker{Instance: i}, false)
 		f.mu.Lock()
 		n = f.nodes[i.ID]
 	}
 	defer f.mu.Unlock()
-	if i.Boot != n.Boot || n.State == platform.StateGone {
+	if i.Boot != n.Boot || n.State == backing.StateGone {
 		return n.Instance
 	}
 	now := f.now()
@@ -85,7 +85,7 @@
 	n.self = false
 	if !n.upAt.IsZero() {
 		n.upAt = time.Time{}
-		n.State = platform.StateLive
+		n.State = backing.StateLive
 	}
 	n.note(now)
 	f.advance()
@@ -107,14 +107,14 @@
 	if err != nil {
 		return err
 	}
-	if n.State == platform.StateLive {
-		n.State = platform.StateLeaving
+	if n.State == backing.StateLive {
+		n.State = backing.StateLeaving
 		n.note(f.now())
 	}
 	return nil
 }
 
-func (f *fleet) reboot(r platform.Reboot) error {
+func (f *fleet) reboot(r backing.Reboot) error {
 	f.mu.Lock()
 	n, err := f.find(r.Instance, r.Boot)
 	if err != nil {
@@ -133,7 +133,7 @@
 // find returns the instance while boot is its boot.
 func (f *fleet) find(id, boot string) (*node, error) {
 	n := f.nodes[id]
-	if n == nil || n.State == platform.StateGone {
+	if n == nil || n.State == backing.StateGone {
 		return nil, errNoInstance(id)
 	}
 	f.settle(n)
@@ -151,7 +151,7 @@
 	n.boots++
 	n.prior = n.Boot
 	n.Boot = fmt.Sprintf("%s-%d", n.ID, n.boots)
-	n.State = platform.StateLeaving
+	n.State = backing.StateLeaving
 	n.upAt = now.Add(f.bootTime)
 	n.note(now)
 	f.settle(n)
@@ -162,7 +162,7 @@
 	if !n.self || n.dead || n.upAt.IsZero() || f.now().Before(n.upAt) {
 		return
 	}
-	n.State = platform.StateLive
+	n.State = backing.StateLive
 	n.Seen = n.upAt
 	n.upAt = time.Time{}
 	n.note(n.Seen)
@@ -176,13 +176,13 @@
 	})
 }
 
-func (f *fleet) revive(id string) (platform.Instance, error) {
+func (f *fleet) revive(id string) (backing.Instance, error) {
 	err := f.change(id, func(n *node) {
 		n.dead = false
 		f.restart(n)
 	})
 	if err != nil {
-		return platform.Instance{}, err
+		return backing.Instance{}, err
 	}
 	return f.instance(id)
 }
@@ -201,20 +201,20 @@
 	return nil
 }
 
-func (f *fleet) instance(id string) (platform.Instance, error) {
+func (f *fleet) instance(id string) (backing.Instance, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[id]
 	if n == nil {
-		return platform.Instance{}, errNoInstance(id)
+		return backing.Instance{}, errNoInstance(id)
 	}
 	f.settle(n)
 	return n.Instance, nil
 }
 
-func (f *fleet) list() []platform.Instance {
+func (f *fleet) list() []backing.Instance {
 	ws := f.workers(func(*node) bool { return true })
-	list := make([]platform.Instance, 0, len(ws))
+	list := make([]backing.Instance, 0, len(ws))
 	for _, w := range ws {
 		list = append(list, w.Instance)
 	}
@@ -222,11 +222,11 @@
 }
 
 // workers returns the instances that pick selects as of the list's cut, sorted by ID.
-func (f *fleet) workers(pick func(*node) bool) []platform.Worker {
+func (f *fleet) workers(pick func(*node) bool) []backing.Worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance()
-	list := make([]platform.Worker, 0, len(f.nodes))
+	list := make([]backing.Worker, 0, len(f.nodes))
 	for _, n := range f.nodes {
 		if !pick(n) {
 			continue
@@ -236,6 +236,6 @@
 			list = append(list, w)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Worker) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b backing.Worker) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/platform/standin/fuzz_test.go
+++ b/backing/standin/fuzz_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // FuzzHandler posts any message to any path: the answer is a message or a fault that the table of
@@ -25,8 +25,8 @@
 		require.NoError(t, err)
 		req.URL.Path = path
 		p := New()
-		p.PutWorker(platform.Worker{Instance: platform.Instance{ID: "w1"}})
-		require.NoError(t, p.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{put("a", 0, "1")}}))
+		p.PutWorker(backing.Worker{Instance: backing.Instance{ID: "w1"}})
+		require.NoError(t, p.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{put("a", 0, "1")}}))
 		w := httptest.NewRecorder()
 		p.Handler().ServeHTTP(w, req)
 		if w.Code != http.StatusOK {
@@ -38,7 +38,7 @@
 			return
 		}
 		row := p.Table.shards[shardOf("a")].get("a")
-		require.Equal(t, platform.Row{Key: "a", Version: 1, Value: json.RawMessage("1")}, row)
+		require.Equal(t, backing.Row{Key: "a", Version: 1, Value: json.RawMessage("1")}, row)
 	})
 }
 
--- a/platform/standin/handler.go
+++ b/backing/standin/handler.go
@@ -6,8 +6,8 @@
 	"net/http"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // Handler serves the four services, the heartbeats and the control of faults.
@@ -68,7 +68,7 @@
 	handle(m, wire.PathDrain, func(ctx context.Context, q wire.Drain) (wire.None, error) {
 		return wire.None{}, p.Instances.Drain(ctx, q.Instance, q.Boot)
 	})
-	handle(m, wire.PathReboot, func(ctx context.Context, q platform.Reboot) (wire.None, error) {
+	handle(m, wire.PathReboot, func(ctx context.Context, q backing.Reboot) (wire.None, error) {
 		return wire.None{}, p.Instances.Reboot(ctx, q)
 	})
 }
@@ -82,7 +82,7 @@
 		list, err := p.Roster.LookWorkers(ctx, q.Instances...)
 		return wire.Workers{Workers: list}, err
 	})
-	handle(m, wire.PathStart, func(ctx context.Context, q platform.Task) (wire.None, error) {
+	handle(m, wire.PathStart, func(ctx context.Context, q backing.Task) (wire.None, error) {
 		return wire.None{}, p.Workers.Start(ctx, q)
 	})
 	handle(m, wire.PathAct, func(ctx context.Context, q wire.Act) (wire.None, error) {
--- a/platform/standin/instances.go
+++ b/backing/standin/instances.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Instances is the stand-in's lagging list of instances and its acts on them.
@@ -15,8 +15,8 @@
 }
 
 // List returns the instances as they were a lag ago; it never goes back in time.
-func (s *Instances) List(ctx context.Context) ([]platform.Instance, error) {
-	var list []platform.Instance
+func (s *Instances) List(ctx context.Context) ([]backing.Instance, error) {
+	var list []backing.Instance
 	err := s.gate.read(ctx, "list instances", func() error {
 		list = s.fleet.list()
 		s.gate.count(Counts{Rows: int64(len(list))})
@@ -34,24 +34,24 @@
 }
 
 // Reboot restarts the instance while r.Boot is its boot.
-func (s *Instances) Reboot(ctx context.Context, r platform.Reboot) error {
+func (s *Instances) Reboot(ctx context.Context, r backing.Reboot) error {
 	return s.gate.write(ctx, "reboot "+r.Instance, func() error { return s.fleet.reboot(r) })
 }
 
 // PutInstance adds an instance, or replaces one; it beats by itself until it is killed.
-func (p *Platform) PutInstance(i platform.Instance) {
-	p.fleet.put(platform.Worker{Instance: i}, true)
+func (p *Platform) PutInstance(i backing.Instance) {
+	p.fleet.put(backing.Worker{Instance: i}, true)
 }
 
 // PutWorker adds a worker, or replaces one; it beats by itself until it is killed.
-func (p *Platform) PutWorker(w platform.Worker) {
-	w.Role = platform.RoleWorker
+func (p *Platform) PutWorker(w backing.Worker) {
+	w.Role = backing.RoleWorker
 	p.fleet.put(w, true)
 }
 
 // Heartbeat takes in that i is alive, adding it where it is unknown, and returns the platform's
 // row of it; another boot there means that the instance is to restart under that boot.
-func (p *Platform) Heartbeat(i platform.Instance) platform.Instance {
+func (p *Platform) Heartbeat(i backing.Instance) backing.Instance {
 	return p.fleet.beat(i)
 }
 
@@ -61,17 +61,17 @@
 }
 
 // Revive starts a killed instance under a new boot and returns it.
-func (p *Platform) Revive(id string) (platform.Instance, error) {
+func (p *Platform) Revive(id string) (backing.Instance, error) {
 	return p.fleet.revive(id)
 }
 
 // Remove marks an instance gone for good.
 func (p *Platform) Remove(id string) error {
-	return p.fleet.change(id, func(n *node) { n.State = platform.StateGone })
+	return p.fleet.change(id, func(n *node) { n.State = backing.StateGone })
 }
 
 // Instance returns the instance as it is now, without the list's lag.
-func (p *Platform) Instance(id string) (platform.Instance, error) {
+func (p *Platform) Instance(id string) (backing.Instance, error) {
 	return p.fleet.instance(id)
 }
 
--- a/platform/standin/platform.go
+++ b/backing/standin/platform.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/pause"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Service names one of the platform's four services.
@@ -40,11 +40,11 @@
 
 // The services implement the platform's interfaces.
 var (
-	_ platform.Table     = (*Table)(nil)
-	_ platform.Objects   = (*Objects)(nil)
-	_ platform.Instances = (*Instances)(nil)
-	_ platform.Workers   = (*Workers)(nil)
-	_ platform.Roster    = (*Roster)(nil)
+	_ backing.Table     = (*Table)(nil)
+	_ backing.Objects   = (*Objects)(nil)
+	_ backing.Instances = (*Instances)(nil)
+	_ backing.Workers   = (*Workers)(nil)
+	_ backing.Roster    = (*Roster)(nil)
 )
 
 // config is what the options set.
@@ -56,7 +56,7 @@
 	reportLag time.Duration
 	bootTime  time.Duration
 	saveTime  time.Duration
-	onReboot  func(platform.Instance)
+	onReboot  func(backing.Instance)
 }
 
 // Option changes a Platform under construction.
@@ -96,7 +96,7 @@
 }
 
 // WithRebootHook sets what is called, outside all locks, with the instance under its new boot.
-func WithRebootHook(f func(platform.Instance)) Option {
+func WithRebootHook(f func(backing.Instance)) Option {
 	return func(c *config) { c.onReboot = f }
 }
 
--- a/platform/standin/roster.go
+++ b/backing/standin/roster.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing"
+	"gypsumlead/backing/wire"
 )
 
 // Roster is the stand-in's list of instances for those who ask often.
@@ -20,12 +20,12 @@
 	mu      sync.Mutex
 	version int64
 	rows    map[string]rosterRow
-	whole   []platform.Instance // as of version
+	whole   []backing.Instance // as of version
 }
 
 // rosterRow is one instance as it was last published; a removed one is kept for those who know it.
 type rosterRow struct {
-	platform.Instance
+	backing.Instance
 	version int64
 	removed bool
 }
@@ -35,41 +35,41 @@
 }
 
 // Roster returns the lagging list with Seen left out.
-func (r *Roster) Roster(ctx context.Context, _ platform.Stamp) ([]platform.Instance, platform.Stamp, error) {
+func (r *Roster) Roster(ctx context.Context, _ backing.Stamp) ([]backing.Instance, backing.Stamp, error) {
 	if err := r.refresh(ctx); err != nil {
-		return nil, platform.Stamp{}, err
+		return nil, backing.Stamp{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.whole, platform.Stamp{Epoch: r.epoch, Version: r.version}, nil
+	return r.whole, backing.Stamp{Epoch: r.epoch, Version: r.version}, nil
 }
 
 // Look returns the listed rows of the named instances.
-func (r *Roster) Look(ctx context.Context, ids ...string) ([]platform.Instance, error) {
+func (r *Roster) Look(ctx context.Context, ids ...string) ([]backing.Instance, error) {
 	list, err := r.list.List(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return slices.DeleteFunc(list, func(in platform.Instance) bool { return !slices.Contains(ids, in.ID) }), nil
+	return slices.DeleteFunc(list, func(in backing.Instance) bool { return !slices.Contains(ids, in.ID) }), nil
 }
 
 // LookWorkers returns the named workers.
-func (r *Roster) LookWorkers(ctx context.Context, ids ...string) ([]platform.Worker, error) {
+func (r *Roster) LookWorkers(ctx context.Context, ids ...string) ([]backing.Worker, error) {
 	list, err := r.workers.Workers(ctx)
 	if err != nil {
 		return nil, err
 	}
-	return slices.DeleteFunc(list, func(w platform.Worker) bool { return !slices.Contains(ids, w.ID) }), nil
+	return slices.DeleteFunc(list, func(w backing.Worker) bool { return !slices.Contains(ids, w.ID) }), nil
 }
 
 // delta returns what has changed since a stamp.
-func (r *Roster) delta(ctx context.Context, known platform.Stamp) (wire.Delta, error) {
+func (r *Roster) delta(ctx context.Context, known backing.Stamp) (wire.Delta, error) {
 	if err := r.refresh(ctx); err != nil {
 		return wire.Delta{}, err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d := wire.Delta{Stamp: platform.Stamp{Epoch: r.epoch, Version: r.version}}
+	d := wire.Delta{Stamp: backing.Stamp{Epoch: r.epoch, Version: r.version}}
 	if known.Epoch != r.epoch || known.Version > r.version {
 		d.Whole = true
 		d.Changed = r.whole
--- a/platform/standin/runner.go
+++ b/backing/standin/runner.go
@@ -11,7 +11,7 @@
 
 	"github.com/oklog/run"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -32,7 +32,7 @@
 	stop   context.CancelFunc
 
 	mu     sync.Mutex
-	self   platform.Instance
+	self   backing.Instance
 	life   *life
 	run    time.Duration
 	faults RunnerFaults
@@ -49,13 +49,13 @@
 }
 
 // Beat tells the platform that an instance is alive and returns the platform's row of it.
-type Beat func(ctx context.Context, i platform.Instance) (platform.Instance, error)
+type Beat func(ctx context.Context, i backing.Instance) (backing.Instance, error)
 
 // RunnerOption changes a Runner under construction.
 type RunnerOption func(*Runner)
 
 // WithInstance sets what the runner says it is; its address defaults to the listener's.
-func WithInstance(i platform.Instance) RunnerOption {
+func WithInstance(i backing.Instance) RunnerOption {
 	return func(r *Runner) { r.self = i }
 }
 
@@ -116,7 +116,7 @@
 // identify fills in what the options left open.
 func (r *Runner) identify(l net.Listener) {
 	if r.self.Role == "" {
-		r.self.Role = platform.RoleRunner
+		r.self.Role = backing.RoleRunner
 	}
 	if r.self.Boot == "" {
 		r.self.Boot = r.self.ID + "-1"
@@ -156,7 +156,7 @@
 }
 
 // Instance returns what the runner says it is.
-func (r *Runner) Instance() platform.Instance {
+func (r *Runner) Instance() backing.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.self
--- a/platform/standin/runner_handler.go
+++ b/backing/standin/runner_handler.go
@@ -10,7 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"gypsumlead/platform/wire"
+	"gypsumlead/backing/wire"
 )
 
 // Headers between a caller and a runner.
--- a/platform/standin/runner_test.go
+++ b/backing/standin/runner_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 var anyAddr = netip.MustParseAddrPort("127.0.0.1:1")
@@ -132,7 +132,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := New()
 		l := NewPipes(anyAddr)
-		r := NewRunner(l, WithRun(time.Minute), WithInstance(platform.Instance{ID: "r1"}), WithBeat(p.Beat, time.Second))
+		r := NewRunner(l, WithRun(time.Minute), WithInstance(backing.Instance{ID: "r1"}), WithBeat(p.Beat, time.Second))
 		defer r.Close()
 		failed := make(chan error, 1)
 		go func() {
@@ -140,7 +140,7 @@
 			failed <- err
 		}()
 		time.Sleep(time.Second)
-		require.NoError(t, p.Instances.Reboot(t.Context(), platform.Reboot{Instance: "r1", Boot: "r1-1"}))
+		require.NoError(t, p.Instances.Reboot(t.Context(), backing.Reboot{Instance: "r1", Boot: "r1-1"}))
 		require.Error(t, <-failed)
 		time.Sleep(2 * time.Second)
 		a := r.Account()
@@ -149,7 +149,7 @@
 		require.Zero(t, a.Now)
 		i, err := p.Instance("r1")
 		require.NoError(t, err)
-		require.Equal(t, platform.StateLive, i.State)
+		require.Equal(t, backing.StateLive, i.State)
 	})
 }
 
@@ -160,10 +160,10 @@
 	go func() { _ = srv.Serve(l) }()
 	defer srv.Close()
 	beat := BeatOver(netip.MustParseAddrPort(l.Addr().String()))
-	i, err := beat(t.Context(), platform.Instance{ID: "r1", Boot: "b", Addr: anyAddr})
+	i, err := beat(t.Context(), backing.Instance{ID: "r1", Boot: "b", Addr: anyAddr})
 	require.NoError(t, err)
 	require.Equal(t, "b", i.Boot)
-	require.NoError(t, p.Instances.Reboot(t.Context(), platform.Reboot{Instance: "r1", Boot: "b"}))
+	require.NoError(t, p.Instances.Reboot(t.Context(), backing.Reboot{Instance: "r1", Boot: "b"}))
 	i, err = beat(t.Context(), i)
 	require.NoError(t, err)
 	require.Equal(t, "r1-2", i.Boot)
--- a/platform/standin/shard.go
+++ b/backing/standin/shard.go
@@ -4,17 +4,17 @@
 	"slices"
 	"sync"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // shard is a part of the table's rows with the sorted list of their keys.
 type shard struct {
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]backing.Row
 	keys []string
 }
 
-func (s *shard) get(key string) platform.Row {
+func (s *shard) get(key string) backing.Row {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.rows[key]
@@ -23,7 +23,7 @@
 }
 
 // put writes a row of a locked shard.
-func (s *shard) put(r platform.Row) {
+func (s *shard) put(r backing.Row) {
 	if _, ok := s.rows[r.Key]; !ok {
 		i, _ := slices.BinarySearch(s.keys, r.Key)
 		s.keys = slices.Insert(s.keys, i, r.Key)
--- a/platform/standin/table.go
+++ b/backing/standin/table.go
@@ -9,7 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -29,16 +29,16 @@
 func newTable(g *gate) *Table {
 	t := &Table{gate: g}
 	for i := range t.shards {
-		t.shards[i] = &shard{rows: map[string]platform.Row{}}
+		t.shards[i] = &shard{rows: map[string]backing.Row{}}
 	}
 	return t
 }
 
 // Read returns one row a key; rows of one call needn't be of one instant.
-func (t *Table) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *Table) Read(ctx context.Context, keys ...string) ([]backing.Row, error) {
+	var rows []backing.Row
 	err := t.gate.read(ctx, "read rows", func() error {
-		rows = make([]platform.Row, 0, len(keys))
+		rows = make([]backing.Row, 0, len(keys))
 		for _, k := range keys {
 			rows = append(rows, t.shards[shardOf(k)].get(k))
 		}
@@ -52,8 +52,8 @@
 }
 
 // Scan returns rows in the order of their keys, as of one instant.
-func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
-	var rows []platform.Row
+func (t *Table) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
+	var rows []backing.Row
 	err := t.gate.read(ctx, "scan "+prefix, func() error {
 		rows = t.scan(prefix, after, min(limit, scanLimit))
 		t.gate.count(Counts{Rows: int64(len(rows))})
@@ -65,7 +65,7 @@
 	return rows, nil
 }
 
-func (t *Table) scan(prefix, after string, limit int) []platform.Row {
+func (t *Table) scan(prefix, after string, limit int) []backing.Row {
 	for _, s := range t.shards {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -74,7 +74,7 @@
 	for i, s := range t.shards {
 		left[i] = s.from(prefix, after)
 	}
-	rows := []platform.Row{}
+	rows := []backing.Row{}
 	for len(rows) < limit {
 		i := least(left[:])
 		if i < 0 || !strings.HasPrefix(left[i][0], prefix) {
@@ -98,14 +98,14 @@
 }
 
 // Commit checks every condition on the rows before the transaction, then writes all of it.
-func (t *Table) Commit(ctx context.Context, tx platform.Tx) error {
+func (t *Table) Commit(ctx context.Context, tx backing.Tx) error {
 	if err := checkTx(tx); err != nil {
 		return err
 	}
 	return t.gate.write(ctx, "commit", func() error { return t.commit(tx) })
 }
 
-func (t *Table) commit(tx platform.Tx) error {
+func (t *Table) commit(tx backing.Tx) error {
 	for _, i := range shardsOf(tx) {
 		s := t.shards[i]
 		s.mu.Lock()
@@ -118,15 +118,15 @@
 	}
 	puts := int64(0)
 	for _, op := range tx.Ops {
-		s := t.shards[shardOf(platform.KeyOf(op))]
+		s := t.shards[shardOf(backing.KeyOf(op))]
 		switch o := op.(type) {
-		case platform.Put:
-			s.put(platform.Row{Key: o.Key, Version: o.IfVersion + 1, Value: slices.Clone(o.Value)})
+		case backing.Put:
+			s.put(backing.Row{Key: o.Key, Version: o.IfVersion + 1, Value: slices.Clone(o.Value)})
 			puts++
-		case platform.Delete:
+		case backing.Delete:
 			s.drop(o.Key)
 			puts++
-		case platform.Check:
+		case backing.Check:
 		}
 	}
 	t.gate.count(Counts{Puts: puts})
@@ -134,16 +134,16 @@
 }
 
 // check holds op's condition against its row, whose shard is locked.
-func (t *Table) check(op platform.Op) error {
-	key := platform.KeyOf(op)
+func (t *Table) check(op backing.Op) error {
+	key := backing.KeyOf(op)
 	have := t.shards[shardOf(key)].rows[key].Version
 	want := int64(0)
 	switch o := op.(type) {
-	case platform.Check:
+	case backing.Check:
 		want = o.Version
-	case platform.Put:
+	case backing.Put:
 		want = o.IfVersion
-	case platform.Delete:
+	case backing.Delete:
 		want = o.IfVersion
 	}
 	if have != want {
@@ -153,24 +153,24 @@
 }
 
 // checkTx refuses what the table service can't take: bad values, and rows written twice.
-func checkTx(tx platform.Tx) error {
+func checkTx(tx backing.Tx) error {
 	if len(tx.Ops) > opLimit {
 		return fault.New(fault.TooLarge, "a transaction takes %d steps at most, not %d", opLimit, len(tx.Ops))
 	}
 	written := make(map[string]bool, len(tx.Ops))
 	for _, op := range tx.Ops {
-		key := platform.KeyOf(op)
+		key := backing.KeyOf(op)
 		if key == "" {
 			return fault.New(fault.Invalid, "a step of the transaction names no row")
 		}
-		if _, ok := op.(platform.Check); ok {
+		if _, ok := op.(backing.Check); ok {
 			continue
 		}
 		if written[key] {
 			return fault.New(fault.Invalid, "the transaction writes row %s twice", key)
 		}
 		written[key] = true
-		if o, ok := op.(platform.Put); ok {
+		if o, ok := op.(backing.Put); ok {
 			if err := checkValue(o); err != nil {
 				return err
 			}
@@ -179,7 +179,7 @@
 	return nil
 }
 
-func checkValue(o platform.Put) error {
+func checkValue(o backing.Put) error {
 	if len(o.Value) > valueLimit {
 		return fault.New(fault.TooLarge, "row %s takes %d bytes at most, not %d", o.Key, valueLimit, len(o.Value))
 	}
@@ -194,10 +194,10 @@
 }
 
 // shardsOf returns the shards of the transaction's rows, sorted, each once.
-func shardsOf(tx platform.Tx) []int {
+func shardsOf(tx backing.Tx) []int {
 	is := make([]int, 0, len(tx.Ops))
 	for _, op := range tx.Ops {
-		is = append(is, shardOf(platform.KeyOf(op)))
+		is = append(is, shardOf(backing.KeyOf(op)))
 	}
 	slices.Sort(is)
 	return slices.Compact(is)
--- a/platform/standin/table_test.go
+++ b/backing/standin/table_test.go
@@ -14,31 +14,31 @@
 	"pgregory.net/rapid"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
-func put(key string, ifVersion int64, v string) platform.Put {
-	return platform.Put{Key: key, IfVersion: ifVersion, Value: json.RawMessage(v)}
+func put(key string, ifVersion int64, v string) backing.Put {
+	return backing.Put{Key: key, IfVersion: ifVersion, Value: json.RawMessage(v)}
 }
 
 func TestCommitIsWholeOrNothing(t *testing.T) {
 	ctx := context.Background()
 	p := New()
-	require.NoError(t, p.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put("a", 0, "1"), put("b", 0, "1")}}))
+	require.NoError(t, p.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put("a", 0, "1"), put("b", 0, "1")}}))
 	for _, tc := range []struct {
 		name string
-		ops  []platform.Op
+		ops  []backing.Op
 		kind fault.Kind
 	}{
-		{"insert of a row that exists", []platform.Op{put("c", 0, "1"), put("a", 0, "2")}, fault.Conflict},
-		{"check of a newer version", []platform.Op{put("c", 0, "1"), platform.Check{Key: "b", Version: 2}}, fault.Conflict},
-		{"delete of a missing row", []platform.Op{put("c", 0, "1"), platform.Delete{Key: "d", IfVersion: 1}}, fault.Conflict},
-		{"row written twice", []platform.Op{put("c", 0, "1"), put("c", 1, "1")}, fault.Invalid},
-		{"value that is no JSON", []platform.Op{put("c", 0, "{")}, fault.Invalid},
-		{"no key", []platform.Op{put("c", 0, "1"), put("", 0, "1")}, fault.Invalid},
+		{"insert of a row that exists", []backing.Op{put("c", 0, "1"), put("a", 0, "2")}, fault.Conflict},
+		{"check of a newer version", []backing.Op{put("c", 0, "1"), backing.Check{Key: "b", Version: 2}}, fault.Conflict},
+		{"delete of a missing row", []backing.Op{put("c", 0, "1"), backing.Delete{Key: "d", IfVersion: 1}}, fault.Conflict},
+		{"row written twice", []backing.Op{put("c", 0, "1"), put("c", 1, "1")}, fault.Invalid},
+		{"value that is no JSON", []backing.Op{put("c", 0, "{")}, fault.Invalid},
+		{"no key", []backing.Op{put("c", 0, "1"), put("", 0, "1")}, fault.Invalid},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			err := p.Table.Commit(ctx, platform.Tx{Ops: tc.ops})
+			err := p.Table.Commit(ctx, backing.Tx{Ops: tc.ops})
 			require.True(t, fault.Is(err, tc.kind), "%v", err)
 			rows, err := p.Table.Scan(ctx, "", "", 10)
 			require.NoError(t, err)
@@ -52,23 +52,23 @@
 	rapid.Check(t, func(t *rapid.T) {
 		ctx := context.Background()
 		p := New()
-		model := map[string]platform.Row{}
+		model := map[string]backing.Row{}
 		keys := rapid.StringMatching(`[ab]/[a-c]{1,2}`)
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			key := keys.Draw(t, "key")
 			have := model[key].Version
 			want := max(0, have+int64(rapid.IntRange(-1, 1).Draw(t, "off")))
 			if rapid.Bool().Draw(t, "delete") {
-				err := p.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{platform.Delete{Key: key, IfVersion: want}}})
+				err := p.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{backing.Delete{Key: key, IfVersion: want}}})
 				require.Equal(t, want == have, err == nil)
 				if err == nil {
 					delete(model, key)
 				}
 			} else {
-				err := p.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{put(key, want, "1")}})
+				err := p.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{put(key, want, "1")}})
 				require.Equal(t, want == have, err == nil)
 				if err == nil {
-					model[key] = platform.Row{Key: key, Version: want + 1, Value: json.RawMessage("1")}
+					model[key] = backing.Row{Key: key, Version: want + 1, Value: json.RawMessage("1")}
 				}
 			}
 			prefix := rapid.SampledFrom([]string{"", "a", "a/", "b/", "c"}).Draw(t, "prefix")
@@ -81,8 +81,8 @@
 	})
 }
 
-func modelScan(model map[string]platform.Row, prefix, after string, limit int) []platform.Row {
-	rows := []platform.Row{}
+func modelScan(model map[string]backing.Row, prefix, after string, limit int) []backing.Row {
+	rows := []backing.Row{}
 	for k, r := range model {
 		if strings.HasPrefix(k, prefix) && k > after {
 			rows = append(rows, r)
@@ -111,17 +111,17 @@
 	}
 }
 
-func addUp(ctx context.Context, tb platform.Table, adds int) error {
+func addUp(ctx context.Context, tb backing.Table, adds int) error {
 	for adds > 0 {
 		rows, err := tb.Read(ctx, "a", "b")
 		if err != nil {
 			return err
 		}
-		var ops []platform.Op
+		var ops []backing.Op
 		for _, r := range rows {
 			ops = append(ops, put(r.Key, r.Version, fmt.Sprint(r.Version+1)))
 		}
-		err = tb.Commit(ctx, platform.Tx{Ops: ops})
+		err = tb.Commit(ctx, backing.Tx{Ops: ops})
 		if err == nil {
 			adds--
 		} else if !fault.Is(err, fault.Conflict) {
@@ -132,7 +132,7 @@
 }
 
 func TestFaults(t *testing.T) {
-	tx := platform.Tx{Ops: []platform.Op{put("a", 0, "1")}}
+	tx := backing.Tx{Ops: []backing.Op{put("a", 0, "1")}}
 	for _, tc := range []struct {
 		name   string
 		f      Faults
--- a/platform/standin/task.go
+++ b/backing/standin/task.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // throttledRate is the speed and the use of processors of a throttled task against a running one.
@@ -12,10 +12,10 @@
 
 // task is one task on a worker: its state is a function of the instant asked about.
 type task struct {
-	platform.Task
+	backing.Task
 
 	begun time.Time
-	used  platform.Size
+	used  backing.Size
 	run   time.Duration // work until it is done; zero: never
 	fail  time.Duration // time until it fails; zero: never
 	saved time.Time     // when its checkpoint is written; zero: none asked for
@@ -25,20 +25,20 @@
 // step is a change of a task's state.
 type step struct {
 	at    time.Time
-	state platform.TaskState
+	state backing.TaskState
 }
 
-func newTask(t platform.Task, now time.Time, p Profile, bad time.Duration) *task {
+func newTask(t backing.Task, now time.Time, p Profile, bad time.Duration) *task {
 	k := &task{Task: t, begun: now, used: p.Used, run: p.Run, fail: p.Fail}
-	if k.used == (platform.Size{}) {
+	if k.used == (backing.Size{}) {
 		k.used = t.Size
 	}
 	if bad > 0 && (k.fail == 0 || bad < k.fail) {
 		k.fail = bad
 	}
-	k.steps = []step{{now, platform.TaskRunning}}
+	k.steps = []step{{now, backing.TaskRunning}}
 	if p.Never {
-		k.end(now, platform.TaskFailed)
+		k.end(now, backing.TaskFailed)
 		return k
 	}
 	k.foresee()
@@ -46,24 +46,24 @@
 }
 
 // isEnd tells whether a task in state s is off its worker.
-func isEnd(s platform.TaskState) bool {
-	return s != platform.TaskRunning && s != platform.TaskThrottled
+func isEnd(s backing.TaskState) bool {
+	return s != backing.TaskRunning && s != backing.TaskThrottled
 }
 
 // foresee appends the end that comes if nobody acts: done, failed, or stopped at the lease's end.
 func (k *task) foresee() {
 	last := k.steps[len(k.steps)-1]
-	end := step{k.Until, platform.TaskStopped}
+	end := step{k.Until, backing.TaskStopped}
 	if k.run > 0 {
 		left := k.run - k.worked(last.at)
 		done := last.at.Add(time.Duration(float64(left) / rateOf(last.state)))
-		end = earlier(end, step{done, platform.TaskDone})
+		end = earlier(end, step{done, backing.TaskDone})
 	}
 	if k.fail > 0 {
-		end = earlier(end, step{k.begun.Add(k.fail), platform.TaskFailed})
+		end = earlier(end, step{k.begun.Add(k.fail), backing.TaskFailed})
 	}
 	if !k.saved.IsZero() {
-		end = earlier(end, step{k.saved, platform.TaskSaved})
+		end = earlier(end, step{k.saved, backing.TaskSaved})
 	}
 	k.steps = append(k.steps, end)
 }
@@ -75,8 +75,8 @@
 	return b
 }
 
-func rateOf(s platform.TaskState) float64 {
-	if s == platform.TaskThrottled {
+func rateOf(s backing.TaskState) float64 {
+	if s == backing.TaskThrottled {
 		return throttledRate
 	}
 	return 1
@@ -99,8 +99,8 @@
 }
 
 // state returns the state at an instant not before the start.
-func (k *task) state(at time.Time) platform.TaskState {
-	st := platform.TaskRunning
+func (k *task) state(at time.Time) backing.TaskState {
+	st := backing.TaskRunning
 	for _, s := range k.steps {
 		if s.at.After(at) {
 			break
@@ -117,7 +117,7 @@
 }
 
 // end puts the state in force at now, unless the task has ended before.
-func (k *task) end(now time.Time, s platform.TaskState) {
+func (k *task) end(now time.Time, s backing.TaskState) {
 	if isEnd(k.state(now)) {
 		return
 	}
@@ -135,25 +135,25 @@
 }
 
 // act does act at now.
-func (k *task) act(now time.Time, act platform.TaskAct, until time.Time, saveTime time.Duration) error {
+func (k *task) act(now time.Time, act backing.TaskAct, until time.Time, saveTime time.Duration) error {
 	if isEnd(k.state(now)) {
-		if act == platform.ActStop {
+		if act == backing.ActStop {
 			return nil
 		}
 		return fault.New(fault.Conflict, "%s task %s: it has ended: %s", act, k.ID, k.state(now))
 	}
 	switch act {
-	case platform.ActStop:
-		k.end(now, platform.TaskStopped)
-	case platform.ActThrottle:
+	case backing.ActStop:
+		k.end(now, backing.TaskStopped)
+	case backing.ActThrottle:
 		k.cutAfter(now)
-		k.steps = append(k.steps, step{now, platform.TaskThrottled})
+		k.steps = append(k.steps, step{now, backing.TaskThrottled})
 		k.foresee()
-	case platform.ActCheckpoint:
+	case backing.ActCheckpoint:
 		k.saved = now.Add(saveTime)
 		k.cutAfter(now)
 		k.foresee()
-	case platform.ActRenew:
+	case backing.ActRenew:
 		k.Until = until
 		k.cutAfter(now)
 		k.foresee()
@@ -164,14 +164,14 @@
 }
 
 // report returns the worker's account of the task at an instant not before the start.
-func (k *task) report(at time.Time) platform.Report {
+func (k *task) report(at time.Time) backing.Report {
 	st := k.state(at)
-	r := platform.Report{Task: k.ID, Job: k.Job, State: st, At: at, Ran: at.Sub(k.begun)}
+	r := backing.Report{Task: k.ID, Job: k.Job, State: st, At: at, Ran: at.Sub(k.begun)}
 	switch {
 	case isEnd(st):
 		end, _ := k.ended()
 		r.Ran = end.Sub(k.begun)
-	case st == platform.TaskThrottled:
+	case st == backing.TaskThrottled:
 		r.Used = k.used
 		r.Used.Cores *= throttledRate
 	default:
--- a/platform/standin/workers.go
+++ b/backing/standin/workers.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // keepEnded is for how long the reports show a task that has ended.
@@ -19,10 +19,10 @@
 }
 
 // Workers returns the workers as they were a lag ago.
-func (s *Workers) Workers(ctx context.Context) ([]platform.Worker, error) {
-	var list []platform.Worker
+func (s *Workers) Workers(ctx context.Context) ([]backing.Worker, error) {
+	var list []backing.Worker
 	err := s.gate.read(ctx, "list workers", func() error {
-		list = s.fleet.workers(func(n *node) bool { return n.Role == platform.RoleWorker })
+		list = s.fleet.workers(func(n *node) bool { return n.Role == backing.RoleWorker })
 		s.gate.count(Counts{Rows: int64(len(list))})
 		return nil
 	})
@@ -33,18 +33,18 @@
 }
 
 // Start starts a task under its epoch and lease.
-func (s *Workers) Start(ctx context.Context, t platform.Task) error {
+func (s *Workers) Start(ctx context.Context, t backing.Task) error {
 	return s.gate.write(ctx, "start task "+t.ID, func() error { return s.fleet.start(t) })
 }
 
 // Act does act to a task under the holder's epoch.
-func (s *Workers) Act(ctx context.Context, id string, epoch int64, act platform.TaskAct, until time.Time) error {
+func (s *Workers) Act(ctx context.Context, id string, epoch int64, act backing.TaskAct, until time.Time) error {
 	return s.gate.write(ctx, string(act)+" task "+id, func() error { return s.fleet.act(id, epoch, act, until) })
 }
 
 // Reports returns the lagging reports of a worker's tasks, in the order they were started.
-func (s *Workers) Reports(ctx context.Context, worker string) ([]platform.Report, error) {
-	var list []platform.Report
+func (s *Workers) Reports(ctx context.Context, worker string) ([]backing.Report, error) {
+	var list []backing.Report
 	err := s.gate.read(ctx, "read reports of "+worker, func() error {
 		var err error
 		list, err = s.fleet.reports(worker)
@@ -59,7 +59,7 @@
 
 // Profile is what the tasks of a job really take, whatever the job declares.
 type Profile struct {
-	Used  platform.Size `json:"used"`           // zero: as declared
+	Used  backing.Size `json:"used"`           // zero: as declared
 	Run   time.Duration `json:"run"`            // zero: until it is stopped
 	Fail  time.Duration `json:"fail,omitempty"` // fails after so long; zero: never
 	Never bool          `json:"never"`          // fails at once on every worker
@@ -78,7 +78,7 @@
 }
 
 // Tasks returns what a worker runs and ran as it is now, without the reports' lag.
-func (p *Platform) Tasks(worker string) []platform.Report {
+func (p *Platform) Tasks(worker string) []backing.Report {
 	f := p.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -99,7 +99,7 @@
 	return 1
 }
 
-func (f *fleet) start(t platform.Task) error {
+func (f *fleet) start(t backing.Task) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n, err := f.find(t.Worker, t.Boot)
@@ -122,14 +122,14 @@
 	f.forget(n, now)
 	k := newTask(t, now, f.profiles[t.Job], n.bad)
 	if !n.fits(k, now) {
-		k.end(now, platform.TaskFailed)
+		k.end(now, backing.TaskFailed)
 	}
 	f.tasks[t.ID] = k
 	n.tasks = append(n.tasks, k)
 	return nil
 }
 
-func (f *fleet) act(id string, epoch int64, act platform.TaskAct, until time.Time) error {
+func (f *fleet) act(id string, epoch int64, act backing.TaskAct, until time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.tasks[id]
@@ -150,7 +150,7 @@
 	return k.act(f.now(), act, until, f.saveTime)
 }
 
-func (f *fleet) reports(worker string) ([]platform.Report, error) {
+func (f *fleet) reports(worker string) ([]backing.Report, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.nodes[worker]
@@ -190,7 +190,7 @@
 func (n *node) fits(k *task, now time.Time) bool {
 	sum := k.used
 	for _, o := range n.tasks {
-		if st := o.state(now); st == platform.TaskRunning || st == platform.TaskThrottled {
+		if st := o.state(now); st == backing.TaskRunning || st == backing.TaskThrottled {
 			sum.Memory += o.used.Memory
 			sum.Accels += o.used.Accels
 		}
@@ -201,12 +201,12 @@
 // endTasks stops everything that runs on the instance.
 func (n *node) endTasks(now time.Time) {
 	for _, k := range n.tasks {
-		k.end(now, platform.TaskStopped)
+		k.end(now, backing.TaskStopped)
 	}
 }
 
-func (n *node) reports(at time.Time) []platform.Report {
-	list := make([]platform.Report, 0, len(n.tasks))
+func (n *node) reports(at time.Time) []backing.Report {
+	list := make([]backing.Report, 0, len(n.tasks))
 	for _, k := range n.tasks {
 		if !k.begun.After(at) {
 			list = append(list, k.report(at))
--- a/platform/standin/workers_test.go
+++ b/backing/standin/workers_test.go
@@ -8,17 +8,17 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 func newWorker(p *Platform) {
-	p.PutWorker(platform.Worker{Instance: platform.Instance{ID: "w1"}, Total: platform.Size{Cores: 4, Memory: 100, Accels: 1}})
+	p.PutWorker(backing.Worker{Instance: backing.Instance{ID: "w1"}, Total: backing.Size{Cores: 4, Memory: 100, Accels: 1}})
 }
 
-func newTestTask(id string) platform.Task {
-	return platform.Task{
+func newTestTask(id string) backing.Task {
+	return backing.Task{
 		ID: id, Job: "j", Worker: "w1", Boot: "w1-1", Epoch: 1,
-		Size: platform.Size{Cores: 1, Memory: 10}, Until: time.Now().Add(time.Minute),
+		Size: backing.Size{Cores: 1, Memory: 10}, Until: time.Now().Add(time.Minute),
 	}
 }
 
@@ -28,21 +28,21 @@
 		name string
 		pr   Profile
 		bad  time.Duration
-		act  platform.TaskAct // after 10 s
-		want platform.TaskState
+		act  backing.TaskAct // after 10 s
+		want backing.TaskState
 		ran  time.Duration
 	}{
-		{"done", Profile{Run: 30 * sec}, 0, "", platform.TaskDone, 30 * sec},
-		{"lease lapses", Profile{}, 0, "", platform.TaskStopped, 60 * sec},
-		{"lease renewed", Profile{}, 0, platform.ActRenew, platform.TaskRunning, 100 * sec},
-		{"throttled", Profile{Run: 30 * sec}, 0, platform.ActThrottle, platform.TaskDone, 50 * sec},
-		{"stopped", Profile{Run: 30 * sec}, 0, platform.ActStop, platform.TaskStopped, 10 * sec},
-		{"checkpointed", Profile{Run: 30 * sec}, 0, platform.ActCheckpoint, platform.TaskSaved, 12 * sec},
-		{"done before the checkpoint", Profile{Run: 11 * sec}, 0, platform.ActCheckpoint, platform.TaskDone, 11 * sec},
-		{"job that can never run", Profile{Never: true}, 0, "", platform.TaskFailed, 0},
-		{"job that fails late", Profile{Fail: 5 * sec}, 0, "", platform.TaskFailed, 5 * sec},
-		{"worker that fails everything", Profile{Run: 30 * sec}, sec, "", platform.TaskFailed, sec},
-		{"more memory than there is", Profile{Used: platform.Size{Memory: 101}}, 0, "", platform.TaskFailed, 0},
+		{"done", Profile{Run: 30 * sec}, 0, "", backing.TaskDone, 30 * sec},
+		{"lease lapses", Profile{}, 0, "", backing.TaskStopped, 60 * sec},
+		{"lease renewed", Profile{}, 0, backing.ActRenew, backing.TaskRunning, 100 * sec},
+		{"throttled", Profile{Run: 30 * sec}, 0, backing.ActThrottle, backing.TaskDone, 50 * sec},
+		{"stopped", Profile{Run: 30 * sec}, 0, backing.ActStop, backing.TaskStopped, 10 * sec},
+		{"checkpointed", Profile{Run: 30 * sec}, 0, backing.ActCheckpoint, backing.TaskSaved, 12 * sec},
+		{"done before the checkpoint", Profile{Run: 11 * sec}, 0, backing.ActCheckpoint, backing.TaskDone, 11 * sec},
+		{"job that can never run", Profile{Never: true}, 0, "", backing.TaskFailed, 0},
+		{"job that fails late", Profile{Fail: 5 * sec}, 0, "", backing.TaskFailed, 5 * sec},
+		{"worker that fails everything", Profile{Run: 30 * sec}, sec, "", backing.TaskFailed, sec},
+		{"more memory than there is", Profile{Used: backing.Size{Memory: 101}}, 0, "", backing.TaskFailed, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -79,14 +79,14 @@
 		require.Len(t, p.Tasks("w1"), 1)
 		old := newTestTask("t2")
 		require.True(t, fault.Is(p.Workers.Start(ctx, old), fault.Fenced))
-		require.True(t, fault.Is(p.Workers.Act(ctx, "t1", 1, platform.ActStop, time.Time{}), fault.Fenced))
-		require.True(t, fault.Is(p.Workers.Act(ctx, "t9", 1, platform.ActStop, time.Time{}), fault.Missing))
+		require.True(t, fault.Is(p.Workers.Act(ctx, "t1", 1, backing.ActStop, time.Time{}), fault.Fenced))
+		require.True(t, fault.Is(p.Workers.Act(ctx, "t9", 1, backing.ActStop, time.Time{}), fault.Missing))
 		lapsed := newTestTask("t3")
 		lapsed.Epoch, lapsed.Until = 2, time.Now()
 		require.True(t, fault.Is(p.Workers.Start(ctx, lapsed), fault.Fenced))
-		require.NoError(t, p.Instances.Reboot(ctx, platform.Reboot{Instance: "w1", Boot: "w1-1"}))
+		require.NoError(t, p.Instances.Reboot(ctx, backing.Reboot{Instance: "w1", Boot: "w1-1"}))
 		require.True(t, fault.Is(p.Workers.Start(ctx, k), fault.Fenced))
-		require.Equal(t, platform.TaskStopped, p.Tasks("w1")[0].State)
+		require.Equal(t, backing.TaskStopped, p.Tasks("w1")[0].State)
 		require.Equal(t, 1, p.Starts("t1"))
 		require.Zero(t, p.Starts("t2"))
 	})
@@ -102,11 +102,11 @@
 		require.NoError(t, err)
 		require.Empty(t, got)
 		time.Sleep(6 * time.Second)
-		require.NoError(t, p.Workers.Act(ctx, "t1", 1, platform.ActStop, time.Time{}))
+		require.NoError(t, p.Workers.Act(ctx, "t1", 1, backing.ActStop, time.Time{}))
 		got, err = p.Workers.Reports(ctx, "w1")
 		require.NoError(t, err)
-		require.Equal(t, platform.TaskRunning, got[0].State)
+		require.Equal(t, backing.TaskRunning, got[0].State)
 		require.Equal(t, time.Second, got[0].Ran)
-		require.Equal(t, platform.TaskStopped, p.Tasks("w1")[0].State)
+		require.Equal(t, backing.TaskStopped, p.Tasks("w1")[0].State)
 	})
 }
--- a/platform/wire/instances.go
+++ b/backing/wire/instances.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Paths of the list of instances and of the workers.
@@ -19,7 +19,7 @@
 
 // Instances answers a request for the list of instances.
 type Instances struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []backing.Instance `json:"instances"`
 }
 
 // Drain asks for an instance to be marked leaving while Boot is its boot.
@@ -30,14 +30,14 @@
 
 // Workers answers a request for the list of workers.
 type Workers struct {
-	Workers []platform.Worker `json:"workers"`
+	Workers []backing.Worker `json:"workers"`
 }
 
 // Act asks for something to be done to a task.
 type Act struct {
 	Task  string           `json:"task"`
 	Epoch int64            `json:"epoch"`
-	Act   platform.TaskAct `json:"act"`
+	Act   backing.TaskAct `json:"act"`
 	Until time.Time        `json:"until"`
 }
 
@@ -48,5 +48,5 @@
 
 // Reports answers Of.
 type Reports struct {
-	Reports []platform.Report `json:"reports"`
+	Reports []backing.Report `json:"reports"`
 }
--- a/platform/wire/roster.go
+++ b/backing/wire/roster.go
@@ -1,7 +1,7 @@
 package wire
 
 import (
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Paths of the roster.
@@ -14,14 +14,14 @@
 
 // Roster asks for what has changed since a stamp.
 type Roster struct {
-	Known platform.Stamp `json:"known"`
+	Known backing.Stamp `json:"known"`
 }
 
 // Delta answers Roster.
 type Delta struct {
-	Stamp   platform.Stamp      `json:"stamp"`
+	Stamp   backing.Stamp      `json:"stamp"`
 	Whole   bool                `json:"whole,omitempty"`   // replaces the list held
-	Changed []platform.Instance `json:"changed,omitempty"` // with Seen left out
+	Changed []backing.Instance `json:"changed,omitempty"` // with Seen left out
 	Removed []string            `json:"removed,omitempty"`
 }
 
--- a/platform/wire/table.go
+++ b/backing/wire/table.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Paths of the table service.
@@ -28,7 +28,7 @@
 
 // Rows answers Read and Scan.
 type Rows struct {
-	Rows []platform.Row `json:"rows"`
+	Rows []backing.Row `json:"rows"`
 }
 
 // Commit asks for a transaction.
@@ -46,7 +46,7 @@
 	DoDelete Do = "delete"
 )
 
-// Op is the wire form of platform.Op.
+// Op is the wire form of backing.Op.
 type Op struct {
 	Do      Do              `json:"do"`
 	Key     string          `json:"key"`
@@ -58,15 +58,15 @@
 type None struct{}
 
 // EncodeTx returns the wire form of tx.
-func EncodeTx(tx platform.Tx) Commit {
+func EncodeTx(tx backing.Tx) Commit {
 	c := Commit{Ops: make([]Op, 0, len(tx.Ops))}
 	for _, op := range tx.Ops {
 		switch o := op.(type) {
-		case platform.Check:
+		case backing.Check:
 			c.Ops = append(c.Ops, Op{Do: DoCheck, Key: o.Key, Version: o.Version})
-		case platform.Put:
+		case backing.Put:
 			c.Ops = append(c.Ops, Op{Do: DoPut, Key: o.Key, Version: o.IfVersion, Value: o.Value})
-		case platform.Delete:
+		case backing.Delete:
 			c.Ops = append(c.Ops, Op{Do: DoDelete, Key: o.Key, Version: o.IfVersion})
 		}
 	}
@@ -74,18 +74,18 @@
 }
 
 // DecodeTx returns the transaction that c asks for.
-func DecodeTx(c Commit) (platform.Tx, error) {
-	tx := platform.Tx{Ops: make([]platform.Op, 0, len(c.Ops))}
+func DecodeTx(c Commit) (backing.Tx, error) {
+	tx := backing.Tx{Ops: make([]backing.Op, 0, len(c.Ops))}
 	for _, o := range c.Ops {
 		switch o.Do {
 		case DoCheck:
-			tx.Ops = append(tx.Ops, platform.Check{Key: o.Key, Version: o.Version})
+			tx.Ops = append(tx.Ops, backing.Check{Key: o.Key, Version: o.Version})
 		case DoPut:
-			tx.Ops = append(tx.Ops, platform.Put{Key: o.Key, IfVersion: o.Version, Value: o.Value})
+			tx.Ops = append(tx.Ops, backing.Put{Key: o.Key, IfVersion: o.Version, Value: o.Value})
 		case DoDelete:
-			tx.Ops = append(tx.Ops, platform.Delete{Key: o.Key, IfVersion: o.Version})
+			tx.Ops = append(tx.Ops, backing.Delete{Key: o.Key, IfVersion: o.Version})
 		default:
-			return platform.Tx{}, fault.New(fault.Invalid, "a transaction has no step %q", o.Do)
+			return backing.Tx{}, fault.New(fault.Invalid, "a transaction has no step %q", o.Do)
 		}
 	}
 	return tx, nil
--- a/claim/budget_test.go
+++ b/claim/budget_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // load is what a run of claims at a steady rate cost.
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // ledger counts how often each key's request ran.
@@ -140,7 +140,7 @@
 
 // withoutNonce is the design that the nonce replaces: a claim whose answer was lost takes the row
 // that it then finds held to be its own.
-func withoutNonce(have platform.Row, c *pending, now time.Time, unsent func(string) bool) verdict {
+func withoutNonce(have backing.Row, c *pending, now time.Time, unsent func(string) bool) verdict {
 	v := judge(have, c, now, unsent)
 	if s, ok := v.(settled); ok && fault.Is(s.err, fault.Claimed) && !c.started.IsZero() {
 		return won{version: have.Version}
@@ -226,7 +226,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			op, err := put("claim/x", 2, tc.row)
 			require.NoError(t, err)
-			got := judge(platform.Row{Key: "claim/x", Version: 3, Value: op.(platform.Put).Value}, mine, now, func(n string) bool { return n == "unsent" })
+			got := judge(backing.Row{Key: "claim/x", Version: 3, Value: op.(backing.Put).Value}, mine, now, func(n string) bool { return n == "unsent" })
 			if tc.want != nil {
 				require.Equal(t, tc.want, got)
 				return
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -8,14 +8,14 @@
 	"golang.org/x/time/rate"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Keeper claims keys in the table for one entry. A key has one ticket at a time over all
 // entries, and after a ticket that may have been used none until the claim expires.
 type Keeper struct {
 	cfg     config
-	table   platform.Table
+	table   backing.Table
 	limiter *rate.Limiter
 	wake    chan struct{}
 	cancel  context.CancelFunc
@@ -52,7 +52,7 @@
 }
 
 // NewKeeper returns a keeper of claims in table; Close ends it.
-func NewKeeper(table platform.Table, opts ...Option) *Keeper {
+func NewKeeper(table backing.Table, opts ...Option) *Keeper {
 	cfg := defaults()
 	for _, o := range opts {
 		o(&cfg)
--- a/claim/life_test.go
+++ b/claim/life_test.go
@@ -9,12 +9,12 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // pair is two entries over one table.
-func pair(t *testing.T) (platform.Table, *Keeper, *Keeper) {
+func pair(t *testing.T) (backing.Table, *Keeper, *Keeper) {
 	table := standin.New().Table
 	a, b := NewKeeper(table, WithEntry("a")), NewKeeper(table, WithEntry("b"))
 	t.Cleanup(a.Close)
@@ -118,7 +118,7 @@
 		time.Sleep(2 * time.Hour)
 		rows, err := table.Scan(t.Context(), Prefix, "", 10)
 		require.NoError(t, err)
-		late := platform.Tx{Ops: append(expiredOps(rows, time.Now()), platform.Put{Key: sweepKey, Value: []byte(`{}`)})}
+		late := backing.Tx{Ops: append(expiredOps(rows, time.Now()), backing.Put{Key: sweepKey, Value: []byte(`{}`)})}
 		require.Len(t, late.Ops, 2)
 		_, err = b.Sweep(t.Context())
 		require.NoError(t, err)
--- a/claim/mark.go
+++ b/claim/mark.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -91,7 +91,7 @@
 
 // versionOf returns the version that m is to be written over, or 0 if there is nothing to write:
 // the row is another's, or says so already.
-func versionOf(have platform.Row, m *mark) int64 {
+func versionOf(have backing.Row, m *mark) int64 {
 	var r row
 	if json.Unmarshal(have.Value, &r) != nil {
 		return 0
--- a/claim/option.go
+++ b/claim/option.go
@@ -4,7 +4,7 @@
 	"crypto/rand"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -33,7 +33,7 @@
 	window time.Duration
 	nonce  func() string
 	breach func(error)
-	judge  func(platform.Row, *pending, time.Time, func(string) bool) verdict
+	judge  func(backing.Row, *pending, time.Time, func(string) bool) verdict
 }
 
 // Option changes a Keeper under construction.
--- a/claim/row.go
+++ b/claim/row.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Prefix is the start of the table keys of all claims.
@@ -70,7 +70,7 @@
 
 // judge decides what the row under a key means for claim c. unsent tells nonces of this
 // process's claims that were given up before anything was sent.
-func judge(have platform.Row, c *pending, now time.Time, unsent func(nonce string) bool) verdict {
+func judge(have backing.Row, c *pending, now time.Time, unsent func(nonce string) bool) verdict {
 	if have.Version == 0 {
 		return take{version: 0}
 	}
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -47,17 +47,17 @@
 		return 0, fault.Wrap(fault.Internal, err, "encode row %s", sweepKey)
 	}
 	deleted := len(ops)
-	ops = append(ops, platform.Put{Key: sweepKey, IfVersion: heads[0].Version, Value: value})
-	return deleted, k.table.Commit(ctx, platform.Tx{Ops: ops})
+	ops = append(ops, backing.Put{Key: sweepKey, IfVersion: heads[0].Version, Value: value})
+	return deleted, k.table.Commit(ctx, backing.Tx{Ops: ops})
 }
 
 // expiredOps returns the steps that delete the expired claims among rows.
-func expiredOps(rows []platform.Row, now time.Time) []platform.Op {
-	var ops []platform.Op
+func expiredOps(rows []backing.Row, now time.Time) []backing.Op {
+	var ops []backing.Op
 	for _, have := range rows {
 		var r row
 		if json.Unmarshal(have.Value, &r) == nil && r.expired(now) {
-			ops = append(ops, platform.Delete{Key: have.Key, IfVersion: have.Version})
+			ops = append(ops, backing.Delete{Key: have.Key, IfVersion: have.Version})
 		}
 	}
 	return ops
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -7,13 +7,13 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // flaky is a table whose writes get lost before or after they took effect, arrive late, or hang.
 type flaky struct {
-	platform.Table
+	backing.Table
 	delay time.Duration
 
 	mu      sync.Mutex
@@ -61,7 +61,7 @@
 
 var errLost = fault.New(fault.StoreDown, "no answer")
 
-func (f *flaky) Commit(ctx context.Context, tx platform.Tx) error {
+func (f *flaky) Commit(ctx context.Context, tx backing.Tx) error {
 	time.Sleep(f.delay)
 	switch f.roll() {
 	case 0:
@@ -79,7 +79,7 @@
 	return errLost
 }
 
-func (f *flaky) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (f *flaky) Read(ctx context.Context, keys ...string) ([]backing.Row, error) {
 	time.Sleep(f.delay)
 	switch f.roll() {
 	case 0:
--- a/claim/writer.go
+++ b/claim/writer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // batch is what one commit writes.
@@ -127,7 +127,7 @@
 // commit writes the batch in one transaction.
 func (k *Keeper) commit(ctx context.Context, b *batch) error {
 	now := time.Now()
-	ops := make([]platform.Op, 0, len(b.claims)+len(b.marks))
+	ops := make([]backing.Op, 0, len(b.claims)+len(b.marks))
 	for _, c := range b.claims {
 		if c.started.IsZero() {
 			c.started = now
@@ -149,7 +149,7 @@
 	k.count.rows.Add(int64(len(ops)))
 	ctx, cancel := context.WithTimeout(ctx, commitLimit)
 	defer cancel()
-	err := k.table.Commit(ctx, platform.Tx{Ops: ops})
+	err := k.table.Commit(ctx, backing.Tx{Ops: ops})
 	if err != nil && ctx.Err() != nil {
 		// Given up on: whether it took effect is unknown.
 		return fault.Wrap(fault.StoreDown, err, "commit %d claims", len(b.claims))
@@ -157,12 +157,12 @@
 	return err
 }
 
-func put(key string, version int64, r row) (platform.Op, error) {
+func put(key string, version int64, r row) (backing.Op, error) {
 	value, err := json.Marshal(r)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode the claim %s", key)
 	}
-	return platform.Put{Key: key, IfVersion: version, Value: value}, nil
+	return backing.Put{Key: key, IfVersion: version, Value: value}, nil
 }
 
 // won hands out the tickets of a batch that was committed.
@@ -218,7 +218,7 @@
 }
 
 // read reads rows within the time for one call.
-func (k *Keeper) read(ctx context.Context, keys []string) ([]platform.Row, error) {
+func (k *Keeper) read(ctx context.Context, keys []string) ([]backing.Row, error) {
 	k.count.reads.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, commitLimit)
 	defer cancel()
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -9,7 +9,7 @@
 
 	"gypsumlead/app"
 	"gypsumlead/fault"
-	"gypsumlead/platform/client"
+	"gypsumlead/backing/client"
 	"gypsumlead/settings"
 )
 
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 const headTimeout = 10 * time.Second
--- a/cmd/standin/runner.go
+++ b/cmd/standin/runner.go
@@ -10,8 +10,8 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 const beatEvery = 1 * time.Second
@@ -25,7 +25,7 @@
 	slots := fs.Int("slots", 8, "requests that run at once")
 	conns := fs.Int("conns", 64, "connections that may be open")
 	seed := fs.Uint64("seed", 1, "seed of random mishaps")
-	var i platform.Instance
+	var i backing.Instance
 	fs.StringVar(&i.ID, "id", "", "instance ID")
 	fs.StringVar(&i.Boot, "boot", "", "boot ID; empty: made from the instance ID")
 	fs.StringVar(&i.Region, "region", "", "region")
--- a/demo/judge.go
+++ b/demo/judge.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // judge compares what callers got with what runners ran.
--- a/demo/load.go
+++ b/demo/load.go
@@ -14,7 +14,7 @@
 
 	"gypsumlead/entry"
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 const (
--- a/demo/site.go
+++ b/demo/site.go
@@ -13,9 +13,9 @@
 
 	"gypsumlead/app"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/client"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/client"
+	"gypsumlead/backing/standin"
 	"gypsumlead/settings"
 )
 
@@ -66,7 +66,7 @@
 		return nil, fault.Wrap(fault.Internal, err, "listen for the platform's stand-in")
 	}
 	s.addr = netip.MustParseAddrPort(l.Addr().String())
-	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.backing.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }() // ends with close
 	for _, c := range centres {
 		if err := s.startCentre(c.name, c.entries, c.runners); err != nil {
@@ -99,14 +99,14 @@
 		return fault.Wrap(fault.Internal, err, "listen for a stand-in runner")
 	}
 	r := standin.NewRunner(l,
-		standin.WithInstance(platform.Instance{
+		standin.WithInstance(backing.Instance{
 			ID:     fmt.Sprintf("runner-%s-%d", centre, i),
 			Region: region,
 			Centre: centre,
 			Rack:   fmt.Sprintf("%s-rack-%d", centre, i/2),
 		}),
 		standin.WithRun(runTime),
-		standin.WithBeat(s.platform.Beat, beat),
+		standin.WithBeat(s.backing.Beat, beat),
 	)
 	s.runners = append(s.runners, r)
 	return nil
@@ -137,16 +137,16 @@
 }
 
 func (s *site) announce(d *daemon) {
-	s.platform.PutInstance(platform.Instance{
+	s.backing.PutInstance(backing.Instance{
 		ID:     d.id,
 		Boot:   d.id + "-" + d.app.Addrs().Peers.String(),
-		Role:   platform.RoleEntry,
+		Role:   backing.RoleEntry,
 		Addr:   d.app.Addrs().Callers,
 		Peer:   d.app.Addrs().Peers,
 		Region: region,
 		Centre: d.centre,
 		Rack:   d.centre + "-rack-e",
-		State:  platform.StateLive,
+		State:  backing.StateLive,
 	})
 }
 
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -50,13 +50,13 @@
 	state := daemons[len(daemons)-1].app.State()
 	out := map[string]int{}
 	for _, r := range w.site.runners {
-		in, err := w.site.platform.Instance(r.Instance().ID)
+		in, err := w.site.backing.Instance(r.Instance().ID)
 		if err != nil {
 			continue // not known to the platform yet
 		}
 		e, ok := state.Get(record.Key{Kind: record.KindMember, Name: in.ID})
 		var m record.Member
-		if ok && record.Decode(e, &m) == nil && in.State != platform.StateLive {
+		if ok && record.Decode(e, &m) == nil && in.State != backing.StateLive {
 			out[m.Pool]++
 		}
 	}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // site is a platform, runners and entries, each a process.
@@ -39,9 +39,9 @@
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, bin: built(t), platform: freeAddr(t)}
-	start(t, s.bin.standin, "platform", "-listen", s.platform.String())
+	start(t, s.bin.standin, "platform", "-listen", s.backing.String())
 	eventually(t, "platform listens", func() bool {
-		res, err := http.Get("http://" + s.platform.String() + "/")
+		res, err := http.Get("http://" + s.backing.String() + "/")
 		if err == nil {
 			res.Body.Close()
 		}
@@ -52,7 +52,7 @@
 
 func (s *site) addRunner(id, centre, rack string) {
 	addr := freeAddr(s.t)
-	start(s.t, s.bin.standin, "runner", "-listen", addr.String(), "-platform", s.platform.String(), "-id", id, "-region", "r", "-centre", centre, "-rack", rack)
+	start(s.t, s.bin.standin, "runner", "-listen", addr.String(), "-platform", s.backing.String(), "-id", id, "-region", "r", "-centre", centre, "-rack", rack)
 	s.runners = append(s.runners, addr)
 }
 
@@ -68,9 +68,9 @@
 		"duties": map[string]any{"life": "2s", "step": "100ms"},
 	})
 	e.process = start(s.t, s.bin.gypsumlead, "serve", "-settings", file)
-	s.post(standin.PathInstance, platform.Instance{
-		ID: id, Boot: id + "-1", Role: platform.RoleEntry, Addr: e.callers, Peer: e.peers,
-		Region: "r", Centre: centre, Rack: "e", State: platform.StateLive,
+	s.post(standin.PathInstance, backing.Instance{
+		ID: id, Boot: id + "-1", Role: backing.RoleEntry, Addr: e.callers, Peer: e.peers,
+		Region: "r", Centre: centre, Rack: "e", State: backing.StateLive,
 	})
 	s.entries = append(s.entries, e)
 	return e
@@ -135,7 +135,7 @@
 	s.t.Helper()
 	data, err := json.Marshal(v)
 	require.NoError(s.t, err)
-	res, err := http.Post("http://"+s.platform.String()+path, "application/json", bytes.NewReader(data))
+	res, err := http.Post("http://"+s.backing.String()+path, "application/json", bytes.NewReader(data))
 	require.NoError(s.t, err)
 	defer res.Body.Close()
 	require.Equal(s.t, http.StatusOK, res.StatusCode)
--- a/e2e/wave_test.go
+++ b/e2e/wave_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // holderOf returns the daemon that holds a duty, or nil.
--- a/entry/ahead_test.go
+++ b/entry/ahead_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // keyedRate lets many callers ask keyed requests of 10 ms through one entry with eight slots and
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/runner"
 )
 
@@ -27,7 +27,7 @@
 	fleet := runner.NewFleet(runner.WithConns(64))
 	b.Cleanup(fleet.Close)
 	addr := netip.MustParseAddrPort(up.Listener.Addr().String())
-	fleet.Update([]runner.Target{{Pool: "p", Instance: platform.Instance{ID: "u1", Boot: "b1", Addr: addr}}})
+	fleet.Update([]runner.Target{{Pool: "p", Instance: backing.Instance{ID: "u1", Boot: "b1", Addr: addr}}})
 	srv := httptest.NewUnstartedServer(nil)
 	srv.Config = NewServer(New(oneService{}, fleet, WithBreach(func(err error) { b.Error(err) })))
 	srv.Start()
--- a/entry/keyed_test.go
+++ b/entry/keyed_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // askKeyed sends one attempt of a keyed request through an entry and returns what it was told.
--- a/entry/limit_test.go
+++ b/entry/limit_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 func TestLimitBoundsOpenConnections(t *testing.T) {
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 	"gypsumlead/runner"
 )
@@ -33,7 +33,7 @@
 	fleet := runner.NewFleet(runner.WithZone("c1", "r1"))
 	t.Cleanup(fleet.Close)
 	addr := netip.MustParseAddrPort(up.Listener.Addr().String())
-	fleet.Update([]runner.Target{{Pool: "p", Instance: platform.Instance{ID: "u1", Boot: "b1", Addr: addr, Centre: "c1"}}})
+	fleet.Update([]runner.Target{{Pool: "p", Instance: backing.Instance{ID: "u1", Boot: "b1", Addr: addr, Centre: "c1"}}})
 	opts = append(opts, WithBreach(func(err error) { t.Error(err) }))
 	srv := httptest.NewUnstartedServer(nil)
 	srv.Config = NewServer(New(oneService{}, fleet, opts...))
@@ -125,7 +125,7 @@
 	}))
 	defer fleet.Close()
 	e := New(oneService{}, fleet)
-	fleet.Update([]runner.Target{{Pool: "p", Instance: platform.Instance{ID: "u1", Boot: "b1", Addr: netip.MustParseAddrPort("10.0.0.1:80")}}})
+	fleet.Update([]runner.Target{{Pool: "p", Instance: backing.Instance{ID: "u1", Boot: "b1", Addr: netip.MustParseAddrPort("10.0.0.1:80")}}})
 	req := httptest.NewRequest("POST", "/texts/", strings.NewReader("a"))
 	req.Header.Set(HeaderTimeout, "50")
 	w := httptest.NewRecorder()
--- a/entry/slow_test.go
+++ b/entry/slow_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // slots is a gate with few slots and no order.
--- a/entry/storm_test.go
+++ b/entry/storm_test.go
@@ -19,8 +19,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/runner"
 )
 
@@ -258,7 +258,7 @@
 		want  string
 	}{
 		{"no answer is taken for not run", parts{upstreams: usePool}, "not run means not run"},
-		{"each entry claims for itself", parts{table: func(int) platform.Table { return standin.New().Table }}, "key at most once"},
+		{"each entry claims for itself", parts{table: func(int) backing.Table { return standin.New().Table }}, "key at most once"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for seed := range uint64(10) {
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/claim"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/runner"
 )
 
@@ -36,7 +36,7 @@
 // parts is what a baseline replaces.
 type parts struct {
 	upstreams func(w *world, e int, f *runner.Fleet) Upstreams // nil for the fleet itself
-	table     func(e int) platform.Table                       // nil for one table of all entries
+	table     func(e int) backing.Table                       // nil for one table of all entries
 	tcp       bool                                             // over loopback, in real time
 	slots     int                                              // of all entries together; 0 for no bound
 	options   []Option                                         // of the entries
@@ -78,7 +78,7 @@
 		w.doors[addr] = d
 		id := fmt.Sprintf("u%d", i+1)
 		w.runners = append(w.runners, standin.NewRunner(d,
-			standin.WithInstance(platform.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}),
+			standin.WithInstance(backing.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}),
 			standin.WithRunnerSeed(seed+uint64(i))))
 	}
 	if p.slots > 0 {
@@ -86,13 +86,13 @@
 	}
 	w.platform = standin.New(standin.WithSeed(seed))
 	for e := range worldEntries {
-		w.addEntry(e, seed, w.platform.Table, p)
+		w.addEntry(e, seed, w.backing.Table, p)
 	}
 	w.update()
 	return w
 }
 
-func (w *world) addEntry(e int, seed uint64, shared platform.Table, p parts) {
+func (w *world) addEntry(e int, seed uint64, shared backing.Table, p parts) {
 	fleet := runner.NewFleet(runner.WithZone("c1", "r1"), runner.WithSeed(seed+uint64(e)),
 		runner.WithDial(w.dial), runner.WithBreach(w.breach))
 	table := shared
@@ -175,7 +175,7 @@
 		case 3:
 			r.SetFaults(standin.RunnerFaults{Mishaps: standin.Mishaps(), Odds: 0.4, Chunked: rng.IntN(2) == 0})
 		case 4:
-			w.platform.SetFaults(tableFaults(rng), standin.ServiceTable)
+			w.backing.SetFaults(tableFaults(rng), standin.ServiceTable)
 		case 5:
 			w.blackout(time.Duration(rng.IntN(3000)) * time.Millisecond)
 		}
--- a/job/amount.go
+++ b/job/amount.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"math"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -17,16 +17,16 @@
 	Accels int64 `json:"accels,omitempty"`
 }
 
-func amountOf(s platform.Size) Amount {
+func amountOf(s backing.Size) Amount {
 	return Amount{Milli: int64(math.Round(s.Cores * milli)), Memory: s.Memory, Accels: int64(s.Accels)}
 }
 
 func quotaOf(q record.Quota) Amount {
-	return amountOf(platform.Size{Cores: q.Cores, Memory: q.Memory, Accels: q.Accels})
+	return amountOf(backing.Size{Cores: q.Cores, Memory: q.Memory, Accels: q.Accels})
 }
 
-func (a Amount) size() platform.Size {
-	return platform.Size{Cores: float64(a.Milli) / milli, Memory: a.Memory, Accels: int(a.Accels)}
+func (a Amount) size() backing.Size {
+	return backing.Size{Cores: float64(a.Milli) / milli, Memory: a.Memory, Accels: int(a.Accels)}
 }
 
 func (a Amount) plus(b Amount) Amount {
--- a/job/answer.go
+++ b/job/answer.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // answer takes in what came of an effect; a missing answer changes nothing, the effect is sent again.
@@ -57,13 +57,13 @@
 		return nil
 	}
 	switch {
-	case e.Act == platform.ActRenew:
+	case e.Act == backing.ActRenew:
 		t.live.until = e.Until
-	case e.Act == platform.ActThrottle && t.State == Throttling:
+	case e.Act == backing.ActThrottle && t.State == Throttling:
 		return p.slowed(t, now)
-	case e.Act == platform.ActStop && t.State == Stopping:
+	case e.Act == backing.ActStop && t.State == Stopping:
 		return p.move(t, Acked, now)
-	case e.Act == platform.ActCheckpoint && t.State == Saving:
+	case e.Act == backing.ActCheckpoint && t.State == Saving:
 		t.live.sent = never
 	}
 	return nil
@@ -140,7 +140,7 @@
 
 func (p *Pool) effect(t *Task) Effect {
 	if t.State == Stopping {
-		return Act{Task: t.ID(), Act: platform.ActStop}
+		return Act{Task: t.ID(), Act: backing.ActStop}
 	}
 	if !t.live.started {
 		t.live.until = p.until
@@ -148,15 +148,15 @@
 	}
 	switch t.State {
 	case Throttling:
-		return Act{Task: t.ID(), Act: platform.ActThrottle}
+		return Act{Task: t.ID(), Act: backing.ActThrottle}
 	case Saving:
-		return Act{Task: t.ID(), Act: platform.ActCheckpoint}
+		return Act{Task: t.ID(), Act: backing.ActCheckpoint}
 	}
-	return Act{Task: t.ID(), Act: platform.ActRenew, Until: p.until}
+	return Act{Task: t.ID(), Act: backing.ActRenew, Until: p.until}
 }
 
-func (p *Pool) task(t *Task) platform.Task {
-	return platform.Task{
+func (p *Pool) task(t *Task) backing.Task {
+	return backing.Task{
 		ID: t.ID(), Job: t.job.Name, Team: t.job.Team, Worker: t.Worker, Boot: t.Boot,
 		Size: t.Size.size(), Epoch: p.epoch, Until: p.until,
 	}
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -18,20 +18,20 @@
 func fullPool(b *testing.B, workers int) (*Pool, View) {
 	b.Helper()
 	v := View{Version: 1, Teams: map[string]record.Team{}}
-	var list []platform.Worker
+	var list []backing.Worker
 	for i := range workers {
 		id := fmt.Sprintf("w%05d", i)
 		v.Members = append(v.Members, id)
-		list = append(list, platform.Worker{
-			Instance: platform.Instance{ID: id, Boot: "1", Rack: fmt.Sprintf("r%04d", i/4), State: platform.StateLive, Seen: testNow},
-			Total:    platform.Size{Cores: 64, Memory: 256 << 30},
+		list = append(list, backing.Worker{
+			Instance: backing.Instance{ID: id, Boot: "1", Rack: fmt.Sprintf("r%04d", i/4), State: backing.StateLive, Seen: testNow},
+			Total:    backing.Size{Cores: 64, Memory: 256 << 30},
 		})
 	}
 	for i := range 5 {
 		v.Teams[fmt.Sprintf("t%d", i)] = record.Team{Quotas: []record.Quota{{Cores: 1e6, Memory: 1 << 50}}}
 	}
 	for i := range workers {
-		v.add(fmt.Sprintf("j%05d", i), record.Job{Team: fmt.Sprintf("t%d", i%5), Count: 2 * benchTasks, Size: platform.Size{Cores: 3, Memory: 11 << 30}})
+		v.add(fmt.Sprintf("j%05d", i), record.Job{Team: fmt.Sprintf("t%d", i%5), Count: 2 * benchTasks, Size: backing.Size{Cores: 3, Memory: 11 << 30}})
 	}
 	y := DefaultPolicy()
 	y.Canary, y.Starts, y.Acts, y.Patience = 1<<30, 1<<30, 1<<30, 1<<40
@@ -92,7 +92,7 @@
 					v.Jobs[i].Restart = true
 				}
 				p.pass2(b, v, testNow)
-				v.add("urgent", record.Job{Team: "t0", Count: 16, Urgency: 9, Size: platform.Size{Cores: 8, Memory: 32 << 30}})
+				v.add("urgent", record.Job{Team: "t0", Count: 16, Urgency: 9, Size: backing.Size{Cores: 8, Memory: 32 << 30}})
 				require.NoError(b, p.Apply(Configured{View: v}, testNow))
 				b.StartTimer()
 				require.NoError(b, p.Decide(testNow.Add(time.Second)))
--- a/job/chaos_test.go
+++ b/job/chaos_test.go
@@ -13,8 +13,8 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/job"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	jobtrial "gypsumlead/trial/job"
 )
 
@@ -26,7 +26,7 @@
 	rnd    *rand.Rand
 	opts   []job.Option
 	procs  []*mortal
-	silent map[string]platform.Worker
+	silent map[string]backing.Worker
 	depth  int
 	mends  []mend
 }
@@ -40,9 +40,9 @@
 func newChaos(t *testing.T, seed uint64, span time.Duration, y job.Policy) *chaos {
 	sc := jobtrial.Scale{
 		Name: "chaos", Pools: 1, Workers: chaosWorkers, Teams: 3, Span: span,
-		Size: platform.Size{Cores: 16, Memory: 64 << 30},
+		Size: backing.Size{Cores: 16, Memory: 64 << 30},
 	}
-	c := &chaos{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), opts: []job.Option{job.WithPolicy(y)}, silent: map[string]platform.Worker{}}
+	c := &chaos{t: t, rnd: rand.New(rand.NewPCG(seed, 3)), opts: []job.Option{job.WithPolicy(y)}, silent: map[string]backing.Worker{}}
 	c.w = jobtrial.NewWorld(sc, "pool", seed, 0)
 	for range 3 {
 		c.spawn()
@@ -161,10 +161,10 @@
 // fallSilent makes the platform hear nothing more of a worker, whose tasks run on.
 func (c *chaos) fallSilent(id string) {
 	i, err := c.w.Truth.Instance(id)
-	if err != nil || c.silent[id].ID != "" || i.State != platform.StateLive {
+	if err != nil || c.silent[id].ID != "" || i.State != backing.StateLive {
 		return
 	}
-	w := platform.Worker{Instance: i, Total: platform.Size{Cores: 16, Memory: 64 << 30}}
+	w := backing.Worker{Instance: i, Total: backing.Size{Cores: 16, Memory: 64 << 30}}
 	c.silent[id] = w
 	c.w.Truth.Heartbeat(i)
 	c.later(c.between(40*time.Second, 4*time.Minute), func() {
@@ -174,7 +174,7 @@
 			return
 		}
 		w.Instance = now // it beats again, perhaps under another boot by now
-		if now.State == platform.StateLive {
+		if now.State == backing.StateLive {
 			w.Seen = c.w.Clock.Now()
 		}
 		c.w.Truth.PutWorker(w)
@@ -279,7 +279,7 @@
 			cut := 0
 			for _, id := range c.w.Members() {
 				for _, r := range c.w.Truth.Tasks(id) {
-					if r.State == platform.TaskStopped {
+					if r.State == backing.TaskStopped {
 						cut++
 					}
 				}
--- a/job/commit.go
+++ b/job/commit.go
@@ -7,7 +7,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const opLimit = 400 // steps of a transaction
@@ -37,7 +37,7 @@
 
 // batch is a transaction in the making.
 type batch struct {
-	ops   []platform.Op
+	ops   []backing.Op
 	units []Unit
 }
 
@@ -48,7 +48,7 @@
 	if err := d.alive(); err != nil {
 		return err
 	}
-	if err := d.table.Commit(ctx, platform.Tx{Ops: append(b.ops, d.hold.Fence())}); err != nil {
+	if err := d.table.Commit(ctx, backing.Tx{Ops: append(b.ops, d.hold.Fence())}); err != nil {
 		if fault.Is(err, fault.Conflict) {
 			return fault.Wrap(fault.Fenced, err, "commit jobs of pool %s", d.name)
 		}
@@ -66,14 +66,14 @@
 	return nil
 }
 
-func (d *Driver) ops(u Unit) ([]platform.Op, error) {
-	var ops []platform.Op
+func (d *Driver) ops(u Unit) ([]backing.Op, error) {
+	var ops []backing.Op
 	for _, r := range u.Puts {
-		ops = append(ops, platform.Put{Key: r.Key, IfVersion: d.versions[r.Key], Value: r.Value})
+		ops = append(ops, backing.Put{Key: r.Key, IfVersion: d.versions[r.Key], Value: r.Value})
 	}
 	for _, k := range u.Deletes {
 		if v := d.versions[k]; v > 0 {
-			ops = append(ops, platform.Delete{Key: k, IfVersion: v})
+			ops = append(ops, backing.Delete{Key: k, IfVersion: v})
 		}
 	}
 	for _, e := range u.Entries {
@@ -94,7 +94,7 @@
 		Refused: fault.Breach.String(), Subjects: []audit.Subject{{Kind: "pool", Name: d.name}},
 	})
 	if err == nil {
-		err = d.table.Commit(ctx, platform.Tx{Ops: append(ops, d.hold.Fence())})
+		err = d.table.Commit(ctx, backing.Tx{Ops: append(ops, d.hold.Fence())})
 	}
 	if err != nil {
 		d.log.Error("note a breach", zap.String("pool", d.name), zap.Error(err), zap.NamedError("breach", cause))
--- a/job/driver.go
+++ b/job/driver.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -24,7 +24,7 @@
 	// Alive tells by the monotonic clock whether the lease is surely held right now.
 	Alive() bool
 	// Fence returns the step that makes a transaction fail if the lease has another holder.
-	Fence() platform.Op
+	Fence() backing.Op
 }
 
 // Records gives the accepted configuration of a pool of workers.
@@ -36,8 +36,8 @@
 // Driver steps a pool's jobs: it reads, decides, commits, and only then acts on the platform.
 type Driver struct {
 	name    string
-	table   platform.Table
-	workers platform.Workers
+	table   backing.Table
+	workers backing.Workers
 	records Records
 	hold    Hold
 	now     func() time.Time
@@ -74,7 +74,7 @@
 }
 
 // NewDriver returns a driver of the pool's jobs, which steps while it holds the lease.
-func NewDriver(pool string, table platform.Table, workers platform.Workers, records Records, hold Hold, opts ...DriverOption) *Driver {
+func NewDriver(pool string, table backing.Table, workers backing.Workers, records Records, hold Hold, opts ...DriverOption) *Driver {
 	d := &Driver{
 		name: pool, table: table, workers: workers, records: records, hold: hold,
 		now: time.Now, log: zap.NewNop(), calls: actWorkers,
@@ -152,7 +152,7 @@
 	p := New(d.name, d.hold.Epoch(), d.opts...)
 	d.versions = map[string]int64{}
 	after := ""
-	var all []platform.Row
+	var all []backing.Row
 	for {
 		rows, err := d.table.Scan(ctx, Prefix(d.name), after, scanLimit)
 		if err != nil {
@@ -194,7 +194,7 @@
 }
 
 func (d *Driver) readReports(ctx context.Context, ids []string) error {
-	reports := make([][]platform.Report, len(ids))
+	reports := make([][]backing.Report, len(ids))
 	errs := make([]error, len(ids))
 	d.each(len(ids), func(i int) { reports[i], errs[i] = d.workers.Reports(ctx, ids[i]) })
 	for i, id := range ids {
--- a/job/event.go
+++ b/job/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Event is what a pool's holder learned: Configured, Listed, Reported or Answered.
@@ -14,12 +14,12 @@
 type Configured struct{ View View }
 
 // Listed is the platform's list of workers.
-type Listed struct{ Workers []platform.Worker }
+type Listed struct{ Workers []backing.Worker }
 
 // Reported is a worker's reports.
 type Reported struct {
 	Worker  string
-	Reports []platform.Report
+	Reports []backing.Report
 }
 
 // Answered is the answer to an effect; a nil error means that it took effect.
@@ -37,12 +37,12 @@
 type Effect interface{ effect() }
 
 // Start starts a try.
-type Start struct{ Task platform.Task }
+type Start struct{ Task backing.Task }
 
 // Act acts on a try.
 type Act struct {
 	Task  string // ID of the try
-	Act   platform.TaskAct
+	Act   backing.TaskAct
 	Until time.Time // end of the lease, where Act renews it
 }
 
--- a/job/fit.go
+++ b/job/fit.go
@@ -6,7 +6,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -27,7 +27,7 @@
 }
 
 // ShapesOf returns the shapes of workers.
-func ShapesOf(ws []platform.Worker) []Shape {
+func ShapesOf(ws []backing.Worker) []Shape {
 	out := make([]Shape, len(ws))
 	for i, w := range ws {
 		out[i] = Shape{Total: amountOf(w.Total), Rack: w.Rack}
--- a/job/list.go
+++ b/job/list.go
@@ -4,12 +4,12 @@
 	"slices"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // list takes in the platform's list of workers, which lags: a worker is silent when it lags
 // behind the others, not behind the holder's clock, so that an old list makes nobody silent.
-func (p *Pool) list(ws []platform.Worker, now time.Time) error {
+func (p *Pool) list(ws []backing.Worker, now time.Time) error {
 	newest := time.Time{}
 	listed := make(map[string]bool, len(ws))
 	for _, in := range ws {
@@ -33,7 +33,7 @@
 	})
 	for _, w := range p.workers {
 		w.stale = newest.Sub(w.Seen) > p.policy.Stale
-		w.silent = !listed[w.ID] || w.State == platform.StateGone || newest.Sub(w.Seen) > p.policy.Silent
+		w.silent = !listed[w.ID] || w.State == backing.StateGone || newest.Sub(w.Seen) > p.policy.Silent
 		if w.member {
 			p.total = p.total.plus(w.total)
 		}
@@ -46,7 +46,7 @@
 }
 
 // see takes in one row of the list unless a newer one was seen.
-func (p *Pool) see(w *Worker, in platform.Worker, now time.Time) error {
+func (p *Pool) see(w *Worker, in backing.Worker, now time.Time) error {
 	if in.Seen.Before(w.Seen) {
 		return nil
 	}
@@ -55,7 +55,7 @@
 		w.bad.Until = now // a new boot may have mended it
 	}
 	w.Worker = in
-	w.present = in.State == platform.StateLive
+	w.present = in.State == backing.StateLive
 	if rebooted {
 		w.strikes = nil
 		w.total = amountOf(in.Total)
@@ -71,7 +71,7 @@
 		}
 		t.Until, t.Why = now.Add(-p.policy.Margin-1), "the worker was rebooted"
 	}
-	if !w.member || in.State == platform.StateLeaving {
+	if !w.member || in.State == backing.StateLeaving {
 		return p.vacate(w, now)
 	}
 	return nil
--- a/job/pool_test.go
+++ b/job/pool_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -23,13 +23,13 @@
 		"a": {Quotas: []record.Quota{{Cores: 100, Memory: 100 << 30, Accels: 9}}},
 		"b": {Quotas: []record.Quota{{Cores: 2, Memory: 2 << 30}}},
 	}}
-	var list []platform.Worker
+	var list []backing.Worker
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		v.Members = append(v.Members, id)
-		list = append(list, platform.Worker{
-			Instance: platform.Instance{ID: id, Boot: "1", Rack: fmt.Sprintf("r%d", i/2), State: platform.StateLive, Seen: testNow},
-			Total:    platform.Size{Cores: 4, Memory: 8 << 30},
+		list = append(list, backing.Worker{
+			Instance: backing.Instance{ID: id, Boot: "1", Rack: fmt.Sprintf("r%d", i/2), State: backing.StateLive, Seen: testNow},
+			Total:    backing.Size{Cores: 4, Memory: 8 << 30},
 		})
 	}
 	p := New("p", 1, opts...)
@@ -44,8 +44,8 @@
 	if j.Team == "" {
 		j.Team = "a"
 	}
-	if j.Size == (platform.Size{}) {
-		j.Size = platform.Size{Cores: 1, Memory: 1 << 30}
+	if j.Size == (backing.Size{}) {
+		j.Size = backing.Size{Cores: 1, Memory: 1 << 30}
 	}
 	v.Jobs = append(v.Jobs, Spec{Name: name, Version: v.Version, Job: j})
 }
@@ -72,9 +72,9 @@
 		why  string // empty: it is placed
 	}{
 		{"fits", record.Job{Count: 1}, ""},
-		{"bigger than any worker", record.Job{Count: 1, Size: platform.Size{Cores: 5, Memory: 1}}, "bigger than any worker"},
-		{"no such accelerator", record.Job{Count: 1, Size: platform.Size{Cores: 1, Memory: 1, Accels: 1}}, "accelerators"},
-		{"quota under one task", record.Job{Count: 1, Team: "b", Size: platform.Size{Cores: 3, Memory: 1}}, "quota"},
+		{"bigger than any worker", record.Job{Count: 1, Size: backing.Size{Cores: 5, Memory: 1}}, "bigger than any worker"},
+		{"no such accelerator", record.Job{Count: 1, Size: backing.Size{Cores: 1, Memory: 1, Accels: 1}}, "accelerators"},
+		{"quota under one task", record.Job{Count: 1, Team: "b", Size: backing.Size{Cores: 3, Memory: 1}}, "quota"},
 		{"no quota", record.Job{Count: 1, Team: "none"}, "no quota"},
 		{"too few racks", record.Job{Count: 3, Racks: 3}, "racks"},
 	} {
@@ -129,7 +129,7 @@
 
 	units, err := p.Flush()
 	require.NoError(t, err)
-	var rows []platform.Row
+	var rows []backing.Row
 	for _, u := range units {
 		rows = append(rows, u.Puts...)
 	}
@@ -149,13 +149,13 @@
 	for _, tc := range []struct {
 		name string
 		low  record.Job
-		need platform.Size
-		want platform.TaskAct
+		need backing.Size
+		want backing.TaskAct
 	}{
-		{"processors", record.Job{Restart: true}, platform.Size{Cores: 1, Memory: 1 << 30}, platform.ActThrottle},
-		{"memory, checkpoints", record.Job{Save: true}, platform.Size{Cores: 1, Memory: 7 << 30}, platform.ActCheckpoint},
-		{"memory, restarts", record.Job{Restart: true}, platform.Size{Cores: 1, Memory: 7 << 30}, platform.ActStop},
-		{"neither", record.Job{}, platform.Size{Cores: 1, Memory: 7 << 30}, ""},
+		{"processors", record.Job{Restart: true}, backing.Size{Cores: 1, Memory: 1 << 30}, backing.ActThrottle},
+		{"memory, checkpoints", record.Job{Save: true}, backing.Size{Cores: 1, Memory: 7 << 30}, backing.ActCheckpoint},
+		{"memory, restarts", record.Job{Restart: true}, backing.Size{Cores: 1, Memory: 7 << 30}, backing.ActStop},
+		{"neither", record.Job{}, backing.Size{Cores: 1, Memory: 7 << 30}, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			y := DefaultPolicy()
@@ -180,8 +180,8 @@
 	}
 }
 
-func sortRows(rows []platform.Row) {
-	slices.SortFunc(rows, func(a, b platform.Row) int { return cmp.Compare(a.Key, b.Key) })
+func sortRows(rows []backing.Row) {
+	slices.SortFunc(rows, func(a, b backing.Row) int { return cmp.Compare(a.Key, b.Key) })
 }
 
 func TestAJobMadeAnewWaitsForTheOldOne(t *testing.T) {
@@ -196,9 +196,9 @@
 	v.add("j", record.Job{Count: 1})
 	es := p.pass(t, v, testNow.Add(3*time.Second))
 	require.Len(t, es, 1)
-	require.Equal(t, Act{Task: old, Act: platform.ActStop}, es[0])
+	require.Equal(t, Act{Task: old, Act: backing.ActStop}, es[0])
 	require.NoError(t, p.Apply(Answered{Effect: es[0]}, testNow.Add(3*time.Second)))
-	require.NoError(t, p.Apply(Reported{Worker: "w0", Reports: []platform.Report{{Task: old, State: platform.TaskStopped}}}, testNow.Add(4*time.Second)))
+	require.NoError(t, p.Apply(Reported{Worker: "w0", Reports: []backing.Report{{Task: old, State: backing.TaskStopped}}}, testNow.Add(4*time.Second)))
 	require.Empty(t, p.pass(t, v, testNow.Add(5*time.Second)), "the old job's rows are deleted first")
 	es = p.pass(t, v, testNow.Add(6*time.Second))
 	require.Len(t, es, 1)
--- a/job/quarantine_test.go
+++ b/job/quarantine_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/job"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // failuresOn runs five minutes with one worker that fails everything and counts what failed on it.
@@ -20,7 +20,7 @@
 		c.tick()
 	}
 	for _, r := range c.w.Truth.Tasks(c.w.Members()[0]) {
-		if r.State == platform.TaskFailed {
+		if r.State == backing.TaskFailed {
 			failed++
 		}
 	}
--- a/job/report.go
+++ b/job/report.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // report takes in a worker's reports; a report of an end is final, others may be old.
@@ -30,26 +30,26 @@
 	return nil
 }
 
-func isOn(s platform.TaskState) bool {
-	return s == platform.TaskRunning || s == platform.TaskThrottled
+func isOn(s backing.TaskState) bool {
+	return s == backing.TaskRunning || s == backing.TaskThrottled
 }
 
-func (p *Pool) hear(t *Task, w *Worker, r platform.Report, now time.Time) error {
+func (p *Pool) hear(t *Task, w *Worker, r backing.Report, now time.Time) error {
 	t.live.started, t.live.fresh = true, false
 	t.live.ran = max(t.live.ran, r.Ran)
-	if r.State != platform.TaskFailed {
+	if r.State != backing.TaskFailed {
 		t.job.longest = max(t.job.longest, r.Ran)
 	}
 	switch r.State {
-	case platform.TaskRunning, platform.TaskThrottled:
+	case backing.TaskRunning, backing.TaskThrottled:
 		return p.hearRunning(t, w, r, now)
-	case platform.TaskDone:
+	case backing.TaskDone:
 		return p.finish(t, w, r, now)
-	case platform.TaskFailed:
+	case backing.TaskFailed:
 		return p.fail(t, w, r.Ran, now)
-	case platform.TaskSaved:
+	case backing.TaskSaved:
 		return p.follow(t, "checkpointed", true, now)
-	case platform.TaskStopped:
+	case backing.TaskStopped:
 		return p.cutOff(t, whyOr(t, "stopped by the worker"), now)
 	}
 	return fault.New(fault.Invalid, "worker %s reports task %s as %q", w.ID, r.Task, r.State)
@@ -62,13 +62,13 @@
 	return why
 }
 
-func (p *Pool) hearRunning(t *Task, w *Worker, r platform.Report, now time.Time) error {
+func (p *Pool) hearRunning(t *Task, w *Worker, r backing.Report, now time.Time) error {
 	if r.At.Before(t.live.at) {
 		return nil
 	}
 	t.live.at = r.At
 	used := amountOf(r.Used)
-	if r.State == platform.TaskThrottled {
+	if r.State == backing.TaskThrottled {
 		used.Milli = 0 // says nothing about what the task would use
 	}
 	t.live.peak = t.live.peak.most(used)
@@ -76,7 +76,7 @@
 		p.sample(t)
 		p.prove(t, w)
 	}
-	if t.State == Throttling && r.State == platform.TaskThrottled {
+	if t.State == Throttling && r.State == backing.TaskThrottled {
 		return p.slowed(t, now)
 	}
 	if t.State == Lost && (w.silent || !r.At.After(t.live.since)) {
@@ -120,7 +120,7 @@
 	return size
 }
 
-func (p *Pool) finish(t *Task, w *Worker, r platform.Report, now time.Time) error {
+func (p *Pool) finish(t *Task, w *Worker, r backing.Report, now time.Time) error {
 	j := t.job
 	if p.byName[j.Name] == j {
 		p.sample(t)
--- a/job/rows.go
+++ b/job/rows.go
@@ -10,7 +10,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // poolRow is the row of what the whole pool shares.
@@ -42,7 +42,7 @@
 
 // Unit is what has to be committed in one transaction: rows and the audit entries about them.
 type Unit struct {
-	Puts    []platform.Row // without versions
+	Puts    []backing.Row // without versions
 	Deletes []string
 	Entries []audit.Entry
 }
@@ -98,7 +98,7 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "encode row %s", key)
 	}
-	u.Puts = append(u.Puts, platform.Row{Key: key, Value: value})
+	u.Puts = append(u.Puts, backing.Row{Key: key, Value: value})
 	return nil
 }
 
@@ -174,7 +174,7 @@
 }
 
 // Restore takes over from the rows of an earlier holder; it comes before any event.
-func (p *Pool) Restore(rows []platform.Row, now time.Time) error {
+func (p *Pool) Restore(rows []backing.Row, now time.Time) error {
 	for _, r := range rows {
 		if err := p.restoreRow(r); err != nil {
 			return err
@@ -190,7 +190,7 @@
 }
 
 // restoreRow decodes one row; heads sort before tasks, so a chunk finds its job.
-func (p *Pool) restoreRow(r platform.Row) error {
+func (p *Pool) restoreRow(r backing.Row) error {
 	kind, rest, _ := strings.Cut(strings.TrimPrefix(r.Key, Prefix(p.name)), "/")
 	switch kind {
 	case "pool":
@@ -217,7 +217,7 @@
 	return nil
 }
 
-func (p *Pool) restoreChunk(r platform.Row, rest string) error {
+func (p *Pool) restoreChunk(r backing.Row, rest string) error {
 	name, number, _ := strings.Cut(rest, "/")
 	j := p.byName[name]
 	if j == nil {
@@ -235,7 +235,7 @@
 	return nil
 }
 
-func decode(r platform.Row, v any) error {
+func decode(r backing.Row, v any) error {
 	return fault.Wrap(fault.Internal, json.Unmarshal(r.Value, v), "decode row %s", r.Key)
 }
 
--- a/job/worker.go
+++ b/job/worker.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Health is whether a worker gets new tasks.
@@ -27,7 +27,7 @@
 
 // Worker is a worker as the pool's holder sees it: its tasks' sizes never sum to more than its total.
 type Worker struct {
-	platform.Worker
+	backing.Worker
 
 	total   Amount
 	used    Amount
--- a/journal/compact.go
+++ b/journal/compact.go
@@ -6,14 +6,14 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Compaction keeps the log short: a snapshot goes to the object store before the rows that it
 // covers are trimmed, so that a daemon always finds one or the other.
 type Compaction struct {
-	Table   platform.Table
-	Objects platform.Objects
+	Table   backing.Table
+	Objects backing.Objects
 	State   *State
 	Long    int64 // changes in the log that start a compaction
 	Short   int64 // changes that it leaves, for daemons that are a little behind and for repeated change IDs
@@ -90,15 +90,15 @@
 	if err != nil {
 		return err
 	}
-	tx := platform.Tx{Ops: []platform.Op{op}}
+	tx := backing.Tx{Ops: []backing.Op{op}}
 	for _, row := range old {
-		tx.Ops = append(tx.Ops, platform.Delete{Key: row.Key, IfVersion: row.Version})
+		tx.Ops = append(tx.Ops, backing.Delete{Key: row.Key, IfVersion: row.Version})
 	}
 	return c.Table.Commit(ctx, tx)
 }
 
 // read returns the existing rows of the changes from one number up to another, with those of their IDs.
-func (c *Compaction) read(ctx context.Context, from, to int64) ([]platform.Row, error) {
+func (c *Compaction) read(ctx context.Context, from, to int64) ([]backing.Row, error) {
 	var keys []string
 	for seq := from; seq < to; seq++ {
 		keys = append(keys, keyLog(seq))
@@ -122,7 +122,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var out []platform.Row
+	var out []backing.Row
 	for _, row := range append(logs, ids...) {
 		if row.Version > 0 {
 			out = append(out, row)
--- a/journal/proposal.go
+++ b/journal/proposal.go
@@ -6,7 +6,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -25,19 +25,19 @@
 // Decision is what is to be written, all in one transaction.
 type Decision struct {
 	Edits []record.Envelope // new envelopes; Version is filled in
-	Ops   []platform.Op     // further steps, conditioned on the rows read
+	Ops   []backing.Op     // further steps, conditioned on the rows read
 	Audit audit.Entry       // ID, time and actor are filled in where they are empty
 }
 
 // Rows are the rows that a decision is made from.
 type Rows struct {
 	Now  time.Time
-	rows map[string]platform.Row
+	rows map[string]backing.Row
 }
 
 // NewRows returns rows for a decision that is tried without a table.
-func NewRows(now time.Time, rows ...platform.Row) Rows {
-	r := Rows{Now: now, rows: make(map[string]platform.Row, len(rows))}
+func NewRows(now time.Time, rows ...backing.Row) Rows {
+	r := Rows{Now: now, rows: make(map[string]backing.Row, len(rows))}
 	for _, row := range rows {
 		r.rows[row.Key] = row
 	}
@@ -45,7 +45,7 @@
 }
 
 // Row returns the row under key; a missing one has Version 0.
-func (r Rows) Row(key string) platform.Row {
+func (r Rows) Row(key string) backing.Row {
 	row := r.rows[key]
 	row.Key = key
 	return row
@@ -69,12 +69,12 @@
 }
 
 // PutRow returns the step that writes v under key on the version read.
-func (r Rows) PutRow(key string, v any) (platform.Op, error) {
+func (r Rows) PutRow(key string, v any) (backing.Op, error) {
 	value, err := json.Marshal(v)
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "encode table row %s", key)
 	}
-	return platform.Put{Key: key, IfVersion: r.Row(key).Version, Value: value}, nil
+	return backing.Put{Key: key, IfVersion: r.Row(key).Version, Value: value}, nil
 }
 
 // Seq returns the number of the newest accepted change, on which the whole transaction is conditioned.
--- a/journal/reader.go
+++ b/journal/reader.go
@@ -6,7 +6,7 @@
 	"fmt"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -16,12 +16,12 @@
 
 // Reader reads the accepted configuration from the platform.
 type Reader struct {
-	table   platform.Table
-	objects platform.Objects
+	table   backing.Table
+	objects backing.Objects
 }
 
 // NewReader returns a reader of the platform's table and object store.
-func NewReader(table platform.Table, objects platform.Objects) *Reader {
+func NewReader(table backing.Table, objects backing.Objects) *Reader {
 	return &Reader{table: table, objects: objects}
 }
 
--- a/journal/writer.go
+++ b/journal/writer.go
@@ -9,7 +9,7 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/pause"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -22,7 +22,7 @@
 
 // Writer accepts changes into the log; several writers of several daemons may race.
 type Writer struct {
-	table platform.Table
+	table backing.Table
 	now   func() time.Time
 	sleep func(ctx context.Context, d time.Duration) error
 }
@@ -39,7 +39,7 @@
 }
 
 // NewWriter returns a writer to table.
-func NewWriter(table platform.Table, opts ...Option) *Writer {
+func NewWriter(table backing.Table, opts ...Option) *Writer {
 	w := &Writer{table: table, now: time.Now, sleep: pause.For}
 	for _, o := range opts {
 		o(w)
@@ -160,10 +160,10 @@
 }
 
 // build makes the change and its transaction.
-func (w *Writer) build(rows Rows, p Proposal, d Decision) (Change, platform.Tx, error) {
+func (w *Writer) build(rows Rows, p Proposal, d Decision) (Change, backing.Tx, error) {
 	var head Head
 	if _, err := rows.Load(keyHead, &head); err != nil {
-		return Change{}, platform.Tx{}, err
+		return Change{}, backing.Tx{}, err
 	}
 	head.Seq++
 	head.Low = max(head.Low, 1)
@@ -174,7 +174,7 @@
 		c.Records = append(c.Records, e)
 		op, err := rows.PutRow(RecordKey(e.Key()), e)
 		if err != nil {
-			return Change{}, platform.Tx{}, err
+			return Change{}, backing.Tx{}, err
 		}
 		ops = append(ops, op)
 	}
@@ -184,15 +184,15 @@
 	}{{keyHead, head}, {keyLog(c.Seq), c}, {keyID(c.ID), c.Seq}} {
 		op, err := rows.PutRow(row.key, row.v)
 		if err != nil {
-			return Change{}, platform.Tx{}, err
+			return Change{}, backing.Tx{}, err
 		}
 		ops = append(ops, op)
 	}
 	auditOps, err := audit.Ops(fillAudit(d.Audit, c))
 	if err != nil {
-		return Change{}, platform.Tx{}, err
+		return Change{}, backing.Tx{}, err
 	}
-	return c, platform.Tx{Ops: append(ops, auditOps...)}, nil
+	return c, backing.Tx{Ops: append(ops, auditOps...)}, nil
 }
 
 // fillAudit completes the entry from its change; records without a subject of their own get one.
--- a/journal/writer_test.go
+++ b/journal/writer_test.go
@@ -9,7 +9,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
--- a/lease/effect.go
+++ b/lease/effect.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Effect is what a Holder wants done next: Wait, Look or Write.
@@ -18,7 +18,7 @@
 // Write wants the steps committed and the outcome given to Wrote.
 type Write struct {
 	Do  Do
-	Ops []platform.Op
+	Ops []backing.Op
 }
 
 // Do says what a Write is for.
--- a/lease/holder.go
+++ b/lease/holder.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Terms are the times of a lease, each by the clock of whoever applies it.
@@ -120,20 +120,20 @@
 }
 
 // acquire returns the steps that take the duty under the next epoch.
-func (h *Holder) acquire(now time.Time) []platform.Op {
+func (h *Holder) acquire(now time.Time) []backing.Op {
 	h.sent = now
 	b := h.mine(h.beat.Epoch+1, now)
-	return []platform.Op{
-		platform.Put{Key: EpochKey(h.duty), IfVersion: h.beat.Epoch, Value: encode(owner{h.self, h.nonce})},
-		platform.Put{Key: BeatKey(h.duty), IfVersion: h.version, Value: encode(b)},
+	return []backing.Op{
+		backing.Put{Key: EpochKey(h.duty), IfVersion: h.beat.Epoch, Value: encode(owner{h.self, h.nonce})},
+		backing.Put{Key: BeatKey(h.duty), IfVersion: h.version, Value: encode(b)},
 	}
 }
 
 // rewrite returns the steps that write b under the epoch held.
-func (h *Holder) rewrite(b Beat) []platform.Op {
-	return []platform.Op{
-		platform.Check{Key: EpochKey(h.duty), Version: h.epoch},
-		platform.Put{Key: BeatKey(h.duty), IfVersion: h.version, Value: encode(b)},
+func (h *Holder) rewrite(b Beat) []backing.Op {
+	return []backing.Op{
+		backing.Check{Key: EpochKey(h.duty), Version: h.epoch},
+		backing.Put{Key: BeatKey(h.duty), IfVersion: h.version, Value: encode(b)},
 	}
 }
 
@@ -150,7 +150,7 @@
 }
 
 // Looked takes in the beat row that was read; now is when the answer came.
-func (h *Holder) Looked(now time.Time, row platform.Row) error {
+func (h *Holder) Looked(now time.Time, row backing.Row) error {
 	h.look = now.Add(h.idle)
 	h.looked = now
 	b, err := decodeBeat(row)
@@ -271,6 +271,6 @@
 func (h *Holder) Epoch() int64 { return h.epoch }
 
 // Cond returns the step that conditions a transaction on epoch still being the duty's newest.
-func Cond(duty string, epoch int64) platform.Op {
-	return platform.Check{Key: EpochKey(duty), Version: epoch}
+func Cond(duty string, epoch int64) backing.Op {
+	return backing.Check{Key: EpochKey(duty), Version: epoch}
 }
--- a/lease/holder_test.go
+++ b/lease/holder_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 var seeds = flag.Int("seeds", 12, "seeds of each randomised run, from 1 on")
@@ -66,18 +66,18 @@
 	now := time.Now()
 	h := NewHolder("d", "a", "n", DefaultTerms())
 	h.Want(true, 0, 0)
-	row := platform.Row{Key: BeatKey("d"), Version: 3, Value: encode(Beat{Epoch: 2, Holder: "b", Nonce: "m", Life: 6000})}
+	row := backing.Row{Key: BeatKey("d"), Version: 3, Value: encode(Beat{Epoch: 2, Holder: "b", Nonce: "m", Life: 6000})}
 	require.NoError(t, h.Looked(now, row))
 	row.Value = encode(Beat{Epoch: 1, Holder: "b", Nonce: "m"})
 	require.True(t, fault.Is(h.Looked(now, row), fault.Breach))
-	require.True(t, fault.Is(h.Looked(now, platform.Row{}), fault.Breach))
+	require.True(t, fault.Is(h.Looked(now, backing.Row{}), fault.Breach))
 }
 
 func TestGivenUpDutyIsFencedAtOnce(t *testing.T) {
 	now := time.Now()
 	h := NewHolder("d", "a", "n", DefaultTerms())
 	h.Want(true, 0, 0)
-	require.NoError(t, h.Looked(now, platform.Row{Key: BeatKey("d")}))
+	require.NoError(t, h.Looked(now, backing.Row{Key: BeatKey("d")}))
 	w := h.Next(now).(Write)
 	require.Equal(t, DoAcquire, w.Do)
 	h.Wrote(now, w.Do, nil)
@@ -98,7 +98,7 @@
 	now := time.Now()
 	h := NewHolder("d", "a", "n", DefaultTerms())
 	h.Want(true, 0, time.Minute)
-	row := platform.Row{Key: BeatKey("d"), Version: 3, Value: encode(Beat{Epoch: 2, Holder: "b", Nonce: "m", Life: 6000})}
+	row := backing.Row{Key: BeatKey("d"), Version: 3, Value: encode(Beat{Epoch: 2, Holder: "b", Nonce: "m", Life: 6000})}
 	require.NoError(t, h.Looked(now, row))
 	now = now.Add(time.Second)
 	require.IsType(t, Wait{}, h.Next(now))
--- a/lease/keeper.go
+++ b/lease/keeper.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -24,7 +24,7 @@
 // Keeper contends for duties on behalf of one daemon and spreads them over the daemons: of each
 // duty the first by rank takes it when it is free, and nobody takes much more than a fair share.
 type Keeper struct {
-	table   platform.Table
+	table   backing.Table
 	self    string
 	nonce   string
 	terms   Terms
@@ -83,7 +83,7 @@
 }
 
 // NewKeeper returns a keeper for the daemon self; nonce is unique to its process.
-func NewKeeper(table platform.Table, self, nonce string, opts ...Option) *Keeper {
+func NewKeeper(table backing.Table, self, nonce string, opts ...Option) *Keeper {
 	none := func() []string { return nil }
 	k := &Keeper{
 		table:   table,
--- a/lease/keeper_test.go
+++ b/lease/keeper_test.go
@@ -12,8 +12,8 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // keeperShare is how many seeds of the small runs go for one of the runs with whole keepers.
@@ -176,9 +176,9 @@
 		// Somebody restores the table from an old copy; the next renewal finds out.
 		rows, err := p.Table.Read(t.Context(), EpochKey("d"), BeatKey("d"))
 		require.NoError(t, err)
-		require.NoError(t, p.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{
-			platform.Delete{Key: EpochKey("d"), IfVersion: rows[0].Version},
-			platform.Delete{Key: BeatKey("d"), IfVersion: rows[1].Version},
+		require.NoError(t, p.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{
+			backing.Delete{Key: EpochKey("d"), IfVersion: rows[0].Version},
+			backing.Delete{Key: BeatKey("d"), IfVersion: rows[1].Version},
 		}}))
 		for range 10 {
 			k.Pass(t.Context())
@@ -244,7 +244,7 @@
 	c.mu.Unlock()
 	for _, n := range ts {
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
-		err := c.p.Table.Commit(ctx, platform.Tx{Ops: []platform.Op{n.Cond()}})
+		err := c.p.Table.Commit(ctx, backing.Tx{Ops: []backing.Op{n.Cond()}})
 		cancel()
 		if err != nil {
 			continue
@@ -270,7 +270,7 @@
 		fresh, ok := c.keepers["entry-2"].Tenure("pool/00")
 		require.True(t, ok)
 		require.Equal(t, old.Epoch+1, fresh.Epoch)
-		err := c.p.Table.Commit(t.Context(), platform.Tx{Ops: []platform.Op{old.Cond()}})
+		err := c.p.Table.Commit(t.Context(), backing.Tx{Ops: []backing.Op{old.Cond()}})
 		require.True(t, fault.Is(err, fault.Conflict))
 	})
 }
--- a/lease/pass.go
+++ b/lease/pass.go
@@ -6,7 +6,7 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // batchLimit is how many renewals go into one transaction.
@@ -120,13 +120,13 @@
 
 // write commits the jobs in one transaction and tells their seats.
 func (k *Keeper) write(ctx context.Context, jobs []job) error {
-	var ops []platform.Op
+	var ops []backing.Op
 	for _, j := range jobs {
 		ops = append(ops, j.w.Ops...)
 	}
 	ctx, cancel := context.WithTimeout(ctx, k.timeout())
 	defer cancel()
-	err := k.table.Commit(ctx, platform.Tx{Ops: ops})
+	err := k.table.Commit(ctx, backing.Tx{Ops: ops})
 	now := k.now()
 	for _, j := range jobs {
 		j.s.mu.Lock()
--- a/lease/row.go
+++ b/lease/row.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // A duty has two rows. The epoch row is written by acquisitions only, so its version is the
@@ -44,7 +44,7 @@
 }
 
 // decodeBeat reads a beat row; a missing row is a duty that nobody ever held.
-func decodeBeat(row platform.Row) (Beat, error) {
+func decodeBeat(row backing.Row) (Beat, error) {
 	var b Beat
 	if row.Version == 0 {
 		return b, nil
--- a/lease/sim_test.go
+++ b/lease/sim_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // design says which of the mechanisms a run has.
@@ -208,7 +208,7 @@
 	s := p.s
 	s.acts++
 	epoch := p.h.Epoch()
-	ops := []platform.Op{platform.Put{Key: fmt.Sprint("act/", s.acts), Value: json.RawMessage("1")}}
+	ops := []backing.Op{backing.Put{Key: fmt.Sprint("act/", s.acts), Value: json.RawMessage("1")}}
 	if s.d.cond {
 		ops = append(ops, Cond(simDuty, epoch))
 	}
@@ -217,7 +217,7 @@
 			if p.cutOff() {
 				return
 			}
-			if err := s.p.Table.Commit(context.Background(), platform.Tx{Ops: ops}); err != nil {
+			if err := s.p.Table.Commit(context.Background(), backing.Tx{Ops: ops}); err != nil {
 				s.fenced++
 				return
 			}
@@ -263,7 +263,7 @@
 }
 
 func (p *proc) look(e Look) {
-	var rows []platform.Row
+	var rows []backing.Row
 	p.ask(func() error {
 		var err error
 		rows, err = p.s.p.Table.Read(context.Background(), e.Key)
@@ -282,7 +282,7 @@
 
 func (p *proc) write(e Write) {
 	p.ask(func() error {
-		err := p.s.p.Table.Commit(context.Background(), platform.Tx{Ops: e.Ops})
+		err := p.s.p.Table.Commit(context.Background(), backing.Tx{Ops: e.Ops})
 		if err == nil && e.Do == DoAcquire {
 			p.s.grants++
 		}
--- a/lease/tenure.go
+++ b/lease/tenure.go
@@ -2,7 +2,7 @@
 
 import (
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Tenure is a duty held under one epoch; it is checked right before each act and its condition
@@ -23,6 +23,6 @@
 }
 
 // Cond returns the step that conditions a transaction on the epoch still being the newest.
-func (t Tenure) Cond() platform.Op {
+func (t Tenure) Cond() backing.Op {
 	return Cond(t.Duty, t.Epoch)
 }
--- a/pool/budget_test.go
+++ b/pool/budget_test.go
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -19,14 +19,14 @@
 type row struct {
 	id    string
 	boot  string
-	state platform.State
+	state backing.State
 	age   time.Duration
 }
 
 func viewOf(now time.Time, rows ...row) View {
-	var list []platform.Instance
+	var list []backing.Instance
 	for _, r := range rows {
-		list = append(list, platform.Instance{ID: r.id, Boot: r.boot, State: r.state, Seen: now.Add(-r.age)})
+		list = append(list, backing.Instance{ID: r.id, Boot: r.boot, State: r.state, Seen: now.Add(-r.age)})
 	}
 	return NewView(list, now, testLag)
 }
@@ -43,10 +43,10 @@
 
 func allLive(now time.Time) []row {
 	return []row{
-		{"a", "a1", platform.StateLive, 0},
-		{"b", "b1", platform.StateLive, 0},
-		{"c", "c1", platform.StateLive, 0},
-		{"d", "d1", platform.StateLive, 0},
+		{"a", "a1", backing.StateLive, 0},
+		{"b", "b1", backing.StateLive, 0},
+		{"c", "c1", backing.StateLive, 0},
+		{"d", "d1", backing.StateLive, 0},
 	}
 }
 
@@ -68,11 +68,11 @@
 		{"rack", []string{"a"}, nil, record.Budget{Out: 2, Rack: 1}, "b", fault.Budget, "budget.rack is 1"},
 		{"other rack", []string{"a"}, nil, record.Budget{Out: 2, Rack: 1}, "c", fault.Internal, ""},
 		{"centre", []string{"c"}, nil, record.Budget{Out: 2, Centre: 1}, "d", fault.Budget, "budget.centre is 1"},
-		{"gone counts", nil, []row{{"b", "b1", platform.StateGone, 0}}, record.Budget{Out: 1}, "c", fault.Budget, "b (gone)"},
-		{"leaving counts", nil, []row{{"b", "b1", platform.StateLeaving, 0}}, record.Budget{Out: 1}, "c", fault.Budget, "b (leaving)"},
-		{"old evidence counts", nil, []row{{"b", "b1", platform.StateLive, testLag + time.Second}}, record.Budget{Out: 1}, "c", fault.Budget, "b (not seen since"},
-		{"loss in the rack counts", nil, []row{{"b", "b1", platform.StateGone, 0}}, record.Budget{Out: 2, Rack: 1}, "a", fault.Budget, "budget.rack is 1"},
-		{"a lost one can't be taken", nil, []row{{"b", "b1", platform.StateGone, 0}}, record.Budget{Out: 2}, "b", fault.Conflict, "out without a plan"},
+		{"gone counts", nil, []row{{"b", "b1", backing.StateGone, 0}}, record.Budget{Out: 1}, "c", fault.Budget, "b (gone)"},
+		{"leaving counts", nil, []row{{"b", "b1", backing.StateLeaving, 0}}, record.Budget{Out: 1}, "c", fault.Budget, "b (leaving)"},
+		{"old evidence counts", nil, []row{{"b", "b1", backing.StateLive, testLag + time.Second}}, record.Budget{Out: 1}, "c", fault.Budget, "b (not seen since"},
+		{"loss in the rack counts", nil, []row{{"b", "b1", backing.StateGone, 0}}, record.Budget{Out: 2, Rack: 1}, "a", fault.Budget, "budget.rack is 1"},
+		{"a lost one can't be taken", nil, []row{{"b", "b1", backing.StateGone, 0}}, record.Budget{Out: 2}, "b", fault.Conflict, "out without a plan"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s := four()
@@ -110,12 +110,12 @@
 		by   string
 		ok   bool
 	}{
-		{"same boot", row{"a", "a1", platform.StateLive, 0}, "w", false},
-		{"still leaving", row{"a", "a2", platform.StateLeaving, 0}, "w", false},
-		{"old evidence", row{"a", "a2", platform.StateLive, testLag + time.Second}, "w", false},
-		{"older boot in a lagging list", row{"a", "a0", platform.StateLive, 2 * time.Minute}, "w", false},
-		{"someone else's take", row{"a", "a2", platform.StateLive, 0}, "v", false},
-		{"seen well", row{"a", "a2", platform.StateLive, 0}, "w", true},
+		{"same boot", row{"a", "a1", backing.StateLive, 0}, "w", false},
+		{"still leaving", row{"a", "a2", backing.StateLeaving, 0}, "w", false},
+		{"old evidence", row{"a", "a2", backing.StateLive, testLag + time.Second}, "w", false},
+		{"older boot in a lagging list", row{"a", "a0", backing.StateLive, 2 * time.Minute}, "w", false},
+		{"someone else's take", row{"a", "a2", backing.StateLive, 0}, "v", false},
+		{"seen well", row{"a", "a2", backing.StateLive, 0}, "w", true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			s, err := taken.Return("a", tc.by, viewOf(later, tc.row), later)
@@ -123,7 +123,7 @@
 			require.Len(t, s.Takes, map[bool]int{true: 0, false: 1}[tc.ok])
 			if tc.ok {
 				// A list from before the return must not turn the instance into a loss.
-				stale := viewOf(later, row{"a", "a1", platform.StateLeaving, 3 * time.Second}, allLive(later)[1], allLive(later)[2], allLive(later)[3])
+				stale := viewOf(later, row{"a", "a1", backing.StateLeaving, 3 * time.Second}, allLive(later)[1], allLive(later)[2], allLive(later)[3])
 				require.Empty(t, Losses(s, stale, later))
 			}
 		})
--- a/pool/propose_member.go
+++ b/pool/propose_member.go
@@ -4,12 +4,12 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
 // ProposeAssign puts an instance that belongs to no pool into one.
-func ProposeAssign(r Request, pool string, in platform.Instance) journal.Proposal {
+func ProposeAssign(r Request, pool string, in backing.Instance) journal.Proposal {
 	decide := func(rows journal.Rows) (journal.Decision, error) {
 		l, err := Load(rows, pool)
 		if err != nil {
@@ -80,7 +80,7 @@
 
 // spares checks that a member may leave the pool: one that the platform calls gone always may.
 func (l Loaded) spares(id string, v View, rows journal.Rows) error {
-	if in, ok := v.Find(id); ok && in.State == platform.StateGone {
+	if in, ok := v.Find(id); ok && in.State == backing.StateGone {
 		return nil
 	}
 	_, _, err := l.State.Take(Ask{Instance: id, Cause: CauseMove, By: "release"}, l.Record.Budget, v, rows.Now)
--- a/pool/race_test.go
+++ b/pool/race_test.go
@@ -14,8 +14,8 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
@@ -46,7 +46,7 @@
 const raceDepth = 3
 
 // Commit lets other operators go first, may lose its answer, and then looks at the rows.
-func (r *race) Commit(ctx context.Context, tx platform.Tx) error {
+func (r *race) Commit(ctx context.Context, tx backing.Tx) error {
 	for r.depth < raceDepth && r.rnd.IntN(3) == 0 {
 		r.depth++
 		r.act(ctx)
@@ -67,9 +67,9 @@
 }
 
 // follow keeps account of the takes by the audit entries of what was committed, apart from the rows.
-func (r *race) follow(tx platform.Tx) {
+func (r *race) follow(tx backing.Tx) {
 	for _, op := range tx.Ops {
-		p, ok := op.(platform.Put)
+		p, ok := op.(backing.Put)
 		if !ok || !strings.HasPrefix(p.Key, audit.Prefix+"instance/") {
 			continue
 		}
@@ -92,10 +92,10 @@
 	}
 }
 
-func (r *race) unconditional(ctx context.Context, tx platform.Tx) platform.Tx {
-	var out platform.Tx
+func (r *race) unconditional(ctx context.Context, tx backing.Tx) backing.Tx {
+	var out backing.Tx
 	for _, op := range tx.Ops {
-		if p, ok := op.(platform.Put); ok {
+		if p, ok := op.(backing.Put); ok {
 			rows, _ := r.Read(ctx, p.Key)
 			p.IfVersion = rows[0].Version
 			op = p
@@ -181,10 +181,10 @@
 // view shows every instance well, half of the time under a new boot.
 func (r *race) view() View {
 	r.now = r.now.Add(time.Second)
-	var list []platform.Instance
+	var list []backing.Instance
 	for i := range raceMembers {
 		boot := fmt.Sprint(r.now.Unix() / 8)
-		list = append(list, platform.Instance{ID: fmt.Sprintf("i%02d", i), Boot: boot, State: platform.StateLive, Seen: r.now, Rack: fmt.Sprint(i / 4)})
+		list = append(list, backing.Instance{ID: fmt.Sprintf("i%02d", i), Boot: boot, State: backing.StateLive, Seen: r.now, Rack: fmt.Sprint(i / 4)})
 	}
 	return NewView(list, r.now, testLag)
 }
--- a/pool/request.go
+++ b/pool/request.go
@@ -7,7 +7,7 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -101,8 +101,8 @@
 }
 
 // putStates returns the steps that write the pools' rows.
-func putStates(rows journal.Rows, pools ...Loaded) ([]platform.Op, error) {
-	var ops []platform.Op
+func putStates(rows journal.Rows, pools ...Loaded) ([]backing.Op, error) {
+	var ops []backing.Op
 	for _, l := range pools {
 		op, err := rows.PutRow(Key(l.Name), l.State)
 		if err != nil {
--- a/pool/view.go
+++ b/pool/view.go
@@ -4,20 +4,20 @@
 	"fmt"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // View is the platform's list of instances as one daemon last read it.
 type View struct {
 	At     time.Time     // when it was read
 	Lag    time.Duration // evidence older than this proves nothing
-	list   []platform.Instance
+	list   []backing.Instance
 	byID   map[string]int
 	newest time.Time
 }
 
 // NewView indexes a list that was read at a time; it keeps the list.
-func NewView(list []platform.Instance, at time.Time, lag time.Duration) View {
+func NewView(list []backing.Instance, at time.Time, lag time.Duration) View {
 	v := View{At: at, Lag: lag, list: list, byID: make(map[string]int, len(list))}
 	for i, in := range list {
 		v.byID[in.ID] = i
@@ -29,15 +29,15 @@
 }
 
 // List returns all instances of the view; the caller must not change them.
-func (v View) List() []platform.Instance {
+func (v View) List() []backing.Instance {
 	return v.list
 }
 
 // Find returns the list's row of an instance.
-func (v View) Find(id string) (platform.Instance, bool) {
+func (v View) Find(id string) (backing.Instance, bool) {
 	i, ok := v.byID[id]
 	if !ok {
-		return platform.Instance{}, false
+		return backing.Instance{}, false
 	}
 	return v.list[i], true
 }
@@ -78,7 +78,7 @@
 	if !ok {
 		return "not in the platform's list"
 	}
-	if in.State != platform.StateLive {
+	if in.State != backing.StateLive {
 		return string(in.State)
 	}
 	return aged(in.Seen, v.Lag, now)
@@ -93,9 +93,9 @@
 }
 
 // Back tells whether the instance of t is seen well under another boot than the one taken.
-func Back(t Take, v View, now time.Time) (platform.Instance, bool) {
+func Back(t Take, v View, now time.Time) (backing.Instance, bool) {
 	in, ok := v.Find(t.Instance)
-	if !ok || in.State != platform.StateLive || now.Sub(in.Seen) > v.Lag {
+	if !ok || in.State != backing.StateLive || now.Sub(in.Seen) > v.Lag {
 		return in, false
 	}
 	// A lagging list may still show the boot before the taken one, which was heard of earlier.
--- a/record/job.go
+++ b/record/job.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // KindJob is the kind of Job records.
@@ -21,7 +21,7 @@
 	Team      string        `json:"team"`
 	Pool      string        `json:"pool"`                // pool of workers; never changes
 	Count     int           `json:"count"`               // number of tasks
-	Size      platform.Size `json:"size"`                // of one task; cores and memory are hints, accelerators are exact
+	Size      backing.Size `json:"size"`                // of one task; cores and memory are hints, accelerators are exact
 	Time      Millis        `json:"time,omitempty"`      // run time of one task; a hint
 	Urgency   int           `json:"urgency,omitempty"`   // 0 to 9; higher goes first
 	Restart   bool          `json:"restart,omitempty"`   // a task that was cut off may be run again from its start
--- a/record/job_test.go
+++ b/record/job_test.go
@@ -6,13 +6,13 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 func TestJobCheckNamesEveryFault(t *testing.T) {
-	good := Job{Team: "t", Pool: "p", Count: 2, Size: platform.Size{Cores: 1, Memory: 1}, Racks: 2}
+	good := Job{Team: "t", Pool: "p", Count: 2, Size: backing.Size{Cores: 1, Memory: 1}, Racks: 2}
 	require.NoError(t, good.Check())
-	bad := Job{Count: 0, Size: platform.Size{Accels: -1}, Time: -1, Urgency: 10, Racks: 1}
+	bad := Job{Count: 0, Size: backing.Size{Accels: -1}, Time: -1, Urgency: 10, Racks: 1}
 	err := bad.Check()
 	require.True(t, fault.Is(err, fault.Invalid))
 	for _, field := range []string{"team", "pool", "count", "cores", "memory", "accels", "time", "urgency", "racks"} {
@@ -37,7 +37,7 @@
 
 func TestJobFormat(t *testing.T) {
 	e, err := Encode("nightly", &Job{
-		Team: "t", Pool: "p", Count: 2, Size: platform.Size{Cores: 1.5, Memory: 8, Accels: 1}, Time: 9,
+		Team: "t", Pool: "p", Count: 2, Size: backing.Size{Cores: 1.5, Memory: 8, Accels: 1}, Time: 9,
 		Urgency: 3, Restart: true, Save: true, Racks: 2, Cancelled: true,
 	})
 	require.NoError(t, err)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -4,15 +4,15 @@
 	"sync"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Roster is the newest list with leaving made sticky: a boot of an instance that was once said
 // to be leaving never counts as live again, whatever a lagging list says.
 type Roster struct {
 	mu      sync.RWMutex
-	list    []platform.Instance
-	marked  []platform.Instance // list with leaving marked; replaced, never altered
+	list    []backing.Instance
+	marked  []backing.Instance // list with leaving marked; replaced, never altered
 	at      time.Time
 	left    map[string]string // newest boot of each instance known to be leaving
 	changed func()
@@ -46,7 +46,7 @@
 }
 
 // Update takes the platform's list as it stood at an instant; an older list than the one held is ignored.
-func (r *Roster) Update(list []platform.Instance, at time.Time) {
+func (r *Roster) Update(list []backing.Instance, at time.Time) {
 	fresh, ok := r.replace(list, at)
 	if !ok {
 		return
@@ -58,18 +58,18 @@
 }
 
 // replace swaps the list and returns the instances that are newly known to be leaving.
-func (r *Roster) replace(list []platform.Instance, at time.Time) ([]platform.Instance, bool) {
+func (r *Roster) replace(list []backing.Instance, at time.Time) ([]backing.Instance, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if at.Before(r.at) {
 		return nil, false
 	}
-	var fresh []platform.Instance
+	var fresh []backing.Instance
 	known := make(map[string]bool, len(list))
 	for _, in := range list {
 		known[in.ID] = true
 		// A boot that is gone may be one that is still coming up, so it isn't remembered.
-		if in.State == platform.StateLeaving && r.left[in.ID] != in.Boot {
+		if in.State == backing.StateLeaving && r.left[in.ID] != in.Boot {
 			r.left[in.ID] = in.Boot
 			fresh = append(fresh, in)
 		}
@@ -103,7 +103,7 @@
 
 // Instances returns the list, with every boot that is known to be leaving marked so; it must not
 // be changed.
-func (r *Roster) Instances() []platform.Instance {
+func (r *Roster) Instances() []backing.Instance {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	return r.marked
@@ -111,10 +111,10 @@
 
 // mark makes the list that is handed out; the lock is held.
 func (r *Roster) mark() {
-	out := make([]platform.Instance, len(r.list))
+	out := make([]backing.Instance, len(r.list))
 	for i, in := range r.list {
-		if in.State == platform.StateLive && r.left[in.ID] == in.Boot {
-			in.State = platform.StateLeaving
+		if in.State == backing.StateLive && r.left[in.ID] == in.Boot {
+			in.State = backing.StateLeaving
 		}
 		out[i] = in
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -7,7 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 	"gypsumlead/runner"
 )
@@ -44,22 +44,22 @@
 }
 
 // Build makes the table of an entry; records that can't be read are left out and returned as errors.
-func Build(self Self, state *journal.State, list []platform.Instance) (Table, []error) {
+func Build(self Self, state *journal.State, list []backing.Instance) (Table, []error) {
 	b := &builder{
 		self:    self,
-		byID:    make(map[string]platform.Instance, len(list)),
-		entries: []platform.Instance{{ID: self.Instance, Centre: self.Centre}},
+		byID:    make(map[string]backing.Instance, len(list)),
+		entries: []backing.Instance{{ID: self.Instance, Centre: self.Centre}},
 		near:    map[poolCentre]bool{},
 		sharers: map[poolCentre][]string{},
 	}
 	t := Table{Seq: state.Seq()}
 	for _, in := range list {
 		b.byID[in.ID] = in
-		if in.Role == platform.RoleEntry && in.State == platform.StateLive && in.ID != self.Instance {
+		if in.Role == backing.RoleEntry && in.State == backing.StateLive && in.ID != self.Instance {
 			b.entries = append(b.entries, in)
 		}
 	}
-	slices.SortFunc(b.entries, func(x, y platform.Instance) int { return strings.Compare(x.ID, y.ID) })
+	slices.SortFunc(b.entries, func(x, y backing.Instance) int { return strings.Compare(x.ID, y.ID) })
 	t.Services = b.services(state)
 	t.Targets = b.targets(state)
 	t.Capacities = b.capacities(state, t.Targets)
@@ -69,8 +69,8 @@
 // builder collects what several steps of a build need.
 type builder struct {
 	self    Self
-	byID    map[string]platform.Instance
-	entries []platform.Instance // live ones, this one always among them, sorted by ID
+	byID    map[string]backing.Instance
+	entries []backing.Instance // live ones, this one always among them, sorted by ID
 	near    map[poolCentre]bool // where each pool has live runners
 	sharers map[poolCentre][]string
 	errs    []error
@@ -105,13 +105,13 @@
 			continue
 		}
 		in, ok := b.byID[e.Name]
-		if !ok || in.Role != platform.RoleRunner || in.State == platform.StateGone {
+		if !ok || in.Role != backing.RoleRunner || in.State == backing.StateGone {
 			continue
 		}
 		out = append(out, runner.Target{
 			Instance: in,
 			Pool:     m.Pool,
-			Leaving:  in.State != platform.StateLive || b.drained(state, in),
+			Leaving:  in.State != backing.StateLive || b.drained(state, in),
 		})
 		b.near[poolCentre{m.Pool, in.Centre}] = b.near[poolCentre{m.Pool, in.Centre}] || !out[len(out)-1].Leaving
 	}
@@ -123,7 +123,7 @@
 	return out
 }
 
-func (b *builder) drained(state *journal.State, in platform.Instance) bool {
+func (b *builder) drained(state *journal.State, in backing.Instance) bool {
 	e, ok := state.Get(record.Key{Kind: record.KindDrain, Name: in.ID})
 	if !ok {
 		return false
@@ -138,7 +138,7 @@
 
 // part is how many of a runner's slots this entry may fill. The slots are split over the
 // entries that send to it; which of them get what is left over differs from runner to runner.
-func (b *builder) part(in platform.Instance, pool string) int {
+func (b *builder) part(in backing.Instance, pool string) int {
 	share := b.sharersOf(poolCentre{pool, in.Centre})
 	rank := slices.Index(share, b.self.Instance)
 	if rank < 0 {
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -16,7 +16,7 @@
 type world struct {
 	t     testing.TB
 	state *journal.State
-	list  []platform.Instance
+	list  []backing.Instance
 }
 
 func (w *world) put(name string, r record.Record) {
@@ -27,11 +27,11 @@
 }
 
 func (w *world) entry(id, centre string) {
-	w.list = append(w.list, platform.Instance{ID: id, Role: platform.RoleEntry, Centre: centre, State: platform.StateLive})
+	w.list = append(w.list, backing.Instance{ID: id, Role: backing.RoleEntry, Centre: centre, State: backing.StateLive})
 }
 
 func (w *world) runner(id, centre, pool string) {
-	w.list = append(w.list, platform.Instance{ID: id, Boot: id + "-1", Role: platform.RoleRunner, Centre: centre, State: platform.StateLive})
+	w.list = append(w.list, backing.Instance{ID: id, Boot: id + "-1", Role: backing.RoleRunner, Centre: centre, State: backing.StateLive})
 	w.put(id, &record.Member{Pool: pool})
 }
 
@@ -57,7 +57,7 @@
 func (w *world) slots(perRunner int) map[string]int {
 	sum := map[string]int{}
 	for _, in := range w.list {
-		if in.Role != platform.RoleEntry {
+		if in.Role != backing.RoleEntry {
 			continue
 		}
 		t, errs := Build(Self{Instance: in.ID, Centre: in.Centre, Slots: perRunner}, w.state, w.list)
@@ -97,7 +97,7 @@
 	w.put("n1", &record.Drain{Boot: "n1-0"}) // of an earlier boot
 	for i := range w.list {
 		if w.list[i].ID == "n2" {
-			w.list[i].State = platform.StateLeaving
+			w.list[i].State = backing.StateLeaving
 		}
 	}
 	b, _ := Build(Self{Instance: "e0", Centre: "c0", Slots: 8}, w.state, w.list)
--- a/runner/fault_test.go
+++ b/runner/fault_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // silence opens four connections, makes them silent and counts how many of the next requests fail.
--- a/runner/leave_test.go
+++ b/runner/leave_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // leaveUnderLoad lets one of three runners leave under load, with slow dials, and returns how
--- a/runner/resend_test.go
+++ b/runner/resend_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // TestNetHTTPSendsAgainAndFleetDoesNot shows why the fleet owns its connections: an upstream
@@ -50,7 +50,7 @@
 			f := NewFleet()
 			defer f.Close()
 			addr := netip.MustParseAddrPort(srv.Listener.Addr().String())
-			f.Update([]Target{{Pool: "p", Instance: platform.Instance{ID: "u", Boot: "b", Addr: addr}}})
+			f.Update([]Target{{Pool: "p", Instance: backing.Instance{ID: "u", Boot: "b", Addr: addr}}})
 			_, err = exchangeAll(t.Context(), f, request("", 0))
 			require.NoError(t, err)
 			_, err = exchangeAll(t.Context(), f, &Request{
--- a/runner/script_test.go
+++ b/runner/script_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // script is an upstream on pipes that answers the n-th request of a connection as it likes.
@@ -63,7 +63,7 @@
 	addr := oneAddr
 	for i := range n {
 		id := "u" + string(rune('1'+i))
-		out = append(out, Target{Pool: "p", Instance: platform.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}})
+		out = append(out, Target{Pool: "p", Instance: backing.Instance{ID: id, Boot: "b1", Addr: addr, Centre: "c1"}})
 		addr = netip.AddrPortFrom(addr.Addr().Next(), addr.Port())
 	}
 	return out
--- a/runner/target.go
+++ b/runner/target.go
@@ -1,12 +1,12 @@
 package runner
 
 import (
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Target is one upstream instance as the configuration and the platform's list describe it.
 type Target struct {
-	Instance platform.Instance
+	Instance backing.Instance
 	Pool     string
 	Leaving  bool // gets no new work; sticky for the instance's boot
 	Slots    int  // most exchanges of this entry at a time; 0 means the fleet's bound, less than 0 none
--- a/runner/upstream.go
+++ b/runner/upstream.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -19,7 +19,7 @@
 // upstream is one boot of one instance in one pool; its fields are guarded by the pool's lock.
 // The count of exchanges in progress includes one from before its connection is chosen until it has ended.
 type upstream struct {
-	instance   platform.Instance // never changes
+	instance   backing.Instance // never changes
 	slots      int               // as in Target
 	leaving    bool
 	inProgress int64
@@ -37,7 +37,7 @@
 }
 
 // is tells whether i is the same boot in the same place.
-func (u *upstream) is(i platform.Instance) bool {
+func (u *upstream) is(i backing.Instance) bool {
 	h := u.instance
 	return h.ID == i.ID && h.Boot == i.Boot && h.Addr == i.Addr && h.Centre == i.Centre && h.Region == i.Region
 }
--- a/spread/long_run_test.go
+++ b/spread/long_run_test.go
@@ -14,7 +14,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
--- a/spread/world_test.go
+++ b/spread/world_test.go
@@ -14,8 +14,8 @@
 	"gypsumlead/journal"
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 const (
@@ -92,7 +92,7 @@
 
 // reached is the table as one daemon reaches it.
 type reached struct {
-	platform.Table
+	backing.Table
 	n *node
 }
 
@@ -103,21 +103,21 @@
 	return nil
 }
 
-func (r *reached) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (r *reached) Read(ctx context.Context, keys ...string) ([]backing.Row, error) {
 	if err := r.check(); err != nil {
 		return nil, err
 	}
 	return r.Table.Read(ctx, keys...)
 }
 
-func (r *reached) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (r *reached) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	if err := r.check(); err != nil {
 		return nil, err
 	}
 	return r.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (r *reached) Commit(ctx context.Context, tx platform.Tx) error {
+func (r *reached) Commit(ctx context.Context, tx backing.Tx) error {
 	if err := r.check(); err != nil {
 		return err
 	}
--- a/trial/control/site.go
+++ b/trial/control/site.go
@@ -13,9 +13,9 @@
 	"gypsumlead/app"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/client"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/client"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/settings"
@@ -47,12 +47,12 @@
 		return nil, fault.Wrap(fault.Internal, err, "listen for the platform's stand-in")
 	}
 	s.addr = netip.MustParseAddrPort(l.Addr().String())
-	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.backing.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }() // ends with close
 	for i := range instances {
-		s.platform.PutInstance(platform.Instance{
+		s.backing.PutInstance(backing.Instance{
 			ID:     instanceName(i),
-			Role:   platform.RoleRunner,
+			Role:   backing.RoleRunner,
 			Addr:   netip.MustParseAddrPort("127.0.0.1:9"),
 			Region: "region",
 			Centre: fmt.Sprintf("centre-%d", i%max(1, daemons/centreSize)),
@@ -90,9 +90,9 @@
 	d := &daemon{app: a, client: c, stop: stop, done: make(chan error, 1)}
 	go func() { d.done <- a.Run(ctx) }()
 	s.daemons = append(s.daemons, d)
-	s.platform.PutInstance(platform.Instance{
+	s.backing.PutInstance(backing.Instance{
 		ID:     set.Instance,
-		Role:   platform.RoleEntry,
+		Role:   backing.RoleEntry,
 		Addr:   a.Addrs().Callers,
 		Peer:   a.Addrs().Peers,
 		Region: set.Region,
@@ -104,7 +104,7 @@
 // fill makes the pools and puts every instance into one, straight through the journal.
 func (s *site) fill() error {
 	ctx := context.Background()
-	w := journal.NewWriter(s.platform.Table)
+	w := journal.NewWriter(s.backing.Table)
 	for i := range s.pools {
 		name := fmt.Sprintf("pool-%02d", i)
 		key := record.Key{Kind: record.KindPool, Name: name}
@@ -120,12 +120,12 @@
 			return err
 		}
 	}
-	list, err := s.platform.Instances.List(ctx)
+	list, err := s.backing.Instances.List(ctx)
 	if err != nil {
 		return err
 	}
 	for i, in := range list {
-		if in.Role != platform.RoleRunner {
+		if in.Role != backing.RoleRunner {
 			continue
 		}
 		r := pool.Request{ID: "assign-" + in.ID, Actor: "trial"}
@@ -137,7 +137,7 @@
 }
 
 func (s *site) counts() standin.Counts {
-	return s.platform.Counts(standin.ServiceTable)
+	return s.backing.Counts(standin.ServiceTable)
 }
 
 func (s *site) close() {
--- a/trial/job/hold.go
+++ b/trial/job/hold.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const (
@@ -16,7 +16,7 @@
 // Hold is a plain lease on one row of the table, taken and renewed between steps.
 type Hold struct {
 	key     string
-	table   platform.Table
+	table   backing.Table
 	clock   *Clock
 	epoch   int64
 	version int64
@@ -30,7 +30,7 @@
 }
 
 // NewHold returns a lease that isn't held yet.
-func NewHold(pool string, table platform.Table, clock *Clock) *Hold {
+func NewHold(pool string, table backing.Table, clock *Clock) *Hold {
 	return &Hold{key: "lease/job/" + pool, table: table, clock: clock}
 }
 
@@ -58,8 +58,8 @@
 	if err != nil {
 		return false
 	}
-	put := platform.Put{Key: h.key, IfVersion: rows[0].Version, Value: value}
-	if h.table.Commit(ctx, platform.Tx{Ops: []platform.Op{put}}) != nil {
+	put := backing.Put{Key: h.key, IfVersion: rows[0].Version, Value: value}
+	if h.table.Commit(ctx, backing.Tx{Ops: []backing.Op{put}}) != nil {
 		return h.Alive()
 	}
 	h.epoch, h.version, h.until = next.Epoch, rows[0].Version+1, next.Until
@@ -77,6 +77,6 @@
 }
 
 // Fence returns the check that fails once another holder, or this one, wrote the row.
-func (h *Hold) Fence() platform.Op {
-	return platform.Check{Key: h.key, Version: h.version}
+func (h *Hold) Fence() backing.Op {
+	return backing.Check{Key: h.key, Version: h.version}
 }
--- a/trial/job/load.go
+++ b/trial/job/load.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"gypsumlead/job"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
@@ -96,7 +96,7 @@
 
 func (g *generator) plain(at time.Duration) {
 	n, team := g.team()
-	used := platform.Size{
+	used := backing.Size{
 		Cores:  g.sc.Size.Cores * (0.01 + 0.04*g.rnd.Float64()),
 		Memory: int64(float64(g.sc.Size.Memory) * (0.01 + 0.05*g.rnd.Float64())),
 	}
@@ -104,7 +104,7 @@
 	r := g.ratio(n)
 	j := record.Job{
 		Team: team, Count: 1 + int(7*g.rnd.ExpFloat64()), Urgency: g.rnd.IntN(6),
-		Size:    platform.Size{Cores: used.Cores * r, Memory: int64(float64(used.Memory) * r)},
+		Size:    backing.Size{Cores: used.Cores * r, Memory: int64(float64(used.Memory) * r)},
 		Time:    record.Millis(float64(run.Milliseconds()) * math.Exp(g.rnd.NormFloat64())),
 		Restart: g.rnd.Float64() < 0.9, Save: g.rnd.Float64() < 0.3,
 	}
@@ -116,7 +116,7 @@
 		k, p.Fail, p.Never = Broken, time.Second, g.rnd.IntN(2) == 0
 	case x < 0.05:
 		k = TooBig
-		j.Size = []platform.Size{
+		j.Size = []backing.Size{
 			{Cores: 2 * g.sc.Size.Cores, Memory: gib},
 			{Cores: 1, Memory: 2 * g.sc.Size.Memory},
 			{Cores: 1, Memory: gib, Accels: 1},
@@ -134,7 +134,7 @@
 func (g *generator) urgent(at time.Duration) {
 	_, team := g.team()
 	part := 0.03 + 0.2*g.rnd.Float64()
-	used := platform.Size{Cores: g.sc.Size.Cores * part, Memory: int64(float64(g.sc.Size.Memory) * part)}
+	used := backing.Size{Cores: g.sc.Size.Cores * part, Memory: int64(float64(g.sc.Size.Memory) * part)}
 	j := record.Job{Team: team, Count: 2 + g.rnd.IntN(12), Urgency: urgency, Size: used, Time: 60_000, Restart: true}
 	g.add(at, Urgent, j, standin.Profile{Used: used, Run: time.Duration(30+g.rnd.IntN(60)) * time.Second})
 }
@@ -142,14 +142,14 @@
 // flood asks for several times the capacity at once.
 func (g *generator) flood(k Kind, urgency int, at time.Duration, capacity float64) {
 	const times = 3.0
-	used := platform.Size{Cores: g.sc.Size.Cores * 0.04, Memory: int64(float64(g.sc.Size.Memory) * 0.03)}
+	used := backing.Size{Cores: g.sc.Size.Cores * 0.04, Memory: int64(float64(g.sc.Size.Memory) * 0.03)}
 	tasks := int(times * capacity / used.Cores)
 	const jobs = 20
 	for i := range jobs {
 		_, team := g.team()
 		j := record.Job{
 			Team: team, Count: max(tasks/jobs, 1), Urgency: urgency, Time: 60_000, Restart: true,
-			Size: platform.Size{Cores: used.Cores * 1.5, Memory: 2 * used.Memory},
+			Size: backing.Size{Cores: used.Cores * 1.5, Memory: 2 * used.Memory},
 		}
 		g.add(at+time.Duration(i)*100*time.Millisecond, k, j, standin.Profile{Used: used, Run: time.Minute})
 	}
--- a/trial/job/load_test.go
+++ b/trial/job/load_test.go
@@ -8,11 +8,11 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/job"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 func TestUrgentWorkStartsInTimeOnlyByDisplacing(t *testing.T) {
-	sc := Scale{Name: "small", Pools: 1, Workers: 24, Teams: 3, Span: 4 * time.Minute, Size: platform.Size{Cores: 16, Memory: 64 * gib}}
+	sc := Scale{Name: "small", Pools: 1, Workers: 24, Teams: 3, Span: 4 * time.Minute, Size: backing.Size{Cores: 16, Memory: 64 * gib}}
 	late := map[bool]int{}
 	for _, off := range []bool{false, true} {
 		y := job.DefaultPolicy()
--- a/trial/job/meter.go
+++ b/trial/job/meter.go
@@ -4,14 +4,14 @@
 	"slices"
 	"time"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // meter collects what is measured of one world.
 type meter struct {
 	steps    []time.Duration // processor time of the steps, stand-in included
-	seen     map[string]platform.TaskState
+	seen     map[string]backing.TaskState
 	doneWork map[Kind]float64 // core-seconds of tasks that succeeded
 	doneIn   [2]float64       // core-seconds of plain tasks that succeeded in each flood
 	again    int              // tasks that succeeded twice
@@ -26,7 +26,7 @@
 
 func newMeter() *meter {
 	return &meter{
-		seen: map[string]platform.TaskState{}, doneWork: map[Kind]float64{}, succeed: map[string]bool{}, bans: map[string]bool{},
+		seen: map[string]backing.TaskState{}, doneWork: map[Kind]float64{}, succeed: map[string]bool{}, bans: map[string]bool{},
 	}
 }
 
@@ -52,7 +52,7 @@
 		m.area += w.sc.Size.Cores * span
 		for _, r := range w.Truth.Tasks(id) {
 			m.usedArea += r.Used.Cores * span
-			if r.State == platform.TaskDone && m.seen[r.Task] != platform.TaskDone {
+			if r.State == backing.TaskDone && m.seen[r.Task] != backing.TaskDone {
 				m.done(w, r)
 			}
 			m.seen[r.Task] = r.State
@@ -60,7 +60,7 @@
 	}
 }
 
-func (m *meter) done(w *World, r platform.Report) {
+func (m *meter) done(w *World, r backing.Report) {
 	a := w.came[r.Job]
 	work := a.Profile.Used.Cores * a.Profile.Run.Seconds()
 	m.doneWork[a.Kind] += work
--- a/trial/job/result.go
+++ b/trial/job/result.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/job"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 const startLimit = 3200 * time.Millisecond // within which urgent work starts
--- a/trial/job/scale.go
+++ b/trial/job/scale.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 const gib = 1 << 30
@@ -14,7 +14,7 @@
 	Name    string
 	Pools   int
 	Workers int // in all
-	Size    platform.Size
+	Size    backing.Size
 	Teams   int // in all
 	Span    time.Duration
 }
@@ -24,12 +24,12 @@
 	switch size {
 	case "today":
 		return []Scale{
-			{Name: "peachtree", Pools: 1, Workers: 50, Size: platform.Size{Cores: 64, Memory: 256 * gib}, Teams: 5, Span: time.Hour},
-			{Name: "tarjeta", Pools: 1, Workers: 50, Size: platform.Size{Cores: 16, Memory: 64 * gib}, Teams: 5, Span: time.Hour},
+			{Name: "peachtree", Pools: 1, Workers: 50, Size: backing.Size{Cores: 64, Memory: 256 * gib}, Teams: 5, Span: time.Hour},
+			{Name: "tarjeta", Pools: 1, Workers: 50, Size: backing.Size{Cores: 16, Memory: 64 * gib}, Teams: 5, Span: time.Hour},
 		}, nil
 	case "target":
 		return []Scale{
-			{Name: "target", Pools: 51, Workers: 4200, Size: platform.Size{Cores: 64, Memory: 256 * gib}, Teams: 230, Span: 4 * time.Minute},
+			{Name: "target", Pools: 51, Workers: 4200, Size: backing.Size{Cores: 64, Memory: 256 * gib}, Teams: 230, Span: 4 * time.Minute},
 		}, nil
 	}
 	return nil, fmt.Errorf("size %q is neither today nor target", size)
--- a/trial/job/trial.go
+++ b/trial/job/trial.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"gypsumlead/job"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 )
 
 // Report is the JSON line of a trial.
--- a/trial/job/watch.go
+++ b/trial/job/watch.go
@@ -5,16 +5,16 @@
 	"strings"
 	"time"
 
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 )
 
 // Watch sees every start on the workers and checks it against what truly runs.
 type Watch struct {
-	inner   platform.Workers
+	inner   backing.Workers
 	truth   *standin.Platform
 	clock   *Clock
-	tries   map[string][]platform.Task // by task, without the number of the try
+	tries   map[string][]backing.Task // by task, without the number of the try
 	begun   map[string]time.Time       // first start of a task
 	Doubled int                        // starts while another try of the task ran
 	Starts  int
@@ -24,12 +24,12 @@
 func NewWatch(p *standin.Platform, clock *Clock) *Watch {
 	return &Watch{
 		inner: p.Workers, truth: p, clock: clock,
-		tries: map[string][]platform.Task{}, begun: map[string]time.Time{},
+		tries: map[string][]backing.Task{}, begun: map[string]time.Time{},
 	}
 }
 
 // Start passes the start on and looks at whether another try of the same task runs.
-func (w *Watch) Start(ctx context.Context, t platform.Task) error {
+func (w *Watch) Start(ctx context.Context, t backing.Task) error {
 	before := w.truth.Starts(t.ID)
 	err := w.inner.Start(ctx, t)
 	if before == w.truth.Starts(t.ID) {
@@ -50,17 +50,17 @@
 }
 
 // Workers passes the list on.
-func (w *Watch) Workers(ctx context.Context) ([]platform.Worker, error) {
+func (w *Watch) Workers(ctx context.Context) ([]backing.Worker, error) {
 	return w.inner.Workers(ctx)
 }
 
 // Act passes the act on.
-func (w *Watch) Act(ctx context.Context, task string, epoch int64, act platform.TaskAct, until time.Time) error {
+func (w *Watch) Act(ctx context.Context, task string, epoch int64, act backing.TaskAct, until time.Time) error {
 	return w.inner.Act(ctx, task, epoch, act, until)
 }
 
 // Reports passes the reports on.
-func (w *Watch) Reports(ctx context.Context, worker string) ([]platform.Report, error) {
+func (w *Watch) Reports(ctx context.Context, worker string) ([]backing.Report, error) {
 	return w.inner.Reports(ctx, worker)
 }
 
@@ -69,10 +69,10 @@
 	return id[:strings.LastIndexByte(id, '.')]
 }
 
-func (w *Watch) isOn(t platform.Task) bool {
+func (w *Watch) isOn(t backing.Task) bool {
 	for _, r := range w.truth.Tasks(t.Worker) {
 		if r.Task == t.ID {
-			return r.State == platform.TaskRunning || r.State == platform.TaskThrottled
+			return r.State == backing.TaskRunning || r.State == backing.TaskThrottled
 		}
 	}
 	return false
--- a/trial/job/world.go
+++ b/trial/job/world.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"gypsumlead/job"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
@@ -80,7 +80,7 @@
 }
 
 // AddHolder adds a process that reaches the platform through these services.
-func (w *World) AddHolder(table platform.Table, workers platform.Workers, opts ...job.Option) *Holder {
+func (w *World) AddHolder(table backing.Table, workers backing.Workers, opts ...job.Option) *Holder {
 	h := NewHold(w.pool, table, w.Clock)
 	d := job.NewDriver(w.pool, table, workers, w, h, job.WithClock(w.Clock.Now), job.WithCalls(1), job.WithPool(opts...))
 	w.Holders = append(w.Holders, &Holder{Hold: h, Driver: d})
@@ -116,8 +116,8 @@
 	for i := range w.sc.Workers {
 		id := fmt.Sprintf("%s-w%03d", w.pool, i)
 		w.view.Members = append(w.view.Members, id)
-		w.Truth.PutWorker(platform.Worker{
-			Instance: platform.Instance{ID: id, Role: platform.RoleWorker, Rack: fmt.Sprintf("%s-r%02d", w.pool, i/rackSize)},
+		w.Truth.PutWorker(backing.Worker{
+			Instance: backing.Instance{ID: id, Role: backing.RoleWorker, Rack: fmt.Sprintf("%s-r%02d", w.pool, i/rackSize)},
 			Total:    w.sc.Size,
 		})
 	}
--- a/trial/wave/scale.go
+++ b/trial/wave/scale.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/record"
 )
 
@@ -104,15 +104,15 @@
 }
 
 // instances lists the entries and a runner in each slot.
-func (sc Scale) instances(slots []slot) []platform.Instance {
-	var list []platform.Instance
+func (sc Scale) instances(slots []slot) []backing.Instance {
+	var list []backing.Instance
 	for i := range sc.Entries {
-		list = append(list, platform.Instance{ID: fmt.Sprintf("e%03d", i), Role: platform.RoleEntry, Centre: centreOf(i % sc.Centres), Addr: addrOf(i)})
+		list = append(list, backing.Instance{ID: fmt.Sprintf("e%03d", i), Role: backing.RoleEntry, Centre: centreOf(i % sc.Centres), Addr: addrOf(i)})
 	}
 	for i, s := range slots {
-		list = append(list, platform.Instance{
+		list = append(list, backing.Instance{
 			ID:     fmt.Sprintf("i%05d", i),
-			Role:   platform.RoleRunner,
+			Role:   backing.RoleRunner,
 			Addr:   addrOf(sc.Entries + i),
 			Centre: centreOf(s.centre),
 			Rack:   s.rack,
--- a/trial/wave/trial.go
+++ b/trial/wave/trial.go
@@ -11,7 +11,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/wave"
--- a/trial/wave/truth.go
+++ b/trial/wave/truth.go
@@ -11,8 +11,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -46,22 +46,22 @@
 }
 
 // Read reads from the table.
-func (t *truth) Read(ctx context.Context, keys ...string) ([]platform.Row, error) {
+func (t *truth) Read(ctx context.Context, keys ...string) ([]backing.Row, error) {
 	return t.Table.Read(ctx, keys...)
 }
 
 // Scan reads from the table.
-func (t *truth) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (t *truth) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
 // Commit commits, starts the drains that were accepted, and counts the planned takes.
-func (t *truth) Commit(ctx context.Context, tx platform.Tx) error {
+func (t *truth) Commit(ctx context.Context, tx backing.Tx) error {
 	if err := t.Table.Commit(ctx, tx); err != nil {
 		return err
 	}
 	for _, op := range tx.Ops {
-		p, ok := op.(platform.Put)
+		p, ok := op.(backing.Put)
 		if !ok {
 			continue
 		}
@@ -75,7 +75,7 @@
 	return nil
 }
 
-func (t *truth) drained(p platform.Put) {
+func (t *truth) drained(p backing.Put) {
 	var e record.Envelope
 	var d record.Drain
 	if json.Unmarshal(p.Value, &e) != nil || record.Decode(e, &d) != nil {
@@ -86,7 +86,7 @@
 }
 
 // count holds the takes of a pool's row against the budget, apart from the program's own checks.
-func (t *truth) count(p platform.Put) {
+func (t *truth) count(p backing.Put) {
 	var s pool.State
 	if json.Unmarshal(p.Value, &s) != nil {
 		return
@@ -105,7 +105,7 @@
 }
 
 // List returns the platform's lagging list.
-func (t *truth) List(ctx context.Context) ([]platform.Instance, error) {
+func (t *truth) List(ctx context.Context) ([]backing.Instance, error) {
 	return t.Instances.List(ctx)
 }
 
@@ -115,7 +115,7 @@
 }
 
 // Reboot reboots an instance; a few stay away for long.
-func (t *truth) Reboot(ctx context.Context, r platform.Reboot) error {
+func (t *truth) Reboot(ctx context.Context, r backing.Reboot) error {
 	if err := t.Instances.Reboot(ctx, r); err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 }
 
 // Quiet answers for every entry.
-func (t *truth) Quiet(_ context.Context, e platform.Instance, instance, boot string, seq int64) (have, progress int64, err error) {
+func (t *truth) Quiet(_ context.Context, e backing.Instance, instance, boot string, seq int64) (have, progress int64, err error) {
 	quiet, drained := t.quietAt[instance+boot]
 	if !drained {
 		return 0, 0, fault.New(fault.Conflict, "entry %s has no drain of boot %s", e.ID, boot)
--- a/trial/wave/world.go
+++ b/trial/wave/world.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 	"gypsumlead/wave"
@@ -41,7 +41,7 @@
 
 func (held) Check() error { return nil }
 
-func (held) Cond() platform.Op { return platform.Check{Key: leaseKey} }
+func (held) Cond() backing.Op { return backing.Check{Key: leaseKey} }
 
 func newWorld(sc Scale, l Layout, seed uint64) (*world, error) {
 	w := &world{sc: sc, slots: sc.slots(l), now: time.Date(2026, 1, 5, 5, 0, 0, 0, time.UTC), meter: &meter{}}
@@ -52,7 +52,7 @@
 	}
 	for _, in := range sc.instances(w.slots) {
 		w.truth.PutInstance(in)
-		if in.Role == platform.RoleRunner {
+		if in.Role == backing.RoleRunner {
 			w.runners = append(w.runners, in.ID)
 		}
 	}
--- a/wave/daemon_test.go
+++ b/wave/daemon_test.go
@@ -10,7 +10,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 )
 
@@ -74,7 +74,7 @@
 	}
 	next := testLease{Until: d.w.now.Add(leaseLife), w: d.w, key: key, version: rows[0].Version + 1}
 	value, _ := json.Marshal(next)
-	if d.gate.Commit(context.Background(), platform.Tx{Ops: []platform.Op{platform.Put{Key: key, IfVersion: rows[0].Version, Value: value}}}) != nil {
+	if d.gate.Commit(context.Background(), backing.Tx{Ops: []backing.Op{backing.Put{Key: key, IfVersion: rows[0].Version, Value: value}}}) != nil {
 		return false
 	}
 	if mine != nil && rows[0].Version == mine.version {
@@ -116,8 +116,8 @@
 	return nil
 }
 
-func (l *testLease) Cond() platform.Op {
-	return platform.Check{Key: l.key, Version: l.version}
+func (l *testLease) Cond() backing.Op {
+	return backing.Check{Key: l.key, Version: l.version}
 }
 
 var errCut = errors.New("the daemon is cut off")
@@ -182,7 +182,7 @@
 	g.d.asleep = false
 }
 
-func (g *gate) Read(ctx context.Context, keys ...string) (rows []platform.Row, err error) {
+func (g *gate) Read(ctx context.Context, keys ...string) (rows []backing.Row, err error) {
 	err = g.pass(true, false, func() error {
 		rows, err = g.w.p.Table.Read(ctx, keys...)
 		if g.w.off == "row" && err == nil {
@@ -193,11 +193,11 @@
 	return rows, err
 }
 
-func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]platform.Row, error) {
+func (g *gate) Scan(ctx context.Context, prefix, after string, limit int) ([]backing.Row, error) {
 	return g.w.p.Table.Scan(ctx, prefix, after, limit)
 }
 
-func (g *gate) Commit(ctx context.Context, tx platform.Tx) error {
+func (g *gate) Commit(ctx context.Context, tx backing.Tx) error {
 	return g.pass(true, true, func() error {
 		if g.w.off == "row" {
 			tx = g.joined(tx)
@@ -210,7 +210,7 @@
 	})
 }
 
-func (g *gate) List(ctx context.Context) ([]platform.Instance, error) {
+func (g *gate) List(ctx context.Context) ([]backing.Instance, error) {
 	return g.w.p.Instances.List(ctx)
 }
 
@@ -218,7 +218,7 @@
 	return g.pass(false, true, func() error { return g.w.p.Instances.Drain(ctx, id, boot) })
 }
 
-func (g *gate) Reboot(ctx context.Context, r platform.Reboot) error {
+func (g *gate) Reboot(ctx context.Context, r backing.Reboot) error {
 	if g.w.late > 0 {
 		// The holder has checked its lease; the world goes on before its request is sent.
 		ticks := g.w.late
@@ -242,7 +242,7 @@
 	})
 }
 
-func (g *gate) Quiet(_ context.Context, in platform.Instance, instance, boot string, seq int64) (have, progress int64, err error) {
+func (g *gate) Quiet(_ context.Context, in backing.Instance, instance, boot string, seq int64) (have, progress int64, err error) {
 	for _, e := range g.w.entries {
 		if e.id == in.ID {
 			err = g.pass(false, false, func() error { return e.quiet(g.w, instance, boot, &have, &progress) })
--- a/wave/driver.go
+++ b/wave/driver.go
@@ -9,7 +9,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 )
 
@@ -18,7 +18,7 @@
 	// Check returns an error of kind fault.Fenced once the lease may have lapsed.
 	Check() error
 	// Cond returns the step that fails a transaction after a newer holder took the lease.
-	Cond() platform.Op
+	Cond() backing.Op
 }
 
 // Entries asks the entry instances about drained boots.
@@ -26,16 +26,16 @@
 	// Quiet returns the newest change that the entry has in force, and how many of its requests
 	// are in progress on the instance, under whatever boot it knows it by. It fails if the entry
 	// doesn't hold boot for drained, or still sends to the instance under another boot.
-	Quiet(ctx context.Context, entry platform.Instance, instance, boot string, seq int64) (have, progress int64, err error)
+	Quiet(ctx context.Context, entry backing.Instance, instance, boot string, seq int64) (have, progress int64, err error)
 }
 
 // Driver steps the waves in one pool, under the pool's lease. It isn't safe for concurrent use.
 type Driver struct {
 	pool    string
 	actor   string
-	table   platform.Table
+	table   backing.Table
 	writer  *journal.Writer
-	insts   platform.Instances
+	insts   backing.Instances
 	entries Entries
 	lease   Lease
 	view    func() pool.View
@@ -85,9 +85,9 @@
 
 // Parts are what a driver works with.
 type Parts struct {
-	Table     platform.Table
+	Table     backing.Table
 	Writer    *journal.Writer
-	Instances platform.Instances
+	Instances backing.Instances
 	Entries   Entries
 	Lease     Lease
 	View      func() pool.View // the daemon's newest reading of the platform's list
--- a/wave/entry_test.go
+++ b/wave/entry_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // entry is an entry instance: its configuration lags, and its requests take a while.
@@ -52,7 +52,7 @@
 		for range 3 {
 			in, err := w.p.Instance(fmt.Sprintf("i%02d", w.rnd.IntN(24)))
 			require.NoError(w.t, err)
-			if _, drained := w.drainedFor(e, in.ID, in.Boot); drained || in.State != platform.StateLive {
+			if _, drained := w.drainedFor(e, in.ID, in.Boot); drained || in.State != backing.StateLive {
 				continue
 			}
 			w.busy[in.ID+in.Boot]++
--- a/wave/idle_test.go
+++ b/wave/idle_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing/standin"
 	"gypsumlead/record"
 )
 
--- a/wave/observe.go
+++ b/wave/observe.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -59,7 +59,7 @@
 	if !rec.Covers(p.Pool) || !rec.Holds(m.ID, m.Rack) {
 		return Left{m.ID, "no longer in the wave"}
 	}
-	if in, ok := v.Find(m.ID); ok && in.State == platform.StateGone {
+	if in, ok := v.Find(m.ID); ok && in.State == backing.StateGone {
 		return Left{m.ID, "gone from the platform"}
 	}
 	return nil
@@ -68,7 +68,7 @@
 // misses tells whether the member should be in the part and isn't, for it is new or moved here.
 func (p Part) misses(m pool.Member, v pool.View) bool {
 	in, _ := v.Find(m.ID)
-	if m.Done == p.Wave || in.State == platform.StateGone {
+	if m.Done == p.Wave || in.State == backing.StateGone {
 		return false
 	}
 	it, ok := p.Item(m.ID)
--- a/wave/own_test.go
+++ b/wave/own_test.go
@@ -5,12 +5,12 @@
 	"slices"
 	"strings"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 )
 
 // own hides the takes of others from a wave that counts takes on its own account.
-func (g *gate) own(rows []platform.Row) {
+func (g *gate) own(rows []backing.Row) {
 	wave := ""
 	for _, r := range rows {
 		if name, _, ok := strings.Cut(strings.TrimPrefix(r.Key, "wave/"), "/part/"); ok {
@@ -30,9 +30,9 @@
 }
 
 // joined adds the takes that own hid to the row that the wave writes.
-func (g *gate) joined(tx platform.Tx) platform.Tx {
+func (g *gate) joined(tx backing.Tx) backing.Tx {
 	for i, op := range tx.Ops {
-		p, ok := op.(platform.Put)
+		p, ok := op.(backing.Put)
 		if !ok || !strings.HasPrefix(p.Key, "pool/") || g.d == nil {
 			continue
 		}
--- a/wave/pick_test.go
+++ b/wave/pick_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -14,13 +14,13 @@
 func TestOneTransactionStaysSmall(t *testing.T) {
 	const members = 100
 	var s pool.State
-	var list []platform.Instance
+	var list []backing.Instance
 	p := Part{Wave: "w", Pool: "a"}
 	var events []Event
 	for i := range members {
 		id := fmt.Sprintf("i%03d", i)
 		s.Members = append(s.Members, pool.Member{ID: id, Rack: fmt.Sprint(i / 4)})
-		list = append(list, platform.Instance{ID: id, Boot: "1", State: platform.StateLive, Seen: start})
+		list = append(list, backing.Instance{ID: id, Boot: "1", State: backing.StateLive, Seen: start})
 		p.Items = append(p.Items, Item{Instance: id, State: Queued})
 		events = append(events, Quieted{id})
 	}
