--- a/wave/round.go
+++ b/wave/round.go
@@ -7,7 +7,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 )
 
@@ -15,7 +15,7 @@
 type round struct {
 	driver  *Driver
 	view    pool.View
-	entries []platform.Instance
+	entries []backing.Instance
 
 	mu     sync.Mutex
 	silent map[string]bool
@@ -25,7 +25,7 @@
 func (d *Driver) newRound(v pool.View) *round {
 	r := &round{driver: d, view: v, silent: map[string]bool{}}
 	for _, in := range v.List() {
-		if in.Role == platform.RoleEntry && in.State != platform.StateGone {
+		if in.Role == backing.RoleEntry && in.State != backing.StateGone {
 			r.entries = append(r.entries, in)
 		}
 	}
@@ -61,7 +61,7 @@
 }
 
 // askOne says why the entry isn't quiet; an empty text means that it is.
-func (r *round) askOne(ctx context.Context, e platform.Instance, a Ask) string {
+func (r *round) askOne(ctx context.Context, e backing.Instance, a Ask) string {
 	if r.isSilent(e.ID) {
 		return "entry " + e.ID + " doesn't answer"
 	}
@@ -120,6 +120,6 @@
 	r.silent[entry] = true
 }
 
-func rebootOf(a Restart) platform.Reboot {
-	return platform.Reboot{Instance: a.Instance, Boot: a.Boot}
+func rebootOf(a Restart) backing.Reboot {
+	return backing.Reboot{Instance: a.Instance, Boot: a.Boot}
 }
--- a/wave/run_test.go
+++ b/wave/run_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -51,7 +51,7 @@
 
 func (w *world) killRack(rack string) {
 	for _, in := range w.view().List() {
-		if in.Rack == rack && in.Role == platform.RoleRunner {
+		if in.Rack == rack && in.Role == backing.RoleRunner {
 			w.kill(in.ID)
 		}
 	}
@@ -60,7 +60,7 @@
 // revive brings every dead instance back under a new boot; the list tells by its age.
 func (w *world) revive() {
 	for _, in := range w.view().List() {
-		if w.now.Sub(in.Seen) > worldLag+13*time.Second && in.Role == platform.RoleRunner {
+		if w.now.Sub(in.Seen) > worldLag+13*time.Second && in.Role == backing.RoleRunner {
 			_, err := w.p.Revive(in.ID)
 			require.NoError(w.t, err)
 		}
--- a/wave/snapshot.go
+++ b/wave/snapshot.go
@@ -7,7 +7,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -85,7 +85,7 @@
 }
 
 // same tells whether the rows are the ones that the snapshot was decoded from.
-func (s snapshot) same(rows []platform.Row) bool {
+func (s snapshot) same(rows []backing.Row) bool {
 	for _, r := range rows {
 		if s.rows.Row(r.Key).Version != r.Version {
 			return false
--- a/wave/status.go
+++ b/wave/status.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 )
 
 // Status is a wave over all of its pools, as an operator watches it.
@@ -20,7 +20,7 @@
 const statusPage = 200 // rows a scan
 
 // ReadStatus reads the progress of a wave in every pool.
-func ReadStatus(ctx context.Context, t platform.Table, wave string) (Status, error) {
+func ReadStatus(ctx context.Context, t backing.Table, wave string) (Status, error) {
 	s := Status{Wave: wave, Count: map[State]int{}}
 	after := ""
 	for {
@@ -40,7 +40,7 @@
 	}
 }
 
-func (s *Status) add(r platform.Row) error {
+func (s *Status) add(r backing.Row) error {
 	if r.Key == StopKey(s.Wave) {
 		s.Stop = new(Stop)
 		return fault.Wrap(fault.Internal, json.Unmarshal(r.Value, s.Stop), "decode table row %s", r.Key)
--- a/wave/step.go
+++ b/wave/step.go
@@ -6,7 +6,7 @@
 
 	"gypsumlead/audit"
 	"gypsumlead/fault"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 )
 
@@ -136,7 +136,7 @@
 
 // commit writes the step's result and its audit entries on the rows read, under the lease.
 func (d *Driver) commit(ctx context.Context, s snapshot, n outcome) error {
-	ops := []platform.Op{d.lease.Cond()}
+	ops := []backing.Op{d.lease.Cond()}
 	for _, row := range []struct {
 		key  string
 		v    any
@@ -165,7 +165,7 @@
 	if err := d.lease.Check(); err != nil {
 		return err
 	}
-	err := d.table.Commit(ctx, platform.Tx{Ops: ops})
+	err := d.table.Commit(ctx, backing.Tx{Ops: ops})
 	return fault.Wrap(fault.KindOf(err), err, "write the progress of wave %s in pool %s", n.part.Wave, d.pool)
 }
 
--- a/wave/take.go
+++ b/wave/take.go
@@ -7,7 +7,7 @@
 	"gypsumlead/audit"
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
+	"gypsumlead/backing"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -77,7 +77,7 @@
 
 // takeAll writes the takes.
 func (d *Driver) takeAll(s snapshot, state pool.State, takes []pool.Take, inputs []audit.Input) (journal.Decision, error) {
-	dec := journal.Decision{Ops: []platform.Op{d.lease.Cond()}}
+	dec := journal.Decision{Ops: []backing.Op{d.lease.Cond()}}
 	subjects := []audit.Subject{{Kind: string(record.KindWave), Name: s.part.Wave}, {Kind: string(record.KindPool), Name: d.pool}}
 	part := s.part
 	seq := s.rows.Seq() + 1 // of the change that this decision becomes
--- a/wave/world_test.go
+++ b/wave/world_test.go
@@ -13,8 +13,8 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/journal"
-	"gypsumlead/platform"
-	"gypsumlead/platform/standin"
+	"gypsumlead/backing"
+	"gypsumlead/backing/standin"
 	"gypsumlead/pool"
 	"gypsumlead/record"
 )
@@ -76,10 +76,10 @@
 	for i := range 3 {
 		e := &entry{id: fmt.Sprintf("e%d", i), behind: time.Duration(1+i) * time.Second}
 		w.entries = append(w.entries, e)
-		w.p.PutInstance(platform.Instance{ID: e.id, Role: platform.RoleEntry, Centre: fmt.Sprint("c", i)})
+		w.p.PutInstance(backing.Instance{ID: e.id, Role: backing.RoleEntry, Centre: fmt.Sprint("c", i)})
 	}
 	for i := range 24 {
-		w.p.PutInstance(platform.Instance{ID: fmt.Sprintf("i%02d", i), Role: platform.RoleRunner, Rack: fmt.Sprint("r", i/4), Centre: fmt.Sprint("c", i/8)})
+		w.p.PutInstance(backing.Instance{ID: fmt.Sprintf("i%02d", i), Role: backing.RoleRunner, Rack: fmt.Sprint("r", i/4), Centre: fmt.Sprint("c", i/8)})
 	}
 	w.now = w.now.Add(worldLag + time.Second)
 	for _, name := range w.pools {
@@ -163,7 +163,7 @@
 }
 
 // beforeReboot holds a reboot that is about to take effect against the promise.
-func (w *world) beforeReboot(r platform.Reboot) {
+func (w *world) beforeReboot(r backing.Reboot) {
 	in, err := w.p.Instance(r.Instance)
 	if err != nil || in.Boot != r.Boot {
 		return
@@ -189,12 +189,12 @@
 }
 
 // committed holds the rows after a commit against the promises, by counts of its own.
-func (w *world) committed(tx platform.Tx) {
+func (w *world) committed(tx backing.Tx) {
 	pools := false
 	for _, op := range tx.Ops {
-		key := platform.KeyOf(op)
+		key := backing.KeyOf(op)
 		pools = pools || strings.HasPrefix(key, "pool/") || strings.HasPrefix(key, "record/")
-		if p, ok := op.(platform.Put); ok && strings.HasPrefix(p.Key, "record/drain/") {
+		if p, ok := op.(backing.Put); ok && strings.HasPrefix(p.Key, "record/drain/") {
 			var e record.Envelope
 			var d record.Drain
 			require.NoError(w.t, json.Unmarshal(p.Value, &e))
