--- a/app/bench_test.go
+++ b/app/bench_test.go
@@ -80,7 +80,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(b.t, err)
 	r := standin.NewRunner(l, standin.WithInstance(backing.Instance{ID: id, Region: "r", Centre: "c", Rack: id}),
-		standin.WithRun(20*time.Millisecond), standin.WithBeat(b.backing.Beat, 50*time.Millisecond))
+		standin.WithRun(20*time.Millisecond), standin.WithBeat(b.platform.Beat, 50*time.Millisecond))
 	b.t.Cleanup(r.Close)
 	b.accept(pool.ProposeAssign(pool.Request{ID: "assign-" + id}, in, r.Instance()))
 }
--- a/app/job_test.go
+++ b/app/job_test.go
@@ -25,18 +25,18 @@
 // addWorker makes a worker and puts it into a pool.
 func (b *bench) addWorker(id, in string) {
 	b.t.Helper()
-	b.backing.PutWorker(backing.Worker{
+	b.platform.PutWorker(backing.Worker{
 		Instance: backing.Instance{ID: id, Region: "r", Centre: "c", Rack: id},
 		Total:    backing.Size{Cores: 4, Memory: 8 * gigabyte},
 	})
-	w, err := b.backing.Instance(id)
+	w, err := b.platform.Instance(id)
 	require.NoError(b.t, err)
 	b.accept(pool.ProposeAssign(pool.Request{ID: "assign-" + id}, in, w))
 }
 
 // head returns a job's progress as it stands in the table.
 func (b *bench) head(in, name string) job.Job {
-	rows, err := b.backing.Table.Read(b.t.Context(), job.HeadKey(in, name))
+	rows, err := b.platform.Table.Read(b.t.Context(), job.HeadKey(in, name))
 	require.NoError(b.t, err)
 	var j job.Job
 	if rows[0].Version > 0 {
@@ -51,7 +51,7 @@
 		s.Duties.Step = 20 * time.Millisecond
 		s.Tokens = []settings.Token{{Name: "maria", Secret: testSecret}}
 	})
-	b.backing.SetProfile("nightly", standin.Profile{Run: 50 * time.Millisecond})
+	b.platform.SetProfile("nightly", standin.Profile{Run: 50 * time.Millisecond})
 	b.put("batch", &record.Pool{Budget: record.Budget{Out: 1}})
 	b.put("stock", &record.Team{Quotas: []record.Quota{{Cores: 8, Memory: 16 * gigabyte}}})
 	for i := range 2 {
@@ -101,14 +101,14 @@
 		s.Duties.Life = time.Second
 		s.Duties.Step = 20 * time.Millisecond
 	})
-	b.backing.SetProfile("endless", standin.Profile{Run: time.Hour})
+	b.platform.SetProfile("endless", standin.Profile{Run: time.Hour})
 	b.put("batch", &record.Pool{Budget: record.Budget{Out: 1}})
 	b.put("stock", &record.Team{Quotas: []record.Quota{{Cores: 8, Memory: 16 * gigabyte}}})
 	b.addWorker("worker-0", "batch")
 	b.put("endless", &record.Job{Team: "stock", Pool: "batch", Count: 1, Size: backing.Size{Cores: 1, Memory: gigabyte}})
 	running := func() int {
 		n := 0
-		for _, r := range b.backing.Tasks("worker-0") {
+		for _, r := range b.platform.Tasks("worker-0") {
 			if r.State == backing.TaskRunning {
 				n++
 			}
--- a/demo/site.go
+++ b/demo/site.go
@@ -66,7 +66,7 @@
 		return nil, fault.Wrap(fault.Internal, err, "listen for the platform's stand-in")
 	}
 	s.addr = netip.MustParseAddrPort(l.Addr().String())
-	s.server = &http.Server{Handler: s.backing.Handler(), ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }() // ends with close
 	for _, c := range centres {
 		if err := s.startCentre(c.name, c.entries, c.runners); err != nil {
@@ -106,7 +106,7 @@
 			Rack:   fmt.Sprintf("%s-rack-%d", centre, i/2),
 		}),
 		standin.WithRun(runTime),
-		standin.WithBeat(s.backing.Beat, beat),
+		standin.WithBeat(s.platform.Beat, beat),
 	)
 	s.runners = append(s.runners, r)
 	return nil
@@ -137,7 +137,7 @@
 }
 
 func (s *site) announce(d *daemon) {
-	s.backing.PutInstance(backing.Instance{
+	s.platform.PutInstance(backing.Instance{
 		ID:     d.id,
 		Boot:   d.id + "-" + d.app.Addrs().Peers.String(),
 		Role:   backing.RoleEntry,
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -50,7 +50,7 @@
 	state := daemons[len(daemons)-1].app.State()
 	out := map[string]int{}
 	for _, r := range w.site.runners {
-		in, err := w.site.backing.Instance(r.Instance().ID)
+		in, err := w.site.platform.Instance(r.Instance().ID)
 		if err != nil {
 			continue // not known to the platform yet
 		}
--- a/e2e/site_test.go
+++ b/e2e/site_test.go
@@ -39,9 +39,9 @@
 
 func newSite(t *testing.T) *site {
 	s := &site{t: t, bin: built(t), platform: freeAddr(t)}
-	start(t, s.bin.standin, "platform", "-listen", s.backing.String())
+	start(t, s.bin.standin, "platform", "-listen", s.platform.String())
 	eventually(t, "platform listens", func() bool {
-		res, err := http.Get("http://" + s.backing.String() + "/")
+		res, err := http.Get("http://" + s.platform.String() + "/")
 		if err == nil {
 			res.Body.Close()
 		}
@@ -52,7 +52,7 @@
 
 func (s *site) addRunner(id, centre, rack string) {
 	addr := freeAddr(s.t)
-	start(s.t, s.bin.standin, "runner", "-listen", addr.String(), "-platform", s.backing.String(), "-id", id, "-region", "r", "-centre", centre, "-rack", rack)
+	start(s.t, s.bin.standin, "runner", "-listen", addr.String(), "-platform", s.platform.String(), "-id", id, "-region", "r", "-centre", centre, "-rack", rack)
 	s.runners = append(s.runners, addr)
 }
 
@@ -135,7 +135,7 @@
 	s.t.Helper()
 	data, err := json.Marshal(v)
 	require.NoError(s.t, err)
-	res, err := http.Post("http://"+s.backing.String()+path, "application/json", bytes.NewReader(data))
+	res, err := http.Post("http://"+s.platform.String()+path, "application/json", bytes.NewReader(data))
 	require.NoError(s.t, err)
 	defer res.Body.Close()
 	require.Equal(s.t, http.StatusOK, res.StatusCode)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -86,7 +86,7 @@
 	}
 	w.platform = standin.New(standin.WithSeed(seed))
 	for e := range worldEntries {
-		w.addEntry(e, seed, w.backing.Table, p)
+		w.addEntry(e, seed, w.platform.Table, p)
 	}
 	w.update()
 	return w
@@ -175,7 +175,7 @@
 		case 3:
 			r.SetFaults(standin.RunnerFaults{Mishaps: standin.Mishaps(), Odds: 0.4, Chunked: rng.IntN(2) == 0})
 		case 4:
-			w.backing.SetFaults(tableFaults(rng), standin.ServiceTable)
+			w.platform.SetFaults(tableFaults(rng), standin.ServiceTable)
 		case 5:
 			w.blackout(time.Duration(rng.IntN(3000)) * time.Millisecond)
 		}
--- a/trial/control/site.go
+++ b/trial/control/site.go
@@ -47,10 +47,10 @@
 		return nil, fault.Wrap(fault.Internal, err, "listen for the platform's stand-in")
 	}
 	s.addr = netip.MustParseAddrPort(l.Addr().String())
-	s.server = &http.Server{Handler: s.backing.Handler(), ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Handler: s.platform.Handler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.server.Serve(l) }() // ends with close
 	for i := range instances {
-		s.backing.PutInstance(backing.Instance{
+		s.platform.PutInstance(backing.Instance{
 			ID:     instanceName(i),
 			Role:   backing.RoleRunner,
 			Addr:   netip.MustParseAddrPort("127.0.0.1:9"),
@@ -90,7 +90,7 @@
 	d := &daemon{app: a, client: c, stop: stop, done: make(chan error, 1)}
 	go func() { d.done <- a.Run(ctx) }()
 	s.daemons = append(s.daemons, d)
-	s.backing.PutInstance(backing.Instance{
+	s.platform.PutInstance(backing.Instance{
 		ID:     set.Instance,
 		Role:   backing.RoleEntry,
 		Addr:   a.Addrs().Callers,
@@ -104,7 +104,7 @@
 // fill makes the pools and puts every instance into one, straight through the journal.
 func (s *site) fill() error {
 	ctx := context.Background()
-	w := journal.NewWriter(s.backing.Table)
+	w := journal.NewWriter(s.platform.Table)
 	for i := range s.pools {
 		name := fmt.Sprintf("pool-%02d", i)
 		key := record.Key{Kind: record.KindPool, Name: name}
@@ -120,7 +120,7 @@
 			return err
 		}
 	}
-	list, err := s.backing.Instances.List(ctx)
+	list, err := s.platform.Instances.List(ctx)
 	if err != nil {
 		return err
 	}
@@ -137,7 +137,7 @@
 }
 
 func (s *site) counts() standin.Counts {
-	return s.backing.Counts(standin.ServiceTable)
+	return s.platform.Counts(standin.ServiceTable)
 }
 
 func (s *site) close() {
