--- /dev/null
+++ b/work/state.go
@@ -0,0 +1,51 @@
+package work
+
+import "time"
+
+// State is how far a job is.
+type State string
+
+// The states of a job; the last three are final.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Done      State = "done"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final tells whether the job stays in this state.
+func (s State) Final() bool {
+	return s == Done || s == Failed || s == Cancelled
+}
+
+// How is how a run of a task ended.
+type How string
+
+// The ways in which a run ends.
+const (
+	EndDone    How = "done"
+	EndFailed  How = "failed"  // by its own fault or the runner's
+	EndStopped How = "stopped" // by an order
+	EndLapsed  How = "lapsed"  // the runner's lease ran out
+	EndBroken  How = "broken"  // another member of its gang ended
+	EndAlone   How = "alone"   // the other members of its gang didn't come in time
+)
+
+// Queue is a route of the configuration whose requests are jobs.
+type Queue struct {
+	Name     string
+	Service  string
+	Priority int           // 0 comes first
+	Attempts int           // runs of a task that may end failed
+	Slack    float64       // a job is in time within this many times its longest chain and Aim
+	Aim      time.Duration // see Slack
+	Advice   *Advice       // nil where every runner of the service may run its steps
+}
+
+// Advice says what a question to the queue's policy service costs.
+type Advice struct {
+	Base  time.Duration // an answer takes this
+	Each  time.Duration // and this for each runner named
+	Valid time.Duration // for this an approval holds
+}
