--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/settings"
+	"gypsumlead/upkeep"
 	"gypsumlead/view"
 )
 
@@ -54,6 +55,7 @@
 	mesh     *peer.Mesh
 	peers    *peer.Server
 	front    *front.Front
+	upkeep   *upkeep.Keeper // nil where the platform has no service for machines
 	bounds   sched.Bounds
 
 	mu      sync.Mutex
@@ -95,6 +97,7 @@
 	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery))
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
+	d.makeUpkeep()
 	return d, d.open()
 }
 
@@ -154,6 +157,10 @@
 	g.Go(func() error { return d.list.Run(work) })
 	g.Go(func() error { return d.list.Sweep(work) })
 	g.Go(func() error { return d.keepSeats(work, g) })
+	if d.upkeep != nil {
+		g.Go(func() error { return d.upkeep.Follow(work) })
+		g.Go(func() error { return d.upkeep.Run(work) })
+	}
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -107,7 +107,7 @@
 		Life:    member.Life,
 		Breach:  func(err error) { d.log.Error("an invariant is broken", zap.Error(err)) },
 	})
-	if err := h.Load(ctx); err != nil {
+	if err := h.Restore(ctx); err != nil {
 		d.log.Warn("seat taken, its rows can't be read", zap.String("service", service), zap.Error(err))
 		return // it is vacant for us as before, and taken again
 	}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -54,7 +54,7 @@
 	fate   chan struct{} // closed once the seat is lost or left
 }
 
-// New returns the holder of a claimed seat; Load and Run follow.
+// New returns the holder of a claimed seat; Restore and Run follow.
 func New(c Claim, b sched.Bounds, p Parts) *Holder {
 	b.Foreign = c.Foreign
 	h := &Holder{
@@ -157,7 +157,7 @@
 	for _, o := range h.pool.Plan(now, time.Now()) {
 		h.dispatch(o)
 	}
-	if at, ok := h.pool.Due(); ok && !now.Before(at) {
+	if at, ok := h.pool.LazyDue(); ok && !now.Before(at) {
 		wake(h.commit)
 	}
 }
--- a/holder/load.go
+++ b/holder/load.go
@@ -11,8 +11,8 @@
 	"gypsumlead/work"
 )
 
-// Load reads what earlier holders left.
-func (h *Holder) Load(ctx context.Context) error {
+// Restore reads what earlier holders left.
+func (h *Holder) Restore(ctx context.Context) error {
 	service := h.claim.Service
 	runners, err := h.loadRunners(ctx)
 	if err != nil {
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -63,8 +63,8 @@
 	r.ends = append(r.ends[:0], r.ends[n:]...)
 }
 
-// Due returns when the next lazy progress has to be committed; ok is false where there is none.
-func (p *Pool) Due() (time.Time, bool) {
+// LazyDue returns when the next lazy progress has to be committed; ok is false where there is none.
+func (p *Pool) LazyDue() (time.Time, bool) {
 	var first time.Time
 	for _, j := range p.live {
 		if j.changed == j.saved {
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -74,6 +74,9 @@
 	case s.Lasts:
 		// What lasts is spread: the loss of a runner, or its upkeep, then takes little away.
 		c[3] = int64(r.lasting())
+		if r.due {
+			c[2]++
+		}
 		c[4] = -left
 	default:
 		// The tightest fit keeps room for large tasks elsewhere.
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -16,6 +16,55 @@
 	}
 }
 
+// Due tells that a runner's machine will have to become empty soon, or won't any more; what lasts rather goes elsewhere.
+func (p *Pool) Due(id string, on bool) {
+	if r, ok := p.runners[id]; ok {
+		r.due = on
+	}
+}
+
+// Lasting returns how many tasks that last run on a runner.
+func (p *Pool) Lasting(id string) int {
+	if r, ok := p.runners[id]; ok {
+		return r.lasting()
+	}
+	return 0
+}
+
+// busyShare is the share of a pool's processors in use from which it counts as busy.
+const busyShare = 0.7
+
+// Load returns how many runners take work and whether the pool is busy.
+func (p *Pool) Load(now time.Time) (int, bool) {
+	n := 0
+	var used, room int64
+	for _, r := range p.runners {
+		if r.takes(now) {
+			n++
+			used += r.used.CPU
+			room += r.Room.CPU
+		}
+	}
+	return n, p.Waiting() || float64(used) > busyShare*float64(room)
+}
+
+// Waiting tells whether a task of a job that has begun, or could, waits for room.
+func (p *Pool) Waiting() bool {
+	for _, j := range p.live {
+		if j.state.Final() {
+			continue
+		}
+		for _, t := range j.turns {
+			for _, s := range t.steps {
+				if s.wait > 0 && !s.spec.Lasts && s.turn.due.IsZero() && s.ready(time.Time{}) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Empty tells whether nothing of ours runs on a runner; it is false as long as that isn't known.
 func (p *Pool) Empty(id string) bool {
 	r, ok := p.runners[id]
@@ -32,7 +81,7 @@
 			continue
 		}
 		for _, x := range r.sorted() {
-			if x.phase == running && x.task.step.spec.Lasts && p.mayMove(now, r, x) {
+			if x.phase == running && (x.task.step.spec.Lasts || x.task.step.spec.Saves) && p.mayMove(now, r, x) {
 				x.stop("its runner is to be emptied")
 			}
 		}
@@ -42,11 +91,11 @@
 // mayMove tells whether a run that lasts may be stopped to start elsewhere.
 func (p *Pool) mayMove(now time.Time, r *runner, x *run) bool {
 	s := x.task.step
-	if !p.elsewhere(now, x) {
+	if !p.elsewhere(now, x) || (s.spec.Gang && !s.spec.Lasts) {
 		return false
 	}
 	// On a runner that drains the task ends in any case; moving it early costs nothing more.
-	if r.Draining || !s.spec.Bounded {
+	if r.Draining || !s.spec.Lasts || !s.spec.Bounded {
 		return true
 	}
 	return s.away(x.task) < s.spec.Miss
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -22,6 +22,7 @@
 	runs      map[*run]struct{}
 	used      work.Amount
 	evacuate  bool
+	due       bool // its machine will have to become empty soon
 	health    health
 	leavesAt  time.Time // while draining
 	gone      bool
