--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -98,14 +98,14 @@
 	if r.Draining || !s.spec.Lasts || !s.spec.Bounded {
 		return true
 	}
-	return s.away(x.task) < s.spec.Miss
+	return s.away(now, x.task) < s.spec.Miss
 }
 
 // away returns how many tasks of the step besides one aren't at work.
-func (s *step) away(besides *task) int {
+func (s *step) away(now time.Time, besides *task) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != besides && !t.atWork() {
+		if t != besides && !t.atWork(now) {
 			n++
 		}
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -214,10 +214,10 @@
 	}
 }
 
-// atWork tells whether one of the task's runs is known to be at work.
-func (t *task) atWork() bool {
+// atWork tells whether one of the task's runs is known to be at work; what a runner said that is silent now proves nothing.
+func (t *task) atWork(now time.Time) bool {
 	for _, x := range t.runs {
-		if x.phase == running && x.percent >= 100 {
+		if x.phase == running && x.percent >= 100 && now.Sub(x.r.answered) < answerLate {
 			return true
 		}
 	}
