A silent runner's lease ends: no extension while it doesn't answer, its end stored for later holders

Ruled out: missing room (start elsewhere was never tried), the wait after a takeover alone (16.3 s passed, start at 43 s).

--- a/holder/commit.go
+++ b/holder/commit.go
@@ -22,7 +22,8 @@
 	commits  int64
 	intents  []*intent
 	progress []sched.Saved
-	runners  map[string]work.Runner // nil where they haven't changed
+	runners  map[string]work.Runner // those that may have work; nil where nothing about them has changed
+	silent   map[string]time.Time   // those that don't answer; with runners
 }
 
 func (f flight) empty() bool {
@@ -71,9 +72,7 @@
 	n := min(len(h.queue), batchMost)
 	f := flight{intents: slices.Clone(h.queue[:n])}
 	f.progress = h.pool.Batch(now, batchMost, n > 0)
-	if !sameRunners(h.wanted, h.useful) {
-		f.runners = maps.Clone(h.wanted)
-	}
+	h.addRunners(now, &f)
 	if f.empty() {
 		return f, platform.Tx{}, nil
 	}
@@ -83,8 +82,24 @@
 	return f, tx, err
 }
 
-func sameRunners(a, b map[string]work.Runner) bool {
-	return maps.EqualFunc(a, b, func(x, y work.Runner) bool { return x.Addr == y.Addr })
+// addRunners adds what the store has to know of the runners, where that has changed.
+func (h *Holder) addRunners(now time.Time, f *flight) {
+	all := maps.Clone(h.wanted)
+	for id, w := range h.useful {
+		if _, ok := all[id]; !ok && h.pool.Has(id) {
+			all[id] = w // it may still have work
+		}
+	}
+	silent := h.pool.Silent(now)
+	if h.storeNow == 0 {
+		silent = nil // there is no store's time to tell it by yet
+	}
+	same := maps.EqualFunc(all, h.useful, func(x, y work.Runner) bool { return x.Addr == y.Addr })
+	if same && maps.EqualFunc(silent, h.silent, func(_, _ time.Time) bool { return true }) {
+		return
+	}
+	f.runners, f.silent = all, silent
+	h.pool.Marking(silent)
 }
 
 // transaction puts a flight into the store's form.
@@ -117,7 +132,7 @@
 		tx.Put = append(tx.Put, platform.Row{Place: place(tableProgress, service, string(s.ID)), Value: value})
 	}
 	if f.runners != nil {
-		row, err := h.runnersRow(f.runners)
+		row, err := h.runnersRow(f)
 		if err != nil {
 			return tx, err
 		}
@@ -126,16 +141,14 @@
 	return tx, nil
 }
 
-// runnersRow is the row of the runners that may have work: those that should, and those that may still have some.
-func (h *Holder) runnersRow(wanted map[string]work.Runner) (platform.Row, error) {
-	all := maps.Clone(wanted)
-	for id, w := range h.useful {
-		if _, ok := all[id]; !ok && h.pool.Has(id) {
-			all[id] = w
-		}
+// runnersRow is the row of the runners that may have work.
+func (h *Holder) runnersRow(f flight) (platform.Row, error) {
+	row := runnersRow{Silent: map[string]time.Duration{}}
+	row.Runners = slices.SortedFunc(maps.Values(f.runners), func(a, b work.Runner) int { return strings.Compare(a.ID, b.ID) })
+	for id, over := range f.silent {
+		row.Silent[id] = h.storeNow + over.Sub(h.storeAt)
 	}
-	list := slices.SortedFunc(maps.Values(all), func(a, b work.Runner) int { return strings.Compare(a.ID, b.ID) })
-	value, err := encode(runnersRow{list})
+	value, err := encode(row)
 	return platform.Row{Place: place(tableHold, h.claim.Service, keyRunners), Value: value}, err
 }
 
@@ -144,6 +157,7 @@
 	switch {
 	case err == nil:
 		h.version = stamp.Version
+		h.storeNow, h.storeAt = stamp.Now, clock.Now()
 		h.apply(f)
 		clear(h.flights)
 		return len(h.queue) > 0
@@ -171,7 +185,8 @@
 	}
 	h.pool.Committed(now, f.progress)
 	if f.runners != nil {
-		h.useful = f.runners
+		h.useful, h.silent = f.runners, f.silent
+		h.pool.Marked(f.silent)
 		for id, w := range f.runners {
 			if cur, ok := h.wanted[id]; ok && cur.Addr == w.Addr {
 				h.admit(cur)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -40,6 +40,9 @@
 	flights   map[int64]flight       // commits that weren't answered, by their number
 	useful    map[string]work.Runner // runners that the store knows we may give work
 	wanted    map[string]work.Runner // and those that it should
+	silent    map[string]time.Time   // runners that the store has as silent
+	storeNow  time.Duration          // the store's clock
+	storeAt   time.Time              // when it was read
 	seat      Seat
 	version   int64 // of the seat's row
 	mailAfter int64 // version up to which the mail has been read
--- a/holder/load.go
+++ b/holder/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -14,7 +15,7 @@
 // Restore reads what earlier holders left.
 func (h *Holder) Restore(ctx context.Context) error {
 	service := h.claim.Service
-	runners, err := h.loadRunners(ctx)
+	runners, stamp, err := h.loadRunners(ctx)
 	if err != nil {
 		return err
 	}
@@ -32,8 +33,15 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.pool.Inherit(runners)
-	for _, w := range runners {
+	now := clock.Now()
+	h.silent = map[string]time.Time{}
+	for _, w := range runners.Runners {
+		over := time.Time{}
+		if at, ok := runners.Silent[w.ID]; ok {
+			over = now.Add(at - stamp.Now + clockSlack)
+			h.silent[w.ID] = over
+		}
+		h.pool.Inherit(w, over)
 		h.useful[w.ID] = w
 		h.start(w)
 	}
@@ -44,18 +52,18 @@
 		h.read(row)
 	}
 	h.mailAfter = mail.Version
-	h.Log.Info("seat taken", zap.Int("jobs", len(jobs.Rows)), zap.Int("runners", len(runners)), zap.Duration("foreign", h.claim.Foreign))
+	h.Log.Info("seat taken", zap.Int("jobs", len(jobs.Rows)), zap.Int("runners", len(runners.Runners)), zap.Int("silent", len(runners.Silent)), zap.Duration("foreign", h.claim.Foreign))
 	return nil
 }
 
-func (h *Holder) loadRunners(ctx context.Context) ([]work.Runner, error) {
+func (h *Holder) loadRunners(ctx context.Context) (runnersRow, platform.Stamp, error) {
+	var row runnersRow
 	page, err := h.Store.Get(ctx, tableHold, h.claim.Service, keyRunners, keyRunners+"\x00", 1)
 	if err != nil || len(page.Rows) == 0 {
-		return nil, err
+		return row, page.Stamp, err
 	}
-	var row runnersRow
 	err = decode(page.Rows[0], &row)
-	return row.Runners, err
+	return row, page.Stamp, err
 }
 
 func (h *Holder) loadProgress(ctx context.Context) (map[string]*sched.Progress, error) {
--- a/holder/rows.go
+++ b/holder/rows.go
@@ -42,7 +42,8 @@
 
 // runnersRow names the runners that may have work.
 type runnersRow struct {
-	Runners []work.Runner `json:"runners"`
+	Runners []work.Runner            `json:"runners"`
+	Silent  map[string]time.Duration `json:"silent,omitempty"` // those that don't answer: when all that they run has ended, by the store's clock
 }
 
 func encode(v any) ([]byte, error) {
--- a/sched/queries.go
+++ b/sched/queries.go
@@ -11,7 +11,7 @@
 // Wanted tells whether a start that was ordered should still be sent.
 func (p *Pool) Wanted(o Start) bool {
 	r, ok := p.runners[o.Runner]
-	if !ok || r.Draining || r.evacuate || p.fenced {
+	if !ok || r.Draining || r.evacuate || r.missed || r.marked || p.fenced {
 		return false
 	}
 	x := p.runOf(r, o.Task, o.Run)
@@ -40,3 +40,38 @@
 		x.task.drop(x, now)
 	}
 }
+
+// Silent returns the runners that don't answer, by when all that they run has surely ended.
+func (p *Pool) Silent(now time.Time) map[string]time.Time {
+	list := map[string]time.Time{}
+	for id, r := range p.runners {
+		if !r.missed || !r.silent(now) {
+			continue
+		}
+		over, ok := r.lease.Over()
+		switch {
+		case !r.known:
+			over = r.resolve
+		case !ok:
+			over = now // it was never given any work by us
+		}
+		list[id] = over
+	}
+	return list
+}
+
+// Marking takes in that the store is about to be told which runners are silent: from now on it may have them so.
+func (p *Pool) Marking(silent map[string]time.Time) {
+	for id := range silent {
+		if r, ok := p.runners[id]; ok {
+			r.marked = true
+		}
+	}
+}
+
+// Marked takes in that the store has just these runners as silent.
+func (p *Pool) Marked(silent map[string]time.Time) {
+	for id, r := range p.runners {
+		_, r.marked = silent[id]
+	}
+}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -16,6 +16,9 @@
 	known     bool      // it has told us under our token what it runs
 	answered  time.Time // when a look was last answered
 	asked     time.Time // when the oldest look that isn't answered was sent; zero where there is none
+	missed    bool      // the last look wasn't answered; its lease isn't extended until one is
+	marked    bool      // the store may have it as silent; its lease isn't extended until that is taken back
+	resolve   time.Time // where inherited: when all that an earlier holder ordered has surely ended
 	seen      int64     // highest number of an end that was taken in
 	acked     int64     // ends up to this number may be acknowledged
 	ends      []pendingEnd
@@ -25,7 +28,6 @@
 	due       bool // its machine will have to become empty soon
 	health    health
 	leavesAt  time.Time // while draining
-	gone      bool
 }
 
 // pendingEnd is an end that the store doesn't have yet.
@@ -70,7 +72,7 @@
 
 // takes tells whether the runner may get new work.
 func (r *runner) takes(now time.Time) bool {
-	return r.listed && r.known && !r.Draining && !r.evacuate && !r.gone && !r.silent(now) && r.lease.Known() && !r.health.out(now)
+	return r.listed && r.known && !r.Draining && !r.evacuate && !r.missed && !r.marked && r.lease.Known() && !r.health.out(now)
 }
 
 // rack returns the rack that the runner's labels name: by custom the last one.
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -6,11 +6,17 @@
 	"gypsumlead/work"
 )
 
-// Inherit names the runners that an earlier holder may have given work to.
-func (p *Pool) Inherit(runners []work.Runner) {
-	for _, w := range runners {
-		r := p.get(w)
-		r.inherited = true
+// Inherit names a runner that an earlier holder may have given work to; over is when that has ended at
+// the latest, where an earlier holder found the runner silent, or zero.
+func (p *Pool) Inherit(w work.Runner, over time.Time) {
+	r := p.get(w)
+	r.inherited = true
+	r.resolve = p.began.Add(p.bounds.Foreign)
+	if !over.IsZero() {
+		r.marked = true
+		if over.Before(r.resolve) {
+			r.resolve = over
+		}
 	}
 }
 
@@ -26,7 +32,7 @@
 // Seen takes in a runner's entry in the platform's list.
 func (p *Pool) Seen(now time.Time, w work.Runner) {
 	r := p.get(w)
-	r.gone = false
+	p.replaced(now, w)
 	p.bornAs(now, r, w.Born)
 	born := max(r.Born, w.Born)
 	if w.Draining && !r.Draining {
@@ -37,6 +43,30 @@
 	r.listed = true
 }
 
+// replaced ends earlier lives of a runner's machine.
+func (p *Pool) replaced(now time.Time, w work.Runner) {
+	if w.Machine == "" {
+		return
+	}
+	for _, old := range p.runners {
+		if old.Machine == w.Machine && old.ID != w.ID && old.Born < w.Born {
+			p.ceased(now, old)
+		}
+	}
+}
+
+// ceased takes in that a runner is no more: all that it ran has ended.
+func (p *Pool) ceased(now time.Time, r *runner) {
+	for x := range r.runs {
+		x.task.drop(x, now)
+	}
+	r.lease.Reset()
+	r.ends = nil
+	r.known = true
+	r.listed = false
+	p.tidy(now, r)
+}
+
 // Unlisted takes in that a runner is no longer in the platform's list; what it runs may go on.
 func (p *Pool) Unlisted(now time.Time, id string) {
 	r, ok := p.runners[id]
@@ -71,7 +101,7 @@
 		r.seen, r.acked, r.ends = 0, 0, nil
 		r.health = health{}
 		r.known = true // a runner that has just started runs nothing, whoever ordered it before
-		r.asked = time.Time{}
+		r.asked, r.missed = time.Time{}, false
 	}
 	r.Born = born
 }
@@ -83,10 +113,11 @@
 	}
 }
 
-// Extend returns the deadline of an order that is sent to a runner now, on the runner's clock.
+// Extend returns the deadline of an order that is sent to a runner now, on the runner's clock. A runner
+// that doesn't answer gets none, so that the end of its lease stays where it is.
 func (p *Pool) Extend(now time.Time, id string) time.Duration {
 	r, ok := p.runners[id]
-	if !ok {
+	if !ok || r.missed || r.marked {
 		return 0
 	}
 	return r.lease.Extend(now, p.bounds.Hold)
@@ -116,13 +147,17 @@
 		p.fenced = true
 		return
 	}
+	if l.Other {
+		p.ceased(now, r)
+		return
+	}
 	if l.Born != 0 && l.Born < r.Born {
 		return // an answer of an earlier life that was on its way
 	}
 	p.bornAs(now, r, l.Born)
 	r.lease.Heard(l.Clock, now)
 	r.answered = now
-	r.asked = time.Time{}
+	r.asked, r.missed = time.Time{}, false
 	r.known = true
 	for _, e := range l.Ends {
 		p.end(now, r, e)
@@ -149,6 +184,7 @@
 	if r.asked.IsZero() {
 		r.asked = now
 	}
+	r.missed = true
 	p.tidy(now, r)
 }
 
@@ -334,9 +370,8 @@
 // expire frees what ran on runners whose lease has surely run out, and resolves what an earlier holder left on silent ones.
 func (p *Pool) expire(now time.Time) {
 	for _, r := range p.runners {
-		if r.inherited && !r.known && now.After(p.began.Add(p.bounds.Foreign)) {
-			r.known = true
-			r.asked = p.began // it has been silent all along
+		if r.inherited && !r.known && now.After(r.resolve) {
+			r.known, r.missed = true, true // it has been silent all along
 		}
 		over, ok := r.lease.Over()
 		if !ok || now.Before(over) {
--- a/work/runner.go
+++ b/work/runner.go
@@ -42,6 +42,7 @@
 	Clock   time.Duration // the runner's steady clock
 	Born    int64
 	Fenced  bool // it has seen a higher token; nothing else is filled in
+	Other   bool // another runner answers at the address: this one is no more
 	Runs    []Run
 	Ends    []End
 	Unknown int // rows that name no task
