--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,8 +13,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/clock"
+	"gypsumlead/duty"
 	"gypsumlead/front"
 	"gypsumlead/holder"
+	"gypsumlead/lend"
 	"gypsumlead/member"
 	"gypsumlead/peer"
 	"gypsumlead/platform"
@@ -55,7 +57,9 @@
 	mesh     *peer.Mesh
 	peers    *peer.Server
 	front    *front.Front
-	upkeep   *upkeep.Keeper // nil where the platform has no service for machines
+	book     *duty.Book // nil where the platform has no service for machines, like the next two
+	upkeep   *upkeep.Keeper
+	lender   *lend.Lender
 	bounds   sched.Bounds
 
 	mu      sync.Mutex
@@ -97,7 +101,7 @@
 	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery))
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
-	d.makeUpkeep()
+	d.makeDuties()
 	return d, d.open()
 }
 
@@ -157,7 +161,9 @@
 	g.Go(func() error { return d.list.Run(work) })
 	g.Go(func() error { return d.list.Sweep(work) })
 	g.Go(func() error { return d.keepSeats(work, g) })
-	if d.upkeep != nil {
+	if d.book != nil {
+		g.Go(func() error { return d.book.Follow(work) })
+		g.Go(func() error { return d.lender.Run(work) })
 		g.Go(func() error { return d.upkeep.Follow(work) })
 		g.Go(func() error { return d.upkeep.Run(work) })
 	}
--- /dev/null
+++ b/duty/book.go
@@ -0,0 +1,193 @@
+package duty
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"maps"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/clock"
+	"gypsumlead/fault"
+	"gypsumlead/follow"
+	"gypsumlead/platform"
+)
+
+// Times of the book.
+const (
+	followGap = 200 * time.Millisecond  // between two looks for changes of the rows
+	callLimit = 2 * time.Second         // for a call to the store or to the service for machines
+	listAge   = 500 * time.Millisecond  // age at which the list of machines is read again
+	turnSlack = 1500 * time.Millisecond // beyond the time between the orders of two daemons: their calls on their way
+)
+
+// table has a row for each machine that was ever given an order.
+const table = "machine"
+
+// Row says who last gave a machine orders.
+type Row struct {
+	By   string        `json:"by"`   // the daemon
+	Boot string        `json:"boot"` // its start
+	At   time.Duration `json:"at"`   // the store's clock when it claimed the machine
+	What string        `json:"what"`
+}
+
+// Parts are what a book works with.
+type Parts struct {
+	Store    *platform.Store
+	Machines *platform.Machines
+	Log      *zap.Logger
+	Name     string        // of this daemon
+	Boot     string        // its start
+	Lease    time.Duration // between the orders of two daemons for one machine
+}
+
+// Book holds the rows and the list.
+type Book struct {
+	Parts
+	mu     sync.Mutex
+	rows   map[string]known
+	stamp  platform.Stamp
+	at     time.Time // when stamp came
+	ready  bool
+	list   map[string]platform.Machine
+	listed time.Time
+	asking sync.Mutex
+}
+
+// known is a row as last seen.
+type known struct {
+	row     Row
+	version int64
+}
+
+// New returns a book; Follow keeps it up to date.
+func New(p Parts) *Book {
+	return &Book{Parts: p, rows: map[string]known{}, list: map[string]platform.Machine{}}
+}
+
+// Follow keeps up with the rows until ctx ends.
+func (b *Book) Follow(ctx context.Context) error {
+	f := follow.Follower{Store: b.Store, Table: table, After: follow.Start, Gap: followGap, Log: b.Log, Apply: b.apply}
+	return f.Run(ctx)
+}
+
+func (b *Book) apply(_ context.Context, page platform.Page, _ bool) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stamp, b.at, b.ready = page.Stamp, clock.Now(), true
+	for _, r := range page.Rows {
+		b.take(r)
+	}
+	return nil
+}
+
+// take takes in a row; an older one than is known changes nothing.
+func (b *Book) take(r platform.Row) {
+	if r.Table != table || r.Version < b.rows[r.Key].version || r.Gone {
+		return
+	}
+	var row Row
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		b.Log.Error("row of a machine can't be read", zap.String("machine", r.Key), zap.Error(err))
+		return
+	}
+	b.rows[r.Key] = known{row, r.Version}
+}
+
+// Now is the store's clock.
+func (b *Book) Now() time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now()
+}
+
+func (b *Book) now() time.Duration { return b.stamp.Now + clock.Now().Sub(b.at) }
+
+// Free tells whether this daemon may give a machine orders now: no other has done so lately.
+func (b *Book) Free(machine string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.ready {
+		return false
+	}
+	r, ok := b.rows[machine]
+	return !ok || r.row.Boot == b.Boot || b.now()-r.row.At > b.Lease+turnSlack
+}
+
+// Claim makes this daemon the one that gives these machines orders, together with other changes of the
+// store; the result is the token of the orders that follow, and ok is false where nothing was changed.
+func (b *Book) Claim(ctx context.Context, what string, machines []string, with platform.Tx) (int64, bool) {
+	tx, err := b.transaction(what, machines, with)
+	if err != nil {
+		b.Log.Error("claim can't be encoded", zap.Error(err))
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	stamp, err := b.Store.Commit(ctx, tx)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		for _, r := range tx.Put {
+			r.Version = stamp.Version
+			b.take(r)
+		}
+		return stamp.Version, true
+	}
+	var c *platform.Conflict
+	if errors.As(err, &c) {
+		for _, r := range c.Rows {
+			b.take(r)
+		}
+	} else {
+		b.Log.Warn("machines not claimed", zap.Strings("machines", machines), zap.Error(err))
+	}
+	return 0, false
+}
+
+func (b *Book) transaction(what string, machines []string, with platform.Tx) (platform.Tx, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	value, err := json.Marshal(Row{By: b.Name, Boot: b.Boot, At: b.now(), What: what})
+	if err != nil {
+		return with, fault.Wrap(fault.Internal, err, "encode the row of a machine")
+	}
+	for _, m := range machines {
+		at := platform.Place{Table: table, Key: m}
+		with.If = append(with.If, platform.Cond{Place: at, Version: b.rows[m].version})
+		with.Put = append(with.Put, platform.Row{Place: at, Value: value})
+	}
+	return with, nil
+}
+
+// List returns the machines by their names, not older than some hundred milliseconds, and when it was read; ok is false where there is none.
+func (b *Book) List(ctx context.Context) (map[string]platform.Machine, time.Time, bool) {
+	b.asking.Lock()
+	defer b.asking.Unlock()
+	b.mu.Lock()
+	list, listed := b.list, b.listed
+	b.mu.Unlock()
+	now := clock.Now()
+	if now.Sub(listed) < listAge {
+		return list, listed, true
+	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	all, err := b.Machines.List(ctx)
+	if err != nil {
+		b.Log.Warn("list of machines not read", zap.Error(err))
+		return nil, listed, false
+	}
+	fresh := make(map[string]platform.Machine, len(all))
+	for _, m := range all {
+		fresh[m.Name] = m
+	}
+	b.mu.Lock()
+	b.list, b.listed = fresh, now
+	b.mu.Unlock()
+	return maps.Clone(fresh), now, true
+}
--- a/holder/upkeep.go
+++ b/holder/machines.go
@@ -1,6 +1,11 @@
 package holder
 
-import "gypsumlead/clock"
+import (
+	"time"
+
+	"gypsumlead/clock"
+	"gypsumlead/sched"
+)
 
 // Evacuate has a runner emptied, or lets it take work again.
 func (h *Holder) Evacuate(runner string, on bool) {
@@ -37,3 +42,24 @@
 	defer h.mu.Unlock()
 	return h.pool.Load(clock.Now())
 }
+
+// Demand returns what the service's work asks for.
+func (h *Holder) Demand() sched.Demand {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.Demand(clock.Now(), time.Now())
+}
+
+// Census returns the service's runners.
+func (h *Holder) Census() []sched.Machine {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.Census(clock.Now())
+}
+
+// Keep names the runners that stay when machines are given back.
+func (h *Holder) Keep(runners map[string]struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool.Keep(runners)
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -35,6 +35,7 @@
 // choose returns the runner for the next run of a task, or nil.
 func (p *Pool) choose(now time.Time, t *task) *runner {
 	rack := p.rackOf(now, t.step)
+	stay := p.keeping && t.step.spec.Lasts
 	var best *runner
 	var least [5]int64
 	for _, r := range p.runners {
@@ -42,6 +43,9 @@
 			continue
 		}
 		c := cost(r, t, rack)
+		if stay && !r.keep {
+			c[2]++
+		}
 		if best == nil || slices.Compare(c[:], least[:]) < 0 || (c == least && r.ID < best.ID) {
 			best, least = r, c
 		}
--- /dev/null
+++ b/sched/demand.go
@@ -0,0 +1,120 @@
+package sched
+
+import (
+	"time"
+
+	"gypsumlead/work"
+)
+
+// Windows over which the work that comes in is counted.
+const (
+	rateSlot  = 250 * time.Millisecond
+	rateSlots = 8 // two seconds: the last one against the one before
+)
+
+// Demand is what a pool's work asks for, in thousandths of a core.
+type Demand struct {
+	Used    int64   // by what runs
+	Lasting int64   // of that, by what lasts
+	Waiting int64   // by tasks that could start and are in time
+	Late    int64   // by tasks that could start and are late already
+	Rate    float64 // core time that comes in, a second of time, over the last second
+	Before  float64 // over the second before
+}
+
+// arrivals counts the core time that was accepted, by slots of time.
+type arrivals struct {
+	slots [rateSlots]float64
+	slot  int64
+}
+
+func (a *arrivals) roll(now time.Time) {
+	at := now.UnixNano() / int64(rateSlot)
+	for i := max(a.slot+1, at-rateSlots+1); i <= at; i++ {
+		a.slots[i%rateSlots] = 0
+	}
+	a.slot = max(a.slot, at)
+}
+
+func (a *arrivals) add(now time.Time, cores float64) {
+	a.roll(now)
+	a.slots[a.slot%rateSlots] += cores
+}
+
+// rates returns the core time a second over the last second and over the one before.
+func (a *arrivals) rates(now time.Time) (float64, float64) {
+	a.roll(now)
+	var last, before float64
+	for i := range int64(rateSlots) {
+		v := a.slots[((a.slot-i)%rateSlots+rateSlots)%rateSlots]
+		if i < rateSlots/2 {
+			last += v
+		} else {
+			before += v
+		}
+	}
+	return last, before
+}
+
+// Demand returns what the pool's work asks for.
+func (p *Pool) Demand(now, wall time.Time) Demand {
+	var d Demand
+	for _, r := range p.runners {
+		d.Used += r.used.CPU
+		for x := range r.runs {
+			if s := x.task.step.spec; s.Lasts && !s.Fills {
+				d.Lasting += s.Need.CPU
+			}
+		}
+	}
+	for _, c := range p.candidates(now, wall) {
+		if c.step.spec.Fills {
+			continue
+		}
+		need := int64(c.step.wait) * c.step.spec.Need.CPU
+		if c.late {
+			d.Late += need
+		} else {
+			d.Waiting += need
+		}
+	}
+	d.Rate, d.Before = p.arrived.rates(now)
+	return d
+}
+
+// Machine is a runner as the decision on lending sees it.
+type Machine struct {
+	Runner   string
+	Machine  string
+	Rack     string
+	Room     work.Amount
+	Used     int64 // thousandths of a core
+	Lasting  int   // tasks that last on it
+	Runs     int
+	Takes    bool // it takes new work
+	Evacuate bool
+	Due      bool
+}
+
+// Census returns the pool's runners by their IDs.
+func (p *Pool) Census(_ time.Time) []Machine {
+	var list []Machine
+	for _, r := range p.ordered() {
+		if !r.listed {
+			continue
+		}
+		list = append(list, Machine{
+			Runner: r.ID, Machine: r.Machine, Rack: r.rack(), Room: r.Room, Used: r.used.CPU, Lasting: r.lasting(),
+			Runs: len(r.runs), Takes: !r.missed && !r.Draining, Evacuate: r.evacuate, Due: r.due,
+		})
+	}
+	return list
+}
+
+// Keep names the runners that the pool will keep when it gives machines back; what lasts goes there first.
+func (p *Pool) Keep(ids map[string]struct{}) {
+	for id, r := range p.runners {
+		_, r.keep = ids[id]
+	}
+	p.keeping = len(ids) > 0
+}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -26,6 +26,8 @@
 	checked  time.Time
 	learned  map[string]*ratio // by queue
 	judged   time.Time
+	arrived  arrivals
+	keeping  bool // some runners are marked as those that stay
 	orders   []Order
 	reserved map[*runner]struct{}
 }
@@ -95,6 +97,9 @@
 	j := newJob(id, queue, spec, now)
 	p.jobs[id] = j
 	p.live = append(p.live, j)
+	if !spec.Lasts() {
+		p.arrived.add(now, spec.Load()*1000)
+	}
 }
 
 // Known tells whether the job has been accepted.
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -25,6 +25,7 @@
 	runs      map[*run]struct{}
 	used      work.Amount
 	evacuate  bool
+	keep      bool // it stays when the pool gives machines back
 	due       bool // its machine will have to become empty soon
 	health    health
 	leavesAt  time.Time // while draining
--- a/upkeep/keeper.go
+++ b/upkeep/keeper.go
@@ -2,27 +2,24 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"gypsumlead/clock"
-	"gypsumlead/fault"
+	"gypsumlead/duty"
 	"gypsumlead/follow"
 	"gypsumlead/platform"
 )
 
 // Times of the keeper.
 const (
-	tick      = 200 * time.Millisecond  // between two steps while a wave is open
-	callLimit = 2 * time.Second         // for a call to the store or to the service for machines
-	listAge   = 700 * time.Millisecond  // age at which the list of machines is read again
-	backSlack = 100 * time.Millisecond  // beyond the maintenance, before a machine that is up counts as back
-	orderGap  = 500 * time.Millisecond  // between two orders for the same machine
-	missing   = 3 * time.Second         // a machine that isn't in the list for so long has left
-	turnSlack = 1500 * time.Millisecond // beyond the time between the orders of two daemons: their calls on their way
+	tick      = 200 * time.Millisecond // between two steps while a wave is open
+	callLimit = 2 * time.Second        // for a call to the service for machines
+	backSlack = 100 * time.Millisecond // beyond the maintenance, before a machine that is up counts as back
+	orderGap  = 500 * time.Millisecond // between two orders for the same machine
+	missing   = 3 * time.Second        // a machine that isn't in the list for so long has left
 )
 
 // Seat is a service that this daemon schedules.
@@ -41,7 +38,7 @@
 	Log      *zap.Logger
 	Name     string // of this daemon
 	Boot     string
-	Lease    time.Duration // between the orders of two daemons for one machine
+	Book     *duty.Book
 	Upkeep   time.Duration // that a maintenance takes
 	Waves    func() []platform.Wave
 	Seat     func(service string) (Seat, bool)
@@ -53,8 +50,6 @@
 	Parts
 	mu      sync.Mutex
 	rows    map[string]known
-	heard   time.Duration // the store's clock
-	heardAt time.Time
 	list    map[string]platform.Machine
 	listed  time.Time
 	absent  map[string]time.Time
@@ -99,7 +94,6 @@
 func (k *Keeper) apply(_ context.Context, page platform.Page, _ bool) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.heard, k.heardAt = page.Now, clock.Now()
 	for _, r := range page.Rows {
 		k.take(r)
 	}
@@ -152,7 +146,8 @@
 	if _, ok := k.began[w.Number]; !ok {
 		k.began[w.Number] = now
 	}
-	if !k.refresh(ctx, now) {
+	var ok bool
+	if k.list, k.listed, ok = k.Book.List(ctx); !ok {
 		return
 	}
 	pools := map[string][]Candidate{}
@@ -166,6 +161,7 @@
 			k.leave(ctx, w, name, now)
 			continue
 		}
+		delete(k.absent, name)
 		seat, ok := k.Seat(m.Pool)
 		if !ok {
 			continue // another daemon looks after it
@@ -222,8 +218,7 @@
 
 // claim counts a machine as down, where the wave allows one more, and orders its maintenance.
 func (k *Keeper) claim(ctx context.Context, w platform.Wave, m platform.Machine, seat Seat) {
-	row := k.known(w.Number).row
-	if row.down() >= w.Most {
+	if !k.Book.Free(m.Name) || k.known(w.Number).row.down() >= w.Most {
 		return
 	}
 	e := Entry{Stage: Claimed, By: k.Name, Boot: k.Boot, Runner: m.Runner}
@@ -244,7 +239,7 @@
 	o, mine := k.ordered[m.Name]
 	if e.Boot != k.Boot {
 		// An earlier daemon's: it may be about to order, and orders of two must be apart.
-		if k.storeNow(now)-e.At < k.Lease+turnSlack {
+		if !k.Book.Free(m.Name) {
 			return
 		}
 		seat.Evacuate(m.Runner, true)
@@ -341,7 +336,7 @@
 	}
 	row := known.row
 	row.Complete = true
-	if _, ok := k.put(ctx, w, known.version, row); ok {
+	if _, ok := k.put(ctx, w, known.version, row, ""); ok {
 		k.Log.Info("wave completed", zap.Int64("wave", w.Number))
 	}
 }
@@ -352,12 +347,12 @@
 	if e.Stage == Claimed && known.row.Machines[machine].Stage != Claimed && known.row.down() >= w.Most {
 		return 0, false
 	}
-	e.At = k.storeNow(clock.Now())
-	return k.put(ctx, w, known.version, known.row.with(machine, e))
+	e.At = k.Book.Now()
+	return k.put(ctx, w, known.version, known.row.with(machine, e), machine)
 }
 
-// put writes a wave's row and its status for the operator.
-func (k *Keeper) put(ctx context.Context, w platform.Wave, version int64, row Row) (int64, bool) {
+// put writes a wave's row, its status for the operator, and the claim of a machine where one is named.
+func (k *Keeper) put(ctx context.Context, w platform.Wave, version int64, row Row, machine string) (int64, bool) {
 	value, err := row.encode()
 	if err != nil {
 		k.Log.Error("wave", zap.Error(err))
@@ -373,52 +368,46 @@
 	if version == 0 || row.Complete {
 		tx.Put = append(tx.Put, status)
 	}
-	call, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	stamp, err := k.Store.Commit(call, tx)
+	var machines []string
+	if machine != "" {
+		machines = []string{machine}
+	}
+	token, ok := k.Book.Claim(ctx, "wave "+at.Key, machines, tx)
+	if !ok {
+		k.reread(ctx, at.Key)
+		return 0, false
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if err == nil {
-		k.rows[at.Key] = known{row, stamp.Version}
-		return stamp.Version, true
-	}
-	var c *platform.Conflict
-	if errors.As(err, &c) {
-		for _, r := range c.Rows {
-			k.take(r) // it is tried again on what the row now says
-		}
-	} else {
-		k.Log.Warn("wave's row not written", zap.Int64("wave", w.Number), zap.Error(err))
-	}
-	return 0, false
+	k.rows[at.Key] = known{row, token}
+	return token, true
 }
 
-// storeNow is the store's clock.
-func (k *Keeper) storeNow(now time.Time) time.Duration {
+// reread reads a wave's row again after a claim that failed: another daemon may have changed it.
+func (k *Keeper) reread(ctx context.Context, key string) {
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
+	page, err := k.Store.Get(ctx, table, "", key, key+"\x00", 1)
+	if err != nil {
+		k.Log.Warn("row of a wave not read", zap.String("wave", key), zap.Error(err))
+		return // it comes with the next look for changes
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.heard + now.Sub(k.heardAt)
+	for _, r := range page.Rows {
+		k.take(r)
+	}
 }
 
-// refresh reads the list of machines where it is too old, and tells whether there is one.
-func (k *Keeper) refresh(ctx context.Context, now time.Time) bool {
-	if now.Sub(k.listed) < listAge {
-		return true
-	}
-	call, cancel := context.WithTimeout(ctx, callLimit)
-	defer cancel()
-	list, err := k.Machines.List(call)
-	if err != nil {
-		if !fault.Is(err, fault.Overload) {
-			k.Log.Warn("list of machines not read", zap.Error(err))
+// Holds tells whether an open wave has claimed a machine, or has it emptied here, so that nothing else may move it.
+func (k *Keeper) Holds(machine string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, r := range k.rows {
+		if r.row.Machines[machine].Stage == Claimed {
+			return true
 		}
-		return false
-	}
-	k.list = make(map[string]platform.Machine, len(list))
-	for _, m := range list {
-		k.list[m.Name] = m
-		delete(k.absent, m.Name)
 	}
-	k.listed = now
-	return true
+	_, taken := k.taken[machine]
+	return taken
 }
