--- a/lend/lender.go
+++ b/lend/lender.go
@@ -54,6 +54,7 @@
 	going  map[string]transfer  // machines that are to be given back, by name
 	over   map[string]time.Time // pools that have had too many machines since
 	wrong  map[string]struct{}  // machines that don't fit into other pools
+	told   map[string][2]int    // what was last logged of a pool
 }
 
 // transfer is a machine on its way.
@@ -68,7 +69,7 @@
 
 // New returns a lender.
 func New(p Parts) *Lender {
-	return &Lender{Parts: p, coming: map[string]transfer{}, going: map[string]transfer{}, over: map[string]time.Time{}, wrong: map[string]struct{}{}}
+	return &Lender{Parts: p, coming: map[string]transfer{}, going: map[string]transfer{}, over: map[string]time.Time{}, wrong: map[string]struct{}{}, told: map[string][2]int{}}
 }
 
 // Run looks after the pools until ctx ends.
@@ -158,6 +159,7 @@
 	stay := keep(list, base)
 	s.Keep(stay)
 	target := max(base, want(d, room))
+	l.tell(s.Service(), have, target, d)
 	switch {
 	case target > have:
 		delete(l.over, s.Service())
@@ -175,6 +177,16 @@
 	}
 }
 
+// tell logs what a pool has and should have, where that has changed.
+func (l *Lender) tell(service string, have, target int, d sched.Demand) {
+	if l.told[service] == [2]int{have, target} {
+		return
+	}
+	l.told[service] = [2]int{have, target}
+	l.Log.Info("pool", zap.String("service", service), zap.Int("machines", have), zap.Int("wanted", target), zap.Int64("used", d.Used),
+		zap.Int64("lasting", d.Lasting), zap.Int64("waiting", d.Waiting), zap.Int64("late", d.Late), zap.Float64("rate", d.Rate))
+}
+
 // recall lets machines that were to be given back take work again.
 func (l *Lender) recall(s Seat, n int) {
 	for name, t := range l.going {
