--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,13 +16,12 @@
 	"gypsumlead/duty"
 	"gypsumlead/front"
 	"gypsumlead/holder"
-	"gypsumlead/lend"
+	"gypsumlead/machines"
 	"gypsumlead/member"
 	"gypsumlead/peer"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/settings"
-	"gypsumlead/upkeep"
 	"gypsumlead/view"
 )
 
@@ -57,9 +56,10 @@
 	mesh     *peer.Mesh
 	peers    *peer.Server
 	front    *front.Front
-	book     *duty.Book // nil where the platform has no service for machines, like the next two
-	upkeep   *upkeep.Keeper
-	lender   *lend.Lender
+	book     *duty.Book // nil where the platform has no service for machines, like the next three
+	waves    *machines.Waves
+	local    *machines.Local
+	master   *machines.Master
 	bounds   sched.Bounds
 
 	mu      sync.Mutex
@@ -101,7 +101,7 @@
 	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery))
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
-	d.makeDuties()
+	d.makeMachines()
 	return d, d.open()
 }
 
@@ -163,9 +163,9 @@
 	g.Go(func() error { return d.keepSeats(work, g) })
 	if d.book != nil {
 		g.Go(func() error { return d.book.Follow(work) })
-		g.Go(func() error { return d.lender.Run(work) })
-		g.Go(func() error { return d.upkeep.Follow(work) })
-		g.Go(func() error { return d.upkeep.Run(work) })
+		g.Go(func() error { return d.waves.Follow(work) })
+		g.Go(func() error { return d.local.Run(work) })
+		g.Go(func() error { return d.master.Run(work) })
 	}
 	g.Go(func() error {
 		select {
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -130,6 +130,8 @@
 	switch body := req.Body.(type) {
 	case *wire.Request_Ping:
 		return &wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{}}}, nil
+	case *wire.Request_Report:
+		return d.takeReport(body.Report), nil
 	case *wire.Request_Relay:
 		a, held, err := d.relayed(ctx, body.Relay)
 		if err != nil {
--- /dev/null
+++ b/daemon/machines.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"gypsumlead/duty"
+	"gypsumlead/machines"
+	"gypsumlead/peer/wire"
+)
+
+// reportLimit is for a report to reach the master; an older one says nothing any more.
+const reportLimit = 300 * time.Millisecond
+
+// makeMachines builds what has machines moved and maintained, where the platform has a service for machines.
+func (d *Daemon) makeMachines() {
+	if d.machines == nil {
+		return
+	}
+	d.book = duty.New(duty.Parts{
+		Store:    d.store,
+		Machines: d.machines,
+		Log:      d.log,
+		Name:     d.set.Instance,
+		Boot:     d.boot,
+		Lease:    d.set.Bounds.Lease,
+	})
+	d.waves = machines.NewWaves(d.store, d.log)
+	d.local = machines.NewLocal(machines.Locals{
+		Log:   d.log,
+		Waves: d.waves,
+		Asked: d.operator.Waves,
+		Seats: d.machineSeats,
+		Spare: d.spare,
+		Send:  d.sendReport,
+	})
+	d.master = machines.NewMaster(machines.Masters{
+		Log:      d.log,
+		Book:     d.book,
+		Waves:    d.waves,
+		Machines: d.machines,
+		Name:     d.set.Instance,
+		Move:     d.set.Bounds.Move,
+		Upkeep:   d.set.Bounds.Upkeep,
+		Asked:    d.operator.Waves,
+		Spare:    d.spare,
+		Held:     func() bool { return d.holderOf(d.masterSeat()) != nil },
+	})
+}
+
+func (d *Daemon) machineSeats() []machines.Seat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []machines.Seat
+	for _, h := range d.held() {
+		list = append(list, h)
+	}
+	return list
+}
+
+// spare returns the service whose machines are off until they are moved, or "".
+func (d *Daemon) spare() string {
+	c := d.operator.Config()
+	if c == nil {
+		return ""
+	}
+	for _, s := range c.Services {
+		if s.Standby {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// masterSeat returns the service whose holder gives orders for machines: the spare one, else the first.
+func (d *Daemon) masterSeat() string {
+	if s := d.spare(); s != "" {
+		return s
+	}
+	first := ""
+	if c := d.operator.Config(); c != nil {
+		for _, s := range c.Services {
+			if first == "" || s.Name < first {
+				first = s.Name
+			}
+		}
+	}
+	return first
+}
+
+// sendReport brings a pool's report to the master.
+func (d *Daemon) sendReport(ctx context.Context, r machines.Report) bool {
+	seat := d.masterSeat()
+	if d.holderOf(seat) != nil {
+		d.master.Take(r)
+		return true
+	}
+	n, ok := d.members.Holder(seat)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportLimit)
+	defer cancel()
+	resp, err := d.mesh.Call(ctx, n.Name, &wire.Request{Body: &wire.Request_Report{Report: encodeReport(r)}})
+	return err == nil && resp.GetReported().GetHeld()
+}
+
+// takeReport takes in a report that another daemon has sent.
+func (d *Daemon) takeReport(r *wire.Report) *wire.Response {
+	held := d.master != nil && d.holderOf(d.masterSeat()) != nil
+	if held {
+		d.master.Take(decodeReport(r))
+	}
+	return &wire.Response{Body: &wire.Response_Reported{Reported: &wire.Reported{Held: held}}}
+}
+
+func encodeReport(r machines.Report) *wire.Report {
+	w := &wire.Report{Service: r.Service, Want: int32(r.Want), Machines: r.Machines, Offers: r.Offers}
+	for _, x := range r.Ready {
+		w.Ready = append(w.Ready, &wire.Ready{Machine: x.Machine, Wave: x.Wave})
+	}
+	return w
+}
+
+func decodeReport(w *wire.Report) machines.Report {
+	r := machines.Report{Service: w.Service, Want: int(w.Want), Machines: w.Machines, Offers: w.Offers}
+	for _, x := range w.Ready {
+		r.Ready = append(r.Ready, machines.Ready{Machine: x.Machine, Wave: x.Wave})
+	}
+	return r
+}
--- a/lend/decide.go
+++ b/lend/decide.go
@@ -12,40 +12,34 @@
 // Figures of the decision.
 const (
 	fill     = 0.9                     // share of a pool's room that work can fill: tasks don't fit without gaps
-	ahead    = 1800 * time.Millisecond // a move takes effect so much later; so far ahead the growth is followed
-	spareOne = 1                       // machines beyond what is asked for
+	ahead    = 1500 * time.Millisecond // a move takes effect so much later; so far ahead the growth is followed
+	reserve  = 1                       // machines beyond what is asked for
 	keepMin  = 4                       // machines that a pool keeps without any work
 	lastRoom = 0.5                     // share of a machine's room that tasks that last may take where a pool is small
-	rest     = 1200 * time.Millisecond // a pool must have had too many machines for so long before it gives some back
 )
 
-// Wish is how many machines a pool should have.
-type Wish struct {
-	Machines int
-	Keep     map[string]struct{} // runners that stay in any case
-}
-
-// want returns how many machines the demand asks for, of which each has so much room.
-func want(d sched.Demand, room int64) int {
+// Want returns how many machines a pool should have whose machines have so much room each.
+func Want(d sched.Demand, room int64) int {
+	least := Least(d, room)
 	if room <= 0 {
-		return 0
+		return least
 	}
-	growth := max(0, d.Rate-d.Before) * ahead.Seconds()
+	growth := min(max(0, d.Rate-d.Before)*ahead.Seconds(), d.Rate)
 	batch := max(float64(d.Used-d.Lasting+d.Waiting), d.Rate+growth)
 	cores := float64(d.Lasting) + batch
-	return int(math.Ceil(cores/(fill*float64(room)))) + spareOne
+	return max(least, int(math.Ceil(cores/(fill*float64(room))))+reserve)
 }
 
-// least returns how many machines a pool keeps for what lasts.
-func least(d sched.Demand, room int64) int {
+// Least returns how many machines a pool keeps for what lasts.
+func Least(d sched.Demand, room int64) int {
 	if room <= 0 {
 		return keepMin
 	}
 	return max(keepMin, int(math.Ceil(float64(d.Lasting)/(lastRoom*float64(room)))))
 }
 
-// keep picks the runners that stay: those with most of what lasts, spread over racks.
-func keep(list []sched.Machine, n int) map[string]struct{} {
+// Keep picks the n runners that stay when machines are given back: those with most of what lasts, spread over racks.
+func Keep(list []sched.Machine, n int) map[string]struct{} {
 	order := slices.Clone(list)
 	slices.SortFunc(order, func(a, b sched.Machine) int {
 		if c := cmp.Compare(b.Lasting, a.Lasting); c != 0 {
@@ -67,8 +61,8 @@
 	return kept
 }
 
-// surplus picks up to n machines to give back, the emptiest first; those that stay and those that hold what lasts aren't among them.
-func surplus(list []sched.Machine, stay map[string]struct{}, n int) []sched.Machine {
+// Surplus picks up to n machines to give back, the emptiest first; those that stay and those that hold what lasts aren't among them.
+func Surplus(list []sched.Machine, stay map[string]struct{}, n int) []sched.Machine {
 	var open []sched.Machine
 	for _, m := range list {
 		if _, ok := stay[m.Runner]; !ok && m.Takes && !m.Evacuate && m.Lasting == 0 && m.Machine != "" {
@@ -83,3 +77,38 @@
 	})
 	return open[:max(0, min(n, len(open)))]
 }
+
+// Pool is a pool as the sharing out sees it.
+type Pool struct {
+	Service string
+	Have    int // machines, those on their way to it included
+	Want    int
+}
+
+// Share says which machine goes to which pool; a machine that nobody wants isn't in it.
+func Share(pools []Pool, free []string) map[string]string {
+	left := slices.Clone(pools)
+	to := map[string]string{}
+	for _, m := range free {
+		best := -1
+		for i, p := range left {
+			if p.Have < p.Want && (best < 0 || shorter(p, left[best])) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		to[m] = left[best].Service
+		left[best].Have++
+	}
+	return to
+}
+
+// shorter tells whether a has a smaller share of what it wants than b.
+func shorter(a, b Pool) bool {
+	if c := cmp.Compare(a.Have*b.Want, b.Have*a.Want); c != 0 {
+		return c < 0
+	}
+	return a.Service < b.Service
+}
--- a/lend/doc.go
+++ b/lend/doc.go
@@ -1,2 +1,2 @@
-// Package lend moves machines between the spare pool, where they are off, and the pools whose work asks for them.
+// Package lend decides how machines are shared out between the spare pool, where they are off, and the pools whose work asks for them. It is pure.
 package lend
--- /dev/null
+++ b/machines/down.go
@@ -0,0 +1,172 @@
+package machines
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/clock"
+	"gypsumlead/platform"
+	"gypsumlead/upkeep"
+)
+
+// down is a machine that a wave has claimed.
+type down struct {
+	ordered  time.Time
+	accepted time.Time
+	token    int64
+}
+
+// wave does what is due for one wave.
+func (m *Master) wave(ctx context.Context, now time.Time, w platform.Wave, list map[string]platform.Machine, listed time.Time, reports []Report) {
+	ready := map[string]struct{}{}
+	for _, r := range reports {
+		for _, x := range r.Ready {
+			if x.Wave == w.Number && list[x.Machine].Pool == r.Service {
+				ready[x.Machine] = struct{}{}
+			}
+		}
+	}
+	for _, name := range w.Machines {
+		row, _ := m.Waves.get(w.Number)
+		if row.Over(name) {
+			continue
+		}
+		x, ok := list[name]
+		if !ok {
+			m.leave(ctx, w, name, now)
+			continue
+		}
+		delete(m.absent, name)
+		_, empty := ready[name]
+		empty = empty || x.Pool == m.Spare()
+		if row.Machines[name] == upkeep.Claimed {
+			m.claimed(ctx, now, w, x, listed, empty)
+			continue
+		}
+		_, moving := m.moving[name]
+		if empty && !moving && x.State == platform.MachineUp && m.free(name, now) && row.Down() < w.Most {
+			if token, ok := m.write(ctx, w, name, upkeep.Claimed); ok {
+				m.takeDown(ctx, w, name, token)
+			}
+		}
+	}
+	if row, _ := m.Waves.get(w.Number); row.AllOver(w.Machines) {
+		m.complete(ctx, w)
+	}
+}
+
+// claimed goes on with a machine that counts as down.
+func (m *Master) claimed(ctx context.Context, now time.Time, w platform.Wave, x platform.Machine, listed time.Time, empty bool) {
+	d, mine := m.downs[x.Name]
+	switch {
+	case !mine:
+		// An earlier master claimed it; whether it was ordered isn't known. Ordered twice it is done once.
+		if (empty || x.State != platform.MachineUp) && m.free(x.Name, now) {
+			if token, ok := m.write(ctx, w, x.Name, upkeep.Claimed); ok {
+				m.takeDown(ctx, w, x.Name, token)
+			}
+		}
+	case !d.accepted.IsZero():
+		if x.State == platform.MachineUp && listed.Sub(d.accepted) > m.Upkeep+backSlack {
+			if _, ok := m.write(ctx, w, x.Name, upkeep.Done); ok {
+				delete(m.downs, x.Name)
+			}
+		}
+	case now.Sub(d.ordered) > orderGap && m.free(x.Name, now):
+		m.takeDown(ctx, w, x.Name, d.token)
+	}
+}
+
+// takeDown orders the maintenance of a machine that counts as down.
+func (m *Master) takeDown(ctx context.Context, w platform.Wave, name string, token int64) {
+	call, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	d := down{ordered: clock.Now(), token: token}
+	m.downs[name] = d
+	duty, err := m.Machines.Upkeep(call, name, w.Number, m.Name, token)
+	m.Log.Info("maintenance ordered", zap.Int64("wave", w.Number), zap.String("machine", name), zap.Int64("token", token), zap.String("answer", string(duty)), zap.Error(err))
+	if err != nil {
+		return // it is ordered again
+	}
+	switch duty {
+	case platform.DutyDone:
+		d.accepted = clock.Now()
+		m.downs[name] = d
+	case platform.DutyWrong, platform.DutyForeign:
+		m.write(ctx, w, name, upkeep.Left)
+	case platform.DutyFenced:
+		delete(m.downs, name) // the next try has a new token
+		m.busy(name, clock.Now())
+	case platform.DutyBusy:
+		m.busy(name, clock.Now())
+	case platform.DutyLater:
+	}
+}
+
+// leave notes that a machine is no longer there.
+func (m *Master) leave(ctx context.Context, w platform.Wave, name string, now time.Time) {
+	since, ok := m.absent[name]
+	if !ok {
+		m.absent[name] = now
+		return
+	}
+	if now.Sub(since) > missing {
+		m.write(ctx, w, name, upkeep.Left)
+		delete(m.downs, name)
+	}
+}
+
+// complete tells the operator once every machine is over.
+func (m *Master) complete(ctx context.Context, w platform.Wave) {
+	row, version := m.Waves.get(w.Number)
+	row.Complete = true
+	if _, ok := m.put(ctx, w, version, row, nil); ok {
+		m.Log.Info("wave completed", zap.Int64("wave", w.Number))
+	}
+}
+
+// write changes the stage of one machine; the result is the token of orders that follow from it.
+func (m *Master) write(ctx context.Context, w platform.Wave, machine string, s upkeep.Stage) (int64, bool) {
+	row, version := m.Waves.get(w.Number)
+	return m.put(ctx, w, version, row.With(machine, s), []string{machine})
+}
+
+// put writes a wave's row, its status for the operator, and the claims of machines.
+func (m *Master) put(ctx context.Context, w platform.Wave, version int64, row upkeep.Row, machines []string) (int64, bool) {
+	value, err := row.Encode()
+	if err != nil {
+		m.Log.Error("wave", zap.Error(err))
+		return 0, false
+	}
+	status, err := platform.WaveStatus(w.Number, row.Complete)
+	if err != nil {
+		m.Log.Error("wave", zap.Error(err))
+		return 0, false
+	}
+	at := placeOf(w.Number)
+	tx := platform.Tx{If: []platform.Cond{{Place: at, Version: version}}, Put: []platform.Row{{Place: at, Value: value}}}
+	if version == 0 || row.Complete {
+		tx.Put = append(tx.Put, status)
+	}
+	token, ok := m.Book.Claim(ctx, "wave "+at.Key, machines, tx)
+	if !ok {
+		m.reread(ctx, at)
+		return 0, false
+	}
+	m.Waves.set(w.Number, row, token)
+	return token, true
+}
+
+// reread reads a wave's row again after a claim that failed: an earlier master may have changed it.
+func (m *Master) reread(ctx context.Context, at platform.Place) {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	page, err := m.Waves.store.Get(ctx, at.Table, at.Part, at.Key, at.Key+"\x00", 1)
+	if err != nil {
+		m.Log.Warn("row of a wave not read", zap.String("wave", at.Key), zap.Error(err))
+		return // it comes with the next look for changes
+	}
+	m.Waves.take(page.Rows)
+}
--- /dev/null
+++ b/machines/local.go
@@ -0,0 +1,208 @@
+package machines
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/clock"
+	"gypsumlead/lend"
+	"gypsumlead/platform"
+	"gypsumlead/sched"
+	"gypsumlead/upkeep"
+)
+
+// Times of the reports.
+const (
+	reportEvery = 150 * time.Millisecond
+	rest        = 900 * time.Millisecond // a pool must have had too many machines for so long before it gives some back
+)
+
+// Seat is a service that this daemon schedules.
+type Seat interface {
+	Service() string
+	Demand() sched.Demand
+	Census() []sched.Machine
+	Load() (size int, busy bool)
+	Keep(runners map[string]struct{})
+	Due(runner string, on bool)
+	Evacuate(runner string, on bool)
+	Empty(runner string) bool
+}
+
+// Locals are what the reports are made from.
+type Locals struct {
+	Log   *zap.Logger
+	Waves *Waves
+	Asked func() []platform.Wave // by the operator
+	Seats func() []Seat
+	Spare func() string                            // the spare service, or "" where there is none
+	Send  func(ctx context.Context, r Report) bool // to the master; false where it didn't arrive
+}
+
+// Local decides for the pools that this daemon schedules which machines are emptied, and reports them.
+type Local struct {
+	Locals
+	offers map[string]string    // runners that are emptied to be given back, by machine
+	taken  map[string]int64     // runners that are emptied for a wave, by runner
+	over   map[string]time.Time // pools that have had too many machines since
+	began  map[int64]time.Time  // when a wave was first seen
+	told   map[string][2]int    // what was last logged of a pool
+}
+
+// NewLocal returns the local part; Run works.
+func NewLocal(l Locals) *Local {
+	return &Local{
+		Locals: l,
+		offers: map[string]string{},
+		taken:  map[string]int64{},
+		over:   map[string]time.Time{},
+		began:  map[int64]time.Time{},
+		told:   map[string][2]int{},
+	}
+}
+
+// Run reports until ctx ends.
+func (l *Local) Run(ctx context.Context) error {
+	t := time.NewTicker(reportEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		for _, s := range l.Seats() {
+			if s.Service() != l.Spare() {
+				l.Send(ctx, l.report(clock.Now(), s))
+			}
+		}
+	}
+}
+
+// report decides for one pool and returns its report.
+func (l *Local) report(now time.Time, s Seat) Report {
+	list := s.Census()
+	r := Report{Service: s.Service()}
+	if l.Spare() != "" {
+		l.lend(now, s, list, &r)
+	}
+	l.upkeep(now, s, list, &r)
+	for _, m := range list {
+		_, offered := l.offers[m.Machine]
+		if m.Takes && !offered {
+			r.Machines = append(r.Machines, m.Machine)
+		}
+	}
+	return r
+}
+
+// lend decides how many machines the pool should have, and empties those that are too many.
+func (l *Local) lend(now time.Time, s Seat, list []sched.Machine, r *Report) {
+	var room int64
+	have := 0
+	there := map[string]string{}
+	for _, m := range list {
+		room = max(room, m.Room.CPU)
+		there[m.Machine] = m.Runner
+		if _, offered := l.offers[m.Machine]; m.Takes && !offered {
+			have++
+		}
+	}
+	if have == 0 {
+		return // nothing is known of the pool's machines yet
+	}
+	d := s.Demand()
+	stay := lend.Keep(list, lend.Least(d, room))
+	s.Keep(stay)
+	r.Want = lend.Want(d, room)
+	l.tell(s.Service(), have, r.Want, d)
+	if r.Want >= have {
+		delete(l.over, s.Service())
+	} else if since, ok := l.over[s.Service()]; !ok {
+		l.over[s.Service()] = now
+	} else if now.Sub(since) > rest {
+		l.spare(s, list, stay, have-r.Want)
+	}
+	for machine, runner := range l.offers {
+		if here, ok := there[machine]; ok && here != runner {
+			delete(l.offers, machine) // it has come back in another life
+		} else if ok && s.Empty(runner) {
+			r.Offers = append(r.Offers, machine)
+		}
+	}
+}
+
+// spare has machines emptied that the pool doesn't need.
+func (l *Local) spare(s Seat, list []sched.Machine, stay map[string]struct{}, n int) {
+	for _, m := range lend.Surplus(list, stay, n) {
+		l.offers[m.Machine] = m.Runner
+		s.Evacuate(m.Runner, true)
+	}
+}
+
+// upkeep has machines of waves emptied, and reports those that are.
+func (l *Local) upkeep(now time.Time, s Seat, list []sched.Machine, r *Report) {
+	for _, w := range l.Asked() {
+		row, _ := l.Waves.get(w.Number)
+		if row.Complete {
+			continue
+		}
+		if _, ok := l.began[w.Number]; !ok {
+			l.began[w.Number] = now
+		}
+		left := w.Within - now.Sub(l.began[w.Number])
+		l.wave(s, w, row, list, left, r)
+	}
+}
+
+func (l *Local) wave(s Seat, w platform.Wave, row upkeep.Row, list []sched.Machine, left time.Duration, r *Report) {
+	asked := make(map[string]struct{}, len(w.Machines))
+	for _, name := range w.Machines {
+		asked[name] = struct{}{}
+	}
+	var open []upkeep.Candidate
+	for _, m := range list {
+		if _, ok := asked[m.Machine]; !ok {
+			continue
+		}
+		_, taken := l.taken[m.Runner]
+		if row.Over(m.Machine) {
+			l.back(s, m.Runner)
+			continue
+		}
+		s.Due(m.Runner, true)
+		_, offered := l.offers[m.Machine]
+		open = append(open, upkeep.Candidate{Machine: m.Machine, Runner: m.Runner, Taken: taken || offered, Lasting: m.Lasting})
+		if (taken || offered) && s.Empty(m.Runner) {
+			r.Ready = append(r.Ready, Ready{m.Machine, w.Number})
+		}
+	}
+	size, busy := s.Load()
+	for _, c := range upkeep.Next(upkeep.Pool{Size: size, Busy: busy}, open, left) {
+		l.Log.Info("machine is emptied for a wave", zap.Int64("wave", w.Number), zap.String("machine", c.Machine), zap.String("runner", c.Runner),
+			zap.Int("lasting", c.Lasting), zap.Bool("busy", busy), zap.Duration("left", left))
+		l.taken[c.Runner] = w.Number
+		s.Evacuate(c.Runner, true)
+	}
+}
+
+// back lets a runner take work again whose maintenance is over.
+func (l *Local) back(s Seat, runner string) {
+	s.Due(runner, false)
+	if _, ok := l.taken[runner]; ok {
+		delete(l.taken, runner)
+		s.Evacuate(runner, false)
+	}
+}
+
+// tell logs what a pool has and should have, where that has changed.
+func (l *Local) tell(service string, have, want int, d sched.Demand) {
+	if l.told[service] == [2]int{have, want} {
+		return
+	}
+	l.told[service] = [2]int{have, want}
+	l.Log.Info("pool", zap.String("service", service), zap.Int("machines", have), zap.Int("wanted", want), zap.Int64("used", d.Used),
+		zap.Int64("lasting", d.Lasting), zap.Int64("waiting", d.Waiting), zap.Int64("late", d.Late), zap.Float64("rate", d.Rate))
+}
--- /dev/null
+++ b/machines/master.go
@@ -0,0 +1,160 @@
+package machines
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/clock"
+	"gypsumlead/duty"
+	"gypsumlead/platform"
+)
+
+// Times and bounds of the master.
+const (
+	masterEvery = 100 * time.Millisecond
+	reportAge   = 600 * time.Millisecond // an older report says nothing any more
+	orderLimit  = 2 * time.Second        // for an order to the service for machines
+	orderGap    = 500 * time.Millisecond // between two orders for the same machine
+	comeSlack   = 3 * time.Second        // beyond the time of a move, before a machine that hasn't come counts as lost
+	busyPause   = time.Second            // before a machine that was busy is ordered again
+	missing     = 3 * time.Second        // a machine that isn't in the list for so long has left
+	backSlack   = 100 * time.Millisecond // beyond the maintenance, before a machine that is up counts as back
+	atOnce      = 16                     // orders that go out together
+)
+
+// Masters are what the master works with.
+type Masters struct {
+	Log      *zap.Logger
+	Book     *duty.Book
+	Waves    *Waves
+	Machines *platform.Machines
+	Name     string // of this daemon
+	Move     time.Duration
+	Upkeep   time.Duration
+	Asked    func() []platform.Wave
+	Spare    func() string
+	Held     func() bool // whether this daemon is the master now
+}
+
+// Master gives all orders for machines while this daemon is the one to do so.
+type Master struct {
+	Masters
+	mu      sync.Mutex
+	reports map[string]report
+	// what follows is used by Run alone
+	moving  map[string]move
+	downs   map[string]down
+	absent  map[string]time.Time
+	refused map[string]time.Time // machines that were busy, by when to try again
+	wrong   map[string]struct{}  // machines that don't fit into other pools
+}
+
+// report is a pool's newest report and when it came.
+type report struct {
+	Report
+	at time.Time
+}
+
+// NewMaster returns the master's part; Run works.
+func NewMaster(m Masters) *Master {
+	return &Master{
+		Masters: m,
+		reports: map[string]report{},
+		moving:  map[string]move{},
+		downs:   map[string]down{},
+		absent:  map[string]time.Time{},
+		refused: map[string]time.Time{},
+		wrong:   map[string]struct{}{},
+	}
+}
+
+// Take takes in a pool's report.
+func (m *Master) Take(r Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports[r.Service] = report{r, clock.Now()}
+}
+
+// fresh returns the reports that still say something.
+func (m *Master) fresh(now time.Time) []Report {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Report
+	for _, r := range m.reports {
+		if now.Sub(r.at) < reportAge {
+			list = append(list, r.Report)
+		}
+	}
+	return list
+}
+
+// Run gives orders until ctx ends.
+func (m *Master) Run(ctx context.Context) error {
+	t := time.NewTicker(masterEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		if !m.Held() {
+			clear(m.moving)
+			clear(m.downs)
+			continue
+		}
+		m.step(ctx)
+	}
+}
+
+// step gives the orders that are due.
+func (m *Master) step(ctx context.Context) {
+	now := clock.Now()
+	reports := m.fresh(now)
+	if !m.due(reports) {
+		return
+	}
+	list, listed, ok := m.Book.List(ctx)
+	if !ok {
+		return
+	}
+	for _, w := range m.Asked() {
+		if row, _ := m.Waves.get(w.Number); !row.Complete {
+			m.wave(ctx, now, w, list, listed, reports)
+		}
+	}
+	if m.Spare() != "" {
+		m.moves(ctx, now, list, reports)
+	}
+}
+
+// due tells whether there is anything to look after, so that the list needn't be read without need.
+func (m *Master) due(reports []Report) bool {
+	if len(m.moving) > 0 {
+		return true
+	}
+	for _, r := range reports {
+		if len(r.Offers) > 0 || (m.Spare() != "" && len(r.Machines) < r.Want) {
+			return true
+		}
+	}
+	for _, w := range m.Asked() {
+		if row, _ := m.Waves.get(w.Number); !row.Complete {
+			return true
+		}
+	}
+	return false
+}
+
+// busy notes that a machine can't be ordered for a while.
+func (m *Master) busy(machine string, now time.Time) {
+	m.refused[machine] = now.Add(busyPause)
+}
+
+// free tells whether a machine may be ordered now.
+func (m *Master) free(machine string, now time.Time) bool {
+	return m.Book.Free(machine) && !now.Before(m.refused[machine])
+}
--- /dev/null
+++ b/machines/move.go
@@ -0,0 +1,180 @@
+package machines
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/lend"
+	"gypsumlead/platform"
+)
+
+// move is a machine on its way to another pool.
+type move struct {
+	to      string
+	since   time.Time
+	ordered time.Time
+	done    bool // the order was answered
+	token   int64
+}
+
+// moves shares the free machines out, and sends those that nobody wants to the spare pool.
+func (m *Master) moves(ctx context.Context, now time.Time, list map[string]platform.Machine, reports []Report) {
+	m.arrived(now, list, reports)
+	m.repeat(ctx, now, list)
+	offered := map[string]string{} // machine to its pool
+	for _, r := range reports {
+		for _, name := range r.Offers {
+			if x, ok := list[name]; ok && x.Pool == r.Service {
+				offered[name] = r.Service
+			}
+		}
+	}
+	var free []string
+	for name, x := range list {
+		_, moving := m.moving[name]
+		_, wrong := m.wrong[name]
+		_, open := offered[name]
+		if (x.Pool != m.Spare() && !open) || x.State != platform.MachineUp || moving || wrong || m.Waves.claimed(name) || !m.free(name, now) {
+			continue
+		}
+		free = append(free, name)
+	}
+	// Those that are on go first: one move serves instead of two.
+	slices.SortFunc(free, func(a, b string) int {
+		_, x := offered[a]
+		_, y := offered[b]
+		if x != y {
+			if x {
+				return -1
+			}
+			return 1
+		}
+		return compare(a, b)
+	})
+	share := lend.Share(m.pools(reports), free)
+	for _, name := range free {
+		if _, wanted := share[name]; !wanted && offered[name] != "" {
+			share[name] = m.Spare()
+		}
+	}
+	m.order(ctx, now, share)
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// pools is what each pool has and wants.
+func (m *Master) pools(reports []Report) []lend.Pool {
+	var pools []lend.Pool
+	for _, r := range reports {
+		p := lend.Pool{Service: r.Service, Have: len(r.Machines), Want: r.Want}
+		for name, x := range m.moving {
+			if x.to == r.Service && !slices.Contains(r.Machines, name) {
+				p.Have++
+			}
+		}
+		pools = append(pools, p)
+	}
+	slices.SortFunc(pools, func(a, b lend.Pool) int { return compare(a.Service, b.Service) })
+	return pools
+}
+
+// arrived forgets the machines that have come to where they were sent, and those that never will.
+func (m *Master) arrived(now time.Time, list map[string]platform.Machine, reports []Report) {
+	for name, x := range m.moving {
+		there := x.to == m.Spare() && list[name].Pool == x.to && list[name].State == platform.MachineUp
+		for _, r := range reports {
+			there = there || (r.Service == x.to && slices.Contains(r.Machines, name))
+		}
+		if there || now.Sub(x.since) > m.Move+comeSlack {
+			delete(m.moving, name)
+		}
+	}
+}
+
+// repeat orders again what wasn't answered.
+func (m *Master) repeat(ctx context.Context, now time.Time, list map[string]platform.Machine) {
+	for name, x := range m.moving {
+		if x.done || now.Sub(x.ordered) < orderGap {
+			continue
+		}
+		if list[name].Pool == x.to {
+			x.done = true
+			m.moving[name] = x
+			continue
+		}
+		m.send(ctx, now, map[string]string{name: x.to}, x.token)
+	}
+}
+
+// order claims machines and orders each into its pool.
+func (m *Master) order(ctx context.Context, now time.Time, share map[string]string) {
+	var names []string
+	for name := range share {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	names = names[:min(len(names), atOnce)]
+	if len(names) == 0 {
+		return
+	}
+	token, ok := m.Book.Claim(ctx, "move", names, platform.Tx{})
+	if !ok {
+		return
+	}
+	to := map[string]string{}
+	for _, name := range names {
+		to[name] = share[name]
+		m.moving[name] = move{to: share[name], since: now, token: token}
+	}
+	m.send(ctx, now, to, token)
+}
+
+// send orders machines into their pools, all at the same time.
+func (m *Master) send(ctx context.Context, now time.Time, to map[string]string, token int64) {
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for name, pool := range to {
+		wg.Go(func() {
+			d, err := m.Machines.Move(ctx, name, pool, m.Name, token)
+			m.Log.Info("machine moves", zap.String("machine", name), zap.String("to", pool), zap.Int64("token", token), zap.String("answer", string(d)), zap.Error(err))
+			mu.Lock()
+			defer mu.Unlock()
+			m.answered(now, name, d)
+		})
+	}
+	wg.Wait()
+}
+
+// answered takes in the answer to a move; none is empty, and the move is ordered again.
+func (m *Master) answered(now time.Time, name string, d platform.Duty) {
+	x := m.moving[name]
+	x.ordered = now
+	switch d {
+	case platform.DutyDone:
+		x.done = true
+		m.moving[name] = x
+		return
+	case platform.DutyWrong:
+		m.wrong[name] = struct{}{}
+	case platform.DutyBusy, platform.DutyFenced, platform.DutyForeign:
+		m.busy(name, now)
+	case platform.DutyLater, "":
+		m.moving[name] = x
+		return
+	}
+	delete(m.moving, name)
+}
--- /dev/null
+++ b/machines/waves.go
@@ -0,0 +1,96 @@
+package machines
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/follow"
+	"gypsumlead/platform"
+	"gypsumlead/upkeep"
+)
+
+// tableWaves has a row for each wave that was begun.
+const tableWaves = "wave"
+
+// wavesGap is the time between two looks for changes of the waves' rows.
+const wavesGap = 200 * time.Millisecond
+
+// Waves follows how far the waves are.
+type Waves struct {
+	store *platform.Store
+	log   *zap.Logger
+	mu    sync.Mutex
+	rows  map[int64]wave
+}
+
+// wave is a wave's row as last seen.
+type wave struct {
+	row     upkeep.Row
+	version int64
+}
+
+// NewWaves returns a view of the waves' rows; Follow keeps it up to date.
+func NewWaves(store *platform.Store, log *zap.Logger) *Waves {
+	return &Waves{store: store, log: log, rows: map[int64]wave{}}
+}
+
+// Follow keeps up with the rows until ctx ends.
+func (w *Waves) Follow(ctx context.Context) error {
+	f := follow.Follower{Store: w.store, Table: tableWaves, After: follow.Start, Gap: wavesGap, Log: w.log,
+		Apply: func(_ context.Context, page platform.Page, _ bool) error {
+			w.take(page.Rows)
+			return nil
+		}}
+	return f.Run(ctx)
+}
+
+func (w *Waves) take(rows []platform.Row) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range rows {
+		n, err := strconv.ParseInt(r.Key, 10, 64)
+		if err != nil || r.Table != tableWaves || r.Gone || r.Version < w.rows[n].version {
+			continue
+		}
+		row, err := upkeep.DecodeRow(r.Value)
+		if err != nil {
+			w.log.Error("a wave can't be gone on with", zap.String("wave", r.Key), zap.Error(err))
+			continue
+		}
+		w.rows[n] = wave{row, r.Version}
+	}
+}
+
+// get returns a wave's row and its version.
+func (w *Waves) get(n int64) (upkeep.Row, int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.rows[n].row, w.rows[n].version
+}
+
+// set takes in a row that this daemon has written.
+func (w *Waves) set(n int64, row upkeep.Row, version int64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rows[n] = wave{row, version}
+}
+
+// claimed tells whether a wave has taken a machine down and not seen it back.
+func (w *Waves) claimed(machine string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, x := range w.rows {
+		if !x.row.Complete && x.row.Machines[machine] == upkeep.Claimed {
+			return true
+		}
+	}
+	return false
+}
+
+func placeOf(n int64) platform.Place {
+	return platform.Place{Table: tableWaves, Key: strconv.FormatInt(n, 10)}
+}
--- a/upkeep/decide.go
+++ b/upkeep/decide.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"gypsumlead/platform"
 )
 
 // Figures of the order in which machines are taken.
@@ -17,29 +15,45 @@
 	leastPar  = 2               // or this many
 )
 
-// Pool is what the decision knows of one pool that this daemon schedules.
+// Pool is what the decision knows of one pool.
 type Pool struct {
 	Size int  // machines that take work
 	Busy bool // work is waiting, or most of its room is taken
-	Idle bool // its machines are off
 }
 
-// Candidate is a machine of a wave that this daemon looks after and that isn't claimed yet.
+// Candidate is a machine of a wave that hasn't been taken down yet.
 type Candidate struct {
-	Machine platform.Machine
+	Machine string
+	Runner  string
 	Taken   bool // it is being emptied
-	Empty   bool
-	Lasting int // tasks that last on it
+	Lasting int  // tasks that last on it
+}
+
+// Next picks the machines of a pool to begin emptying, with so much of the wave's time remaining; those already being emptied count.
+func Next(p Pool, list []Candidate, remaining time.Duration) []Candidate {
+	most := parallel(p, len(list), remaining)
+	var open []Candidate
+	for _, c := range list {
+		if c.Taken {
+			most--
+		} else {
+			open = append(open, c)
+		}
+	}
+	slices.SortFunc(open, func(a, b Candidate) int {
+		if c := cmp.Compare(a.Lasting, b.Lasting); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Machine, b.Machine)
+	})
+	return open[:max(0, min(most, len(open)))]
 }
 
-// parallel returns how many machines of a pool should be on their way at once, with so many left and so much time.
+// parallel returns how many machines of a pool should be on their way at once.
 func parallel(p Pool, left int, remaining time.Duration) int {
 	if left == 0 {
 		return 0
 	}
-	if p.Idle {
-		return left
-	}
 	most := max(leastPar, p.Size/poolShare)
 	rounds := (left + most - 1) / most
 	needed := busyCycle * time.Duration(rounds)
@@ -51,25 +65,3 @@
 	}
 	return most
 }
-
-// next picks the machines to begin emptying: those already being emptied count against the number.
-func next(list []Candidate, most int) []Candidate {
-	var open []Candidate
-	for _, c := range list {
-		if c.Taken {
-			most--
-		} else if c.Machine.State == platform.MachineUp {
-			open = append(open, c)
-		}
-	}
-	if most <= 0 {
-		return nil
-	}
-	slices.SortFunc(open, func(a, b Candidate) int {
-		if c := cmp.Compare(a.Lasting, b.Lasting); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Machine.Name, b.Machine.Name)
-	})
-	return open[:min(most, len(open))]
-}
--- a/upkeep/doc.go
+++ b/upkeep/doc.go
@@ -1,2 +1,2 @@
-// Package upkeep carries the operator's maintenance waves out: it has machines emptied, keeps at most the allowed number down at once over all daemons, and tells the operator when a wave is completed.
+// Package upkeep decides the order in which the machines of the operator's maintenance waves are emptied and taken down. It is pure.
 package upkeep
--- a/upkeep/row.go
+++ b/upkeep/row.go
@@ -2,16 +2,11 @@
 
 import (
 	"encoding/json"
-	"strconv"
-	"time"
+	"maps"
 
 	"gypsumlead/fault"
-	"gypsumlead/platform"
 )
 
-// table has a row for each wave.
-const table = "wave"
-
 // Stage is how far one machine of a wave is.
 type Stage string
 
@@ -22,57 +17,58 @@
 	Left    Stage = "left"    // it is no longer there, or not a machine of the wave
 )
 
-// Entry is what the row says of a machine.
-type Entry struct {
-	Stage  Stage         `json:"stage"`
-	By     string        `json:"by"`   // daemon that orders it
-	Boot   string        `json:"boot"` // and its start
-	At     time.Duration `json:"at"`   // the store's clock when that was written
-	Runner string        `json:"runner,omitempty"`
-}
-
-// Row is how far a wave is; at most as many machines as the operator allows are claimed at once.
+// Row is how far a wave is, as the store keeps it; at most as many machines as the operator allows are claimed at once.
 type Row struct {
-	Machines map[string]Entry `json:"machines"`
+	Machines map[string]Stage `json:"machines"`
 	Complete bool             `json:"complete,omitempty"`
 }
 
-// down returns how many machines are claimed.
-func (r Row) down() int {
+// Down returns how many machines are claimed.
+func (r Row) Down() int {
 	n := 0
-	for _, e := range r.Machines {
-		if e.Stage == Claimed {
+	for _, s := range r.Machines {
+		if s == Claimed {
 			n++
 		}
 	}
 	return n
 }
 
-// over tells whether a machine needs nothing more.
-func (r Row) over(machine string) bool {
-	s := r.Machines[machine].Stage
+// Over tells whether a machine needs nothing more.
+func (r Row) Over(machine string) bool {
+	s := r.Machines[machine]
 	return s == Done || s == Left
 }
 
-// with returns a copy in which a machine has another entry.
-func (r Row) with(machine string, e Entry) Row {
-	all := make(map[string]Entry, len(r.Machines)+1)
-	for k, v := range r.Machines {
-		all[k] = v
+// AllOver tells whether no machine needs anything more.
+func (r Row) AllOver(machines []string) bool {
+	for _, m := range machines {
+		if !r.Over(m) {
+			return false
+		}
 	}
-	all[machine] = e
-	return Row{Machines: all, Complete: r.Complete}
+	return true
 }
 
-func keyOf(wave int64) string { return strconv.FormatInt(wave, 10) }
-
-func decodeRow(r platform.Row) (Row, error) {
-	var row Row
-	err := json.Unmarshal(r.Value, &row)
-	return row, fault.Wrap(fault.Invalid, err, "row of wave %s", r.Key)
+// With returns a copy in which a machine has another stage.
+func (r Row) With(machine string, s Stage) Row {
+	all := maps.Clone(r.Machines)
+	if all == nil {
+		all = map[string]Stage{}
+	}
+	all[machine] = s
+	return Row{Machines: all, Complete: r.Complete}
 }
 
-func (r Row) encode() ([]byte, error) {
+// Encode returns the row in the store's form.
+func (r Row) Encode() ([]byte, error) {
 	b, err := json.Marshal(r)
 	return b, fault.Wrap(fault.Internal, err, "encode the row of a wave")
 }
+
+// DecodeRow reads a wave's row from the store.
+func DecodeRow(value []byte) (Row, error) {
+	var r Row
+	err := json.Unmarshal(value, &r)
+	return r, fault.Wrap(fault.Invalid, err, "row of a wave")
+}
