--- a/lend/decide.go
+++ b/lend/decide.go
@@ -38,13 +38,16 @@
 	return max(keepMin, int(math.Ceil(float64(d.Lasting)/(lastRoom*float64(room)))))
 }
 
-// Keep picks the n runners that stay when machines are given back: those with most of what lasts, spread over racks.
+// Keep picks the n runners that stay when machines are given back: those with most of what lasts, then those that no wave is to take, spread over racks.
 func Keep(list []sched.Machine, n int) map[string]struct{} {
 	order := slices.Clone(list)
 	slices.SortFunc(order, func(a, b sched.Machine) int {
 		if c := cmp.Compare(b.Lasting, a.Lasting); c != 0 {
 			return c
 		}
+		if a.Due != b.Due {
+			return last(a.Due)
+		}
 		return cmp.Compare(a.Runner, b.Runner)
 	})
 	kept := map[string]struct{}{}
@@ -61,7 +64,7 @@
 	return kept
 }
 
-// Surplus picks up to n machines to give back, the emptiest first; those that stay and those that hold what lasts aren't among them.
+// Surplus picks up to n machines to give back, those that a wave is to take first, then the emptiest; those that stay and those that hold what lasts aren't among them.
 func Surplus(list []sched.Machine, stay map[string]struct{}, n int) []sched.Machine {
 	var open []sched.Machine
 	for _, m := range list {
@@ -70,6 +73,9 @@
 		}
 	}
 	slices.SortFunc(open, func(a, b sched.Machine) int {
+		if a.Due != b.Due {
+			return last(b.Due) // a machine that is off is maintained at no cost to anybody
+		}
 		if c := cmp.Compare(a.Used, b.Used); c != 0 {
 			return c
 		}
@@ -78,6 +84,14 @@
 	return open[:max(0, min(n, len(open)))]
 }
 
+// last puts what is marked behind.
+func last(marked bool) int {
+	if marked {
+		return 1
+	}
+	return -1
+}
+
 // Pool is a pool as the sharing out sees it.
 type Pool struct {
 	Service string
--- a/machines/local.go
+++ b/machines/local.go
@@ -91,7 +91,7 @@
 	l.upkeep(now, s, list, &r)
 	for _, m := range list {
 		_, offered := l.offers[m.Machine]
-		if m.Takes && !offered {
+		if m.Takes && !m.Evacuate && !offered {
 			r.Machines = append(r.Machines, m.Machine)
 		}
 	}
@@ -101,16 +101,19 @@
 // lend decides how many machines the pool should have, and empties those that are too many.
 func (l *Local) lend(now time.Time, s Seat, list []sched.Machine, r *Report) {
 	var room int64
-	have := 0
+	have, known := 0, 0
 	there := map[string]string{}
 	for _, m := range list {
 		room = max(room, m.Room.CPU)
 		there[m.Machine] = m.Runner
-		if _, offered := l.offers[m.Machine]; m.Takes && !offered {
+		if m.Takes {
+			known++
+		}
+		if _, offered := l.offers[m.Machine]; m.Takes && !m.Evacuate && !offered {
 			have++
 		}
 	}
-	if have == 0 {
+	if known == 0 {
 		return // nothing is known of the pool's machines yet
 	}
 	d := s.Demand()
@@ -172,6 +175,9 @@
 			l.back(s, m.Runner)
 			continue
 		}
+		if row.Machines[m.Machine] == upkeep.Claimed {
+			continue // it is down, or has come back and the master hasn't seen it yet
+		}
 		s.Due(m.Runner, true)
 		_, offered := l.offers[m.Machine]
 		open = append(open, upkeep.Candidate{Machine: m.Machine, Runner: m.Runner, Taken: taken || offered, Lasting: m.Lasting})
--- a/machines/move.go
+++ b/machines/move.go
@@ -44,14 +44,15 @@
 		free = append(free, name)
 	}
 	// Those that are on go first: one move serves instead of two.
+	due := m.dueMachines()
 	slices.SortFunc(free, func(a, b string) int {
+		if due[a] != due[b] {
+			return first(due[b]) // one that a wave is still to take would soon be away again
+		}
 		_, x := offered[a]
 		_, y := offered[b]
 		if x != y {
-			if x {
-				return -1
-			}
-			return 1
+			return first(x)
 		}
 		return compare(a, b)
 	})
@@ -64,6 +65,28 @@
 	m.order(ctx, now, share)
 }
 
+// first puts what is marked in front.
+func first(marked bool) int {
+	if marked {
+		return -1
+	}
+	return 1
+}
+
+// dueMachines returns the machines that open waves are still to take.
+func (m *Master) dueMachines() map[string]bool {
+	due := map[string]bool{}
+	for _, w := range m.Asked() {
+		row, _ := m.Waves.get(w.Number)
+		for _, name := range w.Machines {
+			if !row.Complete && !row.Over(name) {
+				due[name] = true
+			}
+		}
+	}
+	return due
+}
+
 func compare(a, b string) int {
 	switch {
 	case a < b:
