A holder that isn't sure of its seat takes no silence for an end and no mail

A zone is cut off with the old holder in it; another daemon takes the seat and goes on with the runs that it can reach. The old holder, which goes on for 8 s where it can reach runners, counted the runs beyond the cut as ended with their lease, though the new one extended it, and started them again; and when the cut healed it took jobs from the mail that the new holder had run by then, before it learned of it. Ruled out: the wait of the new holder (13.1 s, kept), leases outlasting their bound, late orders.

--- a/holder/commit.go
+++ b/holder/commit.go
@@ -246,6 +246,9 @@
 			return h.overtaken(row)
 		}
 	}
+	if !h.sure(clock.Now()) {
+		return false
+	}
 	for _, row := range c.Rows {
 		if row.Table == tableJobs && row.Version != 0 {
 			h.present(f, row)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -127,6 +127,13 @@
 	return now.Before(h.Acked().Add(h.Life + Coast))
 }
 
+// sure tells whether nobody else can have taken the seat yet. A holder that isn't sure goes on, see Coast,
+// but what it can't see any more may be another holder's by now: it takes nothing for ended because it is
+// silent, and takes in no jobs that it didn't commit itself.
+func (h *Holder) sure(now time.Time) bool {
+	return now.Before(h.Acked().Add(h.Life))
+}
+
 // planLoop plans after each event, and now and then without one.
 func (h *Holder) planLoop(ctx context.Context) error {
 	swept := clock.Now()
@@ -157,7 +164,7 @@
 		h.lose(fault.New(fault.Fenced, "a runner has seen a later holder"))
 		return
 	}
-	for _, o := range h.pool.Plan(now, time.Now()) {
+	for _, o := range h.pool.Plan(now, time.Now(), h.sure(now)) {
 		h.dispatch(o)
 	}
 	if at, ok := h.pool.LazyDue(); ok && !now.Before(at) {
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		if err := h.fetch(ctx, jobOf(row)); err != nil {
-			return err
+			return err // the row comes again
 		}
 		h.mu.Lock()
 		h.read(row)
@@ -75,7 +75,11 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.pool.Accept(clock.Now(), id, j.Queue, j.Job)
+	now := clock.Now()
+	if !h.sure(now) {
+		return fault.New(fault.Fenced, "%s may have another holder by now", h.claim.Service)
+	}
+	h.pool.Accept(now, id, j.Queue, j.Job)
 	return nil
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -12,9 +12,13 @@
 const reserveMost = 2
 
 // Plan returns the orders that follow from what is known; wall is the time of day, by which turns are due.
-func (p *Pool) Plan(now, wall time.Time) []Order {
+// Unless the holder is sure that nobody else can have taken its place, nothing counts as ended because its
+// runner is silent: a later holder may have gone on with it.
+func (p *Pool) Plan(now, wall time.Time, sure bool) []Order {
 	p.orders = nil
-	p.expire(now)
+	if sure {
+		p.expire(now)
+	}
 	p.judge(now)
 	p.evacuate(now)
 	p.endUnwanted(now)
