--- a/clock/clock.go
+++ b/clock/clock.go
@@ -6,6 +6,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// Clock tells the time; Now is the one that daemons use.
+type Clock func() time.Time
+
 // Now returns the time of day at the process's start plus the time since then, suspends included; it has no monotonic reading.
 func Now() time.Time {
 	return start.Add(boot() - startBoot)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -39,10 +39,14 @@
 
 // Daemon is one daemon.
 type Daemon struct {
-	set   settings.Fleet
-	boot  string
-	log   *zap.Logger
-	began time.Time
+	set    settings.Fleet
+	boot   string
+	log    *zap.Logger
+	began  time.Time
+	now    clock.Clock
+	dial   platform.Dial
+	bind   Bind
+	report func(error)
 
 	meter    *platform.Meter
 	store    *platform.Store
@@ -73,32 +77,58 @@
 	inner   net.Listener
 }
 
+// Bind opens a listener.
+type Bind func(at netip.AddrPort) (net.Listener, error)
+
+// Option changes a Daemon under construction.
+type Option func(*Daemon)
+
+// WithClock sets the clock.
+func WithClock(now clock.Clock) Option { return func(d *Daemon) { d.now = now } }
+
+// WithNetwork sets how connections are made and taken.
+func WithNetwork(dial platform.Dial, bind Bind) Option {
+	return func(d *Daemon) { d.dial, d.bind = dial, bind }
+}
+
+// WithBreach sets who is told of a broken invariant, besides the log.
+func WithBreach(report func(error)) Option { return func(d *Daemon) { d.report = report } }
+
+func bindTCP(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
+
 // New assembles a daemon and opens its listeners; Run starts it.
-func New(set settings.Fleet, log *zap.Logger) (*Daemon, error) {
+func New(set settings.Fleet, log *zap.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		set:    set,
 		boot:   rand.Text(),
-		began:  clock.Now(),
+		now:    clock.Now,
+		dial:   platform.TCP,
+		bind:   bindTCP,
+		report: func(error) {},
 		meter:  platform.NewMeter(),
 		seats:  map[string]*holder.Holder{},
 		vacant: map[string]time.Time{},
 		look:   make(chan struct{}, 1),
 		bounds: boundsOf(set),
 	}
+	for _, o := range opts {
+		o(d)
+	}
+	d.began = d.now()
 	d.log = log.With(zap.String("instance", set.Instance))
-	d.store = platform.NewStore(set.Store, d.meter)
-	d.runners = platform.NewRunners(d.meter)
+	d.store = platform.NewStore(set.Store, d.dial, d.meter)
+	d.runners = platform.NewRunners(d.dial, d.meter)
 	if set.Machines.IsValid() {
-		d.machines = platform.NewMachines(set.Machines, d.meter)
+		d.machines = platform.NewMachines(set.Machines, d.dial, d.meter)
 	}
 	if set.Policy.IsValid() {
-		d.policy = platform.NewPolicy(set.Policy, d.meter)
+		d.policy = platform.NewPolicy(set.Policy, d.dial, d.meter)
 	}
 	d.operator = view.NewOperator(d.store, d.log, d.configured)
-	d.list = view.NewRunners(d.store, d.log, d.runnerSeen, d.runnerGone)
-	d.members = member.New(d.store, d.self(), d.log, d.membersChanged)
+	d.list = view.NewRunners(d.store, d.log, d.now, d.runnerSeen, d.runnerGone)
+	d.members = member.New(d.store, d.self(), d.log, d.now, d.membersChanged)
 	us := peer.Identity{Instance: set.Instance, Boot: d.boot, Centre: set.Centre, Region: set.Region}
-	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery))
+	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery), peer.WithDial(d.dialPeer))
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
 	d.makeMachines()
@@ -134,7 +164,7 @@
 		at   netip.AddrPort
 		into *net.Listener
 	}{{d.set.Listen.Callers, &d.callers}, {d.set.Listen.Ready, &d.ready}, {d.set.Listen.Peers, &d.inner}} {
-		ln, err := net.Listen("tcp", l.at.String())
+		ln, err := d.bind(l.at)
 		if err != nil {
 			return err
 		}
@@ -241,5 +271,16 @@
 	d.mu.Lock()
 	leaving := d.leaving
 	d.mu.Unlock()
-	return !leaving && d.operator.Config() != nil && clock.Now().Sub(d.members.Heard()) < storeFresh
+	return !leaving && d.operator.Config() != nil && d.now().Sub(d.members.Heard()) < storeFresh
+}
+
+// dialPeer connects to another daemon.
+func (d *Daemon) dialPeer(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	return d.dial(ctx, "tcp", addr.String())
+}
+
+// breach tells of a broken invariant.
+func (d *Daemon) breach(err error) {
+	d.log.Error("an invariant is broken", zap.Error(err))
+	d.report(err)
 }
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -29,7 +29,7 @@
 	} else if a, ok := d.relaySubmit(ctx, id, q, job); ok {
 		return a
 	}
-	return holder.Direct(ctx, d.store, q.Service, id, q, job)
+	return holder.Direct(ctx, d.store, q.Service, id, q, job, d.now())
 }
 
 func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job) (holder.Answer, bool) {
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -21,6 +21,7 @@
 		Store:    d.store,
 		Machines: d.machines,
 		Log:      d.log,
+		Now:      d.now,
 		Name:     d.set.Instance,
 		Boot:     d.boot,
 		Lease:    d.set.Bounds.Lease,
@@ -28,6 +29,7 @@
 	d.waves = machines.NewWaves(d.store, d.log)
 	d.local = machines.NewLocal(machines.Locals{
 		Log:   d.log,
+		Now:   d.now,
 		Waves: d.waves,
 		Asked: d.operator.Waves,
 		Seats: d.machineSeats,
@@ -36,6 +38,7 @@
 	})
 	d.master = machines.NewMaster(machines.Masters{
 		Log:      d.log,
+		Now:      d.now,
 		Book:     d.book,
 		Waves:    d.waves,
 		Machines: d.machines,
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/holder"
 	"gypsumlead/member"
@@ -34,10 +33,10 @@
 		case <-t.C:
 		case <-d.look:
 		}
-		if clock.Now().Sub(d.began) < settle {
+		if d.now().Sub(d.began) < settle {
 			continue
 		}
-		for _, s := range d.due(clock.Now()) {
+		for _, s := range d.due(d.now()) {
 			d.take(ctx, g, s)
 		}
 	}
@@ -91,7 +90,7 @@
 // take takes one seat and schedules its service in a goroutine of g.
 func (d *Daemon) take(ctx context.Context, g *errgroup.Group, service string) {
 	me := holder.Who{Name: d.set.Instance, Boot: d.boot}
-	claim, err := holder.Take(ctx, d.store, service, me, d.bounds.Hold, clock.Now, d.alive)
+	claim, err := holder.Take(ctx, d.store, service, me, d.bounds.Hold, d.now, d.alive)
 	if err != nil {
 		if !fault.Is(err, fault.Conflict) {
 			d.log.Warn("seat not taken", zap.String("service", service), zap.Error(err))
@@ -105,7 +104,8 @@
 		Log:     d.log,
 		Acked:   d.members.Acked,
 		Life:    member.Life,
-		Breach:  func(err error) { d.log.Error("an invariant is broken", zap.Error(err)) },
+		Now:     d.now,
+		Breach:  d.breach,
 	})
 	if err := h.Restore(ctx); err != nil {
 		d.log.Warn("seat taken, its rows can't be read", zap.String("service", service), zap.Error(err))
--- a/duty/book.go
+++ b/duty/book.go
@@ -40,8 +40,9 @@
 	Store    *platform.Store
 	Machines *platform.Machines
 	Log      *zap.Logger
-	Name     string        // of this daemon
-	Boot     string        // its start
+	Name     string // of this daemon
+	Boot     string // its start
+	Now      clock.Clock
 	Lease    time.Duration // between the orders of two daemons for one machine
 }
 
@@ -78,7 +79,7 @@
 func (b *Book) apply(_ context.Context, page platform.Page, _ bool) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.stamp, b.at, b.ready = page.Stamp, clock.Now(), true
+	b.stamp, b.at, b.ready = page.Stamp, b.Parts.Now(), true
 	for _, r := range page.Rows {
 		b.take(r)
 	}
@@ -98,14 +99,14 @@
 	b.rows[r.Key] = known{row, r.Version}
 }
 
-// Now is the store's clock.
-func (b *Book) Now() time.Duration {
+// StoreNow is the store's clock.
+func (b *Book) StoreNow() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.now()
 }
 
-func (b *Book) now() time.Duration { return b.stamp.Now + clock.Now().Sub(b.at) }
+func (b *Book) now() time.Duration { return b.stamp.Now + b.Parts.Now().Sub(b.at) }
 
 // Free tells whether this daemon may give a machine orders now: no other has done so lately.
 func (b *Book) Free(machine string) bool {
@@ -171,7 +172,7 @@
 	b.mu.Lock()
 	list, listed := b.list, b.listed
 	b.mu.Unlock()
-	now := clock.Now()
+	now := b.Parts.Now()
 	if now.Sub(listed) < listAge {
 		return list, listed, true
 	}
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -10,7 +10,6 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
@@ -46,7 +45,7 @@
 // commitOnce runs one transaction and tells whether another is to follow at once.
 func (h *Holder) commitOnce(ctx context.Context) bool {
 	h.mu.Lock()
-	f, tx, err := h.prepare(clock.Now())
+	f, tx, err := h.prepare(h.Now())
 	h.mu.Unlock()
 	if err != nil {
 		h.Log.Error("commit can't be encoded", zap.Error(err))
@@ -157,7 +156,7 @@
 	switch {
 	case err == nil:
 		h.version = stamp.Version
-		h.storeNow, h.storeAt = stamp.Now, clock.Now()
+		h.storeNow, h.storeAt = stamp.Now, h.Now()
 		h.apply(f)
 		clear(h.flights)
 		return len(h.queue) > 0
@@ -175,7 +174,7 @@
 
 // apply takes in that a commit has taken effect.
 func (h *Holder) apply(f flight) {
-	now := clock.Now()
+	now := h.Now()
 	for _, i := range f.intents {
 		h.unqueue(i)
 		if i.kind == submit {
@@ -246,7 +245,7 @@
 			return h.overtaken(row)
 		}
 	}
-	if !h.sure(clock.Now()) {
+	if !h.sure(h.Now()) {
 		return false
 	}
 	for _, row := range c.Rows {
@@ -287,7 +286,7 @@
 			stored = i.row // the same caller asked for the same ID
 		}
 		h.unqueue(i)
-		h.pool.Accept(clock.Now(), i.id, stored.Queue, stored.Job)
+		h.pool.Accept(h.Now(), i.id, stored.Queue, stored.Job)
 		i.reply(Answer{Verdict: Accepted})
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -24,6 +24,7 @@
 	Acked   func() time.Time // when the newest acknowledged sign of life of this daemon was sent
 	Life    time.Duration    // for how long a sign of life holds
 	Breach  func(error)
+	Now     clock.Clock
 }
 
 // Holder schedules one service for as long as this daemon holds its seat.
@@ -136,10 +137,10 @@
 
 // planLoop plans after each event, and now and then without one.
 func (h *Holder) planLoop(ctx context.Context) error {
-	swept := clock.Now()
+	swept := h.Now()
 	for ctx.Err() == nil {
 		pause(ctx, tick, h.kick)
-		now := clock.Now()
+		now := h.Now()
 		if !h.valid(now) {
 			h.mu.Lock()
 			h.lose(fault.New(fault.Fenced, "the store hasn't answered for too long"))
@@ -212,7 +213,7 @@
 			return nil // it is asked again
 		}
 		h.mu.Lock()
-		h.pool.Advised(clock.Now(), o, a.Tickets, a.Valid)
+		h.pool.Advised(h.Now(), o, a.Tickets, a.Valid)
 		h.mu.Unlock()
 		wake(h.kick)
 		return nil
--- a/holder/load.go
+++ b/holder/load.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/clock"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -33,7 +32,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := clock.Now()
+	now := h.Now()
 	h.silent = map[string]time.Time{}
 	for _, w := range runners.Runners {
 		over := time.Time{}
@@ -89,7 +88,7 @@
 		h.Log.Error("stored job can't be read", zap.Error(err))
 		return
 	}
-	now := clock.Now()
+	now := h.Now()
 	at := j.At
 	if at.After(now) {
 		at = now // the clock of the daemon that accepted it is ahead
--- a/holder/machines.go
+++ b/holder/machines.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"gypsumlead/clock"
 	"gypsumlead/sched"
 )
 
@@ -40,21 +39,21 @@
 func (h *Holder) Load() (int, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pool.Load(clock.Now())
+	return h.pool.Load(h.Now())
 }
 
 // Demand returns what the service's work asks for.
 func (h *Holder) Demand() sched.Demand {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pool.Demand(clock.Now(), time.Now())
+	return h.pool.Demand(h.Now(), time.Now())
 }
 
 // Census returns the service's runners.
 func (h *Holder) Census() []sched.Machine {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.pool.Census(clock.Now())
+	return h.pool.Census(h.Now())
 }
 
 // Keep names the runners that stay when machines are given back.
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
-	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/follow"
 	"gypsumlead/platform"
@@ -75,7 +75,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := clock.Now()
+	now := h.Now()
 	if !h.sure(now) {
 		return fault.New(fault.Fenced, "%s may have another holder by now", h.claim.Service)
 	}
@@ -86,14 +86,14 @@
 // read takes in one row of mail; the job itself is known by now.
 func (h *Holder) read(row platform.Row) {
 	if strings.HasSuffix(row.Key, cancelSuffix) {
-		h.pool.Cancel(clock.Now(), jobOf(row))
+		h.pool.Cancel(h.Now(), jobOf(row))
 	}
 	h.queue = append(h.queue, &intent{kind: unmail, key: row.Key})
 }
 
 // Direct stores a job without its holder, who takes it in from there.
-func Direct(ctx context.Context, store *platform.Store, service string, id work.ID, q work.Queue, job work.Job) Answer {
-	row := jobRow{Queue: q, Job: job, At: clock.Now()}
+func Direct(ctx context.Context, store *platform.Store, service string, id work.ID, q work.Queue, job work.Job, now time.Time) Answer {
+	row := jobRow{Queue: q, Job: job, At: now}
 	value, err := encode(row)
 	if err != nil {
 		return Answer{Verdict: Refused, Why: err.Error()}
--- a/holder/session.go
+++ b/holder/session.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
@@ -38,7 +37,7 @@
 
 // admit lets a runner get work; the store knows of it.
 func (h *Holder) admit(w work.Runner) {
-	h.pool.Seen(clock.Now(), w)
+	h.pool.Seen(h.Now(), w)
 	if s, ok := h.sessions[w.ID]; ok && s.to.Addr == w.Addr {
 		wake(h.kick)
 		return
@@ -73,7 +72,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	delete(h.wanted, id)
-	h.pool.Unlisted(clock.Now(), id)
+	h.pool.Unlisted(h.Now(), id)
 	wake(h.commit)
 }
 
@@ -82,7 +81,7 @@
 	h := s.h
 	wait := time.Duration(0) // the first answer is wanted at once
 	for ctx.Err() == nil {
-		now := clock.Now()
+		now := h.Now()
 		if !h.valid(now) {
 			return
 		}
@@ -114,7 +113,7 @@
 	call, cancel := context.WithTimeout(ctx, l.Wait+lookSlack)
 	defer cancel()
 	got, err := h.Runners.Look(call, s.to, l)
-	now := clock.Now()
+	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	defer wake(h.kick)
@@ -138,12 +137,12 @@
 // awaitSaved waits until the store has the ends of the last look: as long as they aren't acknowledged, the next one would be answered at once.
 func (s *session) awaitSaved(ctx context.Context) {
 	h := s.h
-	till := clock.Now().Add(saveWait)
+	till := h.Now().Add(saveWait)
 	for ctx.Err() == nil {
 		h.mu.Lock()
 		unsaved, saved := h.pool.Unsaved(s.to.ID), h.saved
 		h.mu.Unlock()
-		left := till.Sub(clock.Now())
+		left := till.Sub(h.Now())
 		if !unsaved || left <= 0 {
 			return
 		}
@@ -199,7 +198,7 @@
 	case sched.Stop:
 		err := h.Runners.Stop(ctx, s.to, o.Task, o.Run, h.claim.Token)
 		h.mu.Lock()
-		h.pool.Stopped(clock.Now(), o, outcome(err))
+		h.pool.Stopped(h.Now(), o, outcome(err))
 		h.mu.Unlock()
 		wake(h.kick)
 	case sched.Pace:
@@ -214,7 +213,7 @@
 
 func (s *session) sendStart(ctx context.Context, o sched.Start) {
 	h := s.h
-	now := clock.Now()
+	now := h.Now()
 	h.mu.Lock()
 	wanted := h.valid(now) && h.pool.Wanted(o)
 	until := h.pool.Extend(now, s.to.ID)
@@ -233,7 +232,7 @@
 			zap.String("refused", string(got.Refused)), zap.Error(err))
 	}
 	h.mu.Lock()
-	h.pool.Started(clock.Now(), o, outcome(err), got.Refused, got.Clock)
+	h.pool.Started(h.Now(), o, outcome(err), got.Refused, got.Clock)
 	h.mu.Unlock()
 	wake(h.kick)
 }
--- a/machines/down.go
+++ b/machines/down.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/clock"
 	"gypsumlead/platform"
 	"gypsumlead/upkeep"
 )
@@ -83,7 +82,7 @@
 func (m *Master) takeDown(ctx context.Context, w platform.Wave, name string, token int64) {
 	call, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
-	d := down{ordered: clock.Now(), token: token}
+	d := down{ordered: m.Now(), token: token}
 	m.downs[name] = d
 	duty, err := m.Machines.Upkeep(call, name, w.Number, m.Name, token)
 	m.Log.Info("maintenance ordered", zap.Int64("wave", w.Number), zap.String("machine", name), zap.Int64("token", token), zap.String("answer", string(duty)), zap.Error(err))
@@ -92,15 +91,15 @@
 	}
 	switch duty {
 	case platform.DutyDone:
-		d.accepted = clock.Now()
+		d.accepted = m.Now()
 		m.downs[name] = d
 	case platform.DutyWrong, platform.DutyForeign:
 		m.write(ctx, w, name, upkeep.Left)
 	case platform.DutyFenced:
 		delete(m.downs, name) // the next try has a new token
-		m.busy(name, clock.Now())
+		m.busy(name, m.Now())
 	case platform.DutyBusy:
-		m.busy(name, clock.Now())
+		m.busy(name, m.Now())
 	case platform.DutyLater:
 	}
 }
--- a/machines/local.go
+++ b/machines/local.go
@@ -34,6 +34,7 @@
 // Locals are what the reports are made from.
 type Locals struct {
 	Log   *zap.Logger
+	Now   clock.Clock
 	Waves *Waves
 	Asked func() []platform.Wave // by the operator
 	Seats func() []Seat
@@ -75,7 +76,7 @@
 		}
 		for _, s := range l.Seats() {
 			if s.Service() != l.Spare() {
-				l.Send(ctx, l.report(clock.Now(), s))
+				l.Send(ctx, l.report(l.Now(), s))
 			}
 		}
 	}
--- a/machines/master.go
+++ b/machines/master.go
@@ -28,6 +28,7 @@
 // Masters are what the master works with.
 type Masters struct {
 	Log      *zap.Logger
+	Now      clock.Clock
 	Book     *duty.Book
 	Waves    *Waves
 	Machines *platform.Machines
@@ -75,7 +76,7 @@
 func (m *Master) Take(r Report) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.reports[r.Service] = report{r, clock.Now()}
+	m.reports[r.Service] = report{r, m.Now()}
 }
 
 // fresh returns the reports that still say something.
@@ -112,7 +113,7 @@
 
 // step gives the orders that are due.
 func (m *Master) step(ctx context.Context) {
-	now := clock.Now()
+	now := m.Now()
 	reports := m.fresh(now)
 	if !m.due(reports) {
 		return
--- a/member/members.go
+++ b/member/members.go
@@ -30,7 +30,7 @@
 type Members struct {
 	store *platform.Store
 	log   *zap.Logger
-	now   func() time.Time
+	now   clock.Clock
 
 	mu      sync.Mutex
 	self    Node
@@ -50,11 +50,11 @@
 }
 
 // New returns the membership of a daemon; changed is called after each change that it sees.
-func New(store *platform.Store, self Node, log *zap.Logger, changed func()) *Members {
+func New(store *platform.Store, self Node, log *zap.Logger, now clock.Clock, changed func()) *Members {
 	return &Members{
 		store:   store,
 		log:     log,
-		now:     clock.Now,
+		now:     now,
 		self:    self,
 		nodes:   map[string]seen{},
 		changed: changed,
--- /dev/null
+++ b/standin/runner.go
@@ -0,0 +1,423 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"gypsumlead/work"
+)
+
+// Times of a runner, from the platform's pages.
+const (
+	startUp    = 300 * time.Millisecond // of a task that lasts
+	stopTime   = 50 * time.Millisecond
+	restoring  = 100 * time.Millisecond
+	orderTime  = time.Millisecond
+	endsAtOnce = 500
+	orderLate  = 2 * time.Second // an order that is carried out late is so after this
+	orderLater = 12 * time.Second
+)
+
+// RunnerFaults are the troubles of a runner.
+type RunnerFaults struct {
+	Fails bool    // every run fails at once
+	Hangs bool    // no run makes progress
+	Slow  float64 // runs take so many times as long; 0 is 1
+	Late  float64 // share of the orders that aren't answered and are carried out seconds later
+}
+
+// Runner is one life of a machine.
+type Runner struct {
+	ID      string
+	Machine string
+	Service string
+	Addr    netip.AddrPort
+	Centre  string
+	Rack    string
+	Room    work.Amount
+
+	judge *Judge
+	rand  *rand.Rand
+	rate  float64 // of its steady clock
+
+	mu     sync.Mutex
+	began  time.Time
+	born   int64
+	token  int64
+	until  time.Duration
+	most   time.Duration
+	runs   map[string]*running
+	past   map[string]int // highest run of a task that has ended or was stopped here
+	ends   [][]any
+	n      int64
+	acked  int64
+	wake   chan struct{}
+	faults RunnerFaults
+	down   bool
+	lapse  *time.Timer
+}
+
+// running is a run in progress.
+type running struct {
+	name  string
+	n     int
+	spec  SpecStep
+	since time.Time
+	base  time.Duration // progress that it started with
+	total time.Duration
+	pace  int
+	end   *time.Timer
+}
+
+// NewRunner returns a runner that has just started.
+func NewRunner(id, machine, service string, addr netip.AddrPort, centre, rack string, room work.Amount, longest time.Duration, j *Judge, r *rand.Rand) *Runner {
+	now := time.Now()
+	return &Runner{
+		ID: id, Machine: machine, Service: service, Addr: addr, Centre: centre, Rack: rack, Room: room,
+		judge: j, rand: r, rate: 1 - 0.02*r.Float64(),
+		began: now, born: now.UnixMilli(), most: longest,
+		runs: map[string]*running{}, past: map[string]int{}, wake: make(chan struct{}),
+	}
+}
+
+// Beat is the runner's entry in the store.
+func (r *Runner) Beat(seq int64, state string) map[string]any {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return map[string]any{
+		"Service": r.Service, "Address": r.Addr.String(), "Zone": r.Centre, "Version": "v1", "Slots": 8, "State": state,
+		"SeqNo": seq, "ColdLeftMs": 0, "born": r.born, "Machine": r.Machine, "Labels": []string{"a", r.Rack},
+		"Capacity": map[string]any{"Cpu": r.Room.CPU, "MemMb": r.Room.Mem, "Gpus": r.Room.GPU}, "ClockMs": r.clock().Milliseconds(),
+	}
+}
+
+// Faults changes the runner's troubles.
+func (r *Runner) Faults(f RunnerFaults) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = f
+	for _, x := range r.runs {
+		r.rest(x)
+	}
+}
+
+// Crash ends everything that runs, without a word.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = true
+	for name, x := range r.runs {
+		x.end.Stop()
+		r.judge.lost(r, name)
+		delete(r.runs, name)
+	}
+	r.stir()
+}
+
+// Revive starts the runner again under its ID; it knows nothing of before.
+func (r *Runner) Revive() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = false
+	r.began = time.Now()
+	r.born = max(r.born+1, r.began.UnixMilli())
+	r.token, r.until, r.n, r.acked, r.ends = 0, 0, 0, 0, nil
+	r.past = map[string]int{}
+}
+
+// clock is the runner's steady clock.
+func (r *Runner) clock() time.Duration {
+	return time.Duration(float64(time.Since(r.began)) * r.rate)
+}
+
+func (r *Runner) stir() {
+	close(r.wake)
+	r.wake = make(chan struct{})
+}
+
+type wireOrder struct {
+	Task         string `json:"Task"`
+	Run          int    `json:"Run"`
+	Spec         string `json:"Spec"`
+	DeadlineMs   int64  `json:"DeadlineMs"`
+	FencingToken int64  `json:"FencingToken"`
+	Checkpoint   string `json:"Checkpoint"`
+	AckCursor    int64  `json:"AckCursor"`
+	WaitMs       int64  `json:"WaitMs"`
+	Percent      int    `json:"Percent"`
+}
+
+// ServeHTTP answers orders and looks.
+func (r *Runner) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	r.mu.Lock()
+	down, late := r.down, r.rand.Float64() < r.faults.Late
+	r.mu.Unlock()
+	if down {
+		<-q.Context().Done()
+		return
+	}
+	if id := q.Header.Get("X-Gypsumlead-Expect-Instance"); id != "" && id != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	var o wireOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	time.Sleep(orderTime)
+	path := q.URL.Path
+	if late && path != "/gypsumlead/hold" {
+		wait := orderLate + time.Duration(r.rand.Int64N(int64(orderLater-orderLate)))
+		go func() {
+			time.Sleep(wait)
+			r.carryOut(path, o)
+		}()
+		<-q.Context().Done()
+		return
+	}
+	if path == "/gypsumlead/hold" {
+		r.hold(w, q, o)
+		return
+	}
+	status, body := r.carryOut(path, o)
+	w.WriteHeader(status)
+	send(w, body)
+}
+
+type wireClock struct {
+	ClockMs int64  `json:"ClockMs"`
+	Reason  string `json:"Reason,omitempty"`
+}
+
+// carryOut does what an order says.
+func (r *Runner) carryOut(path string, o wireOrder) (int, wireClock) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at := wireClock{ClockMs: r.clock().Milliseconds()}
+	if r.down {
+		return http.StatusServiceUnavailable, at
+	}
+	if o.FencingToken < r.token {
+		at.Reason = "fence"
+		return http.StatusConflict, at
+	}
+	r.token = o.FencingToken
+	switch path {
+	case "/gypsumlead/run-start":
+		at.Reason = r.start(o)
+		if at.Reason == "bad" {
+			return http.StatusBadRequest, at
+		}
+		if at.Reason != "" {
+			return http.StatusConflict, at
+		}
+	case "/gypsumlead/run-stop":
+		r.stop(o)
+	case "/gypsumlead/pace":
+		if x := r.runs[o.Task]; x != nil && x.n == o.Run {
+			x.pace = o.Percent
+		}
+	}
+	return http.StatusOK, at
+}
+
+func (r *Runner) start(o wireOrder) string {
+	until := time.Duration(o.DeadlineMs) * time.Millisecond
+	if until < r.clock() {
+		return "late"
+	}
+	r.extend(until)
+	if x := r.runs[o.Task]; x != nil && x.n == o.Run {
+		return ""
+	}
+	if r.past[o.Task] >= o.Run || r.runs[o.Task] != nil {
+		return "old"
+	}
+	t, ok := work.ParseTask(o.Task)
+	s, ok2 := specOf(o.Spec)
+	if !ok || !ok2 || t.Step >= len(s.Steps) {
+		return "bad"
+	}
+	step := s.Steps[t.Step]
+	if !step.Fills && !r.roomFor(step) {
+		return "room"
+	}
+	x := &running{name: o.Task, n: o.Run, spec: step, since: time.Now(), pace: 100, total: time.Duration(step.MS) * time.Millisecond}
+	if o.Checkpoint != "" {
+		var ms int64
+		if _, err := fmt.Sscanf(o.Checkpoint, "%d", &ms); err != nil {
+			r.judge.breach("a checkpoint that no run made: %s of %s", o.Checkpoint, o.Task)
+		}
+		x.base = time.Duration(ms) * time.Millisecond
+		x.total += restoring
+	}
+	r.runs[o.Task] = x
+	x.end = time.AfterFunc(time.Hour*24*365, func() {})
+	r.rest(x)
+	r.judge.started(r, t, o.Run)
+	return ""
+}
+
+// rest sets when a run ends.
+func (r *Runner) rest(x *running) {
+	x.end.Stop()
+	if r.faults.Fails {
+		x.end = time.AfterFunc(stopTime, func() { r.finish(x, work.EndFailed) })
+		return
+	}
+	if x.spec.Lasts || r.faults.Hangs {
+		return
+	}
+	how := work.EndDone
+	if x.spec.Fails {
+		how = work.EndFailed
+	}
+	left := max(0, x.total-x.base-time.Since(x.since))
+	x.end = time.AfterFunc(time.Duration(float64(left)*max(1, r.faults.Slow)), func() { r.finish(x, how) })
+}
+
+func (r *Runner) roomFor(s SpecStep) bool {
+	used := work.Amount{}
+	for _, x := range r.runs {
+		if !x.spec.Fills {
+			used = used.Add(work.Amount{CPU: x.spec.CPU, Mem: x.spec.Mem})
+		}
+	}
+	return (work.Amount{CPU: s.CPU, Mem: s.Mem}).Fits(r.Room.Sub(used))
+}
+
+func (r *Runner) stop(o wireOrder) {
+	r.past[o.Task] = max(r.past[o.Task], o.Run)
+	if x := r.runs[o.Task]; x != nil && x.n <= o.Run {
+		x.end.Stop()
+		x.end = time.AfterFunc(stopTime, func() { r.finish(x, work.EndStopped) })
+	}
+}
+
+// extend moves the end of the lease; it never comes nearer.
+func (r *Runner) extend(until time.Duration) {
+	until = min(until, r.clock()+r.most)
+	if until <= r.until {
+		return
+	}
+	r.until = until
+	if r.lapse != nil {
+		r.lapse.Stop()
+	}
+	left := time.Duration(float64(until-r.clock()) / r.rate)
+	r.lapse = time.AfterFunc(left+time.Millisecond, r.lapsed)
+}
+
+// lapsed ends everything whose lease has run out.
+func (r *Runner) lapsed() {
+	r.mu.Lock()
+	if r.clock() < r.until {
+		r.mu.Unlock()
+		return
+	}
+	var list []*running
+	for _, x := range r.runs {
+		x.end.Stop()
+		list = append(list, x)
+	}
+	r.judge.lapse(r)
+	r.mu.Unlock()
+	for _, x := range list {
+		r.finish(x, work.EndLapsed)
+	}
+}
+
+// finish ends a run and lists its end.
+func (r *Runner) finish(x *running, how work.How) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[x.name] != x {
+		return
+	}
+	delete(r.runs, x.name)
+	r.past[x.name] = max(r.past[x.name], x.n)
+	saved := ""
+	if x.spec.Saves && how != work.EndDone {
+		saved = fmt.Sprintf("%d", min(x.total, x.base+time.Since(x.since)).Milliseconds())
+	}
+	r.n++
+	r.ends = append(r.ends, []any{r.n, x.name, x.n, string(how), saved})
+	r.judge.ended(r, r.n, x.name, x.n, how)
+	r.stir()
+}
+
+// hold extends the lease, forgets ends, and tells what runs and what has ended.
+func (r *Runner) hold(w http.ResponseWriter, q *http.Request, o wireOrder) {
+	r.mu.Lock()
+	if o.FencingToken < r.token {
+		r.mu.Unlock()
+		w.WriteHeader(http.StatusConflict)
+		send(w, wireClock{Reason: "fence"})
+		return
+	}
+	r.token = o.FencingToken
+	if o.DeadlineMs > 0 {
+		r.extend(time.Duration(o.DeadlineMs) * time.Millisecond)
+	}
+	r.ack(o.AckCursor)
+	r.mu.Unlock()
+	over := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
+	defer over.Stop()
+	for {
+		r.mu.Lock()
+		wake := r.wake
+		if len(r.ends) > 0 || o.WaitMs == 0 {
+			break
+		}
+		r.mu.Unlock()
+		select {
+		case <-wake:
+			continue
+		case <-q.Context().Done():
+			return
+		case <-over.C:
+			r.mu.Lock()
+		}
+		break
+	}
+	body := r.lists()
+	r.mu.Unlock()
+	send(w, body)
+}
+
+func (r *Runner) ack(n int64) {
+	for len(r.ends) > 0 && r.ends[0][0].(int64) <= n {
+		r.judge.noted(r, r.ends[0][0].(int64))
+		r.ends = r.ends[1:]
+	}
+	r.acked = max(r.acked, n)
+}
+
+type wireLists struct {
+	ClockMs  int64   `json:"ClockMs"`
+	Born     int64   `json:"born"`
+	Running  [][]any `json:"Running"`
+	Finished [][]any `json:"Finished"`
+}
+
+func (r *Runner) lists() wireLists {
+	l := wireLists{ClockMs: r.clock().Milliseconds(), Born: r.born, Running: [][]any{}, Finished: r.ends[:min(len(r.ends), endsAtOnce)]}
+	for _, x := range r.runs {
+		percent := 0
+		switch {
+		case r.faults.Hangs:
+		case x.spec.Lasts && time.Since(x.since) >= startUp:
+			percent = 100
+		case !x.spec.Lasts && x.total > 0:
+			percent = int(min(99, 100*(x.base+time.Since(x.since))/x.total))
+		}
+		l.Running = append(l.Running, []any{x.name, x.n, "", percent, 0})
+	}
+	return l
+}
--- a/view/runners.go
+++ b/view/runners.go
@@ -25,6 +25,7 @@
 type Runners struct {
 	store *platform.Store
 	log   *zap.Logger
+	now   clock.Clock
 	seen  func(work.Runner)
 	gone  func(work.Runner)
 
@@ -35,8 +36,8 @@
 }
 
 // NewRunners returns a view of the list; seen is called for each entry that is new or has changed, gone for one that is no longer there.
-func NewRunners(store *platform.Store, log *zap.Logger, seen, gone func(work.Runner)) *Runners {
-	return &Runners{store: store, log: log, seen: seen, gone: gone, list: map[string]work.Runner{}, going: map[string]time.Time{}}
+func NewRunners(store *platform.Store, log *zap.Logger, now clock.Clock, seen, gone func(work.Runner)) *Runners {
+	return &Runners{store: store, log: log, now: now, seen: seen, gone: gone, list: map[string]work.Runner{}, going: map[string]time.Time{}}
 }
 
 // Run follows until ctx ends.
@@ -50,7 +51,7 @@
 		Lost: func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			r.failed = clock.Now()
+			r.failed = r.now()
 		},
 		Apply: func(_ context.Context, page platform.Page, whole bool) error {
 			r.apply(page.Rows, whole)
@@ -61,7 +62,7 @@
 }
 
 func (r *Runners) apply(rows []platform.Row, whole bool) {
-	now := clock.Now()
+	now := r.now()
 	var seen []work.Runner
 	r.mu.Lock()
 	there := map[string]struct{}{}
@@ -138,7 +139,7 @@
 		case <-t.C:
 		}
 		r.mu.Lock()
-		gone := r.overdue(clock.Now())
+		gone := r.overdue(r.now())
 		r.mu.Unlock()
 		for _, w := range gone {
 			r.gone(w)
