--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -207,8 +207,27 @@
 	p.settle(r)
 }
 
+// implied takes in that a run of a task was started: whoever started it knew that the steps before it are
+// done, though the ends may never reach us.
+func (p *Pool) implied(now time.Time, t *task) {
+	for _, a := range t.step.spec.After {
+		before := t.step.turn.steps[a]
+		if before.left == 0 {
+			continue
+		}
+		for _, x := range before.tasks {
+			x.finish()
+		}
+		p.touch(t.step.job, now)
+		p.implied(now, before.tasks[0])
+	}
+}
+
 // ended takes in the end of a run of one of our tasks.
 func (p *Pool) ended(now time.Time, r *runner, t *task, e work.End) {
+	if t.step.job.inherited && !t.step.job.state.Final() {
+		p.implied(now, t)
+	}
 	x := t.on(r, e.Run)
 	t.last = max(t.last, e.Run)
 	if e.Saved != "" {
@@ -319,6 +338,7 @@
 	if j.state.Final() || t.done || len(t.runs) >= most {
 		return nil
 	}
+	p.implied(now, t)
 	x := &run{task: t, n: n, r: r, phase: running, sent: now, sure: now, moved: now, pace: 100}
 	t.add(x)
 	p.start(now, j)
--- a/standin/judge.go
+++ b/standin/judge.go
@@ -165,10 +165,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.of(name).active, r)
-	j.voidOf(r)
 }
 
-// lapse takes in that a runner's lease has run out.
+// lapse takes in that a runner's lease has run out, or that it has crashed: ends that weren't taken note of no longer count.
 func (j *Judge) lapse(r *Runner) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -21,6 +21,7 @@
 	Room   work.Amount
 	life   *Runner // nil while it is off
 	lives  int
+	wave   int64 // that it is or was last down for
 }
 
 // Machines is the platform's service for machines.
@@ -147,7 +148,7 @@
 	}
 	downs := 0
 	for _, y := range m.by {
-		if y.State == "upkeep" {
+		if y.State == "upkeep" && y.wave == d.Wave {
 			downs++
 		}
 	}
@@ -157,6 +158,7 @@
 		m.judge.mu.Unlock()
 	}
 	m.Upkeeps[x.Name]++
+	x.wave = d.Wave
 	m.away(x, "upkeep", m.keep, func() {})
 	return ""
 }
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -71,6 +71,7 @@
 	base  time.Duration // progress that it started with
 	total time.Duration
 	pace  int
+	stops bool
 	end   *time.Timer
 }
 
@@ -102,7 +103,9 @@
 	defer r.mu.Unlock()
 	r.faults = f
 	for _, x := range r.runs {
-		r.rest(x)
+		if !x.stops {
+			r.rest(x)
+		}
 	}
 }
 
@@ -116,6 +119,7 @@
 		r.judge.lost(r, name)
 		delete(r.runs, name)
 	}
+	r.judge.lapse(r)
 	r.stir()
 }
 
@@ -158,7 +162,7 @@
 	down, late := r.down, r.rand.Float64() < r.faults.Late
 	r.mu.Unlock()
 	if down {
-		<-q.Context().Done()
+		mute(q)
 		return
 	}
 	if id := q.Header.Get("X-Gypsumlead-Expect-Instance"); id != "" && id != r.ID {
@@ -178,7 +182,7 @@
 			time.Sleep(wait)
 			r.carryOut(path, o)
 		}()
-		<-q.Context().Done()
+		mute(q)
 		return
 	}
 	if path == "/gypsumlead/hold" {
@@ -295,6 +299,7 @@
 func (r *Runner) stop(o wireOrder) {
 	r.past[o.Task] = max(r.past[o.Task], o.Run)
 	if x := r.runs[o.Task]; x != nil && x.n <= o.Run {
+		x.stops = true
 		x.end.Stop()
 		x.end = time.AfterFunc(stopTime, func() { r.finish(x, work.EndStopped) })
 	}
--- a/standin/store.go
+++ b/standin/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -152,7 +153,7 @@
 	s.Calls[name]++
 	s.mu.Unlock()
 	if f.Mute {
-		<-r.Context().Done()
+		mute(r)
 		return
 	}
 	if _, away := f.Away[from.Addr()]; away || f.Down {
@@ -188,12 +189,12 @@
 			time.Sleep(wait)
 			s.apply(tx)
 		}()
-		<-r.Context().Done()
+		mute(r)
 		return
 	}
 	conflict, page := s.apply(tx)
 	if lost {
-		<-r.Context().Done()
+		mute(r)
 		return
 	}
 	if conflict {
@@ -324,6 +325,12 @@
 	return rows
 }
 
+// mute gives no answer until the caller has gone; the server notices that only behind the body.
+func mute(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off has a caller that has gone
+	<-r.Context().Done()
+}
+
 // send writes a JSON answer; a caller that has gone gets nothing, which is no concern of the stand-in.
 func send(w http.ResponseWriter, v any) {
 	b, err := json.Marshal(v)
