--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -90,6 +90,7 @@
 // take takes one seat and schedules its service in a goroutine of g.
 func (d *Daemon) take(ctx context.Context, g *errgroup.Group, service string) {
 	me := holder.Who{Name: d.set.Instance, Boot: d.boot}
+	spell := d.members.Signs().Spell
 	claim, err := holder.Take(ctx, d.store, service, me, d.bounds.Hold, d.now, d.alive)
 	if err != nil {
 		if !fault.Is(err, fault.Conflict) {
@@ -97,12 +98,13 @@
 		}
 		return
 	}
+	claim.Spell = spell
 	h := holder.New(*claim, d.bounds, holder.Parts{
 		Store:   d.store,
 		Runners: d.runners,
 		Policy:  d.policy,
 		Log:     d.log,
-		Acked:   d.members.Acked,
+		Signs:   d.members.Signs,
 		Life:    member.Life,
 		Now:     d.now,
 		Breach:  d.breach,
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -23,10 +23,12 @@
 	progress []sched.Saved
 	runners  map[string]work.Runner // those that may have work; nil where nothing about them has changed
 	silent   map[string]time.Time   // those that don't answer; with runners
+	spell    int64                  // of the signs of life when it was sent
+	proof    bool                   // it is to show that the seat is still ours
 }
 
 func (f flight) empty() bool {
-	return len(f.intents) == 0 && len(f.progress) == 0 && f.runners == nil
+	return len(f.intents) == 0 && len(f.progress) == 0 && f.runners == nil && !f.proof
 }
 
 // retryStore is when a caller may come back after the store refused.
@@ -72,6 +74,8 @@
 	f := flight{intents: slices.Clone(h.queue[:n])}
 	f.progress = h.pool.Batch(now, batchMost, n > 0)
 	h.addRunners(now, &f)
+	f.spell = h.Signs().Spell
+	f.proof = f.spell != h.spell
 	if f.empty() {
 		return f, platform.Tx{}, nil
 	}
@@ -157,6 +161,7 @@
 	case err == nil:
 		h.version = stamp.Version
 		h.storeNow, h.storeAt = stamp.Now, h.Now()
+		h.spell = f.spell
 		h.apply(f)
 		clear(h.flights)
 		return len(h.queue) > 0
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -10,6 +10,7 @@
 
 	"gypsumlead/clock"
 	"gypsumlead/fault"
+	"gypsumlead/member"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -21,8 +22,8 @@
 	Runners *platform.Runners
 	Policy  *platform.Policy // nil where the platform has none
 	Log     *zap.Logger
-	Acked   func() time.Time // when the newest acknowledged sign of life of this daemon was sent
-	Life    time.Duration    // for how long a sign of life holds
+	Signs   func() member.Signs // of this daemon's life
+	Life    time.Duration       // for how long a sign of life holds
 	Breach  func(error)
 	Now     clock.Clock
 }
@@ -49,6 +50,7 @@
 	mailAfter int64 // version up to which the mail has been read
 	saved     chan struct{}
 	lost      error
+	spell     int64 // of the signs of life in which the seat was last seen to be ours
 
 	kick   chan struct{}
 	commit chan struct{}
@@ -76,6 +78,7 @@
 		kick:     make(chan struct{}, 1),
 		commit:   make(chan struct{}, 1),
 		fate:     make(chan struct{}),
+		spell:    c.Spell,
 	}
 	h.Log = p.Log.With(zap.String("service", c.Service), zap.Int("term", c.Seat.Term))
 	h.pool = sched.New(c.Taken, c.Seat.Term, b, sched.WithBreach(p.Breach))
@@ -125,14 +128,16 @@
 
 // valid tells whether orders may still be given; see Coast.
 func (h *Holder) valid(now time.Time) bool {
-	return now.Before(h.Acked().Add(h.Life + Coast))
+	return now.Before(h.Signs().Acked.Add(h.Life + Coast))
 }
 
 // sure tells whether nobody else can have taken the seat yet. A holder that isn't sure goes on, see Coast,
 // but what it can't see any more may be another holder's by now: it takes nothing for ended because it is
-// silent, and takes in no jobs that it didn't commit itself.
+// silent, and takes in no jobs that it didn't commit itself. It is sure again once the store has taken a
+// commit that was sent after the gap.
 func (h *Holder) sure(now time.Time) bool {
-	return now.Before(h.Acked().Add(h.Life))
+	s := h.Signs()
+	return s.Spell == h.spell && now.Before(s.Acked.Add(h.Life))
 }
 
 // planLoop plans after each event, and now and then without one.
--- a/holder/take.go
+++ b/holder/take.go
@@ -15,6 +15,7 @@
 	Version int64 // of the seat's row
 	Token   int64 // fencing token of this tenure: higher than any earlier one of the service
 	Taken   time.Time
+	Spell   int64         // of this daemon's signs of life when it was taken
 	Foreign time.Duration // from Taken on, how long orders of an earlier holder may have effect on a silent runner
 }
 
--- a/member/members.go
+++ b/member/members.go
@@ -36,6 +36,7 @@
 	self    Node
 	nodes   map[string]seen
 	acked   time.Time // when the newest write of our row that was acknowledged had been sent
+	spell   int64     // counts the times without a gap in which others may have counted us as dead
 	heard   time.Time // when the store last answered a look for changes
 	since   time.Time // since when it has answered every look; zero while it doesn't
 	changed func()
@@ -92,6 +93,10 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	// The row took effect between sent and now; the one before, not before it had been sent.
+	if m.now().Sub(m.acked) > Life {
+		m.spell++
+	}
 	m.acked = sent
 	return nil
 }
@@ -232,11 +237,17 @@
 	return false
 }
 
-// Acked returns when the newest acknowledged write of the own row was sent.
-func (m *Members) Acked() time.Time {
+// Signs is what is known of the own signs of life.
+type Signs struct {
+	Acked time.Time // when the newest one that was acknowledged was sent
+	Spell int64     // another number than before: in between others may have counted this daemon as dead
+}
+
+// Signs returns what is known of the own signs of life.
+func (m *Members) Signs() Signs {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.acked
+	return Signs{m.acked, m.spell}
 }
 
 // Heard returns when the store last answered.
