--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -22,39 +22,58 @@
 
 // Submit hands a job in.
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) holder.Answer {
+	doubt := false // whether somebody may have the job already, though it isn't known
 	if h := d.holderOf(q.Service); h != nil {
-		if a := h.Submit(ctx, id, q, job); a.Verdict != holder.Unsure || ctx.Err() != nil {
+		a := h.Submit(ctx, id, q, job)
+		if a.Verdict != holder.Unsure || ctx.Err() != nil {
 			return a
 		}
-	} else if a, ok := d.relaySubmit(ctx, id, q, job); ok {
-		return a
+		doubt = true
+	} else {
+		a, got := d.relaySubmit(ctx, id, q, job)
+		if got == answered && a.Verdict != holder.Unsure {
+			return a
+		}
+		doubt = got != unsent
+	}
+	a := holder.Direct(ctx, d.store, q.Service, id, q, job, d.now())
+	if a.Verdict == holder.Refused && doubt {
+		a.Verdict = holder.Unsure // "it never runs" would not be true
 	}
-	return holder.Direct(ctx, d.store, q.Service, id, q, job, d.now())
+	return a
 }
 
-func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job) (holder.Answer, bool) {
+// reached is how far a request to another daemon came.
+type reached int
+
+const (
+	unsent   reached = iota // nobody has got it
+	maybe                   // it may have arrived
+	answered                // it was answered
+)
+
+func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job) (holder.Answer, reached) {
 	terms, err := json.Marshal(q)
 	if err != nil {
-		return holder.Answer{Verdict: holder.Refused, Why: err.Error()}, true
+		return holder.Answer{Verdict: holder.Refused, Why: err.Error()}, answered
 	}
 	body, err := json.Marshal(job)
 	if err != nil {
-		return holder.Answer{Verdict: holder.Refused, Why: err.Error()}, true
+		return holder.Answer{Verdict: holder.Refused, Why: err.Error()}, answered
 	}
-	a, ok := d.relay(ctx, &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: terms, Job: body})
-	return a, ok && a.Verdict != holder.Unsure
+	return d.relay(ctx, &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: terms, Job: body})
 }
 
 // Cancel cancels a job.
 func (d *Daemon) Cancel(ctx context.Context, id work.ID, q work.Queue) holder.Answer {
 	var a holder.Answer
-	ok := false
+	got := answered
 	if h := d.holderOf(q.Service); h != nil {
-		a, ok = h.Cancel(ctx, id), true
+		a = h.Cancel(ctx, id)
 	} else {
-		a, ok = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: q.Service, Id: string(id)})
+		a, got = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: q.Service, Id: string(id)})
 	}
-	if ok && a.Verdict == holder.Accepted {
+	if got == answered && a.Verdict == holder.Accepted {
 		return a
 	}
 	a, err := holder.DirectCancel(ctx, d.store, q.Service, id)
@@ -64,13 +83,13 @@
 // State returns a job's state.
 func (d *Daemon) State(ctx context.Context, id work.ID, q work.Queue) holder.Answer {
 	var a holder.Answer
-	ok := false
+	got := answered
 	if h := d.holderOf(q.Service); h != nil {
-		a, ok = h.State(id), true
+		a = h.State(id)
 	} else {
-		a, ok = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: q.Service, Id: string(id)})
+		a, got = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: q.Service, Id: string(id)})
 	}
-	if ok && a.Verdict == holder.Accepted {
+	if got == answered && a.Verdict == holder.Accepted {
 		return a
 	}
 	a, err := holder.Fetch(ctx, d.store, q.Service, id)
@@ -90,18 +109,18 @@
 	if h := d.holderOf(q.Service); h != nil {
 		return h.Pending(q.Name)
 	}
-	a, ok := d.relay(ctx, &wire.Relay{Verb: wire.Relay_PENDING, Service: q.Service, Queue: q.Name})
-	if !ok {
+	a, got := d.relay(ctx, &wire.Relay{Verb: wire.Relay_PENDING, Service: q.Service, Queue: q.Name})
+	if got != answered {
 		return holder.Answer{Verdict: holder.Refused, Retry: retryLater, Why: "nobody is known to schedule the service"}
 	}
 	return a
 }
 
-// relay asks the daemon that schedules a service; ok is false where it gave no answer.
-func (d *Daemon) relay(ctx context.Context, r *wire.Relay) (holder.Answer, bool) {
+// relay asks the daemon that schedules a service.
+func (d *Daemon) relay(ctx context.Context, r *wire.Relay) (holder.Answer, reached) {
 	n, ok := d.members.Holder(r.Service)
 	if !ok || n.Boot == d.boot {
-		return holder.Answer{}, false
+		return holder.Answer{}, unsent
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayLimit)
 	defer cancel()
@@ -109,11 +128,14 @@
 	resp, err := d.mesh.Call(ctx, n.Name, &wire.Request{Body: &wire.Request_Relay{Relay: r}})
 	if err != nil {
 		d.log.Info("holder not reached", zap.String("holder", n.Name), zap.String("service", r.Service), zap.Error(err))
-		return holder.Answer{}, false
+		if fault.Is(err, fault.NoUpstream) {
+			return holder.Answer{}, unsent
+		}
+		return holder.Answer{}, maybe
 	}
 	got := resp.GetRelayed()
 	if got == nil || !got.Held {
-		return holder.Answer{}, false
+		return holder.Answer{}, unsent
 	}
 	return holder.Answer{
 		Verdict: holder.Verdict(got.Verdict),
@@ -122,7 +144,7 @@
 		State:   work.State(got.State),
 		Pending: int(got.Pending),
 		Why:     got.Why,
-	}, true
+	}, answered
 }
 
 // ServePeer answers another daemon's request.
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -250,6 +250,7 @@
 			return h.overtaken(row)
 		}
 	}
+	h.spell = f.spell // the seat's row is as we left it
 	if !h.sure(h.Now()) {
 		return false
 	}
