--- a/cli/fleetd.go
+++ b/cli/fleetd.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -41,9 +45,37 @@
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "start the daemon")
 	}
+	go reload(ctx, *file, d, log)
 	return d.Run(ctx)
 }
 
+// settingsEvery is the time between two looks at the settings file, which may change without a signal.
+const settingsEvery = 5 * time.Second
+
+// reload takes in the settings file again at SIGHUP and now and then.
+func reload(ctx context.Context, file string, d *daemon.Daemon, log *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info("asked to read the settings again")
+		case <-t.C:
+		}
+		set, err := settings.LoadFleet(file)
+		if err != nil {
+			log.Error("settings can't be used; those before stay in force", zap.Error(err))
+			continue
+		}
+		d.Reload(set)
+	}
+}
+
 // newFleetLogger writes JSON lines to standard output.
 func newFleetLogger(level string) (*zap.Logger, error) {
 	at, err := zapcore.ParseLevel(level)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -284,3 +284,20 @@
 	d.log.Error("an invariant is broken", zap.Error(err))
 	d.report(err)
 }
+
+// Reload takes in changed settings as far as they can change while the daemon runs: the platform's addresses.
+func (d *Daemon) Reload(set settings.Fleet) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if set == d.set {
+		return
+	}
+	if set.Store != d.set.Store {
+		d.store.MoveTo(set.Store)
+	}
+	if d.machines != nil && set.Machines.IsValid() && set.Machines != d.set.Machines {
+		d.machines.MoveTo(set.Machines)
+	}
+	d.log.Info("settings changed", zap.Stringer("store", set.Store), zap.Stringer("machines", set.Machines))
+	d.set.Store, d.set.Machines = set.Store, set.Machines
+}
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -70,9 +70,9 @@
 
 // prepare collects what waits into one transaction.
 func (h *Holder) prepare(now time.Time) (flight, platform.Tx, error) {
-	n := min(len(h.queue), batchMost)
+	n := h.fitting()
 	f := flight{intents: slices.Clone(h.queue[:n])}
-	f.progress = h.pool.Batch(now, batchMost, n > 0)
+	f.progress = h.pool.Batch(now, platform.TxMost-entriesOwn-entriesEach*n, n > 0)
 	h.addRunners(now, &f)
 	f.spell = h.Signs().Spell
 	f.proof = f.spell != h.spell
@@ -85,6 +85,18 @@
 	return f, tx, err
 }
 
+// fitting returns how many of the waiting intents fit into one transaction.
+func (h *Holder) fitting() int {
+	size := 0
+	for n, i := range h.queue {
+		size += len(i.value)
+		if n == batchMost || size > batchBytes {
+			return max(n, 1)
+		}
+	}
+	return len(h.queue)
+}
+
 // addRunners adds what the store has to know of the runners, where that has changed.
 func (h *Holder) addRunners(now time.Time, f *flight) {
 	all := maps.Clone(h.wanted)
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -84,6 +84,9 @@
 	if err != nil {
 		return nil, Answer{Verdict: Refused, Why: err.Error()}
 	}
+	if len(value) > rowMost {
+		return nil, Answer{Verdict: Refused, Why: "the job is too large to be stored"}
+	}
 	h.queue = append(h.queue, &intent{kind: submit, id: id, row: row, value: value, replies: []chan Answer{c}})
 	return c, Answer{}
 }
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -98,6 +98,9 @@
 	if err != nil {
 		return Answer{Verdict: Refused, Why: err.Error()}
 	}
+	if len(value) > rowMost {
+		return Answer{Verdict: Refused, Why: "the job is too large to be stored"}
+	}
 	at := place(tableJobs, service, string(id))
 	_, err = store.Commit(ctx, platform.Tx{
 		If:  []platform.Cond{{Place: at}},
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -18,6 +18,10 @@
 	planGap     = 5 * time.Millisecond   // between two plans: what happens meanwhile is planned together
 	keepFinal   = 150 * time.Second      // callers may ask for a job's state for 120 s after its end
 	sweepEvery  = 5 * time.Second        // between two looks for jobs that may be forgotten
-	batchMost   = 40                     // jobs in one transaction; each takes up to two entries of its hundred
+	batchMost   = 40                     // jobs in one transaction
+	batchBytes  = 400 << 10              // of their rows; the store takes 1 MB, and a third comes on top for its form
+	entriesEach = 2                      // of a transaction for each job: its condition and its row, or two rows to remove
+	entriesOwn  = 3                      // for the seat's condition, its row, and the row of the runners
+	rowMost     = 60 << 10               // bytes of a job's row; the store takes 64 KB
 	orderAtOnce = 2                      // orders to one runner at a time
 )
