--- a/holder/commit.go
+++ b/holder/commit.go
@@ -110,10 +110,11 @@
 		silent = nil // there is no store's time to tell it by yet
 	}
 	same := maps.EqualFunc(all, h.useful, func(x, y work.Runner) bool { return x.Addr == y.Addr })
-	if same && maps.EqualFunc(silent, h.silent, func(_, _ time.Time) bool { return true }) {
+	if same && !h.marks && maps.EqualFunc(silent, h.silent, func(_, _ time.Time) bool { return true }) {
 		return
 	}
 	f.runners, f.silent = all, silent
+	h.marks = true // until the store has answered
 	h.pool.Marking(silent)
 }
 
@@ -201,7 +202,7 @@
 	}
 	h.pool.Committed(now, f.progress)
 	if f.runners != nil {
-		h.useful, h.silent = f.runners, f.silent
+		h.useful, h.silent, h.marks = f.runners, f.silent, false
 		h.pool.Marked(f.silent)
 		for id, w := range f.runners {
 			if cur, ok := h.wanted[id]; ok && cur.Addr == w.Addr {
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -42,6 +42,7 @@
 	flights   map[int64]flight       // commits that weren't answered, by their number
 	useful    map[string]work.Runner // runners that the store knows we may give work
 	wanted    map[string]work.Runner // and those that it should
+	marks     bool                   // the store may have runners as silent that h.silent doesn't name
 	silent    map[string]time.Time   // runners that the store has as silent
 	storeNow  time.Duration          // the store's clock
 	storeAt   time.Time              // when it was read
@@ -81,10 +82,15 @@
 		spell:    c.Spell,
 	}
 	h.Log = p.Log.With(zap.String("service", c.Service), zap.Int("term", c.Seat.Term))
-	h.pool = sched.New(c.Taken, c.Seat.Term, b, sched.WithBreach(p.Breach))
+	h.pool = sched.New(c.Taken, c.Seat.Term, b, sched.WithBreach(p.Breach), sched.WithTrace(h.givenUp))
 	return h
 }
 
+// givenUp logs a run that is no longer counted on.
+func (h *Holder) givenUp(n sched.Note) {
+	h.Log.Info("run given up", zap.Stringer("task", n.Task), zap.Int("run", n.Run), zap.String("runner", n.Runner), zap.String("why", n.Why))
+}
+
 // Service returns the service that is held.
 func (h *Holder) Service() string { return h.claim.Service }
 
@@ -182,6 +188,7 @@
 func (h *Holder) dispatch(o sched.Order) {
 	switch o := o.(type) {
 	case sched.Start:
+		h.Log.Debug("start", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner))
 		h.give(o.Runner, o)
 	case sched.Stop:
 		h.Log.Info("stop", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner), zap.String("why", o.Why))
--- a/machines/local.go
+++ b/machines/local.go
@@ -49,7 +49,13 @@
 	taken  map[string]int64     // runners that are emptied for a wave, by runner
 	over   map[string]time.Time // pools that have had too many machines since
 	began  map[int64]time.Time  // when a wave was first seen
-	told   map[string][2]int    // what was last logged of a pool
+	told   map[string]told      // what was last logged of a pool
+}
+
+// told is what was last logged of a pool.
+type told struct {
+	have, want    int
+	waiting, late bool
 }
 
 // NewLocal returns the local part; Run works.
@@ -60,7 +66,7 @@
 		taken:  map[string]int64{},
 		over:   map[string]time.Time{},
 		began:  map[int64]time.Time{},
-		told:   map[string][2]int{},
+		told:   map[string]told{},
 	}
 }
 
@@ -206,10 +212,11 @@
 
 // tell logs what a pool has and should have, where that has changed.
 func (l *Local) tell(service string, have, want int, d sched.Demand) {
-	if l.told[service] == [2]int{have, want} {
+	now := told{have, want, d.Waiting > 0, d.Late > 0}
+	if l.told[service] == now {
 		return
 	}
-	l.told[service] = [2]int{have, want}
+	l.told[service] = now
 	l.Log.Info("pool", zap.String("service", service), zap.Int("machines", have), zap.Int("wanted", want), zap.Int64("used", d.Used),
 		zap.Int64("lasting", d.Lasting), zap.Int64("waiting", d.Waiting), zap.Int64("late", d.Late), zap.Float64("rate", d.Rate))
 }
--- a/sched/answer.go
+++ b/sched/answer.go
@@ -45,7 +45,7 @@
 			x.phase = running
 		}
 	case Unsent:
-		x.task.drop(x, now)
+		p.giveUp(now, x, "its start was not sent")
 		r.health.until = later(r.health.until, now.Add(roomPause))
 	case Unknown:
 		if x.phase == sending {
@@ -56,7 +56,7 @@
 
 // refused takes in that a runner surely didn't start a run.
 func (p *Pool) refused(now time.Time, r *runner, x *run, why work.Refusal) {
-	x.task.drop(x, now)
+	p.giveUp(now, x, "its start was refused: "+string(why))
 	switch why {
 	case work.RefusedFence:
 		p.fenced = true
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -22,6 +22,7 @@
 	seq      int64
 	fenced   bool
 	breach   func(error)
+	trace    func(Note)
 	every    time.Duration // between two checks of the invariants
 	checked  time.Time
 	learned  map[string]*ratio // by queue
@@ -47,6 +48,19 @@
 	return func(p *Pool) { p.breach = report }
 }
 
+// Note tells that a run is no longer counted on, though its runner hasn't listed its end.
+type Note struct {
+	Task   work.Task
+	Run    int
+	Runner string
+	Why    string
+}
+
+// WithTrace sets who is told of such runs.
+func WithTrace(tell func(Note)) Option {
+	return func(p *Pool) { p.trace = tell }
+}
+
 // WithCheckEvery sets the time between two checks of the invariants.
 func WithCheckEvery(d time.Duration) Option {
 	return func(p *Pool) { p.every = d }
@@ -63,6 +77,7 @@
 		runners:  map[string]*runner{},
 		strays:   map[stray]time.Time{},
 		breach:   func(error) {},
+		trace:    func(Note) {},
 		every:    checkEvery,
 		learned:  map[string]*ratio{},
 		reserved: map[*runner]struct{}{},
@@ -210,3 +225,9 @@
 func (p *Pool) report(format string, args ...any) {
 	p.breach(fault.New(fault.Breach, format, args...))
 }
+
+// giveUp drops a run whose runner hasn't listed its end.
+func (p *Pool) giveUp(now time.Time, x *run, why string) {
+	p.trace(Note{x.task.name, x.n, x.r.ID, why})
+	x.task.drop(x, now)
+}
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -58,7 +58,7 @@
 // ceased takes in that a runner is no more: all that it ran has ended.
 func (p *Pool) ceased(now time.Time, r *runner) {
 	for x := range r.runs {
-		x.task.drop(x, now)
+		p.giveUp(now, x, "another runner has its place")
 	}
 	r.lease.Reset()
 	r.ends = nil
@@ -95,7 +95,7 @@
 	}
 	if r.Born != 0 {
 		for x := range r.runs {
-			x.task.drop(x, now)
+			p.giveUp(now, x, "its runner has started anew")
 		}
 		r.lease.Reset()
 		r.seen, r.acked, r.ends = 0, 0, nil
@@ -371,11 +371,11 @@
 		}
 	case running:
 		if x.sure.Before(sent) {
-			x.task.drop(x, now)
+			p.giveUp(now, x, "its runner doesn't list it")
 		}
 	case stopping:
 		if !x.stopped.IsZero() && x.stopped.Before(sent) {
-			x.task.drop(x, now)
+			p.giveUp(now, x, "it was stopped before it arrived")
 		}
 	}
 }
@@ -399,7 +399,7 @@
 		}
 		for x := range r.runs {
 			if x.sent.Before(over) {
-				x.task.drop(x, now)
+				p.giveUp(now, x, "its runner is silent and the lease is over")
 			}
 		}
 		p.tidy(now, r)
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -127,6 +127,9 @@
 func (r *Runner) Revive() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.down {
+		return // an earlier revival was enough
+	}
 	r.down = false
 	r.began = time.Now()
 	r.born = max(r.born+1, r.began.UnixMilli())
