A released seat is taken at once

A daemon that had just started took a seat before its first sign of life was acknowledged, and lost it at once. Test: TestSeatIsHandedOver, failed before.

--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -47,8 +47,8 @@
 	c := d.operator.Config()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c == nil || d.leaving {
-		return nil
+	if c == nil || d.leaving || now.Sub(d.members.Signs().Acked) > member.Life {
+		return nil // a seat taken without a sign of life would be lost at once
 	}
 	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
 	if !slices.ContainsFunc(live, func(n member.Node) bool { return n.Boot == d.boot }) {
--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -113,6 +113,19 @@
 	})
 }
 
+// A daemon that stops hands its seats over at once: its sign of life must not keep others from them.
+func TestSeatIsHandedOver(t *testing.T) {
+	play(t, Small, 8, func(t *testing.T, w *World) {
+		flow(w, "s0", 10, 3*time.Second, batch)
+		old := w.Holder("s0")
+		go w.Stop(old)
+		time.Sleep(1500 * time.Millisecond)
+		require.NotEqual(t, old, w.Holder("s0"))
+		flow(w, "s0", 10, 3*time.Second, batch)
+		w.Start(old)
+	})
+}
+
 func TestAllAreKilledAtOnce(t *testing.T) {
 	play(t, Small, 4, func(t *testing.T, w *World) {
 		wj, j := w.Lasting(3, 1, 3000)
--- a/holder/take.go
+++ b/holder/take.go
@@ -34,7 +34,7 @@
 		return nil, err
 	}
 	them := Who{old.Name, old.Boot}
-	if old.Name != "" && them != me && alive(them) {
+	if old.Name != "" && !old.Released && them != me && alive(them) {
 		return nil, fault.New(fault.Conflict, "%s is held by %s", service, old.Name)
 	}
 	seat := Seat{Name: me.Name, Boot: me.Boot, Term: old.Term + 1}
