Handing over: stale runners leave the stored list at once, ended daemons are known as such, more time to release a seat

Now a runner without runs leaves the list when it is unlisted or its machine lives on elsewhere; a daemon's row is written under its version, so a newer start proves the older one over. Also the emulator's late orders no longer reach a later life of their runner.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -30,7 +30,7 @@
 	storeFresh  = 3 * time.Second         // a daemon that the store hasn't answered for this long is not ready
 	leaveLinger = 2500 * time.Millisecond // the balancer asks every second and moves on after two misses
 	leaveMost   = 1500 * time.Millisecond // for requests in progress after that
-	releaseMost = time.Second             // for giving up the seats
+	releaseMost = 2400 * time.Millisecond // for giving up the seats; a slow store takes a second
 	headLimit   = 3 * time.Second         // for a request's head
 	idleLimit   = 15 * time.Second        // for a caller's next request
 	headMost    = 16 << 10                // bytes of a request's head
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -91,7 +91,7 @@
 func (d *Daemon) take(ctx context.Context, g *errgroup.Group, service string) {
 	me := holder.Who{Name: d.set.Instance, Boot: d.boot}
 	spell := d.members.Signs().Spell
-	claim, err := holder.Take(ctx, d.store, service, me, d.bounds.Hold, d.now, d.alive)
+	claim, err := holder.Take(ctx, d.store, service, me, d.bounds.Hold, d.now, d.members)
 	if err != nil {
 		if !fault.Is(err, fault.Conflict) {
 			d.log.Warn("seat not taken", zap.String("service", service), zap.Error(err))
@@ -139,11 +139,6 @@
 	})
 }
 
-// alive tells whether a holder is known to be live.
-func (d *Daemon) alive(w holder.Who) bool {
-	return d.members.Alive(w.Name, w.Boot)
-}
-
 // held returns the holders of this daemon.
 func (d *Daemon) held() []*holder.Holder {
 	list := make([]*holder.Holder, 0, len(d.seats))
@@ -220,7 +215,7 @@
 		if h.Service() == w.Service {
 			h.Runner(w)
 		} else {
-			h.Unlisted(w.ID)
+			h.Elsewhere(w)
 		}
 	}
 }
--- a/holder/session.go
+++ b/holder/session.go
@@ -76,6 +76,18 @@
 	wake(h.commit)
 }
 
+// Elsewhere takes in a runner of another service: earlier lives of its machine are over.
+func (h *Holder) Elsewhere(w work.Runner) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pool.Replaced(h.Now(), w)
+	if _, ok := h.wanted[w.ID]; ok {
+		delete(h.wanted, w.ID)
+		h.pool.Unlisted(h.Now(), w.ID)
+	}
+	wake(h.commit)
+}
+
 // look asks the runner what it runs, again and again.
 func (s *session) look(ctx context.Context) {
 	h := s.h
--- a/holder/take.go
+++ b/holder/take.go
@@ -25,8 +25,14 @@
 	Boot string
 }
 
-// Take makes this daemon the holder of a service; alive tells whether a holder is known to be live, then nothing is taken.
-func Take(ctx context.Context, store *platform.Store, service string, me Who, hold time.Duration, now func() time.Time, alive func(Who) bool) (*Claim, error) {
+// Lives knows of daemons' starts.
+type Lives interface {
+	Alive(name, boot string) bool // this start is known to be live
+	Ended(name, boot string) bool // this start is known to be over: the daemon has started again since
+}
+
+// Take makes this daemon the holder of a service; from a holder that is known to be live nothing is taken.
+func Take(ctx context.Context, store *platform.Store, service string, me Who, hold time.Duration, now func() time.Time, lives Lives) (*Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	row, old, err := readSeat(ctx, store, service)
@@ -34,7 +40,7 @@
 		return nil, err
 	}
 	them := Who{old.Name, old.Boot}
-	if old.Name != "" && !old.Released && them != me && alive(them) {
+	if old.Name != "" && !old.Released && them != me && lives.Alive(old.Name, old.Boot) {
 		return nil, fault.New(fault.Conflict, "%s is held by %s", service, old.Name)
 	}
 	seat := Seat{Name: me.Name, Boot: me.Boot, Term: old.Term + 1}
@@ -54,15 +60,15 @@
 		return nil, err
 	}
 	c := &Claim{Service: service, Seat: seat, Version: stamp.Version, Token: stamp.Version, Taken: now()}
-	c.Foreign = foreign(old, me, hold)
+	c.Foreign = foreign(old, me, hold, lives)
 	return c, nil
 }
 
 // foreign returns how long orders of the earlier holder may have effect after its seat was taken.
-func foreign(old Seat, me Who, hold time.Duration) time.Duration {
+func foreign(old Seat, me Who, hold time.Duration, lives Lives) time.Duration {
 	lease := time.Duration(float64(hold)/(1-0.02)) + clockSlack
-	if old.Name == "" || old.Released || old.Name == me.Name {
-		return lease // it gives no orders any more: it said so, or it is an earlier start of this daemon
+	if old.Name == "" || old.Released || old.Name == me.Name || lives.Ended(old.Name, old.Boot) {
+		return lease // it gives no orders any more: it said so, or its daemon has started again
 	}
 	return Coast + lease
 }
--- a/member/members.go
+++ b/member/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/clock"
+	"gypsumlead/fault"
 	"gypsumlead/follow"
 	"gypsumlead/platform"
 )
@@ -35,12 +37,14 @@
 	mu      sync.Mutex
 	self    Node
 	nodes   map[string]seen
-	acked   time.Time // when the newest write of our row that was acknowledged had been sent
-	spell   int64     // counts the times without a gap in which others may have counted us as dead
-	heard   time.Time // when the store last answered a look for changes
-	since   time.Time // since when it has answered every look; zero while it doesn't
+	boots   map[string]struct{} // daemon/boot of starts that were followed by another
+	acked   time.Time           // when the newest write of our row that was acknowledged had been sent
+	spell   int64               // counts the times without a gap in which others may have counted us as dead
+	heard   time.Time           // when the store last answered a look for changes
+	since   time.Time           // since when it has answered every look; zero while it doesn't
 	changed func()
 	dirty   chan struct{}
+	version int64 // of the own row; used by Tell alone
 }
 
 // seen is a daemon's row and when it last changed.
@@ -58,6 +62,7 @@
 		now:     now,
 		self:    self,
 		nodes:   map[string]seen{},
+		boots:   map[string]struct{}{},
 		changed: changed,
 		dirty:   make(chan struct{}, 1),
 	}
@@ -67,6 +72,9 @@
 func (m *Members) Tell(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if err := m.tell(ctx); err != nil && ctx.Err() == nil {
+			if fault.Is(err, fault.Conflict) {
+				continue // the version is known now
+			}
 			m.log.Warn("own row not written", zap.Error(err))
 			wait(ctx, retryGap, nil)
 			continue
@@ -87,10 +95,20 @@
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	sent := m.now()
-	row := platform.Row{Place: platform.Place{Table: table, Key: self.Name}, Value: value}
-	if _, err := m.store.Commit(ctx, platform.Tx{Put: []platform.Row{row}}); err != nil {
+	// On a condition, so that a write that is carried out late can't undo a later one, or one of a later start.
+	at := platform.Place{Table: table, Key: self.Name}
+	stamp, err := m.store.Commit(ctx, platform.Tx{
+		If:  []platform.Cond{{Place: at, Version: m.version}},
+		Put: []platform.Row{{Place: at, Value: value}},
+	})
+	var c *platform.Conflict
+	if errors.As(err, &c) && len(c.Rows) > 0 {
+		m.version = c.Rows[0].Version
+	}
+	if err != nil {
 		return err
 	}
+	m.version = stamp.Version
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	// The row took effect between sent and now; the one before, not before it had been sent.
@@ -170,6 +188,9 @@
 			continue
 		}
 		news = news || !ok || old.node.Boot != n.Boot || old.node.Leaving != n.Leaving || !slices.Equal(old.node.Holds, n.Holds) || now.Sub(old.at) > Life
+		if ok && old.node.Boot != n.Boot {
+			m.boots[n.Name+"/"+old.node.Boot] = struct{}{}
+		}
 		m.nodes[r.Key] = seen{n, r.Version, now}
 	}
 	return news
@@ -237,6 +258,18 @@
 	return false
 }
 
+// Ended tells whether this start of a daemon is over because the daemon has started again.
+func (m *Members) Ended(name, boot string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.nodes[name]
+	if !ok || s.node.Boot == boot {
+		return false
+	}
+	_, was := m.boots[name+"/"+boot]
+	return was
+}
+
 // Signs is what is known of the own signs of life.
 type Signs struct {
 	Acked time.Time // when the newest one that was acknowledged was sent
--- a/sched/answer.go
+++ b/sched/answer.go
@@ -79,6 +79,7 @@
 	if x := p.runOf(r, o.Task, o.Run); x != nil && x.stopped.IsZero() {
 		x.stopped = now
 	}
+	// A stray that was stopped ends soon; should a look list it again, it is stopped again.
 	delete(p.strays, stray{o.Runner, o.Task, o.Run})
 }
 
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -82,12 +82,26 @@
 	if r.listed || len(r.runs) > 0 || len(r.ends) > 0 || !r.resolved() {
 		return
 	}
-	if over, ok := r.lease.Over(); ok && now.Before(over) {
+	// Without a run, known or unwanted, it doesn't matter how long its lease lasts.
+	if over, ok := r.lease.Over(); ok && now.Before(over) && p.hasStray(r) {
 		return
 	}
 	delete(p.runners, r.ID)
 }
 
+// hasStray tells whether a run that nobody wants may be left on the runner.
+func (p *Pool) hasStray(r *runner) bool {
+	for s := range p.strays {
+		if s.runner == r.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// Replaced takes in a runner of any pool: earlier lives of its machine are over.
+func (p *Pool) Replaced(now time.Time, w work.Runner) { p.replaced(now, w) }
+
 // bornAs takes in the start of the runner's present life; another one than before means that all of the old is gone.
 func (p *Pool) bornAs(now time.Time, r *runner, born int64) {
 	if born <= r.Born {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -181,9 +181,17 @@
 	path := q.URL.Path
 	if late && path != "/gypsumlead/hold" {
 		wait := orderLate + time.Duration(r.rand.Int64N(int64(orderLater-orderLate)))
+		r.mu.Lock()
+		born := r.born
+		r.mu.Unlock()
 		go func() {
 			time.Sleep(wait)
-			r.carryOut(path, o)
+			r.mu.Lock()
+			same := r.born == born // what a life had received ends with it
+			r.mu.Unlock()
+			if same {
+				r.carryOut(path, o)
+			}
 		}()
 		mute(q)
 		return
