--- a/sched/plan.go
+++ b/sched/plan.go
@@ -82,7 +82,6 @@
 	step  *step
 	late  bool
 	start time.Time // latest start that is still in time
-	begun bool      // a task of its turn has run
 }
 
 // candidates returns the steps with tasks to start, the most urgent first.
@@ -97,7 +96,7 @@
 			for _, s := range t.steps {
 				if s.wait > 0 && s.ready(wall) {
 					start := p.latest(t, j)
-					list = append(list, candidate{s, now.After(start), start, t.begun()})
+					list = append(list, candidate{s, now.After(start), start})
 				}
 			}
 		}
@@ -115,13 +114,6 @@
 	if c := cmp.Compare(rank(a), rank(b)); c != 0 {
 		return c
 	}
-	// What has begun is finished first: half a job is worth nothing to its caller.
-	if a.begun != b.begun {
-		if a.begun {
-			return -1
-		}
-		return 1
-	}
 	return a.start.Compare(b.start)
 }
 
@@ -138,16 +130,6 @@
 	return 1
 }
 
-// begun tells whether a task of the turn has run or runs.
-func (t *turn) begun() bool {
-	for _, s := range t.steps {
-		if s.wait < len(s.tasks) {
-			return true
-		}
-	}
-	return false
-}
-
 // unresolved tells whether runs of an earlier holder may go on that we don't know of.
 func (p *Pool) unresolved() bool {
 	for _, r := range p.runners {
