--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -70,6 +70,7 @@
 	seats   map[string]*holder.Holder
 	leaving bool
 	vacant  map[string]time.Time // services without a holder, by since when
+	taking  map[string]struct{}  // services whose seat is being taken
 	look    chan struct{}
 
 	callers net.Listener
@@ -108,6 +109,7 @@
 		meter:  platform.NewMeter(),
 		seats:  map[string]*holder.Holder{},
 		vacant: map[string]time.Time{},
+		taking: map[string]struct{}{},
 		look:   make(chan struct{}, 1),
 		bounds: boundsOf(set),
 	}
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -15,7 +15,7 @@
 )
 
 // relayLimit is for a request to the daemon that schedules a service; past it the store is written without it.
-const relayLimit = 900 * time.Millisecond
+const relayLimit = 1500 * time.Millisecond
 
 // retryLater is when to come back after the store and the holder have both been silent.
 const retryLater = time.Second
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -37,7 +37,13 @@
 			continue
 		}
 		for _, s := range d.due(d.now()) {
-			d.take(ctx, g, s)
+			g.Go(func() error {
+				d.take(ctx, g, s)
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				delete(d.taking, s)
+				return nil
+			})
 		}
 	}
 }
@@ -74,8 +80,12 @@
 			since = now
 			d.vacant[s] = now
 		}
+		if _, now := d.taking[s]; now {
+			continue
+		}
 		if plan[s] == d.set.Instance || now.Sub(since) > patience+time.Duration(rank(live, d.set.Instance, i))*rankDelay {
 			list = append(list, s)
+			d.taking[s] = struct{}{}
 		}
 	}
 	return list
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -34,24 +34,23 @@
 	claim  Claim
 	bounds sched.Bounds
 
-	mu        sync.Mutex
-	pool      *sched.Pool
-	sessions  map[string]*session
-	queue     []*intent
-	cancels   map[work.ID][]chan Answer
-	flights   map[int64]flight       // commits that weren't answered, by their number
-	useful    map[string]work.Runner // runners that the store knows we may give work
-	wanted    map[string]work.Runner // and those that it should
-	marks     bool                   // the store may have runners as silent that h.silent doesn't name
-	silent    map[string]time.Time   // runners that the store has as silent
-	storeNow  time.Duration          // the store's clock
-	storeAt   time.Time              // when it was read
-	seat      Seat
-	version   int64 // of the seat's row
-	mailAfter int64 // version up to which the mail has been read
-	saved     chan struct{}
-	lost      error
-	spell     int64 // of the signs of life in which the seat was last seen to be ours
+	mu       sync.Mutex
+	pool     *sched.Pool
+	sessions map[string]*session
+	queue    []*intent
+	cancels  map[work.ID][]chan Answer
+	flights  map[int64]flight       // commits that weren't answered, by their number
+	useful   map[string]work.Runner // runners that the store knows we may give work
+	wanted   map[string]work.Runner // and those that it should
+	marks    bool                   // the store may have runners as silent that h.silent doesn't name
+	silent   map[string]time.Time   // runners that the store has as silent
+	storeNow time.Duration          // the store's clock
+	storeAt  time.Time              // when it was read
+	seat     Seat
+	version  int64 // of the seat's row
+	saved    chan struct{}
+	lost     error
+	spell    int64 // of the signs of life in which the seat was last seen to be ours
 
 	kick   chan struct{}
 	commit chan struct{}
--- a/holder/load.go
+++ b/holder/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/platform"
 	"gypsumlead/sched"
@@ -13,21 +14,25 @@
 
 // Restore reads what earlier holders left.
 func (h *Holder) Restore(ctx context.Context) error {
-	service := h.claim.Service
-	runners, stamp, err := h.loadRunners(ctx)
-	if err != nil {
+	var runners runnersRow
+	var stamp platform.Stamp
+	var jobs platform.Page
+	var progress map[string]*sched.Progress
+	// All at once: where the store is slow, one after the other would take seconds.
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() (err error) {
+		runners, stamp, err = h.loadRunners(ctx)
 		return err
-	}
-	mail, err := h.Store.All(ctx, tableMail, service)
-	if err != nil {
+	})
+	g.Go(func() (err error) {
+		jobs, err = h.Store.All(ctx, tableJobs, h.claim.Service)
 		return err
-	}
-	jobs, err := h.Store.All(ctx, tableJobs, service)
-	if err != nil {
+	})
+	g.Go(func() (err error) {
+		progress, err = h.loadProgress(ctx)
 		return err
-	}
-	progress, err := h.loadProgress(ctx)
-	if err != nil {
+	})
+	if err := g.Wait(); err != nil {
 		return err
 	}
 	h.mu.Lock()
@@ -47,10 +52,6 @@
 	for _, row := range jobs.Rows {
 		h.restore(row, progress[row.Key])
 	}
-	for _, row := range mail.Rows {
-		h.read(row)
-	}
-	h.mailAfter = mail.Version
 	h.Log.Info("seat taken", zap.Int("jobs", len(jobs.Rows)), zap.Int("runners", len(runners.Runners)), zap.Int("silent", len(runners.Silent)), zap.Duration("foreign", h.claim.Foreign))
 	return nil
 }
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -26,7 +26,7 @@
 		Store: h.Store,
 		Table: tableMail,
 		Part:  h.claim.Service,
-		After: h.mailAfter,
+		After: follow.Start,
 		Log:   h.Log,
 		Apply: h.mail,
 	}
