How long earlier holders' orders may have effect is handed from term to term

A holder that goes on beyond a cut started a task on a runner that had just started anew; the third holder took that start as proof that the runner had nothing of others, and waited only for the second holder, its own earlier start, not for the first. The seat's row now says until when; a start anew proves nothing. Ruled out: the wait itself (23.7 s for the second holder, right).

--- a/holder/rows.go
+++ b/holder/rows.go
@@ -31,6 +31,8 @@
 	Term     int    `json:"term"`     // counts the holders
 	Commits  int64  `json:"commits"`  // counts this holder's tries to commit
 	Released bool   `json:"released"` // the holder stopped giving orders before it wrote this
+	// Until then, by the store's clock, orders of earlier holders may have effect on runners that can't be reached.
+	Over time.Duration `json:"over"`
 }
 
 // jobRow is an accepted job.
--- a/holder/take.go
+++ b/holder/take.go
@@ -35,7 +35,7 @@
 func Take(ctx context.Context, store *platform.Store, service string, me Who, hold time.Duration, now func() time.Time, lives Lives) (*Claim, error) {
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	row, old, err := readSeat(ctx, store, service)
+	row, old, at, err := readSeat(ctx, store, service)
 	if err != nil {
 		return nil, err
 	}
@@ -43,15 +43,17 @@
 	if old.Name != "" && !old.Released && them != me && lives.Alive(old.Name, old.Boot) {
 		return nil, fault.New(fault.Conflict, "%s is held by %s", service, old.Name)
 	}
-	seat := Seat{Name: me.Name, Boot: me.Boot, Term: old.Term + 1}
+	// A holder before the last one may also still be at it.
+	over := max(old.Over, at+foreign(old, me, hold, lives))
+	seat := Seat{Name: me.Name, Boot: me.Boot, Term: old.Term + 1, Over: over}
 	value, err := encode(seat)
 	if err != nil {
 		return nil, err
 	}
-	at := place(tableHold, service, keySeat)
+	key := place(tableHold, service, keySeat)
 	stamp, err := store.Commit(ctx, platform.Tx{
-		If:  []platform.Cond{{Place: at, Version: row.Version}},
-		Put: []platform.Row{{Place: at, Value: value}},
+		If:  []platform.Cond{{Place: key, Version: row.Version}},
+		Put: []platform.Row{{Place: key, Value: value}},
 	})
 	if fault.Is(err, fault.StoreDown) {
 		stamp.Version, err = confirm(ctx, store, service, seat, err)
@@ -59,9 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Claim{Service: service, Seat: seat, Version: stamp.Version, Token: stamp.Version, Taken: now()}
-	c.Foreign = foreign(old, me, hold, lives)
-	return c, nil
+	return &Claim{Service: service, Seat: seat, Version: stamp.Version, Token: stamp.Version, Taken: now(), Foreign: over - at}, nil
 }
 
 // foreign returns how long orders of the earlier holder may have effect after its seat was taken.
@@ -75,7 +75,7 @@
 
 // confirm finds out whether a taking that wasn't answered took effect.
 func confirm(ctx context.Context, store *platform.Store, service string, seat Seat, cause error) (int64, error) {
-	row, now, err := readSeat(ctx, store, service)
+	row, now, _, err := readSeat(ctx, store, service)
 	if err != nil {
 		return 0, err
 	}
@@ -85,17 +85,13 @@
 	return row.Version, nil
 }
 
-func readSeat(ctx context.Context, store *platform.Store, service string) (platform.Row, Seat, error) {
+// readSeat returns the seat's row, what it says, and the store's clock.
+func readSeat(ctx context.Context, store *platform.Store, service string) (platform.Row, Seat, time.Duration, error) {
 	page, err := store.Get(ctx, tableHold, service, keySeat, keySeat+"\x00", 1)
-	if err != nil {
-		return platform.Row{}, Seat{}, err
-	}
-	if len(page.Rows) == 0 {
-		return platform.Row{}, Seat{}, nil
+	if err != nil || len(page.Rows) == 0 {
+		return platform.Row{}, Seat{}, page.Now, err
 	}
 	var s Seat
-	if err := decode(page.Rows[0], &s); err != nil {
-		return platform.Row{}, Seat{}, err
-	}
-	return page.Rows[0], s, nil
+	err = decode(page.Rows[0], &s)
+	return page.Rows[0], s, page.Now, err
 }
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -114,7 +114,6 @@
 		r.lease.Reset()
 		r.seen, r.acked, r.ends = 0, 0, nil
 		r.health = health{}
-		r.known = true // a runner that has just started runs nothing, whoever ordered it before
 		r.asked, r.missed = time.Time{}, false
 	}
 	r.Born = born
