--- a/cli/fleetd.go
+++ b/cli/fleetd.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
 	"gypsumlead/daemon"
 	"gypsumlead/fault"
+	"gypsumlead/logs"
 	"gypsumlead/settings"
 )
 
@@ -33,19 +33,20 @@
 	if err != nil {
 		return err
 	}
-	log, err := newFleetLogger(set.Log)
+	log, err := logs.New(set.Log, os.Stdout)
 	if err != nil {
 		return err
 	}
+	defer log.Close()
 	debug.SetMemoryLimit(int64(float64(set.Memory<<20) * heapShare))
 	// net/http reports some things of its own to the standard logger only.
-	restore := zap.RedirectStdLog(log)
+	restore := zap.RedirectStdLog(log.Logger)
 	defer restore()
-	d, err := daemon.New(set, log)
+	d, err := daemon.New(set, log.Logger, daemon.WithDropped(log.Dropped))
 	if err != nil {
 		return fault.Wrap(fault.Internal, err, "start the daemon")
 	}
-	go reload(ctx, *file, d, log)
+	go reload(ctx, *file, d, log.Logger)
 	return d.Run(ctx)
 }
 
@@ -75,19 +76,3 @@
 		d.Reload(set)
 	}
 }
-
-// newFleetLogger writes JSON lines to standard output.
-func newFleetLogger(level string) (*zap.Logger, error) {
-	at, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fault.Wrap(fault.Invalid, err, "log level")
-	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(at)
-	c.Sampling = nil
-	c.DisableStacktrace = true
-	c.DisableCaller = true
-	c.OutputPaths = []string{"stdout"}
-	log, err := c.Build()
-	return log, fault.Wrap(fault.Internal, err, "make the logger")
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -60,7 +61,10 @@
 	mesh     *peer.Mesh
 	peers    *peer.Server
 	front    *front.Front
-	book     *duty.Book // nil where the platform has no service for machines, like the next three
+	metrics  http.Handler
+	dropped  func() (sampled, lost int64)
+	seated   atomic.Int64 // seats taken and left
+	book     *duty.Book   // nil where the platform has no service for machines, like the next three
 	waves    *machines.Waves
 	local    *machines.Local
 	master   *machines.Master
@@ -92,6 +96,11 @@
 	return func(d *Daemon) { d.dial, d.bind = dial, bind }
 }
 
+// WithDropped sets how many log lines were left out, for the metrics.
+func WithDropped(count func() (sampled, lost int64)) Option {
+	return func(d *Daemon) { d.dropped = count }
+}
+
 // WithBreach sets who is told of a broken invariant, besides the log.
 func WithBreach(report func(error)) Option { return func(d *Daemon) { d.report = report } }
 
@@ -100,18 +109,19 @@
 // New assembles a daemon and opens its listeners; Run starts it.
 func New(set settings.Fleet, log *zap.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
-		set:    set,
-		boot:   rand.Text(),
-		now:    clock.Now,
-		dial:   platform.TCP,
-		bind:   bindTCP,
-		report: func(error) {},
-		meter:  platform.NewMeter(),
-		seats:  map[string]*holder.Holder{},
-		vacant: map[string]time.Time{},
-		taking: map[string]struct{}{},
-		look:   make(chan struct{}, 1),
-		bounds: boundsOf(set),
+		set:     set,
+		boot:    rand.Text(),
+		now:     clock.Now,
+		dial:    platform.TCP,
+		bind:    bindTCP,
+		report:  func(error) {},
+		dropped: func() (int64, int64) { return 0, 0 },
+		meter:   platform.NewMeter(),
+		seats:   map[string]*holder.Holder{},
+		vacant:  map[string]time.Time{},
+		taking:  map[string]struct{}{},
+		look:    make(chan struct{}, 1),
+		bounds:  boundsOf(set),
 	}
 	for _, o := range opts {
 		o(d)
@@ -134,6 +144,9 @@
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
 	d.makeMachines()
+	if err := d.makeMetrics(); err != nil {
+		return nil, err
+	}
 	return d, d.open()
 }
 
@@ -254,9 +267,16 @@
 	wg.Wait()
 }
 
-// readiness tells the platform whether this daemon takes new connections.
+// pathMetrics is where the metrics are, beside the readiness.
+const pathMetrics = "/metrics"
+
+// readiness tells the platform whether this daemon takes new connections, and gives the metrics.
 func (d *Daemon) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == pathMetrics {
+			d.metrics.ServeHTTP(w, r)
+			return
+		}
 		if r.URL.Path != platform.PathReady {
 			w.WriteHeader(http.StatusNotFound)
 			return
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -129,6 +129,7 @@
 		return
 	}
 	d.seats[service] = h
+	d.seated.Add(1)
 	delete(d.vacant, service)
 	d.mu.Unlock()
 	d.setQueues(h)
@@ -142,6 +143,7 @@
 		d.mu.Lock()
 		if d.seats[service] == h {
 			delete(d.seats, service)
+			d.seated.Add(1)
 		}
 		d.mu.Unlock()
 		d.tellHeld()
--- a/front/front.go
+++ b/front/front.go
@@ -40,11 +40,12 @@
 	desk   Desk
 	log    *zap.Logger
 	Counts Counts
+	Took   func(answer string, d time.Duration) // told how long each job took to be answered
 }
 
 // New returns a handler of callers' requests.
 func New(routes func() *view.Routes, desk Desk, log *zap.Logger) *Front {
-	return &Front{routes: routes, desk: desk, log: log}
+	return &Front{routes: routes, desk: desk, log: log, Took: func(string, time.Duration) {}}
 }
 
 // ServeHTTP answers one request.
@@ -111,7 +112,9 @@
 		f.wrong(w, http.StatusBadRequest, err.Error())
 		return
 	}
+	began := time.Now()
 	a := f.desk.Submit(ctx, id, route.Queue, job)
+	f.Took(verdicts[a.Verdict], time.Since(began))
 	f.log.Info("job", zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.Int64("config", routes.Version),
 		zap.String("answer", verdicts[a.Verdict]), zap.String("why", a.Why), zap.Duration("retry", a.Retry))
 	switch a.Verdict {
--- a/holder/machines.go
+++ b/holder/machines.go
@@ -62,3 +62,13 @@
 	defer h.mu.Unlock()
 	h.pool.Keep(runners)
 }
+
+// Stats returns what the scheduler has done and has to do.
+func (h *Holder) Stats() sched.Stats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.pool.Stats(h.Now())
+}
+
+// Term returns which holder of the service this is, counted from 1.
+func (h *Holder) Term() int { return h.claim.Seat.Term }
--- a/machines/master.go
+++ b/machines/master.go
@@ -45,6 +45,7 @@
 	Masters
 	mu      sync.Mutex
 	reports map[string]report
+	count   int64 // of moving, for others to read
 	// what follows is used by Run alone
 	moving  map[string]move
 	downs   map[string]down
@@ -111,8 +112,20 @@
 	}
 }
 
+// Moving returns how many machines are on their way to another pool.
+func (m *Master) Moving() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.count
+}
+
 // step gives the orders that are due.
 func (m *Master) step(ctx context.Context) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.count = int64(len(m.moving))
+	}()
 	now := m.Now()
 	reports := m.fresh(now)
 	if !m.due(reports) {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -26,6 +26,7 @@
 	p.sendStops(now)
 	p.paceAll(now)
 	p.check(now)
+	p.counts.count(p.orders)
 	return p.orders
 }
 
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -23,6 +23,7 @@
 	fenced   bool
 	breach   func(error)
 	trace    func(Note)
+	counts   counts
 	every    time.Duration // between two checks of the invariants
 	checked  time.Time
 	learned  map[string]*ratio // by queue
@@ -78,6 +79,7 @@
 		strays:   map[stray]time.Time{},
 		breach:   func(error) {},
 		trace:    func(Note) {},
+		counts:   newCounts(),
 		every:    checkEvery,
 		learned:  map[string]*ratio{},
 		reserved: map[*runner]struct{}{},
@@ -228,6 +230,7 @@
 
 // giveUp drops a run whose runner hasn't listed its end.
 func (p *Pool) giveUp(now time.Time, x *run, why string) {
+	p.counts.givenUp[why]++
 	p.trace(Note{x.task.name, x.n, x.r.ID, why})
 	x.task.drop(x, now)
 }
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -241,6 +241,7 @@
 	if t.step.job.inherited && !t.step.job.state.Final() {
 		p.implied(now, t)
 	}
+	p.counts.ends[e.How]++
 	x := t.on(r, e.Run)
 	t.last = max(t.last, e.Run)
 	if e.Saved != "" {
