--- /dev/null
+++ b/emulator/demo.go
@@ -0,0 +1,104 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/fault"
+)
+
+// Times of the demonstration.
+const (
+	demoSettle = 4 * time.Second  // until the daemons have shared the services out
+	demoEnd    = 12 * time.Second // until everything that was accepted has ended
+	demoGap    = 250 * time.Millisecond
+	demoWave   = 25 * time.Second
+)
+
+// Shown is what the demonstration prints.
+type Shown struct {
+	Asked    int      `json:"asked"`
+	Accepted int      `json:"accepted"`
+	Done     int      `json:"done"`
+	Failed   int      `json:"failed"`
+	Median   string   `json:"median"`
+	Worst    string   `json:"worst"`
+	Starts   int      `json:"starts"`
+	Wave     bool     `json:"wave"`
+	Broken   []string `json:"broken"`
+}
+
+// Demo plays a day in real time: jobs of two services, a task set that lasts, a wave, a holder that is
+// killed and one that is stopped. It prints one JSON line, and fails where a promise was broken.
+func Demo(ctx context.Context, out io.Writer, seed uint64, duration time.Duration) error {
+	w := New(ctx, Small, seed, zap.NewNop())
+	defer w.Close()
+	for _, name := range w.Daemons() {
+		w.Start(name)
+	}
+	w.sleep(demoSettle)
+	w.demoDay(duration)
+	w.sleep(demoEnd)
+	s := w.shown()
+	if err := json.NewEncoder(out).Encode(s); err != nil {
+		return fault.Wrap(fault.Internal, err, "print what was shown")
+	}
+	if len(s.Broken) > 0 || !s.Wave {
+		return fault.New(fault.Breach, "%d promises were broken", len(s.Broken))
+	}
+	return ctx.Err()
+}
+
+// demoDay is the load and the troubles of the demonstration.
+func (w *World) demoDay(duration time.Duration) {
+	shape := Shape{Steps: 2, Width: 5, MS: 800, CPU: 2000, Poison: 0.05}
+	wj, j := w.Lasting(3, 1, 3000)
+	w.Submit(serviceName(0), wj, j)
+	w.Wave(1, append(w.Machines.Names(serviceName(0)), w.Machines.Names(serviceName(1))...), 2, demoWave)
+	steps := int(duration / demoGap)
+	victim := ""
+	for i := range steps {
+		wj, j := w.Batch(shape)
+		w.Submit(serviceName(i%w.size.Services), wj, j)
+		switch i {
+		case steps / 3:
+			victim = w.Holder(serviceName(0))
+			w.Kill(victim)
+		case steps / 2:
+			w.Start(victim)
+			w.Configure()
+		case 2 * steps / 3:
+			name := w.Holder(serviceName(1))
+			w.wg.Go(func() {
+				w.Stop(name)
+				w.Start(name)
+			})
+		}
+		if !w.sleep(demoGap) {
+			return
+		}
+	}
+	for range int(demoWave / time.Second) {
+		if w.WaveDone(1) || !w.sleep(time.Second) {
+			return
+		}
+	}
+}
+
+func (w *World) shown() Shown {
+	t := w.Tally()
+	s := Shown{
+		Asked: t.Asked, Accepted: t.Accepted, Done: t.Done, Failed: t.Failed,
+		Median: t.Median.Round(time.Millisecond).String(), Worst: t.Worst.Round(time.Millisecond).String(),
+		Starts: w.Judge.Starts, Wave: w.WaveDone(1),
+	}
+	s.Broken = append([]string{}, w.Judge.Final(w.State)...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.Broken = append(s.Broken, w.Breaks...)
+	return s
+}
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -246,7 +246,7 @@
 	for _, i := range f.intents {
 		if i.kind == submit {
 			h.unqueue(i)
-			i.reply(Answer{Verdict: Refused, Retry: retryStore, Why: "the store refuses"})
+			i.reply(Answer{Verdict: Refused, Retry: retryStore, Why: "the store refuses: " + err.Error()})
 		}
 	}
 }
