--- a/holder/commit.go
+++ b/holder/commit.go
@@ -319,11 +319,11 @@
 	h.mu.Unlock()
 	<-h.fate
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.lost != nil {
+	lost, seat, version := h.lost, h.seat, h.version
+	h.mu.Unlock()
+	if lost != nil {
 		return
 	}
-	seat := h.seat
 	seat.Released = true
 	value, err := encode(seat)
 	if err != nil {
@@ -332,7 +332,7 @@
 	}
 	at := place(tableHold, h.claim.Service, keySeat)
 	tx := platform.Tx{
-		If:  []platform.Cond{{Place: at, Version: h.version}},
+		If:  []platform.Cond{{Place: at, Version: version}},
 		Put: []platform.Row{{Place: at, Value: value}},
 	}
 	if _, err := h.Store.Commit(ctx, tx); err != nil {
--- /dev/null
+++ b/sched/fake_test.go
@@ -0,0 +1,186 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/work"
+)
+
+// fake is a pool with runners that do what they are told, on a clock that the test moves.
+type fake struct {
+	t       *testing.T
+	p       *Pool
+	now     time.Time
+	runners map[string]*fakeRunner
+	orders  []Order
+	broken  []string
+}
+
+type fakeRunner struct {
+	w     work.Runner
+	runs  map[string]work.Run
+	ends  []work.End
+	n     int64
+	mute  bool
+	clock time.Duration
+}
+
+var bounds = Bounds{Hold: 4500 * time.Millisecond, Stop: 200 * time.Millisecond, Gang: 3 * time.Second, Far: 2, Foreign: 13 * time.Second}
+
+func newFake(t *testing.T, runners int, cores int64) *fake {
+	f := &fake{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}}
+	f.p = New(f.now, 1, bounds, WithCheckEvery(0), WithBreach(func(err error) { f.broken = append(f.broken, err.Error()) }))
+	for i := range runners {
+		w := work.Runner{ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Amount{CPU: cores * 1000, Mem: 1 << 20},
+			Labels: []string{"a", fmt.Sprintf("rack%d", i/2)}, Born: 1}
+		f.runners[w.ID] = &fakeRunner{w: w, runs: map[string]work.Run{}}
+		f.p.Seen(f.now, w)
+	}
+	f.look()
+	return f
+}
+
+var queue = work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Aim: 600 * time.Millisecond}
+
+// accept hands a job in.
+func (f *fake) accept(id string, q work.Queue, steps ...work.Step) work.ID {
+	full := work.ID(fmt.Sprintf("%016s", id))
+	f.p.Accept(f.now, full, q, work.Job{Spec: id, Steps: steps})
+	return full
+}
+
+func (f *fake) ids() []string {
+	var list []string
+	for id := range f.runners {
+		list = append(list, id)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// look has every runner that isn't mute tell what it runs.
+func (f *fake) look() {
+	for _, id := range f.ids() {
+		r := f.runners[id]
+		f.p.Asked(f.now, id, 0)
+		f.p.Extend(f.now, id)
+		if r.mute {
+			f.p.Missed(f.now, id)
+			continue
+		}
+		l := work.Looked{Clock: r.clock, Born: r.w.Born, Ends: slices.Clone(r.ends)}
+		for _, x := range r.runs {
+			l.Runs = append(l.Runs, x)
+		}
+		f.p.Looked(f.now, id, f.now, l)
+	}
+}
+
+// step moves the clock, has the runners told on, plans, and carries the orders out.
+func (f *fake) step(d time.Duration) []Order {
+	f.now = f.now.Add(d)
+	for _, r := range f.runners {
+		r.clock += d
+	}
+	f.look()
+	f.p.Committed(f.now, f.p.Batch(f.now, 100, true))
+	f.orders = f.p.Plan(f.now, f.now, true)
+	for _, o := range f.orders {
+		f.carryOut(o)
+	}
+	require.Empty(f.t, f.broken)
+	return f.orders
+}
+
+func (f *fake) carryOut(o Order) {
+	switch o := o.(type) {
+	case Start:
+		r := f.runners[o.Runner]
+		if r.mute {
+			f.p.Started(f.now, o, Unknown, "", 0)
+			return
+		}
+		r.runs[o.Task.String()] = work.Run{Task: o.Task, Run: o.Run}
+		f.p.Started(f.now, o, Done, "", r.clock)
+	case Stop:
+		r := f.runners[o.Runner]
+		if r.mute {
+			f.p.Stopped(f.now, o, Unknown)
+			return
+		}
+		f.end(o.Runner, o.Task, work.EndStopped)
+		f.p.Stopped(f.now, o, Done)
+	case Pace, Ask:
+	}
+}
+
+// end ends a task's run on a runner.
+func (f *fake) end(runner string, t work.Task, how work.How) {
+	r := f.runners[runner]
+	x, ok := r.runs[t.String()]
+	if !ok {
+		return
+	}
+	delete(r.runs, t.String())
+	r.n++
+	r.ends = append(r.ends, work.End{N: r.n, Task: t, Run: x.Run, How: how})
+}
+
+// where returns the runner of a task, or "".
+func (f *fake) where(t work.Task) string {
+	for _, id := range f.ids() {
+		if _, ok := f.runners[id].runs[t.String()]; ok {
+			return id
+		}
+	}
+	return ""
+}
+
+// set changes what a runner says of a task's run.
+func (f *fake) set(t work.Task, percent int, load float64) {
+	id := f.where(t)
+	x := f.runners[id].runs[t.String()]
+	x.Percent, x.Load = percent, load
+	f.runners[id].runs[t.String()] = x
+}
+
+func starts(orders []Order) []Start {
+	var list []Start
+	for _, o := range orders {
+		if s, ok := o.(Start); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func stops(orders []Order) []Stop {
+	var list []Stop
+	for _, o := range orders {
+		if s, ok := o.(Stop); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func paces(orders []Order) []Pace {
+	var list []Pace
+	for _, o := range orders {
+		if s, ok := o.(Pace); ok {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func stepOf(count int, cpu int64) work.Step {
+	return work.Step{Count: count, Need: work.Amount{CPU: cpu}, Estimate: time.Second}
+}
+
+func taskOf(id work.ID, n, i int) work.Task { return work.Task{Job: id, Step: n, Index: i} }
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,369 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/work"
+)
+
+const tickTime = 200 * time.Millisecond
+
+func TestStepWaitsForTheOnesBefore(t *testing.T) {
+	f := newFake(t, 2, 8)
+	second := stepOf(1, 1000)
+	second.After = []int{0}
+	id := f.accept("a", queue, stepOf(2, 1000), second)
+	require.Len(t, starts(f.step(tickTime)), 2)
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndDone)
+	require.Empty(t, starts(f.step(tickTime)))
+	f.end(f.where(taskOf(id, 0, 1)), taskOf(id, 0, 1), work.EndDone)
+	require.Len(t, starts(f.step(tickTime)), 1)
+	f.end(f.where(taskOf(id, 1, 0)), taskOf(id, 1, 0), work.EndDone)
+	f.step(tickTime)
+	f.step(tickTime)
+	s, _ := f.p.State(id)
+	require.Equal(t, work.Done, s)
+}
+
+func TestRoomIsNeverExceeded(t *testing.T) {
+	f := newFake(t, 2, 4)
+	f.accept("a", queue, stepOf(10, 1500))
+	require.Len(t, starts(f.step(tickTime)), 4) // two on each
+	require.Empty(t, starts(f.step(tickTime)))
+}
+
+func TestFailedTaskGoesElsewhereAndEndsTheJobAfterItsAttempts(t *testing.T) {
+	f := newFake(t, 3, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	first := f.where(taskOf(id, 0, 0))
+	f.end(first, taskOf(id, 0, 0), work.EndFailed)
+	f.step(tickTime)
+	second := f.where(taskOf(id, 0, 0))
+	require.NotEqual(t, first, second)
+	f.end(second, taskOf(id, 0, 0), work.EndFailed)
+	require.Empty(t, starts(f.step(tickTime)))
+	f.step(tickTime)
+	s, _ := f.p.State(id)
+	require.Equal(t, work.Failed, s)
+}
+
+func TestAnEndCountsOnceThoughItIsListedAgain(t *testing.T) {
+	f := newFake(t, 2, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
+	f.step(tickTime)
+	f.step(tickTime)
+	f.step(tickTime)
+	s, _ := f.p.State(id)
+	require.Equal(t, work.Running, s)
+}
+
+func TestEndIsAcknowledgedOnlyOnceItIsStored(t *testing.T) {
+	f := newFake(t, 1, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	f.end("r0", taskOf(id, 0, 0), work.EndDone)
+	f.look()
+	require.Zero(t, f.p.Ack("r0"))
+	batch := f.p.Batch(f.now, 10, true)
+	require.Len(t, batch, 1)
+	require.Zero(t, f.p.Ack("r0"))
+	f.p.Committed(f.now, batch)
+	require.Equal(t, int64(1), f.p.Ack("r0"))
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	f := newFake(t, 2, 4)
+	blocker := f.accept("b", queue, stepOf(1, 3000))
+	f.step(tickTime)
+	gang := stepOf(2, 3000)
+	gang.Gang = true
+	id := f.accept("a", queue, gang)
+	require.Empty(t, starts(f.step(tickTime))) // there is room for one of two
+	f.end(f.where(taskOf(blocker, 0, 0)), taskOf(blocker, 0, 0), work.EndDone)
+	got := starts(f.step(tickTime))
+	require.Len(t, got, 2)
+	require.Equal(t, got[0].Run, got[1].Run)
+
+	// One member ends broken: the other is ended too, and both start anew with the same number.
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndBroken)
+	var again []Start
+	for range 8 {
+		again = append(again, starts(f.step(tickTime))...)
+	}
+	require.Len(t, again, 2)
+	require.Equal(t, again[0].Run, again[1].Run)
+	require.Greater(t, again[0].Run, got[0].Run)
+
+	// One end as done stands for the whole gang.
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndDone)
+	f.step(tickTime)
+	f.step(tickTime)
+	s, _ := f.p.State(id)
+	require.Equal(t, work.Done, s)
+}
+
+func TestUrgentWorkDisplacesWhatLosesLeast(t *testing.T) {
+	f := newFake(t, 1, 4)
+	less := queue
+	less.Name, less.Priority = "less", 1
+	saves := stepOf(1, 2000)
+	saves.Saves = true
+	kept := f.accept("b", less, stepOf(1, 2000))
+	lost := f.accept("c", less, saves)
+	f.step(tickTime)
+	f.set(taskOf(kept, 0, 0), 50, 0)
+	urgent := f.accept("a", queue, stepOf(1, 2000))
+	got := stops(f.step(tickTime))
+	require.Len(t, got, 1)
+	require.Equal(t, lost, got[0].Task.Job)
+	for range 3 {
+		f.step(tickTime)
+	}
+	require.Equal(t, "r0", f.where(taskOf(urgent, 0, 0)))
+}
+
+func TestWhatLastsIsMovedOnlyWithinItsBudget(t *testing.T) {
+	f := newFake(t, 4, 8)
+	lasts := work.Step{Count: 3, Need: work.Amount{CPU: 1000}, Lasts: true, Most: 1, Miss: 1, Bounded: true}
+	id := f.accept("a", queue, lasts)
+	f.step(tickTime)
+	for i := range 3 {
+		f.set(taskOf(id, 0, i), 100, 0)
+	}
+	f.step(tickTime)
+	for _, r := range f.ids() {
+		f.p.Evacuate(r, r != "r3") // three of four are to be emptied at the same time
+	}
+	require.Len(t, stops(f.step(tickTime)), 1)
+	require.Empty(t, stops(f.step(tickTime))) // the first one isn't at work again
+}
+
+func TestSilentRunnersTasksWaitForTheEndOfItsLease(t *testing.T) {
+	f := newFake(t, 2, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	home := f.where(taskOf(id, 0, 0))
+	f.runners[home].mute = true
+	began := f.now
+	for f.now.Sub(began) < bounds.Hold-2*tickTime {
+		require.Empty(t, starts(f.step(tickTime)))
+	}
+	var got []Start
+	for range 10 {
+		got = append(got, starts(f.step(tickTime))...)
+	}
+	require.Len(t, got, 1)
+	require.NotEqual(t, home, got[0].Runner)
+	require.Greater(t, got[0].Run, 1)
+}
+
+func TestAHolderThatIsNotSureTakesNoSilenceForAnEnd(t *testing.T) {
+	f := newFake(t, 2, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	f.runners[f.where(taskOf(id, 0, 0))].mute = true
+	for range 60 {
+		f.now = f.now.Add(tickTime)
+		f.look()
+		require.Empty(t, starts(f.p.Plan(f.now, f.now, false)))
+	}
+}
+
+func TestInheritedJobsWaitForSilentRunners(t *testing.T) {
+	f := newFake(t, 1, 8)
+	old := work.Runner{ID: "gone", Machine: "mx", Service: "s", Born: 1}
+	f.p.Inherit(old, time.Time{})
+	id := work.ID("000000000000000a")
+	f.p.Restore(f.now, id, queue, work.Job{Spec: "a", Steps: []work.Step{stepOf(1, 1000)}}, f.now, nil)
+	fresh := f.accept("b", queue, stepOf(1, 1000))
+	got := starts(f.step(tickTime))
+	require.Len(t, got, 1)
+	require.Equal(t, fresh, got[0].Task.Job) // a job that no earlier holder knew needn't wait
+	f.end("r0", taskOf(fresh, 0, 0), work.EndDone)
+	f.p.Missed(f.now, "gone")
+	began := f.now
+	for f.now.Sub(began) < bounds.Foreign-time.Second {
+		require.Empty(t, starts(f.step(tickTime)))
+	}
+	got = nil
+	for range 10 {
+		got = append(got, starts(f.step(tickTime))...)
+	}
+	require.NotEmpty(t, got)
+	require.Equal(t, id, got[0].Task.Job)
+}
+
+func TestLaterStepProvesTheEarlierOnesDone(t *testing.T) {
+	f := newFake(t, 2, 8)
+	second := stepOf(1, 1000)
+	second.After = []int{0}
+	id := work.ID("000000000000000a")
+	f.p.Restore(f.now, id, queue, work.Job{Spec: "a", Steps: []work.Step{stepOf(2, 1000), second}}, f.now, nil)
+	last := taskOf(id, 1, 0)
+	f.runners["r0"].runs[last.String()] = work.Run{Task: last, Run: 1}
+	require.Empty(t, starts(f.step(tickTime)))
+	f.end("r0", last, work.EndDone)
+	f.step(tickTime)
+	f.step(tickTime)
+	s, _ := f.p.State(id)
+	require.Equal(t, work.Done, s)
+}
+
+func TestRunnerThatFailsEverythingGetsNoMoreWork(t *testing.T) {
+	f := newFake(t, 2, 8)
+	bad := "r0"
+	for i := range 6 {
+		id := f.accept(string(rune('a'+i)), queue, stepOf(1, 5000))
+		f.step(tickTime)
+		if f.where(taskOf(id, 0, 0)) == bad {
+			f.end(bad, taskOf(id, 0, 0), work.EndFailed)
+		} else {
+			f.end("r1", taskOf(id, 0, 0), work.EndDone)
+		}
+		f.step(tickTime)
+		f.end("r1", taskOf(id, 0, 0), work.EndDone)
+		f.step(tickTime)
+	}
+	f.accept("z", queue, stepOf(1, 5000))
+	got := starts(f.step(tickTime))
+	require.Len(t, got, 1)
+	require.Equal(t, "r1", got[0].Runner)
+}
+
+func TestHopelessJobCostsNoRunnerItsWork(t *testing.T) {
+	f := newFake(t, 3, 8)
+	many := queue
+	many.Attempts = 3
+	id := f.accept("a", many, stepOf(1, 1000))
+	for range 3 {
+		f.step(tickTime)
+		f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
+	}
+	f.step(tickTime)
+	f.accept("b", queue, stepOf(3, 7000))
+	require.Len(t, starts(f.step(tickTime)), 3)
+}
+
+func TestRunThatStandsStillIsStartedElsewhere(t *testing.T) {
+	f := newFake(t, 2, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	home := f.where(taskOf(id, 0, 0))
+	f.set(taskOf(id, 0, 0), 10, 0)
+	for range 15 {
+		f.step(tickTime)
+	}
+	require.NotEqual(t, home, f.where(taskOf(id, 0, 0)))
+	require.NotEmpty(t, f.where(taskOf(id, 0, 0)))
+}
+
+func TestWhatFillsIsSlowedWhileItHarmsAndGivenBackInSteps(t *testing.T) {
+	f := newFake(t, 1, 8)
+	serves := work.Step{Count: 1, Need: work.Amount{CPU: 4000}, Lasts: true, Target: 100 * time.Millisecond}
+	fills := work.Step{Count: 1, Need: work.Amount{CPU: 8000}, Lasts: true, Fills: true}
+	s := f.accept("a", queue, serves)
+	b := f.accept("b", queue, fills)
+	f.step(tickTime)
+	f.set(taskOf(s, 0, 0), 100, 250)
+	f.set(taskOf(b, 0, 0), 100, 3000)
+	pace := 100
+	for range 10 {
+		for _, o := range paces(f.step(tickTime)) {
+			require.Less(t, o.Percent, pace)
+			pace = o.Percent
+		}
+	}
+	require.Less(t, pace, 50)
+	f.set(taskOf(s, 0, 0), 100, 40)
+	for range 30 {
+		for _, o := range paces(f.step(tickTime)) {
+			require.Greater(t, o.Percent, pace)
+			require.LessOrEqual(t, o.Percent-pace, paceUp)
+			pace = o.Percent
+		}
+	}
+	require.Equal(t, 100, pace)
+}
+
+func TestStepOfAPolicyRunsOnlyWhereItIsApproved(t *testing.T) {
+	f := newFake(t, 3, 8)
+	q := queue
+	q.Advice = &work.Advice{Base: 10 * time.Millisecond, Each: time.Millisecond, Valid: 3 * time.Second}
+	f.accept("a", q, stepOf(1, 1000))
+	orders := f.step(tickTime)
+	require.Empty(t, starts(orders))
+	require.Len(t, orders, 1)
+	ask := orders[0].(Ask)
+	require.Empty(t, starts(f.step(tickTime))) // it is not asked twice
+	f.p.Advised(f.now, ask, map[string]string{"r1": "ticket-1"}, 3*time.Second)
+	got := starts(f.step(tickTime))
+	require.Len(t, got, 1)
+	require.Equal(t, "r1", got[0].Runner)
+	require.Equal(t, "ticket-1", got[0].Ticket)
+}
+
+func TestCopiesAndLimitsOfAStep(t *testing.T) {
+	f := newFake(t, 2, 8)
+	s := stepOf(4, 1000)
+	s.Most = 1
+	f.accept("a", queue, s)
+	require.Len(t, starts(f.step(tickTime)), 2)
+	s = stepOf(1, 1000)
+	s.Label = "b"
+	f.accept("b", queue, s)
+	require.Empty(t, starts(f.step(tickTime)))
+}
+
+func TestTurnsStartWhenTheyAreDue(t *testing.T) {
+	f := newFake(t, 1, 8)
+	id := work.ID("000000000000000a")
+	f.p.Accept(f.now, id, queue, work.Job{Spec: "a", Steps: []work.Step{stepOf(1, 1000)}, Turns: 2, Start: f.now.Add(time.Second), Every: time.Second})
+	require.Empty(t, starts(f.step(900*time.Millisecond)))
+	require.Len(t, starts(f.step(200*time.Millisecond)), 1)
+	got := starts(f.step(time.Second))
+	require.Len(t, got, 1)
+	require.Equal(t, 1, got[0].Task.Turn)
+}
+
+func TestProgressSurvivesTheStore(t *testing.T) {
+	f := newFake(t, 2, 8)
+	second := stepOf(1, 1000)
+	second.After = []int{0}
+	job := work.Job{Spec: "a", Steps: []work.Step{stepOf(3, 1000), second}}
+	id := work.ID("000000000000000a")
+	f.p.Accept(f.now, id, queue, job)
+	f.step(tickTime)
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndDone)
+	f.end(f.where(taskOf(id, 0, 1)), taskOf(id, 0, 1), work.EndFailed)
+	f.look()
+	batch := f.p.Batch(f.now, 10, true)
+	require.Len(t, batch, 1)
+	b, err := batch[0].Progress.Encode()
+	require.NoError(t, err)
+	pr, err := DecodeProgress(b)
+	require.NoError(t, err)
+	next := New(f.now, 2, bounds)
+	next.Restore(f.now, id, queue, job, f.now, &pr)
+	j := next.jobs[id]
+	require.True(t, j.turns[0].steps[0].tasks[0].done)
+	require.Len(t, j.turns[0].steps[0].tasks[1].fails, 1)
+	require.Equal(t, 3, j.left)
+}
+
+func TestLeaseEndsNoEarlierThanASlowClockAllows(t *testing.T) {
+	var l Lease
+	at := time.Unix(1000, 0)
+	l.Heard(10*time.Second, at)
+	until := l.Extend(at.Add(time.Second), 4*time.Second)
+	require.Equal(t, 15*time.Second, until)
+	over, ok := l.Over()
+	require.True(t, ok)
+	// A clock that is 2% slow needs 5 s / 0.98 for the five seconds that are left.
+	require.Equal(t, at.Add(5*time.Second*100/98), over)
+}
