--- a/cli/examples_test.go
+++ b/cli/examples_test.go
@@ -55,6 +55,8 @@
 	}{
 		{"../docs/SETTINGS.md", []string{"settings"}},
 		{"../docs/settings.schema.json", []string{"settings", "-schema"}},
+		{"../docs/SETTINGS-FLEET.md", []string{"settings", "-fleet"}},
+		{"../docs/settings-fleet.schema.json", []string{"settings", "-fleet", "-schema"}},
 	} {
 		var out, errs bytes.Buffer
 		require.Zero(t, Run(context.Background(), p.args, &out, &errs), errs.String())
@@ -64,6 +66,12 @@
 	}
 }
 
+func TestFleetExampleIsFine(t *testing.T) {
+	var out, errs bytes.Buffer
+	require.Zero(t, Run(context.Background(), []string{"check", "-fleet", "-settings", "../examples/fleet/entry-1.json"}, &out, &errs), errs.String())
+	require.Contains(t, out.String(), "front-c1-1")
+}
+
 func TestExitCodes(t *testing.T) {
 	for _, tc := range []struct {
 		name string
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -35,14 +35,33 @@
 }
 
 func runCheck(_ context.Context, e *env, args []string) error {
-	set, err := loadSettings(e, args)
+	fs := e.flags()
+	file := fs.String("settings", "", "settings `FILE`")
+	fleet := fs.Bool("fleet", false, "they are of a daemon on the users' platform")
+	if _, err := parse(fs, args, 0, 0); err != nil {
+		return err
+	}
+	if *file == "" {
+		return usageError{"-settings is missing"}
+	}
+	name, centre, err := identify(*file, *fleet)
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(e.out, "settings of %s in data centre %s are fine\n", set.Instance, set.Centre)
+	fmt.Fprintf(e.out, "settings of %s in data centre %s are fine\n", name, centre)
 	return nil
 }
 
+// identify loads settings of either form and returns whose they are.
+func identify(file string, fleet bool) (name, centre string, err error) {
+	if fleet {
+		set, err := settings.LoadFleet(file)
+		return set.Instance, set.Centre, err
+	}
+	set, err := settings.Load(file)
+	return set.Instance, set.Centre, err
+}
+
 func loadSettings(e *env, args []string) (settings.Settings, error) {
 	fs := e.flags()
 	file := fs.String("settings", "", "settings `FILE`")
--- a/cli/verbs.go
+++ b/cli/verbs.go
@@ -5,7 +5,7 @@
 	return []verb{
 		{"serve", "Runs the daemon of an entry instance.", "-settings FILE", "gypsumlead serve -settings entry-1.json", runServe},
 		{"fleet", "Runs the daemon of an entry instance on the users' platform.", "-settings FILE", "gypsumlead fleet -settings entry-1.json", runFleet},
-		{"check", "Checks a settings file and names every fault in it.", "-settings FILE", "gypsumlead check -settings entry-1.json", runCheck},
+		{"check", "Checks a settings file and names every fault in it.", "-settings FILE [-fleet]", "gypsumlead check -settings entry-1.json", runCheck},
 		{"trace", "Tells the story of a job from daemons' logs.", "ID [-log FILE]", "gypsumlead trace 5c0e7a21d94b36f8 -log day.log", runTrace},
 		{"demo", "Plays a day of jobs and a wave on embedded stand-ins and counts broken promises.", "[-seed N] [-duration D]", "gypsumlead demo -seed 1 -duration 20s", runDemo},
 		{"calls", "Plays callers' plain requests on embedded stand-ins and counts breaches.", "[-seed N] [-duration D]", "gypsumlead calls -seed 1 -duration 20s", runDemoCalls},
@@ -20,6 +20,6 @@
 		{"wave", "Shows, pauses, resumes or cancels a maintenance wave.", "status|pause|resume|cancel NAME [-why TEXT]", "gypsumlead wave pause kernel-12 -why 'rack a3 is slow'", runWave},
 		{"job", "Shows where a job stands.", "NAME [-json]", "gypsumlead job nightly-summary", runJob},
 		{"explain", "Prints every decision on something, refused ones too.", "KIND NAME [-json]", "gypsumlead explain pool texts", runExplain},
-		{"settings", "Prints the reference of the settings file, or its JSON Schema.", "[-schema]", "gypsumlead settings -schema", runSettings},
+		{"settings", "Prints the reference of the settings file, or its JSON Schema.", "[-fleet] [-schema]", "gypsumlead settings -fleet -schema", runSettings},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -153,12 +153,7 @@
 // boundsOf picks the scheduler's figures from the settings.
 func boundsOf(set settings.Fleet) sched.Bounds {
 	return sched.Bounds{
-		Hold:   time.Duration(float64(set.Bounds.Hold) * set.Bounds.Percent / 100),
-		Stop:   set.Bounds.Stop,
-		Gang:   set.Bounds.Gang,
-		Far:    set.Bounds.Far,
-		Notice: set.Bounds.Notice,
-		Harm:   set.Bounds.Harm,
+		Hold: time.Duration(float64(set.Bounds.Hold) * set.Bounds.Percent / 100),
 	}
 }
 
--- a/sched/bounds.go
+++ b/sched/bounds.go
@@ -5,11 +5,6 @@
 // Bounds are the platform's figures that decisions rest on.
 type Bounds struct {
 	Hold    time.Duration // lease that a look or a start gives a runner
-	Stop    time.Duration // longest that a run takes to stop
-	Gang    time.Duration // longest that members of a gang wait for each other
-	Far     float64       // how many times as long a task takes away from its data
-	Notice  time.Duration // a task not at work for this long counts as away
-	Harm    time.Duration // longest that a serving task may be slowed by others
 	Foreign time.Duration // after a change of holder: longest that an earlier holder's runs can last on a silent runner
 }
 
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -30,7 +30,7 @@
 	clock time.Duration
 }
 
-var bounds = Bounds{Hold: 4500 * time.Millisecond, Stop: 200 * time.Millisecond, Gang: 3 * time.Second, Far: 2, Foreign: 13 * time.Second}
+var bounds = Bounds{Hold: 4500 * time.Millisecond, Foreign: 13 * time.Second}
 
 func newFake(t *testing.T, runners int, cores int64) *fake {
 	f := &fake{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}}
--- a/settings/fleet.go
+++ b/settings/fleet.go
@@ -30,17 +30,9 @@
 // FleetBounds are the platform's figures.
 type FleetBounds struct {
 	Hold    time.Duration `json:"hold" validate:"min=1s" doc:"Longest lease that a runner grants."`
-	Stop    time.Duration `json:"stop" validate:"min=1ms" doc:"Longest that a run takes to stop."`
-	Gang    time.Duration `json:"gang" validate:"min=1ms" doc:"Longest that members of a gang wait for each other."`
-	Far     float64       `json:"far" validate:"min=1" doc:"How many times as long a task takes away from its data."`
-	Notice  time.Duration `json:"notice" validate:"min=0" doc:"A task that isn't at work for this long counts as away."`
-	Harm    time.Duration `json:"harm" validate:"min=0" doc:"Longest that a serving task may be slowed by what fills beside it."`
 	Lease   time.Duration `json:"lease" validate:"min=0" doc:"Time between the orders of two daemons for one machine."`
 	Move    time.Duration `json:"move" validate:"min=0" doc:"Time that a machine takes to change its pool."`
 	Upkeep  time.Duration `json:"upkeep" validate:"min=0" doc:"Time that a machine's maintenance takes."`
-	Fenced  bool          `json:"fenced" doc:"Whether the service for machines checks fencing tokens."`
-	Duties  float64       `json:"duties" validate:"min=0" doc:"Orders a second that the service for machines takes of all daemons."`
-	Lists   float64       `json:"lists" validate:"min=0" doc:"Readings a second of the list of machines, of all daemons."`
 	Percent float64       `json:"percent" validate:"min=0,max=100" doc:"Share in percent of Hold that runners are given; less frees a silent runner's tasks earlier."`
 }
 
@@ -51,16 +43,9 @@
 		Memory: 256,
 		Bounds: FleetBounds{
 			Hold:    6 * time.Second,
-			Stop:    200 * time.Millisecond,
-			Gang:    3 * time.Second,
-			Far:     2,
-			Notice:  4500 * time.Millisecond,
-			Harm:    4 * time.Second,
 			Lease:   3 * time.Second,
 			Move:    1500 * time.Millisecond,
 			Upkeep:  2 * time.Second,
-			Duties:  32,
-			Lists:   32,
 			Percent: 75,
 		},
 		Log: "info",
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -12,11 +12,18 @@
 )
 
 // Reference returns the settings' reference page in Markdown, made from the struct and its defaults.
-func Reference() string {
+func Reference() string { return reference("# Settings\n\nMade by `gypsumlead settings`.", Defaults()) }
+
+// FleetReference returns the same for a daemon on the users' platform.
+func FleetReference() string {
+	return reference("# Settings on the users' platform\n\nMade by `gypsumlead settings -fleet`. `deploy/settings.json.tmpl` fills them in there.", FleetDefaults())
+}
+
+func reference(head string, defaults any) string {
 	var b strings.Builder
-	b.WriteString("# Settings\n\nMade by `gypsumlead settings`. Durations are texts with a unit, such as \"500ms\".\n\n")
+	b.WriteString(head + " Durations are texts with a unit, such as \"500ms\".\n\n")
 	b.WriteString("| key | type | default | rule | meaning |\n| --- | --- | --- | --- | --- |\n")
-	for _, f := range fieldsOf(reflect.ValueOf(Defaults()), "") {
+	for _, f := range fieldsOf(reflect.ValueOf(defaults), "") {
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s |\n", f.path, f.kind, f.value, f.rule, f.doc)
 	}
 	return b.String()
@@ -83,10 +90,17 @@
 }
 
 // Schema returns the settings' JSON Schema, made from the struct and its defaults.
-func Schema() ([]byte, error) {
-	n := objectNode(reflect.ValueOf(Defaults()))
+func Schema() ([]byte, error) { return schema("gypsumlead settings", Defaults()) }
+
+// FleetSchema returns the same for a daemon on the users' platform.
+func FleetSchema() ([]byte, error) {
+	return schema("gypsumlead settings on the users' platform", FleetDefaults())
+}
+
+func schema(title string, defaults any) ([]byte, error) {
+	n := objectNode(reflect.ValueOf(defaults))
 	n.Schema = "https://json-schema.org/draft/2020-12/schema"
-	n.Title = "gypsumlead settings"
+	n.Title = title
 	data, err := json.MarshalIndent(n, "", "  ")
 	return data, fault.Wrap(fault.Internal, err, "encode the settings' schema")
 }
@@ -121,6 +135,12 @@
 	case v.Kind() == reflect.String:
 		return &node{Type: "string", Default: orNil(v)}
 	}
+	switch v.Kind() {
+	case reflect.Bool:
+		return &node{Type: "boolean", Default: orNil(v)}
+	case reflect.Float64:
+		return &node{Type: "number", Default: orNil(v)}
+	}
 	return &node{Type: "integer", Default: orNil(v)}
 }
 
