A task is too slow by its siblings' measure, and only once

Ruled out: slow runners (four different ones, other tasks were as fast as ever). Tests: TestLongTaskIsNotTakenForASlowRunner, TestRunThatIsSlowerThanItsSiblingsIsStartedAnewOnce, both failed before.

--- a/sched/blame.go
+++ b/sched/blame.go
@@ -12,8 +12,9 @@
 	judgeEvery   = 100 * time.Millisecond  // between two passes over all runs
 	standsStill  = 1500 * time.Millisecond // a run that makes no progress for so long stands still; a percent of the longest usual task takes far less
 	startUp      = 500 * time.Millisecond  // before this a run's rate of progress says nothing
-	slowFactor   = 2.5                     // a run that will take this many times what a new one would is started anew
-	copyFactor   = 2                       // and this many times, a copy is started beside it
+	slowFactor   = 2.5                     // a run that will take this many times what its step's others took is started anew
+	slowWeight   = 0.3                     // of a new observation in the average speed of a runner
+	slowOnce     = 1                       // how often a task is started anew for slowness: a second time it is the task that is long
 	lastsStartUp = 6 * time.Second         // longest that a task that lasts takes to be at work
 )
 
@@ -61,7 +62,11 @@
 		l = &ratio{}
 		p.learned[s.job.queue.Name] = l
 	}
-	l.add(now.Sub(x.sure), s.spec.Estimate)
+	took := now.Sub(x.sure)
+	x.r.health.timed(took, l.of(s.spec.Estimate))
+	l.add(took, s.spec.Estimate)
+	s.took += took
+	s.timed++
 }
 
 // judge looks for runs that stand still or go too slowly, and ends them.
@@ -102,19 +107,20 @@
 	p.judgeSpeed(now, r, x)
 }
 
-// judgeSpeed ends a run that would be overtaken by one started anew, where there is a runner for it.
+// judgeSpeed ends a run that would be overtaken by one started anew, where there is a runner for it. The
+// measure is what the step's other tasks took: a declared run time may be wrong for all of them.
 func (p *Pool) judgeSpeed(now time.Time, r *runner, x *run) {
 	s := x.task.step
 	spent := r.answered.Sub(x.sure)
-	if spent < startUp || x.percent <= 0 || x.percent >= 100 || x.task.saved != "" {
+	if s.timed == 0 || x.task.slow >= slowOnce || spent < startUp || x.percent <= 0 || x.percent >= 100 || x.task.saved != "" {
 		return
 	}
 	left := time.Duration(float64(spent) / float64(x.percent) * float64(100-x.percent))
-	anew := p.learned[s.job.queue.Name].of(s.spec.Estimate)
-	if anew <= 0 || float64(left) < slowFactor*float64(anew) || !p.elsewhere(now, x) {
+	anew := s.took / time.Duration(s.timed)
+	if float64(left) < slowFactor*float64(anew) || !p.elsewhere(now, x) {
 		return
 	}
-	r.health.slow = float64(left) / float64(anew)
+	x.task.slow++
 	x.stop("too slow")
 	p.blame(now, r, x.task)
 }
--- a/sched/health.go
+++ b/sched/health.go
@@ -34,6 +34,18 @@
 	h.pause = 0
 }
 
+// timed takes in how long a run took, against what was expected of it.
+func (h *health) timed(took, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	x := min(float64(took)/float64(expected), ratioMost)
+	if h.slow == 0 {
+		h.slow = 1
+	}
+	h.slow += slowWeight * (x - h.slow)
+}
+
 // bad takes in a failure of a job that isn't itself suspect, and tells whether the runner is now out.
 func (h *health) bad(id work.ID, now time.Time) bool {
 	if h.strikes == nil {
--- a/sched/job.go
+++ b/sched/job.go
@@ -41,6 +41,8 @@
 	left  int // tasks that aren't done
 	wait  int // tasks without a run that aren't done
 	fails []int
+	took  time.Duration // by its tasks that were timed
+	timed int
 	// approvals of the policy service, by runner; only where the queue needs them
 	tickets map[string]ticket
 	asked   time.Time
@@ -62,6 +64,7 @@
 	saved string
 	runs  []*run
 	bad   []string // runners on which it failed or stood still
+	slow  int      // how often it was started anew because it was too slow
 	since time.Time
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -263,6 +263,37 @@
 	require.NotEmpty(t, f.where(taskOf(id, 0, 0)))
 }
 
+// The declared run time is a tenth of the real one; that must not have the task started anew again and again.
+func TestLongTaskIsNotTakenForASlowRunner(t *testing.T) {
+	f := newFake(t, 3, 8)
+	long := stepOf(1, 1000)
+	long.Estimate = 100 * time.Millisecond
+	id := f.accept("a", queue, long)
+	f.step(tickTime)
+	percent := 0
+	for range 25 {
+		percent += 4
+		f.set(taskOf(id, 0, 0), percent, 0)
+		require.Empty(t, stops(f.step(tickTime)))
+	}
+}
+
+func TestRunThatIsSlowerThanItsSiblingsIsStartedAnewOnce(t *testing.T) {
+	f := newFake(t, 3, 8)
+	id := f.accept("a", queue, stepOf(2, 7000))
+	f.step(tickTime)
+	f.step(time.Second)
+	f.end(f.where(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndDone)
+	n := 0
+	for i := range 20 {
+		if f.where(taskOf(id, 0, 1)) != "" {
+			f.set(taskOf(id, 0, 1), 1+i, 0)
+		}
+		n += len(stops(f.step(tickTime)))
+	}
+	require.Equal(t, 1, n)
+}
+
 func TestWhatFillsIsSlowedWhileItHarmsAndGivenBackInSteps(t *testing.T) {
 	f := newFake(t, 1, 8)
 	serves := work.Step{Count: 1, Need: work.Amount{CPU: 4000}, Lasts: true, Target: 100 * time.Millisecond}
