--- a/sched/plan.go
+++ b/sched/plan.go
@@ -83,6 +83,7 @@
 	step  *step
 	late  bool
 	start time.Time // latest start that is still in time
+	stale bool      // even the late objective has passed
 }
 
 // candidates returns the steps with tasks to start, the most urgent first.
@@ -97,7 +98,7 @@
 			for _, s := range t.steps {
 				if s.wait > 0 && s.ready(wall) {
 					start := p.latest(t, j)
-					list = append(list, candidate{s, now.After(start), start})
+					list = append(list, candidate{s, now.After(start), start, p.stale(now, t, j)})
 				}
 			}
 		}
@@ -118,13 +119,16 @@
 	return a.start.Compare(b.start)
 }
 
-// rank puts what fills behind all else, and what is late behind what can be in time.
+// rank puts what fills behind all else, what is late behind what can be in time, and what is so late that it
+// is of little use to its caller behind that.
 func rank(c candidate) int {
 	switch {
 	case c.step.spec.Fills:
-		return 3
+		return 4
 	case c.step.spec.Lasts:
 		return 0
+	case c.stale:
+		return 3
 	case c.late:
 		return 2
 	}
@@ -156,6 +160,18 @@
 	return from.Add(time.Duration(j.queue.Slack*float64(chain)) + j.queue.Aim)
 }
 
+// lateFactor times a job's objective is how long its result is still of some use, from the callers' terms.
+const lateFactor = 3
+
+// stale tells whether even the late objective of a turn has passed.
+func (p *Pool) stale(now time.Time, t *turn, j *job) bool {
+	from := j.accepted
+	if t.due.After(from) {
+		from = t.due
+	}
+	return now.Sub(from) > lateFactor*p.objective(t, j).Sub(from)
+}
+
 // placeAll starts what can start, the most urgent first.
 func (p *Pool) placeAll(now, wall time.Time) {
 	clear(p.reserved)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -351,6 +351,29 @@
 	require.Empty(t, starts(f.step(tickTime)))
 }
 
+func TestWhatCanBeInTimeGoesBeforeWhatIsLate(t *testing.T) {
+	f := newFake(t, 1, 4)
+	long := stepOf(1, 4000)
+	long.Estimate = 10 * time.Second // as long as it then takes, so that nothing is learned from it
+	blocker := f.accept("b", queue, long)
+	f.step(tickTime)
+	stale := f.accept("c", queue, stepOf(1, 4000))
+	f.now = f.now.Add(8 * time.Second) // three times the objective of 2.2 s has passed
+	f.look()
+	late := f.accept("d", queue, stepOf(1, 4000))
+	f.now = f.now.Add(2 * time.Second)
+	f.look()
+	fresh := f.accept("e", queue, stepOf(1, 4000))
+	running := blocker
+	for _, want := range []work.ID{fresh, late, stale} {
+		f.end("r0", taskOf(running, 0, 0), work.EndDone)
+		got := starts(f.step(tickTime))
+		require.Len(t, got, 1)
+		require.Equal(t, want, got[0].Task.Job)
+		running = want
+	}
+}
+
 func TestTurnsStartWhenTheyAreDue(t *testing.T) {
 	f := newFake(t, 1, 8)
 	id := work.ID("000000000000000a")
