--- a/sched/gang.go
+++ b/sched/gang.go
@@ -6,6 +6,9 @@
 func (p *Pool) placeGang(now time.Time, s *step) bool {
 	n := 0
 	for _, t := range s.tasks {
+		if t.doubt {
+			return false
+		}
 		if len(t.runs) > 0 {
 			p.dissolve(s)
 			return true // the members of the last run are still ending
--- a/sched/job.go
+++ b/sched/job.go
@@ -64,6 +64,7 @@
 	saved string
 	runs  []*run
 	bad   []string // runners on which it failed or stood still
+	doubt bool     // a later holder may have gone on with it
 	slow  int      // how often it was started anew because it was too slow
 	since time.Time
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -13,10 +13,13 @@
 
 // Plan returns the orders that follow from what is known; wall is the time of day, by which turns are due.
 // Unless the holder is sure that nobody else can have taken its place, nothing counts as ended because its
-// runner is silent: a later holder may have gone on with it.
+// runner is silent: a later holder may have gone on with it. Nor is anything started again whose run was
+// given up meanwhile, or on a runner that has started anew: a later holder may have been there first.
 func (p *Pool) Plan(now, wall time.Time, sure bool) []Order {
 	p.orders = nil
+	p.sure = sure
 	if sure {
+		p.dispelDoubts()
 		p.expire(now)
 	}
 	p.judge(now)
@@ -30,6 +33,17 @@
 	return p.orders
 }
 
+// dispelDoubts lets start again what was held back while the holder wasn't sure.
+func (p *Pool) dispelDoubts() {
+	for t := range p.doubts {
+		t.doubt = false
+	}
+	clear(p.doubts)
+	for _, r := range p.runners {
+		r.doubt = false
+	}
+}
+
 // endUnwanted marks the runs of final jobs and of tasks that are done.
 func (p *Pool) endUnwanted(now time.Time) {
 	for _, j := range p.live {
@@ -199,7 +213,7 @@
 		return false
 	}
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 {
+		if t.done || len(t.runs) > 0 || t.doubt {
 			continue
 		}
 		r := p.choose(now, t)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -26,6 +26,8 @@
 	counts   counts
 	every    time.Duration // between two checks of the invariants
 	checked  time.Time
+	sure     bool // at the last plan: nobody else can have taken the holder's place
+	doubts   map[*task]struct{}
 	learned  map[string]*ratio // by queue
 	judged   time.Time
 	arrived  arrivals
@@ -81,6 +83,8 @@
 		trace:    func(Note) {},
 		counts:   newCounts(),
 		every:    checkEvery,
+		sure:     true,
+		doubts:   map[*task]struct{}{},
 		learned:  map[string]*ratio{},
 		reserved: map[*runner]struct{}{},
 	}
@@ -231,6 +235,10 @@
 // giveUp drops a run whose runner hasn't listed its end.
 func (p *Pool) giveUp(now time.Time, x *run, why string) {
 	p.counts.givenUp[why]++
+	if !p.sure {
+		x.task.doubt = true
+		p.doubts[x.task] = struct{}{}
+	}
 	p.trace(Note{x.task.name, x.n, x.r.ID, why})
 	x.task.drop(x, now)
 }
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -17,6 +17,7 @@
 	answered  time.Time // when a look was last answered
 	asked     time.Time // when the oldest look that isn't answered was sent; zero where there is none
 	missed    bool      // the last look wasn't answered; its lease isn't extended until one is
+	doubt     bool      // it started anew while the holder wasn't sure of its place
 	marked    bool      // the store may have it as silent; its lease isn't extended until that is taken back
 	resolve   time.Time // where inherited: when all that an earlier holder ordered has surely ended
 	seen      int64     // highest number of an end that was taken in
@@ -73,7 +74,7 @@
 
 // takes tells whether the runner may get new work.
 func (r *runner) takes(now time.Time) bool {
-	return r.listed && r.known && !r.Draining && !r.evacuate && !r.missed && !r.marked && r.lease.Known() && !r.health.out(now)
+	return r.listed && r.known && !r.Draining && !r.evacuate && !r.missed && !r.marked && !r.doubt && r.lease.Known() && !r.health.out(now)
 }
 
 // rack returns the rack that the runner's labels name: by custom the last one.
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -115,6 +115,7 @@
 		r.seen, r.acked, r.ends = 0, 0, nil
 		r.health = health{}
 		r.asked, r.missed = time.Time{}, false
+		r.doubt = !p.sure
 	}
 	r.Born = born
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -175,6 +175,30 @@
 	}
 }
 
+// Beyond a cut a later holder may have had the task done, and its machine moved on; all that this holder
+// learns when the cut heals is that the machine lives elsewhere.
+func TestAHolderThatIsNotSureStartsNothingAgain(t *testing.T) {
+	f := newFake(t, 3, 8)
+	id := f.accept("a", queue, stepOf(1, 1000))
+	f.step(tickTime)
+	home := f.where(taskOf(id, 0, 0))
+	f.now = f.now.Add(tickTime)
+	f.p.Plan(f.now, f.now, false)
+	moved := f.runners[home].w
+	moved.ID, moved.Born, moved.Service = "elsewhere", 2, "other"
+	f.p.Replaced(f.now, moved)
+	reborn := f.runners["r2"].w
+	reborn.Born = 3
+	f.p.Seen(f.now, reborn)
+	for range 10 {
+		f.now = f.now.Add(tickTime)
+		f.look()
+		require.Empty(t, starts(f.p.Plan(f.now, f.now, false)))
+	}
+	require.False(t, f.p.runners["r2"].takes(f.now))
+	require.Len(t, starts(f.step(tickTime)), 1) // sure again
+}
+
 func TestInheritedJobsWaitForSilentRunners(t *testing.T) {
 	f := newFake(t, 1, 8)
 	old := work.Runner{ID: "gone", Machine: "mx", Service: "s", Born: 1}
