Daemons' rows lie in parts of their own; no stale acknowledgement to a runner that missed a look

A part carries its transactions out one after the other, 0.5 s each then, and seven daemons wrote ten a second to one part; seats were lost and claims of machines refused with them. Ruled out: the store's limit on writes (600 a second). Cause 2, by reading: the number up to which ends may be forgotten was sent to a runner that may have started anew. The stand-in's store now queues by parts too.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -21,11 +21,12 @@
 // Start says that a Follower is to begin with all rows of its part.
 const Start = -1
 
-// Follower reads all rows of one part of a table once, and then every change of the table.
+// Follower reads all rows of one part of a table, or of all parts, once, and then every change of the table.
 type Follower struct {
 	Store *platform.Store
 	Table string
-	Part  string
+	Part  string        // the part whose rows are read first
+	Parts bool          // the rows of all parts are read first
 	After int64         // version to go on from, or Start
 	Gap   time.Duration // between two looks; changes of this time come together
 	Log   *zap.Logger
@@ -64,9 +65,12 @@
 	whole := f.After < 0
 	var page platform.Page
 	var err error
-	if whole {
+	switch {
+	case whole && f.Parts:
+		page, err = f.Store.Whole(call, f.Table)
+	case whole:
 		page, err = f.Store.All(call, f.Table, f.Part)
-	} else {
+	default:
 		page, err = f.Store.Feed(call, f.Table, f.After, Wait)
 	}
 	if err != nil {
--- a/member/members.go
+++ b/member/members.go
@@ -96,7 +96,8 @@
 	defer cancel()
 	sent := m.now()
 	// On a condition, so that a write that is carried out late can't undo a later one, or one of a later start.
-	at := platform.Place{Table: table, Key: self.Name}
+	// In a part of its own: the transactions of one part wait for each other, and a slow store does two a second.
+	at := platform.Place{Table: table, Part: self.Name, Key: self.Name}
 	stamp, err := m.store.Commit(ctx, platform.Tx{
 		If:  []platform.Cond{{Place: at, Version: m.version}},
 		Put: []platform.Row{{Place: at, Value: value}},
@@ -148,6 +149,7 @@
 	f := follow.Follower{
 		Store: m.store,
 		Table: table,
+		Parts: true,
 		After: follow.Start,
 		Gap:   followGap,
 		Log:   m.log,
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -139,10 +139,11 @@
 
 // Ack returns up to which number a runner's ends may be forgotten.
 func (p *Pool) Ack(id string) int64 {
-	if r, ok := p.runners[id]; ok {
-		return r.acked
+	r, ok := p.runners[id]
+	if !ok || r.missed {
+		return 0 // it may have started anew, and count its ends from 1 again
 	}
-	return 0
+	return r.acked
 }
 
 // Unsaved tells whether ends of the runner are waiting for the store.
--- a/standin/judge.go
+++ b/standin/judge.go
@@ -38,6 +38,7 @@
 // end is an end as done.
 type end struct {
 	runner *Runner
+	born   int64
 	n      int64
 	at     time.Time
 	noted  bool
@@ -137,7 +138,7 @@
 	switch how {
 	case work.EndDone:
 		if s.done == nil || !s.done.noted {
-			s.done = &end{runner: r, n: n}
+			s.done = &end{runner: r, born: r.born, n: n}
 		}
 	case work.EndFailed:
 		s.fails[run] = struct{}{}
@@ -150,7 +151,7 @@
 	defer j.mu.Unlock()
 	for name, s := range j.tasks {
 		d := s.done
-		if d == nil || d.runner != r || d.n != n || d.noted {
+		if d == nil || d.runner != r || d.born != r.born || d.n != n || d.noted {
 			continue
 		}
 		if !d.void && !d.at.IsZero() {
--- a/standin/store.go
+++ b/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -69,12 +70,13 @@
 	faults  StoreFaults
 	rand    *rand.Rand
 	began   time.Time
+	busy    map[string]time.Time // until when a part is taken
 	Calls   map[string]int
 }
 
 // NewStore returns an empty store whose faults are drawn from r.
 func NewStore(r *rand.Rand) *Store {
-	return &Store{rows: map[place]wireRow{}, wake: make(chan struct{}), rand: r, began: time.Now(), Calls: map[string]int{}}
+	return &Store{rows: map[place]wireRow{}, wake: make(chan struct{}), rand: r, began: time.Now(), busy: map[string]time.Time{}, Calls: map[string]int{}}
 }
 
 // Faults changes the store's troubles.
@@ -168,6 +170,8 @@
 		s.get(w, r)
 	case "rows-feed":
 		s.feed(w, r)
+	case "rows-parts":
+		s.parts(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
 	}
@@ -179,7 +183,10 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(txTime)
+	if !s.queue(partOf(tx), txTime+f.Slower) {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	s.mu.Lock()
 	late, lost := s.rand.Float64() < f.Late, s.rand.Float64() < f.Lost
 	wait := lateLeast + time.Duration(s.rand.Int64N(int64(lateMost-lateLeast)))
@@ -203,6 +210,36 @@
 	send(w, page)
 }
 
+// waitMost is how long the transactions of one part may wait for each other; more are turned away.
+const waitMost = time.Second
+
+// queue waits for a part's turn and for the transaction's own time; it is false where too many wait.
+func (s *Store) queue(part string, takes time.Duration) bool {
+	s.mu.Lock()
+	now := time.Now()
+	free := s.busy[part]
+	if free.Before(now) {
+		free = now
+	}
+	if free.Sub(now) > waitMost {
+		s.mu.Unlock()
+		return false
+	}
+	s.busy[part] = free.Add(takes)
+	s.mu.Unlock()
+	time.Sleep(free.Add(takes).Sub(now))
+	return true
+}
+
+func partOf(tx wireTx) string {
+	for _, list := range [][]wireRow{tx.Puts, tx.Expected, tx.Remove} {
+		for _, r := range list {
+			return r.Part
+		}
+	}
+	return ""
+}
+
 // onePart tells whether all entries lie in one part.
 func onePart(tx wireTx) bool {
 	parts := map[string]struct{}{}
@@ -271,6 +308,18 @@
 	send(w, page)
 }
 
+func (s *Store) parts(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	names := map[string]struct{}{}
+	for at := range s.rows {
+		if at.table == r.URL.Query().Get("Table") {
+			names[at.part] = struct{}{}
+		}
+	}
+	s.mu.Unlock()
+	send(w, map[string]any{"parts": slices.Sorted(maps.Keys(names)), "HasMore": false})
+}
+
 func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	after, err := strconv.ParseInt(q.Get("After"), 10, 64)
