--- a/holder/load.go
+++ b/holder/load.go
@@ -19,6 +19,8 @@
 	var jobs platform.Page
 	var progress map[string]*sched.Progress
 	// All at once: where the store is slow, one after the other would take seconds.
+	ctx, cancel := context.WithTimeout(ctx, loadLimit)
+	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() (err error) {
 		runners, stamp, err = h.loadRunners(ctx)
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -64,6 +64,8 @@
 	if known {
 		return nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, callLimit)
+	defer cancel()
 	page, err := h.Store.Get(ctx, tableJobs, h.claim.Service, string(id), string(id)+"\x00", 1)
 	if err != nil || len(page.Rows) == 0 {
 		return err
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -7,6 +7,7 @@
 	Coast       = 8 * time.Second        // a holder that the store doesn't answer goes on for this long after its last sign of life has lapsed
 	clockSlack  = 500 * time.Millisecond // beyond computed ends: a runner's clock, an order on its way
 	callLimit   = 2 * time.Second        // for a call to the store; a slow store takes some hundred milliseconds
+	loadLimit   = 4 * time.Second        // for reading what earlier holders left: some calls, one after the other
 	retryGap    = 100 * time.Millisecond // between two tries of a call to the store
 	lookWait    = time.Second            // an answer to a look waits so long for an end
 	lookSlack   = 700 * time.Millisecond // beyond that, a look counts as not answered
