Wide jobs are placed earlier than narrow ones of the same chain

A wide job was placed by its longest chain alone, though all of its work has to pass through the pool.

--- a/sched/plan.go
+++ b/sched/plan.go
@@ -96,13 +96,14 @@
 type candidate struct {
 	step  *step
 	late  bool
-	start time.Time // latest start that is still in time
+	start time.Time // latest start by which it is placed
 	stale bool      // even the late objective has passed
 }
 
 // candidates returns the steps with tasks to start, the most urgent first.
 func (p *Pool) candidates(now, wall time.Time) []candidate {
 	held := p.unresolved()
+	p.measureRoom(now)
 	var list []candidate
 	for _, j := range p.live {
 		if j.state.Final() || (held && j.inherited) {
@@ -112,7 +113,7 @@
 			for _, s := range t.steps {
 				if s.wait > 0 && s.ready(wall) {
 					start := p.latest(t, j)
-					list = append(list, candidate{s, now.After(start), start, p.stale(now, t, j)})
+					list = append(list, candidate{s, now.After(start), start.Add(-p.passage(t, j)), p.stale(now, t, j)})
 				}
 			}
 		}
@@ -164,6 +165,35 @@
 	return p.objective(t, j).Add(-p.learned[j.queue.Name].of(t.rest()))
 }
 
+// passage returns the time that the work of a turn would take with the whole pool for itself: a wide job has
+// to begin so much earlier than a narrow one of the same chain.
+func (p *Pool) passage(t *turn, j *job) time.Duration {
+	if p.room == 0 {
+		return 0
+	}
+	alone := time.Duration(t.work() / float64(p.room) * float64(time.Second))
+	return p.learned[j.queue.Name].of(alone)
+}
+
+// work returns the core time in thousandths of a core-second that isn't done of a turn, as declared.
+func (t *turn) work() float64 {
+	sum := 0.0
+	for _, s := range t.steps {
+		sum += float64(s.left) * float64(s.spec.Need.CPU) * s.spec.Estimate.Seconds()
+	}
+	return sum
+}
+
+// measureRoom notes how much room the runners that take work have.
+func (p *Pool) measureRoom(now time.Time) {
+	p.room = 0
+	for _, r := range p.runners {
+		if r.takes(now) {
+			p.room += r.Room.CPU
+		}
+	}
+}
+
 // objective returns until when a turn's work is in time.
 func (p *Pool) objective(t *turn, j *job) time.Time {
 	from := j.accepted
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -26,7 +26,8 @@
 	counts   counts
 	every    time.Duration // between two checks of the invariants
 	checked  time.Time
-	sure     bool // at the last plan: nobody else can have taken the holder's place
+	room     int64 // thousandths of a core of the runners that take work
+	sure     bool  // at the last plan: nobody else can have taken the holder's place
 	doubts   map[*task]struct{}
 	learned  map[string]*ratio // by queue
 	judged   time.Time
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -398,6 +398,21 @@
 	}
 }
 
+// Two jobs of the same chain: the wide one has to begin earlier to be in time.
+func TestWideJobBeginsBeforeANarrowOne(t *testing.T) {
+	f := newFake(t, 1, 4)
+	blocker := f.accept("b", queue, stepOf(1, 4000))
+	f.step(tickTime)
+	f.accept("c", queue, stepOf(1, 4000))
+	f.now = f.now.Add(tickTime)
+	f.look()
+	wide := f.accept("d", queue, stepOf(3, 4000))
+	f.end("r0", taskOf(blocker, 0, 0), work.EndDone)
+	got := starts(f.step(tickTime))
+	require.Len(t, got, 1)
+	require.Equal(t, wide, got[0].Task.Job)
+}
+
 func TestTurnsStartWhenTheyAreDue(t *testing.T) {
 	f := newFake(t, 1, 8)
 	id := work.ID("000000000000000a")
