--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -11,6 +11,7 @@
 	"gypsumlead/fault"
 	"gypsumlead/holder"
 	"gypsumlead/member"
+	"gypsumlead/pause"
 	"gypsumlead/work"
 )
 
@@ -212,10 +213,7 @@
 }
 
 func (d *Daemon) lookAgain() {
-	select {
-	case d.look <- struct{}{}:
-	default: // it looks in any case
-	}
+	pause.Wake(d.look)
 }
 
 // runnerSeen hands a runner's entry to the holder of its service.
--- a/emulator/load.go
+++ b/emulator/load.go
@@ -19,12 +19,10 @@
 
 // Behaviour of the emulated callers.
 const (
-	tries       = 4
-	tryTime     = 3 * time.Second
-	retryPause  = 300 * time.Millisecond
-	pollEvery   = 400 * time.Millisecond
-	readyEvery  = time.Second
-	statePeriod = 2 * time.Second
+	tries      = 4
+	tryTime    = 3 * time.Second
+	retryPause = 300 * time.Millisecond
+	pollEvery  = 400 * time.Millisecond
 )
 
 // handed is a job from its caller's side.
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"net/netip"
 	"time"
 
@@ -52,8 +51,10 @@
 	for i := range w.size.Services {
 		s := serviceName(i)
 		w.config.Services = append(w.config.Services, configPool{Name: s, RejectsOverload: true})
-		w.config.Routes = append(w.config.Routes, configRoute{Name: "q-" + s, Host: "jobs.example", Prefix: "/" + s + "/", Kind: "non_idempotent",
-			TimeoutMs: 3000, SloMs: 600, Service: s, MaxAttempts: attempts, SlackFactor: 1.6})
+		w.config.Routes = append(w.config.Routes, configRoute{
+			Name: "q-" + s, Host: "jobs.example", Prefix: "/" + s + "/", Kind: "non_idempotent",
+			TimeoutMs: 3000, SloMs: 600, Service: s, MaxAttempts: attempts, SlackFactor: 1.6,
+		})
 	}
 	if w.size.Spare > 0 {
 		w.config.Services = append(w.config.Services, configPool{Name: spareService, RejectsOverload: true, Standby: true})
@@ -80,8 +81,10 @@
 	add := func(pool string) {
 		centre := w.size.Centres[n%len(w.size.Centres)]
 		rack := fmt.Sprintf("r%d", n/4)
-		w.Machines.Add(&standin.Machine{Name: fmt.Sprintf("m%d", n), Pool: pool, Centre: centre, Rack: rack,
-			Room: work.Amount{CPU: w.size.Cores * 1000, Mem: w.size.Cores * 4096}})
+		w.Machines.Add(&standin.Machine{
+			Name: fmt.Sprintf("m%d", n), Pool: pool, Centre: centre, Rack: rack,
+			Room: work.Amount{CPU: w.size.Cores * 1000, Mem: w.size.Cores * 4096},
+		})
 		n++
 	}
 	for i := range w.size.Services {
@@ -218,13 +221,3 @@
 	}
 	return s.Name
 }
-
-// ready tells whether a daemon takes new callers.
-func (w *World) ready(n *node) bool {
-	resp, err := w.http.Get(fmt.Sprintf("http://%s/gypsumlead/ready", netip.AddrPortFrom(n.at, portReady)))
-	if err != nil {
-		return false
-	}
-	defer func() { _ = resp.Body.Close() }() // it is empty
-	return resp.StatusCode == http.StatusOK
-}
--- a/emulator/walk_test.go
+++ b/emulator/walk_test.go
@@ -130,8 +130,10 @@
 		require.Equal(t, http.StatusOK, resp.StatusCode)
 		data, err := io.ReadAll(resp.Body)
 		require.NoError(t, err)
-		for _, name := range []string{"gypsumlead_starts_total", "gypsumlead_ends_total", "gypsumlead_calls_total", "gypsumlead_answers_total",
-			"gypsumlead_seats_term", "gypsumlead_jobs_waiting", "gypsumlead_log_lost_total"} {
+		for _, name := range []string{
+			"gypsumlead_starts_total", "gypsumlead_ends_total", "gypsumlead_calls_total", "gypsumlead_answers_total",
+			"gypsumlead_seats_term", "gypsumlead_jobs_waiting", "gypsumlead_log_lost_total",
+		} {
 			require.Contains(t, string(data), name)
 		}
 	})
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 )
 
@@ -44,7 +45,7 @@
 		switch {
 		case err == nil:
 			slack = callSlack
-			pause(ctx, f.Gap)
+			pause.Until(ctx, f.Gap, nil)
 		case fault.Is(err, fault.Missing):
 			f.After = Start // the history is gone: read everything
 		case ctx.Err() == nil:
@@ -53,7 +54,7 @@
 			if f.Lost != nil {
 				f.Lost()
 			}
-			pause(ctx, retryGap)
+			pause.Until(ctx, retryGap, nil)
 		}
 	}
 	return nil
@@ -82,16 +83,3 @@
 	f.After = page.Version
 	return nil
 }
-
-// pause returns after d or when ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -37,7 +38,7 @@
 // commitLoop commits what there is, one transaction after the other.
 func (h *Holder) commitLoop(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, tick, h.commit)
+		pause.Until(ctx, tick, h.commit)
 		for ctx.Err() == nil && h.commitOnce(ctx) {
 		}
 	}
@@ -63,7 +64,7 @@
 	again := h.committed(f, stamp, err)
 	h.mu.Unlock()
 	if err != nil && !fault.Is(err, fault.Conflict) {
-		pause(ctx, retryGap, nil)
+		pause.Until(ctx, retryGap, nil)
 	}
 	return again
 }
@@ -213,7 +214,7 @@
 	h.answerCancels()
 	close(h.saved)
 	h.saved = make(chan struct{})
-	wake(h.kick)
+	pause.Wake(h.kick)
 }
 
 // unqueue removes an intent that is done with.
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -11,6 +11,7 @@
 	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/member"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -149,7 +150,7 @@
 func (h *Holder) planLoop(ctx context.Context) error {
 	swept := h.Now()
 	for ctx.Err() == nil {
-		pause(ctx, tick, h.kick)
+		pause.Until(ctx, tick, h.kick)
 		now := h.Now()
 		if !h.valid(now) {
 			h.mu.Lock()
@@ -162,7 +163,7 @@
 			swept = now
 			h.sweep(now)
 		}
-		pause(ctx, planGap, nil)
+		pause.Until(ctx, planGap, nil)
 	}
 	return nil
 }
@@ -179,7 +180,7 @@
 		h.dispatch(o)
 	}
 	if at, ok := h.pool.LazyDue(); ok && !now.Before(at) {
-		wake(h.commit)
+		pause.Wake(h.commit)
 	}
 }
 
@@ -226,7 +227,7 @@
 		h.mu.Lock()
 		h.pool.Advised(h.Now(), o, a.Tickets, a.Valid)
 		h.mu.Unlock()
-		wake(h.kick)
+		pause.Wake(h.kick)
 		return nil
 	})
 }
@@ -245,24 +246,5 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pool.SetQueues(queues)
-	wake(h.kick)
-}
-
-// wake puts a token into a channel that holds one.
-func wake(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default: // it is awake already
-	}
-}
-
-// pause returns after d, when c brings something, or when ctx ends.
-func pause(ctx context.Context, d time.Duration, c <-chan struct{}) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-c:
-	}
+	pause.Wake(h.kick)
 }
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"gypsumlead/pause"
+
 	"gypsumlead/clock"
 	"gypsumlead/work"
 )
@@ -54,7 +56,7 @@
 	if c == nil {
 		return a
 	}
-	wake(h.commit)
+	pause.Wake(h.commit)
 	return await(ctx, c)
 }
 
@@ -105,8 +107,8 @@
 	c := make(chan Answer, 1)
 	h.cancels[id] = append(h.cancels[id], c)
 	h.mu.Unlock()
-	wake(h.kick)
-	wake(h.commit)
+	pause.Wake(h.kick)
+	pause.Wake(h.commit)
 	return await(ctx, c)
 }
 
--- a/holder/machines.go
+++ b/holder/machines.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"gypsumlead/pause"
+
 	"gypsumlead/sched"
 )
 
@@ -11,7 +13,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.pool.Evacuate(runner, on)
-	wake(h.kick)
+	pause.Wake(h.kick)
 }
 
 // Due tells that a runner will have to become empty soon, or won't any more.
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/follow"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -45,8 +46,8 @@
 		h.mu.Lock()
 		h.read(row)
 		h.mu.Unlock()
-		wake(h.kick)
-		wake(h.commit)
+		pause.Wake(h.kick)
+		pause.Wake(h.commit)
 	}
 	return nil
 }
--- a/holder/session.go
+++ b/holder/session.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -29,7 +30,7 @@
 	defer h.mu.Unlock()
 	h.wanted[w.ID] = w
 	if old, ok := h.useful[w.ID]; !ok || old.Addr != w.Addr {
-		wake(h.commit) // no work before the store knows that it may have some
+		pause.Wake(h.commit) // no work before the store knows that it may have some
 		return
 	}
 	h.admit(w)
@@ -39,11 +40,11 @@
 func (h *Holder) admit(w work.Runner) {
 	h.pool.Seen(h.Now(), w)
 	if s, ok := h.sessions[w.ID]; ok && s.to.Addr == w.Addr {
-		wake(h.kick)
+		pause.Wake(h.kick)
 		return
 	}
 	h.start(w)
-	wake(h.kick)
+	pause.Wake(h.kick)
 }
 
 // start opens the session of a runner.
@@ -73,7 +74,7 @@
 	defer h.mu.Unlock()
 	delete(h.wanted, id)
 	h.pool.Unlisted(h.Now(), id)
-	wake(h.commit)
+	pause.Wake(h.commit)
 }
 
 // Elsewhere takes in a runner of another service: earlier lives of its machine are over.
@@ -85,7 +86,7 @@
 		delete(h.wanted, w.ID)
 		h.pool.Unlisted(h.Now(), w.ID)
 	}
-	wake(h.commit)
+	pause.Wake(h.commit)
 }
 
 // look asks the runner what it runs, again and again.
@@ -110,12 +111,12 @@
 		h.mu.Unlock()
 		if s.looked(ctx, now, l) {
 			wait = lookWait
-			pause(ctx, lookGap, nil)
+			pause.Until(ctx, lookGap, nil)
 			s.awaitSaved(ctx)
 			continue
 		}
 		wait = 0
-		pause(ctx, lookAgain, nil)
+		pause.Until(ctx, lookAgain, nil)
 	}
 }
 
@@ -128,7 +129,7 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	defer wake(h.kick)
+	defer pause.Wake(h.kick)
 	if err != nil {
 		if ctx.Err() == nil {
 			h.pool.Missed(now, s.to.ID)
@@ -139,7 +140,7 @@
 	h.pool.Looked(now, s.to.ID, sent, got)
 	for _, e := range got.Ends {
 		if e.N > l.Ack {
-			wake(h.commit)
+			pause.Wake(h.commit)
 			break
 		}
 	}
@@ -158,7 +159,7 @@
 		if !unsaved || left <= 0 {
 			return
 		}
-		pause(ctx, left, saved)
+		pause.Until(ctx, left, saved)
 	}
 }
 
@@ -212,7 +213,7 @@
 		h.mu.Lock()
 		h.pool.Stopped(h.Now(), o, outcome(err))
 		h.mu.Unlock()
-		wake(h.kick)
+		pause.Wake(h.kick)
 	case sched.Pace:
 		if err := h.Runners.Pace(ctx, s.to, o.Task, o.Run, o.Percent, h.claim.Token); err != nil {
 			h.Log.Warn("pace not set", zap.Stringer("task", o.Task), zap.String("runner", s.to.ID), zap.Error(err))
@@ -246,7 +247,7 @@
 	h.mu.Lock()
 	h.pool.Started(h.Now(), o, outcome(err), got.Refused, got.Clock)
 	h.mu.Unlock()
-	wake(h.kick)
+	pause.Wake(h.kick)
 }
 
 // outcome turns the error of an order into what is known of it.
--- a/logs/writer.go
+++ b/logs/writer.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"gypsumlead/pause"
 )
 
 // Bounds of the writer.
@@ -81,10 +83,7 @@
 	if full {
 		w.dropped.Add(1)
 	}
-	select {
-	case w.wake <- struct{}{}:
-	default: // it is awake already
-	}
+	pause.Wake(w.wake)
 	return len(line), nil
 }
 
--- a/machines/waves.go
+++ b/machines/waves.go
@@ -40,11 +40,13 @@
 
 // Follow keeps up with the rows until ctx ends.
 func (w *Waves) Follow(ctx context.Context) error {
-	f := follow.Follower{Store: w.store, Table: tableWaves, After: follow.Start, Gap: wavesGap, Log: w.log,
+	f := follow.Follower{
+		Store: w.store, Table: tableWaves, After: follow.Start, Gap: wavesGap, Log: w.log,
 		Apply: func(_ context.Context, page platform.Page, _ bool) error {
 			w.take(page.Rows)
 			return nil
-		}}
+		},
+	}
 	return f.Run(ctx)
 }
 
--- a/member/members.go
+++ b/member/members.go
@@ -13,6 +13,7 @@
 	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/follow"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 )
 
@@ -76,10 +77,10 @@
 				continue // the version is known now
 			}
 			m.log.Warn("own row not written", zap.Error(err))
-			wait(ctx, retryGap, nil)
+			pause.Until(ctx, retryGap, nil)
 			continue
 		}
-		wait(ctx, Beat, m.dirty)
+		pause.Until(ctx, Beat, m.dirty)
 	}
 	return nil
 }
@@ -138,10 +139,7 @@
 
 // hurry has the own row written at once.
 func (m *Members) hurry() {
-	select {
-	case m.dirty <- struct{}{}:
-	default: // it will be written in any case
-	}
+	pause.Wake(m.dirty)
 }
 
 // Follow keeps up with the other daemons' rows until ctx ends.
@@ -291,14 +289,3 @@
 	defer m.mu.Unlock()
 	return m.heard
 }
-
-// wait returns after d, when wake brings something, or when ctx ends.
-func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	case <-wake:
-	}
-}
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -16,3 +16,25 @@
 		return ctx.Err()
 	}
 }
+
+// Until waits for d, until wake brings something, or until ctx ends; a nil wake never does.
+func Until(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-wake:
+	}
+}
+
+// Wake puts a token into a channel that holds one.
+func Wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default: // it is awake already
+	}
+}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -6,9 +6,6 @@
 	"time"
 )
 
-// drainLead is how long before a runner's exit what lasts there is moved: a stop and a start elsewhere.
-const drainLead = 1500 * time.Millisecond
-
 // Evacuate tells that a runner is to become empty, or needn't any more.
 func (p *Pool) Evacuate(id string, on bool) {
 	if r, ok := p.runners[id]; ok {
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -36,8 +36,10 @@
 	f := &fake{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}}
 	f.p = New(f.now, 1, bounds, WithCheckEvery(0), WithBreach(func(err error) { f.broken = append(f.broken, err.Error()) }))
 	for i := range runners {
-		w := work.Runner{ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Amount{CPU: cores * 1000, Mem: 1 << 20},
-			Labels: []string{"a", fmt.Sprintf("rack%d", i/2)}, Born: 1}
+		w := work.Runner{
+			ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Amount{CPU: cores * 1000, Mem: 1 << 20},
+			Labels: []string{"a", fmt.Sprintf("rack%d", i/2)}, Born: 1,
+		}
 		f.runners[w.ID] = &fakeRunner{w: w, runs: map[string]work.Run{}}
 		f.p.Seen(f.now, w)
 	}
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -81,8 +81,12 @@
 		if x.life != nil {
 			id = x.life.ID
 		}
-		all = append(all, wireMachine{x.Name, x.Pool, x.State, x.Centre, []string{"a", x.Rack},
-			map[string]any{"Cpu": x.Room.CPU, "MemMb": x.Room.Mem, "Gpus": x.Room.GPU}, id})
+		all = append(all, wireMachine{
+			x.Name, x.Pool, x.State, x.Centre,
+			[]string{"a", x.Rack},
+			map[string]any{"Cpu": x.Room.CPU, "MemMb": x.Room.Mem, "Gpus": x.Room.GPU},
+			id,
+		})
 	}
 	m.mu.Unlock()
 	send(w, map[string]any{"Machines": all, "NextToken": nil})
