--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -51,9 +51,10 @@
 		broken := w.Judge.Final(w.State)
 		tally := w.Tally()
 		require.Empty(t, broken)
-		require.Empty(t, w.Breaks)
+		require.Empty(t, w.Broken())
 		require.Positive(t, tally.Done)
-		t.Logf("%+v, %d starts, ends %v, store calls %v", tally, w.Judge.Starts, w.Judge.Ends, w.Store.Calls)
+		starts, ends := w.Judge.Counts()
+		t.Logf("%+v, %d starts, ends %v, store calls %v", tally, starts, ends, w.Store.Counts())
 	})
 }
 
@@ -96,7 +97,8 @@
 		require.True(t, w.Cancel(id))
 		time.Sleep(3 * time.Second)
 		require.Equal(t, work.Cancelled, w.State(id))
-		require.Equal(t, 3, w.Judge.Ends[work.EndStopped])
+		_, ends := w.Judge.Counts()
+		require.Equal(t, 3, ends[work.EndStopped])
 	})
 }
 
--- a/emulator/demo.go
+++ b/emulator/demo.go
@@ -94,11 +94,10 @@
 	s := Shown{
 		Asked: t.Asked, Accepted: t.Accepted, Done: t.Done, Failed: t.Failed,
 		Median: t.Median.Round(time.Millisecond).String(), Worst: t.Worst.Round(time.Millisecond).String(),
-		Starts: w.Judge.Starts, Wave: w.WaveDone(1),
+		Wave: w.WaveDone(1),
 	}
+	s.Starts, _ = w.Judge.Counts()
 	s.Broken = append([]string{}, w.Judge.Final(w.State)...)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	s.Broken = append(s.Broken, w.Breaks...)
+	s.Broken = append(s.Broken, w.Broken()...)
 	return s
 }
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,7 +74,7 @@
 	jobs    map[work.ID]*handed
 	nextID  uint64
 	http    *http.Client
-	Breaks  []string // broken invariants that daemons report
+	breaks  []string // broken invariants that daemons report
 }
 
 // node is one daemon's place.
@@ -101,7 +102,7 @@
 
 // New returns a world whose runners, store and services are up; daemons are started one by one.
 func New(ctx context.Context, size Size, seed uint64, log *zap.Logger) *World {
-	r := rand.New(rand.NewPCG(seed, seed))
+	r := rand.New(&shared{src: rand.NewPCG(seed, seed)})
 	w := &World{
 		Net:     standin.NewNetwork(),
 		Store:   standin.NewStore(rand.New(rand.NewPCG(seed, 1))),
@@ -127,6 +128,19 @@
 	return w
 }
 
+// shared is a source of random numbers that several goroutines draw from.
+type shared struct {
+	mu  sync.Mutex
+	src rand.Source
+}
+
+// Uint64 returns the next number.
+func (s *shared) Uint64() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.src.Uint64()
+}
+
 // Close ends the world and waits for all of it.
 func (w *World) Close() {
 	w.stop()
@@ -173,7 +187,7 @@
 		daemon.WithBreach(func(err error) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			w.Breaks = append(w.Breaks, err.Error())
+			w.breaks = append(w.breaks, err.Error())
 		}))
 	if err != nil {
 		panic(err) // the settings and addresses of the emulator are its own
@@ -222,6 +236,13 @@
 	}
 }
 
+// Broken returns the broken invariants that daemons have reported.
+func (w *World) Broken() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.breaks)
+}
+
 // Daemons returns the names of all daemons.
 func (w *World) Daemons() []string {
 	var list []string
--- a/standin/judge.go
+++ b/standin/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,8 +15,8 @@
 	jobs     map[work.ID]*asked
 	tasks    map[string]*seen
 	Breaches []string
-	Starts   int
-	Ends     map[work.How]int
+	starts   int
+	ends     map[work.How]int
 }
 
 // asked is a job that a caller handed in.
@@ -47,7 +48,7 @@
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
-	return &Judge{jobs: map[work.ID]*asked{}, tasks: map[string]*seen{}, Ends: map[work.How]int{}}
+	return &Judge{jobs: map[work.ID]*asked{}, tasks: map[string]*seen{}, ends: map[work.How]int{}}
 }
 
 func (j *Judge) breach(format string, args ...any) {
@@ -94,7 +95,7 @@
 func (j *Judge) started(r *Runner, t work.Task, run int) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.Starts++
+	j.starts++
 	name := t.String()
 	s := j.of(name)
 	a, ok := j.jobs[t.Job]
@@ -132,7 +133,7 @@
 func (j *Judge) ended(r *Runner, n int64, name string, run int, how work.How) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.Ends[how]++
+	j.ends[how]++
 	s := j.of(name)
 	delete(s.active, r)
 	switch how {
@@ -237,3 +238,10 @@
 	}
 	return list
 }
+
+// Counts returns how many runs were started, and how they ended.
+func (j *Judge) Counts() (starts int, ends map[work.How]int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts, maps.Clone(j.ends)
+}
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -180,8 +180,8 @@
 	time.Sleep(orderTime)
 	path := q.URL.Path
 	if late && path != "/gypsumlead/hold" {
-		wait := orderLate + time.Duration(r.rand.Int64N(int64(orderLater-orderLate)))
 		r.mu.Lock()
+		wait := orderLate + time.Duration(r.rand.Int64N(int64(orderLater-orderLate)))
 		born := r.born
 		r.mu.Unlock()
 		go func() {
--- a/standin/store.go
+++ b/standin/store.go
@@ -71,12 +71,12 @@
 	rand    *rand.Rand
 	began   time.Time
 	busy    map[string]time.Time // until when a part is taken
-	Calls   map[string]int
+	calls   map[string]int
 }
 
 // NewStore returns an empty store whose faults are drawn from r.
 func NewStore(r *rand.Rand) *Store {
-	return &Store{rows: map[place]wireRow{}, wake: make(chan struct{}), rand: r, began: time.Now(), busy: map[string]time.Time{}, Calls: map[string]int{}}
+	return &Store{rows: map[place]wireRow{}, wake: make(chan struct{}), rand: r, began: time.Now(), busy: map[string]time.Time{}, calls: map[string]int{}}
 }
 
 // Faults changes the store's troubles.
@@ -152,7 +152,7 @@
 	s.mu.Lock()
 	f := s.faults
 	name := strings.TrimPrefix(r.URL.Path, "/gypsumlead/")
-	s.Calls[name]++
+	s.calls[name]++
 	s.mu.Unlock()
 	if f.Mute {
 		mute(r)
@@ -388,3 +388,10 @@
 	}
 	_, _ = w.Write(b)
 }
+
+// Counts returns how many calls were made, by their names.
+func (s *Store) Counts() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.calls)
+}
