Mail that cancels a job stays until the store has the job as cancelled

The mail that cancelled it was removed in a commit that had no room for the job's progress, and the next holder knew of neither; a new holder also started jobs before it had read its mail. Ruled out: the acknowledgement (it waits for the store).

--- a/holder/commit.go
+++ b/holder/commit.go
@@ -71,8 +71,8 @@
 
 // prepare collects what waits into one transaction.
 func (h *Holder) prepare(now time.Time) (flight, platform.Tx, error) {
-	n := h.fitting()
-	f := flight{intents: slices.Clone(h.queue[:n])}
+	f := flight{intents: h.fitting()}
+	n := len(f.intents)
 	f.progress = h.pool.Batch(now, platform.TxMost-entriesOwn-entriesEach*n, n > 0)
 	h.addRunners(now, &f)
 	f.spell = h.Signs().Spell
@@ -86,16 +86,30 @@
 	return f, tx, err
 }
 
-// fitting returns how many of the waiting intents fit into one transaction.
-func (h *Holder) fitting() int {
+// fitting returns as many of the waiting intents as fit into one transaction.
+func (h *Holder) fitting() []*intent {
+	var list []*intent
 	size := 0
-	for n, i := range h.queue {
+	for _, i := range h.queue {
+		if i.kind == unmail && !h.settled(i) {
+			continue // its mail is all that a next holder would know of it
+		}
 		size += len(i.value)
-		if n == batchMost || size > batchBytes {
-			return max(n, 1)
+		if len(list) == batchMost || (size > batchBytes && len(list) > 0) {
+			break
 		}
+		list = append(list, i)
+	}
+	return list
+}
+
+// settled tells whether the store has what mail asked for, so that the mail may go.
+func (h *Holder) settled(i *intent) bool {
+	if !strings.HasSuffix(i.key, cancelSuffix) {
+		return true // the job itself is stored
 	}
-	return len(h.queue)
+	s, known := h.pool.State(i.id)
+	return !known || s.Final()
 }
 
 // addRunners adds what the store has to know of the runners, where that has changed.
@@ -178,7 +192,7 @@
 		h.spell = f.spell
 		h.apply(f)
 		clear(h.flights)
-		return len(h.queue) > 0
+		return len(h.fitting()) > 0
 	case fault.Is(err, fault.Conflict):
 		return h.conflict(f, err)
 	case fault.Is(err, fault.Overload):
--- a/holder/load.go
+++ b/holder/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,6 +19,7 @@
 	var stamp platform.Stamp
 	var jobs platform.Page
 	var progress map[string]*sched.Progress
+	var mail platform.Page
 	// All at once: where the store is slow, one after the other would take seconds.
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
@@ -34,6 +36,10 @@
 		progress, err = h.loadProgress(ctx)
 		return err
 	})
+	g.Go(func() (err error) {
+		mail, err = h.Store.All(ctx, tableMail, h.claim.Service)
+		return err
+	})
 	if err := g.Wait(); err != nil {
 		return err
 	}
@@ -54,6 +60,13 @@
 	for _, row := range jobs.Rows {
 		h.restore(row, progress[row.Key])
 	}
+	// Cancellations that no holder has taken in come before anything is started; the mail itself is taken in
+	// by the loop that follows it.
+	for _, row := range mail.Rows {
+		if strings.HasSuffix(row.Key, cancelSuffix) {
+			h.pool.Cancel(now, jobOf(row))
+		}
+	}
 	h.Log.Info("seat taken", zap.Int("jobs", len(jobs.Rows)), zap.Int("runners", len(runners.Runners)), zap.Int("silent", len(runners.Silent)), zap.Duration("foreign", h.claim.Foreign))
 	return nil
 }
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -91,7 +91,7 @@
 	if strings.HasSuffix(row.Key, cancelSuffix) {
 		h.pool.Cancel(h.Now(), jobOf(row))
 	}
-	h.queue = append(h.queue, &intent{kind: unmail, key: row.Key})
+	h.queue = append(h.queue, &intent{kind: unmail, id: jobOf(row), key: row.Key})
 }
 
 // Direct stores a job without its holder, who takes it in from there.
