--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -29,6 +29,7 @@
 	targets []Target
 	open    map[string]*session // by instance
 	wg      sync.WaitGroup
+	stopped bool // no dialer is added any more
 }
 
 // Dial opens a connection to another daemon.
@@ -82,6 +83,10 @@
 	m.adjust()
 	m.mu.Unlock()
 	<-ctx.Done()
+	// Under the lock, so that no dialer is added while the others are waited for; see adjust.
+	m.mu.Lock()
+	m.stopped = true
+	m.mu.Unlock()
 	m.wg.Wait()
 	return nil
 }
@@ -96,7 +101,7 @@
 
 // adjust starts and stops dialers, so that there is one a target.
 func (m *Mesh) adjust() {
-	if m.ctx == nil || m.ctx.Err() != nil {
+	if m.ctx == nil || m.stopped {
 		return
 	}
 	want := make(map[netip.AddrPort]bool, len(m.targets))
