Read again: one clock skew, one start of a turn's time, three queries that nobody called are gone

The bound on a runner's clock stood twice, once as a bare 0.02; where a turn's time counts from stood twice; Members.All, Runners.Get and Book.StoreNow had no caller. Behaviour is as before; vet, staticcheck and the tests of the packages and of the emulator passed.

--- a/duty/book.go
+++ b/duty/book.go
@@ -99,13 +99,6 @@
 	b.rows[r.Key] = known{row, r.Version}
 }
 
-// StoreNow is the store's clock.
-func (b *Book) StoreNow() time.Duration {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.now()
-}
-
 func (b *Book) now() time.Duration { return b.stamp.Now + b.Parts.Now().Sub(b.at) }
 
 // Free tells whether this daemon may give a machine orders now: no other has done so lately.
--- a/member/members.go
+++ b/member/members.go
@@ -210,18 +210,6 @@
 	return list
 }
 
-// All returns every daemon that has a row, dead ones too, by name.
-func (m *Members) All() []Node {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var list []Node
-	for _, s := range m.nodes {
-		list = append(list, s.node)
-	}
-	slices.SortFunc(list, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
-	return list
-}
-
 // fresh tells whether a row is of a live daemon; silence of the store says nothing about a daemon.
 func (m *Members) fresh(s seen) bool {
 	from := s.at
--- a/sched/bounds.go
+++ b/sched/bounds.go
@@ -15,8 +15,8 @@
 	lazy       = 250 * time.Millisecond  // progress that nobody waits for is committed within this, well within the bound on acknowledgements
 )
 
-// clockSkew is how slow a runner's clock may be, from the runners' interface.
-const clockSkew = 0.02
+// ClockSkew is how slow a runner's clock may be, from the runners' interface.
+const ClockSkew = 0.02
 
 // runsPerTerm separates the run numbers of one holder from those of the next: more than a task is started in one tenure.
 const runsPerTerm = 1000
--- a/sched/lease.go
+++ b/sched/lease.go
@@ -37,6 +37,6 @@
 	if l.until == 0 {
 		return time.Time{}, false
 	}
-	left := float64(l.until-l.clock) / (1 - clockSkew)
+	left := float64(l.until-l.clock) / (1 - ClockSkew)
 	return l.at.Add(time.Duration(left)), true
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -194,12 +194,12 @@
 	}
 }
 
+// since returns from when a turn's time counts: its acceptance, or when it is due.
+func (j *job) since(t *turn) time.Time { return later(j.accepted, t.due) }
+
 // objective returns until when a turn's work is in time.
 func (p *Pool) objective(t *turn, j *job) time.Time {
-	from := j.accepted
-	if t.due.After(from) {
-		from = t.due
-	}
+	from := j.since(t)
 	chain := p.learned[j.queue.Name].of(j.spec.Chain())
 	return from.Add(time.Duration(j.queue.Slack*float64(chain)) + j.queue.Aim)
 }
@@ -209,10 +209,7 @@
 
 // stale tells whether even the late objective of a turn has passed.
 func (p *Pool) stale(now time.Time, t *turn, j *job) bool {
-	from := j.accepted
-	if t.due.After(from) {
-		from = t.due
-	}
+	from := j.since(t)
 	return now.Sub(from) > lateFactor*p.objective(t, j).Sub(from)
 }
 
--- a/view/runners.go
+++ b/view/runners.go
@@ -159,11 +159,3 @@
 	}
 	return list
 }
-
-// Get returns a runner by its ID.
-func (r *Runners) Get(id string) (work.Runner, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	w, ok := r.list[id]
-	return w, ok
-}
