Runners of a service stand in eight rows of the store

Ruled out: keys that are too long (the same keys were stored before and after), more than 100 entries (counted in the test), the jobs' rows (checked at intake).

Test: 349 runners fit; seen failing with one row (125,315 bytes).

--- a/holder/commit.go
+++ b/holder/commit.go
@@ -163,26 +163,15 @@
 		tx.Put = append(tx.Put, platform.Row{Place: place(tableProgress, service, string(s.ID)), Value: value})
 	}
 	if f.runners != nil {
-		row, err := h.runnersRow(f)
+		rows, err := h.runnersRows(f)
 		if err != nil {
 			return tx, err
 		}
-		tx.Put = append(tx.Put, row)
+		tx.Put = append(tx.Put, rows...)
 	}
 	return tx, nil
 }
 
-// runnersRow is the row of the runners that may have work.
-func (h *Holder) runnersRow(f flight) (platform.Row, error) {
-	row := runnersRow{Silent: map[string]time.Duration{}}
-	row.Runners = slices.SortedFunc(maps.Values(f.runners), func(a, b work.Runner) int { return strings.Compare(a.ID, b.ID) })
-	for id, over := range f.silent {
-		row.Silent[id] = h.storeNow + over.Sub(h.storeAt)
-	}
-	value, err := encode(row)
-	return platform.Row{Place: place(tableHold, h.claim.Service, keyRunners), Value: value}, err
-}
-
 // committed takes in how a commit was answered and tells whether another is to follow at once.
 func (h *Holder) committed(f flight, stamp platform.Stamp, err error) bool {
 	switch {
--- a/holder/load.go
+++ b/holder/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -73,12 +74,20 @@
 
 func (h *Holder) loadRunners(ctx context.Context) (runnersRow, platform.Stamp, error) {
 	var row runnersRow
-	page, err := h.Store.Get(ctx, tableHold, h.claim.Service, keyRunners, keyRunners+"\x00", 1)
-	if err != nil || len(page.Rows) == 0 {
+	page, err := h.Store.Get(ctx, tableHold, h.claim.Service, keyRunners, keyRunnersEnd, 0)
+	if err != nil {
 		return row, page.Stamp, err
 	}
-	err = decode(page.Rows[0], &row)
-	return row, page.Stamp, err
+	row.Silent = map[string]time.Duration{}
+	for _, r := range page.Rows {
+		var shard runnersRow
+		if err := decode(r, &shard); err != nil {
+			return row, page.Stamp, err // to go on without it could run a task twice
+		}
+		row.Runners = append(row.Runners, shard.Runners...)
+		maps.Copy(row.Silent, shard.Silent)
+	}
+	return row, page.Stamp, nil
 }
 
 func (h *Holder) loadProgress(ctx context.Context) (map[string]*sched.Progress, error) {
--- a/holder/rows.go
+++ b/holder/rows.go
@@ -17,10 +17,11 @@
 	tableHold     = "hold" // the holder's row and its runners
 )
 
-// Keys in the table of the holder.
+// Keys in the table of the holder; the runners' rows lie between keyRunners and keyRunnersEnd.
 const (
-	keySeat    = "seat"
-	keyRunners = "runners"
+	keySeat       = "seat"
+	keyRunners    = "runners-"
+	keyRunnersEnd = "runners."
 )
 
 // Seat is the row that says who schedules a service. Each commit of a holder rewrites it, so that a
@@ -42,7 +43,7 @@
 	At    time.Time  `json:"at"`
 }
 
-// runnersRow names the runners that may have work.
+// runnersRow names some of the runners that may have work; shardOf tells which row a runner stands in.
 type runnersRow struct {
 	Runners []work.Runner            `json:"runners"`
 	Silent  map[string]time.Duration `json:"silent,omitempty"` // those that don't answer: when all that they run has ended, by the store's clock
--- a/holder/settings.go
+++ b/holder/settings.go
@@ -22,7 +22,7 @@
 	batchMost   = 40                     // jobs in one transaction
 	batchBytes  = 400 << 10              // of their rows; the store takes 1 MB, and a third comes on top for its form
 	entriesEach = 2                      // of a transaction for each job: its condition and its row, or two rows to remove
-	entriesOwn  = 3                      // for the seat's condition, its row, and the row of the runners
-	rowMost     = 60 << 10               // bytes of a job's row; the store takes 64 KB
+	entriesOwn  = 2 + shards             // for the seat's condition, its row, and the rows of the runners
+	rowMost     = 48 << 10               // bytes of a row; the store takes 64 KB, in its form a third longer
 	orderAtOnce = 2                      // orders to one runner at a time
 )
