Of more jobs than a pool holds, as many as possible are in time

Ordered by their latest start, jobs of two steps all begin, and their second steps then are late and go behind what isn't late yet: the first steps' work is thrown away, again and again.

Now the turns that can't all be in time give way by Moore and Hodgson's rule, with the pool as one wide machine; what has begun has less left, so it stays. Work that gives way still asks for machines.

TestWideJobBeginsBeforeANarrowOne asked that a job of 3 s on a single place begins first although its objective is 2.2 s: it can't be in time. It now has objectives that both can meet, if the wide one begins first; the assertion is the same.

--- /dev/null
+++ b/sched/overload.go
@@ -0,0 +1,99 @@
+package sched
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// packing is the share of a pool's room that tasks fill at best: what is left over on a runner takes no further task.
+const packing = 0.9
+
+// load is the work of a turn that has no run yet.
+type load struct {
+	turn  *turn
+	by    time.Time // until then the pool has to be through with it
+	takes time.Duration
+}
+
+// heaviest holds loads with the largest on top.
+type heaviest []load
+
+func (h heaviest) Len() int           { return len(h) }
+func (h heaviest) Less(a, b int) bool { return h[a].takes > h[b].takes }
+func (h heaviest) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *heaviest) Push(x any)        { *h = append(*h, x.(load)) }
+func (h *heaviest) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+// overload returns the turns that can't all be in time beside the others, chosen so that as many as possible
+// are: where the most urgent first would make each a little late, all would be late. It answers a load above
+// what the pool holds. The rule is Moore and Hodgson's for one machine that is as wide as the pool: where one
+// would be late, the largest so far goes.
+func (p *Pool) overload(now, wall time.Time) map[*turn]struct{} {
+	out := map[*turn]struct{}{}
+	byPriority := map[int][]load{}
+	for _, j := range p.live {
+		if j.state.Final() {
+			continue
+		}
+		for _, t := range j.turns {
+			l, ok := p.loadOf(now, wall, t, j)
+			if ok {
+				byPriority[j.queue.Priority] = append(byPriority[j.queue.Priority], l)
+			}
+		}
+	}
+	var before time.Duration // what more urgent queues take
+	priorities := make([]int, 0, len(byPriority))
+	for n := range byPriority {
+		priorities = append(priorities, n)
+	}
+	slices.Sort(priorities)
+	for _, n := range priorities {
+		before = shed(now, before, byPriority[n], out)
+	}
+	return out
+}
+
+// loadOf returns a turn's load; ok is false where it asks for no room now or is late anyhow.
+func (p *Pool) loadOf(now, wall time.Time, t *turn, j *job) (load, bool) {
+	if p.room <= 0 || !t.due.IsZero() && wall.Before(t.due) {
+		return load{}, false
+	}
+	waiting := 0.0
+	for _, s := range t.steps {
+		if s.spec.Lasts || s.spec.Fills {
+			return load{}, false
+		}
+		waiting += float64(s.wait) * float64(s.spec.Need.CPU) * s.spec.Estimate.Seconds()
+	}
+	by := p.latest(t, j)
+	if waiting == 0 || now.After(by) {
+		return load{}, false
+	}
+	takes := p.learned[j.queue.Name].of(time.Duration(waiting / (packing * float64(p.room)) * float64(time.Second)))
+	// The last of it may start at the latest start, and what comes after that runs beside other work.
+	return load{t, by.Add(min(takes, p.learned[j.queue.Name].of(t.rest()))), takes}, true
+}
+
+// shed adds to out the turns of one priority that give way, and returns until when, from now on, the rest takes the pool.
+func shed(now time.Time, before time.Duration, list []load, out map[*turn]struct{}) time.Duration {
+	slices.SortStableFunc(list, func(a, b load) int { return a.by.Compare(b.by) })
+	var kept heaviest
+	sum := before
+	for _, l := range list {
+		heap.Push(&kept, l)
+		sum += l.takes
+		if now.Add(sum).After(l.by) {
+			largest := heap.Pop(&kept).(load)
+			sum -= largest.takes
+			out[largest.turn] = struct{}{}
+		}
+	}
+	return sum
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -95,7 +95,8 @@
 // candidate is a step with tasks that could start.
 type candidate struct {
 	step  *step
-	late  bool
+	late  bool      // it can't be in time
+	gives bool      // it can't be in time beside the others
 	start time.Time // latest start by which it is placed
 	stale bool      // even the late objective has passed
 }
@@ -104,16 +105,18 @@
 func (p *Pool) candidates(now, wall time.Time) []candidate {
 	held := p.unresolved()
 	p.measureRoom(now)
+	excess := p.overload(now, wall)
 	var list []candidate
 	for _, j := range p.live {
 		if j.state.Final() || (held && j.inherited) {
 			continue
 		}
 		for _, t := range j.turns {
+			_, gives := excess[t]
 			for _, s := range t.steps {
 				if s.wait > 0 && s.ready(wall) {
 					start := p.latest(t, j)
-					list = append(list, candidate{s, now.After(start), start.Add(-p.passage(t, j)), p.stale(now, t, j)})
+					list = append(list, candidate{s, now.After(start), gives, start.Add(-p.passage(t, j)), p.stale(now, t, j)})
 				}
 			}
 		}
@@ -144,7 +147,7 @@
 		return 0
 	case c.stale:
 		return 3
-	case c.late:
+	case c.late || c.gives:
 		return 2
 	}
 	return 1
@@ -184,12 +187,18 @@
 	return sum
 }
 
-// measureRoom notes how much room the runners that take work have.
+// measureRoom notes how much room the runners that take work have for tasks that end.
 func (p *Pool) measureRoom(now time.Time) {
 	p.room = 0
 	for _, r := range p.runners {
-		if r.takes(now) {
-			p.room += r.Room.CPU
+		if !r.takes(now) {
+			continue
+		}
+		p.room += r.Room.CPU
+		for x := range r.runs {
+			if x.task.step.spec.Lasts {
+				p.room -= x.task.step.spec.Need.CPU
+			}
 		}
 	}
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -401,6 +401,8 @@
 // Two jobs of the same chain: the wide one has to begin earlier to be in time.
 func TestWideJobBeginsBeforeANarrowOne(t *testing.T) {
 	f := newFake(t, 1, 4)
+	queue := queue
+	queue.Slack = 4 // both can be in time, if the wide one begins first
 	blocker := f.accept("b", queue, stepOf(1, 4000))
 	f.step(tickTime)
 	f.accept("c", queue, stepOf(1, 4000))
