--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -74,6 +74,7 @@
 	seats   map[string]*holder.Holder
 	leaving bool
 	vacant  map[string]time.Time // services without a holder, by since when
+	larger  map[string]waiter    // services held here that a larger daemon should have
 	taking  map[string]struct{}  // services whose seat is being taken
 	look    chan struct{}
 
@@ -119,6 +120,7 @@
 		meter:   platform.NewMeter(),
 		seats:   map[string]*holder.Holder{},
 		vacant:  map[string]time.Time{},
+		larger:  map[string]waiter{},
 		taking:  map[string]struct{}{},
 		look:    make(chan struct{}, 1),
 		bounds:  boundsOf(set),
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -21,6 +21,9 @@
 	settle    = 1200 * time.Millisecond // after its start a daemon waits so long for the others to show themselves
 	patience  = 700 * time.Millisecond  // another daemon's seat that stays vacant for so long may be taken
 	rankDelay = 300 * time.Millisecond  // and by each further daemon so much later
+	largerFor = 2 * time.Second         // for so long a much larger daemon has to be live before a seat goes to it
+
+	muchLarger = 2 // times the weight of the daemon that has the seat
 )
 
 // keepSeats takes the seats that fall to this daemon until ctx ends.
@@ -37,6 +40,12 @@
 		if d.now().Sub(d.began) < settle {
 			continue
 		}
+		for _, h := range d.surplus(d.now()) {
+			g.Go(func() error {
+				d.release([]*holder.Holder{h})
+				return nil
+			})
+		}
 		for _, s := range d.due(d.now()) {
 			g.Go(func() error {
 				d.take(ctx, g, s)
@@ -61,10 +70,7 @@
 	if !slices.ContainsFunc(live, func(n member.Node) bool { return n.Boot == d.boot }) {
 		return nil
 	}
-	services := make([]string, 0, len(c.Services))
-	for _, s := range c.Services {
-		services = append(services, s.Name)
-	}
+	services := d.services()
 	plan := member.Assign(services, live)
 	var list []string
 	for i, s := range services {
@@ -92,10 +98,72 @@
 	return list
 }
 
-// rank is a daemon's place among the live ones, turned by i so that not all seats go to the same one.
+// waiter is a larger daemon that a seat is to go to, and since when.
+type waiter struct {
+	name string
+	at   time.Time
+}
+
+// surplus returns the seats that this daemon gives up to one that is much larger and has been live for a while.
+func (d *Daemon) surplus(now time.Time) []*holder.Holder {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.leaving || len(d.seats) == 0 {
+		return nil
+	}
+	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+	plan := member.Assign(d.services(), live)
+	var list []*holder.Holder
+	for s, h := range d.seats {
+		to := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == plan[s] })
+		if to < 0 || live[to].Weight < muchLarger*d.set.Weight {
+			delete(d.larger, s)
+			continue
+		}
+		since, ok := d.larger[s]
+		if !ok || since.name != plan[s] {
+			d.larger[s] = waiter{plan[s], now}
+			continue
+		}
+		if now.Sub(since.at) > largerFor {
+			delete(d.larger, s)
+			d.log.Info("seat goes to a larger daemon", zap.String("service", s), zap.String("to", plan[s]))
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// services returns the names of the configured services.
+func (d *Daemon) services() []string {
+	c := d.operator.Config()
+	if c == nil {
+		return nil
+	}
+	names := make([]string, 0, len(c.Services))
+	for _, s := range c.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// rank is a daemon's place among the live ones, the largest first and equal ones turned by i, so that not all
+// seats go to the same one.
 func rank(live []member.Node, name string, i int) int {
-	at := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == name })
-	return (at + i) % len(live)
+	me := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == name })
+	larger, equal, at := 0, 0, 0
+	for k, n := range live {
+		switch {
+		case n.Weight > live[me].Weight:
+			larger++
+		case n.Weight == live[me].Weight:
+			if k == me {
+				at = equal
+			}
+			equal++
+		}
+	}
+	return larger + (at+i)%equal
 }
 
 // take takes one seat and schedules its service in a goroutine of g.
--- a/holder/commit.go
+++ b/holder/commit.go
@@ -313,33 +313,3 @@
 		i.reply(Answer{Verdict: Accepted})
 	}
 }
-
-// Release gives the seat up; no order follows it.
-func (h *Holder) Release(ctx context.Context) {
-	h.mu.Lock()
-	if h.stop != nil {
-		h.stop()
-	}
-	h.mu.Unlock()
-	<-h.fate
-	h.mu.Lock()
-	lost, seat, version := h.lost, h.seat, h.version
-	h.mu.Unlock()
-	if lost != nil {
-		return
-	}
-	seat.Released = true
-	value, err := encode(seat)
-	if err != nil {
-		h.Log.Error("release can't be encoded", zap.Error(err))
-		return
-	}
-	at := place(tableHold, h.claim.Service, keySeat)
-	tx := platform.Tx{
-		If:  []platform.Cond{{Place: at, Version: version}},
-		Put: []platform.Row{{Place: at, Value: value}},
-	}
-	if _, err := h.Store.Commit(ctx, tx); err != nil {
-		h.Log.Warn("seat not released; it is free once this daemon's signs of life have lapsed", zap.Error(err))
-	}
-}
--- a/standin/store.go
+++ b/standin/store.go
@@ -18,6 +18,8 @@
 const (
 	rowsMost    = 500
 	entriesMost = 100
+	valueMost   = 48 << 10 // 64 KB in base64
+	nameMost    = 200
 	txTime      = 5 * time.Millisecond
 	answerTime  = 2 * time.Millisecond
 	lateLeast   = time.Second
@@ -179,7 +181,7 @@
 
 func (s *Store) tx(w http.ResponseWriter, r *http.Request, f StoreFaults) {
 	var tx wireTx
-	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || len(tx.Expected)+len(tx.Puts)+len(tx.Remove) > entriesMost || !onePart(tx) {
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil || len(tx.Expected)+len(tx.Puts)+len(tx.Remove) > entriesMost || !onePart(tx) || tooLong(tx) {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -210,6 +212,16 @@
 	send(w, page)
 }
 
+// tooLong tells whether a row of the transaction is longer than the store takes.
+func tooLong(tx wireTx) bool {
+	for _, r := range slices.Concat(tx.Expected, tx.Puts, tx.Remove) {
+		if len(r.Value) > valueMost || len(r.Table) > nameMost || len(r.Part) > nameMost || len(r.Key) > nameMost {
+			return true
+		}
+	}
+	return false
+}
+
 // waitMost is how long the transactions of one part may wait for each other; more are turned away.
 const waitMost = time.Second
 
