--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -4,293 +4,17 @@
 
 import (
 	"fmt"
-	"time"
-
-	"github.com/go-faster/errors"
-	"github.com/go-faster/jx"
 )
 
-func (s *FaultStatusCodeWithHeaders) Error() string {
+func (s *FaultStatusCode) Error() string {
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
-// Ref: #/components/schemas/Accepted
-type Accepted struct {
-	Seq int64  `json:"seq"`
-	ID  string `json:"id"`
-}
-
-// GetSeq returns the value of Seq.
-func (s *Accepted) GetSeq() int64 {
-	return s.Seq
-}
-
-// GetID returns the value of ID.
-func (s *Accepted) GetID() string {
-	return s.ID
-}
-
-// SetSeq sets the value of Seq.
-func (s *Accepted) SetSeq(val int64) {
-	s.Seq = val
-}
-
-// SetID sets the value of ID.
-func (s *Accepted) SetID(val string) {
-	s.ID = val
-}
-
-type Body jx.Raw
-
-// Ref: #/components/schemas/Draft
-type Draft struct {
-	Schema int  `json:"schema"`
-	Body   Body `json:"body"`
-}
-
-// GetSchema returns the value of Schema.
-func (s *Draft) GetSchema() int {
-	return s.Schema
-}
-
-// GetBody returns the value of Body.
-func (s *Draft) GetBody() Body {
-	return s.Body
-}
-
-// SetSchema sets the value of Schema.
-func (s *Draft) SetSchema(val int) {
-	s.Schema = val
-}
-
-// SetBody sets the value of Body.
-func (s *Draft) SetBody(val Body) {
-	s.Body = val
-}
-
-// Ref: #/components/schemas/Entry
-type Entry struct {
-	ID string `json:"id"`
-	// RFC 3339 with nanoseconds.
-	At    string `json:"at"`
-	Actor string `json:"actor"`
-	Act   string `json:"act"`
-	Why   string `json:"why"`
-	// Kind of fault where the decision was to refuse.
-	Refused OptString         `json:"refused"`
-	Version OptInt64          `json:"version"`
-	Inputs  []EntryInputsItem `json:"inputs"`
-}
-
-// GetID returns the value of ID.
-func (s *Entry) GetID() string {
-	return s.ID
-}
-
-// GetAt returns the value of At.
-func (s *Entry) GetAt() string {
-	return s.At
-}
-
-// GetActor returns the value of Actor.
-func (s *Entry) GetActor() string {
-	return s.Actor
-}
-
-// GetAct returns the value of Act.
-func (s *Entry) GetAct() string {
-	return s.Act
-}
-
-// GetWhy returns the value of Why.
-func (s *Entry) GetWhy() string {
-	return s.Why
-}
-
-// GetRefused returns the value of Refused.
-func (s *Entry) GetRefused() OptString {
-	return s.Refused
-}
-
-// GetVersion returns the value of Version.
-func (s *Entry) GetVersion() OptInt64 {
-	return s.Version
-}
-
-// GetInputs returns the value of Inputs.
-func (s *Entry) GetInputs() []EntryInputsItem {
-	return s.Inputs
-}
-
-// SetID sets the value of ID.
-func (s *Entry) SetID(val string) {
-	s.ID = val
-}
-
-// SetAt sets the value of At.
-func (s *Entry) SetAt(val string) {
-	s.At = val
-}
-
-// SetActor sets the value of Actor.
-func (s *Entry) SetActor(val string) {
-	s.Actor = val
-}
-
-// SetAct sets the value of Act.
-func (s *Entry) SetAct(val string) {
-	s.Act = val
-}
-
-// SetWhy sets the value of Why.
-func (s *Entry) SetWhy(val string) {
-	s.Why = val
-}
-
-// SetRefused sets the value of Refused.
-func (s *Entry) SetRefused(val OptString) {
-	s.Refused = val
-}
-
-// SetVersion sets the value of Version.
-func (s *Entry) SetVersion(val OptInt64) {
-	s.Version = val
-}
-
-// SetInputs sets the value of Inputs.
-func (s *Entry) SetInputs(val []EntryInputsItem) {
-	s.Inputs = val
-}
-
-type EntryInputsItem struct {
-	Name  string `json:"name"`
-	Value string `json:"value"`
-}
-
-// GetName returns the value of Name.
-func (s *EntryInputsItem) GetName() string {
-	return s.Name
-}
-
-// GetValue returns the value of Value.
-func (s *EntryInputsItem) GetValue() string {
-	return s.Value
-}
-
-// SetName sets the value of Name.
-func (s *EntryInputsItem) SetName(val string) {
-	s.Name = val
-}
-
-// SetValue sets the value of Value.
-func (s *EntryInputsItem) SetValue(val string) {
-	s.Value = val
-}
-
-type ExplainKind string
-
-const (
-	ExplainKindPool     ExplainKind = "pool"
-	ExplainKindService  ExplainKind = "service"
-	ExplainKindInstance ExplainKind = "instance"
-	ExplainKindMember   ExplainKind = "member"
-	ExplainKindDrain    ExplainKind = "drain"
-	ExplainKindWave     ExplainKind = "wave"
-	ExplainKindJob      ExplainKind = "job"
-	ExplainKindTeam     ExplainKind = "team"
-)
-
-// AllValues returns all ExplainKind values.
-func (ExplainKind) AllValues() []ExplainKind {
-	return []ExplainKind{
-		ExplainKindPool,
-		ExplainKindService,
-		ExplainKindInstance,
-		ExplainKindMember,
-		ExplainKindDrain,
-		ExplainKindWave,
-		ExplainKindJob,
-		ExplainKindTeam,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s ExplainKind) MarshalText() ([]byte, error) {
-	switch s {
-	case ExplainKindPool:
-		return []byte(s), nil
-	case ExplainKindService:
-		return []byte(s), nil
-	case ExplainKindInstance:
-		return []byte(s), nil
-	case ExplainKindMember:
-		return []byte(s), nil
-	case ExplainKindDrain:
-		return []byte(s), nil
-	case ExplainKindWave:
-		return []byte(s), nil
-	case ExplainKindJob:
-		return []byte(s), nil
-	case ExplainKindTeam:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *ExplainKind) UnmarshalText(data []byte) error {
-	switch ExplainKind(data) {
-	case ExplainKindPool:
-		*s = ExplainKindPool
-		return nil
-	case ExplainKindService:
-		*s = ExplainKindService
-		return nil
-	case ExplainKindInstance:
-		*s = ExplainKindInstance
-		return nil
-	case ExplainKindMember:
-		*s = ExplainKindMember
-		return nil
-	case ExplainKindDrain:
-		*s = ExplainKindDrain
-		return nil
-	case ExplainKindWave:
-		*s = ExplainKindWave
-		return nil
-	case ExplainKindJob:
-		*s = ExplainKindJob
-		return nil
-	case ExplainKindTeam:
-		*s = ExplainKindTeam
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
-type ExplainOK struct {
-	Entries []Entry `json:"entries"`
-}
-
-// GetEntries returns the value of Entries.
-func (s *ExplainOK) GetEntries() []Entry {
-	return s.Entries
-}
-
-// SetEntries sets the value of Entries.
-func (s *ExplainOK) SetEntries(val []Entry) {
-	s.Entries = val
-}
-
 // Ref: #/components/schemas/Fault
 type Fault struct {
-	Kind    string `json:"kind"`
-	Outcome string `json:"outcome"`
-	Text    string `json:"text"`
-	// Seconds to wait before asking again.
-	Retry OptInt64 `json:"retry"`
+	// One of the closed list of kinds.
+	Kind string `json:"kind"`
+	Text string `json:"text"`
 }
 
 // GetKind returns the value of Kind.
@@ -298,450 +22,116 @@
 	return s.Kind
 }
 
-// GetOutcome returns the value of Outcome.
-func (s *Fault) GetOutcome() string {
-	return s.Outcome
-}
-
 // GetText returns the value of Text.
 func (s *Fault) GetText() string {
 	return s.Text
 }
 
-// GetRetry returns the value of Retry.
-func (s *Fault) GetRetry() OptInt64 {
-	return s.Retry
-}
-
 // SetKind sets the value of Kind.
 func (s *Fault) SetKind(val string) {
 	s.Kind = val
 }
 
-// SetOutcome sets the value of Outcome.
-func (s *Fault) SetOutcome(val string) {
-	s.Outcome = val
-}
-
 // SetText sets the value of Text.
 func (s *Fault) SetText(val string) {
 	s.Text = val
 }
 
-// SetRetry sets the value of Retry.
-func (s *Fault) SetRetry(val OptInt64) {
-	s.Retry = val
-}
-
-// FaultStatusCodeWithHeaders wraps Fault with status code and response headers.
-type FaultStatusCodeWithHeaders struct {
+// FaultStatusCode wraps Fault with StatusCode.
+type FaultStatusCode struct {
 	StatusCode int
-	RetryAfter OptInt
 	Response   Fault
 }
 
 // GetStatusCode returns the value of StatusCode.
-func (s *FaultStatusCodeWithHeaders) GetStatusCode() int {
+func (s *FaultStatusCode) GetStatusCode() int {
 	return s.StatusCode
 }
 
-// GetRetryAfter returns the value of RetryAfter.
-func (s *FaultStatusCodeWithHeaders) GetRetryAfter() OptInt {
-	return s.RetryAfter
-}
-
 // GetResponse returns the value of Response.
-func (s *FaultStatusCodeWithHeaders) GetResponse() Fault {
+func (s *FaultStatusCode) GetResponse() Fault {
 	return s.Response
 }
 
 // SetStatusCode sets the value of StatusCode.
-func (s *FaultStatusCodeWithHeaders) SetStatusCode(val int) {
+func (s *FaultStatusCode) SetStatusCode(val int) {
 	s.StatusCode = val
 }
 
-// SetRetryAfter sets the value of RetryAfter.
-func (s *FaultStatusCodeWithHeaders) SetRetryAfter(val OptInt) {
-	s.RetryAfter = val
-}
-
 // SetResponse sets the value of Response.
-func (s *FaultStatusCodeWithHeaders) SetResponse(val Fault) {
+func (s *FaultStatusCode) SetResponse(val Fault) {
 	s.Response = val
 }
 
-// Ref: #/components/schemas/Instance
-type Instance struct {
-	ID     string    `json:"id"`
-	Boot   string    `json:"boot"`
-	Role   string    `json:"role"`
-	State  string    `json:"state"`
-	Region OptString `json:"region"`
-	Centre string    `json:"centre"`
-	Rack   string    `json:"rack"`
-	Addr   string    `json:"addr"`
-	// Empty where it is in no pool.
-	Pool    string  `json:"pool"`
-	Drained OptBool `json:"drained"`
+// Ref: #/components/schemas/Job
+type Job struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	State   string `json:"state"`
 }
 
 // GetID returns the value of ID.
-func (s *Instance) GetID() string {
+func (s *Job) GetID() string {
 	return s.ID
 }
 
-// GetBoot returns the value of Boot.
-func (s *Instance) GetBoot() string {
-	return s.Boot
-}
-
-// GetRole returns the value of Role.
-func (s *Instance) GetRole() string {
-	return s.Role
+// GetService returns the value of Service.
+func (s *Job) GetService() string {
+	return s.Service
 }
 
 // GetState returns the value of State.
-func (s *Instance) GetState() string {
+func (s *Job) GetState() string {
 	return s.State
 }
 
-// GetRegion returns the value of Region.
-func (s *Instance) GetRegion() OptString {
-	return s.Region
-}
-
-// GetCentre returns the value of Centre.
-func (s *Instance) GetCentre() string {
-	return s.Centre
-}
-
-// GetRack returns the value of Rack.
-func (s *Instance) GetRack() string {
-	return s.Rack
-}
-
-// GetAddr returns the value of Addr.
-func (s *Instance) GetAddr() string {
-	return s.Addr
-}
-
-// GetPool returns the value of Pool.
-func (s *Instance) GetPool() string {
-	return s.Pool
-}
-
-// GetDrained returns the value of Drained.
-func (s *Instance) GetDrained() OptBool {
-	return s.Drained
-}
-
 // SetID sets the value of ID.
-func (s *Instance) SetID(val string) {
+func (s *Job) SetID(val string) {
 	s.ID = val
 }
 
-// SetBoot sets the value of Boot.
-func (s *Instance) SetBoot(val string) {
-	s.Boot = val
-}
-
-// SetRole sets the value of Role.
-func (s *Instance) SetRole(val string) {
-	s.Role = val
+// SetService sets the value of Service.
+func (s *Job) SetService(val string) {
+	s.Service = val
 }
 
 // SetState sets the value of State.
-func (s *Instance) SetState(val string) {
+func (s *Job) SetState(val string) {
 	s.State = val
 }
 
-// SetRegion sets the value of Region.
-func (s *Instance) SetRegion(val OptString) {
-	s.Region = val
-}
-
-// SetCentre sets the value of Centre.
-func (s *Instance) SetCentre(val string) {
-	s.Centre = val
-}
-
-// SetRack sets the value of Rack.
-func (s *Instance) SetRack(val string) {
-	s.Rack = val
-}
-
-// SetAddr sets the value of Addr.
-func (s *Instance) SetAddr(val string) {
-	s.Addr = val
-}
-
-// SetPool sets the value of Pool.
-func (s *Instance) SetPool(val string) {
-	s.Pool = val
-}
-
-// SetDrained sets the value of Drained.
-func (s *Instance) SetDrained(val OptBool) {
-	s.Drained = val
-}
-
-// Ref: #/components/schemas/JobProgress
-type JobProgress struct {
-	Name  string `json:"name"`
-	Pool  string `json:"pool"`
-	Phase string `json:"phase"`
-	Why   string `json:"why"`
-	Count int    `json:"count"`
-	// Tasks that succeeded.
-	Done int `json:"done"`
-	// Tasks done or dropped.
-	Ended int `json:"ended"`
-}
-
-// GetName returns the value of Name.
-func (s *JobProgress) GetName() string {
-	return s.Name
-}
-
-// GetPool returns the value of Pool.
-func (s *JobProgress) GetPool() string {
-	return s.Pool
-}
-
-// GetPhase returns the value of Phase.
-func (s *JobProgress) GetPhase() string {
-	return s.Phase
-}
-
-// GetWhy returns the value of Why.
-func (s *JobProgress) GetWhy() string {
-	return s.Why
-}
-
-// GetCount returns the value of Count.
-func (s *JobProgress) GetCount() int {
-	return s.Count
-}
-
-// GetDone returns the value of Done.
-func (s *JobProgress) GetDone() int {
-	return s.Done
-}
-
-// GetEnded returns the value of Ended.
-func (s *JobProgress) GetEnded() int {
-	return s.Ended
-}
-
-// SetName sets the value of Name.
-func (s *JobProgress) SetName(val string) {
-	s.Name = val
-}
-
-// SetPool sets the value of Pool.
-func (s *JobProgress) SetPool(val string) {
-	s.Pool = val
-}
-
-// SetPhase sets the value of Phase.
-func (s *JobProgress) SetPhase(val string) {
-	s.Phase = val
-}
-
-// SetWhy sets the value of Why.
-func (s *JobProgress) SetWhy(val string) {
-	s.Why = val
-}
-
-// SetCount sets the value of Count.
-func (s *JobProgress) SetCount(val int) {
-	s.Count = val
-}
-
-// SetDone sets the value of Done.
-func (s *JobProgress) SetDone(val int) {
-	s.Done = val
-}
-
-// SetEnded sets the value of Ended.
-func (s *JobProgress) SetEnded(val int) {
-	s.Ended = val
-}
-
-type Kind string
-
-const (
-	KindPool    Kind = "pool"
-	KindService Kind = "service"
-	KindMember  Kind = "member"
-	KindDrain   Kind = "drain"
-	KindWave    Kind = "wave"
-	KindJob     Kind = "job"
-	KindTeam    Kind = "team"
-)
-
-// AllValues returns all Kind values.
-func (Kind) AllValues() []Kind {
-	return []Kind{
-		KindPool,
-		KindService,
-		KindMember,
-		KindDrain,
-		KindWave,
-		KindJob,
-		KindTeam,
-	}
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (s Kind) MarshalText() ([]byte, error) {
-	switch s {
-	case KindPool:
-		return []byte(s), nil
-	case KindService:
-		return []byte(s), nil
-	case KindMember:
-		return []byte(s), nil
-	case KindDrain:
-		return []byte(s), nil
-	case KindWave:
-		return []byte(s), nil
-	case KindJob:
-		return []byte(s), nil
-	case KindTeam:
-		return []byte(s), nil
-	default:
-		return nil, errors.Errorf("invalid value: %q", s)
-	}
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (s *Kind) UnmarshalText(data []byte) error {
-	switch Kind(data) {
-	case KindPool:
-		*s = KindPool
-		return nil
-	case KindService:
-		*s = KindService
-		return nil
-	case KindMember:
-		*s = KindMember
-		return nil
-	case KindDrain:
-		*s = KindDrain
-		return nil
-	case KindWave:
-		*s = KindWave
-		return nil
-	case KindJob:
-		*s = KindJob
-		return nil
-	case KindTeam:
-		*s = KindTeam
-		return nil
-	default:
-		return errors.Errorf("invalid value: %q", data)
-	}
-}
-
-type ListInstancesOK struct {
-	Instances []Instance `json:"instances"`
-}
-
-// GetInstances returns the value of Instances.
-func (s *ListInstancesOK) GetInstances() []Instance {
-	return s.Instances
-}
-
-// SetInstances sets the value of Instances.
-func (s *ListInstancesOK) SetInstances(val []Instance) {
-	s.Instances = val
-}
-
-type ListRecordsOK struct {
-	// Newest change in force here.
-	Seq     int64    `json:"seq"`
-	Records []Record `json:"records"`
-}
-
-// GetSeq returns the value of Seq.
-func (s *ListRecordsOK) GetSeq() int64 {
-	return s.Seq
-}
-
-// GetRecords returns the value of Records.
-func (s *ListRecordsOK) GetRecords() []Record {
-	return s.Records
-}
-
-// SetSeq sets the value of Seq.
-func (s *ListRecordsOK) SetSeq(val int64) {
-	s.Seq = val
-}
-
-// SetRecords sets the value of Records.
-func (s *ListRecordsOK) SetRecords(val []Record) {
-	s.Records = val
-}
-
-type MoveInstanceReq struct {
-	Pool string `json:"pool"`
-	// Pool that it is in now; empty where it is in none.
-	From OptString `json:"from"`
-}
-
-// GetPool returns the value of Pool.
-func (s *MoveInstanceReq) GetPool() string {
-	return s.Pool
-}
-
-// GetFrom returns the value of From.
-func (s *MoveInstanceReq) GetFrom() OptString {
-	return s.From
-}
-
-// SetPool sets the value of Pool.
-func (s *MoveInstanceReq) SetPool(val string) {
-	s.Pool = val
-}
-
-// SetFrom sets the value of From.
-func (s *MoveInstanceReq) SetFrom(val OptString) {
-	s.From = val
-}
-
-// NewOptBool returns new OptBool with value set to v.
-func NewOptBool(v bool) OptBool {
-	return OptBool{
+// NewOptProgress returns new OptProgress with value set to v.
+func NewOptProgress(v Progress) OptProgress {
+	return OptProgress{
 		Value: v,
 		Set:   true,
 	}
 }
 
-// OptBool is optional bool.
-type OptBool struct {
-	Value bool
+// OptProgress is optional Progress.
+type OptProgress struct {
+	Value Progress
 	Set   bool
 }
 
-// IsSet returns true if OptBool was set.
-func (o OptBool) IsSet() bool { return o.Set }
+// IsSet returns true if OptProgress was set.
+func (o OptProgress) IsSet() bool { return o.Set }
 
 // Reset unsets value.
-func (o *OptBool) Reset() {
-	var v bool
+func (o *OptProgress) Reset() {
+	var v Progress
 	o.Value = v
 	o.Set = false
 }
 
 // SetTo sets value to v.
-func (o *OptBool) SetTo(v bool) {
+func (o *OptProgress) SetTo(v Progress) {
 	o.Set = true
 	o.Value = v
 }
 
 // Get returns value and boolean that denotes whether value was set.
-func (o OptBool) Get() (v bool, ok bool) {
+func (o OptProgress) Get() (v Progress, ok bool) {
 	if !o.Set {
 		return v, false
 	}
@@ -749,227 +139,130 @@
 }
 
 // Or returns value if set, or given parameter if does not.
-func (o OptBool) Or(d bool) bool {
+func (o OptProgress) Or(d Progress) Progress {
 	if v, ok := o.Get(); ok {
 		return v
 	}
 	return d
 }
 
-// NewOptInt returns new OptInt with value set to v.
-func NewOptInt(v int) OptInt {
-	return OptInt{
-		Value: v,
-		Set:   true,
-	}
-}
-
-// OptInt is optional int.
-type OptInt struct {
-	Value int
-	Set   bool
+// Only where the daemon that was asked schedules the service.
+// Ref: #/components/schemas/Progress
+type Progress struct {
+	// Accepted jobs that have not begun.
+	Waiting int64 `json:"waiting"`
+	// Jobs that have begun.
+	Running int64 `json:"running"`
+	// Age of the oldest one that has not begun.
+	Oldest float64 `json:"oldest"`
+	// Instances without work because of failures.
+	Out int64 `json:"out"`
+	// Instances that do not answer.
+	Silent int64 `json:"silent"`
 }
 
-// IsSet returns true if OptInt was set.
-func (o OptInt) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptInt) Reset() {
-	var v int
-	o.Value = v
-	o.Set = false
-}
-
-// SetTo sets value to v.
-func (o *OptInt) SetTo(v int) {
-	o.Set = true
-	o.Value = v
-}
-
-// Get returns value and boolean that denotes whether value was set.
-func (o OptInt) Get() (v int, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
-}
-
-// Or returns value if set, or given parameter if does not.
-func (o OptInt) Or(d int) int {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
-}
-
-// NewOptInt64 returns new OptInt64 with value set to v.
-func NewOptInt64(v int64) OptInt64 {
-	return OptInt64{
-		Value: v,
-		Set:   true,
-	}
-}
-
-// OptInt64 is optional int64.
-type OptInt64 struct {
-	Value int64
-	Set   bool
-}
-
-// IsSet returns true if OptInt64 was set.
-func (o OptInt64) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptInt64) Reset() {
-	var v int64
-	o.Value = v
-	o.Set = false
-}
-
-// SetTo sets value to v.
-func (o *OptInt64) SetTo(v int64) {
-	o.Set = true
-	o.Value = v
+// GetWaiting returns the value of Waiting.
+func (s *Progress) GetWaiting() int64 {
+	return s.Waiting
 }
 
-// Get returns value and boolean that denotes whether value was set.
-func (o OptInt64) Get() (v int64, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
+// GetRunning returns the value of Running.
+func (s *Progress) GetRunning() int64 {
+	return s.Running
 }
 
-// Or returns value if set, or given parameter if does not.
-func (o OptInt64) Or(d int64) int64 {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
+// GetOldest returns the value of Oldest.
+func (s *Progress) GetOldest() float64 {
+	return s.Oldest
 }
 
-// NewOptString returns new OptString with value set to v.
-func NewOptString(v string) OptString {
-	return OptString{
-		Value: v,
-		Set:   true,
-	}
+// GetOut returns the value of Out.
+func (s *Progress) GetOut() int64 {
+	return s.Out
 }
 
-// OptString is optional string.
-type OptString struct {
-	Value string
-	Set   bool
+// GetSilent returns the value of Silent.
+func (s *Progress) GetSilent() int64 {
+	return s.Silent
 }
 
-// IsSet returns true if OptString was set.
-func (o OptString) IsSet() bool { return o.Set }
-
-// Reset unsets value.
-func (o *OptString) Reset() {
-	var v string
-	o.Value = v
-	o.Set = false
+// SetWaiting sets the value of Waiting.
+func (s *Progress) SetWaiting(val int64) {
+	s.Waiting = val
 }
 
-// SetTo sets value to v.
-func (o *OptString) SetTo(v string) {
-	o.Set = true
-	o.Value = v
+// SetRunning sets the value of Running.
+func (s *Progress) SetRunning(val int64) {
+	s.Running = val
 }
 
-// Get returns value and boolean that denotes whether value was set.
-func (o OptString) Get() (v string, ok bool) {
-	if !o.Set {
-		return v, false
-	}
-	return o.Value, true
+// SetOldest sets the value of Oldest.
+func (s *Progress) SetOldest(val float64) {
+	s.Oldest = val
 }
 
-// Or returns value if set, or given parameter if does not.
-func (o OptString) Or(d string) string {
-	if v, ok := o.Get(); ok {
-		return v
-	}
-	return d
+// SetOut sets the value of Out.
+func (s *Progress) SetOut(val int64) {
+	s.Out = val
 }
 
-// Ref: #/components/schemas/Record
-type Record struct {
-	Kind    string `json:"kind"`
-	Name    string `json:"name"`
-	Schema  int    `json:"schema"`
-	Version int64  `json:"version"`
-	Body    Body   `json:"body"`
+// SetSilent sets the value of Silent.
+func (s *Progress) SetSilent(val int64) {
+	s.Silent = val
 }
 
-// GetKind returns the value of Kind.
-func (s *Record) GetKind() string {
-	return s.Kind
+// Ref: #/components/schemas/Service
+type Service struct {
+	Name string `json:"name"`
+	// Daemon that schedules it; empty where none is known.
+	Holder   string      `json:"holder"`
+	Progress OptProgress `json:"progress"`
 }
 
 // GetName returns the value of Name.
-func (s *Record) GetName() string {
+func (s *Service) GetName() string {
 	return s.Name
 }
 
-// GetSchema returns the value of Schema.
-func (s *Record) GetSchema() int {
-	return s.Schema
+// GetHolder returns the value of Holder.
+func (s *Service) GetHolder() string {
+	return s.Holder
 }
 
-// GetVersion returns the value of Version.
-func (s *Record) GetVersion() int64 {
-	return s.Version
-}
-
-// GetBody returns the value of Body.
-func (s *Record) GetBody() Body {
-	return s.Body
-}
-
-// SetKind sets the value of Kind.
-func (s *Record) SetKind(val string) {
-	s.Kind = val
+// GetProgress returns the value of Progress.
+func (s *Service) GetProgress() OptProgress {
+	return s.Progress
 }
 
 // SetName sets the value of Name.
-func (s *Record) SetName(val string) {
+func (s *Service) SetName(val string) {
 	s.Name = val
 }
 
-// SetSchema sets the value of Schema.
-func (s *Record) SetSchema(val int) {
-	s.Schema = val
-}
-
-// SetVersion sets the value of Version.
-func (s *Record) SetVersion(val int64) {
-	s.Version = val
+// SetHolder sets the value of Holder.
+func (s *Service) SetHolder(val string) {
+	s.Holder = val
 }
 
-// SetBody sets the value of Body.
-func (s *Record) SetBody(val Body) {
-	s.Body = val
+// SetProgress sets the value of Progress.
+func (s *Service) SetProgress(val OptProgress) {
+	s.Progress = val
 }
 
 // Ref: #/components/schemas/Status
 type Status struct {
 	Instance string `json:"instance"`
-	Boot     string `json:"boot"`
-	Centre   string `json:"centre"`
-	Region   string `json:"region"`
-	// Newest change in force here.
-	Seq     int64 `json:"seq"`
+	// Another one after each start of the process.
+	Boot   string `json:"boot"`
+	Centre string `json:"centre"`
+	// Version of the configuration in force; 0 is none.
+	Config  int64 `json:"config"`
 	Ready   bool  `json:"ready"`
 	Leaving bool  `json:"leaving"`
-	// Callers' requests in progress.
-	Progress int `json:"progress"`
-	// Last fault of the platform; empty while it answers.
-	Store OptString `json:"store"`
-	// Control duties held here.
-	Duties []string          `json:"duties"`
-	Peers  []StatusPeersItem `json:"peers"`
+	// Daemons that are known to be live, this one among them.
+	Daemons []string `json:"daemons"`
+	// Services that are scheduled here.
+	Holds []string `json:"holds"`
 }
 
 // GetInstance returns the value of Instance.
@@ -987,14 +280,9 @@
 	return s.Centre
 }
 
-// GetRegion returns the value of Region.
-func (s *Status) GetRegion() string {
-	return s.Region
-}
-
-// GetSeq returns the value of Seq.
-func (s *Status) GetSeq() int64 {
-	return s.Seq
+// GetConfig returns the value of Config.
+func (s *Status) GetConfig() int64 {
+	return s.Config
 }
 
 // GetReady returns the value of Ready.
@@ -1007,24 +295,14 @@
 	return s.Leaving
 }
 
-// GetProgress returns the value of Progress.
-func (s *Status) GetProgress() int {
-	return s.Progress
-}
-
-// GetStore returns the value of Store.
-func (s *Status) GetStore() OptString {
-	return s.Store
+// GetDaemons returns the value of Daemons.
+func (s *Status) GetDaemons() []string {
+	return s.Daemons
 }
 
-// GetDuties returns the value of Duties.
-func (s *Status) GetDuties() []string {
-	return s.Duties
-}
-
-// GetPeers returns the value of Peers.
-func (s *Status) GetPeers() []StatusPeersItem {
-	return s.Peers
+// GetHolds returns the value of Holds.
+func (s *Status) GetHolds() []string {
+	return s.Holds
 }
 
 // SetInstance sets the value of Instance.
@@ -1042,14 +320,9 @@
 	s.Centre = val
 }
 
-// SetRegion sets the value of Region.
-func (s *Status) SetRegion(val string) {
-	s.Region = val
-}
-
-// SetSeq sets the value of Seq.
-func (s *Status) SetSeq(val int64) {
-	s.Seq = val
+// SetConfig sets the value of Config.
+func (s *Status) SetConfig(val int64) {
+	s.Config = val
 }
 
 // SetReady sets the value of Ready.
@@ -1062,218 +335,12 @@
 	s.Leaving = val
 }
 
-// SetProgress sets the value of Progress.
-func (s *Status) SetProgress(val int) {
-	s.Progress = val
-}
-
-// SetStore sets the value of Store.
-func (s *Status) SetStore(val OptString) {
-	s.Store = val
-}
-
-// SetDuties sets the value of Duties.
-func (s *Status) SetDuties(val []string) {
-	s.Duties = val
-}
-
-// SetPeers sets the value of Peers.
-func (s *Status) SetPeers(val []StatusPeersItem) {
-	s.Peers = val
-}
-
-type StatusPeersItem struct {
-	Instance string `json:"instance"`
-	Centre   string `json:"centre"`
-}
-
-// GetInstance returns the value of Instance.
-func (s *StatusPeersItem) GetInstance() string {
-	return s.Instance
-}
-
-// GetCentre returns the value of Centre.
-func (s *StatusPeersItem) GetCentre() string {
-	return s.Centre
-}
-
-// SetInstance sets the value of Instance.
-func (s *StatusPeersItem) SetInstance(val string) {
-	s.Instance = val
-}
-
-// SetCentre sets the value of Centre.
-func (s *StatusPeersItem) SetCentre(val string) {
-	s.Centre = val
-}
-
-type Token struct {
-	Token string
-	Roles []string
-}
-
-// GetToken returns the value of Token.
-func (s *Token) GetToken() string {
-	return s.Token
-}
-
-// GetRoles returns the value of Roles.
-func (s *Token) GetRoles() []string {
-	return s.Roles
-}
-
-// SetToken sets the value of Token.
-func (s *Token) SetToken(val string) {
-	s.Token = val
-}
-
-// SetRoles sets the value of Roles.
-func (s *Token) SetRoles(val []string) {
-	s.Roles = val
-}
-
-// Ref: #/components/schemas/WaveProgress
-type WaveProgress struct {
-	Name string `json:"name"`
-	// Every pool that began is through with its instances.
-	Done bool `json:"done"`
-	// Instances that the wave is not through with.
-	Left int `json:"left"`
-	// Why the wave stopped itself; empty while it goes on.
-	Stop  OptString               `json:"stop"`
-	Parts []WaveProgressPartsItem `json:"parts"`
-}
-
-// GetName returns the value of Name.
-func (s *WaveProgress) GetName() string {
-	return s.Name
-}
-
-// GetDone returns the value of Done.
-func (s *WaveProgress) GetDone() bool {
-	return s.Done
-}
-
-// GetLeft returns the value of Left.
-func (s *WaveProgress) GetLeft() int {
-	return s.Left
-}
-
-// GetStop returns the value of Stop.
-func (s *WaveProgress) GetStop() OptString {
-	return s.Stop
-}
-
-// GetParts returns the value of Parts.
-func (s *WaveProgress) GetParts() []WaveProgressPartsItem {
-	return s.Parts
-}
-
-// SetName sets the value of Name.
-func (s *WaveProgress) SetName(val string) {
-	s.Name = val
-}
-
-// SetDone sets the value of Done.
-func (s *WaveProgress) SetDone(val bool) {
-	s.Done = val
-}
-
-// SetLeft sets the value of Left.
-func (s *WaveProgress) SetLeft(val int) {
-	s.Left = val
-}
-
-// SetStop sets the value of Stop.
-func (s *WaveProgress) SetStop(val OptString) {
-	s.Stop = val
-}
-
-// SetParts sets the value of Parts.
-func (s *WaveProgress) SetParts(val []WaveProgressPartsItem) {
-	s.Parts = val
-}
-
-type WaveProgressPartsItem struct {
-	Pool string `json:"pool"`
-	// What keeps it from its next instance.
-	Why   string                           `json:"why"`
-	Items []WaveProgressPartsItemItemsItem `json:"items"`
-}
-
-// GetPool returns the value of Pool.
-func (s *WaveProgressPartsItem) GetPool() string {
-	return s.Pool
-}
-
-// GetWhy returns the value of Why.
-func (s *WaveProgressPartsItem) GetWhy() string {
-	return s.Why
-}
-
-// GetItems returns the value of Items.
-func (s *WaveProgressPartsItem) GetItems() []WaveProgressPartsItemItemsItem {
-	return s.Items
-}
-
-// SetPool sets the value of Pool.
-func (s *WaveProgressPartsItem) SetPool(val string) {
-	s.Pool = val
-}
-
-// SetWhy sets the value of Why.
-func (s *WaveProgressPartsItem) SetWhy(val string) {
-	s.Why = val
-}
-
-// SetItems sets the value of Items.
-func (s *WaveProgressPartsItem) SetItems(val []WaveProgressPartsItemItemsItem) {
-	s.Items = val
-}
-
-type WaveProgressPartsItemItemsItem struct {
-	Instance string    `json:"instance"`
-	State    string    `json:"state"`
-	Since    time.Time `json:"since"`
-	Why      string    `json:"why"`
-}
-
-// GetInstance returns the value of Instance.
-func (s *WaveProgressPartsItemItemsItem) GetInstance() string {
-	return s.Instance
-}
-
-// GetState returns the value of State.
-func (s *WaveProgressPartsItemItemsItem) GetState() string {
-	return s.State
-}
-
-// GetSince returns the value of Since.
-func (s *WaveProgressPartsItemItemsItem) GetSince() time.Time {
-	return s.Since
-}
-
-// GetWhy returns the value of Why.
-func (s *WaveProgressPartsItemItemsItem) GetWhy() string {
-	return s.Why
-}
-
-// SetInstance sets the value of Instance.
-func (s *WaveProgressPartsItemItemsItem) SetInstance(val string) {
-	s.Instance = val
-}
-
-// SetState sets the value of State.
-func (s *WaveProgressPartsItemItemsItem) SetState(val string) {
-	s.State = val
-}
-
-// SetSince sets the value of Since.
-func (s *WaveProgressPartsItemItemsItem) SetSince(val time.Time) {
-	s.Since = val
+// SetDaemons sets the value of Daemons.
+func (s *Status) SetDaemons(val []string) {
+	s.Daemons = val
 }
 
-// SetWhy sets the value of Why.
-func (s *WaveProgressPartsItemItemsItem) SetWhy(val string) {
-	s.Why = val
+// SetHolds sets the value of Holds.
+func (s *Status) SetHolds(val []string) {
+	s.Holds = val
 }
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -8,89 +8,51 @@
 
 // Handler handles operations described by OpenAPI v3 specification.
 type Handler interface {
-	// DeleteRecord implements deleteRecord operation.
+	// GetJob implements getJob operation.
 	//
-	// Deletes a record.
+	// Where a job stands.
 	//
-	// DELETE /v1/records/{kind}/{name}
-	DeleteRecord(ctx context.Context, params DeleteRecordParams) (*Accepted, error)
-	// Explain implements explain operation.
-	//
-	// Every decision on something, in order, from the audit trail.
-	//
-	// GET /v1/explain/{kind}/{name}
-	Explain(ctx context.Context, params ExplainParams) (*ExplainOK, error)
-	// GetJobProgress implements getJobProgress operation.
-	//
-	// Where a job stands, and why its tasks wait.
-	//
-	// GET /v1/jobs/{name}/progress
-	GetJobProgress(ctx context.Context, params GetJobProgressParams) (*JobProgress, error)
-	// GetRecord implements getRecord operation.
-	//
-	// One record in force here.
-	//
-	// GET /v1/records/{kind}/{name}
-	GetRecord(ctx context.Context, params GetRecordParams) (*Record, error)
+	// GET /v1/jobs/{id}
+	GetJob(ctx context.Context, params GetJobParams) (*Job, error)
 	// GetStatus implements getStatus operation.
 	//
 	// What this daemon is and has in force.
 	//
 	// GET /v1/status
 	GetStatus(ctx context.Context) (*Status, error)
-	// GetWaveProgress implements getWaveProgress operation.
-	//
-	// How far a wave is with each instance, and what it waits for.
-	//
-	// GET /v1/waves/{name}/progress
-	GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (*WaveProgress, error)
-	// ListInstances implements listInstances operation.
-	//
-	// The platform's instances with the pool of each.
-	//
-	// GET /v1/instances
-	ListInstances(ctx context.Context) (*ListInstancesOK, error)
-	// ListRecords implements listRecords operation.
-	//
-	// The records of a kind that are in force here.
-	//
-	// GET /v1/records/{kind}
-	ListRecords(ctx context.Context, params ListRecordsParams) (*ListRecordsOK, error)
-	// MoveInstance implements moveInstance operation.
+	// GetTrail implements getTrail operation.
 	//
-	// Puts an instance into a pool; it is in one pool at any moment.
+	// The newest decisions of this daemon about a job, an instance or a machine, as it logged them.
 	//
-	// POST /v1/instances/{name}/move
-	MoveInstance(ctx context.Context, req *MoveInstanceReq, params MoveInstanceParams) (*Accepted, error)
-	// PutRecord implements putRecord operation.
+	// GET /v1/trail/{id}
+	GetTrail(ctx context.Context, params GetTrailParams) ([]string, error)
+	// ListServices implements listServices operation.
 	//
-	// Makes or changes a record.
+	// The configured services with who schedules them, and how far those scheduled here are.
 	//
-	// PUT /v1/records/{kind}/{name}
-	PutRecord(ctx context.Context, req *Draft, params PutRecordParams) (*Record, error)
-	// NewError creates *FaultStatusCodeWithHeaders from error returned by handler.
+	// GET /v1/services
+	ListServices(ctx context.Context) ([]Service, error)
+	// NewError creates *FaultStatusCode from error returned by handler.
 	//
 	// Used for common default response.
-	NewError(ctx context.Context, err error) *FaultStatusCodeWithHeaders
+	NewError(ctx context.Context, err error) *FaultStatusCode
 }
 
 // Server implements http server based on OpenAPI v3 specification and
 // calls Handler to handle requests.
 type Server struct {
-	h   Handler
-	sec SecurityHandler
+	h Handler
 	baseServer
 }
 
 // NewServer creates new Server.
-func NewServer(h Handler, sec SecurityHandler, opts ...ServerOption) (*Server, error) {
+func NewServer(h Handler, opts ...ServerOption) (*Server, error) {
 	s, err := newServerConfig(opts...).baseServer()
 	if err != nil {
 		return nil, err
 	}
 	return &Server{
 		h:          h,
-		sec:        sec,
 		baseServer: s,
 	}, nil
 }
--- a/api/oas/oas_unimplemented_gen.go
+++ b/api/oas/oas_unimplemented_gen.go
@@ -13,39 +13,12 @@
 
 var _ Handler = UnimplementedHandler{}
 
-// DeleteRecord implements deleteRecord operation.
+// GetJob implements getJob operation.
 //
-// Deletes a record.
+// Where a job stands.
 //
-// DELETE /v1/records/{kind}/{name}
-func (UnimplementedHandler) DeleteRecord(ctx context.Context, params DeleteRecordParams) (r *Accepted, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// Explain implements explain operation.
-//
-// Every decision on something, in order, from the audit trail.
-//
-// GET /v1/explain/{kind}/{name}
-func (UnimplementedHandler) Explain(ctx context.Context, params ExplainParams) (r *ExplainOK, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// GetJobProgress implements getJobProgress operation.
-//
-// Where a job stands, and why its tasks wait.
-//
-// GET /v1/jobs/{name}/progress
-func (UnimplementedHandler) GetJobProgress(ctx context.Context, params GetJobProgressParams) (r *JobProgress, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// GetRecord implements getRecord operation.
-//
-// One record in force here.
-//
-// GET /v1/records/{kind}/{name}
-func (UnimplementedHandler) GetRecord(ctx context.Context, params GetRecordParams) (r *Record, _ error) {
+// GET /v1/jobs/{id}
+func (UnimplementedHandler) GetJob(ctx context.Context, params GetJobParams) (r *Job, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
@@ -58,55 +31,28 @@
 	return r, ht.ErrNotImplemented
 }
 
-// GetWaveProgress implements getWaveProgress operation.
-//
-// How far a wave is with each instance, and what it waits for.
-//
-// GET /v1/waves/{name}/progress
-func (UnimplementedHandler) GetWaveProgress(ctx context.Context, params GetWaveProgressParams) (r *WaveProgress, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// ListInstances implements listInstances operation.
-//
-// The platform's instances with the pool of each.
-//
-// GET /v1/instances
-func (UnimplementedHandler) ListInstances(ctx context.Context) (r *ListInstancesOK, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// ListRecords implements listRecords operation.
-//
-// The records of a kind that are in force here.
-//
-// GET /v1/records/{kind}
-func (UnimplementedHandler) ListRecords(ctx context.Context, params ListRecordsParams) (r *ListRecordsOK, _ error) {
-	return r, ht.ErrNotImplemented
-}
-
-// MoveInstance implements moveInstance operation.
+// GetTrail implements getTrail operation.
 //
-// Puts an instance into a pool; it is in one pool at any moment.
+// The newest decisions of this daemon about a job, an instance or a machine, as it logged them.
 //
-// POST /v1/instances/{name}/move
-func (UnimplementedHandler) MoveInstance(ctx context.Context, req *MoveInstanceReq, params MoveInstanceParams) (r *Accepted, _ error) {
+// GET /v1/trail/{id}
+func (UnimplementedHandler) GetTrail(ctx context.Context, params GetTrailParams) (r []string, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
-// PutRecord implements putRecord operation.
+// ListServices implements listServices operation.
 //
-// Makes or changes a record.
+// The configured services with who schedules them, and how far those scheduled here are.
 //
-// PUT /v1/records/{kind}/{name}
-func (UnimplementedHandler) PutRecord(ctx context.Context, req *Draft, params PutRecordParams) (r *Record, _ error) {
+// GET /v1/services
+func (UnimplementedHandler) ListServices(ctx context.Context) (r []Service, _ error) {
 	return r, ht.ErrNotImplemented
 }
 
-// NewError creates *FaultStatusCodeWithHeaders from error returned by handler.
+// NewError creates *FaultStatusCode from error returned by handler.
 //
 // Used for common default response.
-func (UnimplementedHandler) NewError(ctx context.Context, err error) (r *FaultStatusCodeWithHeaders) {
-	r = new(FaultStatusCodeWithHeaders)
+func (UnimplementedHandler) NewError(ctx context.Context, err error) (r *FaultStatusCode) {
+	r = new(FaultStatusCode)
 	return r
 }
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -3,126 +3,24 @@
 package oas
 
 import (
-	"fmt"
-
 	"github.com/go-faster/errors"
 	"github.com/ogen-go/ogen/validate"
 )
 
-func (s *Draft) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if err := (validate.Int{
-			MinSet:        true,
-			Min:           1,
-			MaxSet:        false,
-			Max:           0,
-			MinExclusive:  false,
-			MaxExclusive:  false,
-			MultipleOfSet: false,
-			MultipleOf:    0,
-			Pattern:       nil,
-		}).Validate(int64(s.Schema)); err != nil {
-			return errors.Wrap(err, "int")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "schema",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s ExplainKind) Validate() error {
-	switch s {
-	case "pool":
-		return nil
-	case "service":
-		return nil
-	case "instance":
-		return nil
-	case "member":
-		return nil
-	case "drain":
-		return nil
-	case "wave":
-		return nil
-	case "job":
-		return nil
-	case "team":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
-func (s *ExplainOK) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if s.Entries == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "entries",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s Kind) Validate() error {
-	switch s {
-	case "pool":
-		return nil
-	case "service":
-		return nil
-	case "member":
-		return nil
-	case "drain":
-		return nil
-	case "wave":
-		return nil
-	case "job":
-		return nil
-	case "team":
-		return nil
-	default:
-		return errors.Errorf("invalid value: %v", s)
-	}
-}
-
-func (s *ListInstancesOK) Validate() error {
+func (s *Progress) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Instances == nil {
-			return errors.New("nil is invalid value")
+		if err := (validate.Float{}).Validate(float64(s.Oldest)); err != nil {
+			return errors.Wrap(err, "float")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "instances",
+			Name:  "oldest",
 			Error: err,
 		})
 	}
@@ -132,20 +30,27 @@
 	return nil
 }
 
-func (s *ListRecordsOK) Validate() error {
+func (s *Service) Validate() error {
 	if s == nil {
 		return validate.ErrNilPointer
 	}
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Records == nil {
-			return errors.New("nil is invalid value")
+		if value, ok := s.Progress.Get(); ok {
+			if err := func() error {
+				if err := value.Validate(); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "records",
+			Name:  "progress",
 			Error: err,
 		})
 	}
@@ -162,76 +67,24 @@
 
 	var failures []validate.FieldError
 	if err := func() error {
-		if s.Peers == nil {
-			return errors.New("nil is invalid value")
-		}
-		return nil
-	}(); err != nil {
-		failures = append(failures, validate.FieldError{
-			Name:  "peers",
-			Error: err,
-		})
-	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s *WaveProgress) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
-	if err := func() error {
-		if s.Parts == nil {
+		if s.Daemons == nil {
 			return errors.New("nil is invalid value")
 		}
-		var failures []validate.FieldError
-		for i, elem := range s.Parts {
-			if err := func() error {
-				if err := elem.Validate(); err != nil {
-					return err
-				}
-				return nil
-			}(); err != nil {
-				failures = append(failures, validate.FieldError{
-					Name:  fmt.Sprintf("[%d]", i),
-					Error: err,
-				})
-			}
-		}
-		if len(failures) > 0 {
-			return &validate.Error{Fields: failures}
-		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "parts",
+			Name:  "daemons",
 			Error: err,
 		})
 	}
-	if len(failures) > 0 {
-		return &validate.Error{Fields: failures}
-	}
-	return nil
-}
-
-func (s *WaveProgressPartsItem) Validate() error {
-	if s == nil {
-		return validate.ErrNilPointer
-	}
-
-	var failures []validate.FieldError
 	if err := func() error {
-		if s.Items == nil {
+		if s.Holds == nil {
 			return errors.New("nil is invalid value")
 		}
 		return nil
 	}(); err != nil {
 		failures = append(failures, validate.FieldError{
-			Name:  "items",
+			Name:  "holds",
 			Error: err,
 		})
 	}
--- a/app/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package app assembles the daemon from its parts and runs them as one group that stops together.
-package app
--- a/cli/client.go
+++ b/cli/client.go
@@ -6,6 +6,7 @@
 	"flag"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"gypsumlead/api/oas"
@@ -13,51 +14,56 @@
 )
 
 const (
-	tokenVariable  = "GYPSUMLEAD_TOKEN"
 	atVariable     = "GYPSUMLEAD_AT"
-	atDefault      = "127.0.0.1:8081"
-	requestTimeout = 30 * time.Second
+	atDefault      = "127.0.0.1:8622"
+	requestTimeout = 10 * time.Second // for one daemon's answer
 )
 
-// remote is how a verb reaches a daemon.
-type remote struct {
-	at   *string
-	json *bool
-}
+// remote is how a verb reaches daemons.
+type remote struct{ at *string }
 
-// addRemote adds the flags that every operator's verb has.
+// addRemote adds the flag that every operator's verb has.
 func addRemote(fs *flag.FlagSet) remote {
 	at := os.Getenv(atVariable)
 	if at == "" {
 		at = atDefault
 	}
-	return remote{
-		at:   fs.String("at", at, "operators' `ADDR` of any daemon; "+atVariable+" sets it too"),
-		json: fs.Bool("json", false, "print JSON"),
-	}
+	return remote{fs.String("at", at, "ready `ADDR` of a daemon, several with commas; "+atVariable+" sets it too")}
 }
 
-// client returns the generated client with the token of the environment.
-func (r remote) client() (*oas.Client, error) {
-	c, err := oas.NewClient("http://"+*r.at, bearer{}, oas.WithClient(&http.Client{Timeout: requestTimeout}))
-	return c, fault.Wrap(fault.Invalid, err, "address %q", *r.at)
-}
+// addrs returns the daemons that are to be asked.
+func (r remote) addrs() []string { return strings.Split(*r.at, ",") }
 
-// bearer adds the token to each request.
-type bearer struct{}
+// client returns the generated client of one daemon.
+func client(addr string) (*oas.Client, error) {
+	c, err := oas.NewClient("http://"+addr, oas.WithClient(&http.Client{Timeout: requestTimeout}))
+	return c, fault.Wrap(fault.Invalid, err, "address %q", addr)
+}
 
-// Token returns the token of the environment; an empty one is refused by the daemon.
-func (bearer) Token(context.Context, oas.OperationName) (oas.Token, error) {
-	return oas.Token{Token: os.Getenv(tokenVariable)}, nil
+// first asks one daemon after the other until one answers.
+func first[T any](ctx context.Context, r remote, ask func(context.Context, *oas.Client) (T, error)) (T, error) {
+	var none T
+	var last error
+	for _, addr := range r.addrs() {
+		c, err := client(addr)
+		if err != nil {
+			return none, err
+		}
+		got, err := ask(ctx, c)
+		if err == nil {
+			return got, nil
+		}
+		last = answered(addr, err)
+		if !fault.Is(last, fault.StoreDown) {
+			return none, last // it has been answered
+		}
+	}
+	return none, last
 }
 
 // answered turns a daemon's fault back into one, and a failed connection into advice.
-func (r remote) answered(err error) error {
-	var wrong usageError
-	if errors.As(err, &wrong) {
-		return err
-	}
-	var f *oas.FaultStatusCodeWithHeaders
+func answered(addr string, err error) error {
+	var f *oas.FaultStatusCode
 	if errors.As(err, &f) {
 		for _, k := range fault.Kinds() {
 			if k.String() == f.Response.Kind {
@@ -65,5 +71,5 @@
 			}
 		}
 	}
-	return fault.Wrap(fault.StoreDown, err, "ask the daemon at %s (-at names another)", *r.at)
+	return fault.Wrap(fault.StoreDown, err, "ask the daemon at %s (-at names another)", addr)
 }
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"gypsumlead/demo"
 	"gypsumlead/emulator"
 )
 
@@ -20,14 +19,3 @@
 	}
 	return emulator.Demo(ctx, e.out, *seed, *duration)
 }
-
-// runDemoCalls plays callers' plain requests on the stand-ins of the guessed platform.
-func runDemoCalls(ctx context.Context, e *env, args []string) error {
-	fs := e.flags()
-	seed := fs.Uint64("seed", 1, "seed of the callers' choices")
-	duration := fs.Duration("duration", demoDuration, "time that callers ask for")
-	if _, err := parse(fs, args, 0, 0); err != nil {
-		return err
-	}
-	return demo.Run(ctx, e.out, demo.WithSeed(*seed), demo.WithDuration(*duration))
-}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -2,88 +2,73 @@
 
 import (
 	"context"
-	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
 
-	"gypsumlead/app"
-	"gypsumlead/backing/client"
+	"gypsumlead/daemon"
 	"gypsumlead/fault"
+	"gypsumlead/logs"
 	"gypsumlead/settings"
 )
 
+// heapShare is the share of the allowed memory that the garbage collector aims to stay below; the rest is stacks and buffers of the kernel.
+const heapShare = 0.7
+
+// runServe runs the daemon of an entry instance.
 func runServe(ctx context.Context, e *env, args []string) error {
-	set, err := loadSettings(e, args)
+	file, err := settingsFile(e, args)
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(set.Log)
+	set, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
-	// net/http reports some things of its own to the standard logger only.
-	restore := zap.RedirectStdLog(log)
-	defer restore()
-	c := client.New(set.Platform)
-	defer c.Close()
-	a, err := app.New(set, app.OverHTTP(c), log)
+	log, err := logs.New(set.Log, os.Stdout)
 	if err != nil {
 		return err
 	}
-	return a.Run(ctx)
-}
-
-func runCheck(_ context.Context, e *env, args []string) error {
-	fs := e.flags()
-	file := fs.String("settings", "", "settings `FILE`")
-	fleet := fs.Bool("fleet", false, "they are of a daemon on the users' platform")
-	if _, err := parse(fs, args, 0, 0); err != nil {
-		return err
-	}
-	if *file == "" {
-		return usageError{"-settings is missing"}
-	}
-	name, centre, err := identify(*file, *fleet)
+	defer log.Close()
+	debug.SetMemoryLimit(int64(float64(set.Memory<<20) * heapShare))
+	// net/http reports some things of its own to the standard logger only.
+	restore := zap.RedirectStdLog(log.Logger)
+	defer restore()
+	d, err := daemon.New(set, log.Logger, daemon.WithDropped(log.Dropped), daemon.WithTrail(log.Trail))
 	if err != nil {
-		return err
-	}
-	fmt.Fprintf(e.out, "settings of %s in data centre %s are fine\n", name, centre)
-	return nil
-}
-
-// identify loads settings of either form and returns whose they are.
-func identify(file string, fleet bool) (name, centre string, err error) {
-	if fleet {
-		set, err := settings.LoadFleet(file)
-		return set.Instance, set.Centre, err
+		return fault.Wrap(fault.Internal, err, "start the daemon")
 	}
-	set, err := settings.Load(file)
-	return set.Instance, set.Centre, err
+	go reload(ctx, file, d, log.Logger)
+	return d.Run(ctx)
 }
 
-func loadSettings(e *env, args []string) (settings.Settings, error) {
-	fs := e.flags()
-	file := fs.String("settings", "", "settings `FILE`")
-	if _, err := parse(fs, args, 0, 0); err != nil {
-		return settings.Settings{}, err
-	}
-	if *file == "" {
-		return settings.Settings{}, usageError{"-settings is missing"}
-	}
-	return settings.Load(*file)
-}
+// settingsEvery is the time between two looks at the settings file, which may change without a signal.
+const settingsEvery = 5 * time.Second
 
-// newLogger writes JSON lines to standard error.
-func newLogger(level string) (*zap.Logger, error) {
-	at, err := zapcore.ParseLevel(level)
-	if err != nil {
-		return nil, fault.Wrap(fault.Invalid, err, "log level")
+// reload takes in the settings file again at SIGHUP and now and then.
+func reload(ctx context.Context, file string, d *daemon.Daemon, log *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			log.Info("asked to read the settings again")
+		case <-t.C:
+		}
+		set, err := settings.Load(file)
+		if err != nil {
+			log.Error("settings can't be used; those before stay in force", zap.Error(err))
+			continue
+		}
+		d.Reload(set)
 	}
-	c := zap.NewProductionConfig()
-	c.Level = zap.NewAtomicLevelAt(at)
-	c.Sampling = nil
-	c.DisableStacktrace = true
-	log, err := c.Build()
-	return log, fault.Wrap(fault.Internal, err, "make the logger")
 }
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -10,22 +10,47 @@
 func runSettings(_ context.Context, e *env, args []string) error {
 	fs := e.flags()
 	schema := fs.Bool("schema", false, "print the JSON Schema")
-	fleet := fs.Bool("fleet", false, "those of a daemon on the users' platform")
 	if _, err := parse(fs, args, 0, 0); err != nil {
 		return err
 	}
-	page, scheme := settings.Reference, settings.Schema
-	if *fleet {
-		page, scheme = settings.FleetReference, settings.FleetSchema
-	}
 	if *schema {
-		data, err := scheme()
+		data, err := settings.Schema()
 		if err != nil {
 			return err
 		}
 		_, err = fmt.Fprintf(e.out, "%s\n", data)
 		return err
 	}
-	_, err := fmt.Fprint(e.out, page())
+	_, err := fmt.Fprint(e.out, settings.Reference())
 	return err
 }
+
+func runCheck(_ context.Context, e *env, args []string) error {
+	set, err := loadSettings(e, args)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(e.out, "settings of %s in data centre %s are fine\n", set.Instance, set.Centre)
+	return nil
+}
+
+func loadSettings(e *env, args []string) (settings.Settings, error) {
+	file, err := settingsFile(e, args)
+	if err != nil {
+		return settings.Settings{}, err
+	}
+	return settings.Load(file)
+}
+
+// settingsFile returns what -settings names.
+func settingsFile(e *env, args []string) (string, error) {
+	fs := e.flags()
+	file := fs.String("settings", "", "settings `FILE`")
+	if _, err := parse(fs, args, 0, 0); err != nil {
+		return "", err
+	}
+	if *file == "" {
+		return "", usageError{"-settings is missing"}
+	}
+	return *file, nil
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,7 @@
 
 // Daemon is one daemon.
 type Daemon struct {
-	set    settings.Fleet
+	set    settings.Settings
 	boot   string
 	log    *zap.Logger
 	began  time.Time
@@ -55,20 +56,22 @@
 	machines *platform.Machines
 	policy   *platform.Policy
 
-	operator *view.Operator
-	list     *view.Runners
-	members  *member.Members
-	mesh     *peer.Mesh
-	peers    *peer.Server
-	front    *front.Front
-	metrics  http.Handler
-	dropped  func() (sampled, lost int64)
-	seated   atomic.Int64 // seats taken and left
-	book     *duty.Book   // nil where the platform has no service for machines, like the next three
-	waves    *machines.Waves
-	local    *machines.Local
-	master   *machines.Master
-	bounds   sched.Bounds
+	operator  *view.Operator
+	list      *view.Runners
+	members   *member.Members
+	mesh      *peer.Mesh
+	peers     *peer.Server
+	front     *front.Front
+	metrics   http.Handler
+	operators http.Handler
+	dropped   func() (sampled, lost int64)
+	trail     func(name string) []string
+	seated    atomic.Int64 // seats taken and left
+	book      *duty.Book   // nil where the platform has no service for machines, like the next three
+	waves     *machines.Waves
+	local     *machines.Local
+	master    *machines.Master
+	bounds    sched.Bounds
 
 	mu      sync.Mutex
 	seats   map[string]*holder.Holder
@@ -102,13 +105,18 @@
 	return func(d *Daemon) { d.dropped = count }
 }
 
+// WithTrail sets who tells the newest log lines about a name, for the operators.
+func WithTrail(about func(name string) []string) Option {
+	return func(d *Daemon) { d.trail = about }
+}
+
 // WithBreach sets who is told of a broken invariant, besides the log.
 func WithBreach(report func(error)) Option { return func(d *Daemon) { d.report = report } }
 
 func bindTCP(at netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", at.String()) }
 
 // New assembles a daemon and opens its listeners; Run starts it.
-func New(set settings.Fleet, log *zap.Logger, opts ...Option) (*Daemon, error) {
+func New(set settings.Settings, log *zap.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		set:     set,
 		boot:    rand.Text(),
@@ -117,6 +125,7 @@
 		bind:    bindTCP,
 		report:  func(error) {},
 		dropped: func() (int64, int64) { return 0, 0 },
+		trail:   func(string) []string { return nil },
 		meter:   platform.NewMeter(),
 		seats:   map[string]*holder.Holder{},
 		vacant:  map[string]time.Time{},
@@ -146,6 +155,11 @@
 	d.peers = peer.NewServer(us, d, d.log)
 	d.front = front.New(d.operator.Config, d, d.log)
 	d.makeMachines()
+	ops, err := d.makeOperators()
+	if err != nil {
+		return nil, err
+	}
+	d.operators = ops
 	if err := d.makeMetrics(); err != nil {
 		return nil, err
 	}
@@ -153,7 +167,7 @@
 }
 
 // boundsOf picks the scheduler's figures from the settings.
-func boundsOf(set settings.Fleet) sched.Bounds {
+func boundsOf(set settings.Settings) sched.Bounds {
 	return sched.Bounds{
 		Hold: time.Duration(float64(set.Bounds.Hold) * set.Bounds.Percent / 100),
 	}
@@ -264,16 +278,24 @@
 	wg.Wait()
 }
 
-// pathMetrics is where the metrics are, beside the readiness.
-const pathMetrics = "/metrics"
+// Paths beside the readiness.
+const (
+	pathMetrics   = "/metrics"
+	pathOperators = "/v1/"
+)
 
-// readiness tells the platform whether this daemon takes new connections, and gives the metrics.
+// readiness tells the platform whether this daemon takes new connections, and gives the metrics and what
+// operators ask for.
 func (d *Daemon) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == pathMetrics {
 			d.metrics.ServeHTTP(w, r)
 			return
 		}
+		if strings.HasPrefix(r.URL.Path, pathOperators) {
+			d.operators.ServeHTTP(w, r)
+			return
+		}
 		if r.URL.Path != platform.PathReady {
 			w.WriteHeader(http.StatusNotFound)
 			return
@@ -305,7 +327,7 @@
 }
 
 // Reload takes in changed settings as far as they can change while the daemon runs: the platform's addresses.
-func (d *Daemon) Reload(set settings.Fleet) {
+func (d *Daemon) Reload(set settings.Settings) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if set == d.set {
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/holder"
+	"gypsumlead/member"
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
 	"gypsumlead/work"
@@ -200,11 +201,17 @@
 	return h.State(id), true, nil
 }
 
-// retarget keeps sessions with the daemons that are known.
+// retarget keeps sessions with the daemons that schedule a service or are the next to: nobody else is asked
+// for anything, and each session costs its pings.
 func (d *Daemon) retarget() {
+	live := d.members.Live()
+	next := map[string]bool{}
+	for _, name := range member.Assign(d.services(), live) {
+		next[name] = true
+	}
 	var list []peer.Target
-	for _, n := range d.members.Live() {
-		if n.Name != d.set.Instance {
+	for _, n := range live {
+		if n.Name != d.set.Instance && (len(n.Holds) > 0 || next[n.Name]) {
 			list = append(list, peer.Target{Instance: n.Name, Addr: n.Peer, Centre: n.Centre})
 		}
 	}
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -271,6 +271,7 @@
 	for _, h := range seats {
 		d.setQueues(h)
 	}
+	d.retarget()
 	d.lookAgain()
 }
 
--- a/emulator/world.go
+++ b/emulator/world.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"gypsumlead/daemon"
+	"gypsumlead/logs"
 	"gypsumlead/settings"
 	"gypsumlead/standin"
 	"gypsumlead/work"
@@ -75,6 +77,7 @@
 	nextID  uint64
 	http    *http.Client
 	breaks  []string // broken invariants that daemons report
+	recall  bool     // daemons keep their newest log lines, as they do outside the emulator
 }
 
 // node is one daemon's place.
@@ -181,7 +184,13 @@
 		return
 	}
 	g := newGate(w.Net, n.at)
-	d, err := daemon.New(w.settings(n), w.log.With(zap.String("at", name)),
+	trail := &logs.Trail{}
+	log := w.log.With(zap.String("at", name))
+	if w.recall {
+		log = zap.New(zapcore.NewTee(log.Core(), zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), trail, zapcore.InfoLevel)))
+	}
+	d, err := daemon.New(w.settings(n), log,
+		daemon.WithTrail(trail.About),
 		daemon.WithClock(time.Now),
 		daemon.WithNetwork(g.dial, g.listen),
 		daemon.WithBreach(func(err error) {
@@ -263,8 +272,8 @@
 // StoreAt is the store's place.
 func (w *World) StoreAt() netip.Addr { return storeAt.Addr() }
 
-func (w *World) settings(n *node) settings.Fleet {
-	s := settings.FleetDefaults()
+func (w *World) settings(n *node) settings.Settings {
+	s := settings.Defaults()
 	s.Instance, s.Region, s.Centre = n.name, "r1", n.centre
 	s.Store, s.Machines = storeAt, machinesAt
 	s.Listen.Callers = netip.AddrPortFrom(n.at, portCallers)
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -82,7 +82,7 @@
 		spell:    c.Spell,
 	}
 	h.Log = p.Log.With(zap.String("service", c.Service), zap.Int("term", c.Seat.Term))
-	h.pool = sched.New(c.Taken, c.Seat.Term, b, sched.WithBreach(p.Breach), sched.WithTrace(h.givenUp))
+	h.pool = sched.New(c.Taken, c.Seat.Term, b, sched.WithBreach(p.Breach), sched.WithTrace(h.givenUp), sched.WithOver(h.over))
 	return h
 }
 
@@ -91,6 +91,12 @@
 	h.Log.Info("run given up", zap.Stringer("task", n.Task), zap.Int("run", n.Run), zap.String("runner", n.Runner), zap.String("why", n.Why))
 }
 
+// over logs the end of a job.
+func (h *Holder) over(o sched.Over) {
+	h.Log.Info("job is over", zap.String("job", string(o.Job)), zap.String("queue", o.Queue), zap.String("state", string(o.State)),
+		zap.Duration("waited", o.Waited), zap.Duration("took", o.Took), zap.Duration("aim", o.Aim))
+}
+
 // Service returns the service that is held.
 func (h *Holder) Service() string { return h.claim.Service }
 
--- a/logs/logger.go
+++ b/logs/logger.go
@@ -22,6 +22,7 @@
 type Log struct {
 	*zap.Logger
 	writer  *Writer
+	trail   Trail
 	sampled atomic.Int64
 }
 
@@ -33,7 +34,8 @@
 	}
 	l := &Log{writer: NewWriter(out)}
 	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
-	core := zapcore.NewCore(encoder, l.writer, at)
+	// Each line is encoded once for both.
+	core := zapcore.NewCore(encoder, zapcore.NewMultiWriteSyncer(l.writer, &l.trail), at)
 	hook := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
 		if d&zapcore.LogDropped != 0 {
 			l.sampled.Add(1)
@@ -48,5 +50,8 @@
 	return l.sampled.Load(), l.writer.Dropped()
 }
 
+// Trail returns the newest lines about a job, an instance or a machine, in JSON and in the order of their times.
+func (l *Log) Trail(name string) []string { return l.trail.About(name) }
+
 // Close passes on what waits.
 func (l *Log) Close() { l.writer.Close() }
--- /dev/null
+++ b/logs/trail_test.go
@@ -0,0 +1,42 @@
+package logs
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestTrailTellsOfAJobAndItsTasks(t *testing.T) {
+	var tr Trail
+	for _, line := range []string{
+		`{"msg":"job","job":"00000000000000aa"}`,
+		`{"msg":"job","job":"00000000000000ab"}`,
+		`{"msg":"stop","task":"00000000000000aa.0.1.2"}`,
+		`{"msg":"text with 00000000000000aa in it"}`,
+		`no JSON 00000000000000aa`,
+	} {
+		_, err := tr.Write([]byte(line + "\n"))
+		require.NoError(t, err)
+	}
+	require.Equal(t, []string{`{"msg":"job","job":"00000000000000aa"}`, `{"msg":"stop","task":"00000000000000aa.0.1.2"}`}, tr.About("00000000000000aa"))
+	require.Empty(t, tr.About("00000000000000ff"))
+}
+
+func TestTrailKeepsTheNewestLinesWithinItsBounds(t *testing.T) {
+	var tr Trail
+	for n := range 3 * trailLines {
+		_, err := tr.Write(fmt.Appendf(nil, `{"job":"j%d"}`+"\n", n))
+		require.NoError(t, err)
+	}
+	require.Len(t, tr.lines, trailLines)
+	require.Empty(t, tr.About("j0"))
+	require.Len(t, tr.About(fmt.Sprintf("j%d", 3*trailLines-1)), 1)
+	large := make([]byte, trailBytes/4)
+	for range 8 {
+		_, err := tr.Write(large)
+		require.NoError(t, err)
+	}
+	require.LessOrEqual(t, tr.size, trailBytes)
+	require.LessOrEqual(t, len(tr.lines), 4)
+}
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/pause"
-	"gypsumlead/peer/wire"
 )
 
 const (
@@ -74,12 +73,10 @@
 		every *= farFactor
 	}
 	for ctx.Err() == nil {
-		pong, err := s.pingOnce(d.mesh.seq(), pingMisses*d.mesh.ping)
-		if err != nil {
+		if err := s.pingOnce(pingMisses * d.mesh.ping); err != nil {
 			d.mesh.log.Info("peer session ended", zap.String("peer", s.them.Instance), zap.Error(err))
 			return
 		}
-		d.mesh.onPong(s.them, pong)
 		select {
 		case <-ctx.Done():
 		case <-s.mux.CloseChan():
@@ -93,6 +90,3 @@
 	var nd net.Dialer
 	return nd.DialContext(ctx, "tcp", addr.String())
 }
-
-// Pong is what the mesh's owner is told of each answered ping.
-type Pong = wire.Pong
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -11,7 +11,7 @@
 	"gypsumlead/peer/wire"
 )
 
-const messageLimit = 64 << 20 // bytes; a snapshot at the target size is a few megabytes
+const messageLimit = 1 << 20 // bytes; a job takes a quarter of it at most
 
 // write sends one delimited message in one piece.
 func write(w io.Writer, m proto.Message) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -16,12 +16,10 @@
 
 // Mesh keeps sessions with other daemons: all of its own data centre and a few of each other one.
 type Mesh struct {
-	us     Identity
-	log    *zap.Logger
-	ping   time.Duration
-	dial   Dial
-	seq    func() int64
-	onPong func(Identity, *Pong)
+	us   Identity
+	log  *zap.Logger
+	ping time.Duration
+	dial Dial
 
 	mu      sync.Mutex
 	ctx     context.Context // of Run; nil before
@@ -48,14 +46,6 @@
 	return func(m *Mesh) { m.dial = dial }
 }
 
-// WithSeq sets where the number of the newest change in force comes from, and who hears of the peers' numbers.
-func WithSeq(seq func() int64, onPong func(Identity, *Pong)) MeshOption {
-	return func(m *Mesh) {
-		m.seq = seq
-		m.onPong = onPong
-	}
-}
-
 const pingDefault = time.Second
 
 // NewMesh returns a mesh without sessions.
@@ -65,8 +55,6 @@
 		log:     log,
 		ping:    pingDefault,
 		dial:    DialTCP,
-		seq:     func() int64 { return 0 },
-		onPong:  func(Identity, *Pong) {},
 		dialers: map[netip.AddrPort]*dialer{},
 		open:    map[string]*session{},
 	}
@@ -157,38 +145,5 @@
 	if s == nil {
 		return nil, fault.New(fault.NoUpstream, "no session with peer %s", instance)
 	}
-	resp, err := s.call(ctx, req)
-	if err == nil {
-		s.learn(resp.GetAck().GetSeq())
-	}
-	return resp, err
-}
-
-// Lag is a daemon and the newest change that it is known to have.
-type Lag struct {
-	Identity
-	Seq int64
-}
-
-// Behind returns the daemons with an open session that aren't known to have change seq.
-func (m *Mesh) Behind(seq int64) []Lag {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var lags []Lag
-	for _, s := range m.open {
-		if has := s.seen.Load(); has < seq {
-			lags = append(lags, Lag{Identity: s.them, Seq: has})
-		}
-	}
-	return lags
-}
-
-// Learn notes that a daemon is known to have change seq.
-func (m *Mesh) Learn(instance string, seq int64) {
-	m.mu.Lock()
-	s := m.open[instance]
-	m.mu.Unlock()
-	if s != nil {
-		s.learn(seq)
-	}
+	return s.call(ctx, req)
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -19,7 +18,6 @@
 type session struct {
 	mux  *yamux.Session
 	them Identity
-	seen atomic.Int64 // newest configuration that the other end is known to have
 
 	pingMu sync.Mutex
 	ping   net.Conn
@@ -60,36 +58,22 @@
 }
 
 // pingOnce asks on the session's ping stream; an error condemns the session.
-func (s *session) pingOnce(seq int64, wait time.Duration) (*wire.Pong, error) {
+func (s *session) pingOnce(wait time.Duration) error {
 	s.pingMu.Lock()
 	defer s.pingMu.Unlock()
 	if s.ping == nil {
 		st, err := s.mux.Open()
 		if err != nil {
-			return nil, err
+			return err
 		}
 		s.ping = st
 		s.pingIn = bufio.NewReader(st)
 	}
 	if err := s.ping.SetDeadline(time.Now().Add(wait)); err != nil {
-		return nil, err
-	}
-	resp, err := exchange(s.ping, s.pingIn, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{Seq: seq}}}, s.them.Instance)
-	if err != nil {
-		return nil, err
-	}
-	s.learn(resp.GetPong().GetSeq())
-	return resp.GetPong(), nil
-}
-
-// learn raises what the other end is known to have.
-func (s *session) learn(seq int64) {
-	for {
-		old := s.seen.Load()
-		if seq <= old || s.seen.CompareAndSwap(old, seq) {
-			return
-		}
+		return err
 	}
+	_, err := exchange(s.ping, s.pingIn, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}}, s.them.Instance)
+	return err
 }
 
 func (s *session) close() {
--- a/record/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package record holds the operators' schema-versioned records and the envelope that they are stored and sent in.
-package record
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -40,8 +40,9 @@
 		}
 		j.saved = b.seq
 		j.lazySince = now
-		if b.Progress.State.Final() {
+		if b.Progress.State.Final() && !j.shown.Final() {
 			j.shown = b.Progress.State
+			p.over(p.overOf(j))
 		}
 	}
 	for _, r := range p.runners {
@@ -50,6 +51,18 @@
 	p.prune()
 }
 
+// overOf tells how a job that is over went.
+func (p *Pool) overOf(j *job) Over {
+	o := Over{Job: j.id, Queue: j.queue.Name, State: j.shown, Took: j.ended.Sub(j.accepted)}
+	if !j.first.IsZero() {
+		o.Waited = j.first.Sub(j.accepted)
+	}
+	if len(j.turns) == 1 {
+		o.Aim = p.objective(j.turns[0], j).Sub(j.since(j.turns[0]))
+	}
+	return o
+}
+
 // settle moves the number up to which a runner's ends may be acknowledged.
 func (p *Pool) settle(r *runner) {
 	n := 0
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -42,7 +42,10 @@
 		if !p.fits(now, r, t) {
 			continue
 		}
-		c := cost(r, t, rack)
+		var c [5]int64 // by the name alone
+		if p.way != First {
+			c = cost(r, t, rack)
+		}
 		if stay && !r.keep {
 			c[2]++
 		}
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -165,7 +165,10 @@
 }
 
 // start notes that a task of the job has started.
-func (p *Pool) start(_ time.Time, j *job) {
+func (p *Pool) start(now time.Time, j *job) {
+	if j.first.IsZero() {
+		j.first = now
+	}
 	if j.state == work.Queued {
 		j.state = work.Running
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -21,6 +21,7 @@
 	changed   int64 // sequence number of the latest change
 	saved     int64 // sequence number up to which the store has it
 	lazySince time.Time
+	first     time.Time // first start
 	ended     time.Time
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -105,7 +105,10 @@
 func (p *Pool) candidates(now, wall time.Time) []candidate {
 	held := p.unresolved()
 	p.measureRoom(now)
-	excess := p.overload(now, wall)
+	var excess map[*turn]struct{}
+	if p.way == Now {
+		excess = p.overload(now, wall)
+	}
 	var list []candidate
 	for _, j := range p.live {
 		if j.state.Final() || (held && j.inherited) {
@@ -121,6 +124,10 @@
 			}
 		}
 	}
+	if p.way == First {
+		slices.SortStableFunc(list, firstCome)
+		return list
+	}
 	slices.SortStableFunc(list, compare)
 	return list
 }
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -12,6 +12,7 @@
 // It isn't safe for use by several goroutines.
 type Pool struct {
 	bounds   Bounds
+	way      Way
 	term     int
 	began    time.Time // when this holder took over
 	queues   map[string]work.Queue
@@ -23,6 +24,7 @@
 	fenced   bool
 	breach   func(error)
 	trace    func(Note)
+	over     func(Over)
 	counts   counts
 	every    time.Duration // between two checks of the invariants
 	checked  time.Time
@@ -65,6 +67,21 @@
 	return func(p *Pool) { p.trace = tell }
 }
 
+// Over tells that a job's end is stored.
+type Over struct {
+	Job    work.ID
+	Queue  string
+	State  work.State
+	Waited time.Duration // from its acceptance to its first start, zero where there was none
+	Took   time.Duration // from its acceptance to its end
+	Aim    time.Duration // within which it would have been in time
+}
+
+// WithOver sets who is told of such ends.
+func WithOver(tell func(Over)) Option {
+	return func(p *Pool) { p.over = tell }
+}
+
 // WithCheckEvery sets the time between two checks of the invariants.
 func WithCheckEvery(d time.Duration) Option {
 	return func(p *Pool) { p.every = d }
@@ -82,6 +99,7 @@
 		strays:   map[stray]time.Time{},
 		breach:   func(error) {},
 		trace:    func(Note) {},
+		over:     func(Over) {},
 		counts:   newCounts(),
 		every:    checkEvery,
 		sure:     true,
--- a/settings/load.go
+++ b/settings/load.go
@@ -19,35 +19,25 @@
 
 // Load reads and checks the settings file at path; its error has a line for every fault found.
 func Load(path string) (Settings, error) {
-	return load(path, Defaults(), checkTogether)
-}
-
-// Parse reads and checks settings in JSON over the defaults; its error has a line for every fault found.
-func Parse(data []byte) (Settings, error) {
-	return parse(data, Defaults(), checkTogether)
-}
-
-// load reads and checks the file at path over s; together checks what the tags can't say.
-func load[T any](path string, s T, together func(T) []string) (T, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return s, fault.Wrap(fault.Invalid, err, "read settings")
+		return Settings{}, fault.Wrap(fault.Invalid, err, "read settings")
 	}
-	return parse(data, s, together)
+	return Parse(data)
 }
 
-// parse reads and checks data over s.
-func parse[T any](data []byte, s T, together func(T) []string) (T, error) {
-	var none T
+// Parse reads and checks settings in JSON over the defaults; its error has a line for every fault found.
+func Parse(data []byte) (Settings, error) {
+	s := Defaults()
 	faults, err := decode(data, &s)
 	if err != nil {
-		return none, err
+		return Settings{}, err
 	}
 	faults = append(faults, check(s)...)
-	faults = append(faults, together(s)...)
+	faults = append(faults, checkTogether(s)...)
 	if len(faults) > 0 {
 		sort.Strings(faults)
-		return none, fault.New(fault.Invalid, "%s", strings.Join(faults, "\n"))
+		return Settings{}, fault.New(fault.Invalid, "%s", strings.Join(faults, "\n"))
 	}
 	return s, nil
 }
@@ -158,15 +148,21 @@
 // checkTogether finds values that are fine alone but not together.
 func checkTogether(s Settings) []string {
 	var faults []string
-	l := s.Listen
-	if l.Callers.IsValid() && l.Callers.Port() != 0 && (l.Callers == l.Operators || l.Callers == l.Peers) {
-		faults = append(faults, "listen.callers: the same address as another listener")
-	}
-	if l.Operators.IsValid() && l.Operators.Port() != 0 && l.Operators == l.Peers {
-		faults = append(faults, "listen.operators: the same address as listen.peers")
-	}
-	if 2*s.Duties.Step > s.Duties.Life {
-		faults = append(faults, "duties.step: must be half of duties.life at most, or the lease lapses between steps")
+	taken := map[netip.AddrPort]string{}
+	for _, l := range []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{"listen.callers", s.Listen.Callers}, {"listen.ready", s.Listen.Ready}, {"listen.peers", s.Listen.Peers},
+	} {
+		if !l.addr.IsValid() || l.addr.Port() == 0 {
+			continue
+		}
+		if other, ok := taken[l.addr]; ok {
+			faults = append(faults, l.name+": the same address as "+other)
+			continue
+		}
+		taken[l.addr] = l.name
 	}
 	return faults
 }
--- a/settings/reference.go
+++ b/settings/reference.go
@@ -12,11 +12,8 @@
 )
 
 // Reference returns the settings' reference page in Markdown, made from the struct and its defaults.
-func Reference() string { return reference("# Settings\n\nMade by `gypsumlead settings`.", Defaults()) }
-
-// FleetReference returns the same for a daemon on the users' platform.
-func FleetReference() string {
-	return reference("# Settings on the users' platform\n\nMade by `gypsumlead settings -fleet`. `deploy/settings.json.tmpl` fills them in there.", FleetDefaults())
+func Reference() string {
+	return reference("# Settings\n\nMade by `gypsumlead settings`. `deploy/settings.json.tmpl` fills them in on the users' machines.", Defaults())
 }
 
 func reference(head string, defaults any) string {
@@ -92,11 +89,6 @@
 // Schema returns the settings' JSON Schema, made from the struct and its defaults.
 func Schema() ([]byte, error) { return schema("gypsumlead settings", Defaults()) }
 
-// FleetSchema returns the same for a daemon on the users' platform.
-func FleetSchema() ([]byte, error) {
-	return schema("gypsumlead settings on the users' platform", FleetDefaults())
-}
-
 func schema(title string, defaults any) ([]byte, error) {
 	n := objectNode(reflect.ValueOf(defaults))
 	n.Schema = "https://json-schema.org/draft/2020-12/schema"
--- a/trial/timeline/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package timeline orders the events of a trial on virtual time.
-package timeline
