--- a/sched/displace.go
+++ b/sched/displace.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -11,6 +12,9 @@
 
 // displace stops less urgent work for a step that found no room; what has a checkpoint goes first.
 func (p *Pool) displace(now time.Time, s *step) {
+	if s.job.queue.Priority >= p.lowest {
+		return // nothing that runs is less urgent
+	}
 	if p.stoppingRoom(s) {
 		return // what was stopped before is still on its way out
 	}
@@ -34,6 +38,25 @@
 	p.reserved[best] = struct{}{}
 }
 
+// leastUrgent returns the largest number of priority among the runs that may be displaced, or the least number there is.
+func (p *Pool) leastUrgent() int {
+	lowest := math.MinInt
+	for _, r := range p.runners {
+		for x := range r.runs {
+			if x.displaceable() {
+				lowest = max(lowest, x.task.step.job.queue.Priority)
+			}
+		}
+	}
+	return lowest
+}
+
+// displaceable tells whether a run may be stopped to make room.
+func (x *run) displaceable() bool {
+	s := x.task.step.spec
+	return x.phase == running && !s.Fills && !s.Lasts
+}
+
 // stoppingRoom tells whether enough room for a task of the step is about to become free somewhere.
 func (p *Pool) stoppingRoom(s *step) bool {
 	for _, r := range p.runners {
@@ -55,7 +78,7 @@
 	var list []*run
 	for x := range r.runs {
 		v := x.task.step
-		if x.phase == running && !v.spec.Fills && !v.spec.Lasts && v.job.queue.Priority > s.job.queue.Priority {
+		if x.displaceable() && v.job.queue.Priority > s.job.queue.Priority {
 			list = append(list, x)
 		}
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -232,6 +232,8 @@
 // placeAll starts what can start, the most urgent first.
 func (p *Pool) placeAll(now, wall time.Time) {
 	clear(p.reserved)
+	p.tight = p.tight[:0]
+	p.lowest = p.leastUrgent()
 	blocked := 0
 	for _, c := range p.candidates(now, wall) {
 		if !p.approved(now, c.step) {
@@ -268,8 +270,26 @@
 	return true
 }
 
-// roomy tells whether any runner has room for a task of the step at all.
+// roomy tells whether any runner has room for a task of the step at all. Within a plan room only shrinks, so
+// that what needs as much as something that found none needn't look: with a thousand jobs waiting for hundreds
+// of runners a plan would take longer than the tasks.
 func (p *Pool) roomy(now time.Time, s *work.Step) bool {
+	if s.Fills {
+		return p.roomFor(now, s)
+	}
+	for _, t := range p.tight {
+		if t.Fits(s.Need) {
+			return false
+		}
+	}
+	if !p.roomFor(now, s) {
+		p.tight = append(p.tight, s.Need)
+		return false
+	}
+	return true
+}
+
+func (p *Pool) roomFor(now time.Time, s *work.Step) bool {
 	for _, r := range p.runners {
 		if r.takes(now) && (s.Fills || s.Need.Fits(r.free())) {
 			return true
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -37,6 +37,8 @@
 	keeping  bool // some runners are marked as those that stay
 	orders   []Order
 	reserved map[*runner]struct{}
+	tight    []work.Amount // in this plan: needs for which no runner had room
+	lowest   int           // in this plan: no run that may be displaced has a larger number of priority
 }
 
 // stray is a run of something that we don't know or want.
