Pools keep what can't be moved to them in time

Moves were ordered by the machines' names, those back to the spare pool among those that were waited for. A pool that had more than it needed gave back only after 0.9 s, though another was short.

Ruled out: the platform's move of 1.5 s (the same on the small sites, where pools were full in time), lack of machines (some 120 were off).

Now the master says how many machines are missing and how many a pool keeps while none is: (machines - orders a second x 1 s) / pools, none on the small sites. Moves into short pools go first, then those back, then those that fill pools up to what they keep.

--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -45,6 +45,7 @@
 		Name:     d.set.Instance,
 		Move:     d.set.Bounds.Move,
 		Upkeep:   d.set.Bounds.Upkeep,
+		Rate:     d.set.Bounds.Orders,
 		Asked:    d.operator.Waves,
 		Spare:    d.spare,
 		Held:     func() bool { return d.holderOf(d.masterSeat()) != nil },
@@ -92,29 +93,33 @@
 }
 
 // sendReport brings a pool's report to the master.
-func (d *Daemon) sendReport(ctx context.Context, r machines.Report) bool {
+func (d *Daemon) sendReport(ctx context.Context, r machines.Report) (machines.Reply, bool) {
 	seat := d.masterSeat()
 	if d.holderOf(seat) != nil {
-		d.master.Take(r)
-		return true
+		return d.master.Take(r), true
 	}
 	n, ok := d.members.Holder(seat)
 	if !ok {
-		return false
+		return machines.Reply{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportLimit)
 	defer cancel()
 	resp, err := d.mesh.Call(ctx, n.Name, &wire.Request{Body: &wire.Request_Report{Report: encodeReport(r)}})
-	return err == nil && resp.GetReported().GetHeld()
+	got := resp.GetReported()
+	if err != nil || !got.GetHeld() {
+		return machines.Reply{}, false
+	}
+	return machines.Reply{Known: got.GetKnown(), Short: int(got.GetShort()), Floor: int(got.GetFloor())}, true
 }
 
 // takeReport takes in a report that another daemon has sent.
 func (d *Daemon) takeReport(r *wire.Report) *wire.Response {
-	held := d.master != nil && d.holderOf(d.masterSeat()) != nil
-	if held {
-		d.master.Take(decodeReport(r))
+	got := &wire.Reported{}
+	if d.master != nil && d.holderOf(d.masterSeat()) != nil {
+		reply := d.master.Take(decodeReport(r))
+		got.Held, got.Known, got.Short, got.Floor = true, reply.Known, int32(reply.Short), int32(reply.Floor)
 	}
-	return &wire.Response{Body: &wire.Response_Reported{Reported: &wire.Reported{Held: held}}}
+	return &wire.Response{Body: &wire.Response_Reported{Reported: got}}
 }
 
 func encodeReport(r machines.Report) *wire.Report {
--- a/lend/decide.go
+++ b/lend/decide.go
@@ -14,6 +14,7 @@
 	fill     = 0.9                     // share of a pool's room that work can fill: tasks don't fit without gaps
 	ahead    = 1500 * time.Millisecond // a move takes effect so much later; so far ahead the growth is followed
 	reserve  = 1                       // machines beyond what is asked for
+	ramp     = time.Second             // that a pool may wait for its machines beyond the time of a move: less than the slack of a short job
 	keepMin  = 4                       // machines that a pool keeps without any work
 	lastRoom = 0.5                     // share of a machine's room that tasks that last may take where a pool is small
 )
@@ -99,6 +100,33 @@
 	Want    int
 }
 
+// Floor returns how many machines a pool keeps while none is short, out of a fleet of so many: what can't be
+// moved to a pool in a short time at the platform's rate is spread over the pools.
+func Floor(fleet, pools int, rate float64) int {
+	if pools == 0 {
+		return 0
+	}
+	return max(0, int((float64(fleet)-rate*ramp.Seconds())/float64(pools)))
+}
+
+// Keeping returns the pools as they are where each wants to keep floor machines at least.
+func Keeping(pools []Pool, floor int) []Pool {
+	list := slices.Clone(pools)
+	for i := range list {
+		list[i].Want = max(list[i].Want, floor)
+	}
+	return list
+}
+
+// Short returns how many machines the pools want beyond those that are on their way or about to be sent.
+func Short(pools []Pool, sent int) int {
+	lack := 0
+	for _, p := range pools {
+		lack += max(0, p.Want-p.Have)
+	}
+	return max(0, lack-sent)
+}
+
 // Share says which machine goes to which pool; a machine that nobody wants isn't in it.
 func Share(pools []Pool, free []string) map[string]string {
 	left := slices.Clone(pools)
--- a/lend/lend_test.go
+++ b/lend/lend_test.go
@@ -52,3 +52,17 @@
 	require.Equal(t, map[string]string{"m1": "b", "m2": "b", "m3": "b", "m4": "a"}, got)
 	require.Empty(t, Share([]Pool{{"c", 5, 5}}, []string{"m1"}))
 }
+
+func TestFloorSpreadsWhatCannotBeMovedInTime(t *testing.T) {
+	require.Zero(t, Floor(48, 4, 64)) // all can be moved within the ramp
+	require.Equal(t, (349-64)/4, Floor(349, 4, 64))
+	require.Zero(t, Floor(349, 0, 64))
+}
+
+func TestShortCountsWhatNobodyHasSent(t *testing.T) {
+	pools := []Pool{{"a", 4, 8}, {"b", 9, 5}}
+	require.Equal(t, 4, Short(pools, 0))
+	require.Equal(t, 1, Short(pools, 3))
+	require.Zero(t, Short(pools, 9))
+	require.Equal(t, []Pool{{"a", 4, 8}, {"b", 9, 7}}, Keeping(pools, 7))
+}
--- a/machines/local.go
+++ b/machines/local.go
@@ -38,8 +38,8 @@
 	Waves *Waves
 	Asked func() []platform.Wave // by the operator
 	Seats func() []Seat
-	Spare func() string                            // the spare service, or "" where there is none
-	Send  func(ctx context.Context, r Report) bool // to the master; false where it didn't arrive
+	Spare func() string                                     // the spare service, or "" where there is none
+	Send  func(ctx context.Context, r Report) (Reply, bool) // to the master; false where it didn't arrive
 }
 
 // Local decides for the pools that this daemon schedules which machines are emptied, and reports them.
@@ -50,6 +50,7 @@
 	over   map[string]time.Time // pools that have had too many machines since
 	began  map[int64]time.Time  // when a wave was first seen
 	told   map[string]told      // what was last logged of a pool
+	reply  map[string]Reply     // what the master last said, by pool
 }
 
 // told is what was last logged of a pool.
@@ -67,6 +68,7 @@
 		over:   map[string]time.Time{},
 		began:  map[int64]time.Time{},
 		told:   map[string]told{},
+		reply:  map[string]Reply{},
 	}
 }
 
@@ -82,7 +84,8 @@
 		}
 		for _, s := range l.Seats() {
 			if s.Service() != l.Spare() {
-				l.Send(ctx, l.report(l.Now(), s))
+				// Without a master that answers nobody could take what is given back.
+				l.reply[s.Service()], _ = l.Send(ctx, l.report(l.Now(), s))
 			}
 		}
 	}
@@ -128,13 +131,7 @@
 	s.Keep(stay)
 	r.Want = lend.Want(d, room)
 	l.tell(s.Service(), have, r.Want, d)
-	if r.Want >= have {
-		delete(l.over, s.Service())
-	} else if since, ok := l.over[s.Service()]; !ok {
-		l.over[s.Service()] = now
-	} else if now.Sub(since) > rest {
-		l.spare(s, list, stay, have-r.Want)
-	}
+	l.give(now, s, list, stay, have, r.Want)
 	for machine, runner := range l.offers {
 		if here, ok := there[machine]; ok && here != runner {
 			delete(l.offers, machine) // it has come back in another life
@@ -144,6 +141,30 @@
 	}
 }
 
+// give gives back what the pool has beyond its want: at once what others are short of, else what is beyond the
+// floor, once it has been so for a while.
+func (l *Local) give(now time.Time, s Seat, list []sched.Machine, stay map[string]struct{}, have, want int) {
+	reply := l.reply[s.Service()]
+	if !reply.Known || have <= want {
+		delete(l.over, s.Service())
+		return
+	}
+	if reply.Short > 0 {
+		l.spare(s, list, stay, min(have-want, reply.Short))
+		return
+	}
+	want = max(want, reply.Floor)
+	since, ok := l.over[s.Service()]
+	switch {
+	case have <= want:
+		delete(l.over, s.Service())
+	case !ok:
+		l.over[s.Service()] = now
+	case now.Sub(since) > rest:
+		l.spare(s, list, stay, have-want)
+	}
+}
+
 // spare has machines emptied that the pool doesn't need.
 func (l *Local) spare(s Seat, list []sched.Machine, stay map[string]struct{}, n int) {
 	for _, m := range lend.Surplus(list, stay, n) {
--- a/machines/master.go
+++ b/machines/master.go
@@ -35,6 +35,7 @@
 	Name     string // of this daemon
 	Move     time.Duration
 	Upkeep   time.Duration
+	Rate     float64 // orders a second that the service for machines takes
 	Asked    func() []platform.Wave
 	Spare    func() string
 	Held     func() bool // whether this daemon is the master now
@@ -46,6 +47,7 @@
 	mu      sync.Mutex
 	reports map[string]report
 	count   int64 // of moving, for others to read
+	reply   Reply
 	// what follows is used by Run alone
 	moving  map[string]move
 	downs   map[string]down
@@ -73,11 +75,26 @@
 	}
 }
 
-// Take takes in a pool's report.
-func (m *Master) Take(r Report) {
+// Take takes in a pool's report and returns what its daemon has to know.
+func (m *Master) Take(r Report) Reply {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reports[r.Service] = report{r, m.Now()}
+	return m.reply
+}
+
+// setReply notes what the pools are told.
+func (m *Master) setReply(r Reply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reply = r
+}
+
+// looked tells whether the machines have been looked at since this daemon is the master.
+func (m *Master) looked() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reply.Known
 }
 
 // fresh returns the reports that still say something.
@@ -106,6 +123,7 @@
 		if !m.Held() {
 			clear(m.moving)
 			clear(m.downs)
+			m.setReply(Reply{})
 			continue
 		}
 		m.step(ctx)
@@ -147,7 +165,7 @@
 
 // due tells whether there is anything to look after, so that the list needn't be read without need.
 func (m *Master) due(reports []Report) bool {
-	if len(m.moving) > 0 {
+	if len(m.moving) > 0 || (len(reports) > 0 && m.Spare() != "" && !m.looked()) {
 		return true
 	}
 	for _, r := range reports {
--- a/machines/move.go
+++ b/machines/move.go
@@ -56,15 +56,46 @@
 		}
 		return compare(a, b)
 	})
-	share := lend.Share(m.pools(reports), free)
+	m.order(ctx, now, m.shared(reports, len(list), free, offered))
+}
+
+// shared returns the moves that are wanted, the most pressing first: into pools that are short, then back to
+// the spare pool, then into pools that have fewer machines than they keep while none is short.
+func (m *Master) shared(reports []Report, fleet int, free []string, offered map[string]string) []sent {
+	pools := m.pools(reports)
+	floor := lend.Floor(fleet, len(pools), m.Rate)
+	wanted := lend.Share(pools, free)
+	short := lend.Short(pools, len(wanted))
+	m.setReply(Reply{Known: true, Short: short, Floor: floor})
+	var list []sent
+	var left []string
 	for _, name := range free {
-		if _, wanted := share[name]; !wanted && offered[name] != "" {
-			share[name] = m.Spare()
+		if to, ok := wanted[name]; ok {
+			list = append(list, sent{name, to})
+			continue
+		}
+		left = append(left, name)
+	}
+	if short > 0 {
+		left = nil // one that is given back is free at once where it is
+	}
+	kept := lend.Share(lend.Keeping(pools, floor), left)
+	for _, name := range left {
+		if to := kept[name]; to == "" && offered[name] != "" {
+			list = append(list, sent{name, m.Spare()})
+		}
+	}
+	for _, name := range left {
+		if to := kept[name]; to != "" && to != offered[name] {
+			list = append(list, sent{name, to})
 		}
 	}
-	m.order(ctx, now, share)
+	return list
 }
 
+// sent is a machine that is to go to a pool.
+type sent struct{ machine, to string }
+
 // first puts what is marked in front.
 func first(marked bool) int {
 	if marked {
@@ -142,24 +173,24 @@
 }
 
 // order claims machines and orders each into its pool.
-func (m *Master) order(ctx context.Context, now time.Time, share map[string]string) {
+func (m *Master) order(ctx context.Context, now time.Time, list []sent) {
+	list = list[:min(len(list), atOnce)]
+	if len(list) == 0 {
+		return
+	}
+	to := map[string]string{}
 	var names []string
-	for name := range share {
-		names = append(names, name)
+	for _, s := range list {
+		to[s.machine] = s.to
+		names = append(names, s.machine)
 	}
 	slices.Sort(names)
-	names = names[:min(len(names), atOnce)]
-	if len(names) == 0 {
-		return
-	}
 	token, ok := m.Book.Claim(ctx, "move", names, platform.Tx{})
 	if !ok {
 		return
 	}
-	to := map[string]string{}
 	for _, name := range names {
-		to[name] = share[name]
-		m.moving[name] = move{to: share[name], since: now, token: token}
+		m.moving[name] = move{to: to[name], since: now, token: token}
 	}
 	m.send(ctx, now, to, token)
 }
--- a/machines/report.go
+++ b/machines/report.go
@@ -9,6 +9,13 @@
 	Ready    []Ready  // that are empty and may have their maintenance
 }
 
+// Reply is what the master answers to a report.
+type Reply struct {
+	Known bool // whether the master has looked at the machines yet
+	Short int  // machines that pools want and that are not free
+	Floor int  // machines that a pool keeps while none is short
+}
+
 // Ready is a machine that a wave may take down now.
 type Ready struct {
 	Machine string
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -27,7 +27,7 @@
 		&wire.Response{Body: &wire.Response_Error{Error: &wire.Error{Kind: "missing", Text: "t", Retry: 5}}},
 		&wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{}}},
 		&wire.Response{Body: &wire.Response_Relayed{Relayed: &wire.Relayed{Held: true, Verdict: 1, Retry: 5, State: "done", Pending: 6, Why: "w", Full: true}}},
-		&wire.Response{Body: &wire.Response_Reported{Reported: &wire.Reported{Held: true, Short: 7}}},
+		&wire.Response{Body: &wire.Response_Reported{Reported: &wire.Reported{Held: true, Known: true, Short: 7, Floor: 8}}},
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -33,6 +33,7 @@
 	Lease   time.Duration `json:"lease" validate:"min=0" doc:"Time between the orders of two daemons for one machine."`
 	Move    time.Duration `json:"move" validate:"min=0" doc:"Time that a machine takes to change its pool."`
 	Upkeep  time.Duration `json:"upkeep" validate:"min=0" doc:"Time that a machine's maintenance takes."`
+	Orders  float64       `json:"orders" validate:"min=0" doc:"Orders a second that the service for machines takes."`
 	Percent float64       `json:"percent" validate:"min=0,max=100" doc:"Share in percent of Hold that runners are given; less frees a silent runner's tasks earlier."`
 }
 
@@ -46,6 +47,7 @@
 			Lease:   3 * time.Second,
 			Move:    1500 * time.Millisecond,
 			Upkeep:  2 * time.Second,
+			Orders:  64,
 			Percent: 75,
 		},
 		Log: "info",
