--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,8 +77,9 @@
 	seats   map[string]*holder.Holder
 	leaving bool
 	vacant  map[string]time.Time // services without a holder, by since when
-	larger  map[string]waiter    // services held here that a larger daemon should have
-	taking  map[string]struct{}  // services whose seat is being taken
+	needs   needs
+	larger  map[string]waiter   // services held here that a larger daemon should have
+	taking  map[string]struct{} // services whose seat is being taken
 	look    chan struct{}
 
 	callers net.Listener
@@ -133,6 +134,7 @@
 		taking:  map[string]struct{}{},
 		look:    make(chan struct{}, 1),
 		bounds:  boundsOf(set),
+		needs:   newNeeds(),
 	}
 	for _, o := range opts {
 		o(d)
@@ -148,7 +150,7 @@
 		d.policy = platform.NewPolicy(set.Policy, d.dial, d.meter)
 	}
 	d.operator = view.NewOperator(d.store, d.log, d.configured)
-	d.list = view.NewRunners(d.store, d.log, d.now, d.runnerSeen, d.runnerGone)
+	d.list = view.NewRunners(d.store, d.log, d.now, d.needs.list, d.runnerSeen, d.runnerGone)
 	d.members = member.New(d.store, d.self(), d.log, d.now, d.membersChanged)
 	us := peer.Identity{Instance: set.Instance, Boot: d.boot, Centre: set.Centre, Region: set.Region}
 	d.mesh = peer.NewMesh(us, d.log, peer.WithPing(pingEvery), peer.WithDial(d.dialPeer))
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -25,8 +25,9 @@
 		Name:     d.set.Instance,
 		Boot:     d.boot,
 		Lease:    d.set.Bounds.Lease,
+		Need:     d.needs.book,
 	})
-	d.waves = machines.NewWaves(d.store, d.log)
+	d.waves = machines.NewWaves(d.store, d.log, d.needs.waves)
 	d.local = machines.NewLocal(machines.Locals{
 		Log:   d.log,
 		Now:   d.now,
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -231,14 +231,9 @@
 
 // tellHeld lets the other daemons know which services are scheduled here.
 func (d *Daemon) tellHeld() {
-	d.mu.Lock()
-	names := make([]string, 0, len(d.seats))
-	for s := range d.seats {
-		names = append(names, s)
-	}
-	d.mu.Unlock()
-	slices.Sort(names)
+	names := d.heldNames()
 	d.members.Hold(names)
+	d.setNeeds(names)
 }
 
 // holderOf returns this daemon's holder of a service, or nil.
@@ -272,6 +267,7 @@
 		d.setQueues(h)
 	}
 	d.retarget()
+	d.setNeeds(d.heldNames())
 	d.lookAgain()
 }
 
--- a/duty/book.go
+++ b/duty/book.go
@@ -44,6 +44,7 @@
 	Boot     string // its start
 	Now      clock.Clock
 	Lease    time.Duration // between the orders of two daemons for one machine
+	Need     *follow.Need  // on while this daemon gives the orders
 }
 
 // Book holds the rows and the list.
@@ -72,7 +73,7 @@
 
 // Follow keeps up with the rows until ctx ends.
 func (b *Book) Follow(ctx context.Context) error {
-	f := follow.Follower{Store: b.Store, Table: table, After: follow.Start, Gap: followGap, Log: b.Log, Apply: b.apply}
+	f := follow.Follower{Store: b.Store, Table: table, After: follow.Start, Gap: followGap, Need: b.Need, Log: b.Log, Apply: b.apply}
 	return f.Run(ctx)
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -17,6 +17,7 @@
 	callSlack = time.Second             // beyond Wait, for an answer; a slow store takes some hundred milliseconds
 	slowest   = 5 * time.Second         // for an answer, once the store has been too slow for callSlack
 	retryGap  = 250 * time.Millisecond  // after a call that failed
+	idleGap   = time.Second             // between two looks where nobody needs the changes at once
 )
 
 // Start says that a Follower is to begin with all rows of its part.
@@ -30,6 +31,7 @@
 	Parts bool          // the rows of all parts are read first
 	After int64         // version to go on from, or Start
 	Gap   time.Duration // between two looks; changes of this time come together
+	Need  *Need         // while it is off, looks are rare; nil is always on
 	Log   *zap.Logger
 	// Apply takes in rows; whole says that these are all there are. After an error the same rows come again.
 	Apply func(ctx context.Context, page platform.Page, whole bool) error
@@ -45,7 +47,7 @@
 		switch {
 		case err == nil:
 			slack = callSlack
-			pause.Until(ctx, f.Gap, nil)
+			f.rest(ctx)
 		case fault.Is(err, fault.Missing):
 			f.After = Start // the history is gone: read everything
 		case ctx.Err() == nil:
@@ -60,6 +62,15 @@
 	return nil
 }
 
+// rest waits until the next look.
+func (f *Follower) rest(ctx context.Context) {
+	if f.Need == nil || f.Need.on.Load() {
+		pause.Until(ctx, f.Gap, nil)
+		return
+	}
+	pause.Until(ctx, idleGap, f.Need.wake)
+}
+
 func (f *Follower) once(ctx context.Context, slack time.Duration) error {
 	call, cancel := context.WithTimeout(ctx, Wait+slack)
 	defer cancel()
--- a/view/runners.go
+++ b/view/runners.go
@@ -28,6 +28,7 @@
 	now   clock.Clock
 	seen  func(work.Runner)
 	gone  func(work.Runner)
+	need  *follow.Need
 
 	mu     sync.Mutex
 	list   map[string]work.Runner
@@ -36,8 +37,8 @@
 }
 
 // NewRunners returns a view of the list; seen is called for each entry that is new or has changed, gone for one that is no longer there.
-func NewRunners(store *platform.Store, log *zap.Logger, now clock.Clock, seen, gone func(work.Runner)) *Runners {
-	return &Runners{store: store, log: log, now: now, seen: seen, gone: gone, list: map[string]work.Runner{}, going: map[string]time.Time{}}
+func NewRunners(store *platform.Store, log *zap.Logger, now clock.Clock, need *follow.Need, seen, gone func(work.Runner)) *Runners {
+	return &Runners{store: store, log: log, now: now, need: need, seen: seen, gone: gone, list: map[string]work.Runner{}, going: map[string]time.Time{}}
 }
 
 // Run follows until ctx ends.
@@ -47,6 +48,7 @@
 		Table: platform.TableRunners,
 		After: follow.Start,
 		Gap:   listGap,
+		Need:  r.need,
 		Log:   r.log,
 		Lost: func() {
 			r.mu.Lock()
