--- a/emulator/day_test.go
+++ b/emulator/day_test.go
@@ -207,6 +207,31 @@
 	})
 }
 
+// The store goes away and comes back without the entries that lapsed, a data centre is cut off meanwhile, and
+// right after that every daemon loses power: the new holders have only the store's rows and the runners.
+func TestPowerIsLostAfterAnOutageAndACut(t *testing.T) {
+	play(t, Small, 31, func(t *testing.T, w *World) {
+		for _, s := range []string{"s0", "s1"} {
+			wj, j := w.Lasting(3, 1, 3000)
+			w.Submit(s, wj, j)
+		}
+		flow(w, "s0", 10, 3*time.Second, batch)
+		w.Store.Faults(standin.StoreFaults{Down: true})
+		flow(w, "s0", 6, 3*time.Second, batch)
+		in, out := split(w, w.Holder("s0"))
+		w.Net.Cut(in, out)
+		time.Sleep(2 * time.Second)
+		w.Store.Faults(standin.StoreFaults{})
+		w.Lapse()
+		flow(w, "s1", 6, 2500*time.Millisecond, batch)
+		w.Net.Heal()
+		flow(w, "s0", 10, 2*time.Second, batch)
+		w.PowerOff(800 * time.Millisecond)
+		time.Sleep(3 * time.Second)
+		flow(w, "s0", 5, time.Second, batch)
+	})
+}
+
 func TestStoreTroubles(t *testing.T) {
 	for _, tc := range []struct {
 		name   string
@@ -314,7 +339,7 @@
 func trouble(w *World, r *rand.Rand, wave *int64) {
 	ids, names := w.Runners(), w.Daemons()
 	id, name := ids[r.IntN(len(ids))], names[r.IntN(len(names))]
-	switch r.IntN(16) {
+	switch r.IntN(18) {
 	case 0:
 		w.Kill(name)
 	case 1:
@@ -356,6 +381,11 @@
 	case 14:
 		w.Net.Reset(w.At(name))
 		w.Configure()
+	case 16:
+		w.Store.Faults(standin.StoreFaults{})
+		w.Lapse()
+	case 17:
+		w.PowerOff(time.Duration(200+r.IntN(2000)) * time.Millisecond)
 	case 15:
 		*wave++
 		w.Wave(*wave, w.Machines.Names("s1"), 1, 20*time.Second)
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -177,6 +177,46 @@
 	})
 }
 
+// listBack is how long after the store's return the entries that lapsed meanwhile are back.
+const listBack = 2 * time.Second
+
+// Lapse empties the list of runners, as after an outage of the store, and fills it again a while later with
+// those that are still there.
+func (w *World) Lapse() {
+	for _, id := range w.Runners() {
+		w.Store.Remove("servers", id)
+	}
+	time.AfterFunc(listBack, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.ctx.Err() != nil {
+			return
+		}
+		for id, h := range w.runners {
+			if h.gone {
+				continue
+			}
+			h.seq++
+			w.Store.Put("servers", id, h.r.Beat(h.seq, "ready"))
+		}
+	})
+}
+
+// PowerOff kills every daemon at the same moment and starts them again after a while.
+func (w *World) PowerOff(d time.Duration) {
+	for _, name := range w.Daemons() {
+		w.Kill(name)
+	}
+	time.AfterFunc(d, func() {
+		if w.ctx.Err() != nil {
+			return
+		}
+		for _, name := range w.Daemons() {
+			w.Start(name)
+		}
+	})
+}
+
 // Drain announces that a runner leaves, and takes it away after a while.
 func (w *World) Drain(id string, after time.Duration) {
 	w.mu.Lock()
