--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -53,6 +53,7 @@
 	meter    *platform.Meter
 	store    *platform.Store
 	runners  *platform.Runners
+	directs  *holder.Directs
 	machines *platform.Machines
 	policy   *platform.Policy
 
@@ -142,6 +143,7 @@
 	d.began = d.now()
 	d.log = log.With(zap.String("instance", set.Instance))
 	d.store = platform.NewStore(set.Store, d.dial, d.meter)
+	d.directs = holder.NewDirects(d.store, d.log, d.now)
 	d.runners = platform.NewRunners(d.dial, d.meter)
 	if set.Machines.IsValid() {
 		d.machines = platform.NewMachines(set.Machines, d.dial, d.meter)
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +38,7 @@
 		}
 		doubt = got != unsent
 	}
-	a := holder.Direct(ctx, d.store, q.Service, id, q, job, d.now())
+	a := d.directs.Submit(ctx, id, q, job)
 	if a.Verdict == holder.Refused && doubt {
 		a.Verdict = holder.Unsure // "it never runs" would not be true
 	}
@@ -62,7 +63,28 @@
 	if err != nil {
 		return holder.Answer{Verdict: holder.Refused, Why: err.Error()}, answered
 	}
-	return d.relay(ctx, &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: terms, Job: body})
+	r := &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: terms, Job: body}
+	if _, ok := d.members.Holder(q.Service); ok {
+		return d.relay(ctx, r)
+	}
+	// Nobody schedules the service. All daemons bring its jobs to the one that is to: it stores them together.
+	n, ok := d.next(q.Service)
+	if !ok || n.Boot == d.boot {
+		return holder.Answer{}, unsent
+	}
+	r.Store = true
+	return d.relayTo(ctx, n, r)
+}
+
+// next returns the daemon that is to schedule a service.
+func (d *Daemon) next(service string) (member.Node, bool) {
+	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+	name := member.Assign(d.services(), live)[service]
+	at := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == name })
+	if at < 0 {
+		return member.Node{}, false
+	}
+	return live[at], true
 }
 
 // Cancel cancels a job.
@@ -123,6 +145,11 @@
 	if !ok || n.Boot == d.boot {
 		return holder.Answer{}, unsent
 	}
+	return d.relayTo(ctx, n, r)
+}
+
+// relayTo asks one daemon.
+func (d *Daemon) relayTo(ctx context.Context, n member.Node, r *wire.Relay) (holder.Answer, reached) {
 	ctx, cancel := context.WithTimeout(ctx, relayLimit)
 	defer cancel()
 	r.Wait = relayLimit.Milliseconds()
@@ -176,7 +203,7 @@
 // relayed carries out what another daemon's caller asks for.
 func (d *Daemon) relayed(ctx context.Context, r *wire.Relay) (holder.Answer, bool, error) {
 	h := d.holderOf(r.Service)
-	if h == nil {
+	if h == nil && !(r.Store && r.Verb == wire.Relay_SUBMIT) {
 		return holder.Answer{}, false, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Wait)*time.Millisecond)
@@ -192,6 +219,9 @@
 		if err := json.Unmarshal(r.Job, &job); err != nil {
 			return holder.Answer{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
 		}
+		if h == nil {
+			return d.directs.Submit(ctx, id, q, job), true, nil
+		}
 		return h.Submit(ctx, id, q, job), true, nil
 	case wire.Relay_CANCEL:
 		return h.Cancel(ctx, id), true, nil
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"strings"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -94,30 +93,6 @@
 	h.queue = append(h.queue, &intent{kind: unmail, id: jobOf(row), key: row.Key})
 }
 
-// Direct stores a job without its holder, who takes it in from there.
-func Direct(ctx context.Context, store *platform.Store, service string, id work.ID, q work.Queue, job work.Job, now time.Time) Answer {
-	row := jobRow{Queue: q, Job: job, At: now}
-	value, err := encode(row)
-	if err != nil {
-		return Answer{Verdict: Refused, Why: err.Error()}
-	}
-	if len(value) > rowMost {
-		return Answer{Verdict: Refused, Why: "the job is too large to be stored"}
-	}
-	at := place(tableJobs, service, string(id))
-	_, err = store.Commit(ctx, platform.Tx{
-		If:  []platform.Cond{{Place: at}},
-		Put: []platform.Row{{Place: at, Value: value}, {Place: place(tableMail, service, string(id)), Value: mailValue}},
-	})
-	switch {
-	case err == nil, fault.Is(err, fault.Conflict):
-		return Answer{Verdict: Accepted}
-	case fault.Is(err, fault.Overload):
-		return Answer{Verdict: Refused, Retry: retryStore, Why: err.Error()}
-	}
-	return Answer{Verdict: Unsure, Why: err.Error()}
-}
-
 // Fetch reads a job's state without its holder.
 func Fetch(ctx context.Context, store *platform.Store, service string, id work.ID) (Answer, error) {
 	page, err := store.Get(ctx, tableProgress, service, string(id), string(id)+"\x00", 1)
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -22,7 +22,7 @@
 	return []proto.Message{
 		&wire.Request{Body: &wire.Request_Hello{Hello: Identity{Instance: "e1", Boot: "b1", Centre: "c1", Region: "r1"}.hello()}},
 		&wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}},
-		&wire.Request{Body: &wire.Request_Relay{Relay: &wire.Relay{Verb: wire.Relay_SUBMIT, Service: "s", Id: "0a", Queue: "q", Terms: []byte("{}"), Job: []byte("{}"), Wait: 9}}},
+		&wire.Request{Body: &wire.Request_Relay{Relay: &wire.Relay{Verb: wire.Relay_SUBMIT, Service: "s", Id: "0a", Queue: "q", Terms: []byte("{}"), Job: []byte("{}"), Wait: 9, Store: true}}},
 		&wire.Request{Body: &wire.Request_Report{Report: &wire.Report{Service: "s", Want: 3, Machines: []string{"m1"}, Offers: []string{"m2"}, Ready: []*wire.Ready{{Machine: "m3", Wave: 4}}}}},
 		&wire.Response{Body: &wire.Response_Error{Error: &wire.Error{Kind: "missing", Text: "t", Retry: 5}}},
 		&wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{}}},
