Orders that may have reached a runner's new life aren't given again

Cause: a start ordered just before its runner started anew under its name may be carried out by the new life.

Now only runs that a look has listed in the old life are over. The others count as unanswered: a look at the new life lists them, or a stop forbids them; a new life that stays silent keeps them for the longest lease.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,6 +174,7 @@
 func boundsOf(set settings.Settings) sched.Bounds {
 	return sched.Bounds{
 		Hold: time.Duration(float64(set.Bounds.Hold) * set.Bounds.Percent / 100),
+		Most: set.Bounds.Hold,
 	}
 }
 
--- a/sched/bounds.go
+++ b/sched/bounds.go
@@ -5,6 +5,7 @@
 // Bounds are the platform's figures that decisions rest on.
 type Bounds struct {
 	Hold    time.Duration // lease that a look or a start gives a runner
+	Most    time.Duration // longest lease that a runner grants, whatever it is asked for
 	Foreign time.Duration // after a change of holder: longest that an earlier holder's runs can last on a silent runner
 }
 
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -136,6 +136,7 @@
 	if x.phase == sending || x.phase == unsure {
 		x.phase = running
 	}
+	x.listed = true
 	if x.sure.IsZero() {
 		x.sure, x.moved = now, now
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -89,6 +89,7 @@
 	phase   phase
 	sent    time.Time
 	sure    time.Time // when it was first known to run
+	listed  bool      // a look has listed it, in its runner's present life
 	percent int
 	moved   time.Time // when the percentage last changed
 	load    float64
--- a/sched/lease.go
+++ b/sched/lease.go
@@ -7,6 +7,7 @@
 	clock time.Duration // the runner's clock, not later than at
 	at    time.Time     // our clock when that answer came
 	until time.Duration // highest deadline sent, on the runner's clock
+	least time.Time     // our clock: orders of before its present life may keep something alive until then
 }
 
 // Heard takes the clock that an answer bears; received is when it came.
@@ -19,6 +20,9 @@
 // Reset forgets a life of the runner.
 func (l *Lease) Reset() { *l = Lease{} }
 
+// Carry says that orders of before the runner's present life may keep something alive until a time on our clock.
+func (l *Lease) Carry(till time.Time) { l.least = later(l.least, till) }
+
 // Known tells whether the runner's clock has been heard.
 func (l *Lease) Known() bool { return !l.at.IsZero() }
 
@@ -35,8 +39,8 @@
 // Over returns when, on our clock, everything that these deadlines kept alive has surely ended; ok is false where there was none.
 func (l *Lease) Over() (time.Time, bool) {
 	if l.until == 0 {
-		return time.Time{}, false
+		return l.least, !l.least.IsZero()
 	}
 	left := float64(l.until-l.clock) / (1 - ClockSkew)
-	return l.at.Add(time.Duration(left)), true
+	return later(l.at.Add(time.Duration(left)), l.least), true
 }
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -108,10 +108,14 @@
 		return
 	}
 	if r.Born != 0 {
+		r.lease.Reset()
 		for x := range r.runs {
-			p.giveUp(now, x, "its runner has started anew")
+			if x.listed {
+				p.giveUp(now, x, "its runner has started anew")
+				continue
+			}
+			p.carryOver(now, r, x)
 		}
-		r.lease.Reset()
 		r.seen, r.acked, r.ends = 0, 0, nil
 		r.health = health{}
 		r.asked, r.missed = time.Time{}, false
@@ -120,6 +124,20 @@
 	r.Born = born
 }
 
+// carryOver takes in that a runner has started anew since a start was ordered that no look has listed: the
+// order may have reached the new life, also where it was answered. A look at that life tells, or a stop forbids it.
+func (p *Pool) carryOver(now time.Time, r *runner, x *run) {
+	switch x.phase {
+	case running:
+		x.phase, x.sure = unsure, time.Time{}
+	case stopping:
+		x.stopped = time.Time{} // the old life's answer forbids nothing in the new one
+	case sending, unsure:
+	}
+	longest := max(p.bounds.Most, p.bounds.Hold)
+	r.lease.Carry(now.Add(time.Duration(float64(longest) / (1 - ClockSkew))))
+}
+
 // Asked takes in that a look at a runner was sent; wait is how long its answer may wait for an end.
 func (p *Pool) Asked(sent time.Time, id string, wait time.Duration) {
 	if r, ok := p.runners[id]; ok && r.asked.IsZero() {
