--- a/fault/answer.go
+++ b/fault/answer.go
@@ -26,29 +26,19 @@
 const (
 	retrySoon  = 1 * time.Second
 	retryStore = 5 * time.Second
-	retryWave  = 30 * time.Second
 )
 
 var answers = [kindCount]Answer{
-	Internal:     {"internal", http.StatusInternalServerError, Unknown, 0},
-	Invalid:      {"invalid", http.StatusBadRequest, NotRun, 0},
-	Unauthorized: {"unauthorized", http.StatusUnauthorized, NotRun, 0},
-	Missing:      {"missing", http.StatusNotFound, NotRun, 0},
-	Conflict:     {"conflict", http.StatusConflict, NotRun, 0},
-	Reused:       {"reused", http.StatusUnprocessableEntity, NotRun, 0},
-	TooLarge:     {"toolarge", http.StatusRequestEntityTooLarge, NotRun, 0},
-	Quota:        {"quota", http.StatusTooManyRequests, NotRun, retrySoon},
-	Overload:     {"overload", http.StatusServiceUnavailable, NotRun, retrySoon},
-	NoUpstream:   {"noupstream", http.StatusServiceUnavailable, NotRun, retrySoon},
-	StoreDown:    {"storedown", http.StatusServiceUnavailable, NotRun, retryStore},
-	Leaving:      {"leaving", http.StatusServiceUnavailable, NotRun, retrySoon},
-	Claimed:      {"claimed", http.StatusConflict, Unknown, retrySoon},
-	Broken:       {"broken", http.StatusBadGateway, Unknown, 0},
-	Timeout:      {"timeout", http.StatusGatewayTimeout, Unknown, 0},
-	Budget:       {"budget", http.StatusConflict, NotRun, retryWave},
-	Fenced:       {"fenced", http.StatusConflict, Unknown, 0},
-	Unfit:        {"unfit", http.StatusUnprocessableEntity, NotRun, 0},
-	Breach:       {"breach", http.StatusInternalServerError, Unknown, 0},
+	Internal:   {"internal", http.StatusInternalServerError, Unknown, 0},
+	Invalid:    {"invalid", http.StatusBadRequest, NotRun, 0},
+	Missing:    {"missing", http.StatusNotFound, NotRun, 0},
+	Conflict:   {"conflict", http.StatusConflict, NotRun, 0},
+	Overload:   {"overload", http.StatusServiceUnavailable, NotRun, retrySoon},
+	NoUpstream: {"noupstream", http.StatusServiceUnavailable, NotRun, retrySoon},
+	StoreDown:  {"storedown", http.StatusServiceUnavailable, NotRun, retryStore},
+	Broken:     {"broken", http.StatusBadGateway, Unknown, 0},
+	Fenced:     {"fenced", http.StatusConflict, Unknown, 0},
+	Breach:     {"breach", http.StatusInternalServerError, Unknown, 0},
 }
 
 // AnswerTo returns the table's row for a kind; a value outside the list reads as Internal.
--- a/fault/error.go
+++ b/fault/error.go
@@ -9,9 +9,8 @@
 
 // Error is an error of a known kind; its text says what was tried and on what.
 type Error struct {
-	Kind  Kind
-	Retry time.Duration // overrides the table's Retry-After where it is positive
-	err   error
+	Kind Kind
+	err  error
 }
 
 // Error returns the text of the cause.
@@ -37,11 +36,6 @@
 	return &Error{Kind: k, err: oops.Code(k.String()).Wrapf(err, format, args...)}
 }
 
-// After returns an error of kind k that tells the caller to come back after retry.
-func After(k Kind, retry time.Duration, format string, args ...any) error {
-	return &Error{Kind: k, Retry: retry, err: oops.Code(k.String()).Errorf(format, args...)}
-}
-
 // KindOf returns the outermost kind in err's chain; an error without one is Internal.
 func KindOf(err error) Kind {
 	var e *Error
@@ -56,11 +50,5 @@
 	return err != nil && KindOf(err) == k
 }
 
-// RetryAfter returns how long a caller is told to wait: the error's own value, else its kind's default.
-func RetryAfter(err error) time.Duration {
-	var e *Error
-	if errors.As(err, &e) && e.Retry > 0 {
-		return e.Retry
-	}
-	return AnswerTo(KindOf(err)).Retry
-}
+// RetryAfter returns how long the caller of what failed should wait before asking again; zero where that won't help.
+func RetryAfter(err error) time.Duration { return AnswerTo(KindOf(err)).Retry }
--- a/fault/fault_test.go
+++ b/fault/fault_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"net/http/httptest"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -28,12 +26,3 @@
 	require.Equal(t, Internal, KindOf(errors.New("plain")))
 	require.NoError(t, Wrap(Internal, nil, "nothing"))
 }
-
-func TestWriteTellsWhenToComeBack(t *testing.T) {
-	w := httptest.NewRecorder()
-	Write(w, After(Overload, 1500*time.Millisecond, "queue of %s is full", "texts"))
-	require.Equal(t, 503, w.Code)
-	require.Equal(t, "2", w.Header().Get("Retry-After"))
-	require.Equal(t, "notrun", w.Header().Get(HeaderOutcome))
-	require.JSONEq(t, `{"kind":"overload","outcome":"notrun","text":"queue of texts is full","retry":2}`, w.Body.String())
-}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -43,6 +43,7 @@
 
 // failed is the answer that carries err.
 func failed(err error) *wire.Response {
-	b := fault.BodyOf(err)
-	return &wire.Response{Body: &wire.Response_Error{Error: &wire.Error{Kind: b.Kind, Text: b.Text, Retry: fault.RetryAfter(err).Milliseconds()}}}
+	return &wire.Response{Body: &wire.Response_Error{Error: &wire.Error{
+		Kind: fault.KindOf(err).String(), Text: err.Error(), Retry: fault.RetryAfter(err).Milliseconds(),
+	}}}
 }
