--- a/holder/directs.go
+++ b/holder/directs.go
@@ -49,13 +49,10 @@
 
 // Submit stores a job and returns how that went.
 func (d *Directs) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Answer {
-	value, err := encode(jobRow{Queue: q, Job: job, At: d.now()})
+	value, err := encodeJob(jobRow{Queue: q, Job: job, At: d.now()})
 	if err != nil {
 		return Answer{Verdict: Refused, Why: err.Error()}
 	}
-	if len(value) > rowMost {
-		return Answer{Verdict: Refused, Why: "the job is too large to be stored"}
-	}
 	l := &letter{id: id, value: value, reply: make(chan Answer, 1)}
 	d.push(q.Service, l)
 	select {
--- a/holder/intake.go
+++ b/holder/intake.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"gypsumlead/pause"
-
-	"gypsumlead/clock"
 	"gypsumlead/work"
 )
 
@@ -64,7 +62,6 @@
 func (h *Holder) submit(id work.ID, q work.Queue, job work.Job) (chan Answer, Answer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := clock.Now()
 	if h.pool.Known(id) {
 		return nil, Answer{Verdict: Accepted}
 	}
@@ -78,17 +75,14 @@
 			return c, Answer{}
 		}
 	}
-	if wait, why := h.pool.Admit(now, q, job); why != "" {
+	if wait, why := h.pool.Admit(h.Now(), q, job); why != "" {
 		return nil, Answer{Verdict: Refused, Full: true, Retry: wait, Why: why}
 	}
 	row := jobRow{Queue: q, Job: job, At: time.Now()}
-	value, err := encode(row)
+	value, err := encodeJob(row)
 	if err != nil {
 		return nil, Answer{Verdict: Refused, Why: err.Error()}
 	}
-	if len(value) > rowMost {
-		return nil, Answer{Verdict: Refused, Why: "the job is too large to be stored"}
-	}
 	h.queue = append(h.queue, &intent{kind: submit, id: id, row: row, value: value, replies: []chan Answer{c}})
 	return c, Answer{}
 }
@@ -96,7 +90,7 @@
 // Cancel cancels a job and answers once that is stored, or ctx ends.
 func (h *Holder) Cancel(ctx context.Context, id work.ID) Answer {
 	h.mu.Lock()
-	if !h.pool.Cancel(clock.Now(), id) {
+	if !h.pool.Cancel(h.Now(), id) {
 		h.mu.Unlock()
 		return Answer{Verdict: Absent}
 	}
--- a/holder/machines.go
+++ b/holder/machines.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"gypsumlead/pause"
-
 	"gypsumlead/sched"
 )
 
--- a/holder/mail.go
+++ b/holder/mail.go
@@ -66,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
-	page, err := h.Store.Get(ctx, tableJobs, h.claim.Service, string(id), string(id)+"\x00", 1)
+	page, err := h.Store.One(ctx, place(tableJobs, h.claim.Service, string(id)))
 	if err != nil || len(page.Rows) == 0 {
 		return err
 	}
@@ -95,7 +95,7 @@
 
 // Fetch reads a job's state without its holder.
 func Fetch(ctx context.Context, store *platform.Store, service string, id work.ID) (Answer, error) {
-	page, err := store.Get(ctx, tableProgress, service, string(id), string(id)+"\x00", 1)
+	page, err := store.One(ctx, place(tableProgress, service, string(id)))
 	if err != nil {
 		return Answer{}, err
 	}
@@ -103,7 +103,7 @@
 		pr, err := sched.DecodeProgress(page.Rows[0].Value)
 		return Answer{State: pr.State}, err
 	}
-	page, err = store.Get(ctx, tableJobs, service, string(id), string(id)+"\x00", 1)
+	page, err = store.One(ctx, place(tableJobs, service, string(id)))
 	if err != nil {
 		return Answer{}, err
 	}
--- a/holder/rows.go
+++ b/holder/rows.go
@@ -54,6 +54,15 @@
 	return b, fault.Wrap(fault.Internal, err, "encode a row")
 }
 
+// encodeJob puts an accepted job into the store's form; one that the store would refuse is an error.
+func encodeJob(row jobRow) ([]byte, error) {
+	value, err := encode(row)
+	if err == nil && len(value) > rowMost {
+		return nil, fault.New(fault.Invalid, "the job is too large to be stored")
+	}
+	return value, err
+}
+
 func decode(row platform.Row, into any) error {
 	return fault.Wrap(fault.Invalid, json.Unmarshal(row.Value, into), "row %s of %s in %s", row.Key, row.Table, row.Part)
 }
--- a/holder/take.go
+++ b/holder/take.go
@@ -88,7 +88,7 @@
 
 // readSeat returns the seat's row, what it says, and the store's clock.
 func readSeat(ctx context.Context, store *platform.Store, service string) (platform.Row, Seat, time.Duration, error) {
-	page, err := store.Get(ctx, tableHold, service, keySeat, keySeat+"\x00", 1)
+	page, err := store.One(ctx, place(tableHold, service, keySeat))
 	if err != nil || len(page.Rows) == 0 {
 		return platform.Row{}, Seat{}, page.Now, err
 	}
--- a/machines/down.go
+++ b/machines/down.go
@@ -162,7 +162,7 @@
 func (m *Master) reread(ctx context.Context, at platform.Place) {
 	ctx, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
-	page, err := m.Waves.store.Get(ctx, at.Table, at.Part, at.Key, at.Key+"\x00", 1)
+	page, err := m.Waves.store.One(ctx, at)
 	if err != nil {
 		m.Log.Warn("row of a wave not read", zap.String("wave", at.Key), zap.Error(err))
 		return // it comes with the next look for changes
