Read once more: less said twice in daemon, scheduler, machines and command line

- A turn's latest start, passage and lateness were computed for each of its steps; now once a turn.
The sum of core time that stood in two places is step.work, the time for it Pool.through.
- The daemon's list of holders takes its own lock (six callers did), live daemons that aren't leaving are asked for in one place of three, the master's seat and the status use the lists that were there.
- pause.Every serves the three loops with a ticker; cmp.Compare replaces one of our own; the command line asks several daemons in one loop.
- Pool.Lasting, Holder.Lasting and Holder.Gone, which nobody called, are gone.

--- a/cli/client.go
+++ b/cli/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -61,6 +62,28 @@
 	return none, last
 }
 
+// each asks every daemon that is named and tells of those that don't answer; it fails where none does.
+func each(ctx context.Context, e *env, r remote, ask func(context.Context, *oas.Client) error) error {
+	answers := 0
+	var last error
+	for _, addr := range r.addrs() {
+		c, err := client(addr)
+		if err != nil {
+			return err
+		}
+		if err := ask(ctx, c); err != nil {
+			last = answered(addr, err)
+			fmt.Fprintln(e.err, last)
+			continue
+		}
+		answers++
+	}
+	if answers == 0 {
+		return last
+	}
+	return nil
+}
+
 // answered turns a daemon's fault back into one, and a failed connection into advice.
 func answered(addr string, err error) error {
 	var f *oas.FaultStatusCode
--- a/cli/operators.go
+++ b/cli/operators.go
@@ -60,18 +60,8 @@
 func services(ctx context.Context, e *env, r remote) ([]oas.Service, error) {
 	var list []oas.Service
 	at := map[string]int{}
-	var last error
-	for _, addr := range r.addrs() {
-		c, err := client(addr)
-		if err != nil {
-			return nil, err
-		}
+	err := each(ctx, e, r, func(ctx context.Context, c *oas.Client) error {
 		got, err := c.ListServices(ctx)
-		if err != nil {
-			last = answered(addr, err)
-			fmt.Fprintln(e.err, last)
-			continue
-		}
 		for _, s := range got {
 			i, ok := at[s.Name]
 			if !ok {
@@ -81,11 +71,9 @@
 				list[i] = s
 			}
 		}
-	}
-	if len(list) == 0 {
-		return nil, last
-	}
-	return list, nil
+		return err
+	})
+	return list, err
 }
 
 func runJob(ctx context.Context, e *env, args []string) error {
@@ -117,27 +105,16 @@
 		return err
 	}
 	var lines []string
-	answers := 0
-	var last error
-	for _, addr := range r.addrs() {
-		c, err := client(addr)
-		if err != nil {
-			return err
-		}
+	err = each(ctx, e, r, func(ctx context.Context, c *oas.Client) error {
 		got, err := c.GetTrail(ctx, oas.GetTrailParams{ID: rest[0]})
-		if err != nil {
-			last = answered(addr, err)
-			fmt.Fprintln(e.err, last)
-			continue
-		}
-		answers++
 		lines = append(lines, got...)
-	}
-	if answers == 0 {
-		return last
+		return err
+	})
+	if err != nil {
+		return err
 	}
 	if len(lines) == 0 {
-		return fault.New(fault.Missing, "%d daemons remember nothing about %q; gypsumlead trace reads their logs", answers, rest[0])
+		return fault.New(fault.Missing, "the daemons that answered remember nothing about %q; gypsumlead trace reads their logs", rest[0])
 	}
 	return logs.Trace(strings.NewReader(strings.Join(lines, "\n")), e.out, rest[0])
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -256,12 +256,11 @@
 func (d *Daemon) leave(callers *http.Server) {
 	d.log.Info("daemon leaves")
 	d.mu.Lock()
-	d.leaving = true
-	seats := d.held()
+	d.leaving = true // from now on no seat is added
 	d.mu.Unlock()
 	d.members.Leave()
 	linger := time.NewTimer(leaveLinger)
-	d.release(seats)
+	d.release(d.held())
 	d.members.Hold(nil)
 	<-linger.C
 	ctx, cancel := context.WithTimeout(context.Background(), leaveMost)
--- a/daemon/desk.go
+++ b/daemon/desk.go
@@ -78,7 +78,7 @@
 
 // next returns the daemon that is to schedule a service.
 func (d *Daemon) next(service string) (member.Node, bool) {
-	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+	live := d.staying()
 	name := member.Assign(d.services(), live)[service]
 	at := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == name })
 	if at < 0 {
--- a/daemon/handover.go
+++ b/daemon/handover.go
@@ -23,7 +23,7 @@
 	if d.leaving || len(d.seats) == 0 {
 		return nil
 	}
-	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+	live := d.staying()
 	plan := member.Assign(d.services(), live)
 	var list []*holder.Holder
 	for s, h := range d.seats {
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gypsumlead/duty"
@@ -54,8 +55,6 @@
 }
 
 func (d *Daemon) machineSeats() []machines.Seat {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	var list []machines.Seat
 	for _, h := range d.held() {
 		list = append(list, h)
@@ -82,15 +81,11 @@
 	if s := d.spare(); s != "" {
 		return s
 	}
-	first := ""
-	if c := d.operator.Config(); c != nil {
-		for _, s := range c.Services {
-			if first == "" || s.Name < first {
-				first = s.Name
-			}
-		}
+	names := d.services()
+	if len(names) == 0 {
+		return ""
 	}
-	return first
+	return slices.Min(names)
 }
 
 // sendReport brings a pool's report to the master.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -10,6 +10,8 @@
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"gypsumlead/holder"
 )
 
 // gauges are the instruments, read when they are asked for.
@@ -103,21 +105,14 @@
 	if d.master != nil {
 		o.ObserveInt64(g.moving, d.master.Moving())
 	}
-	d.mu.Lock()
-	held := d.held()
-	d.mu.Unlock()
-	for _, h := range held {
-		d.observeService(o, g, h.Service())
+	for _, h := range d.held() {
+		observeService(o, g, h)
 	}
 }
 
 // observeService reads one service that is held here.
-func (d *Daemon) observeService(o metric.Observer, g *gauges, service string) {
-	h := d.holderOf(service)
-	if h == nil {
-		return // it was left meanwhile
-	}
-	s, by := h.Stats(), with("service", service)
+func observeService(o metric.Observer, g *gauges, h *holder.Holder) {
+	s, by := h.Stats(), with("service", h.Service())
 	o.ObserveInt64(g.held, int64(h.Term()), by)
 	o.ObserveInt64(g.starts, s.Starts, by)
 	o.ObserveInt64(g.paces, s.Paces, by)
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -18,7 +18,7 @@
 // GetStatus returns what this daemon is and has in force.
 func (o operators) GetStatus(context.Context) (*oas.Status, error) {
 	d := o.d
-	s := &oas.Status{Instance: d.set.Instance, Boot: d.boot, Centre: d.set.Centre, Ready: d.isReady(), Daemons: []string{}, Holds: []string{}}
+	s := &oas.Status{Instance: d.set.Instance, Boot: d.boot, Centre: d.set.Centre, Ready: d.isReady(), Daemons: []string{}, Holds: d.heldNames()}
 	if c := d.operator.Config(); c != nil {
 		s.Config = c.Version
 	}
@@ -26,13 +26,8 @@
 		s.Daemons = append(s.Daemons, n.Name)
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	s.Leaving = d.leaving
-	for name := range d.seats {
-		s.Holds = append(s.Holds, name)
-	}
-	slices.Sort(s.Daemons)
-	slices.Sort(s.Holds)
+	d.mu.Unlock()
 	return s, nil
 }
 
--- a/daemon/seats.go
+++ b/daemon/seats.go
@@ -66,7 +66,7 @@
 	if c == nil || d.leaving || now.Sub(d.members.Signs().Acked) > member.Life {
 		return nil // a seat taken without a sign of life would be lost at once
 	}
-	live := slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+	live := d.staying()
 	if !slices.ContainsFunc(live, func(n member.Node) bool { return n.Boot == d.boot }) {
 		return nil
 	}
@@ -98,6 +98,11 @@
 	return list
 }
 
+// staying returns the live daemons that aren't leaving, by name.
+func (d *Daemon) staying() []member.Node {
+	return slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+}
+
 // services returns the names of the configured services.
 func (d *Daemon) services() []string {
 	c := d.operator.Config()
@@ -167,6 +172,8 @@
 
 // held returns the holders of this daemon.
 func (d *Daemon) held() []*holder.Holder {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	list := make([]*holder.Holder, 0, len(d.seats))
 	for _, h := range d.seats {
 		list = append(list, h)
@@ -205,10 +212,7 @@
 
 // configured takes in a change of what the operator wants.
 func (d *Daemon) configured() {
-	d.mu.Lock()
-	seats := d.held()
-	d.mu.Unlock()
-	for _, h := range seats {
+	for _, h := range d.held() {
 		d.setQueues(h)
 	}
 	d.retarget()
@@ -228,10 +232,7 @@
 
 // runnerSeen hands a runner's entry to the holder of its service.
 func (d *Daemon) runnerSeen(w work.Runner) {
-	d.mu.Lock()
-	seats := d.held()
-	d.mu.Unlock()
-	for _, h := range seats {
+	for _, h := range d.held() {
 		if h.Service() == w.Service {
 			h.Runner(w)
 		} else {
@@ -242,10 +243,7 @@
 
 // runnerGone tells the holders that a runner is no longer listed.
 func (d *Daemon) runnerGone(w work.Runner) {
-	d.mu.Lock()
-	seats := d.held()
-	d.mu.Unlock()
-	for _, h := range seats {
+	for _, h := range d.held() {
 		h.Unlisted(w.ID)
 	}
 }
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -100,9 +100,6 @@
 // Service returns the service that is held.
 func (h *Holder) Service() string { return h.claim.Service }
 
-// Gone is closed once the seat is lost or left.
-func (h *Holder) Gone() <-chan struct{} { return h.fate }
-
 // Run schedules until ctx ends or the seat is lost.
 func (h *Holder) Run(ctx context.Context) error {
 	defer close(h.fate)
--- a/holder/machines.go
+++ b/holder/machines.go
@@ -29,13 +29,6 @@
 	return h.pool.Empty(runner)
 }
 
-// Lasting returns how many tasks that last run on a runner.
-func (h *Holder) Lasting(runner string) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.pool.Lasting(runner)
-}
-
 // Load returns how many runners take work and whether the pool is busy.
 func (h *Holder) Load() (int, bool) {
 	h.mu.Lock()
--- a/machines/local.go
+++ b/machines/local.go
@@ -8,6 +8,7 @@
 
 	"gypsumlead/clock"
 	"gypsumlead/lend"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/upkeep"
@@ -74,21 +75,15 @@
 
 // Run reports until ctx ends.
 func (l *Local) Run(ctx context.Context) error {
-	t := time.NewTicker(reportEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	pause.Every(ctx, reportEvery, func() {
 		for _, s := range l.Seats() {
 			if s.Service() != l.Spare() {
 				// Without a master that answers nobody could take what is given back.
 				l.reply[s.Service()], _ = l.Send(ctx, l.report(l.Now(), s))
 			}
 		}
-	}
+	})
+	return nil
 }
 
 // report decides for one pool and returns its report.
--- a/machines/master.go
+++ b/machines/master.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/clock"
 	"gypsumlead/duty"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 )
 
@@ -112,22 +113,16 @@
 
 // Run gives orders until ctx ends.
 func (m *Master) Run(ctx context.Context) error {
-	t := time.NewTicker(masterEvery)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
+	pause.Every(ctx, masterEvery, func() {
+		if m.Held() {
+			m.step(ctx)
+			return
 		}
-		if !m.Held() {
-			clear(m.moving)
-			clear(m.downs)
-			m.setReply(Reply{})
-			continue
-		}
-		m.step(ctx)
-	}
+		clear(m.moving)
+		clear(m.downs)
+		m.setReply(Reply{})
+	})
+	return nil
 }
 
 // Moving returns how many machines are on their way to another pool.
--- a/machines/move.go
+++ b/machines/move.go
@@ -1,6 +1,7 @@
 package machines
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -54,7 +55,7 @@
 		if x != y {
 			return first(x)
 		}
-		return compare(a, b)
+		return cmp.Compare(a, b)
 	})
 	m.order(ctx, now, m.shared(reports, len(list), free, offered))
 }
@@ -118,16 +119,6 @@
 	return due
 }
 
-func compare(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
-
 // pools is what each pool has and wants.
 func (m *Master) pools(reports []Report) []lend.Pool {
 	var pools []lend.Pool
@@ -140,7 +131,7 @@
 		}
 		pools = append(pools, p)
 	}
-	slices.SortFunc(pools, func(a, b lend.Pool) int { return compare(a.Service, b.Service) })
+	slices.SortFunc(pools, func(a, b lend.Pool) int { return cmp.Compare(a.Service, b.Service) })
 	return pools
 }
 
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -31,6 +31,20 @@
 	}
 }
 
+// Every calls f each time that d has passed, until ctx ends.
+func Every(ctx context.Context, d time.Duration, f func()) {
+	t := time.NewTicker(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
+
 // Wake puts a token into a channel that holds one.
 func Wake(c chan struct{}) {
 	select {
--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -29,13 +29,7 @@
 			continue
 		}
 		for _, t := range j.turns {
-			_, gives := excess[t]
-			for _, s := range t.steps {
-				if s.wait > 0 && s.ready(wall) {
-					start := p.latest(t, j)
-					list = append(list, candidate{s, now.After(start), gives, start.Add(-p.passage(t, j)), p.stale(now, t, j)})
-				}
-			}
+			list = append(list, p.candidatesOf(now, wall, t, excess)...)
 		}
 	}
 	if p.way == First {
@@ -46,6 +40,28 @@
 	return list
 }
 
+// candidatesOf returns the steps of one turn with tasks to start; all but the step is the turn's.
+func (p *Pool) candidatesOf(now, wall time.Time, t *turn, excess map[*turn]struct{}) []candidate {
+	var ready []*step
+	for _, s := range t.steps {
+		if s.wait > 0 && s.ready(wall) {
+			ready = append(ready, s)
+		}
+	}
+	if len(ready) == 0 {
+		return nil
+	}
+	j := ready[0].job
+	latest := p.latest(t, j)
+	late, start, stale := now.After(latest), latest.Add(-p.passage(t, j)), p.stale(now, t, j)
+	_, gives := excess[t]
+	list := make([]candidate, len(ready))
+	for i, s := range ready {
+		list[i] = candidate{s, late, gives, start, stale}
+	}
+	return list
+}
+
 // compare orders by priority, then what lasts, then what can be in time, then by the latest start.
 func compare(a, b candidate) int {
 	x, y := a.step.job, b.step.job
@@ -95,17 +111,21 @@
 	if p.room == 0 {
 		return 0
 	}
-	alone := time.Duration(t.work() / float64(p.room) * float64(time.Second))
-	return p.learned[j.queue.Name].of(alone)
-}
-
-// work returns the core time in thousandths of a core-second that isn't done of a turn, as declared.
-func (t *turn) work() float64 {
-	sum := 0.0
+	left := 0.0
 	for _, s := range t.steps {
-		sum += float64(s.left) * float64(s.spec.Need.CPU) * s.spec.Estimate.Seconds()
+		left += s.work(s.left)
 	}
-	return sum
+	return p.through(left, float64(p.room), j)
+}
+
+// work returns the core time of so many of the step's tasks, as declared, in thousandths of a core-second.
+func (s *step) work(tasks int) float64 {
+	return float64(tasks) * float64(s.spec.Need.CPU) * s.spec.Estimate.Seconds()
+}
+
+// through returns the time that work of a job would take with so much room for itself.
+func (p *Pool) through(work, room float64, j *job) time.Duration {
+	return p.learned[j.queue.Name].of(time.Duration(work / room * float64(time.Second)))
 }
 
 // measureRoom notes how much room the runners that take work have for tasks that end.
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -20,14 +20,6 @@
 	}
 }
 
-// Lasting returns how many tasks that last run on a runner.
-func (p *Pool) Lasting(id string) int {
-	if r, ok := p.runners[id]; ok {
-		return r.lasting()
-	}
-	return 0
-}
-
 // busyShare is the share of a pool's processors in use from which it counts as busy.
 const busyShare = 0.7
 
@@ -42,11 +34,11 @@
 			room += r.Room.CPU
 		}
 	}
-	return n, p.Waiting() || float64(used) > busyShare*float64(room)
+	return n, p.waiting() || float64(used) > busyShare*float64(room)
 }
 
-// Waiting tells whether a task of a job that has begun, or could, waits for room.
-func (p *Pool) Waiting() bool {
+// waiting tells whether a task of a job that has begun, or could, waits for room.
+func (p *Pool) waiting() bool {
 	for _, j := range p.live {
 		if j.state.Final() {
 			continue
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -67,12 +68,7 @@
 		}
 	}
 	var before time.Duration // what more urgent queues take
-	priorities := make([]int, 0, len(byPriority))
-	for n := range byPriority {
-		priorities = append(priorities, n)
-	}
-	slices.Sort(priorities)
-	for _, n := range priorities {
+	for _, n := range slices.Sorted(maps.Keys(byPriority)) {
 		before = shed(now, before, byPriority[n], out)
 	}
 	return out
@@ -88,13 +84,13 @@
 		if s.spec.Lasts || s.spec.Fills {
 			return load{}, false
 		}
-		waiting += float64(s.wait) * float64(s.spec.Need.CPU) * s.spec.Estimate.Seconds()
+		waiting += s.work(s.wait)
 	}
 	by := p.latest(t, j)
 	if waiting == 0 || now.After(by) {
 		return load{}, false
 	}
-	takes := p.learned[j.queue.Name].of(time.Duration(waiting / (packing * float64(p.room)) * float64(time.Second)))
+	takes := p.through(waiting, packing*float64(p.room), j)
 	// The last of it may start at the latest start, and what comes after that runs beside other work.
 	return load{t, by.Add(min(takes, p.learned[j.queue.Name].of(t.rest()))), takes, yield(takes, j.id)}, true
 }
--- a/view/runners.go
+++ b/view/runners.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/clock"
 	"gypsumlead/follow"
+	"gypsumlead/pause"
 	"gypsumlead/platform"
 	"gypsumlead/work"
 )
@@ -132,21 +133,15 @@
 
 // Sweep looks now and then for entries that did not come back, until ctx ends.
 func (r *Runners) Sweep(ctx context.Context) error {
-	t := time.NewTicker(sweepGap)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
+	pause.Every(ctx, sweepGap, func() {
 		r.mu.Lock()
 		gone := r.overdue(r.now())
 		r.mu.Unlock()
 		for _, w := range gone {
 			r.gone(w)
 		}
-	}
+	})
+	return nil
 }
 
 // Of returns the runners of a service.
