--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -151,35 +151,20 @@
 	f.runners[id].runs[t.String()] = x
 }
 
-func starts(orders []Order) []Start {
-	var list []Start
+// only returns the orders of one kind.
+func only[T Order](orders []Order) []T {
+	var list []T
 	for _, o := range orders {
-		if s, ok := o.(Start); ok {
-			list = append(list, s)
+		if x, ok := o.(T); ok {
+			list = append(list, x)
 		}
 	}
 	return list
 }
 
-func stops(orders []Order) []Stop {
-	var list []Stop
-	for _, o := range orders {
-		if s, ok := o.(Stop); ok {
-			list = append(list, s)
-		}
-	}
-	return list
-}
-
-func paces(orders []Order) []Pace {
-	var list []Pace
-	for _, o := range orders {
-		if s, ok := o.(Pace); ok {
-			list = append(list, s)
-		}
-	}
-	return list
-}
+func starts(orders []Order) []Start { return only[Start](orders) }
+func stops(orders []Order) []Stop   { return only[Stop](orders) }
+func paces(orders []Order) []Pace   { return only[Pace](orders) }
 
 func stepOf(count int, cpu int64) work.Step {
 	return work.Step{Count: count, Need: work.Amount{CPU: cpu}, Estimate: time.Second}
