--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -82,6 +82,7 @@
 	transfers  map[string]transferTarget // services led here that a larger daemon should lead
 	acquiring  map[string]struct{}       // services whose lease is being acquired
 	recheck    chan struct{}             // wakes runElections
+	readiness  readiness
 
 	callerListener net.Listener
 	readyListener  net.Listener
@@ -314,14 +315,6 @@
 	})
 }
 
-// isReady reports whether this daemon accepts callers' connections.
-func (d *Daemon) isReady() bool {
-	d.mu.Lock()
-	leaving := d.leaving
-	d.mu.Unlock()
-	return !leaving && d.operatorState.Config() != nil && d.now().Sub(d.members.LastContact()) < storeContactTimeout
-}
-
 // dialPeer opens a connection to another daemon.
 func (d *Daemon) dialPeer(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return d.dial(ctx, "tcp", addr.String())
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -114,9 +114,10 @@
 	}
 	start := time.Now()
 	result := h.dispatcher.Submit(ctx, id, route.Queue, job)
-	h.ObserveSubmit(verdictLabels[result.Verdict], time.Since(start))
+	took := time.Since(start)
+	h.ObserveSubmit(verdictLabels[result.Verdict], took)
 	h.log.Info("job", zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.Int64("config", routes.Version),
-		zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why), zap.Duration("retry", result.Retry))
+		zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why), zap.Duration("retry", result.Retry), zap.Duration("took", took))
 	switch result.Verdict {
 	case leader.Accepted:
 		h.writeResponse(w, http.StatusOK, []byte("{}"))
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -237,5 +237,5 @@
 	}
 	p.logged[service] = entry
 	p.Log.Info("pool", zap.String("service", service), zap.Int("machines", current), zap.Int("wanted", desired), zap.Int64("used", demand.Used),
-		zap.Int64("lasting", demand.LongRunning), zap.Int64("waiting", demand.Waiting), zap.Int64("late", demand.Late), zap.Float64("rate", demand.ArrivalRate))
+		zap.Int64("lasting", demand.LongRunning), zap.Int64("overdue", demand.Overdue), zap.Int64("waiting", demand.Waiting), zap.Int64("late", demand.Late), zap.Float64("rate", demand.ArrivalRate))
 }
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -16,6 +16,7 @@
 type Demand struct {
 	Used        int64   // by runs in progress
 	LongRunning int64   // part of Used: by long-running tasks
+	Overdue     int64   // part of Used: by tasks of occurrences whose objective has passed
 	Waiting     int64   // by tasks that can start and can end on time
 	Late        int64   // by tasks that can start and can't end on time
 	ArrivalRate float64 // CPU time accepted per second, over the last second
@@ -64,8 +65,12 @@
 	for _, r := range p.runners {
 		d.Used += r.used.CPU
 		for run := range r.runs {
-			if s := run.task.step.spec; s.LongRunning && !s.BestEffort {
-				d.LongRunning += s.Resources.CPU
+			switch s := run.task.step; {
+			case s.spec.BestEffort:
+			case s.spec.LongRunning:
+				d.LongRunning += s.spec.Resources.CPU
+			case now.After(p.objective(s.occurrence, s.job)):
+				d.Overdue += s.spec.Resources.CPU
 			}
 		}
 	}
