Refuse jobs while neither the store nor the leader answers, and say so in the readiness check

Callers saw: in a data centre that is cut off, 504 after 1.4 s (median) and up to 2.55 s, or 503 after 0.6 s, for almost the whole cut.

Cause: a job was written to a session or connection that had gone silent already. Sessions to another data centre are pinged every 10 s, and a silent one is closed after 6 s more; until then each job waited 1.5 s for its relay and then couldn't be called 'not run'. Readiness looked at the store only, with 3 s, which is for an outage of the store that all daemons share.

Now a job is sent only to an end that has answered within 0.7 s, or answers a ping first (contact.Link, for sessions and for the store); a failed ping proves that nothing was sent, so the caller gets 503 at once. A daemon to which the store is silent asks the leaders; if they don't answer either, it is not ready. A store that is down for all leaves them ready, as before.

Tests: TestCutOffDaemonRefusesJobsInsteadOfLeavingThemUnknown (504 before), TestCutOffDaemonIsSoonNotReady (ready before); TestDaemonsStayReadyThroughAShortOutageOfTheStore passed before and guards the other case.

--- /dev/null
+++ b/contact/link.go
@@ -0,0 +1,99 @@
+package contact
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gypsumlead/clock"
+)
+
+// Timing of checks.
+const (
+	Freshness     = 700 * time.Millisecond // an end that has answered within this time isn't asked again
+	retryInterval = 250 * time.Millisecond // after a failed ping its error is returned for this long
+)
+
+// Link remembers when the other end last answered; it is safe for concurrent use.
+type Link struct {
+	ping func(ctx context.Context) error // asks the other end for an answer; limits its own duration
+	now  clock.Clock
+
+	mu       sync.Mutex
+	heardAt  time.Time
+	failedAt time.Time
+	failure  error         // of the last ping; nil if it was answered
+	pending  chan struct{} // closed when the ping in progress has ended; nil without one
+}
+
+// New returns a Link of an end that has not answered yet and that ping asks.
+func New(ping func(ctx context.Context) error, now clock.Clock) *Link {
+	return &Link{ping: ping, now: now}
+}
+
+// Heard records an answer of the other end.
+func (l *Link) Heard() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardAt, l.failure = l.now(), nil
+}
+
+// Fresh reports whether the other end has answered within Freshness.
+func (l *Link) Fresh() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fresh()
+}
+
+// fresh implements Fresh; the caller holds l.mu.
+func (l *Link) fresh() bool { return l.now().Sub(l.heardAt) < Freshness }
+
+// Check returns nil if the other end has answered within Freshness or answers a ping now, and the ping's error
+// otherwise. Concurrent checks share one ping.
+func (l *Link) Check(ctx context.Context) error {
+	for ctx.Err() == nil {
+		l.mu.Lock()
+		if l.fresh() {
+			l.mu.Unlock()
+			return nil
+		}
+		if l.failure != nil && l.now().Sub(l.failedAt) < retryInterval {
+			defer l.mu.Unlock()
+			return l.failure
+		}
+		if pending := l.pending; pending != nil {
+			l.mu.Unlock()
+			wait(ctx, pending)
+			continue
+		}
+		ended := make(chan struct{})
+		l.pending = ended
+		l.mu.Unlock()
+		err := l.ping(context.WithoutCancel(ctx)) // others wait for this ping too
+		l.record(err)
+		close(ended)
+		return err
+	}
+	return ctx.Err()
+}
+
+// record notes the result of the ping in progress.
+func (l *Link) record(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = nil
+	l.failure = err
+	if err != nil {
+		l.failedAt = l.now()
+		return
+	}
+	l.heardAt = l.now()
+}
+
+// wait waits until a ping has ended or ctx ends.
+func wait(ctx context.Context, ended <-chan struct{}) {
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"gypsumlead/cache"
 	"gypsumlead/claims"
 	"gypsumlead/clock"
+	"gypsumlead/contact"
 	"gypsumlead/jobapi"
 	"gypsumlead/leader"
 	"gypsumlead/machines"
@@ -52,6 +53,7 @@
 
 	meter          *platform.Meter
 	store          *platform.Store
+	storeLink      *contact.Link
 	runnerClient   *platform.RunnerClient
 	handoff        *leader.Handoff
 	machineClient  *platform.MachineClient
@@ -144,6 +146,8 @@
 	d.startedAt = d.now()
 	d.log = log.With(zap.String("instance", conf.Instance))
 	d.store = platform.NewStore(conf.Store, d.dial, d.meter)
+	d.storeLink = contact.New(d.probeStore, d.now)
+	d.store.SetAnswerHook(d.storeLink.Heard)
 	d.handoff = leader.NewHandoff(d.store, d.log, d.now)
 	d.runnerClient = platform.NewRunnerClient(d.dial, d.meter)
 	if conf.Machines.IsValid() {
@@ -156,7 +160,7 @@
 	d.runnerList = cache.NewRunnerList(d.store, d.log, d.now, d.interests.runners, d.runnerListed, d.runnerUnlisted)
 	d.members = member.New(d.store, d.self(), d.log, d.now, d.membersChanged)
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
-	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer))
+	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
 	d.peerServer = peer.NewServer(identity, d, d.log)
 	d.jobHandler = jobapi.New(d.operatorState.Config, d, d.log)
 	d.setUpMachines()
@@ -307,7 +311,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if !d.isReady() {
+		if !d.isReady(r.Context()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -28,6 +28,9 @@
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
 	mayBeStored := false // whether the job may have been stored without a confirmation
 	if l := d.leaderOf(q.Service); l != nil {
+		if err := d.storeLink.Check(ctx); err != nil {
+			return refused(err)
+		}
 		result := l.Submit(ctx, id, q, job)
 		if result.Verdict != leader.Unknown || ctx.Err() != nil {
 			return result
@@ -40,13 +43,26 @@
 		}
 		mayBeStored = delivered != notSent
 	}
-	result := d.handoff.Submit(ctx, id, q, job)
+	result := d.handOff(ctx, id, q, job)
 	if result.Verdict == leader.Refused && mayBeStored {
 		result.Verdict = leader.Unknown // a refusal promises that the job never runs, which is not certain here
 	}
 	return result
 }
 
+// handOff stores a job for the leader of its service, unless the store is silent.
+func (d *Daemon) handOff(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
+	if err := d.storeLink.Check(ctx); err != nil {
+		return refused(err)
+	}
+	return d.handoff.Submit(ctx, id, q, job)
+}
+
+// refused returns the result of a request that was not sent.
+func refused(err error) leader.Result {
+	return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
+}
+
 // delivery is what is known about the delivery of a request to another daemon.
 type delivery int
 
@@ -125,7 +141,7 @@
 // finalResult returns the result of the last attempt: a refusal with a retry delay if it failed.
 func finalResult(result leader.Result, err error) leader.Result {
 	if err != nil {
-		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
+		return refused(err)
 	}
 	return result
 }
@@ -151,8 +167,12 @@
 	return d.relayTo(ctx, n, r)
 }
 
-// relayTo sends a request to one daemon.
+// relayTo sends a request to one daemon, unless that is silent: whether it arrived would stay unknown.
 func (d *Daemon) relayTo(ctx context.Context, n member.Node, r *wire.Relay) (leader.Result, delivery) {
+	if err := d.mesh.Check(ctx, n.Name); err != nil {
+		d.log.Info("request not relayed", zap.String("holder", n.Name), zap.String("service", r.Service), zap.Error(err))
+		return leader.Result{}, notSent
+	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
 	r.Wait = relayTimeout.Milliseconds()
@@ -223,6 +243,9 @@
 		if err := json.Unmarshal(r.Job, &job); err != nil {
 			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
 		}
+		if err := d.storeLink.Check(ctx); err != nil {
+			return leader.Result{}, false, nil // the daemon that relays the job may reach the store
+		}
 		if l == nil {
 			return d.handoff.Submit(ctx, id, q, job), true, nil
 		}
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -101,14 +101,8 @@
 
 // Submit submits a job and polls it until it ends, in a new goroutine.
 func (c *Cluster) Submit(service string, wire wireJob, job work.Job) work.ID {
-	c.mu.Lock()
-	c.nextID++
-	id := work.ID(fmt.Sprintf("%016x", c.nextID))
-	sub := &submission{service: service, job: job, submittedAt: time.Now(), state: work.Queued}
-	c.jobs[id] = sub
+	id, sub := c.register(service, job)
 	rng := c.newRand()
-	c.mu.Unlock()
-	c.Checker.Submitted(id, job, maxAttempts)
 	body, err := json.Marshal(wire)
 	if err != nil {
 		panic(err) // values made by the emulator always encode
@@ -121,6 +115,18 @@
 	return id
 }
 
+// register gives a new job an ID and tells the Checker of it.
+func (c *Cluster) register(service string, job work.Job) (work.ID, *submission) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	id := work.ID(fmt.Sprintf("%016x", c.nextID))
+	sub := &submission{service: service, job: job, submittedAt: time.Now(), state: work.Queued}
+	c.jobs[id] = sub
+	c.Checker.Submitted(id, job, maxAttempts)
+	return id, sub
+}
+
 // submitWithRetry submits a job until it is accepted, at most maxTries times. It reports whether the job was accepted.
 func (c *Cluster) submitWithRetry(id work.ID, sub *submission, body []byte, rng *rand.Rand) bool {
 	for range maxTries {
--- /dev/null
+++ b/emulator/cut_off_test.go
@@ -0,0 +1,118 @@
+package emulator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/platform"
+)
+
+// Bounds for a daemon that reaches neither the store nor a leader.
+const (
+	maxRefusalTime = 1500 * time.Millisecond // half of a caller's timeout
+	maxReadyTime   = 2 * time.Second         // of being ready after the cut
+)
+
+// daemonOutsideCentreOf returns a daemon of another data centre than the given one's.
+func daemonOutsideCentreOf(t *testing.T, c *Cluster, daemon string) string {
+	t.Helper()
+	for _, name := range c.Daemons() {
+		if c.daemons[name].centre != c.daemons[daemon].centre {
+			return name
+		}
+	}
+	require.Fail(t, "all daemons are in one data centre")
+	return ""
+}
+
+// send sends one request to a daemon and returns the status, 0 without a response, and how long it took.
+func send(t *testing.T, c *Cluster, method string, at netip.AddrPort, path string, body []byte) (int, time.Duration) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+at.String()+path, bytes.NewReader(body))
+	require.NoError(t, err)
+	req.Host = "jobs.example"
+	start := time.Now()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return 0, time.Since(start)
+	}
+	require.NoError(t, resp.Body.Close())
+	return resp.StatusCode, time.Since(start)
+}
+
+// sendJob submits a new job to one daemon and tells the Checker the outcome.
+func sendJob(t *testing.T, c *Cluster, daemon, service string) (int, time.Duration) {
+	t.Helper()
+	wire, job := c.NewBatchJob(batchShape)
+	body, err := json.Marshal(wire)
+	require.NoError(t, err)
+	id, _ := c.register(service, job)
+	status, took := send(t, c, http.MethodPost, netip.AddrPortFrom(c.daemons[daemon].addr, portCallers), fmt.Sprintf("/%s/%s", service, id), body)
+	c.Checker.SubmitAnswered(id, status == http.StatusOK, status == http.StatusServiceUnavailable)
+	return status, took
+}
+
+// isReady asks a daemon whether it is ready.
+func isReady(t *testing.T, c *Cluster, daemon string) bool {
+	t.Helper()
+	status, _ := send(t, c, http.MethodGet, netip.AddrPortFrom(c.daemons[daemon].addr, portReady), platform.ReadyPath, nil)
+	return status == http.StatusOK
+}
+
+func TestCutOffDaemonRefusesJobsInsteadOfLeavingThemUnknown(t *testing.T) {
+	runScenario(t, Small, 21, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
+		inside, outside := partitionByCentre(c, daemon)
+		cut(c, inside, outside)
+		time.Sleep(time.Second)
+		for i := range 8 {
+			status, took := sendJob(t, c, daemon, "s0")
+			require.Equal(t, http.StatusServiceUnavailable, status, "job %d", i)
+			require.Less(t, took, maxRefusalTime, "job %d", i)
+			time.Sleep(200 * time.Millisecond)
+		}
+		c.Net.Heal()
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	})
+}
+
+func TestCutOffDaemonIsSoonNotReady(t *testing.T) {
+	runScenario(t, Small, 22, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
+		require.True(t, isReady(t, c, daemon))
+		inside, outside := partitionByCentre(c, daemon)
+		cut(c, inside, outside)
+		time.Sleep(maxReadyTime)
+		require.False(t, isReady(t, c, daemon))
+		c.Net.Heal()
+		time.Sleep(time.Second)
+		require.True(t, isReady(t, c, daemon))
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	})
+}
+
+func TestDaemonsStayReadyThroughAShortOutageOfTheStore(t *testing.T) {
+	runScenario(t, Small, 23, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		var daemons []netip.Addr
+		for _, name := range c.Daemons() {
+			daemons = append(daemons, c.daemons[name].addr)
+		}
+		cut(c, daemons, []netip.Addr{storeAddr.Addr()})
+		time.Sleep(maxReadyTime)
+		for _, name := range c.Daemons() {
+			require.True(t, isReady(t, c, name), name)
+		}
+		c.Net.Heal()
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	})
+}
--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -69,11 +69,11 @@
 		}
 	case 4:
 		inside, outside := partitionByCentre(c, name)
-		c.Net.Cut(inside, outside)
+		cut(c, inside, outside)
 	case 5:
-		c.Net.Cut([]netip.Addr{c.DaemonAddr(name)}, []netip.Addr{storeAddr.Addr()})
+		cut(c, []netip.Addr{c.DaemonAddr(name)}, []netip.Addr{storeAddr.Addr()})
 	case 6:
-		c.Net.Cut([]netip.Addr{c.RunnerAddr(id)}, daemonAddrs(c))
+		cut(c, []netip.Addr{c.RunnerAddr(id)}, daemonAddrs(c))
 	case 7, 8:
 		c.Net.Heal()
 	case 9:
--- a/emulator/trace_test.go
+++ b/emulator/trace_test.go
@@ -109,7 +109,7 @@
 		time.Sleep(2 * time.Second)
 		for _, runner := range c.Runners() {
 			if c.runners[runner].runner.Service == "s0" {
-				c.Net.Cut([]netip.Addr{c.RunnerAddr(runner)}, daemonAddrs(c))
+				cut(c, []netip.Addr{c.RunnerAddr(runner)}, daemonAddrs(c))
 			}
 		}
 		time.Sleep(7 * time.Second)
--- a/member/members.go
+++ b/member/members.go
@@ -26,8 +26,8 @@
 	retryDelay        = 250 * time.Millisecond  // after a failed call
 )
 
-// table is the table with one row for each daemon.
-const table = "node"
+// Table is the store's table with one row for each daemon; its name is the row's partition and key.
+const Table = "node"
 
 // Members writes this daemon's heartbeats and tracks those of the other daemons.
 type Members struct {
@@ -100,7 +100,7 @@
 	// The write is conditional, so that a delayed write can't overwrite a later one or one of a later incarnation.
 	// Each row has its own partition: transactions of one partition are serialized, and a slow store completes two
 	// a second.
-	key := platform.RowKey{Table: table, Partition: self.Name, Key: self.Name}
+	key := platform.RowKey{Table: Table, Partition: self.Name, Key: self.Name}
 	stamp, err := m.store.Commit(ctx, platform.Tx{
 		Conditions: []platform.Condition{{RowKey: key, Version: m.ownVersion}},
 		Puts:       []platform.Row{{RowKey: key, Value: value}},
@@ -149,7 +149,7 @@
 func (m *Members) Watch(ctx context.Context) error {
 	watcher := watch.Watcher{
 		Store:         m.store,
-		Table:         table,
+		Table:         Table,
 		AllPartitions: true,
 		FromVersion:   watch.FromSnapshot,
 		Interval:      pollInterval,
--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := openSession(ctx, conn, d.mesh.local)
+	s, err := openSession(ctx, conn, d.mesh.local, d.mesh.now)
 	if err != nil {
 		_ = conn.Close()
 	}
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/peer/wire"
 )
@@ -20,6 +21,7 @@
 	log          *zap.Logger
 	pingInterval time.Duration
 	dial         Dial
+	now          clock.Clock
 
 	mu       sync.Mutex
 	ctx      context.Context // context of Run; nil before Run
@@ -41,6 +43,11 @@
 	return func(m *Mesh) { m.pingInterval = interval }
 }
 
+// WithClock sets the clock by which answers of other daemons are dated; the default is clock.Now.
+func WithClock(now clock.Clock) MeshOption {
+	return func(m *Mesh) { m.now = now }
+}
+
 // WithDial sets how connections are made.
 func WithDial(dial Dial) MeshOption {
 	return func(m *Mesh) { m.dial = dial }
@@ -55,6 +62,7 @@
 		log:          log,
 		pingInterval: defaultPingInterval,
 		dial:         DialTCP,
+		now:          clock.Now,
 		dialers:      map[netip.AddrPort]*dialer{},
 		sessions:     map[string]*session{},
 	}
@@ -142,11 +150,29 @@
 // Call sends a request to one daemon and returns its response. Without an open session it fails immediately with
 // fault.NoUpstream.
 func (m *Mesh) Call(ctx context.Context, instance string, req *wire.Request) (*wire.Response, error) {
+	s, err := m.session(instance)
+	if err != nil {
+		return nil, err
+	}
+	return s.call(ctx, req)
+}
+
+// Check returns nil if a daemon has answered lately or answers now, and an error of kind fault.NoUpstream otherwise.
+func (m *Mesh) Check(ctx context.Context, instance string) error {
+	s, err := m.session(instance)
+	if err != nil {
+		return err
+	}
+	return fault.Wrap(fault.NoUpstream, s.link.Check(ctx), "peer %s is silent", instance)
+}
+
+// session returns the open session with a daemon.
+func (m *Mesh) session(instance string) (*session, error) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	s := m.sessions[instance]
-	m.mu.Unlock()
 	if s == nil {
 		return nil, fault.New(fault.NoUpstream, "no session with peer %s", instance)
 	}
-	return s.call(ctx, req)
+	return s, nil
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -9,6 +9,8 @@
 
 	"github.com/hashicorp/yamux"
 
+	"gypsumlead/clock"
+	"gypsumlead/contact"
 	"gypsumlead/fault"
 	"gypsumlead/peer/wire"
 )
@@ -18,6 +20,7 @@
 type session struct {
 	mux    *yamux.Session
 	remote Identity
+	link   *contact.Link
 
 	pingMu     sync.Mutex
 	pingStream net.Conn
@@ -25,12 +28,13 @@
 }
 
 // openSession starts a session on conn and exchanges identities with the other end.
-func openSession(ctx context.Context, conn net.Conn, local Identity) (*session, error) {
+func openSession(ctx context.Context, conn net.Conn, local Identity, now clock.Clock) (*session, error) {
 	mux, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "start session")
 	}
 	s := &session{mux: mux}
+	s.link = contact.New(s.probe, now)
 	resp, err := s.call(ctx, &wire.Request{Body: &wire.Request_Hello{Hello: local.hello()}})
 	if err != nil {
 		_ = mux.Close()
@@ -54,7 +58,22 @@
 	defer stream.Close()
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	return roundTrip(stream, bufio.NewReader(stream), req, s.remote.Instance)
+	resp, err := roundTrip(stream, bufio.NewReader(stream), req, s.remote.Instance)
+	if err == nil {
+		s.link.Heard()
+	}
+	return resp, err
+}
+
+// probeTimeout limits a probe; it allows for many round trips within a region.
+const probeTimeout = 400 * time.Millisecond
+
+// probe asks the other end for an answer, on a stream of its own.
+func (s *session) probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := s.call(ctx, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}})
+	return err
 }
 
 // pingOnce sends one ping on the session's ping stream. After an error the session must be closed.
@@ -73,6 +92,9 @@
 		return err
 	}
 	_, err := roundTrip(s.pingStream, s.pingReader, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}}, s.remote.Instance)
+	if err == nil {
+		s.link.Heard()
+	}
 	return err
 }
 
