--- a/autoscale/autoscale.go
+++ b/autoscale/autoscale.go
@@ -19,26 +19,18 @@
 	maxLongRunningShare = 0.5                     // share of a machine's room that long-running tasks may take in a small pool
 )
 
-// Desired returns how many machines a pool should have for the work that can be on time; room is the CPU of one
-// machine, in millicores.
+// Desired returns how many machines a pool should have; room is the CPU of one machine, in millicores.
 func Desired(demand sched.Demand, room int64) int {
 	minimum := Minimum(demand, room)
 	if room <= 0 {
 		return minimum
 	}
 	growth := min(max(0, demand.ArrivalRate-demand.Before)*lookahead.Seconds(), demand.ArrivalRate)
-	batch := max(float64(demand.Used-demand.LongRunning-demand.Overdue+demand.Waiting), demand.ArrivalRate+growth)
+	batch := max(float64(demand.Used-demand.LongRunning+demand.Waiting), demand.ArrivalRate+growth)
 	cpu := float64(demand.LongRunning) + batch
 	return max(minimum, int(math.Ceil(cpu/(maxUtilization*float64(room))))+reserveMachines)
 }
 
-// Useful returns how many machines a pool has use for, overdue work included, while no other pool lacks them; room is as
-// for Desired.
-func Useful(demand sched.Demand, room int64) int {
-	demand.Overdue = 0
-	return Desired(demand, room)
-}
-
 // Minimum returns how many machines a pool keeps for its long-running tasks; room is as for Desired.
 func Minimum(demand sched.Demand, room int64) int {
 	if room <= 0 {
--- a/autoscale/autoscale_test.go
+++ b/autoscale/autoscale_test.go
@@ -20,7 +20,6 @@
 		{"only long-running tasks", sched.Demand{Used: 200_000, LongRunning: 200_000}, 7},
 		{"waiting work adds machines", sched.Demand{Used: 100_000, Waiting: 500_000}, 12},
 		{"late work adds no machines", sched.Demand{Late: 5_000_000}, minMachines},
-		{"running overdue work keeps no machines", sched.Demand{Used: 5_000_000, Overdue: 4_900_000, LongRunning: 50_000}, minMachines},
 		{"growth is extrapolated", sched.Demand{ArrivalRate: 400_000, Before: 200_000}, 14},
 		{"growth at most doubles the arrival rate", sched.Demand{ArrivalRate: 400_000}, 15},
 	} {
@@ -28,12 +27,6 @@
 	}
 }
 
-func TestUsefulIncludesOverdueWork(t *testing.T) {
-	demand := sched.Demand{Used: 500_000, Overdue: 400_000}
-	require.Equal(t, Desired(sched.Demand{Used: 500_000}, 64_000), Useful(demand, 64_000))
-	require.Less(t, Desired(demand, 64_000), Useful(demand, 64_000))
-}
-
 func runnerStatus(runner, rack string, longRunning int, used int64) sched.RunnerStatus {
 	return sched.RunnerStatus{Runner: runner, Machine: "m" + runner, Rack: rack, LongRunning: longRunning, Used: used, Schedulable: true, Room: work.Resources{CPU: 64_000}}
 }
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -127,7 +127,7 @@
 	leader.SetRetained(retained)
 	report.Want = autoscale.Desired(demand, room)
 	p.logPool(leader.Service(), current, report.Want, demand)
-	p.releaseSurplus(now, leader, runners, retained, current, report.Want, autoscale.Useful(demand, room))
+	p.releaseSurplus(now, leader, runners, retained, current, report.Want)
 	for machine, runnerID := range p.offers {
 		if listed, ok := runnerOf[machine]; ok && listed != runnerID {
 			delete(p.offers, machine) // the machine has returned with a new runner
@@ -137,9 +137,9 @@
 	}
 }
 
-// releaseSurplus releases machines: immediately as many beyond the desired number as other pools are short of; if none is
-// short, those beyond the useful number and the floor, once this surplus has lasted for surplusDelay.
-func (p *PoolManager) releaseSurplus(now time.Time, leader Leader, runners []sched.RunnerStatus, retained map[string]struct{}, current, desired, useful int) {
+// releaseSurplus releases machines beyond the desired number: immediately as many as other pools are short of; if none
+// is short, those beyond the floor once the surplus has lasted for surplusDelay.
+func (p *PoolManager) releaseSurplus(now time.Time, leader Leader, runners []sched.RunnerStatus, retained map[string]struct{}, current, desired int) {
 	reply := p.replies[leader.Service()]
 	if !reply.Known || current <= desired {
 		delete(p.surplusSince, leader.Service())
@@ -149,15 +149,15 @@
 		p.evacuateSurplus(leader, runners, retained, min(current-desired, reply.Short))
 		return
 	}
-	kept := max(useful, reply.Floor)
+	desired = max(desired, reply.Floor)
 	since, ok := p.surplusSince[leader.Service()]
 	switch {
-	case current <= kept:
+	case current <= desired:
 		delete(p.surplusSince, leader.Service())
 	case !ok:
 		p.surplusSince[leader.Service()] = now
 	case now.Sub(since) > surplusDelay:
-		p.evacuateSurplus(leader, runners, retained, current-kept)
+		p.evacuateSurplus(leader, runners, retained, current-desired)
 	}
 }
 
