Answer readiness checks from what a watch found out, and let refused callers reach another daemon

Now a watch asks every 0.25 s while the store is silent, checks and jobs of an isolated daemon are answered at once, sessions are relied upon for 0.3 s instead of 0.7 s, and the response that refuses a job closes the connection, so that the balancer chooses again.

--- a/contact/link.go
+++ b/contact/link.go
@@ -8,16 +8,14 @@
 	"gypsumlead/clock"
 )
 
-// Timing of checks.
-const (
-	Freshness     = 700 * time.Millisecond // an end that has answered within this time isn't asked again
-	retryInterval = 250 * time.Millisecond // after a failed ping its error is returned for this long
-)
+// retryInterval is how long a Link returns the error of a failed ping before it asks again.
+const retryInterval = 250 * time.Millisecond
 
 // Link remembers when the other end last answered; it is safe for concurrent use.
 type Link struct {
-	ping func(ctx context.Context) error // asks the other end for an answer; limits its own duration
-	now  clock.Clock
+	ping      func(ctx context.Context) error // asks the other end for an answer; limits its own duration
+	freshness time.Duration                   // an end that has answered within this time isn't asked
+	now       clock.Clock
 
 	mu       sync.Mutex
 	heardAt  time.Time
@@ -26,9 +24,10 @@
 	pending  chan struct{} // closed when the ping in progress has ended; nil without one
 }
 
-// New returns a Link of an end that has not answered yet and that ping asks.
-func New(ping func(ctx context.Context) error, now clock.Clock) *Link {
-	return &Link{ping: ping, now: now}
+// New returns a Link of an end that has not answered yet. Check asks it with ping unless it has answered within
+// freshness.
+func New(ping func(ctx context.Context) error, freshness time.Duration, now clock.Clock) *Link {
+	return &Link{ping: ping, freshness: freshness, now: now}
 }
 
 // Heard records an answer of the other end.
@@ -38,22 +37,22 @@
 	l.heardAt, l.failure = l.now(), nil
 }
 
-// Fresh reports whether the other end has answered within Freshness.
-func (l *Link) Fresh() bool {
+// Silence returns how long ago the other end last answered.
+func (l *Link) Silence() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.fresh()
+	return l.now().Sub(l.heardAt)
 }
 
-// fresh implements Fresh; the caller holds l.mu.
-func (l *Link) fresh() bool { return l.now().Sub(l.heardAt) < Freshness }
+// Fresh reports whether the other end has answered within the Link's freshness.
+func (l *Link) Fresh() bool { return l.Silence() < l.freshness }
 
-// Check returns nil if the other end has answered within Freshness or answers a ping now, and the ping's error
+// Check returns nil if the other end has answered within the Link's freshness or answers a ping now, and the ping's error
 // otherwise. Concurrent checks share one ping.
 func (l *Link) Check(ctx context.Context) error {
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		if l.fresh() {
+		if l.now().Sub(l.heardAt) < l.freshness {
 			l.mu.Unlock()
 			return nil
 		}
--- a/contact/link_test.go
+++ b/contact/link_test.go
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+const freshness = 700 * time.Millisecond
+
 var errSilent = errors.New("no answer")
 
 // fakeEnd is the other end of a Link; it answers pings after a delay, or not at all.
@@ -37,15 +39,15 @@
 		pings  int
 		err    error
 	}{
-		{"an end that has answered lately isn't asked", true, Freshness / 2, true, 0, nil},
-		{"an end that has not answered lately is asked", true, Freshness, false, 1, nil},
-		{"a silent end is reported", true, Freshness, true, 1, errSilent},
+		{"an end that has answered lately isn't asked", true, freshness / 2, true, 0, nil},
+		{"an end that has not answered lately is asked", true, freshness, false, 1, nil},
+		{"a silent end is reported", true, freshness, true, 1, errSilent},
 		{"an end that never answered is asked", false, 0, false, 1, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				end := &fakeEnd{silent: tc.silent}
-				l := New(end.ping, time.Now)
+				l := New(end.ping, freshness, time.Now)
 				if tc.heard {
 					l.Heard()
 				}
@@ -61,7 +63,7 @@
 func TestConcurrentChecksShareOnePing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		end := &fakeEnd{silent: true}
-		l := New(end.ping, time.Now)
+		l := New(end.ping, freshness, time.Now)
 		var wg sync.WaitGroup
 		for range 5 {
 			wg.Go(func() { require.ErrorIs(t, l.Check(t.Context()), errSilent) })
@@ -74,7 +76,7 @@
 func TestFailureIsForgottenWithTheNextAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		end := &fakeEnd{silent: true}
-		l := New(end.ping, time.Now)
+		l := New(end.ping, freshness, time.Now)
 		require.ErrorIs(t, l.Check(t.Context()), errSilent)
 		l.Heard()
 		require.NoError(t, l.Check(t.Context()))
@@ -85,7 +87,7 @@
 func TestCheckEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		end := &fakeEnd{}
-		l := New(end.ping, time.Now)
+		l := New(end.ping, freshness, time.Now)
 		var wg sync.WaitGroup
 		defer wg.Wait()
 		wg.Go(func() { require.NoError(t, l.Check(context.Background())) })
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -146,7 +146,7 @@
 	d.startedAt = d.now()
 	d.log = log.With(zap.String("instance", conf.Instance))
 	d.store = platform.NewStore(conf.Store, d.dial, d.meter)
-	d.storeLink = contact.New(d.probeStore, d.now)
+	d.storeLink = contact.New(d.probeStore, storeFreshness, d.now)
 	d.store.SetAnswerHook(d.storeLink.Heard)
 	d.handoff = leader.NewHandoff(d.store, d.log, d.now)
 	d.runnerClient = platform.NewRunnerClient(d.dial, d.meter)
@@ -228,6 +228,7 @@
 	g.Go(func() error { return d.runnerList.Run(serveCtx) })
 	g.Go(func() error { return d.runnerList.ExpireMissing(serveCtx) })
 	g.Go(func() error { return d.runElections(serveCtx, g) })
+	g.Go(func() error { return d.watchReadiness(serveCtx) })
 	if d.claims != nil {
 		g.Go(func() error { return d.claims.Watch(serveCtx) })
 		g.Go(func() error { return d.waveTracker.Watch(serveCtx) })
@@ -311,7 +312,7 @@
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
-		if !d.isReady(r.Context()) {
+		if !d.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -26,6 +26,9 @@
 // Submit submits a job to the leader of its service, here or on another daemon. If the leader can't be reached, the
 // job is handed off through the store.
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
+	if d.isIsolated() {
+		return refused(errIsolated)
+	}
 	mayBeStored := false // whether the job may have been stored without a confirmation
 	if l := d.leaderOf(q.Service); l != nil {
 		if err := d.storeLink.Check(ctx); err != nil {
--- a/daemon/operator_api.go
+++ b/daemon/operator_api.go
@@ -17,9 +17,9 @@
 
 // GetStatus returns the identity, readiness and configuration version of this daemon, the live daemons, and the
 // services led here.
-func (o operatorAPI) GetStatus(ctx context.Context) (*oas.Status, error) {
+func (o operatorAPI) GetStatus(context.Context) (*oas.Status, error) {
 	d := o.d
-	status := &oas.Status{Instance: d.settings.Instance, Boot: d.boot, Centre: d.settings.Centre, Ready: d.notReadyReason(ctx) == "", Daemons: []string{}, Holds: d.ledServices()}
+	status := &oas.Status{Instance: d.settings.Instance, Boot: d.boot, Centre: d.settings.Centre, Ready: d.notReadyReason() == "", Daemons: []string{}, Holds: d.ledServices()}
 	if c := d.operatorState.Config(); c != nil {
 		status.Config = c.Version
 	}
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -6,24 +6,37 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"gypsumlead/fault"
+	"gypsumlead/sleep"
+)
+
+// Timing of the readiness.
+const (
+	readinessInterval = 250 * time.Millisecond // between checks of the store and the leaders
+	suspectSilence    = 400 * time.Millisecond // of the store, after which the leaders are asked
 )
 
-// readiness remembers the last answer to the platform's readiness checks, so that changes are logged.
+// errIsolated is why a daemon that can get no job stored refuses jobs.
+var errIsolated = fault.New(fault.Overload, "neither the store nor the leaders answer")
+
+// readiness is what this daemon last found out about its readiness, and what it last told the platform.
 type readiness struct {
-	mu     sync.Mutex
-	reason string // why the daemon was not ready; empty if it was
-	known  bool
+	mu       sync.Mutex
+	isolated bool   // neither the store nor the leaders answer
+	reason   string // why the last check was answered with not ready; empty if it was ready
+	answered bool   // a check has been answered
 }
 
-// isReady reports whether this daemon accepts callers' connections.
-func (d *Daemon) isReady(ctx context.Context) bool {
-	reason := d.notReadyReason(ctx)
+// isReady reports whether this daemon accepts callers' connections, and logs changes.
+func (d *Daemon) isReady() bool {
+	reason := d.notReadyReason()
 	d.logReadiness(reason)
 	return reason == ""
 }
 
 // notReadyReason returns why this daemon should get no callers' connections, or "" if it should.
-func (d *Daemon) notReadyReason(ctx context.Context) string {
+func (d *Daemon) notReadyReason() string {
 	d.mu.Lock()
 	leaving := d.leaving
 	d.mu.Unlock()
@@ -32,44 +45,70 @@
 		return "shutting down"
 	case d.operatorState.Config() == nil:
 		return "no configuration"
-	case d.storeSilence() >= storeContactTimeout:
+	case d.now().Sub(d.members.LastContact()) >= storeContactTimeout:
 		return "the store does not answer"
-	case !d.storeLink.Fresh() && !d.leadersAnswer(ctx) && d.storeLink.Check(ctx) != nil:
-		return "neither the store nor the leaders answer"
+	case d.isIsolated():
+		return errIsolated.Error()
 	}
 	return ""
 }
 
-// leadersAnswer reports whether other daemons lead services and all of them answer. Without the store, only they can
-// accept jobs that reach this daemon.
-func (d *Daemon) leadersAnswer(ctx context.Context) bool {
-	asked := map[string]struct{}{}
-	for _, service := range d.services() {
-		n, ok := d.members.Leader(service)
-		if !ok || n.Boot == d.boot {
-			continue
-		}
-		if _, repeated := asked[n.Name]; repeated {
-			continue
-		}
-		asked[n.Name] = struct{}{}
-		if d.mesh.Check(ctx, n.Name) != nil {
-			return false
-		}
+// logReadiness logs a change of the answer to readiness checks.
+func (d *Daemon) logReadiness(reason string) {
+	d.readiness.mu.Lock()
+	defer d.readiness.mu.Unlock()
+	if d.readiness.answered && d.readiness.reason == reason {
+		return
 	}
-	return len(asked) > 0
+	d.readiness.answered, d.readiness.reason = true, reason
+	d.log.Info("readiness changed", zap.Bool("ready", reason == ""), zap.String("why", reason), zap.Duration("silence", d.storeLink.Silence()))
 }
 
-// storeSilence returns how long ago the store last answered a poll of the daemons' rows.
-func (d *Daemon) storeSilence() time.Duration { return d.now().Sub(d.members.LastContact()) }
+// watchReadiness keeps track of whether this daemon is isolated, so that readiness checks are answered at once.
+func (d *Daemon) watchReadiness(ctx context.Context) error {
+	sleep.Every(ctx, readinessInterval, func() {
+		isolated := d.checkIsolated(ctx)
+		d.readiness.mu.Lock()
+		defer d.readiness.mu.Unlock()
+		d.readiness.isolated = isolated
+	})
+	return nil
+}
 
-// logReadiness logs a change of the answer to readiness checks.
-func (d *Daemon) logReadiness(reason string) {
+// isIsolated returns the last result of checkIsolated.
+func (d *Daemon) isIsolated() bool {
 	d.readiness.mu.Lock()
 	defer d.readiness.mu.Unlock()
-	if d.readiness.known && d.readiness.reason == reason {
-		return
+	return d.readiness.isolated
+}
+
+// checkIsolated reports whether this daemon can get no job stored: neither by itself nor through the leaders.
+func (d *Daemon) checkIsolated(ctx context.Context) bool {
+	if d.storeLink.Silence() < suspectSilence {
+		return false
+	}
+	asked, answer := d.askLeaders(ctx)
+	switch {
+	case d.storeLink.Fresh() || (asked && answer):
+		return false
+	case asked && !d.isIsolated():
+		return true // both are silent; whether the store answers on a new connection is found out next time
+	}
+	return d.storeLink.Check(ctx) != nil
+}
+
+// askLeaders reports whether other daemons lead services, and whether all of these answer.
+func (d *Daemon) askLeaders(ctx context.Context) (asked, answer bool) {
+	leaders := map[string]struct{}{}
+	for _, service := range d.services() {
+		if n, ok := d.members.Leader(service); ok && n.Boot != d.boot {
+			leaders[n.Name] = struct{}{}
+		}
+	}
+	for name := range leaders {
+		if d.mesh.Check(ctx, name) != nil {
+			return true, false
+		}
 	}
-	d.readiness.known, d.readiness.reason = true, reason
-	d.log.Info("readiness changed", zap.Bool("ready", reason == ""), zap.String("why", reason), zap.Duration("silence", d.storeSilence()))
+	return len(leaders) > 0, true
 }
--- a/daemon/store_link.go
+++ b/daemon/store_link.go
@@ -9,8 +9,10 @@
 	"gypsumlead/platform"
 )
 
-// storeProbeTimeout limits one attempt of a probe; a slow store takes some hundred milliseconds.
-const storeProbeTimeout = 400 * time.Millisecond
+const (
+	storeFreshness    = 700 * time.Millisecond // a slow store answers the polls of the daemons' rows more often than this
+	storeProbeTimeout = 400 * time.Millisecond // for one attempt of a probe; a slow store takes some hundred milliseconds
+)
 
 // probeStore asks the store for an answer. The second attempt uses a new connection, as open ones may be silent while
 // new ones work.
--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -17,7 +17,8 @@
 // Bounds for a daemon that reaches neither the store nor a leader.
 const (
 	maxRefusalTime = 1500 * time.Millisecond // half of a caller's timeout
-	maxReadyTime   = 2 * time.Second         // of being ready after the cut
+	maxReadyTime   = 1500 * time.Millisecond // of being ready after the cut
+	maxCheckTime   = 100 * time.Millisecond  // of answering a readiness check, however long what it depends on is silent
 )
 
 // daemonOutsideCentreOf returns a daemon of another data centre than the given one's.
@@ -62,7 +63,8 @@
 // isReady asks a daemon whether it is ready.
 func isReady(t *testing.T, c *Cluster, daemon string) bool {
 	t.Helper()
-	status, _ := send(t, c, http.MethodGet, netip.AddrPortFrom(c.daemons[daemon].addr, portReady), platform.ReadyPath, nil)
+	status, took := send(t, c, http.MethodGet, netip.AddrPortFrom(c.daemons[daemon].addr, portReady), platform.ReadyPath, nil)
+	require.Less(t, took, maxCheckTime)
 	return status == http.StatusOK
 }
 
@@ -91,8 +93,14 @@
 		require.True(t, isReady(t, c, daemon))
 		inside, outside := partitionByCentre(c, daemon)
 		cut(c, inside, outside)
-		time.Sleep(maxReadyTime)
+		for range 5 {
+			time.Sleep(maxReadyTime / 5)
+			isReady(t, c, daemon)
+		}
 		require.False(t, isReady(t, c, daemon))
+		status, took := sendJob(t, c, daemon, "s0")
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.Less(t, took, maxCheckTime)
 		c.Net.Heal()
 		time.Sleep(time.Second)
 		require.True(t, isReady(t, c, daemon))
@@ -116,3 +124,27 @@
 		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
 	})
 }
+
+func TestRefusalOfACutOffDaemonClosesTheConnection(t *testing.T) {
+	runScenario(t, Small, 24, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
+		inside, outside := partitionByCentre(c, daemon)
+		cut(c, inside, outside)
+		time.Sleep(time.Second)
+		wire, _ := c.NewBatchJob(batchShape)
+		body, err := json.Marshal(wire)
+		require.NoError(t, err)
+		url := fmt.Sprintf("http://%s/s0/00000000000000aa", netip.AddrPortFrom(c.daemons[daemon].addr, portCallers))
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewReader(body))
+		require.NoError(t, err)
+		req.Host = "jobs.example"
+		resp, err := c.http.Do(req)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		require.True(t, resp.Close, "the caller's next try must be able to reach another daemon")
+		c.Net.Heal()
+	})
+}
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -122,6 +122,7 @@
 	case leader.Accepted:
 		h.writeResponse(w, http.StatusOK, []byte("{}"))
 	case leader.Refused:
+		w.Header().Set("Connection", "close") // another daemon may accept the job: let the balancer choose again
 		h.writeRetryLater(w, refusalStatus(result), result.Retry, result.Why)
 	case leader.Unknown, leader.Absent:
 		// The job may have been stored, so it can be reported neither as accepted nor as refused.
--- a/peer/session.go
+++ b/peer/session.go
@@ -34,7 +34,7 @@
 		return nil, fault.Wrap(fault.Internal, err, "start session")
 	}
 	s := &session{mux: mux}
-	s.link = contact.New(s.probe, now)
+	s.link = contact.New(s.probe, answerFreshness, now)
 	resp, err := s.call(ctx, &wire.Request{Body: &wire.Request_Hello{Hello: local.hello()}})
 	if err != nil {
 		_ = mux.Close()
@@ -65,8 +65,10 @@
 	return resp, err
 }
 
-// probeTimeout limits a probe; it allows for many round trips within a region.
-const probeTimeout = 400 * time.Millisecond
+const (
+	answerFreshness = 300 * time.Millisecond // a session that has answered within this time is relied upon
+	probeTimeout    = 400 * time.Millisecond // allows for many round trips within a region
+)
 
 // probe asks the other end for an answer, on a stream of its own.
 func (s *session) probe(ctx context.Context) error {
