--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,16 +22,19 @@
 	maxCheckTime   = 100 * time.Millisecond  // of answering a readiness check, however long what it depends on is silent
 )
 
-// daemonOutsideCentreOf returns a daemon of another data centre than the given one's.
-func daemonOutsideCentreOf(t *testing.T, c *Cluster, daemon string) string {
+// cutOffCentreWithoutLeader submits some jobs and then cuts off a data centre in which nobody leads s0. It returns a
+// daemon there, which was ready until then.
+func cutOffCentreWithoutLeader(t *testing.T, c *Cluster) string {
 	t.Helper()
-	for _, name := range c.Daemons() {
-		if c.daemons[name].centre != c.daemons[daemon].centre {
-			return name
-		}
-	}
-	require.Fail(t, "all daemons are in one data centre")
-	return ""
+	submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	leader := c.daemons[c.Leader("s0")]
+	names := c.Daemons()
+	at := slices.IndexFunc(names, func(name string) bool { return c.daemons[name].centre != leader.centre })
+	require.GreaterOrEqual(t, at, 0, "all daemons are in one data centre")
+	require.True(t, isReady(t, c, names[at]))
+	inside, outside := partitionByCentre(c, names[at])
+	cut(c, inside, outside)
+	return names[at]
 }
 
 // send sends one request to a daemon and returns the status, 0 without a response, and how long it took.
@@ -70,10 +74,7 @@
 
 func TestCutOffDaemonRefusesJobsInsteadOfLeavingThemUnknown(t *testing.T) {
 	runScenario(t, Small, 21, func(t *testing.T, c *Cluster) {
-		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
-		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
-		inside, outside := partitionByCentre(c, daemon)
-		cut(c, inside, outside)
+		daemon := cutOffCentreWithoutLeader(t, c)
 		time.Sleep(time.Second)
 		for i := range 8 {
 			status, took := sendJob(t, c, daemon, "s0")
@@ -88,11 +89,7 @@
 
 func TestCutOffDaemonIsSoonNotReady(t *testing.T) {
 	runScenario(t, Small, 22, func(t *testing.T, c *Cluster) {
-		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
-		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
-		require.True(t, isReady(t, c, daemon))
-		inside, outside := partitionByCentre(c, daemon)
-		cut(c, inside, outside)
+		daemon := cutOffCentreWithoutLeader(t, c)
 		for range 5 {
 			time.Sleep(maxReadyTime / 5)
 			isReady(t, c, daemon)
@@ -127,10 +124,7 @@
 
 func TestRefusalOfACutOffDaemonClosesTheConnection(t *testing.T) {
 	runScenario(t, Small, 24, func(t *testing.T, c *Cluster) {
-		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
-		daemon := daemonOutsideCentreOf(t, c, c.Leader("s0"))
-		inside, outside := partitionByCentre(c, daemon)
-		cut(c, inside, outside)
+		daemon := cutOffCentreWithoutLeader(t, c)
 		time.Sleep(time.Second)
 		wire, _ := c.NewBatchJob(batchShape)
 		body, err := json.Marshal(wire)
