Refuse jobs while their partition of the store is silent, and send unanswered ones again

A caller can't repeat a non-idempotent request after 504.

Whether the store answers was kept for the store as a whole, and its other partitions answered. What had not been answered was given up at once, though it is settled by sending it again: the transaction is conditional on the job's row.

Now the leader and the hand-off keep a link for the service's partition. A request that failed makes it doubtful, and the next job is sent only after the partition has answered a read. A handed-off job that got no answer is sent again until its caller leaves.

--- a/contact/link.go
+++ b/contact/link.go
@@ -37,6 +37,13 @@
 	l.heardAt, l.failure = l.now(), nil
 }
 
+// Doubt makes the next Check ask the other end, for example because a request failed.
+func (l *Link) Doubt() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heardAt = time.Time{}
+}
+
 // Silence returns how long ago the other end last answered.
 func (l *Link) Silence() time.Duration {
 	l.mu.Lock()
--- a/contact/link_test.go
+++ b/contact/link_test.go
@@ -84,6 +84,17 @@
 	})
 }
 
+func TestDoubtfulEndIsAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		end := &fakeEnd{}
+		l := New(end.ping, freshness, time.Now)
+		l.Heard()
+		l.Doubt()
+		require.NoError(t, l.Check(t.Context()))
+		require.Equal(t, 1, end.pings)
+	})
+}
+
 func TestCheckEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		end := &fakeEnd{}
--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/platform"
+	"gypsumlead/standin"
 )
 
 // Bounds for a daemon that reaches neither the store nor a leader.
@@ -142,3 +143,34 @@
 		c.Net.Heal()
 	})
 }
+
+func TestJobsAreRefusedWhileTheirPartitionOfTheStoreIsDown(t *testing.T) {
+	runScenario(t, Small, 25, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		leader := c.Leader("s0")
+		c.Store.SetFaults(standin.StoreFaults{ResetPartitions: map[string]struct{}{"s0": {}}})
+		c.Kill(leader) // the others store jobs by themselves from here on
+		unknown := 0
+		for range 20 {
+			for _, name := range c.Daemons() {
+				if name == leader {
+					continue
+				}
+				status, took := sendJob(t, c, name, "s0")
+				switch status {
+				case http.StatusServiceUnavailable:
+					require.Less(t, took, maxRefusalTime, name)
+				default:
+					require.Equal(t, http.StatusGatewayTimeout, status, name)
+					unknown++
+				}
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		require.LessOrEqual(t, unknown, len(c.Daemons()), "only jobs that were sent before the outage was noticed may stay unknown")
+		c.Store.SetFaults(standin.StoreFaults{})
+		c.Start(leader)
+		time.Sleep(4 * time.Second)
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	})
+}
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -60,6 +60,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	stamp, err := l.Store.Commit(callCtx, tx)
 	cancel()
+	if err == nil || fault.Is(err, fault.Conflict) {
+		l.storeLink.Heard()
+	} else {
+		l.storeLink.Doubt()
+	}
 	l.mu.Lock()
 	more := l.handleCommitResult(batch, stamp, err)
 	l.mu.Unlock()
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -9,8 +9,10 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/contact"
 	"gypsumlead/fault"
 	"gypsumlead/platform"
+	"gypsumlead/sleep"
 	"gypsumlead/work"
 )
 
@@ -33,13 +35,16 @@
 type serviceQueue struct {
 	waiting []*pendingJob
 	sending bool // sendLoop is running
+	link    *contact.Link
 }
 
 // pendingJob is a job that is not stored yet.
 type pendingJob struct {
-	id    work.ID
-	value []byte
-	reply chan Result // has room for one result
+	id          work.ID
+	value       []byte
+	reply       chan Result // has room for one result
+	unconfirmed bool        // it was sent and not answered, so it may be stored
+	abandoned   bool        // its caller no longer waits
 }
 
 // NewHandoff returns a Handoff without pending jobs.
@@ -48,7 +53,7 @@
 }
 
 // Submit stores a job and returns the result. If ctx ends first, the result is Refused for a job that was not sent, and
-// Unknown for one that was.
+// Unknown for one that was. While the store is silent, jobs that were not sent are refused.
 func (h *Handoff) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
 	value, err := encodeJob(jobRow{Queue: q, Job: job, At: h.now()})
 	if err != nil {
@@ -61,7 +66,7 @@
 		return result
 	case <-ctx.Done():
 	}
-	if h.withdraw(q.Service, pending) {
+	if h.withdraw(q.Service, pending) && !pending.unconfirmed {
 		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is behind, the job was not sent to it"}
 	}
 	return Result{Verdict: Unknown, Why: "the store has not answered in time"}
@@ -73,7 +78,7 @@
 	defer h.mu.Unlock()
 	queue, ok := h.queues[service]
 	if !ok {
-		queue = &serviceQueue{}
+		queue = &serviceQueue{link: newStoreLink(h.store, service, h.now)}
 		h.queues[service] = queue
 	}
 	queue.waiting = append(queue.waiting, pending)
@@ -83,13 +88,15 @@
 	}
 }
 
-// withdraw removes a job from the queue. It returns false if the job is not queued, because it has been sent.
+// withdraw removes a job from the queue. It returns false if the job is not queued, because it is being sent; it is not
+// queued again then.
 func (h *Handoff) withdraw(service string, pending *pendingJob) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	queue := h.queues[service]
 	at := slices.Index(queue.waiting, pending)
 	if at < 0 {
+		pending.abandoned = true
 		return false
 	}
 	queue.waiting = slices.Delete(queue.waiting, at, at+1)
@@ -99,6 +106,9 @@
 // sendLoop stores queued jobs until none are left.
 func (h *Handoff) sendLoop(service string, queue *serviceQueue) {
 	for {
+		if err := queue.link.Check(context.Background()); err != nil {
+			h.refuseUnsent(queue, err)
+		}
 		batch := h.nextBatch(queue)
 		if len(batch) == 0 {
 			return
@@ -110,6 +120,20 @@
 	}
 }
 
+// refuseUnsent refuses the queued jobs that have not been sent, because the store is silent.
+func (h *Handoff) refuseUnsent(queue *serviceQueue, err error) {
+	h.log.Warn("store is silent, refusing handed-off jobs", zap.Error(err))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	queue.waiting = slices.DeleteFunc(queue.waiting, func(pending *pendingJob) bool {
+		if pending.unconfirmed {
+			return false
+		}
+		pending.reply <- Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is silent: " + err.Error()}
+		return true
+	})
+}
+
 // nextBatch removes the jobs of one transaction from the queue. An empty batch ends sendLoop.
 func (h *Handoff) nextBatch(queue *serviceQueue) []*pendingJob {
 	h.mu.Lock()
@@ -150,16 +174,42 @@
 	var conflict *platform.Conflict
 	switch {
 	case err == nil:
+		queue.link.Heard()
 		answerAll(batch, Result{Verdict: Accepted})
 	case errors.As(err, &conflict):
 		h.requeue(queue, batch, conflict)
 	case fault.Is(err, fault.Overload):
 		h.log.Warn("store refused handed-off jobs", zap.Int("jobs", len(batch)), zap.Error(err))
-		answerAll(batch, Result{Verdict: Refused, Retry: callerRetryDelay, Why: err.Error()})
+		queue.link.Doubt()
+		for _, pending := range batch {
+			pending.reply <- Result{Verdict: pending.refusal(), Retry: callerRetryDelay, Why: err.Error()}
+		}
 	default:
 		h.log.Warn("store did not answer the transaction with handed-off jobs", zap.Int("jobs", len(batch)), zap.Error(err))
-		answerAll(batch, Result{Verdict: Unknown, Why: err.Error()})
+		queue.link.Doubt()
+		h.retry(queue, batch)
+	}
+}
+
+// refusal returns the verdict on a job that the store has refused now.
+func (p *pendingJob) refusal() Verdict {
+	if p.unconfirmed {
+		return Unknown // an earlier transaction may have stored it
+	}
+	return Refused
+}
+
+// retry puts jobs back at the front of the queue whose transaction was not answered. To repeat it is safe: a job that is
+// stored already is found then.
+func (h *Handoff) retry(queue *serviceQueue, batch []*pendingJob) {
+	sleep.ForOrWake(context.Background(), storeRetryInterval, nil)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	batch = slices.DeleteFunc(batch, func(pending *pendingJob) bool { return pending.abandoned })
+	for _, pending := range batch {
+		pending.unconfirmed = true
 	}
+	queue.waiting = append(batch, queue.waiting...)
 }
 
 // requeue accepts the jobs that the store already has and puts the others back at the front of the queue.
--- a/leader/handoff_test.go
+++ b/leader/handoff_test.go
@@ -145,3 +145,28 @@
 	require.Equal(t, Accepted, b()[0].Verdict)
 	require.EqualValues(t, 3, store.txCount.Load())
 }
+
+// lossyStore is the stand-in's store. It executes the first transaction without answering it.
+type lossyStore struct {
+	inner   *standin.Store
+	txCount atomic.Int64
+}
+
+func (s *lossyStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.Contains(r.URL.Path, "rows-tx") && s.txCount.Add(1) == 1 {
+		s.inner.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler) // closes the connection
+	}
+	s.inner.ServeHTTP(w, r)
+}
+
+func TestHandoffRepeatsUnansweredTransaction(t *testing.T) {
+	store := &lossyStore{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), platform.DialTCP, platform.NewMeter())
+	t.Cleanup(client.Close)
+	h := NewHandoff(client, zap.NewNop(), time.Now)
+	require.Equal(t, Accepted, h.Submit(t.Context(), jobID(1), handoffQueue, handoffJob).Verdict)
+	require.EqualValues(t, 2, store.txCount.Load())
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/clock"
+	"gypsumlead/contact"
 	"gypsumlead/fault"
 	"gypsumlead/member"
 	"gypsumlead/platform"
@@ -34,6 +35,7 @@
 	Deps
 	lease       Lease
 	leaseConfig sched.LeaseConfig
+	storeLink   *contact.Link
 
 	mu              sync.Mutex
 	pool            *sched.Pool
@@ -68,6 +70,7 @@
 		Deps:          deps,
 		lease:         lease,
 		leaseConfig:   config,
+		storeLink:     newStoreLink(deps.Store, lease.Service, deps.Now),
 		sessions:      map[string]*session{},
 		storedRunners: map[string]work.Runner{},
 		listedRunners: map[string]work.Runner{},
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"gypsumlead/sleep"
@@ -48,8 +49,14 @@
 	replies []chan Result
 }
 
-// Submit stores a job and returns once the outcome is known. If ctx ends first, the verdict is Unknown.
+// Submit stores a job and returns once the outcome is known. If ctx ends first, the verdict is Unknown. While the store
+// is silent, new jobs are refused.
 func (l *Leader) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
+	if !l.knows(id) {
+		if err := l.storeLink.Check(ctx); err != nil {
+			return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is silent: " + err.Error()}
+		}
+	}
 	reply, result := l.submit(id, q, job)
 	if reply == nil {
 		return result
@@ -58,6 +65,13 @@
 	return await(ctx, reply)
 }
 
+// knows reports whether a job is accepted or may be stored already.
+func (l *Leader) knows(id work.ID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pool.HasJob(id) || slices.ContainsFunc(l.intents, func(in *intent) bool { return in.kind == storeJob && in.id == id })
+}
+
 // submit queues a job and returns the channel for its result. If the channel is nil, the returned result is final.
 func (l *Leader) submit(id work.ID, q work.Queue, job work.Job) (chan Result, Result) {
 	l.mu.Lock()
--- a/standin/store.go
+++ b/standin/store.go
@@ -57,6 +57,7 @@
 	Down              bool                    // replies 503 to every request
 	Unresponsive      bool                    // never replies
 	RejectFrom        map[netip.Addr]struct{} // replies 503 to these callers
+	ResetPartitions   map[string]struct{}     // closes the connections of reads and transactions of these partitions
 	LostReplyRate     float64                 // fraction of transactions that are committed without a reply
 	DelayedCommitRate float64                 // fraction of transactions that get no reply and are committed seconds later
 	ExtraLatency      time.Duration           // added to the latency of every reply and to a transaction's time in its partition
@@ -171,6 +172,7 @@
 	case "rows-tx":
 		s.serveTx(w, r, faults)
 	case "rows-get":
+		faults.abortIfReset(r.URL.Query().Get("part"))
 		s.serveGet(w, r)
 	case "rows-feed":
 		s.serveFeed(w, r)
@@ -181,6 +183,13 @@
 	}
 }
 
+// abortIfReset closes the connection of the request that is being served if its partition is reset.
+func (f StoreFaults) abortIfReset(partition string) {
+	if _, reset := f.ResetPartitions[partition]; reset {
+		panic(http.ErrAbortHandler) // the way to close a connection without a response
+	}
+}
+
 // newPage returns a page of rows with the store's current version and time.
 func (s *Store) newPage(rows []wireRow) wirePage {
 	return wirePage{Rows: rows, RowVersion: s.version, NowMs: time.Since(s.startedAt).Milliseconds()}
--- a/standin/store_tx.go
+++ b/standin/store_tx.go
@@ -14,6 +14,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	faults.abortIfReset(partitionOf(tx))
 	if !s.waitTurn(partitionOf(tx), txLatency+faults.ExtraLatency) {
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
