--- a/daemon/store_link.go
+++ b/daemon/store_link.go
@@ -11,7 +11,7 @@
 
 const (
 	storeFreshness    = 700 * time.Millisecond // a slow store answers the polls of the daemons' rows more often than this
-	storeProbeTimeout = 400 * time.Millisecond // for one attempt of a probe; a slow store takes some hundred milliseconds
+	storeProbeTimeout = 800 * time.Millisecond // for one attempt of a probe; a slow store takes about 400 ms
 )
 
 // probeStore asks the store for an answer. The second attempt uses a new connection, as open ones may be silent while
--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -53,15 +53,19 @@
 	return resp.StatusCode, time.Since(start)
 }
 
-// sendJob submits a new job to one daemon and tells the Checker the outcome.
+// sendJob submits a new job to one daemon and tells the Checker the outcome. An accepted job is polled until it ends.
 func sendJob(t *testing.T, c *Cluster, daemon, service string) (int, time.Duration) {
 	t.Helper()
 	wire, job := c.NewBatchJob(batchShape)
 	body, err := json.Marshal(wire)
 	require.NoError(t, err)
-	id, _ := c.register(service, job)
+	id, sub := c.register(service, job)
 	status, took := send(t, c, http.MethodPost, netip.AddrPortFrom(c.daemons[daemon].addr, portCallers), fmt.Sprintf("/%s/%s", service, id), body)
 	c.Checker.SubmitAnswered(id, status == http.StatusOK, status == http.StatusServiceUnavailable)
+	if status == http.StatusOK {
+		rng := c.newRand()
+		c.wg.Go(func() { c.pollUntilFinal(id, sub, rng) })
+	}
 	return status, took
 }
 
@@ -174,3 +178,22 @@
 		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
 	})
 }
+
+func TestJobsAreAcceptedWhileTheStoreIsSlow(t *testing.T) {
+	runScenario(t, Small, 26, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		leader := c.Leader("s0")
+		c.Store.SetFaults(standin.StoreFaults{ExtraLatency: 450 * time.Millisecond})
+		c.Kill(leader) // the others store jobs by themselves from here on
+		time.Sleep(time.Second)
+		for _, name := range c.Daemons() {
+			if name != leader {
+				status, _ := sendJob(t, c, name, "s0")
+				require.Equal(t, http.StatusOK, status, name)
+			}
+		}
+		c.Store.SetFaults(standin.StoreFaults{})
+		c.Start(leader)
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+	})
+}
--- a/leader/store_link.go
+++ b/leader/store_link.go
@@ -11,7 +11,7 @@
 
 const (
 	storeFreshness    = 700 * time.Millisecond // the store is relied upon for this long after an answer
-	storeProbeTimeout = 400 * time.Millisecond // a slow store takes some hundred milliseconds
+	storeProbeTimeout = 800 * time.Millisecond // a slow store takes about 400 ms
 )
 
 // newStoreLink returns a link to the store's partition of one service. The store can be down for some partitions only.
