A job that can't be stored now is answered as unknown at once, never as refused

Cause: daemons without the store, or with a silent one, answered 503 ("not accepted, never runs") on the ground that this try was not stored. Of earlier tries of the same ID, at other daemons, they know nothing; repeats go to other daemons by rule. Ruled out: remembering tries and telling peers (misses tries at daemons that are cut off or killed); a row per refusal (right for refusals for want of room, needs the store). Now 504 with Retry-After and a closed connection, as fast as before; 413 for what no daemon can store. sched.Admit, which admitted all, is gone.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -27,28 +27,28 @@
 // job is handed off through the store.
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
 	if d.isIsolated() {
-		return refused(errIsolated)
+		return notStored(errIsolated)
 	}
-	mayBeStored := false // whether the job may have been stored without a confirmation
+	mayBeStored := false // whether this try may have been stored without a confirmation
 	if l := d.leaderOf(q.Service); l != nil {
 		if err := d.storeLink.Check(ctx); err != nil {
-			return refused(err)
+			return notStored(err)
 		}
 		result := l.Submit(ctx, id, q, job)
 		if result.Verdict != leader.Unknown || ctx.Err() != nil {
 			return result
 		}
-		mayBeStored = true
+		mayBeStored = result.Retry == 0
 	} else {
 		result, delivered := d.relaySubmit(ctx, id, q, job)
 		if delivered == answered && result.Verdict != leader.Unknown {
 			return result
 		}
-		mayBeStored = delivered != notSent
+		mayBeStored = delivered == unconfirmed || (delivered == answered && result.Retry == 0)
 	}
 	result := d.handOff(ctx, id, q, job)
-	if result.Verdict == leader.Refused && mayBeStored {
-		result.Verdict = leader.Unknown // a refusal promises that the job never runs, which is not certain here
+	if mayBeStored {
+		result.Retry = 0
 	}
 	return result
 }
@@ -56,14 +56,15 @@
 // handOff stores a job for the leader of its service, unless the store is silent.
 func (d *Daemon) handOff(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
 	if err := d.storeLink.Check(ctx); err != nil {
-		return refused(err)
+		return notStored(err)
 	}
 	return d.handoff.Submit(ctx, id, q, job)
 }
 
-// refused returns the result of a request that was not sent.
-func refused(err error) leader.Result {
-	return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
+// notStored returns the result of a job that was not sent anywhere. It is no refusal: an earlier try of the same job may
+// have been stored by another daemon.
+func notStored(err error) leader.Result {
+	return leader.Result{Verdict: leader.Unknown, Retry: retryDelay, Why: err.Error()}
 }
 
 // delivery is what is known about the delivery of a request to another daemon.
@@ -79,11 +80,11 @@
 func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job) (leader.Result, delivery) {
 	queueJSON, err := json.Marshal(q)
 	if err != nil {
-		return leader.Result{Verdict: leader.Refused, Why: err.Error()}, answered
+		return notStored(err), notSent
 	}
 	jobJSON, err := json.Marshal(job)
 	if err != nil {
-		return leader.Result{Verdict: leader.Refused, Why: err.Error()}, answered
+		return notStored(err), notSent
 	}
 	r := &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: queueJSON, Job: jobJSON}
 	if _, ok := d.members.Leader(q.Service); ok {
@@ -122,7 +123,10 @@
 		return result
 	}
 	result, err := leader.HandOffCancel(ctx, d.store, q.Service, id)
-	return finalResult(result, err)
+	if err != nil {
+		return notStored(err)
+	}
+	return result
 }
 
 // State returns the state of a job from the leader of its service, or from the store if the leader doesn't know it.
@@ -138,13 +142,8 @@
 		return result
 	}
 	result, err := leader.StoredState(ctx, d.store, q.Service, id)
-	return finalResult(result, err)
-}
-
-// finalResult returns the result of the last attempt: a refusal with a retry delay if it failed.
-func finalResult(result leader.Result, err error) leader.Result {
 	if err != nil {
-		return refused(err)
+		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
 	}
 	return result
 }
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -201,10 +201,14 @@
 
 // request sends one HTTP request to a running daemon. The status is 0 if there is no reply.
 func (c *Cluster) request(method, service, id string, body []byte, rng *rand.Rand) (int, http.Header, []byte) {
-	node := c.pickDaemon(rng)
 	ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
 	defer cancel()
-	url := fmt.Sprintf("http://%s/%s/%s", netip.AddrPortFrom(node.addr, portCallers), service, id)
+	return c.requestTo(ctx, c.pickDaemon(rng).addr, method, service, id, body)
+}
+
+// requestTo sends one HTTP request to the daemon at addr. The status is 0 if there is no reply before ctx ends.
+func (c *Cluster) requestTo(ctx context.Context, addr netip.Addr, method, service, id string, body []byte) (int, http.Header, []byte) {
+	url := fmt.Sprintf("http://%s/%s/%s", netip.AddrPortFrom(addr, portCallers), service, id)
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // addresses made by the emulator are well-formed
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -90,9 +90,10 @@
 
 // process is one start of a daemon.
 type process struct {
-	network *daemonNet
-	stop    context.CancelFunc
-	done    chan struct{}
+	network   *daemonNet
+	stop      context.CancelFunc
+	done      chan struct{}
+	seenReady bool // it has been ready since its start; guarded by Cluster.mu
 }
 
 // runnerServer is a runner with its HTTP server.
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -90,7 +90,7 @@
 // submit decodes a job, submits it and writes the response.
 func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, routes *cache.RouteTable, route platform.Route, id work.ID) {
 	if !id.Valid() {
-		h.writeError(w, http.StatusBadRequest, "the path must end with the job's ID of 16 hexadecimal digits")
+		h.writeError(w, http.StatusBadRequest, 0, "the path must end with the job's ID of 16 hexadecimal digits")
 		return
 	}
 	maxBody := routes.Limits.Body
@@ -100,7 +100,7 @@
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		h.writeError(w, http.StatusRequestEntityTooLarge, err.Error())
+		h.writeError(w, http.StatusRequestEntityTooLarge, 0, err.Error())
 		return
 	}
 	if err != nil {
@@ -109,7 +109,7 @@
 	}
 	job, err := platform.DecodeJob(body)
 	if err != nil {
-		h.writeError(w, http.StatusBadRequest, err.Error())
+		h.writeError(w, http.StatusBadRequest, 0, err.Error())
 		return
 	}
 	start := time.Now()
@@ -123,10 +123,10 @@
 		h.writeResponse(w, http.StatusOK, []byte("{}"))
 	case leader.Refused:
 		w.Header().Set("Connection", "close") // another daemon may accept the job: let the balancer choose again
-		h.writeRetryLater(w, refusalStatus(result), result.Retry, result.Why)
+		h.writeError(w, refusalStatus(result), result.Retry, result.Why)
 	case leader.Unknown, leader.Absent:
 		// The job may have been stored, so it can be reported neither as accepted nor as refused.
-		h.writeResponse(w, http.StatusGatewayTimeout, nil)
+		h.writeUnknown(w, result)
 	}
 }
 
@@ -137,11 +137,14 @@
 	leader.Absent:   "absent",
 }
 
-// refusalStatus returns 429 if the service lacks the capacity for the job, and 503 otherwise, for example if the store
-// doesn't respond.
+// refusalStatus returns 429 if the service lacks the capacity for the job, 413 if the job can't be stored at all, and 503
+// otherwise.
 func refusalStatus(result leader.Result) int {
-	if result.Full {
+	switch {
+	case result.Full:
 		return http.StatusTooManyRequests
+	case result.Retry == 0:
+		return http.StatusRequestEntityTooLarge
 	}
 	return http.StatusServiceUnavailable
 }
@@ -178,19 +181,26 @@
 	case leader.Absent:
 		h.writeResponse(w, http.StatusGone, nil)
 	case leader.Refused, leader.Unknown:
-		h.writeRetryLater(w, http.StatusServiceUnavailable, result.Retry, result.Why)
+		h.writeUnknown(w, result) // a cancellation may be carried out though nothing has confirmed it
 	}
 }
 
+// writeUnknown responds that the outcome of a request is unknown, and tells the caller when to ask again.
+func (h *Handler) writeUnknown(w http.ResponseWriter, result leader.Result) {
+	w.Header().Set("Connection", "close") // another daemon may know more: let the balancer choose again
+	h.writeError(w, http.StatusGatewayTimeout, result.Retry, result.Why)
+}
+
 // writeRetryLater responds that nothing was done, with a Retry-After header.
 func (h *Handler) writeRetryLater(w http.ResponseWriter, status int, retry time.Duration, reason string) {
-	seconds := int(math.Ceil(max(retry, minRetryAfter).Seconds()))
-	w.Header().Set("Retry-After", strconv.Itoa(seconds))
-	h.writeError(w, status, reason)
+	h.writeError(w, status, max(retry, minRetryAfter), reason)
 }
 
-// writeError responds with an error text.
-func (h *Handler) writeError(w http.ResponseWriter, status int, reason string) {
+// writeError responds with an error text, and with a Retry-After header unless retry is zero.
+func (h *Handler) writeError(w http.ResponseWriter, status int, retry time.Duration, reason string) {
+	if retry > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retry.Seconds()))))
+	}
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	h.Counts.add(strconv.Itoa(status))
 	w.WriteHeader(status)
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -32,7 +32,7 @@
 	return len(b.intents) == 0 && len(b.progress) == 0 && b.runners == nil && !b.renewal
 }
 
-// callerRetryDelay is the delay after which callers may retry a request that the store refused.
+// callerRetryDelay is the delay after which callers may retry a request that was not carried out.
 const callerRetryDelay = time.Second
 
 // commitLoop commits pending changes, one transaction at a time.
@@ -191,7 +191,7 @@
 	case fault.Is(err, fault.Conflict):
 		return l.handleConflict(batch, err)
 	case fault.Is(err, fault.Overload):
-		l.refuseIntents(batch, err)
+		l.dropSubmissions(batch, err)
 		return false
 	}
 	// The commit may have taken effect, or may still do so while the lease row has the same version.
@@ -247,9 +247,9 @@
 	}
 }
 
-// refuseIntents handles a commit that the store refused and thus did not apply. It refuses the submissions in it, so
+// dropSubmissions handles a commit that the store refused and thus did not apply. It drops the submissions in it, so
 // that their callers can retry.
-func (l *Leader) refuseIntents(batch commitBatch, err error) {
+func (l *Leader) dropSubmissions(batch commitBatch, err error) {
 	l.Log.Warn("store refused a commit", zap.Error(err))
 	if len(l.unanswered) > 0 {
 		return // an earlier attempt with the same intents may still take effect
@@ -257,7 +257,7 @@
 	for _, in := range batch.intents {
 		if in.kind == storeJob {
 			l.removeIntent(in)
-			in.reply(Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store refuses: " + err.Error()})
+			in.reply(notStored("the store refuses: " + err.Error()))
 		}
 	}
 }
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -52,12 +52,11 @@
 	return &Handoff{store: store, log: log, now: now, queues: map[string]*serviceQueue{}}
 }
 
-// Submit stores a job and returns the result. If ctx ends first, the result is Refused for a job that was not sent, and
-// Unknown for one that was. While the store is silent, jobs that were not sent are refused.
+// Submit stores a job and returns the result. If ctx ends first, or while the store is silent, the verdict is Unknown.
 func (h *Handoff) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
 	value, err := encodeJob(jobRow{Queue: q, Job: job, At: h.now()})
 	if err != nil {
-		return Result{Verdict: Refused, Why: err.Error()}
+		return tooLarge(err)
 	}
 	pending := &pendingJob{id: id, value: value, reply: make(chan Result, 1)}
 	h.enqueue(q.Service, pending)
@@ -67,7 +66,7 @@
 	case <-ctx.Done():
 	}
 	if h.withdraw(q.Service, pending) && !pending.unconfirmed {
-		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is behind, the job was not sent to it"}
+		return notStored("the store is behind, the job was not sent to it")
 	}
 	return Result{Verdict: Unknown, Why: "the store has not answered in time"}
 }
@@ -107,7 +106,7 @@
 func (h *Handoff) sendLoop(service string, queue *serviceQueue) {
 	for {
 		if err := queue.link.Check(context.Background()); err != nil {
-			h.refuseUnsent(queue, err)
+			h.dropUnsent(queue, err)
 		}
 		batch := h.nextBatch(queue)
 		if len(batch) == 0 {
@@ -120,16 +119,16 @@
 	}
 }
 
-// refuseUnsent refuses the queued jobs that have not been sent, because the store is silent.
-func (h *Handoff) refuseUnsent(queue *serviceQueue, err error) {
-	h.log.Warn("store is silent, refusing handed-off jobs", zap.Error(err))
+// dropUnsent drops the queued jobs that have not been sent, because the store is silent.
+func (h *Handoff) dropUnsent(queue *serviceQueue, err error) {
+	h.log.Warn("store is silent, dropping jobs that were not sent to it", zap.Error(err))
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(pending *pendingJob) bool {
 		if pending.unconfirmed {
 			return false
 		}
-		pending.reply <- Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is silent: " + err.Error()}
+		pending.reply <- notStored("the store is silent: " + err.Error())
 		return true
 	})
 }
@@ -182,7 +181,7 @@
 		h.log.Warn("store refused handed-off jobs", zap.Int("jobs", len(batch)), zap.Error(err))
 		queue.link.Doubt()
 		for _, pending := range batch {
-			pending.reply <- Result{Verdict: pending.refusal(), Retry: callerRetryDelay, Why: err.Error()}
+			pending.reply <- pending.refused(err)
 		}
 	default:
 		h.log.Warn("store did not answer the transaction with handed-off jobs", zap.Int("jobs", len(batch)), zap.Error(err))
@@ -191,12 +190,12 @@
 	}
 }
 
-// refusal returns the verdict on a job that the store has refused now.
-func (p *pendingJob) refusal() Verdict {
+// refused returns the result of a job whose transaction the store has refused.
+func (p *pendingJob) refused(err error) Result {
 	if p.unconfirmed {
-		return Unknown // an earlier transaction may have stored it
+		return Result{Verdict: Unknown, Why: err.Error()} // an earlier transaction may have stored it
 	}
-	return Refused
+	return notStored(err.Error())
 }
 
 // retry puts jobs back at the front of the queue whose transaction was not answered. To repeat it is safe: a job that is
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -15,15 +15,15 @@
 // Verdicts on a request.
 const (
 	Accepted Verdict = iota // accepted and stored
-	Refused                 // certainly not stored; it never runs
-	Unknown                 // may have been stored
+	Refused                 // nothing was done; of a job: no try of it was or will be stored, so it never runs
+	Unknown                 // this try, or an earlier one of the same job, may have been stored
 	Absent                  // no such job
 )
 
 // Result is the answer to a caller's request.
 type Result struct {
 	Verdict Verdict
-	Retry   time.Duration // for Refused: delay before the caller may retry
+	Retry   time.Duration // delay before the caller may retry, 0 if a retry won't help; for Unknown: set if this try was certainly not stored
 	Full    bool          // for Refused: the service lacks the capacity to finish the job in time
 	State   work.State
 	Pending int
@@ -49,12 +49,21 @@
 	replies []chan Result
 }
 
-// Submit stores a job and returns once the outcome is known. If ctx ends first, the verdict is Unknown. While the store
-// is silent, new jobs are refused.
+// notStored returns the result of a try that was certainly not stored. It is no refusal: an earlier try of the same job
+// may have been stored by another daemon.
+func notStored(reason string) Result {
+	return Result{Verdict: Unknown, Retry: callerRetryDelay, Why: reason}
+}
+
+// tooLarge returns the refusal of a job that no daemon can store.
+func tooLarge(err error) Result { return Result{Verdict: Refused, Why: err.Error()} }
+
+// Submit stores a job and returns once the outcome is known. If ctx ends first, or while the store is silent, the
+// verdict is Unknown.
 func (l *Leader) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
 	if !l.knows(id) {
 		if err := l.storeLink.Check(ctx); err != nil {
-			return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the store is silent: " + err.Error()}
+			return notStored("the store is silent: " + err.Error())
 		}
 	}
 	reply, result := l.submit(id, q, job)
@@ -89,13 +98,10 @@
 			return reply, Result{}
 		}
 	}
-	if retryAfter, reason := l.pool.Admit(l.Now(), q, job); reason != "" {
-		return nil, Result{Verdict: Refused, Full: true, Retry: retryAfter, Why: reason}
-	}
 	row := jobRow{Queue: q, Job: job, At: time.Now()}
 	value, err := encodeJob(row)
 	if err != nil {
-		return nil, Result{Verdict: Refused, Why: err.Error()}
+		return nil, tooLarge(err)
 	}
 	l.intents = append(l.intents, &intent{kind: storeJob, id: id, row: row, value: value, replies: []chan Result{reply}})
 	return reply, Result{}
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -25,6 +25,7 @@
 	attempts    int       // failed runs of a task after which its job fails
 	accepted    bool      // at least one reply accepted it
 	refused     bool      // every reply so far was a refusal
+	lastRefused bool      // the latest reply was a refusal, after which no further try was sent
 	cancelledAt time.Time // zero unless a cancellation was acknowledged
 }
 
@@ -65,11 +66,16 @@
 	}
 }
 
-// SubmitAnswered records the reply to a job's submission; neither flag is set if the outcome is unknown.
+// SubmitAnswered records the reply to a job's submission; neither flag is set if the outcome is unknown. To refuse a job
+// that an earlier reply accepted is a violation.
 func (c *Checker) SubmitAnswered(id work.ID, accepted, refused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	jr := c.jobs[id]
+	if refused && jr.accepted {
+		c.addViolation("job %s was refused after it had been accepted", id)
+	}
+	jr.lastRefused = refused
 	jr.accepted = jr.accepted || accepted
 	jr.refused = jr.refused && refused
 }
@@ -223,6 +229,8 @@
 	switch {
 	case jr.refused && started:
 		return []string{fmt.Sprintf("job %s ran though every reply refused it", id)}
+	case jr.lastRefused && started:
+		return []string{fmt.Sprintf("job %s ran though the reply to its last try refused it", id)}
 	case !jr.accepted:
 	case state == work.Done && !done:
 		return []string{fmt.Sprintf("job %s is reported as completed, but not all of its tasks are done", id)}
