A silent runner delays only the jobs that were placed there, not every inherited job

Mend: a start is ordered only once the store has its runner among the job's placements (one row a job, with the commits that are made anyway); a new leader holds back the jobs whose placements name a silent runner. While the store takes no commits, jobs go on where their placements are. The lease's row says whether the store has all placements; with an older build before, all inherited jobs wait as before. Ruled out: recording starts after they are sent (the last ones before a cut are unknown, so nothing could go on); shorter grace for cut-off leaders (a runner's lease alone is 7.5 s); one data centre a job (a pool has two to four machines there on the small sites). The fake pool and trial commit between two plans, since a start now takes two.

--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"gypsumlead/platform"
 	"gypsumlead/standin"
 	"gypsumlead/work"
 )
@@ -23,6 +24,7 @@
 	requestTimeout = 3 * time.Second
 	retryDelay     = 300 * time.Millisecond
 	pollInterval   = 400 * time.Millisecond
+	readyInterval  = 100 * time.Millisecond // between readiness checks of a daemon that has started
 )
 
 // submission is a job as its caller sees it.
@@ -203,12 +205,16 @@
 func (c *Cluster) request(method, service, id string, body []byte, rng *rand.Rand) (int, http.Header, []byte) {
 	ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
 	defer cancel()
-	return c.requestTo(ctx, c.pickDaemon(rng).addr, method, service, id, body)
+	return c.requestTo(ctx, c.pickDaemon(rng, ""), method, service, id, body)
 }
 
-// requestTo sends one HTTP request to the daemon at addr. The status is 0 if there is no reply before ctx ends.
-func (c *Cluster) requestTo(ctx context.Context, addr netip.Addr, method, service, id string, body []byte) (int, http.Header, []byte) {
-	url := fmt.Sprintf("http://%s/%s/%s", netip.AddrPortFrom(addr, portCallers), service, id)
+// requestTo sends one HTTP request to a daemon; nil stands for none in rotation. The status is 0 if there is no reply
+// before ctx ends.
+func (c *Cluster) requestTo(ctx context.Context, node *daemonNode, method, service, id string, body []byte) (int, http.Header, []byte) {
+	if node == nil {
+		return 0, http.Header{}, nil
+	}
+	url := fmt.Sprintf("http://%s/%s/%s", netip.AddrPortFrom(node.addr, portCallers), service, id)
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		panic(err) // addresses made by the emulator are well-formed
@@ -227,21 +233,52 @@
 	return resp.StatusCode, resp.Header, data
 }
 
-// pickDaemon returns a random running daemon, or e1 if none is running. The delay with which a load balancer notices a
-// stopped daemon is not emulated.
-func (c *Cluster) pickDaemon(rng *rand.Rand) *daemonNode {
+// pickDaemon returns a random running daemon that has been ready since its start, other than the one named except, or
+// nil if there is none. By the platform's pages a daemon without a configuration, which isn't ready, refuses everything.
+// The delay with which a load balancer notices a stopped daemon is not emulated.
+func (c *Cluster) pickDaemon(rng *rand.Rand, except string) *daemonNode {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var running []*daemonNode
+	var rotation []*daemonNode
 	for _, name := range c.Daemons() {
-		if node := c.daemons[name]; node.process != nil {
-			running = append(running, node)
+		if node := c.daemons[name]; name != except && node.process != nil && node.process.seenReady {
+			rotation = append(rotation, node)
+		}
+	}
+	if len(rotation) == 0 {
+		return nil
+	}
+	return rotation[rng.IntN(len(rotation))]
+}
+
+// awaitReady asks a daemon that has started whether it is ready, until it is or has stopped.
+func (c *Cluster) awaitReady(node *daemonNode, proc *process) {
+	for c.sleep(readyInterval) {
+		ready := c.isReady(node)
+		c.mu.Lock()
+		proc.seenReady = ready
+		ended := ready || node.process != proc
+		c.mu.Unlock()
+		if ended {
+			return
 		}
 	}
-	if len(running) == 0 {
-		return c.daemons["e1"]
+}
+
+// isReady asks a daemon whether it is ready.
+func (c *Cluster) isReady(node *daemonNode) bool {
+	ctx, cancel := context.WithTimeout(c.ctx, readyInterval)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+netip.AddrPortFrom(node.addr, portReady).String()+platform.ReadyPath, nil)
+	if err != nil {
+		panic(err) // addresses made by the emulator are well-formed
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return false
 	}
-	return running[rng.IntN(len(running))]
+	_ = resp.Body.Close() // the body is empty
+	return resp.StatusCode == http.StatusOK
 }
 
 // sleep waits for d. It returns false if the cluster is closed first.
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -205,6 +205,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	proc := &process{network: dn, stop: cancel, done: make(chan struct{})}
 	node.process = proc
+	c.wg.Go(func() { c.awaitReady(node, proc) })
 	c.wg.Go(func() {
 		defer close(proc.done)
 		if err := d.Run(ctx); err != nil {
--- a/emulator/network_test.go
+++ b/emulator/network_test.go
@@ -12,3 +12,9 @@
 	synctest.Wait()
 	c.Net.Cut(a, b)
 }
+
+// blackhole makes the open connections of a host silent, at a moment that is chosen as for cut.
+func blackhole(c *Cluster, host netip.Addr) {
+	synctest.Wait()
+	c.Net.Blackhole(host)
+}
--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -96,7 +96,7 @@
 		c.SetRunnerFaults(id, faults[rng.IntN(len(faults))])
 	case 13:
 		c.SetRunnerFaults(id, standin.RunnerFaults{})
-		c.Net.Blackhole(c.DaemonAddr(name))
+		blackhole(c, c.DaemonAddr(name))
 	case 14:
 		c.Net.ResetConns(c.DaemonAddr(name))
 		c.UpdateConfig()
--- a/emulator/refusal_test.go
+++ b/emulator/refusal_test.go
@@ -7,11 +7,9 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"slices"
 	"testing"
 	"time"
 
-	"gypsumlead/platform"
 	"gypsumlead/standin"
 	"gypsumlead/work"
 )
@@ -22,7 +20,6 @@
 	repeatInterval = 100 * time.Millisecond // until a try without a reply is repeated
 	lateRepeatRate = 0.3                    // share of accepted jobs that are submitted once more
 	maxLateRepeat  = 4 * time.Second        // after the acceptance
-	readyInterval  = 100 * time.Millisecond // between readiness checks of a daemon that has started
 )
 
 // A refusal states that the job has not run and never will. A caller's earlier try of the same job, at another daemon,
@@ -33,20 +30,19 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runScenario(t, Small, 5000+seed, func(t *testing.T, c *Cluster) { runTrustingCallers(t, c, seed) })
+			runScenario(t, Small, 5000+seed, func(_ *testing.T, c *Cluster) { runTrustingCallers(c, seed) })
 		})
 	}
 }
 
 // runTrustingCallers submits jobs for half a minute, while daemons are cut off, killed and restarted and the store has
 // outages.
-func runTrustingCallers(t *testing.T, c *Cluster, seed uint64) {
+func runTrustingCallers(c *Cluster, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 7))
-	rotation := newRotation(t, c)
 	for range 120 {
 		for _, service := range []string{"s0", "s1"} {
 			for range 1 + rng.IntN(2) {
-				submitTrusting(c, rotation, service)
+				submitTrusting(c, service)
 			}
 		}
 		if rng.IntN(3) == 0 {
@@ -95,12 +91,12 @@
 		c.Net.Heal()
 		c.Store.SetFaults(standin.StoreFaults{})
 	case 8:
-		c.Net.Blackhole(c.DaemonAddr(name))
+		blackhole(c, c.DaemonAddr(name))
 	}
 }
 
 // submitTrusting submits a job whose caller repeats a try without a reply at another daemon, and trusts a refusal.
-func submitTrusting(c *Cluster, rotation *rotation, service string) {
+func submitTrusting(c *Cluster, service string) {
 	wire, job := c.NewBatchJob(batchShape)
 	body, err := json.Marshal(wire)
 	if err != nil {
@@ -110,10 +106,13 @@
 	rng := c.newRand()
 	c.wg.Go(func() {
 		accepted := false
-		var last string
+		last := ""
 		for range 2 * maxTries {
-			last = rotation.pick(rng, last)
-			status := c.tryOnce(last, service, id, body, minPatience+time.Duration(rng.Int64N(int64(requestTimeout-minPatience))))
+			node := c.pickDaemon(rng, last)
+			if node != nil {
+				last = node.name
+			}
+			status := c.tryOnce(node, service, id, body, minPatience+time.Duration(rng.Int64N(int64(requestTimeout-minPatience))))
 			accepted = accepted || status == http.StatusOK
 			refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 			c.Checker.SubmitAnswered(id, status == http.StatusOK, refused)
@@ -141,70 +140,10 @@
 	})
 }
 
-// tryOnce submits a job to one daemon and returns the status, 0 without a reply.
-func (c *Cluster) tryOnce(daemon, service string, id work.ID, body []byte, patience time.Duration) int {
-	if daemon == "" {
-		return 0 // the balancer has nowhere to send it
-	}
+// tryOnce submits a job to a daemon, or to none, and returns the status, 0 without a reply.
+func (c *Cluster) tryOnce(node *daemonNode, service string, id work.ID, body []byte, patience time.Duration) int {
 	ctx, cancel := context.WithTimeout(c.ctx, patience)
 	defer cancel()
-	status, _, _ := c.requestTo(ctx, c.daemons[daemon].addr, http.MethodPost, service, string(id), body)
+	status, _, _ := c.requestTo(ctx, node, http.MethodPost, service, string(id), body)
 	return status
 }
-
-// rotation holds the daemons that callers are sent to: those that have been ready since their start. By the platform's
-// pages a daemon without a configuration refuses everything.
-type rotation struct{ c *Cluster }
-
-// newRotation returns a rotation that is kept up to date until the cluster is closed.
-func newRotation(t *testing.T, c *Cluster) *rotation {
-	t.Helper()
-	c.wg.Go(func() {
-		for c.sleep(readyInterval) {
-			for _, name := range c.Daemons() {
-				c.noteReady(name)
-			}
-		}
-	})
-	return &rotation{c}
-}
-
-// noteReady asks a daemon that has started whether it is ready, unless it has been before.
-func (c *Cluster) noteReady(name string) {
-	node := c.daemons[name]
-	c.mu.Lock()
-	proc := node.process
-	asked := proc != nil && !proc.seenReady
-	c.mu.Unlock()
-	if !asked {
-		return
-	}
-	ctx, cancel := context.WithTimeout(c.ctx, readyInterval)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s", netip.AddrPortFrom(node.addr, portReady), platform.ReadyPath), nil)
-	if err != nil {
-		panic(err) // addresses made by the emulator are well-formed
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return
-	}
-	_ = resp.Body.Close() // the body is empty
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	proc.seenReady = resp.StatusCode == http.StatusOK
-}
-
-// pick returns a daemon of the rotation other than the last one, or "" if there is none.
-func (r *rotation) pick(rng *rand.Rand, last string) string {
-	r.c.mu.Lock()
-	defer r.c.mu.Unlock()
-	names := slices.DeleteFunc(r.c.Daemons(), func(name string) bool {
-		proc := r.c.daemons[name].process
-		return name == last || proc == nil || !proc.seenReady
-	})
-	if len(names) == 0 {
-		return ""
-	}
-	return names[rng.IntN(len(names))]
-}
--- a/leader/acquire.go
+++ b/leader/acquire.go
@@ -47,7 +47,7 @@
 	}
 	// Orders of leaders before the previous one may also still take effect.
 	inheritedUntil := max(previous.InheritedUntil, storeTime+inheritedTTL(previous, self, runnerLeaseTTL, liveness))
-	leaseRow := LeaseRow{Holder: self.Name, Boot: self.Boot, Term: previous.Term + 1, InheritedUntil: inheritedUntil}
+	leaseRow := LeaseRow{Holder: self.Name, Boot: self.Boot, Term: previous.Term + 1, Placements: previous.Placements || previous.Holder == "", InheritedUntil: inheritedUntil}
 	value, err := encode(leaseRow)
 	if err != nil {
 		return nil, err
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -66,6 +66,7 @@
 		l.storeLink.Doubt()
 	}
 	l.mu.Lock()
+	l.commitSentAt, l.commitFailed = time.Time{}, err != nil && !fault.Is(err, fault.Conflict)
 	more := l.handleCommitResult(batch, stamp, err)
 	l.mu.Unlock()
 	if err != nil && !fault.Is(err, fault.Conflict) {
@@ -74,6 +75,12 @@
 	return more
 }
 
+// storeTakesCommits reports whether the store has answered the last commit, or has had little time for the one that is
+// being sent.
+func (l *Leader) storeTakesCommits(now time.Time) bool {
+	return !l.commitFailed && (l.commitSentAt.IsZero() || now.Sub(l.commitSentAt) < slowCommit)
+}
+
 // prepareCommit collects pending changes into one transaction.
 func (l *Leader) prepareCommit(now time.Time) (commitBatch, platform.Tx, error) {
 	batch := commitBatch{intents: l.nextIntents()}
@@ -85,6 +92,8 @@
 	if batch.empty() {
 		return batch, platform.Tx{}, nil
 	}
+	l.commitSentAt = now
+	l.leaseRow.Placements = l.pool.PlacementsStored()
 	l.leaseRow.Commits++
 	batch.commitNo = l.leaseRow.Commits
 	tx, err := l.buildTx(batch)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -53,7 +53,9 @@
 	leaseVersion    int64         // version of the lease row
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
-	epoch           int64 // heartbeat epoch in which the store last confirmed the lease
+	epoch           int64     // heartbeat epoch in which the store last confirmed the lease
+	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
+	commitFailed    bool      // the last commit was refused or not answered
 
 	wakePlan   chan struct{}
 	wakeCommit chan struct{}
@@ -65,7 +67,7 @@
 
 // New returns a Leader for an acquired lease. Call Restore and then Run.
 func New(lease Lease, config sched.LeaseConfig, deps Deps) *Leader {
-	config.InheritedTTL = lease.InheritedTTL
+	config.InheritedTTL, config.InheritedPlacements = lease.InheritedTTL, lease.Row.Placements
 	l := &Leader{
 		Deps:          deps,
 		lease:         lease,
@@ -178,6 +180,7 @@
 func (l *Leader) plan(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.pool.SetStoreAvailable(l.storeTakesCommits(now))
 	if l.pool.Fenced() {
 		l.loseLease(fault.New(fault.Fenced, "a runner has seen a later leader"))
 		return
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -32,6 +32,8 @@
 	Term     int    `json:"term"`     // number of the leadership term, counted from 1
 	Commits  int64  `json:"commits"`  // commits that this leader has attempted
 	Released bool   `json:"released"` // set after the leader has stopped giving orders
+	// Placements states that the store has, for each job, all runners that may have runs of it.
+	Placements bool `json:"placed"`
 	// Time on the store's clock until which orders of earlier leaders may take effect on unreachable runners.
 	InheritedUntil time.Duration `json:"over"`
 }
--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -25,7 +25,7 @@
 	}
 	var list []candidate
 	for _, j := range p.live {
-		if j.state.Final() || (unresolved && j.inherited) {
+		if j.state.Final() || (unresolved && j.inherited && p.mayRunUnseen(j)) {
 			continue
 		}
 		for _, occ := range j.occurrences {
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -14,7 +14,7 @@
 }
 
 // UncommittedBatch returns the progress of up to limit jobs with uncommitted changes. Unless all is set, these are only
-// the jobs that have ended or whose changes have waited for commitDelay.
+// the jobs whose changes are due.
 func (p *Pool) UncommittedBatch(now time.Time, limit int, all bool) []JobProgress {
 	var list []JobProgress
 	for _, j := range p.live {
@@ -24,13 +24,23 @@
 		if j.changeSeq == j.committedSeq {
 			continue
 		}
-		if all || j.state.Final() || now.Sub(j.dirtySince) >= commitDelay {
+		if all || j.commitAt().Compare(now) <= 0 {
+			p.forgetPlacements(j)
 			list = append(list, JobProgress{j.id, j.progress(), j.changeSeq})
 		}
 	}
 	return list
 }
 
+// commitAt returns when a job's uncommitted changes are due for commit: immediately if the job has ended or a start
+// waits for them.
+func (j *job) commitAt() time.Time {
+	if j.state.Final() || j.placements.pending() {
+		return j.dirtySince
+	}
+	return j.dirtySince.Add(commitDelay)
+}
+
 // MarkCommitted records that a batch is in the store. Ends of runs that depend on it may then be acknowledged.
 func (p *Pool) MarkCommitted(now time.Time, batch []JobProgress) {
 	for _, b := range batch {
@@ -39,6 +49,7 @@
 			continue
 		}
 		j.committedSeq = b.seq
+		j.placements.markStored(b.Progress.Runners)
 		j.dirtySince = now
 		if b.Progress.State.Final() && !j.committedState.Final() {
 			j.committedState = b.Progress.State
@@ -83,10 +94,7 @@
 		if j.changeSeq == j.committedSeq {
 			continue
 		}
-		at := j.dirtySince.Add(commitDelay)
-		if j.state.Final() {
-			at = j.dirtySince
-		}
+		at := j.commitAt()
 		if first.IsZero() || at.Before(first) {
 			first = at
 		}
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -91,7 +91,12 @@
 	}
 	f.poll()
 	f.pool.MarkCommitted(f.now, f.pool.UncommittedBatch(f.now, 100, true))
-	f.orders = f.pool.Plan(f.now, f.now, true)
+	return f.plan()
+}
+
+// plan plans and executes the orders.
+func (f *fakePool) plan() []Order {
+	f.orders = f.planCommitted(true)
 	for _, o := range f.orders {
 		f.execute(o)
 	}
@@ -99,6 +104,14 @@
 	return f.orders
 }
 
+// planCommitted returns the orders of a plan and of the one after it, by which the store has the placements of the runs
+// that the first one planned.
+func (f *fakePool) planCommitted(confirmed bool) []Order {
+	orders := slices.Clone(f.pool.Plan(f.now, f.now, confirmed))
+	f.pool.MarkCommitted(f.now, f.pool.UncommittedBatch(f.now, 100, true))
+	return append(orders, f.pool.Plan(f.now, f.now, confirmed)...)
+}
+
 func (f *fakePool) execute(o Order) {
 	switch order := o.(type) {
 	case Start:
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -22,20 +22,20 @@
 			t.checkpoint = s.checkpoint()
 		}
 	}
-	mark := len(p.orders)
+	mark := len(p.planned)
 	for _, t := range s.tasks {
 		r := p.chooseRunner(now, t)
 		if r == nil {
 			p.undoGangStart(now, s)
-			p.orders = p.orders[:mark]
+			p.planned = p.planned[:mark]
 			return false
 		}
-		p.startRun(now, t, r, number)
+		p.planRun(now, t, r, number)
 	}
 	return true
 }
 
-// undoGangStart removes the runs of a gang that doesn't fit. Their start orders have not been sent.
+// undoGangStart removes the planned runs of a gang that doesn't fit.
 func (p *Pool) undoGangStart(now time.Time, s *step) {
 	for _, t := range s.tasks {
 		for _, run := range t.runs {
--- a/sched/job.go
+++ b/sched/job.go
@@ -16,6 +16,7 @@
 	state          work.State // as decided by this pool
 	committedState work.State // as the store has it
 	inherited      bool       // accepted under an earlier leader, whose runs may not all be known yet
+	placements     placements // runners that may have runs of the job
 	occurrences    []*occurrence
 	remaining      int       // tasks that aren't done
 	changeSeq      int64     // sequence number of the latest change
@@ -76,7 +77,8 @@
 
 // The phases of a run.
 const (
-	sending     phase = iota // start ordered, not answered yet
+	planned     phase = iota // has its room; the start is not ordered before the store has its runner among the job's placements
+	sending                  // start ordered, not answered yet
 	unconfirmed              // the start wasn't answered, so that the run may exist
 	running
 	stopping // to be stopped, its end not listed yet
@@ -95,6 +97,7 @@
 	progressedAt    time.Time // when the percentage last changed
 	load            float64   // as work.Run.Load: of a serving task its tail latency in ms
 	overTargetSince time.Time // since when its tail latency has been above the target
+	withdrawn       bool      // of a planned run: it is no longer wanted
 	pace            int       // percent of full speed; -1 if unknown
 	pacedAt         time.Time
 	stopReason      string
--- a/sched/leader_change_test.go
+++ b/sched/leader_change_test.go
@@ -36,7 +36,7 @@
 	for range 60 {
 		f.now = f.now.Add(tickInterval)
 		f.poll()
-		require.Empty(t, starts(f.pool.Plan(f.now, f.now, false)))
+		require.Empty(t, starts(f.planCommitted(false)))
 	}
 }
 
@@ -48,7 +48,7 @@
 	f.advance(tickInterval)
 	origin := f.runnerOf(taskOf(id, 0, 0))
 	f.now = f.now.Add(tickInterval)
-	f.pool.Plan(f.now, f.now, false)
+	f.planCommitted(false)
 	moved := f.runners[origin].info
 	moved.ID, moved.Born, moved.Service = "elsewhere", 2, "other"
 	f.pool.HandleReplacement(f.now, moved)
@@ -58,7 +58,7 @@
 	for range 10 {
 		f.now = f.now.Add(tickInterval)
 		f.poll()
-		require.Empty(t, starts(f.pool.Plan(f.now, f.now, false)))
+		require.Empty(t, starts(f.planCommitted(false)))
 	}
 	require.False(t, f.pool.runners["r2"].schedulable(f.now))
 	require.Len(t, starts(f.advance(tickInterval)), 1) // leadership is confirmed again
--- a/sched/lease_config.go
+++ b/sched/lease_config.go
@@ -7,6 +7,8 @@
 	TTL          time.Duration // lease that a poll or a start gives a runner
 	MaxTTL       time.Duration // longest lease that a runner accepts, whatever is asked for
 	InheritedTTL time.Duration // after a change of leader: longest that an earlier leader's runs can last on a silent runner
+	// InheritedPlacements states that earlier leaders stored on which runners they placed each job.
+	InheritedPlacements bool
 }
 
 // Intervals and delays of the scheduler.
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -20,6 +20,9 @@
 	if s.spec.MaxPerRunner > 0 && r.countRuns(s) >= s.spec.MaxPerRunner {
 		return false
 	}
+	if !p.storeAvailable && !s.job.placements.stored(r.ID) {
+		return false // the start would have to wait for the store
+	}
 	return s.approvedOn(now, r)
 }
 
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -23,7 +23,9 @@
 	p.assessRuns(now)
 	p.evacuate(now)
 	p.stopUnwanted()
+	p.withdrawPlanned(now)
 	p.placeAll(now, wall)
+	p.orderPlanned(now)
 	p.sendStops(now)
 	p.paceAll(now)
 	p.check(now)
@@ -102,6 +104,9 @@
 		if p.placeStep(now, c.step) || c.step.spec.BestEffort {
 			continue
 		}
+		if !p.storeAvailable {
+			continue // it may be the store that it waits for, which no room would change
+		}
 		p.preempt(now, c.step)
 		if blocked < maxReservations && p.reserve(now, c.step) {
 			blocked++
@@ -125,7 +130,7 @@
 		if r == nil {
 			return false
 		}
-		p.startRun(now, t, r, p.nextRunNumber(t.lastRun))
+		p.planRun(now, t, r, p.nextRunNumber(t.lastRun))
 	}
 	return true
 }
@@ -164,13 +169,21 @@
 	return max(last, (p.term-1)*runsPerTerm) + 1
 }
 
-// startRun orders a run of a task on a runner.
-func (p *Pool) startRun(now time.Time, t *task, r *runner, number int) {
-	s := t.step
-	run := &taskRun{task: t, number: number, runner: r, phase: sending, sentAt: now, pace: 100}
+// planRun gives a run of a task its room on a runner. The start is ordered once the store has the runner among the job's
+// placements.
+func (p *Pool) planRun(now time.Time, t *task, r *runner, number int) {
+	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100}
 	t.addRun(run)
+	p.place(now, t.step.job, r.ID)
+	p.planned = append(p.planned, run)
+}
+
+// orderStart orders the start of a planned run.
+func (p *Pool) orderStart(now time.Time, run *taskRun) {
+	t, r, s := run.task, run.runner, run.task.step
+	run.phase, run.sentAt = sending, now
 	p.markStarted(now, s.job)
-	order := Start{Target: r.target(), Task: t.name, Run: number, Spec: s.job.spec.Spec}
+	order := Start{Target: r.target(), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
 	if s.spec.Checkpointing {
 		order.Checkpoint = t.checkpoint
 	}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -36,6 +36,8 @@
 	arrivals            arrivals
 	retaining           bool // some runners are marked as retained
 	orders              []Order
+	planned             []*taskRun // runs whose starts wait for the store to have their placements
+	storeAvailable      bool       // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
 	leastUrgentPriority int              // largest priority number among preemptible runs in this plan
@@ -105,6 +107,7 @@
 		counts:              newCounts(),
 		checkInterval:       defaultCheckInterval,
 		leadershipConfirmed: true,
+		storeAvailable:      true,
 		heldTasks:           map[*task]struct{}{},
 		estimateRatios:      map[string]*estimateRatio{},
 		reserved:            map[*runner]struct{}{},
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -11,6 +11,7 @@
 // Progress is the part of a job's state that is stored besides the job itself.
 type Progress struct {
 	State       work.State           `json:"state"`
+	Runners     []string             `json:"at,omitempty"` // those that may have runs of the job
 	Occurrences []OccurrenceProgress `json:"turns,omitempty"`
 }
 
@@ -35,7 +36,7 @@
 	if j.state.Final() {
 		return Progress{State: j.state}
 	}
-	pr := Progress{State: j.state}
+	pr := Progress{State: j.state, Runners: j.placements.list()}
 	for _, occ := range j.occurrences {
 		op := OccurrenceProgress{Occurrence: occ.index}
 		any := false
@@ -126,6 +127,7 @@
 		// Polls find the job's remaining runs, which are then stopped.
 		return
 	}
+	j.placements.markStored(pr.Runners)
 	for _, op := range pr.Occurrences {
 		if op.Occurrence >= len(j.occurrences) {
 			continue
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/work"
@@ -155,16 +156,27 @@
 		maxRuns = 2
 	}
 	t.lastRun = max(t.lastRun, number)
+	t.dropPlanned(now)
 	if j.state.Final() || t.done || len(t.runs) >= maxRuns {
 		return nil
 	}
 	p.completePredecessors(now, t)
 	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100}
 	t.addRun(run)
+	p.place(now, j, r.ID)
 	p.markStarted(now, j)
 	return run
 }
 
+// dropPlanned drops the task's planned runs: it has a run that this leader didn't order.
+func (t *task) dropPlanned(now time.Time) {
+	for _, run := range slices.Clone(t.runs) {
+		if run.phase == planned {
+			t.removeRun(run, now)
+		}
+	}
+}
+
 // markStarted records that a task of the job has started.
 func (p *Pool) markStarted(now time.Time, j *job) {
 	if j.firstStart.IsZero() {
@@ -186,7 +198,7 @@
 // handleUnlistedRun handles a run that a poll sent at the given time doesn't list.
 func (p *Pool) handleUnlistedRun(now time.Time, run *taskRun, sent time.Time) {
 	switch run.phase {
-	case sending:
+	case planned, sending:
 	case unconfirmed:
 		if run.sentAt.Before(sent) {
 			// The start may still arrive; only an answered stop prevents it.
@@ -203,9 +215,13 @@
 	}
 }
 
-// stop marks a run as stopping, unless it is already.
+// stop marks a run as stopping, unless it is already. A planned run is withdrawn instead: no runner knows it.
 func (r *taskRun) stop(reason string) {
-	if r.phase != stopping {
+	switch r.phase {
+	case planned:
+		r.withdrawn = true
+	case sending, unconfirmed, running:
 		r.phase, r.stopReason = stopping, reason
+	case stopping:
 	}
 }
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -59,6 +59,10 @@
 // runnerGone abandons the runs of a runner that no longer exists.
 func (p *Pool) runnerGone(now time.Time, r *runner) {
 	for run := range r.runs {
+		if run.phase == planned {
+			run.task.removeRun(run, now)
+			continue
+		}
 		p.abandon(now, run, "another runner has its place")
 	}
 	r.lease.Reset()
@@ -112,11 +116,13 @@
 	if r.Born != 0 {
 		r.lease.Reset()
 		for run := range r.runs {
-			if run.listed {
+			switch {
+			case run.phase == planned:
+			case run.listed:
 				p.abandon(now, run, "its runner has started anew")
-				continue
+			default:
+				p.carryOver(now, r, run)
 			}
-			p.carryOver(now, r, run)
 		}
 		r.lastEnd, r.ackedEnd, r.pendingEnds = 0, 0, nil
 		r.health = health{}
@@ -134,7 +140,7 @@
 		run.phase, run.confirmedAt = unconfirmed, time.Time{}
 	case stopping:
 		run.stopAckedAt = time.Time{} // a stop answered by the old incarnation prevents nothing in the new one
-	case sending, unconfirmed:
+	case planned, sending, unconfirmed:
 	}
 	longest := max(p.leases.MaxTTL, p.leases.TTL)
 	r.lease.KeepUntil(now.Add(time.Duration(float64(longest) / (1 - MaxClockSkew))))
@@ -235,7 +241,7 @@
 			continue
 		}
 		for run := range r.runs {
-			if run.sentAt.Before(expiry) {
+			if run.phase != planned && run.sentAt.Before(expiry) {
 				p.abandon(now, run, "its runner is silent and the lease is over")
 			}
 		}
--- a/sched/runner_restart_test.go
+++ b/sched/runner_restart_test.go
@@ -31,16 +31,6 @@
 	return f, task, runnerID
 }
 
-// plan plans and executes the orders without polling first.
-func (f *fakePool) plan() []Order {
-	f.orders = f.pool.Plan(f.now, f.now, true)
-	for _, o := range f.orders {
-		f.execute(o)
-	}
-	require.Empty(f.t, f.violations)
-	return f.orders
-}
-
 func TestStartThatReachedNewIncarnationIsNotRepeated(t *testing.T) {
 	f, task, runnerID := restartRunner(t, false, true)
 	require.Empty(t, starts(f.plan()), "the runner's new incarnation may have the task")
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -152,9 +152,12 @@
 		}
 		s.poll(r)
 	}
-	s.pool.MarkCommitted(s.now, s.pool.UncommittedBatch(s.now, len(s.jobs), true))
-	for _, o := range s.pool.Plan(s.now, s.now, true) {
-		s.execute(o)
+	// The starts of the first plan are ordered by the second one, once their placements are stored.
+	for range 2 {
+		s.pool.MarkCommitted(s.now, s.pool.UncommittedBatch(s.now, len(s.jobs), true))
+		for _, o := range s.pool.Plan(s.now, s.now, true) {
+			s.execute(o)
+		}
 	}
 }
 
