--- a/leader/leader.go
+++ b/leader/leader.go
@@ -157,6 +157,7 @@
 // planLoop plans after each event, and every idleInterval without one.
 func (l *Leader) planLoop(ctx context.Context) error {
 	lastForget := l.Now()
+	takeover := takeoverLog{startedAt: lastForget}
 	for ctx.Err() == nil {
 		sleep.ForOrWake(ctx, idleInterval, l.wakePlan)
 		now := l.Now()
@@ -167,6 +168,7 @@
 			return nil
 		}
 		l.plan(now)
+		l.logUnresolved(now, &takeover)
 		if now.Sub(lastForget) > forgetInterval {
 			lastForget = now
 			l.forgetFinished(now)
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"gypsumlead/work"
 )
 
 // maxPlannedAge is how long a planned run keeps its room while the store takes no commits.
@@ -88,6 +90,25 @@
 	return false
 }
 
+// Unresolved returns the runners, sorted by ID, on which an earlier leader's runs may still be in progress unseen, and the
+// number of jobs that wait for them.
+func (p *Pool) Unresolved() (runners []work.Runner, jobs int) {
+	for _, r := range p.sortedRunners() {
+		if !r.resolved() {
+			runners = append(runners, r.Runner)
+		}
+	}
+	if len(runners) == 0 {
+		return nil, 0
+	}
+	for _, j := range p.live {
+		if j.inherited && !j.state.Final() && p.mayRunUnseen(j) {
+			jobs++
+		}
+	}
+	return runners, jobs
+}
+
 // PlacementsStored reports whether the store has the placements of all runs: those that earlier leaders ordered without
 // storing them are known and stored.
 func (p *Pool) PlacementsStored() bool {
