Placements name the runners with runs in progress; a new leader asks where silent runners' machines are

And placements that kept a job's earlier runners held back jobs whose tasks there were long done. Mend: a job's placements are those with runs whose ends the store doesn't have; a machine in another pool proves that its runner is gone. While the store takes no commits a job still goes on where its runs have ended since the last one.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"maps"
 	"sync"
 	"time"
 
@@ -56,8 +55,8 @@
 	stampAt     time.Time // when stamp was received
 	synced      bool      // the claim rows have been read
 	machineList map[string]platform.Machine
-	listedAt    time.Time  // when the reading of machineList began
-	listMu      sync.Mutex // held while the list is read
+	listedAt    time.Time     // when the reading of machineList began
+	reading     chan struct{} // closed when the reading in progress has ended; nil without one
 }
 
 // versionedRow is the last known content of a claim row and its version.
@@ -164,30 +163,48 @@
 }
 
 // List returns the machines by name and when the list was read, at most maxListAge ago. It returns false if the list
-// could not be read.
+// could not be read. Concurrent calls share one reading. The map must not be changed.
 func (r *Registry) List(ctx context.Context) (map[string]platform.Machine, time.Time, bool) {
-	r.listMu.Lock()
-	defer r.listMu.Unlock()
-	r.mu.Lock()
-	list, listedAt := r.machineList, r.listedAt
-	r.mu.Unlock()
-	now := r.Deps.Now()
-	if now.Sub(listedAt) < maxListAge {
-		return list, listedAt, true
+	for {
+		r.mu.Lock()
+		list, listedAt, reading := r.machineList, r.listedAt, r.reading
+		now := r.Deps.Now()
+		if now.Sub(listedAt) < maxListAge {
+			r.mu.Unlock()
+			return list, listedAt, true
+		}
+		if reading == nil {
+			reading = make(chan struct{})
+			r.reading = reading
+			r.mu.Unlock()
+			return r.readList(ctx, now)
+		}
+		r.mu.Unlock()
+		select {
+		case <-reading:
+		case <-ctx.Done():
+			return nil, listedAt, false
+		}
 	}
+}
+
+// readList reads the list of machines for all callers that wait for it.
+func (r *Registry) readList(ctx context.Context, now time.Time) (map[string]platform.Machine, time.Time, bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	all, err := r.Machines.List(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.reading)
+	r.reading = nil
 	if err != nil {
 		r.Log.Warn("cannot list machines", zap.Error(err))
-		return nil, listedAt, false
+		return nil, r.listedAt, false
 	}
 	byName := make(map[string]platform.Machine, len(all))
 	for _, machine := range all {
 		byName[machine.Name] = machine
 	}
-	r.mu.Lock()
 	r.machineList, r.listedAt = byName, now
-	r.mu.Unlock()
-	return maps.Clone(byName), now, true
+	return byName, now, true
 }
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -133,6 +133,7 @@
 		Store:            d.store,
 		Runners:          d.runnerClient,
 		Approvals:        d.approvalClient,
+		Machines:         d.machineLister(),
 		Log:              d.log,
 		Heartbeat:        d.members.OwnHeartbeat,
 		HeartbeatTimeout: member.HeartbeatTimeout,
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"gypsumlead/claims"
+	"gypsumlead/leader"
 	"gypsumlead/machines"
 	"gypsumlead/peer/wire"
+	"gypsumlead/platform"
 )
 
 // reportTimeout limits the delivery of a report to the coordinator; an older report is outdated.
@@ -54,6 +56,17 @@
 	})
 }
 
+// machineLister returns how leaders read the list of machines, or nil if the platform has no machine service.
+func (d *Daemon) machineLister() leader.MachineLister {
+	if d.claims == nil {
+		return nil
+	}
+	return func(ctx context.Context) (map[string]platform.Machine, bool) {
+		list, _, ok := d.claims.List(ctx)
+		return list, ok
+	}
+}
+
 // machineLeaders returns the local leaders for the PoolManager.
 func (d *Daemon) machineLeaders() []machines.Leader {
 	var list []machines.Leader
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -23,6 +23,7 @@
 	Store            *platform.Store
 	Runners          *platform.RunnerClient
 	Approvals        *platform.ApprovalClient // nil if the platform has no policy service
+	Machines         MachineLister            // nil if the platform has no machine service
 	Log              *zap.Logger
 	Heartbeat        func() member.HeartbeatState // state of this daemon's own heartbeat
 	HeartbeatTimeout time.Duration                // how long an acknowledged heartbeat keeps the daemon alive
@@ -30,6 +31,9 @@
 	Now              clock.Clock
 }
 
+// MachineLister returns the platform's machines by name, and false if they could not be read.
+type MachineLister func(ctx context.Context) (map[string]platform.Machine, bool)
+
 // Leader schedules one service while this daemon holds its lease of leadership.
 type Leader struct {
 	Deps
@@ -119,6 +123,7 @@
 	l.group.Go(func() error { return l.planLoop(l.ctx) })
 	l.group.Go(func() error { return l.commitLoop(l.ctx) })
 	l.group.Go(func() error { return l.inboxLoop(l.ctx) })
+	l.group.Go(func() error { return l.resolveLoop(l.ctx) })
 	err := l.group.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -157,7 +162,6 @@
 // planLoop plans after each event, and every idleInterval without one.
 func (l *Leader) planLoop(ctx context.Context) error {
 	lastForget := l.Now()
-	takeover := takeoverLog{startedAt: lastForget}
 	for ctx.Err() == nil {
 		sleep.ForOrWake(ctx, idleInterval, l.wakePlan)
 		now := l.Now()
@@ -168,7 +172,6 @@
 			return nil
 		}
 		l.plan(now)
-		l.logUnresolved(now, &takeover)
 		if now.Sub(lastForget) > forgetInterval {
 			lastForget = now
 			l.forgetFinished(now)
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if all || j.commitAt().Compare(now) <= 0 {
-			p.forgetPlacements(j)
+			p.dropPlacements(j)
 			list = append(list, JobProgress{j.id, j.progress(), j.changeSeq})
 		}
 	}
@@ -51,6 +51,9 @@
 		j.committedSeq = b.seq
 		j.placements.markStored(b.Progress.Runners)
 		j.dirtySince = now
+		if p.idlePlacements(j) {
+			p.markChanged(j, now)
+		}
 		if b.Progress.State.Final() && !j.committedState.Final() {
 			j.committedState = b.Progress.State
 			p.onJobEnd(p.jobEnd(j))
--- a/sched/job.go
+++ b/sched/job.go
@@ -106,7 +106,7 @@
 }
 
 func newJob(id work.ID, q work.Queue, spec work.Job, now time.Time) *job {
-	j := &job{id: id, queue: q, spec: spec, accepted: now, state: work.Queued, committedState: work.Queued}
+	j := &job{id: id, queue: q, spec: spec, accepted: now, state: work.Queued, committedState: work.Queued, placements: placements{}}
 	for occIndex := range spec.Occurrences() {
 		occ := &occurrence{index: occIndex, due: spec.EarliestStart(occIndex)}
 		for stepIndex := range spec.Steps {
@@ -195,6 +195,8 @@
 	}
 	t.runs = slices.Delete(t.runs, i, i+1)
 	run.runner.removeRun(run)
+	j := t.step.job
+	j.placements.removeRun(run.runner.ID, j.changeSeq+1)
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting++
 		t.waitingSince = now
@@ -209,6 +211,7 @@
 	t.runs = append(t.runs, run)
 	t.lastRun = max(t.lastRun, run.number)
 	run.runner.addRun(run)
+	t.step.job.placements.addRun(run.runner.ID)
 }
 
 // markDone marks the task as done. Its runs are not removed.
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -11,69 +11,89 @@
 // maxPlannedAge is how long a planned run keeps its room while the store takes no commits.
 const maxPlannedAge = 600 * time.Millisecond
 
-// placements holds the runners that may have runs of a job. A start is ordered only on a runner that the store has among
-// them, so that a later leader knows which jobs a silent runner may be running, and delays only those.
-type placements struct {
-	byRunner map[string]bool // by runner: whether the store has it
-	unstored int             // runners that the store doesn't have yet
+// placements holds the runners that may have runs of a job, by ID. A start is ordered only on a runner that the store has
+// among them, so that a later leader knows which jobs a silent runner may be running, and delays only those.
+type placements map[string]*placement
+
+// placement is one runner that may have runs of a job.
+type placement struct {
+	runs   int   // runs on it
+	stored bool  // the store has it, whichever of the commits in flight takes effect
+	endSeq int64 // sequence number of the job's change from which on the end of its last run is stored
 }
 
-// add adds a runner and reports whether it is new.
-func (l *placements) add(id string) bool {
-	if _, ok := l.byRunner[id]; ok {
-		return false
+// addRun counts a run of the job on a runner.
+func (l placements) addRun(id string) {
+	if l[id] == nil {
+		l[id] = &placement{}
 	}
-	if l.byRunner == nil {
-		l.byRunner = map[string]bool{}
+	l[id].runs++
+}
+
+// removeRun counts the end of a run of the job on a runner; endSeq is the sequence number of the job's next change.
+func (l placements) removeRun(id string, endSeq int64) {
+	if pl := l[id]; pl != nil {
+		pl.runs--
+		pl.endSeq = endSeq
 	}
-	l.byRunner[id] = false
-	l.unstored++
-	return true
 }
 
+// stored reports whether the store has a runner.
+func (l placements) stored(id string) bool { return l[id] != nil && l[id].stored }
+
+// pending reports whether runs wait until the store has their runners.
+func (l placements) pending() bool {
+	for _, pl := range l {
+		if pl.runs > 0 && !pl.stored {
+			return true
+		}
+	}
+	return false
+}
+
+// list returns the runners, sorted.
+func (l placements) list() []string { return slices.Sorted(maps.Keys(l)) }
+
 // markStored records that the store has the runners.
-func (l *placements) markStored(ids []string) {
+func (l placements) markStored(ids []string) {
 	for _, id := range ids {
-		l.add(id)
-		if !l.byRunner[id] {
-			l.byRunner[id] = true
-			l.unstored--
+		if l[id] != nil {
+			l[id].stored = true
 		}
 	}
 }
 
-// remove removes a runner that certainly has no runs of the job.
-func (l *placements) remove(id string) {
-	if stored, ok := l.byRunner[id]; ok && !stored {
-		l.unstored--
+// restorePlacements sets the runners that an earlier leader stored for a job.
+func (j *job) restorePlacements(ids []string) {
+	for _, id := range ids {
+		j.placements[id] = &placement{stored: true}
 	}
-	delete(l.byRunner, id)
 }
 
-// stored reports whether the store has the runner.
-func (l *placements) stored(id string) bool { return l.byRunner[id] }
-
-// pending reports whether there are runners that the store doesn't have yet.
-func (l *placements) pending() bool { return l.unstored > 0 }
-
-// list returns the runners, sorted.
-func (l *placements) list() []string { return slices.Sorted(maps.Keys(l.byRunner)) }
-
-// place adds a runner to a job's placements.
-func (p *Pool) place(now time.Time, j *job, id string) {
-	if j.placements.add(id) {
-		p.markChanged(j, now)
+// dropPlacements drops the runners on which the job certainly has no runs, if the store has their ends: a commit
+// without them is about to be sent. A runner whose runs have ended since the last commit stays, so that the job can go on
+// there while the store takes no commits.
+func (p *Pool) dropPlacements(j *job) {
+	for id, pl := range j.placements {
+		r, known := p.runners[id]
+		if pl.runs == 0 && pl.endSeq <= j.committedSeq && (!known || r.resolved()) {
+			delete(j.placements, id)
+		}
 	}
 }
 
-// forgetPlacements removes the runners that the pool no longer has: nothing can run there. The others stay, as a start
-// may arrive late.
-func (p *Pool) forgetPlacements(j *job) {
-	for id := range j.placements.byRunner {
-		if _, ok := p.runners[id]; !ok {
-			j.placements.remove(id)
+// idlePlacements reports whether a job without runs has runners that a commit would drop. They would delay the job after a
+// change of leader.
+func (p *Pool) idlePlacements(j *job) bool {
+	if len(j.placements) == 0 || j.state.Final() {
+		return false
+	}
+	for id, pl := range j.placements {
+		if r, known := p.runners[id]; pl.runs > 0 || pl.endSeq > j.committedSeq || (known && !r.resolved()) {
+			return false
 		}
 	}
+	return true
 }
 
 // mayRunUnseen reports whether an earlier leader's runs of a job may be in progress on a runner that hasn't listed its
@@ -82,7 +102,7 @@
 	if !p.leases.InheritedPlacements {
 		return true
 	}
-	for id := range j.placements.byRunner {
+	for id := range j.placements {
 		if r, ok := p.runners[id]; ok && !r.resolved() {
 			return true
 		}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -174,8 +174,10 @@
 func (p *Pool) planRun(now time.Time, t *task, r *runner, number int) {
 	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100}
 	t.addRun(run)
-	p.place(now, t.step.job, r.ID)
 	p.planned = append(p.planned, run)
+	if !t.step.job.placements.stored(r.ID) {
+		p.markChanged(t.step.job, now)
+	}
 }
 
 // orderStart orders the start of a planned run.
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -127,7 +127,7 @@
 		// Polls find the job's remaining runs, which are then stopped.
 		return
 	}
-	j.placements.markStored(pr.Runners)
+	j.restorePlacements(pr.Runners)
 	for _, op := range pr.Occurrences {
 		if op.Occurrence >= len(j.occurrences) {
 			continue
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -163,7 +163,9 @@
 	p.completePredecessors(now, t)
 	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100}
 	t.addRun(run)
-	p.place(now, j, r.ID)
+	if !j.placements.stored(r.ID) {
+		p.markChanged(j, now)
+	}
 	p.markStarted(now, j)
 	return run
 }
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -72,6 +72,13 @@
 	p.removeIfUnused(now, r)
 }
 
+// RunnerGone handles the proof that a runner no longer exists, for example because its machine is in another pool.
+func (p *Pool) RunnerGone(now time.Time, id string) {
+	if r, ok := p.runners[id]; ok {
+		p.runnerGone(now, r)
+	}
+}
+
 // MarkUnlisted records that a runner is no longer in the platform's list. Its runs may continue.
 func (p *Pool) MarkUnlisted(now time.Time, id string) {
 	r, ok := p.runners[id]
