A try that was not stored is repeated by the daemon for up to 0.6 s before its caller hears of it

Cause: callers repeat a 504 within 0.1 s (trial, from the daemons' lines), five tries in 0.8 s, while a daemon that is cut off stays in rotation for two to three seconds. After a 503 they had waited for Retry-After. Ruled out: asking the peers of the data centre whether they know the ID (knows nothing of daemons that were killed or of other data centres).

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -13,6 +13,7 @@
 	"gypsumlead/member"
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
+	"gypsumlead/sleep"
 	"gypsumlead/work"
 )
 
@@ -20,12 +21,32 @@
 // store, without the leader.
 const relayTimeout = 1500 * time.Millisecond
 
+// Repetition of tries to have a job stored. A caller whose daemon is cut off, or whose service is between two leaders,
+// gains more by a short wait here than by a repeat at another daemon that is in the same state.
+const (
+	submitPatience   = 600 * time.Millisecond // a fifth of a caller's usual timeout
+	resubmitInterval = 100 * time.Millisecond
+)
+
 // retryDelay is the delay after which a caller should retry if neither the leader nor the store has answered.
 const retryDelay = time.Second
 
 // Submit submits a job to the leader of its service, here or on another daemon. If the leader can't be reached, the
-// job is handed off through the store.
+// job is handed off through the store. A try that was certainly not stored is repeated for up to submitPatience.
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
+	giveUpAt := d.now().Add(submitPatience)
+	for {
+		result := d.submitOnce(ctx, id, q, job)
+		notStored := result.Verdict == leader.Unknown && result.Retry > 0
+		if !notStored || ctx.Err() != nil || !d.now().Add(resubmitInterval).Before(giveUpAt) {
+			return result
+		}
+		sleep.ForOrWake(ctx, resubmitInterval, nil)
+	}
+}
+
+// submitOnce tries once to have a job stored.
+func (d *Daemon) submitOnce(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
 	if d.isIsolated() {
 		return notStored(errIsolated)
 	}
