--- a/leader/commit.go
+++ b/leader/commit.go
@@ -83,7 +83,9 @@
 
 // prepareCommit collects pending changes into one transaction.
 func (l *Leader) prepareCommit(now time.Time) (commitBatch, platform.Tx, error) {
-	batch := commitBatch{intents: l.nextIntents()}
+	// New jobs leave room for the starts of accepted ones.
+	forStarts := min(l.pool.StartsWaiting(), maxStartEntries)
+	batch := commitBatch{intents: l.nextIntents((platform.MaxTxEntries - fixedEntries - forStarts) / entriesPerJob)}
 	n := len(batch.intents)
 	batch.progress = l.pool.UncommittedBatch(now, platform.MaxTxEntries-fixedEntries-entriesPerJob*n, n > 0)
 	l.addRunners(now, &batch)
@@ -100,8 +102,8 @@
 	return batch, tx, err
 }
 
-// nextIntents returns as many pending intents as fit into one transaction.
-func (l *Leader) nextIntents() []*intent {
+// nextIntents returns up to limit pending intents, as many as fit into one transaction.
+func (l *Leader) nextIntents(limit int) []*intent {
 	var next []*intent
 	size := 0
 	for _, in := range l.intents {
@@ -109,7 +111,7 @@
 			continue // the inbox row is the only record of the request that the next leader would find
 		}
 		size += len(in.value)
-		if len(next) == maxBatchJobs || (size > maxBatchBytes && len(next) > 0) {
+		if len(next) == min(limit, maxBatchJobs) || (size > maxBatchBytes && len(next) > 0) {
 			break
 		}
 		next = append(next, in)
@@ -196,7 +198,7 @@
 		l.epoch = batch.epoch
 		l.applyBatch(batch)
 		clear(l.unanswered)
-		return len(l.nextIntents()) > 0
+		return len(l.nextIntents(1)) > 0 || l.pool.StartsWaiting() > 0
 	case fault.Is(err, fault.Conflict):
 		return l.handleConflict(batch, err)
 	case fault.Is(err, fault.Overload):
--- a/leader/commit_test.go
+++ b/leader/commit_test.go
@@ -23,11 +23,11 @@
 		{kind: deleteInbox, id: id, key: string(id) + cancelSuffix},
 		{kind: deleteInbox, id: id, key: string(id)},
 	}
-	got := l.nextIntents()
+	got := l.nextIntents(maxBatchJobs)
 	require.Len(t, got, 1)
 	require.Equal(t, string(id), got[0].key)
 	l.pool.MarkCommitted(now, l.pool.UncommittedBatch(now, 10, true))
-	require.Len(t, l.nextIntents(), 2)
+	require.Len(t, l.nextIntents(maxBatchJobs), 2)
 }
 
 func TestBatchesWithinStoreLimits(t *testing.T) {
@@ -36,12 +36,12 @@
 	for range 100 {
 		l.intents = append(l.intents, &intent{kind: storeJob, value: make([]byte, 100)})
 	}
-	require.Len(t, l.nextIntents(), maxBatchJobs)
+	require.Len(t, l.nextIntents(maxBatchJobs), maxBatchJobs)
 	l.intents = nil
 	for range 10 {
 		l.intents = append(l.intents, &intent{kind: storeJob, value: make([]byte, maxRowBytes)})
 	}
-	n := len(l.nextIntents())
+	n := len(l.nextIntents(maxBatchJobs))
 	require.LessOrEqual(t, n*maxRowBytes, maxBatchBytes)
 	require.Positive(t, n)
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -176,7 +176,7 @@
 			lastForget = now
 			l.forgetFinished(now)
 		}
-		sleep.ForOrWake(ctx, minPlanInterval, nil)
+		sleep.ForOrWake(ctx, max(minPlanInterval, planShare*l.Now().Sub(now)), nil)
 	}
 	return nil
 }
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -18,9 +18,11 @@
 	orderTimeout        = 600 * time.Millisecond // for an order to a runner; allows for many round trips
 	idleInterval        = 200 * time.Millisecond // between plans, and between checks for changes to commit, without an event
 	minPlanInterval     = 5 * time.Millisecond   // between plans, so that events in this time are planned together
+	planShare           = 3                      // the pause between plans is at least this many times as long as the last plan took
 	finishedTTL         = 150 * time.Second      // callers may query a job's state for 120 s after its end
 	forgetInterval      = 5 * time.Second        // between removals of finished jobs
 	maxBatchJobs        = 40                     // jobs in one transaction
+	maxStartEntries     = 50                     // transaction entries that new jobs leave to the progress of jobs whose starts wait
 	maxBatchBytes       = 400 << 10              // of these jobs' rows; the store accepts 1 MB, and its encoding adds a third
 	entriesPerJob       = 2                      // transaction entries for each job: its condition and its row, or two rows to delete
 	fixedEntries        = 2 + shardCount         // transaction entries for the lease row's condition, the lease row and the rows of the runners
--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -74,17 +74,19 @@
 	return a.startBy.Compare(b.startBy)
 }
 
-// rank orders candidates of equal priority: long-running steps, steps that can end on time, late or shed steps, steps
-// so late that their results are of little use to the caller, best-effort steps.
+// rank orders candidates of equal priority: long-running steps, steps that can end on time, shed ones that still may,
+// late ones, those so late that their results are of little use to the caller, best-effort steps.
 func rank(c candidate) int {
 	switch {
 	case c.step.spec.BestEffort:
-		return 4
+		return 5
 	case c.step.spec.LongRunning:
 		return 0
 	case c.stale:
+		return 4
+	case c.late:
 		return 3
-	case c.late || c.shed:
+	case c.shed:
 		return 2
 	}
 	return 1
@@ -135,12 +137,7 @@
 		if !r.schedulable(now) {
 			continue
 		}
-		p.schedulableCPU += r.Room.CPU
-		for run := range r.runs {
-			if run.task.step.spec.LongRunning {
-				p.schedulableCPU -= run.task.step.spec.Resources.CPU
-			}
-		}
+		p.schedulableCPU += r.Room.CPU - r.longRunningCPU
 	}
 }
 
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/work"
@@ -14,17 +15,20 @@
 }
 
 // UncommittedBatch returns the progress of up to limit jobs with uncommitted changes. Unless all is set, these are only
-// the jobs whose changes are due.
+// the jobs whose changes are due. Jobs with starts that wait for the commit come first.
 func (p *Pool) UncommittedBatch(now time.Time, limit int, all bool) []JobProgress {
 	var list []JobProgress
-	for _, j := range p.live {
+	waiting := p.startsWaiting()
+	batched := make(map[*job]struct{}, len(waiting))
+	for _, j := range slices.Concat(waiting, p.live) {
 		if len(list) == limit {
 			break
 		}
-		if j.changeSeq == j.committedSeq {
+		if _, ok := batched[j]; ok || j.changeSeq == j.committedSeq {
 			continue
 		}
 		if all || j.commitAt().Compare(now) <= 0 {
+			batched[j] = struct{}{}
 			p.dropPlacements(j)
 			list = append(list, JobProgress{j.id, j.progress(), j.changeSeq})
 		}
@@ -32,6 +36,20 @@
 	return list
 }
 
+// startsWaiting returns the jobs with starts that wait for a commit, the most urgent first.
+func (p *Pool) startsWaiting() []*job {
+	var jobs []*job
+	for _, run := range p.planned {
+		if j := run.task.step.job; !j.placements.stored(run.runner.ID) && !slices.Contains(jobs[max(0, len(jobs)-1):], j) {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
+// StartsWaiting returns the number of jobs with starts that wait for a commit.
+func (p *Pool) StartsWaiting() int { return len(p.startsWaiting()) }
+
 // commitAt returns when a job's uncommitted changes are due for commit: immediately if the job has ended or a start
 // waits for them.
 func (j *job) commitAt() time.Time {
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -71,10 +71,7 @@
 // evacuate stops long-running and checkpointing runs on evacuating and draining runners, so that they restart
 // elsewhere, within MaxUnavailable of their steps.
 func (p *Pool) evacuate(now time.Time) {
-	for _, r := range p.sortedRunners() {
-		if !r.evacuating && !r.Draining {
-			continue
-		}
+	for _, r := range p.runnersWhere(func(r *runner) bool { return r.evacuating || r.Draining }) {
 		for _, run := range r.sortedRuns() {
 			if run.phase == running && (run.task.step.spec.LongRunning || run.task.step.spec.Checkpointing) && p.mayMove(now, r, run) {
 				run.stop("its runner is to be emptied")
@@ -109,9 +106,16 @@
 
 // sortedRunners returns the runners sorted by ID, so that equal inputs give equal orders.
 func (p *Pool) sortedRunners() []*runner {
-	list := make([]*runner, 0, len(p.runners))
+	return p.runnersWhere(func(*runner) bool { return true })
+}
+
+// runnersWhere returns the runners that meet a condition, sorted by ID.
+func (p *Pool) runnersWhere(condition func(*runner) bool) []*runner {
+	var list []*runner
 	for _, r := range p.runners {
-		list = append(list, r)
+		if condition(r) {
+			list = append(list, r)
+		}
 	}
 	slices.SortFunc(list, func(a, b *runner) int { return strings.Compare(a.ID, b.ID) })
 	return list
--- a/sched/job.go
+++ b/sched/job.go
@@ -18,6 +18,7 @@
 	inherited      bool       // accepted under an earlier leader, whose runs may not all be known yet
 	placements     placements // runners that may have runs of the job
 	occurrences    []*occurrence
+	shedFactor     float64   // see shedWeight
 	remaining      int       // tasks that aren't done
 	changeSeq      int64     // sequence number of the latest change
 	committedSeq   int64     // sequence number of the latest change that the store has
@@ -106,7 +107,7 @@
 }
 
 func newJob(id work.ID, q work.Queue, spec work.Job, now time.Time) *job {
-	j := &job{id: id, queue: q, spec: spec, accepted: now, state: work.Queued, committedState: work.Queued, placements: placements{}}
+	j := &job{id: id, queue: q, spec: spec, accepted: now, state: work.Queued, committedState: work.Queued, placements: placements{}, shedFactor: shedFactor(id)}
 	for occIndex := range spec.Occurrences() {
 		occ := &occurrence{index: occIndex, due: spec.EarliestStart(occIndex)}
 		for stepIndex := range spec.Steps {
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -30,11 +30,15 @@
 // and with a factor derived from the job's ID: if the largest job were always shed, no large job would be on time
 // while there are small ones. The factor of a job stays the same, so that a job that has started isn't shed in favour
 // of another.
-func shedWeight(duration time.Duration, id work.ID) float64 {
+func shedWeight(duration time.Duration, jobFactor float64) float64 {
+	return math.Sqrt(duration.Seconds()) * (minShedFactor + jobFactor)
+}
+
+// shedFactor derives a job's pseudo-random factor from its ID.
+func shedFactor(id work.ID) float64 {
 	f := fnv.New32a()
 	f.Write([]byte(id)) // a hash's Write returns no error
-	jobFactor := float64(f.Sum32()) / math.MaxUint32
-	return math.Sqrt(duration.Seconds()) * (minShedFactor + jobFactor)
+	return float64(f.Sum32()) / math.MaxUint32
 }
 
 // shedHeap is a heap.Interface with the first load to shed on top.
@@ -95,7 +99,7 @@
 	}
 	duration := p.durationOf(waiting, maxPacking*float64(p.schedulableCPU), j)
 	// The last tasks may start at the latest start; what follows them runs beside other work.
-	return occurrenceLoad{occ, deadline.Add(min(duration, p.estimateRatios[j.queue.Name].expected(occ.remainingCriticalPath()))), duration, shedWeight(duration, j.id)}, true
+	return occurrenceLoad{occ, deadline.Add(min(duration, p.estimateRatios[j.queue.Name].expected(occ.remainingCriticalPath()))), duration, shedWeight(duration, j.shedFactor)}, true
 }
 
 // shedExcess adds to shed the occurrences of one priority to shed. It returns how long the pool is busy with the
--- a/sched/overload_test.go
+++ b/sched/overload_test.go
@@ -72,3 +72,19 @@
 		}
 	}
 }
+
+// Best-effort runs use what others leave; they must not make the pool look smaller than it is.
+func TestBestEffortRunsTakeNoSchedulableCPU(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	filler := stepOf(2, 3000)
+	filler.BestEffort, filler.LongRunning = true, true
+	f.accept("a", testQueue, filler)
+	f.advance(tickInterval)
+	lasting := stepOf(1, 2000)
+	lasting.LongRunning = true
+	f.accept("b", testQueue, lasting)
+	f.advance(tickInterval)
+	f.advance(tickInterval)
+	require.Len(t, f.runners["r0"].runs, 3)
+	require.Equal(t, int64(6000), f.pool.schedulableCPU)
+}
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -13,7 +13,7 @@
 // paceAll slows best-effort runs on runners with serving tasks above their latency target, and restores their pace in
 // steps.
 func (p *Pool) paceAll(now time.Time) {
-	for _, r := range p.sortedRunners() {
+	for _, r := range p.runnersWhere(func(r *runner) bool { return r.bestEffortRuns > 0 }) {
 		worst, sustained := r.worstTail(now)
 		if worst == 0 {
 			continue
--- a/sched/placements_test.go
+++ b/sched/placements_test.go
@@ -175,3 +175,23 @@
 	batch := f.pool.UncommittedBatch(f.now, 10, true)
 	require.Equal(t, []string{f.runnerOf(taskOf(id, 0, 0))}, batch[0].Progress.Runners)
 }
+
+// Under load there is more progress than a transaction takes. Starts must not wait until that of all other jobs is stored.
+func TestStartsAreCommittedBeforeOtherProgress(t *testing.T) {
+	f := newFakePool(t, 2, 8)
+	for i := range 10 {
+		id := f.accept(string(rune('a'+i)), testQueue, stepOf(1, 1000))
+		f.advance(tickInterval)
+		f.pool.markChanged(f.pool.jobs[id], f.now)
+	}
+	f.poll()
+	last := f.accept("z", testQueue, stepOf(1, 1000))
+	f.pool.Plan(f.now, f.now, true)
+	waiting := f.pool.StartsWaiting()
+	require.Less(t, waiting, 10)
+	var batched []work.ID
+	for _, b := range f.pool.UncommittedBatch(f.now, waiting, true) {
+		batched = append(batched, b.ID)
+	}
+	require.Contains(t, batched, last)
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -56,11 +56,12 @@
 			}
 		})
 	}
-	for _, r := range p.runners {
-		for run := range r.runs {
-			if run.task.done {
-				run.stop("the task is done")
-			}
+	for t := range p.doneWithRuns {
+		for _, run := range t.runs {
+			run.stop("the task is done")
+		}
+		if len(t.runs) == 0 {
+			delete(p.doneWithRuns, t)
 		}
 	}
 	p.prune()
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -36,8 +36,9 @@
 	arrivals            arrivals
 	retaining           bool // some runners are marked as retained
 	orders              []Order
-	planned             []*taskRun // runs whose starts wait for the store to have their placements
-	storeAvailable      bool       // the store takes commits
+	doneWithRuns        map[*task]struct{} // done tasks that had runs left, which are stopped
+	planned             []*taskRun         // runs whose starts wait for the store to have their placements
+	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
 	leastUrgentPriority int              // largest priority number among preemptible runs in this plan
@@ -111,6 +112,7 @@
 		heldTasks:           map[*task]struct{}{},
 		estimateRatios:      map[string]*estimateRatio{},
 		reserved:            map[*runner]struct{}{},
+		doneWithRuns:        map[*task]struct{}{},
 	}
 	for _, o := range opts {
 		o(p)
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -39,9 +39,13 @@
 	p.reserved[best] = struct{}{}
 }
 
-// leastUrgent returns the largest priority number among the preemptible runs, or math.MinInt if there are none.
+// leastUrgent returns the largest priority number among the preemptible runs, or math.MinInt if there are none or all
+// jobs are equally urgent.
 func (p *Pool) leastUrgent() int {
 	largest := math.MinInt
+	if !p.hasPriorities() {
+		return largest
+	}
 	for _, r := range p.runners {
 		for run := range r.runs {
 			if run.preemptible() {
@@ -52,6 +56,16 @@
 	return largest
 }
 
+// hasPriorities reports whether the live jobs differ in priority.
+func (p *Pool) hasPriorities() bool {
+	for _, j := range p.live {
+		if j.queue.Priority != p.live[0].queue.Priority {
+			return true
+		}
+	}
+	return false
+}
+
 // preemptible reports whether a run may be stopped to make room.
 func (r *taskRun) preemptible() bool {
 	s := r.task.step.spec
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		for _, before := range predecessor.tasks {
-			before.markDone()
+			p.markDone(before)
 		}
 		p.markChanged(t.step.job, now)
 		p.completePredecessors(now, predecessor.tasks[0])
@@ -66,6 +66,14 @@
 	}
 }
 
+// markDone marks a task as done; the next plan stops its remaining runs.
+func (p *Pool) markDone(t *task) {
+	t.markDone()
+	if len(t.runs) > 0 {
+		p.doneWithRuns[t] = struct{}{}
+	}
+}
+
 // handleTaskDone marks a task as done, and with it all tasks of its gang.
 func (p *Pool) handleTaskDone(now time.Time, t *task) {
 	if t.step.spec.LongRunning {
@@ -73,10 +81,10 @@
 	}
 	if t.step.spec.Gang {
 		for _, m := range t.step.tasks {
-			m.markDone()
+			p.markDone(m)
 		}
 	} else {
-		t.markDone()
+		p.markDone(t)
 	}
 	j := t.step.job
 	if j.state.Final() {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -25,6 +25,8 @@
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
 	used            work.Resources
+	longRunningCPU  int64 // part of used: by long-running tasks
+	bestEffortRuns  int
 	evacuating      bool
 	retained        bool // it stays when the pool releases machines
 	maintenanceDue  bool // it has to be evacuated for maintenance soon
@@ -48,8 +50,23 @@
 // addRun adds a run and takes up its resources.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
-	if !run.task.step.spec.BestEffort {
-		r.used = r.used.Add(run.task.step.spec.Resources)
+	r.account(run, 1)
+}
+
+// account adds a run to what the runner has in use, or with a sign of -1 takes it off.
+func (r *runner) account(run *taskRun, sign int64) {
+	s := run.task.step.spec
+	if s.BestEffort {
+		r.bestEffortRuns += int(sign)
+		return
+	}
+	if sign > 0 {
+		r.used = r.used.Add(s.Resources)
+	} else {
+		r.used = r.used.Sub(s.Resources)
+	}
+	if s.LongRunning {
+		r.longRunningCPU += sign * s.Resources.CPU
 	}
 }
 
@@ -59,9 +76,7 @@
 		return
 	}
 	delete(r.runs, run)
-	if !run.task.step.spec.BestEffort {
-		r.used = r.used.Sub(run.task.step.spec.Resources)
-	}
+	r.account(run, -1)
 }
 
 // free returns the room that isn't in use. Best-effort tasks use none.
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -37,6 +37,7 @@
 	Late             int     `json:"late"` // completed after the objective, but within three times the objective
 	OnTimeShare      float64 `json:"share"`
 	LargeOnTimeShare float64 `json:"large"` // OnTimeShare of the largest tenth of the jobs
+	Worth            float64 `json:"worth"` // share earned of what the jobs are worth; see worth
 	MedianLatency    string  `json:"median"`
 	MaxLatency       string  `json:"worst"`
 	WastedShare      float64 `json:"wasted"` // share of the core time spent on runs that did not complete
@@ -50,6 +51,8 @@
 	ends    []work.RunEnd
 	lastEnd int64
 	dead    bool
+	joinsAt time.Duration
+	joined  bool
 }
 
 // execution is a run on a simRunner.
@@ -74,7 +77,9 @@
 	latencies      []time.Duration
 	largeCount     int     // jobs in the largest tenth
 	largeOnTime    int     // of these, completed on time
-	largeThreshold float64 // minimum estimated core-seconds of a job in the largest tenth
+	largeThreshold float64 // minimum core-seconds of a job in the largest tenth
+	meanSize       float64 // core-seconds of a job
+	earned         float64 // worth of the jobs that ended on time or late
 	usedCoreTime   float64 // core-seconds of all runs
 	wastedCoreTime float64 // core-seconds of runs that did not complete
 }
@@ -105,25 +110,43 @@
 	for i := range workload.Machines {
 		r := &simRunner{runs: map[work.Task]*execution{}, info: work.Runner{
 			ID: fmt.Sprintf("r%03d", i), Machine: fmt.Sprintf("m%03d", i), Service: "s", Leaves: -1, Born: 1,
-			Room: work.Resources{CPU: workload.CoresPerMachine * 1000, Mem: 1 << 16}, Labels: []string{"plain", fmt.Sprintf("rack%d", i/rackSize)},
+			Room: work.Resources{CPU: workload.CoresPerMachine * 1000, Mem: workload.CoresPerMachine << 12}, Labels: []string{"plain", fmt.Sprintf("rack%d", i/rackSize)},
 		}}
 		s.runners = append(s.runners, r)
-		s.pool.UpdateRunner(s.now, r.info)
+		r.joinsAt = joinsAt(workload, i)
 	}
 	var sizes []float64
 	for _, a := range workload.arrivals {
-		sizes = append(sizes, a.spec.CPUSeconds())
+		sizes = append(sizes, a.coreSeconds())
+		s.meanSize += a.coreSeconds() / float64(len(workload.arrivals))
 	}
 	slices.Sort(sizes)
 	s.largeThreshold = sizes[len(sizes)*9/10]
 	return s
 }
 
+// joinsAt returns when the machine with an index joins the pool.
+func joinsAt(workload Workload, i int) time.Duration {
+	if i < workload.firstMachines {
+		return 0
+	}
+	position := float64(i-workload.firstMachines) / float64(workload.Machines-workload.firstMachines)
+	return machinesFrom + time.Duration(position*float64(machinesUntil-machinesFrom))
+}
+
+// worth returns what a job is worth that ends on time: part of it is the same for every job, the rest grows with its size.
+func (s *simulation) worth(a arrival) float64 {
+	return min(4, 0.3+0.7*a.coreSeconds()/s.meanSize)
+}
+
+// lateWorth is what a job earns that ends late, relative to one on time.
+const lateWorth = 0.07
+
 // run simulates until cooldownTime after the last arrivals.
 func (s *simulation) run() {
 	queue := work.Queue{Name: "q", Service: "s", Attempts: 3, Slack: slackFactor, Aim: baseObjective}
 	next := 0
-	for s.clock < workloadSpan+cooldownTime {
+	for s.clock < s.workload.span+cooldownTime {
 		for next < len(s.workload.arrivals) && s.workload.arrivals[next].at <= s.clock {
 			id := work.ID(fmt.Sprintf("%016x", next+1))
 			s.jobs[id], s.submittedAt[id] = s.workload.arrivals[next], s.now
@@ -138,7 +161,17 @@
 // step advances the simulation by one tick: runs end, polls are answered, ends are committed and orders are executed.
 func (s *simulation) step() {
 	s.now, s.clock = s.now.Add(tick), s.clock+tick
+	if at := s.workload.leaderLostAt; at > 0 && s.clock >= at && s.clock < at+leaderGap {
+		return
+	}
 	for i, r := range s.runners {
+		if s.clock < r.joinsAt {
+			continue
+		}
+		if !r.joined {
+			r.joined = true
+			s.pool.UpdateRunner(s.now, r.info)
+		}
 		if s.workload.rackLostAt > 0 && s.clock >= s.workload.rackLostAt && i < rackSize && !r.dead {
 			r.dead = true
 			for _, e := range r.runs {
@@ -167,7 +200,8 @@
 	for _, task := range r.tasks() {
 		current := r.runs[task]
 		if s.now.Before(current.endsAt) {
-			result.Runs = append(result.Runs, work.Run{Task: task, Run: current.run})
+			percent := int(100 * s.now.Sub(current.startedAt) / current.endsAt.Sub(current.startedAt))
+			result.Runs = append(result.Runs, work.Run{Task: task, Run: current.run, Percent: percent})
 			continue
 		}
 		s.end(r, task, work.EndDone)
@@ -213,6 +247,9 @@
 			return
 		}
 		duration := time.Duration(float64(step.Estimate) * (0.8 + 0.4*s.rand.Float64()))
+		if took := s.jobs[o.Task.Job].took; took != nil {
+			duration = took[o.Task.Step][o.Task.Index]
+		}
 		r.runs[o.Task] = &execution{o.Run, s.now, s.now.Add(duration), step.Resources.CPU}
 		s.pool.HandleStartResult(s.now, o, sched.OutcomeDone, "", s.clock)
 	case sched.Stop:
@@ -237,26 +274,35 @@
 		return
 	}
 	s.latencies = append(s.latencies, o.Elapsed)
-	large := s.jobs[o.Job].spec.CPUSeconds() >= s.largeThreshold
+	a := s.jobs[o.Job]
+	objective := a.objective()
+	if objective == 0 {
+		objective = o.Objective
+	}
 	switch {
-	case o.Elapsed <= o.Objective+tick:
+	case o.Elapsed <= objective+tick:
 		s.result.OnTime++
-		if large {
+		s.earned += s.worth(a)
+		if a.coreSeconds() >= s.largeThreshold {
 			s.largeOnTime++
 		}
-	case o.Elapsed <= 3*o.Objective:
+	case o.Elapsed <= 3*objective:
 		s.result.Late++
+		s.earned += lateWorth * s.worth(a)
 	}
 }
 
 // summarize computes the result.
 func (s *simulation) summarize() Result {
 	result := s.result
+	owed := 0.0
 	for _, a := range s.workload.arrivals {
-		if a.spec.CPUSeconds() >= s.largeThreshold {
+		owed += s.worth(a)
+		if a.coreSeconds() >= s.largeThreshold {
 			s.largeCount++
 		}
 	}
+	result.Worth = round(s.earned / owed)
 	result.OnTimeShare = share(result.OnTime, result.Submitted)
 	result.LargeOnTimeShare = share(s.largeOnTime, s.largeCount)
 	if s.usedCoreTime > 0 {
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -11,6 +11,7 @@
 type arrival struct {
 	at   time.Duration
 	spec work.Job
+	took [][]time.Duration // real run times by step and task; nil if they are about as long as estimated
 }
 
 // Workload is a pool of machines and the jobs submitted to it.
@@ -20,10 +21,13 @@
 	CoresPerMachine int64
 	arrivals        []arrival
 	rackLostAt      time.Duration // when the first rack is lost; 0 means never
+	leaderLostAt    time.Duration // when nobody schedules for leaderGap, while jobs go on being accepted; 0 means never
+	firstMachines   int           // machines that are there from the start; the others follow from machinesFrom to machinesUntil
+	span            time.Duration // of the arrivals
 }
 
 // Workloads are the names of the workloads that Run accepts.
-var Workloads = []string{"steady", "turns", "bursts", "rack"}
+var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover"}
 
 // Times and sizes of the workloads.
 const (
@@ -45,7 +49,10 @@
 // newWorkload draws the named workload; the same seed gives the same workload.
 func newWorkload(name string, seed uint64) Workload {
 	rng := rand.New(rand.NewPCG(seed, 1))
-	workload := Workload{Name: name, Machines: machineCount, CoresPerMachine: coresPerMachine}
+	if name == "surge" || name == "takeover" {
+		return newNoticeWorkload(name, rng)
+	}
+	workload := Workload{Name: name, Machines: machineCount, CoresPerMachine: coresPerMachine, firstMachines: machineCount, span: workloadSpan}
 	if name == "rack" {
 		workload.rackLostAt = rackLossTime
 	}
@@ -56,7 +63,7 @@
 		for outstanding > 0 {
 			job := newJob(rng, name)
 			outstanding -= job.CPUSeconds()
-			workload.arrivals = append(workload.arrivals, arrival{at, job})
+			workload.arrivals = append(workload.arrivals, arrival{at: at, spec: job})
 		}
 	}
 	return workload
