A leader starts no task before it knows the cancellations that were stored up to 2.5 s ago

A page of the inbox also stood still behind a row whose job couldn't be loaded. Mend: starts need an inbox that was read within 2.5 s; other rows of a page are applied; a page that is delivered twice adds no second deletion. Test: TestCancelledJobsNeverStart, leaders replaced and cut off, store silent, late, losing answers, jobs submitted again. The checker now allows a start 3 s after the cancellation, and 12 s more only for orders that the runner itself delayed (it was 15 s for all).

--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -34,24 +36,38 @@
 	return watcher.Run(ctx)
 }
 
-// applyInbox applies a page of inbox rows, except those of other services.
+// applyInbox applies a page of inbox rows, except those of other services. A row whose job can't be loaded now doesn't
+// hold up the others: the watcher delivers the page again.
 func (l *Leader) applyInbox(ctx context.Context, page platform.Page, _ bool) error {
+	answeredAt := l.Now()
+	var failure error
 	for _, row := range page.Rows {
 		if row.Partition != l.lease.Service || row.Deleted {
 			continue
 		}
 		if err := l.loadJob(ctx, inboxJobID(row)); err != nil {
-			return err // the watcher delivers the page again
+			failure = err
+			continue
 		}
 		l.mu.Lock()
 		l.applyInboxRow(row)
 		l.mu.Unlock()
-		sleep.Wake(l.wakePlan)
 		sleep.Wake(l.wakeCommit)
 	}
+	if failure != nil {
+		return failure
+	}
+	l.mu.Lock()
+	l.inboxReadAt = answeredAt
+	l.mu.Unlock()
+	sleep.Wake(l.wakePlan)
 	return nil
 }
 
+// mayStart reports whether tasks may be started: a cancellation that was stored longer than inboxFreshness ago is known.
+// While the store is silent, or until the inbox has been read after a gap, others may have stored and acknowledged some.
+func (l *Leader) mayStart(now time.Time) bool { return now.Sub(l.inboxReadAt) <= inboxFreshness }
+
 // inboxJobID returns the ID of the job that an inbox row refers to.
 func inboxJobID(row platform.Row) work.ID {
 	return work.ID(strings.TrimSuffix(row.Key, cancelSuffix))
@@ -91,6 +107,9 @@
 	if strings.HasSuffix(row.Key, cancelSuffix) {
 		l.pool.Cancel(l.Now(), inboxJobID(row))
 	}
+	if slices.ContainsFunc(l.intents, func(in *intent) bool { return in.kind == deleteInbox && in.key == row.Key }) {
+		return // the page was delivered before
+	}
 	l.intents = append(l.intents, &intent{kind: deleteInbox, id: inboxJobID(row), key: row.Key})
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -58,6 +58,7 @@
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
 	epoch           int64     // heartbeat epoch in which the store last confirmed the lease
+	inboxReadAt     time.Time // when the store last answered a reading of the inbox, all of which was applied
 	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
 	commitFailed    bool      // the last commit was refused or not answered
 
@@ -186,6 +187,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pool.SetStoreAvailable(l.storeTakesCommits(now))
+	l.pool.AllowStarts(l.mayStart(now))
 	if l.pool.Fenced() {
 		l.loseLease(fault.New(fault.Fenced, "a runner has seen a later leader"))
 		return
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -4,28 +4,29 @@
 
 // Timeouts, intervals and limits of a leader.
 const (
-	LeaseGrace          = 8 * time.Second        // a leader that the store doesn't answer continues for this long after its last heartbeat has timed out
-	clockSlack          = 500 * time.Millisecond // added to computed end times, for a runner's clock and orders in transit
-	callTimeout         = 2 * time.Second        // for a call to the store or the policy service; a slow store takes several hundred milliseconds
-	restoreTimeout      = 4 * time.Second        // for loading the state of earlier leaders, which takes several calls one after the other
-	slowCommit          = 700 * time.Millisecond // a commit that takes longer may never be answered; a slow store takes some 400 ms
-	storeRetryInterval  = 100 * time.Millisecond // between attempts of a call to the store
-	pollWait            = time.Second            // how long a runner holds a poll open until a run ends
-	pollSlack           = 700 * time.Millisecond // added to the wait for the timeout of a poll
-	pollInterval        = 15 * time.Millisecond  // between polls of a runner, so that runs that end together are in one answer
-	pollRetryInterval   = 250 * time.Millisecond // after an unanswered poll
-	maxCommitWait       = 300 * time.Millisecond // longest delay of a poll until the ends of the last one are stored
-	orderTimeout        = 600 * time.Millisecond // for an order to a runner; allows for many round trips
-	idleInterval        = 200 * time.Millisecond // between plans, and between checks for changes to commit, without an event
-	minPlanInterval     = 5 * time.Millisecond   // between plans, so that events in this time are planned together
-	planShare           = 3                      // the pause between plans is at least this many times as long as the last plan took
-	finishedTTL         = 150 * time.Second      // callers may query a job's state for 120 s after its end
-	forgetInterval      = 5 * time.Second        // between removals of finished jobs
-	maxBatchJobs        = 40                     // jobs in one transaction
-	maxStartEntries     = 50                     // transaction entries that new jobs leave to the progress of jobs whose starts wait
-	maxBatchBytes       = 400 << 10              // of these jobs' rows; the store accepts 1 MB, and its encoding adds a third
-	entriesPerJob       = 2                      // transaction entries for each job: its condition and its row, or two rows to delete
-	fixedEntries        = 2 + shardCount         // transaction entries for the lease row's condition, the lease row and the rows of the runners
-	maxRowBytes         = 48 << 10               // of a row's value; the store accepts 64 KB, and its encoding adds a third
-	maxConcurrentOrders = 2                      // orders sent to one runner at the same time
+	LeaseGrace          = 8 * time.Second         // a leader that the store doesn't answer continues for this long after its last heartbeat has timed out
+	clockSlack          = 500 * time.Millisecond  // added to computed end times, for a runner's clock and orders in transit
+	callTimeout         = 2 * time.Second         // for a call to the store or the policy service; a slow store takes several hundred milliseconds
+	restoreTimeout      = 4 * time.Second         // for loading the state of earlier leaders, which takes several calls one after the other
+	slowCommit          = 700 * time.Millisecond  // a commit that takes longer may never be answered; a slow store takes some 400 ms
+	storeRetryInterval  = 100 * time.Millisecond  // between attempts of a call to the store
+	pollWait            = time.Second             // how long a runner holds a poll open until a run ends
+	pollSlack           = 700 * time.Millisecond  // added to the wait for the timeout of a poll
+	pollInterval        = 15 * time.Millisecond   // between polls of a runner, so that runs that end together are in one answer
+	pollRetryInterval   = 250 * time.Millisecond  // after an unanswered poll
+	maxCommitWait       = 300 * time.Millisecond  // longest delay of a poll until the ends of the last one are stored
+	orderTimeout        = 600 * time.Millisecond  // for an order to a runner; allows for many round trips
+	inboxFreshness      = 2500 * time.Millisecond // of the last reading of the inbox, for starts: less than the 3 s within which a cancellation takes effect, more than a long poll on a slow store
+	idleInterval        = 200 * time.Millisecond  // between plans, and between checks for changes to commit, without an event
+	minPlanInterval     = 5 * time.Millisecond    // between plans, so that events in this time are planned together
+	planShare           = 3                       // the pause between plans is at least this many times as long as the last plan took
+	finishedTTL         = 150 * time.Second       // callers may query a job's state for 120 s after its end
+	forgetInterval      = 5 * time.Second         // between removals of finished jobs
+	maxBatchJobs        = 40                      // jobs in one transaction
+	maxStartEntries     = 50                      // transaction entries that new jobs leave to the progress of jobs whose starts wait
+	maxBatchBytes       = 400 << 10               // of these jobs' rows; the store accepts 1 MB, and its encoding adds a third
+	entriesPerJob       = 2                       // transaction entries for each job: its condition and its row, or two rows to delete
+	fixedEntries        = 2 + shardCount          // transaction entries for the lease row's condition, the lease row and the rows of the runners
+	maxRowBytes         = 48 << 10                // of a row's value; the store accepts 64 KB, and its encoding adds a third
+	maxConcurrentOrders = 2                       // orders sent to one runner at the same time
 )
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -22,6 +22,7 @@
 	var jobs platform.Page
 	var progress map[string]*sched.Progress
 	var inbox platform.Page
+	readAt := l.Now()
 	// The reads run in parallel: one after the other they would take seconds on a slow store.
 	ctx, cancel := context.WithTimeout(ctx, restoreTimeout)
 	defer cancel()
@@ -48,6 +49,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
+	l.inboxReadAt = readAt
 	l.storedSilent = map[string]time.Time{}
 	for _, runner := range runners.Runners {
 		endsAt := time.Time{}
--- a/leader/session.go
+++ b/leader/session.go
@@ -231,7 +231,7 @@
 	l := s.leader
 	now := l.Now()
 	l.mu.Lock()
-	shouldSend := l.mayOrder(now) && l.pool.ShouldSend(o)
+	shouldSend := l.mayOrder(now) && l.mayStart(now) && l.pool.ShouldSend(o)
 	leaseExpiry := l.pool.ExtendLease(now, s.target.ID)
 	if !shouldSend {
 		l.pool.WithdrawStart(now, o)
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -151,6 +151,9 @@
 // among their placements.
 func (p *Pool) SetStoreAvailable(available bool) { p.storeAvailable = available }
 
+// AllowStarts sets whether runs may be planned and started. Runs in progress go on in any case.
+func (p *Pool) AllowStarts(allowed bool) { p.startsAllowed = allowed }
+
 // withdrawPlanned drops the planned runs that are no longer wanted or whose runner can't take them any more, and frees
 // their room. While the store takes no commits, they don't keep it for longer than maxPlannedAge.
 func (p *Pool) withdrawPlanned(now time.Time) {
@@ -169,7 +172,7 @@
 // unwanted reports whether a planned run is to be dropped.
 func (p *Pool) unwanted(now time.Time, run *taskRun) bool {
 	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.task.step.job.placements.stored(run.runner.ID)
-	return run.withdrawn || stuck || run.task.held || !run.runner.schedulable(now)
+	return run.withdrawn || stuck || !p.startsAllowed || run.task.held || !run.runner.schedulable(now)
 }
 
 // withGang returns a planned run with the planned runs of its gang.
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -96,6 +96,9 @@
 func (p *Pool) placeAll(now, wall time.Time) {
 	clear(p.reserved)
 	p.unplaceable = p.unplaceable[:0]
+	if !p.startsAllowed {
+		return
+	}
 	p.leastUrgentPriority = p.leastUrgent()
 	blocked := 0
 	for _, c := range p.candidates(now, wall) {
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -38,6 +38,7 @@
 	orders              []Order
 	doneWithRuns        map[*task]struct{} // done tasks that had runs left, which are stopped
 	planned             []*taskRun         // runs whose starts wait for the store to have their placements
+	startsAllowed       bool               // runs may be planned and started
 	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
@@ -108,6 +109,7 @@
 		counts:              newCounts(),
 		checkInterval:       defaultCheckInterval,
 		leadershipConfirmed: true,
+		startsAllowed:       true,
 		storeAvailable:      true,
 		heldTasks:           map[*task]struct{}{},
 		estimateRatios:      map[string]*estimateRatio{},
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -101,8 +101,8 @@
 // start that a runner executes late may come up to maxOrderDelay after that.
 const cancelGrace = 3 * time.Second
 
-// runStarted records the start of a run and checks that the task could start.
-func (c *Checker) runStarted(r *Runner, t work.Task, run int) {
+// runStarted records the start of a run, by an order that may have been delayed, and checks that the task could start.
+func (c *Checker) runStarted(r *Runner, t work.Task, run int, delayed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -126,7 +126,11 @@
 	if !step.LongRunning && len(tr.fails) >= jr.attempts && tr.ackedFails >= jr.attempts {
 		c.addViolation("%s run %d started after %d failures", name, run, len(tr.fails))
 	}
-	if !jr.cancelledAt.IsZero() && time.Since(jr.cancelledAt) > cancelGrace+maxOrderDelay {
+	grace := cancelGrace
+	if delayed {
+		grace += maxOrderDelay
+	}
+	if !jr.cancelledAt.IsZero() && time.Since(jr.cancelledAt) > grace {
 		c.addViolation("%s started %v after the cancellation of its job", name, time.Since(jr.cancelledAt))
 	}
 	for _, predecessorStep := range step.After {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -192,7 +192,7 @@
 			sameIncarnation := r.born == born // an order is lost with the incarnation that received it
 			r.mu.Unlock()
 			if sameIncarnation {
-				r.applyOrder(path, o)
+				r.applyOrder(path, o, true)
 			}
 		}()
 		withholdReply(req)
@@ -202,7 +202,7 @@
 		r.servePoll(w, req, o)
 		return
 	}
-	status, body := r.applyOrder(path, o)
+	status, body := r.applyOrder(path, o, false)
 	w.WriteHeader(status)
 	writeJSON(w, body)
 }
@@ -212,8 +212,8 @@
 	Reason  string `json:"Reason,omitempty"`
 }
 
-// applyOrder executes an order and returns the reply's status and body.
-func (r *Runner) applyOrder(path string, o wireOrder) (int, wireClock) {
+// applyOrder executes an order, which may have been delayed, and returns the reply's status and body.
+func (r *Runner) applyOrder(path string, o wireOrder, delayed bool) (int, wireClock) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	reply := wireClock{ClockMs: r.clock().Milliseconds()}
@@ -227,7 +227,7 @@
 	r.token = o.FencingToken
 	switch path {
 	case "/gypsumlead/run-start":
-		reply.Reason = r.startRun(o)
+		reply.Reason = r.startRun(o, delayed)
 		if reply.Reason == "bad" {
 			return http.StatusBadRequest, reply
 		}
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -9,7 +9,7 @@
 
 // startRun starts a run and returns an empty string, or the reason of a refusal as the protocol names it. Repeating an
 // order for an active run succeeds; the caller holds r.mu.
-func (r *Runner) startRun(o wireOrder) string {
+func (r *Runner) startRun(o wireOrder, delayed bool) string {
 	deadline := time.Duration(o.DeadlineMs) * time.Millisecond
 	if deadline < r.clock() {
 		return "late"
@@ -42,7 +42,7 @@
 	r.runs[o.Task] = run
 	run.endTimer = time.AfterFunc(time.Hour*24*365, func() {})
 	r.scheduleEnd(run)
-	r.checker.runStarted(r, t, o.Run)
+	r.checker.runStarted(r, t, o.Run, delayed)
 	return ""
 }
 
