Only the daemons that are to lead send frequent heartbeats and follow the leaders' tables

Cause: every daemon read every other one's heartbeat, 1.4 a second, and polled three tables that only leaders need once a second: quadratic in the daemons. Mend: three daemons a service, the largest, by turns from each data centre, are candidates; the others' heartbeats are 5 s apart, and they follow neither runners nor waves nor claims. When the candidates' heartbeats time out, others take their place. Ruled out: one reader a data centre that hands changes on (a session more for each daemon, and a reader that is lost delays all of them).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -158,7 +158,7 @@
 	}
 	d.operatorState = cache.NewOperatorState(d.store, d.log, d.configChanged)
 	d.runnerList = cache.NewRunnerList(d.store, d.log, d.now, d.interests.runners, d.runnerListed, d.runnerUnlisted)
-	d.members = member.New(d.store, d.self(), d.log, d.now, d.membersChanged)
+	d.members = member.New(d.store, d.self(), d.log, d.now, d.candidateCount, d.membersChanged)
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
 	d.peerServer = peer.NewServer(identity, d, d.log)
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -122,7 +122,7 @@
 
 // plannedLeader returns the daemon that is to lead a service.
 func (d *Daemon) plannedLeader(service string) (member.Node, bool) {
-	live := d.activeNodes()
+	live := d.members.Candidates()
 	name := member.Assign(d.services(), live)[service]
 	i := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == name })
 	if i < 0 {
@@ -287,7 +287,7 @@
 func (d *Daemon) updatePeerTargets() {
 	live := d.members.Live()
 	planned := map[string]bool{}
-	for _, name := range member.Assign(d.services(), live) {
+	for _, name := range member.Assign(d.services(), d.members.Candidates()) {
 		planned[name] = true
 	}
 	var list []peer.Target
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -23,6 +23,9 @@
 	rankDelay        = 300 * time.Millisecond  // additional wait for each rank of the daemon; see rank
 	transferDelay    = 2 * time.Second         // how long a much larger daemon must be the planned leader before it gets the lease
 
+	minCandidates        = 6 // daemons that are ready to lead, however few services there are
+	candidatesPerService = 3 // daemons that are ready to lead, for each service
+
 	transferWeightFactor = 2 // leadership is transferred to daemons of at least this many times the leader's weight
 )
 
@@ -67,7 +70,7 @@
 	if c == nil || d.leaving || now.Sub(d.members.OwnHeartbeat().Acked) > member.HeartbeatTimeout {
 		return nil // a lease acquired without a recent heartbeat would be lost immediately
 	}
-	live := d.activeNodes()
+	live := d.members.Candidates()
 	if !slices.ContainsFunc(live, func(n member.Node) bool { return n.Boot == d.boot }) {
 		return nil
 	}
@@ -99,9 +102,10 @@
 	return list
 }
 
-// activeNodes returns the live daemons that aren't shutting down, sorted by name.
-func (d *Daemon) activeNodes() []member.Node {
-	return slices.DeleteFunc(d.members.Live(), func(n member.Node) bool { return n.Leaving })
+// candidateCount returns how many daemons are to be ready to lead: one for each service, and as many again for when a
+// data centre is lost.
+func (d *Daemon) candidateCount() int {
+	return max(minCandidates, candidatesPerService*len(d.services()))
 }
 
 // services returns the names of the configured services.
@@ -225,6 +229,7 @@
 // membersChanged handles a change among the daemons.
 func (d *Daemon) membersChanged() {
 	d.updatePeerTargets()
+	d.updateInterests(d.ledServices())
 	d.wakeElections()
 }
 
--- a/daemon/interests.go
+++ b/daemon/interests.go
@@ -6,11 +6,12 @@
 	"gypsumlead/watch"
 )
 
-// interests holds the interests in the tables that a daemon follows closely only while it leads a service.
+// interests holds the interests in the tables that only leaders need. The other candidates follow them loosely, so that
+// they can take over; daemons that aren't to lead don't follow them.
 type interests struct {
-	runners *watch.Interest // runners' list: on while the daemon leads a service
-	waves   *watch.Interest // maintenance waves: on while the daemon leads a service
-	claims  *watch.Interest // claims on machines: on while the daemon is the coordinator
+	runners *watch.Interest // runners' list: immediate while the daemon leads a service
+	waves   *watch.Interest // maintenance waves: immediate while the daemon leads a service
+	claims  *watch.Interest // claims on machines: immediate while the daemon is the coordinator
 }
 
 func newInterests() interests {
@@ -19,9 +20,19 @@
 
 // updateInterests sets the interests according to the services led here.
 func (d *Daemon) updateInterests(led []string) {
-	d.interests.runners.Set(len(led) > 0)
-	d.interests.waves.Set(len(led) > 0)
-	d.interests.claims.Set(slices.Contains(led, d.coordinatorService()))
+	idle := watch.Dormant
+	if d.members.IsCandidate() {
+		idle = watch.Occasional
+	}
+	level := func(needed bool) watch.Level {
+		if needed {
+			return watch.Immediate
+		}
+		return idle
+	}
+	d.interests.runners.Set(level(len(led) > 0))
+	d.interests.waves.Set(level(len(led) > 0))
+	d.interests.claims.Set(level(slices.Contains(led, d.coordinatorService())))
 }
 
 // ledServices returns the names of the services led here, sorted.
--- a/daemon/transfer.go
+++ b/daemon/transfer.go
@@ -24,7 +24,7 @@
 	if d.leaving || len(d.leaders) == 0 {
 		return nil
 	}
-	live := d.activeNodes()
+	live := d.members.Candidates()
 	plan := member.Assign(d.services(), live)
 	var list []*leader.Leader
 	for s, l := range d.leaders {
--- a/member/members.go
+++ b/member/members.go
@@ -19,8 +19,11 @@
 
 // Timing of heartbeats.
 const (
-	HeartbeatInterval = 700 * time.Millisecond  // between two writes of a daemon's own row
-	HeartbeatTimeout  = 2200 * time.Millisecond // a daemon whose row is unchanged for this long is dead: three heartbeats
+	HeartbeatInterval = 700 * time.Millisecond  // between two writes of a candidate's own row
+	HeartbeatTimeout  = 2200 * time.Millisecond // a candidate whose row is unchanged for this long is dead: three heartbeats
+	rareInterval      = 5 * time.Second         // between two writes of another daemon's row
+	rareTimeout       = 16 * time.Second        // the timeout for these: three heartbeats
+	recheckInterval   = 250 * time.Millisecond  // between checks of whether this daemon is a candidate
 	pollInterval      = 200 * time.Millisecond  // between polls for changes
 	callTimeout       = 2500 * time.Millisecond // for a call to the store; a slow store takes some hundred milliseconds
 	retryDelay        = 250 * time.Millisecond  // after a failed call
@@ -29,11 +32,13 @@
 // Table is the store's table with one row for each daemon; its name is the row's partition and key.
 const Table = "node"
 
-// Members writes this daemon's heartbeats and tracks those of the other daemons.
+// Members writes this daemon's heartbeats and tracks those of the other daemons. Only the candidates, the daemons that are
+// to lead services first, send frequent heartbeats: every daemon reads them all.
 type Members struct {
-	store *platform.Store
-	log   *zap.Logger
-	now   clock.Clock
+	store      *platform.Store
+	log        *zap.Logger
+	now        clock.Clock
+	candidates func() int
 
 	mu           sync.Mutex
 	self         Node
@@ -55,9 +60,11 @@
 	changedAt time.Time
 }
 
-// New returns the Members of the daemon self. It calls onChange after each change among the daemons.
-func New(store *platform.Store, self Node, log *zap.Logger, now clock.Clock, onChange func()) *Members {
+// New returns the Members of the daemon self. candidates returns how many daemons are to be ready to lead. It calls
+// onChange after each change among the daemons.
+func New(store *platform.Store, self Node, log *zap.Logger, now clock.Clock, candidates func() int, onChange func()) *Members {
 	return &Members{
+		candidates: candidates,
 		store:      store,
 		log:        log,
 		now:        now,
@@ -80,11 +87,37 @@
 			sleep.ForOrWake(ctx, retryDelay, nil)
 			continue
 		}
-		sleep.ForOrWake(ctx, HeartbeatInterval, m.wake)
+		m.awaitHeartbeat(ctx)
 	}
 	return nil
 }
 
+// awaitHeartbeat waits until the next heartbeat is due, or until this daemon becomes a candidate.
+func (m *Members) awaitHeartbeat(ctx context.Context) {
+	if !m.updateFrequency() {
+		sleep.ForOrWake(ctx, HeartbeatInterval, m.wake)
+		return
+	}
+	for due := m.now().Add(rareInterval); ctx.Err() == nil && m.now().Before(due); {
+		if woken := sleep.ForOrWake(ctx, recheckInterval, m.wake); woken || !m.updateFrequency() {
+			return
+		}
+	}
+}
+
+// updateFrequency sets whether this daemon's heartbeats are infrequent, and returns it. A change is written with the next
+// heartbeat.
+func (m *Members) updateFrequency() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	infrequent := len(m.self.Holds) == 0 && !m.self.Leaving && !m.isCandidate()
+	if infrequent != m.self.Infrequent {
+		m.self.Infrequent = infrequent
+		m.writeNow()
+	}
+	return infrequent
+}
+
 // writeRow writes this daemon's row once.
 func (m *Members) writeRow(ctx context.Context) error {
 	m.mu.Lock()
@@ -190,7 +223,7 @@
 		if ok && old.version == r.Version {
 			continue
 		}
-		changed = changed || !ok || old.node.Boot != n.Boot || old.node.Leaving != n.Leaving || !slices.Equal(old.node.Holds, n.Holds) || now.Sub(old.changedAt) > HeartbeatTimeout
+		changed = changed || !ok || old.node.Boot != n.Boot || old.node.Leaving != n.Leaving || old.node.Infrequent != n.Infrequent || !slices.Equal(old.node.Holds, n.Holds) || now.Sub(old.changedAt) > old.node.timeout()
 		if ok && old.node.Boot != n.Boot {
 			m.endedBoots[n.Name+"/"+old.node.Boot] = struct{}{}
 		}
@@ -199,6 +232,12 @@
 	return changed
 }
 
+// Candidates returns the daemons that may lead services, sorted by name: the live ones with frequent heartbeats that
+// aren't shutting down.
+func (m *Members) Candidates() []Node {
+	return slices.DeleteFunc(m.Live(), func(n Node) bool { return n.Leaving || n.Infrequent })
+}
+
 // Live returns the live daemons, sorted by name. It includes this daemon once its own row has been read.
 func (m *Members) Live() []Node {
 	m.mu.Lock()
@@ -220,7 +259,7 @@
 	if m.contactSince.After(since) {
 		since = m.contactSince
 	}
-	return m.lastContact.Sub(since) <= HeartbeatTimeout
+	return m.lastContact.Sub(since) <= row.node.timeout()
 }
 
 // pollFailed notes that the store didn't answer a poll.
--- a/member/node.go
+++ b/member/node.go
@@ -17,6 +17,9 @@
 	Weight  float64        `json:"weight"`          // processor share; larger daemons lead more services
 	Holds   []string       `json:"holds,omitempty"` // services that it leads
 	Leaving bool           `json:"leaving,omitempty"`
+	// Infrequent states that the daemon's heartbeats are rareInterval apart: it leads nothing, and enough others are to
+	// lead before it does.
+	Infrequent bool `json:"rare,omitempty"`
 }
 
 func (n Node) encode() ([]byte, error) {
--- a/sleep/sleep.go
+++ b/sleep/sleep.go
@@ -18,10 +18,10 @@
 }
 
 // ForOrWake sleeps for d, until wake receives a value, or until ctx ends, whichever is first. A nil wake never
-// receives one.
-func ForOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// receives one. It reports whether wake received a value.
+func ForOrWake(ctx context.Context, d time.Duration, wake <-chan struct{}) bool {
 	if d <= 0 {
-		return
+		return false
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -29,7 +29,9 @@
 	case <-ctx.Done():
 	case <-t.C:
 	case <-wake:
+		return true
 	}
+	return false
 }
 
 // Every calls f at intervals of d until ctx ends.
--- a/watch/interest_test.go
+++ b/watch/interest_test.go
@@ -20,11 +20,14 @@
 			return time.Since(start)
 		}
 		require.Equal(t, idleInterval, waited())
-		time.AfterFunc(300*time.Millisecond, func() { interest.Set(true) })
+		time.AfterFunc(300*time.Millisecond, func() { interest.Set(Immediate) })
 		require.Equal(t, 300*time.Millisecond, waited())
 		require.Equal(t, watcher.Interval, waited())
-		interest.Set(false)
+		interest.Set(Occasional)
 		require.Equal(t, idleInterval, waited())
+		interest.Set(Dormant)
+		time.AfterFunc(10*time.Minute, func() { interest.Set(Occasional) })
+		require.Equal(t, 10*time.Minute, waited())
 		watcher.Interest = nil
 		require.Equal(t, watcher.Interval, waited())
 	})
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -21,6 +21,7 @@
 	maxCallSlack = 5 * time.Second        // limit of the slack, which doubles after each failed poll
 	retryDelay   = 250 * time.Millisecond // after a failed poll
 	idleInterval = time.Second            // between polls while nobody needs the changes immediately
+	dormantCheck = time.Minute            // between checks of whether somebody needs the changes again, besides the wake-up
 )
 
 // FromSnapshot is the FromVersion of a Watcher that begins by reading all rows.
@@ -34,7 +35,7 @@
 	AllPartitions bool          // read the rows of all partitions first
 	FromVersion   int64         // version to continue from, or FromSnapshot
 	Interval      time.Duration // between polls; changes of one interval are applied together
-	Interest      *Interest     // while it is off, polls are rare; nil is always on
+	Interest      *Interest     // how soon changes are needed; nil is always Immediate
 	Log           *zap.Logger
 	// Apply applies rows; snapshot reports that they are all rows that exist. After an error the same rows are
 	// delivered again.
@@ -68,11 +69,20 @@
 
 // waitNext waits until the next poll is due.
 func (w *Watcher) waitNext(ctx context.Context) {
-	if w.Interest == nil || w.Interest.on.Load() {
+	if w.Interest == nil {
 		sleep.ForOrWake(ctx, w.Interval, nil)
 		return
 	}
-	sleep.ForOrWake(ctx, idleInterval, w.Interest.wake)
+	switch w.Interest.Level() {
+	case Immediate:
+		sleep.ForOrWake(ctx, w.Interval, nil)
+	case Occasional:
+		sleep.ForOrWake(ctx, idleInterval, w.Interest.wake)
+	case Dormant:
+		for ctx.Err() == nil && w.Interest.Level() == Dormant {
+			sleep.ForOrWake(ctx, dormantCheck, w.Interest.wake)
+		}
+	}
 }
 
 // poll reads and applies all rows, or the changes since FromVersion.
