Heartbeats every 0.5 s, and 1.6 s until a silent candidate counts as dead

Few daemons send frequent heartbeats now. A write whose answer is lost is repeated after 1 s rather than 2.5 s, and the interval counts from the sending, so that a slow store (0.54 s a write) stays within the timeout.

--- a/member/members.go
+++ b/member/members.go
@@ -19,14 +19,14 @@
 
 // Timing of heartbeats.
 const (
-	HeartbeatInterval = 700 * time.Millisecond  // between two writes of a candidate's own row
-	HeartbeatTimeout  = 2200 * time.Millisecond // a candidate whose row is unchanged for this long is dead: three heartbeats
+	HeartbeatInterval = 500 * time.Millisecond  // between two writes of a candidate's own row, or as long as a write takes
+	HeartbeatTimeout  = 1600 * time.Millisecond // a candidate whose row is unchanged for this long is dead: three heartbeats
 	rareInterval      = 5 * time.Second         // between two writes of another daemon's row
 	rareTimeout       = 16 * time.Second        // the timeout for these: three heartbeats
 	recheckInterval   = 250 * time.Millisecond  // between checks of whether this daemon is a candidate
 	pollInterval      = 200 * time.Millisecond  // between polls for changes
-	callTimeout       = 2500 * time.Millisecond // for a call to the store; a slow store takes some hundred milliseconds
-	retryDelay        = 250 * time.Millisecond  // after a failed call
+	callTimeout       = time.Second             // for a write, whose answer may be lost; a slow store takes some hundred milliseconds
+	retryDelay        = 100 * time.Millisecond  // after a failed call
 )
 
 // Table is the store's table with one row for each daemon; its name is the row's partition and key.
@@ -79,6 +79,7 @@
 // RunHeartbeat writes this daemon's row periodically until ctx ends.
 func (m *Members) RunHeartbeat(ctx context.Context) error {
 	for ctx.Err() == nil {
+		sent := m.now()
 		if err := m.writeRow(ctx); err != nil && ctx.Err() == nil {
 			if fault.Is(err, fault.Conflict) {
 				continue // writeRow has learned the row's version: retry
@@ -87,18 +88,18 @@
 			sleep.ForOrWake(ctx, retryDelay, nil)
 			continue
 		}
-		m.awaitHeartbeat(ctx)
+		m.awaitHeartbeat(ctx, sent)
 	}
 	return nil
 }
 
-// awaitHeartbeat waits until the next heartbeat is due, or until this daemon becomes a candidate.
-func (m *Members) awaitHeartbeat(ctx context.Context) {
+// awaitHeartbeat waits until the heartbeat after the one sent at a time is due, or until this daemon becomes a candidate.
+func (m *Members) awaitHeartbeat(ctx context.Context, sent time.Time) {
 	if !m.updateFrequency() {
-		sleep.ForOrWake(ctx, HeartbeatInterval, m.wake)
+		sleep.ForOrWake(ctx, sent.Add(HeartbeatInterval).Sub(m.now()), m.wake)
 		return
 	}
-	for due := m.now().Add(rareInterval); ctx.Err() == nil && m.now().Before(due); {
+	for due := sent.Add(rareInterval); ctx.Err() == nil && m.now().Before(due); {
 		if woken := sleep.ForOrWake(ctx, recheckInterval, m.wake); woken || !m.updateFrequency() {
 			return
 		}
