--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -153,6 +153,8 @@
 func (h *Handler) read(ctx context.Context, w http.ResponseWriter, route platform.Route, id work.ID) {
 	if id == "" {
 		result := h.dispatcher.Pending(ctx, route.Queue)
+		h.log.Info("pending jobs", zap.String("queue", route.Queue.Name), zap.String("answer", verdictLabels[result.Verdict]),
+			zap.Int("pending", result.Pending), zap.String("why", result.Why))
 		if result.Verdict != leader.Accepted {
 			h.writeRetryLater(w, http.StatusServiceUnavailable, result.Retry, result.Why)
 			return
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -40,11 +40,10 @@
 // hold up the others: the watcher delivers the page again.
 func (l *Leader) applyInbox(ctx context.Context, page platform.Page, _ bool) error {
 	answeredAt := l.Now()
+	rows := slices.DeleteFunc(slices.Clone(page.Rows), func(row platform.Row) bool { return row.Partition != l.lease.Service || row.Deleted })
 	var failure error
-	for _, row := range page.Rows {
-		if row.Partition != l.lease.Service || row.Deleted {
-			continue
-		}
+	for i, row := range rows {
+		l.setInboxUnloaded(len(rows) - i)
 		if err := l.loadJob(ctx, inboxJobID(row)); err != nil {
 			failure = err
 			continue
@@ -58,12 +57,19 @@
 		return failure
 	}
 	l.mu.Lock()
-	l.inboxReadAt = answeredAt
+	l.inboxReadAt, l.inboxUnloaded = answeredAt, 0
 	l.mu.Unlock()
 	sleep.Wake(l.wakePlan)
 	return nil
 }
 
+// setInboxUnloaded records how many inbox rows were read and are not applied yet.
+func (l *Leader) setInboxUnloaded(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inboxUnloaded = n
+}
+
 // mayStart reports whether tasks may be started: a cancellation that was stored longer than inboxFreshness ago is known.
 // While the store is silent, or until the inbox has been read after a gap, others may have stored and acknowledged some.
 func (l *Leader) mayStart(now time.Time) bool { return now.Sub(l.inboxReadAt) <= inboxFreshness }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -59,6 +59,7 @@
 	lostErr         error
 	epoch           int64     // heartbeat epoch in which the store last confirmed the lease
 	inboxReadAt     time.Time // when the store last answered a reading of the inbox, all of which was applied
+	inboxUnloaded   int       // inbox rows that were read and whose jobs are not loaded yet
 	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
 	commitFailed    bool      // the last commit was refused or not answered
 
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"go.uber.org/zap"
+
 	"gypsumlead/sleep"
 	"gypsumlead/work"
 )
@@ -142,7 +144,11 @@
 func (l *Leader) Pending(queue string) Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return Result{Pending: l.pool.Pending(queue)}
+	now := l.Now()
+	pending := l.pool.Pending(queue)
+	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("notOrdered", pending.NotOrdered), zap.Int("ordered", pending.Ordered),
+		zap.Int("inbox", l.inboxUnloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
+	return Result{Pending: pending.NotOrdered}
 }
 
 // await returns the result from reply, or Unknown if ctx ends first.
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -175,15 +175,25 @@
 	return j.state == work.Running
 }
 
-// Pending returns the number of accepted jobs of the queue that haven't started.
-func (p *Pool) Pending(queue string) int {
-	n := 0
+// Pending counts the accepted jobs of the queue that haven't begun.
+func (p *Pool) Pending(queue string) PendingJobs {
+	var pending PendingJobs
 	for _, j := range p.live {
-		if j.queue.Name == queue && j.state == work.Queued {
-			n++
+		switch {
+		case j.queue.Name != queue || j.begun || j.state.Final():
+		case j.state == work.Queued:
+			pending.NotOrdered++
+		default:
+			pending.Ordered++
 		}
 	}
-	return n
+	return pending
+}
+
+// PendingJobs counts jobs of which no runner is known to have started a task.
+type PendingJobs struct {
+	NotOrdered int // no start was ordered
+	Ordered    int // starts were ordered, and none was confirmed
 }
 
 // Cancel cancels a job unless it has ended. It returns false for an unknown job.
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -48,6 +48,7 @@
 		p.completePredecessors(now, t)
 	}
 	p.counts.ends[e.Reason]++
+	t.step.job.begun = true
 	run := t.findRun(r, e.Run)
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" {
@@ -146,6 +147,7 @@
 		run.phase = running
 	}
 	run.listed = true
+	j.begun = true
 	if run.confirmedAt.IsZero() {
 		run.confirmedAt, run.progressedAt = now, now
 	}
