--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -24,6 +24,7 @@
 	requestTimeout = 3 * time.Second
 	retryDelay     = 300 * time.Millisecond
 	pollInterval   = 400 * time.Millisecond
+	countInterval  = 500 * time.Millisecond // between requests for the numbers of pending jobs
 	readyInterval  = 100 * time.Millisecond // between readiness checks of a daemon that has started
 )
 
@@ -201,6 +202,41 @@
 	return false
 }
 
+// askCounts asks for the number of each service's pending jobs, at random daemons, until the cluster is closed.
+func (c *Cluster) askCounts() {
+	rng := c.newRand()
+	for c.sleep(countInterval) {
+		for i := range c.size.Services {
+			c.askCount(c.pickDaemon(rng, ""), serviceName(i))
+		}
+	}
+}
+
+// askCount asks a daemon for the number of a service's pending jobs and has the Checker check the answer. It returns
+// false if there is none.
+func (c *Cluster) askCount(node *daemonNode, service string) (int, bool) {
+	askedAt := time.Now()
+	ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
+	defer cancel()
+	status, _, body := c.requestTo(ctx, node, http.MethodGet, service, "", nil)
+	var reply struct {
+		Pending int `json:"Pending"`
+	}
+	if status != http.StatusOK || json.Unmarshal(body, &reply) != nil {
+		return 0, false
+	}
+	c.mu.Lock()
+	var ids []work.ID
+	for id, sub := range c.jobs {
+		if sub.service == service {
+			ids = append(ids, id)
+		}
+	}
+	c.mu.Unlock()
+	c.Checker.CountAnswered(ids, askedAt, reply.Pending)
+	return reply.Pending, true
+}
+
 // request sends one HTTP request to a running daemon. The status is 0 if there is no reply.
 func (c *Cluster) request(method, service, id string, body []byte, rng *rand.Rand) (int, http.Header, []byte) {
 	ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -45,6 +45,7 @@
 			c.Start(name)
 		}
 		time.Sleep(4 * time.Second)
+		c.wg.Go(c.askCounts)
 		scenario(t, c)
 		time.Sleep(cooldownTime)
 		violations := c.Checker.Verify(c.State)
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -24,6 +24,8 @@
 	job         work.Job
 	attempts    int       // failed runs of a task after which its job fails
 	accepted    bool      // at least one reply accepted it
+	acceptedAt  time.Time // when the first of these replies arrived
+	begun       bool      // a run of one of its tasks has started
 	refused     bool      // every reply so far was a refusal
 	lastRefused bool      // the latest reply was a refusal, after which no further try was sent
 	cancelledAt time.Time // zero unless a cancellation was acknowledged
@@ -76,10 +78,32 @@
 		c.addViolation("job %s was refused after it had been accepted", id)
 	}
 	jr.lastRefused = refused
-	jr.accepted = jr.accepted || accepted
+	if accepted && !jr.accepted {
+		jr.accepted, jr.acceptedAt = true, time.Now()
+	}
 	jr.refused = jr.refused && refused
 }
 
+// countDelay is how old a job must be at the time of a request for the number of pending jobs that has to include it, from
+// the platform's documentation: the delay with which a job becomes visible, and the permitted age of the number.
+const countDelay = 5 * time.Second
+
+// CountAnswered checks the answer to a request, sent at askedAt, for the number of pending jobs among ids. It is a
+// violation if the answer is under half of the jobs that have been accepted for countDelay and have not begun.
+func (c *Checker) CountAnswered(ids []work.ID, askedAt time.Time, answer int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := 0
+	for _, id := range ids {
+		if jr := c.jobs[id]; jr.accepted && !jr.begun && jr.cancelledAt.IsZero() && askedAt.Sub(jr.acceptedAt) > countDelay {
+			waiting++
+		}
+	}
+	if 2*answer < waiting {
+		c.addViolation("%d jobs were said to be pending while %d have been accepted for %v and have not begun", answer, waiting, countDelay)
+	}
+}
+
 // CancelAcked records that a job's cancellation was acknowledged.
 func (c *Checker) CancelAcked(id work.ID) {
 	c.mu.Lock()
@@ -113,6 +137,7 @@
 		c.addViolation("%s started though no caller submitted its job", name)
 		return
 	}
+	jr.begun = true
 	step := jr.job.Steps[t.Step]
 	if len(tr.active) > 0 && !step.Speculative {
 		c.addViolation("%s run %d started on %s while another run is in progress", name, run, r.ID)
