--- a/leader/requests.go
+++ b/leader/requests.go
@@ -146,9 +146,9 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	pending := l.pool.Pending(queue)
-	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("notOrdered", pending.NotOrdered), zap.Int("ordered", pending.Ordered),
+	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
 		zap.Int("inbox", l.inboxUnloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
-	return Result{Pending: pending.NotOrdered}
+	return Result{Pending: pending.Jobs}
 }
 
 // await returns the result from reply, or Unknown if ctx ends first.
--- a/sched/job.go
+++ b/sched/job.go
@@ -24,7 +24,6 @@
 	committedSeq   int64     // sequence number of the latest change that the store has
 	dirtySince     time.Time // since when the progress has been uncommitted
 	firstStart     time.Time
-	begun          bool // a runner has confirmed a start of one of its tasks, or listed a run or the end of one
 	ended          time.Time
 }
 
--- /dev/null
+++ b/sched/pending_test.go
@@ -0,0 +1,50 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/work"
+)
+
+func TestJobStaysPendingUntilARunnerHasStartedATask(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		outcome Outcome
+		refusal work.Refusal
+		pending int
+		state   work.State
+	}{
+		{"start not answered", OutcomeUnknown, "", 1, work.Queued},
+		{"start not sent", OutcomeNotSent, "", 1, work.Queued},
+		{"start refused", OutcomeDone, work.RefusedRoom, 1, work.Queued},
+		{"start confirmed", OutcomeDone, "", 0, work.Running},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFakePool(t, 1, 4)
+			id := f.accept("a", testQueue, stepOf(1, 1000))
+			orders := starts(f.planCommitted(true))
+			require.Len(t, orders, 1)
+			require.Equal(t, PendingJobs{Jobs: 1, Placed: 1}, f.pool.Pending(testQueue.Name))
+
+			f.pool.HandleStartResult(f.now, orders[0], tc.outcome, tc.refusal, 0)
+
+			require.Equal(t, tc.pending, f.pool.Pending(testQueue.Name).Jobs)
+			state, _ := f.pool.State(id)
+			require.Equal(t, tc.state, state)
+		})
+	}
+}
+
+func TestJobIsNotPendingOnceARunOfItIsListed(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	f.accept("a", testQueue, stepOf(1, 1000))
+	order := starts(f.planCommitted(true))[0]
+	f.pool.HandleStartResult(f.now, order, OutcomeUnknown, "", 0)
+	f.runners[order.Runner].runs[order.Task.String()] = work.Run{Task: order.Task, Run: order.Run}
+
+	f.poll()
+
+	require.Zero(t, f.pool.Pending(testQueue.Name).Jobs)
+}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -188,7 +188,6 @@
 func (p *Pool) orderStart(now time.Time, run *taskRun) {
 	t, r, s := run.task, run.runner, run.task.step
 	run.phase, run.sentAt = sending, now
-	p.markStarted(now, s.job)
 	order := Start{Target: r.target(), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
 	if s.spec.Checkpointing {
 		order.Checkpoint = t.checkpoint
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -170,7 +170,7 @@
 	return j.committedState, true
 }
 
-// started reports whether a task of the job has started.
+// started reports whether a runner is known to have started a task of the job.
 func (j *job) started() bool {
 	return j.state == work.Running
 }
@@ -179,12 +179,12 @@
 func (p *Pool) Pending(queue string) PendingJobs {
 	var pending PendingJobs
 	for _, j := range p.live {
-		switch {
-		case j.queue.Name != queue || j.begun || j.state.Final():
-		case j.state == work.Queued:
-			pending.NotOrdered++
-		default:
-			pending.Ordered++
+		if j.queue.Name != queue || j.state != work.Queued {
+			continue
+		}
+		pending.Jobs++
+		if j.hasRuns() {
+			pending.Placed++
 		}
 	}
 	return pending
@@ -192,8 +192,8 @@
 
 // PendingJobs counts jobs of which no runner is known to have started a task.
 type PendingJobs struct {
-	NotOrdered int // no start was ordered
-	Ordered    int // starts were ordered, and none was confirmed
+	Jobs   int
+	Placed int // those whose starts are planned, or were ordered and are not confirmed
 }
 
 // Cancel cancels a job unless it has ended. It returns false for an unknown job.
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -139,7 +139,7 @@
 		}
 	}
 	if len(pr.Occurrences) > 0 {
-		j.state, j.begun = work.Running, true
+		j.state = work.Running
 	}
 }
 
--- a/sched/results.go
+++ b/sched/results.go
@@ -40,7 +40,7 @@
 	}
 	switch outcome {
 	case OutcomeDone:
-		run.task.step.job.begun = true
+		p.markStarted(now, run.task.step.job)
 		if run.confirmedAt.IsZero() {
 			run.confirmedAt, run.progressedAt = now, now
 		}
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -48,7 +48,7 @@
 		p.completePredecessors(now, t)
 	}
 	p.counts.ends[e.Reason]++
-	t.step.job.begun = true
+	p.markStarted(now, t.step.job)
 	run := t.findRun(r, e.Run)
 	t.lastRun = max(t.lastRun, e.Run)
 	if e.Checkpoint != "" {
@@ -147,7 +147,7 @@
 		run.phase = running
 	}
 	run.listed = true
-	j.begun = true
+	p.markStarted(now, j)
 	if run.confirmedAt.IsZero() {
 		run.confirmedAt, run.progressedAt = now, now
 	}
@@ -176,7 +176,6 @@
 	if !j.placements.stored(r.ID) {
 		p.markChanged(j, now)
 	}
-	p.markStarted(now, j)
 	return run
 }
 
@@ -189,7 +188,8 @@
 	}
 }
 
-// markStarted records that a task of the job has started.
+// markStarted records that a runner has started a task of the job. An order alone doesn't prove it: it may be delayed,
+// refused or lost.
 func (p *Pool) markStarted(now time.Time, j *job) {
 	if j.firstStart.IsZero() {
 		j.firstStart = now
