--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -41,7 +41,8 @@
 // pendingJob is a job that is not stored yet.
 type pendingJob struct {
 	id          work.ID
-	value       []byte
+	value       []byte // of the job's row
+	inboxValue  []byte
 	reply       chan Result // has room for one result
 	unconfirmed bool        // it was sent and not answered, so it may be stored
 	abandoned   bool        // its caller no longer waits
@@ -58,7 +59,11 @@
 	if err != nil {
 		return tooLarge(err)
 	}
-	pending := &pendingJob{id: id, value: value, reply: make(chan Result, 1)}
+	inboxValue, err := encode(inboxRow{Queue: q.Name})
+	if err != nil {
+		return notStored(err.Error())
+	}
+	pending := &pendingJob{id: id, value: value, inboxValue: inboxValue, reply: make(chan Result, 1)}
 	h.enqueue(q.Service, pending)
 	select {
 	case result := <-pending.reply:
@@ -162,7 +167,7 @@
 		tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey})
 		tx.Puts = append(tx.Puts,
 			platform.Row{RowKey: jobKey, Value: pending.value},
-			platform.Row{RowKey: rowKey(tableInbox, service, string(pending.id)), Value: inboxValue})
+			platform.Row{RowKey: rowKey(tableInbox, service, string(pending.id)), Value: pending.inboxValue})
 	}
 	return tx
 }
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/fault"
 	"gypsumlead/platform"
@@ -16,9 +17,6 @@
 	"gypsumlead/work"
 )
 
-// inboxValue is the value of every inbox row. The key contains the whole request.
-var inboxValue = []byte("{}")
-
 // cancelSuffix ends the key of an inbox row that cancels a job, so that it doesn't replace the row that submits the
 // job.
 const cancelSuffix = "/cancel"
@@ -41,33 +39,64 @@
 func (l *Leader) applyInbox(ctx context.Context, page platform.Page, _ bool) error {
 	answeredAt := l.Now()
 	rows := slices.DeleteFunc(slices.Clone(page.Rows), func(row platform.Row) bool { return row.Partition != l.lease.Service || row.Deleted })
-	var failure error
-	for i, row := range rows {
-		l.setInboxUnloaded(len(rows) - i)
-		if err := l.loadJob(ctx, inboxJobID(row)); err != nil {
-			failure = err
-			continue
-		}
-		l.mu.Lock()
-		l.applyInboxRow(row)
-		l.mu.Unlock()
-		sleep.Wake(l.wakeCommit)
+	l.noteUnloaded(rows)
+	// One after the other, the loads would hold up the rows behind them for seconds on a slow store.
+	var g errgroup.Group
+	g.SetLimit(maxInboxLoads)
+	for _, row := range rows {
+		g.Go(func() error { return l.loadInboxRow(ctx, row) })
 	}
-	if failure != nil {
-		return failure
+	if err := g.Wait(); err != nil {
+		return err
 	}
 	l.mu.Lock()
-	l.inboxReadAt, l.inboxUnloaded = answeredAt, 0
+	l.inboxReadAt = answeredAt
 	l.mu.Unlock()
 	sleep.Wake(l.wakePlan)
 	return nil
 }
 
-// setInboxUnloaded records how many inbox rows were read and are not applied yet.
-func (l *Leader) setInboxUnloaded(n int) {
+// loadInboxRow loads the job of an inbox row and applies the row.
+func (l *Leader) loadInboxRow(ctx context.Context, row platform.Row) error {
+	if err := l.loadJob(ctx, inboxJobID(row)); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.unloadedJobs, inboxJobID(row))
+	l.applyInboxRow(row)
+	sleep.Wake(l.wakeCommit)
+	return nil
+}
+
+// noteUnloaded records the jobs that inbox rows submit and that the pool doesn't have. To load them takes a read of the
+// store each; until then they count as pending.
+func (l *Leader) noteUnloaded(rows []platform.Row) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.inboxUnloaded = n
+	for _, row := range rows {
+		id := inboxJobID(row)
+		if strings.HasSuffix(row.Key, cancelSuffix) || l.pool.HasJob(id) {
+			continue
+		}
+		var value inboxRow
+		if err := decode(row, &value); err != nil {
+			l.Log.Error("cannot decode an inbox row", zap.Error(err)) // its key is enough to load the job
+		}
+		l.unloadedJobs[id] = value.Queue
+	}
+}
+
+// countUnloaded returns the number of a queue's jobs that are in the inbox and not loaded yet. Those whose queue is
+// unknown count for every queue.
+func (l *Leader) countUnloaded(queue string) int {
+	n := 0
+	for _, q := range l.unloadedJobs {
+		if q == queue || q == "" {
+			n++
+		}
+	}
+	return n
 }
 
 // mayStart reports whether tasks may be started: a cancellation that was stored longer than inboxFreshness ago is known.
@@ -148,6 +177,10 @@
 		return result, err
 	}
 	key := rowKey(tableInbox, service, string(id)+cancelSuffix)
-	_, err = store.Commit(ctx, platform.Tx{Puts: []platform.Row{{RowKey: key, Value: inboxValue}}})
+	value, err := encode(inboxRow{})
+	if err != nil {
+		return Result{}, err
+	}
+	_, err = store.Commit(ctx, platform.Tx{Puts: []platform.Row{{RowKey: key, Value: value}}})
 	return Result{Verdict: Accepted, State: work.Cancelled}, err
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -57,11 +57,11 @@
 	leaseVersion    int64         // version of the lease row
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
-	epoch           int64     // heartbeat epoch in which the store last confirmed the lease
-	inboxReadAt     time.Time // when the store last answered a reading of the inbox, all of which was applied
-	inboxUnloaded   int       // inbox rows that were read and whose jobs are not loaded yet
-	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
-	commitFailed    bool      // the last commit was refused or not answered
+	epoch           int64              // heartbeat epoch in which the store last confirmed the lease
+	inboxReadAt     time.Time          // when the store last answered a reading of the inbox, all of which was applied
+	unloadedJobs    map[work.ID]string // jobs that inbox rows submit and that are not loaded yet, with their queues
+	commitSentAt    time.Time          // when the commit that is being sent began; zero if there is none
+	commitFailed    bool               // the last commit was refused or not answered
 
 	wakePlan   chan struct{}
 	wakeCommit chan struct{}
@@ -85,6 +85,7 @@
 		leaseRow:      lease.Row,
 		leaseVersion:  lease.Version,
 		cancelWaiters: map[work.ID][]chan Result{},
+		unloadedJobs:  map[work.ID]string{},
 		unanswered:    map[int64]commitBatch{},
 		commitDone:    make(chan struct{}),
 		wakePlan:      make(chan struct{}, 1),
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -20,6 +20,7 @@
 	idleInterval        = 200 * time.Millisecond  // between plans, and between checks for changes to commit, without an event
 	minPlanInterval     = 5 * time.Millisecond    // between plans, so that events in this time are planned together
 	planShare           = 3                       // the pause between plans is at least this many times as long as the last plan took
+	maxInboxLoads       = 16                      // jobs that other daemons stored, loaded from the store at the same time
 	finishedTTL         = 150 * time.Second       // callers may query a job's state for 120 s after its end
 	forgetInterval      = 5 * time.Second         // between removals of finished jobs
 	maxBatchJobs        = 40                      // jobs in one transaction
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -145,10 +145,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	pending := l.pool.Pending(queue)
+	pending, unloaded := l.pool.Pending(queue), l.countUnloaded(queue)
 	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
-		zap.Int("inbox", l.inboxUnloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
-	return Result{Pending: pending.Jobs}
+		zap.Int("unloaded", unloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
+	return Result{Pending: pending.Jobs + unloaded}
 }
 
 // await returns the result from reply, or Unknown if ctx ends first.
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -45,6 +45,11 @@
 	At    time.Time  `json:"at"`
 }
 
+// inboxRow is the value of an inbox row. The key has the job's ID and whether the row cancels the job.
+type inboxRow struct {
+	Queue string `json:"queue,omitempty"` // of a submitted job; empty in rows of earlier releases
+}
+
 // runnersRow is one shard of the runners that may have work. shardOf returns the shard of a runner.
 type runnersRow struct {
 	Runners []work.Runner            `json:"runners"`
