--- a/leader/limits.go
+++ b/leader/limits.go
@@ -17,6 +17,7 @@
 	maxCommitWait       = 300 * time.Millisecond  // longest delay of a poll until the ends of the last one are stored
 	orderTimeout        = 600 * time.Millisecond  // for an order to a runner; allows for many round trips
 	inboxFreshness      = 2500 * time.Millisecond // of the last reading of the inbox, for starts: less than the 3 s within which a cancellation takes effect, more than a long poll on a slow store
+	countFreshness      = 2 * time.Second         // of the last reading of the inbox, for counts of pending jobs, which may be 2 s old
 	idleInterval        = 200 * time.Millisecond  // between plans, and between checks for changes to commit, without an event
 	minPlanInterval     = 5 * time.Millisecond    // between plans, so that events in this time are planned together
 	planShare           = 3                       // the pause between plans is at least this many times as long as the last plan took
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -140,7 +140,8 @@
 	return Result{State: state}
 }
 
-// Pending returns the number of jobs of a queue that have not started.
+// Pending returns the number of jobs of a queue that have not started. It refuses while other daemons may have stored or
+// accepted jobs that this leader doesn't know.
 func (l *Leader) Pending(queue string) Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -148,6 +149,9 @@
 	pending, unloaded := l.pool.Pending(queue), l.countUnloaded(queue)
 	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
 		zap.Int("unloaded", unloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
+	if now.Sub(l.inboxReadAt) > countFreshness || !l.leaseConfirmed(now) {
+		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the leader has not heard from the store lately"}
+	}
 	return Result{Pending: pending.Jobs + unloaded}
 }
 
