A machine is ordered only while its claim certainly holds

Cause: a refused or unanswered order was repeated under the token of its first claim: a move until 4.5 s after its start, a maintenance as long as the daemon was the coordinator. Others may claim the machine 4.5 s after the claim, and order it at once. CanClaim, which the repeats asked, accepts an own claim of any age, as it must for a renewal; it doesn't permit orders.

Ruled out: the daemon needs no second claim for this, as the store's condition on the claim's version turns that down; nor does another daemon claim too early: it reckons from the time in the claim, with the store's clock.

Fix: a claim gives a permit that ends 1.8 s after the time that others count from, reckoned from the sending of the claim and the store's own time in its answer, so that a slow store or an old stamp only shortens it. Every order, first or repeated, asks for the permit; once it has ended the machine is claimed anew, which fails if another has it or the store turns the daemon away. Others claim 1.8 s + 0.7 s (in flight, clock rates) + LeaseMs after the claim, so that two holders' orders lie LeaseMs apart. Claim also refuses machines that CanClaim would: marking a machine as gone or done claimed it without asking, and made the claim an own one for the next order.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -20,7 +20,8 @@
 	watchInterval = 200 * time.Millisecond  // between reads of changed claims
 	callTimeout   = 2 * time.Second         // for a call to the store or the machine service
 	maxListAge    = 500 * time.Millisecond  // an older list of machines is read again
-	claimSlack    = 1500 * time.Millisecond // added to Deps.TTL for calls of either daemon that are in flight
+	permitTTL     = 1800 * time.Millisecond // orders may be sent for this long after a claim
+	claimSlack    = 700 * time.Millisecond  // for orders in flight when a permit expires, and for the clocks' rates
 )
 
 // table has a row for each machine that was ever claimed.
@@ -103,25 +104,31 @@
 // storeNow estimates the store's clock from the last stamp. The caller holds r.mu.
 func (r *Registry) storeNow() time.Duration { return r.stamp.Now + r.Deps.Now().Sub(r.stampAt) }
 
-// CanClaim reports whether this daemon may give a machine orders now: it holds the last claim, that claim has expired,
-// or there is none. It returns false until the claim rows have been read.
+// CanClaim reports whether this daemon may claim a machine now: it holds the last claim, the orders permitted by that
+// claim are TTL ago, or there is none. It returns false until the claim rows have been read.
 func (r *Registry) CanClaim(machine string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.canClaim(machine)
+}
+
+// canClaim is CanClaim for callers that hold r.mu.
+func (r *Registry) canClaim(machine string) bool {
 	if !r.synced {
 		return false
 	}
 	last, ok := r.rows[machine]
-	return !ok || last.row.Boot == r.Boot || r.storeNow()-last.row.ClaimedAt > r.TTL+claimSlack
+	return !ok || last.row.Boot == r.Boot || r.storeNow()-last.row.ClaimedAt > permitTTL+claimSlack+r.TTL
 }
 
-// Claim claims machines for this daemon, in one transaction with other changes of the store. It returns the fencing
-// token of the orders that follow, and false if nothing was changed.
-func (r *Registry) Claim(ctx context.Context, purpose string, machines []string, changes platform.Tx) (int64, bool) {
-	tx, err := r.claimTx(purpose, machines, changes)
+// Claim claims machines for this daemon, in one transaction with other changes of the store, and returns the permit of
+// the orders that follow. It returns false if nothing was changed, or if a machine can't be claimed now.
+func (r *Registry) Claim(ctx context.Context, purpose string, machines []string, changes platform.Tx) (platform.OrderPermit, bool) {
+	sentAt := r.Deps.Now()
+	tx, claimedAt, err := r.claimTx(purpose, machines, changes)
 	if err != nil {
-		r.Log.Error("cannot encode machine claims", zap.Error(err))
-		return 0, false
+		r.Log.Warn("cannot claim machines", zap.Strings("machines", machines), zap.Error(err))
+		return platform.OrderPermit{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -133,7 +140,7 @@
 			row.Version = stamp.Version
 			r.record(row)
 		}
-		return stamp.Version, true
+		return r.permit(sentAt, claimedAt, stamp), true
 	}
 	var conflict *platform.Conflict
 	if errors.As(err, &conflict) {
@@ -143,23 +150,34 @@
 	} else {
 		r.Log.Warn("cannot claim machines", zap.Strings("machines", machines), zap.Error(err))
 	}
-	return 0, false
+	return platform.OrderPermit{}, false
 }
 
-// claimTx adds the claims of machines to a transaction.
-func (r *Registry) claimTx(purpose string, machines []string, tx platform.Tx) (platform.Tx, error) {
+// permit returns the permit of a claim that was sent at a time and names claimedAt. Other daemons count from claimedAt,
+// which may lie before the store's time at sending. The store's time now is at most its stamp plus the time since sending.
+func (r *Registry) permit(sentAt time.Time, claimedAt time.Duration, stamp platform.Stamp) platform.OrderPermit {
+	expiresAt := sentAt.Add(permitTTL - max(stamp.Now-claimedAt, 0))
+	return platform.OrderPermit{Holder: r.Name, Token: stamp.Version, Valid: func() bool { return r.Deps.Now().Before(expiresAt) }}
+}
+
+// claimTx adds the claims of machines to a transaction. It returns the time that they name.
+func (r *Registry) claimTx(purpose string, machines []string, tx platform.Tx) (platform.Tx, time.Duration, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	value, err := json.Marshal(Row{Owner: r.Name, Boot: r.Boot, ClaimedAt: r.storeNow(), Purpose: purpose})
+	claimedAt := r.storeNow()
+	value, err := json.Marshal(Row{Owner: r.Name, Boot: r.Boot, ClaimedAt: claimedAt, Purpose: purpose})
 	if err != nil {
-		return tx, fault.Wrap(fault.Internal, err, "encode machine claim")
+		return tx, 0, fault.Wrap(fault.Internal, err, "encode machine claim")
 	}
 	for _, machine := range machines {
+		if !r.canClaim(machine) {
+			return tx, 0, fault.New(fault.Conflict, "another daemon may order machine %s; try later", machine)
+		}
 		key := platform.RowKey{Table: table, Key: machine}
 		tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: key, Version: r.rows[machine].version})
 		tx.Puts = append(tx.Puts, platform.Row{RowKey: key, Value: value})
 	}
-	return tx, nil
+	return tx, claimedAt, nil
 }
 
 // List returns the machines by name and when the list was read, at most maxListAge ago. It returns false if the list
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -46,7 +46,6 @@
 		Claims:              d.claims,
 		Waves:               d.waveTracker,
 		Machines:            d.machineClient,
-		Name:                d.settings.Instance,
 		MoveDuration:        d.settings.Bounds.MoveTime,
 		MaintenanceDuration: d.settings.Bounds.MaintenanceTime,
 		OrderRate:           d.settings.Bounds.OrdersPerSecond,
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -78,7 +78,7 @@
 
 // makeMachines adds the machines and boots those outside the spare service.
 func (c *Cluster) makeMachines() {
-	c.Machines = standin.NewMachineService(spareService, moveTime, maintenanceTime, c.Checker, c.stopRunner, c.startRunner)
+	c.Machines = standin.NewMachineService(spareService, moveTime, maintenanceTime, machineLease, c.Checker, c.stopRunner, c.startRunner)
 	next := 0
 	add := func(pool string) {
 		centre := c.size.Centres[next%len(c.size.Centres)]
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -33,7 +33,6 @@
 	Claims              *claims.Registry
 	Waves               *WaveTracker
 	Machines            *platform.MachineClient
-	Name                string // name of this daemon
 	MoveDuration        time.Duration
 	MaintenanceDuration time.Duration
 	OrderRate           float64                // orders per second that the machine service accepts
--- /dev/null
+++ b/machines/coordinator_test.go
@@ -0,0 +1,203 @@
+package machines
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"gypsumlead/claims"
+	"gypsumlead/platform"
+	"gypsumlead/standin"
+	"gypsumlead/watch"
+)
+
+// Addresses and times of the site.
+var (
+	storeAddr    = netip.MustParseAddrPort("10.0.0.1:80")
+	machinesAddr = netip.MustParseAddrPort("10.0.0.2:80")
+	firstAddr    = netip.MustParseAddr("10.0.1.1")
+	secondAddr   = netip.MustParseAddr("10.0.1.2")
+)
+
+const (
+	moveTime        = 1500 * time.Millisecond
+	maintenanceTime = 2 * time.Second
+	machineLease    = 3 * time.Second
+	sparePool       = "spare"
+)
+
+// site is a store, a machine service and the coordinators of two daemons.
+type site struct {
+	net           *standin.Network
+	store         *standin.Store
+	machines      *standin.MachineService
+	checker       *standin.Checker
+	waves         []platform.Wave
+	first, second *testDaemon
+	mu            sync.Mutex
+	throttled     map[string]struct{} // lease holders whose orders are refused as too many
+}
+
+// testDaemon is one daemon's coordinator.
+type testDaemon struct {
+	*Coordinator
+	held  atomic.Bool
+	store *platform.Store
+}
+
+// newSite starts a site, in a synctest bubble, until the test ends.
+func newSite(t *testing.T, waves ...platform.Wave) *site {
+	t.Helper()
+	s := &site{
+		net: standin.NewNetwork(), store: standin.NewStore(rand.New(rand.NewPCG(1, 1))), checker: standin.NewChecker(),
+		waves: waves, throttled: map[string]struct{}{},
+	}
+	s.machines = standin.NewMachineService(sparePool, moveTime, maintenanceTime, machineLease, s.checker,
+		func(*standin.Runner) {}, func(*standin.Machine, int) *standin.Runner { return nil })
+	for _, wave := range waves {
+		s.machines.AllowWave(wave.Number, wave.Machines, int(wave.MaxDown))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	for addr, handler := range map[netip.AddrPort]http.Handler{storeAddr: s.store, machinesAddr: http.HandlerFunc(s.serveMachines)} {
+		l, err := s.net.Listen(addr)
+		require.NoError(t, err)
+		server := &http.Server{Handler: handler}
+		wg.Go(func() { _ = server.Serve(l) }) // it returns when the server is closed
+		t.Cleanup(func() { _ = server.Close() })
+	}
+	s.first = s.startDaemon(ctx, &wg, "first", firstAddr)
+	s.second = s.startDaemon(ctx, &wg, "second", secondAddr)
+	t.Cleanup(func() {
+		cancel()
+		for _, d := range []*testDaemon{s.first, s.second} {
+			d.store.Close()
+			d.Machines.Close()
+		}
+	})
+	return s
+}
+
+// startDaemon runs a daemon's coordinator until ctx ends.
+func (s *site) startDaemon(ctx context.Context, wg *sync.WaitGroup, name string, addr netip.Addr) *testDaemon {
+	dial := platform.DialFunc(s.net.Dialer(addr))
+	d := &testDaemon{store: platform.NewStore(storeAddr, dial, platform.NewMeter())}
+	machineClient := platform.NewMachineClient(machinesAddr, dial, platform.NewMeter())
+	interest := watch.NewInterest()
+	interest.Set(watch.Immediate)
+	registry := claims.New(claims.Deps{
+		Store: d.store, Machines: machineClient, Log: zap.NewNop(), Name: name, Boot: name, Now: time.Now, TTL: machineLease, Interest: interest,
+	})
+	tracker := NewWaveTracker(d.store, zap.NewNop(), interest)
+	d.Coordinator = NewCoordinator(CoordinatorDeps{
+		Log: zap.NewNop(), Now: time.Now, Claims: registry, Waves: tracker, Machines: machineClient,
+		MoveDuration: moveTime, MaintenanceDuration: maintenanceTime, OrderRate: 10,
+		RequestedWaves: func() []platform.Wave { return s.waves },
+		SparePool:      func() string { return sparePool },
+		Held:           d.held.Load,
+	})
+	for _, run := range []func(context.Context) error{registry.Watch, tracker.Watch, d.Run} {
+		wg.Go(func() { _ = run(ctx) }) // it returns when ctx ends
+	}
+	return d
+}
+
+// serveMachines serves the machine service, which refuses the orders of throttled daemons.
+func (s *site) serveMachines(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	_, throttled := s.throttled[r.Header.Get("X-Gypsumlead-Lease-Holder")]
+	s.mu.Unlock()
+	if throttled {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	s.machines.ServeHTTP(w, r)
+}
+
+// throttle sets whether the machine service refuses a daemon's orders.
+func (s *site) throttle(holder string, on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.throttled[holder] = struct{}{}
+	} else {
+		delete(s.throttled, holder)
+	}
+}
+
+// handOver lets the second daemon coordinate while the store turns the first one away.
+func (s *site) handOver() {
+	s.store.SetFaults(standin.StoreFaults{RejectFrom: map[netip.Addr]struct{}{firstAddr: {}}})
+	s.second.held.Store(true)
+}
+
+// report sends a coordinator the reports of pools for a time.
+func (d *testDaemon) report(duration time.Duration, reports ...Report) {
+	for range duration / reportInterval {
+		for _, r := range reports {
+			d.HandleReport(r)
+		}
+		time.Sleep(reportInterval)
+	}
+}
+
+// A daemon that the store turned away sent an order for maintenance again after another daemon had claimed the machine.
+func TestMaintenanceIsNotOrderedAgainUnderAnExpiredClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Minute})
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: sparePool})
+		s.throttle("first", true)
+		s.first.held.Store(true)
+		time.Sleep(time.Second)
+		s.handOver()
+		time.Sleep(8 * time.Second)
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"), "by the second daemon")
+		s.throttle("first", false)
+		time.Sleep(3 * time.Second)
+		require.Empty(t, s.checker.Violations)
+	})
+}
+
+// A daemon that the store turned away moved a machine shortly before another daemon did.
+func TestMoveIsNotOrderedAgainUnderAnExpiredClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: sparePool})
+		s.throttle("first", true)
+		s.first.held.Store(true)
+		s.first.report(time.Second, Report{Service: "s0", Want: 1})
+		s.handOver()
+		wants := []Report{{Service: "s0", Offers: []string{"m0"}}, {Service: "s1", Want: 1}}
+		s.second.report(2500*time.Millisecond, wants...)
+		s.throttle("first", false)
+		s.second.report(6*time.Second, wants...)
+		require.Empty(t, s.checker.Violations)
+		require.Equal(t, []string{"m0"}, s.machines.Names("s1"))
+	})
+}
+
+// A permission that is used up while its machine service is busy must be renewed, or the order is never given.
+func TestOrderIsGivenUnderANewClaimOnceTheOldOneHasExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Minute})
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: sparePool})
+		s.machines.Add(&standin.Machine{Name: "m1", Pool: sparePool})
+		s.throttle("first", true)
+		s.first.held.Store(true)
+		s.first.report(3*time.Second, Report{Service: "s0", Want: 1})
+		s.throttle("first", false)
+		s.first.report(2*time.Second, Report{Service: "s0", Want: 1})
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"))
+		require.Equal(t, []string{"m1"}, s.machines.Names("s0"))
+		require.Empty(t, s.checker.Violations)
+	})
+}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -14,7 +14,7 @@
 type takenDown struct {
 	orderedAt  time.Time
 	acceptedAt time.Time // zero until the order is accepted
-	token      int64
+	permit     platform.OrderPermit
 }
 
 // advanceWave gives the orders that are due for one wave and records its progress.
@@ -46,9 +46,7 @@
 		}
 		_, moving := c.moving[name]
 		if empty && !moving && machine.State == platform.MachineUp && c.canOrder(name, now) && row.Down() < wave.MaxDown {
-			if token, ok := c.setStage(ctx, wave, name, maintenance.Claimed); ok {
-				c.orderMaintenance(ctx, wave, name, token)
-			}
+			c.claimMaintenance(ctx, wave, name)
 		}
 	}
 	if row, _ := c.Waves.get(wave.Number); row.AllFinished(wave.Machines) {
@@ -64,9 +62,7 @@
 		// An earlier coordinator claimed the machine; whether it ordered the maintenance is unknown. A repeated
 		// order is safe: the maintenance is done only once.
 		if (empty || machine.State != platform.MachineUp) && c.canOrder(machine.Name, now) {
-			if token, ok := c.setStage(ctx, wave, machine.Name, maintenance.Claimed); ok {
-				c.orderMaintenance(ctx, wave, machine.Name, token)
-			}
+			c.claimMaintenance(ctx, wave, machine.Name)
 		}
 	case !down.acceptedAt.IsZero():
 		if machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack {
@@ -74,19 +70,31 @@
 				delete(c.inMaintenance, machine.Name)
 			}
 		}
-	case now.Sub(down.orderedAt) > orderRetryDelay && c.canOrder(machine.Name, now):
-		c.orderMaintenance(ctx, wave, machine.Name, down.token)
+	case now.Sub(down.orderedAt) <= orderRetryDelay || !c.canOrder(machine.Name, now):
+	case down.permit.Valid():
+		c.orderMaintenance(ctx, wave, machine.Name, down.permit)
+	default:
+		down.orderedAt = now // a failed claim is repeated after orderRetryDelay too
+		c.inMaintenance[machine.Name] = down
+		c.claimMaintenance(ctx, wave, machine.Name)
+	}
+}
+
+// claimMaintenance claims a machine for its maintenance and orders that.
+func (c *Coordinator) claimMaintenance(ctx context.Context, wave platform.Wave, name string) {
+	if permit, ok := c.setStage(ctx, wave, name, maintenance.Claimed); ok {
+		c.orderMaintenance(ctx, wave, name, permit)
 	}
 }
 
 // orderMaintenance orders the maintenance of a machine that is claimed.
-func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, name string, token int64) {
+func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, name string, permit platform.OrderPermit) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	down := takenDown{orderedAt: c.Now(), token: token}
+	down := takenDown{orderedAt: c.Now(), permit: permit}
 	c.inMaintenance[name] = down
-	result, err := c.Machines.Maintain(callCtx, name, wave.Number, c.Name, token)
-	c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", token), zap.String("answer", string(result)), zap.Error(err))
+	result, err := c.Machines.Maintain(callCtx, name, wave.Number, permit)
+	c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
 	if err != nil {
 		return // the order is repeated
 	}
@@ -127,37 +135,37 @@
 	}
 }
 
-// setStage sets the stage of a machine and returns the fencing token of the orders that follow.
-func (c *Coordinator) setStage(ctx context.Context, wave platform.Wave, machine string, stage maintenance.Stage) (int64, bool) {
+// setStage sets the stage of a machine and returns the permit of the orders that follow.
+func (c *Coordinator) setStage(ctx context.Context, wave platform.Wave, machine string, stage maintenance.Stage) (platform.OrderPermit, bool) {
 	row, version := c.Waves.get(wave.Number)
 	return c.writeWave(ctx, wave, version, row.With(machine, stage), []string{machine})
 }
 
 // writeWave commits a wave's row, the claims of machines and, for a wave that begins or is complete, its status for
-// the operator. It returns the fencing token.
-func (c *Coordinator) writeWave(ctx context.Context, wave platform.Wave, version int64, row maintenance.Row, machines []string) (int64, bool) {
+// the operator. It returns the permit of the orders that follow.
+func (c *Coordinator) writeWave(ctx context.Context, wave platform.Wave, version int64, row maintenance.Row, machines []string) (platform.OrderPermit, bool) {
 	value, err := row.Encode()
 	if err != nil {
 		c.Log.Error("wave", zap.Error(err))
-		return 0, false
+		return platform.OrderPermit{}, false
 	}
 	status, err := platform.EncodeWaveStatus(wave.Number, row.Complete)
 	if err != nil {
 		c.Log.Error("wave", zap.Error(err))
-		return 0, false
+		return platform.OrderPermit{}, false
 	}
 	key := waveKey(wave.Number)
 	tx := platform.Tx{Conditions: []platform.Condition{{RowKey: key, Version: version}}, Puts: []platform.Row{{RowKey: key, Value: value}}}
 	if version == 0 || row.Complete {
 		tx.Puts = append(tx.Puts, status)
 	}
-	token, ok := c.Claims.Claim(ctx, "wave "+key.Key, machines, tx)
+	permit, ok := c.Claims.Claim(ctx, "wave "+key.Key, machines, tx)
 	if !ok {
 		c.reloadWave(ctx, key)
-		return 0, false
+		return platform.OrderPermit{}, false
 	}
-	c.Waves.set(wave.Number, row, token)
-	return token, true
+	c.Waves.set(wave.Number, row, permit.Token)
+	return permit, true
 }
 
 // reloadWave reads a wave's row after a failed claim: an earlier coordinator may have changed it.
--- a/machines/move.go
+++ b/machines/move.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 	startedAt time.Time
 	orderedAt time.Time
 	accepted  bool // the order needs no repetition
-	token     int64
+	permit    platform.OrderPermit
 }
 
 // moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool.
@@ -149,8 +150,9 @@
 	}
 }
 
-// retryMoves repeats the orders that were not accepted.
+// retryMoves repeats the orders that were not accepted. Where the permit has expired, it claims the machine again first.
 func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine) {
+	expired := map[string]string{} // target pool, by machine
 	for name, m := range c.moving {
 		if m.accepted || now.Sub(m.orderedAt) < orderRetryDelay {
 			continue
@@ -160,43 +162,60 @@
 			c.moving[name] = m
 			continue
 		}
-		c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.token)
+		if m.permit.Valid() {
+			c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.permit)
+			continue
+		}
+		if len(expired) < maxConcurrentOrders && c.canOrder(name, now) {
+			expired[name] = m.pool
+		}
+		m.orderedAt = now // a failed claim is repeated after orderRetryDelay too
+		c.moving[name] = m
 	}
+	c.claimMoves(ctx, now, expired)
 }
 
 // startMoves claims machines and orders the moves, at most maxConcurrentOrders.
 func (c *Coordinator) startMoves(ctx context.Context, now time.Time, moves []plannedMove) {
 	moves = moves[:min(len(moves), maxConcurrentOrders)]
-	if len(moves) == 0 {
-		return
-	}
 	poolOf := map[string]string{}
-	var names []string
 	for _, planned := range moves {
 		poolOf[planned.machine] = planned.pool
-		names = append(names, planned.machine)
 	}
-	slices.Sort(names)
-	token, ok := c.Claims.Claim(ctx, "move", names, platform.Tx{})
+	c.claimMoves(ctx, now, poolOf)
+}
+
+// claimMoves claims machines and orders their moves; poolOf maps machines to target pools.
+func (c *Coordinator) claimMoves(ctx context.Context, now time.Time, poolOf map[string]string) {
+	if len(poolOf) == 0 {
+		return
+	}
+	names := slices.Sorted(maps.Keys(poolOf))
+	permit, ok := c.Claims.Claim(ctx, "move", names, platform.Tx{})
 	if !ok {
 		return
 	}
 	for _, name := range names {
-		c.moving[name] = move{pool: poolOf[name], startedAt: now, token: token}
+		m, repeated := c.moving[name]
+		if !repeated {
+			m = move{pool: poolOf[name], startedAt: now}
+		}
+		m.permit = permit
+		c.moving[name] = m
 	}
-	c.sendMoves(ctx, now, poolOf, token)
+	c.sendMoves(ctx, now, poolOf, permit)
 }
 
 // sendMoves sends the orders of moves concurrently; poolOf maps machines to target pools.
-func (c *Coordinator) sendMoves(ctx context.Context, now time.Time, poolOf map[string]string, token int64) {
+func (c *Coordinator) sendMoves(ctx context.Context, now time.Time, poolOf map[string]string, permit platform.OrderPermit) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for name, pool := range poolOf {
 		wg.Go(func() {
-			result, err := c.Machines.Move(ctx, name, pool, c.Name, token)
-			c.Log.Info("move order sent", zap.String("machine", name), zap.String("to", pool), zap.Int64("token", token), zap.String("answer", string(result)), zap.Error(err))
+			result, err := c.Machines.Move(ctx, name, pool, permit)
+			c.Log.Info("move order sent", zap.String("machine", name), zap.String("to", pool), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
 			mu.Lock()
 			defer mu.Unlock()
 			c.handleResult(now, name, result)
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -25,13 +25,14 @@
 }
 
 // MachineService emulates the platform's machine service. It records a violation for an order with an outdated fencing
-// token and for a wave with too many machines down.
+// token, for orders of two daemons for one machine within minTurn, and for a wave with too many machines down.
 type MachineService struct {
 	mu              sync.Mutex
 	byName          map[string]*Machine
 	sparePool       string
 	moveTime        time.Duration
 	maintenanceTime time.Duration
+	minTurn         time.Duration                 // minimum time between the orders of two daemons for one machine
 	waves           map[int64]map[string]struct{} // names of the machines that a wave may take down
 	maxDown         map[int64]int                 // by wave: limit of its machines in maintenance
 	checker         *Checker
@@ -43,10 +44,11 @@
 	Moves        int                     // between pools
 }
 
-// machineOrder is the sender and fencing token of an order for a machine.
+// machineOrder is the sender, fencing token and time of an order for a machine.
 type machineOrder struct {
 	sender string
 	token  int64
+	at     time.Time
 }
 
 type wireMachine struct {
@@ -99,9 +101,8 @@
 	Wave    int64  `json:"Wave"`
 }
 
-// serveOrder checks an order's fencing token and applies the order. A token that goes back, or is shared by two
-// senders, is recorded as a violation, and the order is applied all the same. do returns the reason of a refusal, or an
-// empty string.
+// serveOrder checks an order's sender and fencing token, and applies the order even if that is a violation. do returns the
+// reason of a refusal, or an empty string.
 func (m *MachineService) serveOrder(w http.ResponseWriter, r *http.Request, do func(machine *Machine, o wireMachineOrder) string) {
 	var o wireMachineOrder
 	token, err := strconv.ParseInt(r.Header.Get("X-Gypsumlead-Fencing-Token"), 10, 64)
@@ -116,13 +117,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	order := machineOrder{r.Header.Get("X-Gypsumlead-Lease-Holder"), token}
-	if last := m.lastOrders[machine.Name]; last.token > token || (last.token == token && last.sender != order.sender && last.sender != "") {
-		m.checker.mu.Lock()
-		m.checker.addViolation("machine %s: order from %s with fencing token %d after an order from %s with token %d", machine.Name, order.sender, token, last.sender, last.token)
-		m.checker.mu.Unlock()
-	}
-	m.lastOrders[machine.Name] = order
+	m.checkOrder(machine.Name, machineOrder{r.Header.Get("X-Gypsumlead-Lease-Holder"), token, time.Now()})
 	if reason := do(machine, o); reason != "" {
 		w.WriteHeader(http.StatusConflict)
 		writeJSON(w, map[string]string{"Reason": reason})
@@ -131,6 +126,25 @@
 	writeJSON(w, map[string]string{})
 }
 
+// checkOrder records a violation if an order's fencing token goes back or is shared by two senders, or if two senders
+// order one machine within minTurn. The caller holds m.mu.
+func (m *MachineService) checkOrder(machine string, order machineOrder) {
+	last, known := m.lastOrders[machine]
+	m.lastOrders[machine] = order
+	if !known {
+		return
+	}
+	m.checker.mu.Lock()
+	defer m.checker.mu.Unlock()
+	otherSender := last.sender != order.sender
+	if last.token > order.token || (otherSender && last.token == order.token) {
+		m.checker.addViolation("machine %s: order from %s with fencing token %d after an order from %s with token %d", machine, order.sender, order.token, last.sender, last.token)
+	}
+	if between := order.at.Sub(last.at); otherSender && between < m.minTurn {
+		m.checker.addViolation("machine %s: order from %s %v after an order from %s", machine, order.sender, between, last.sender)
+	}
+}
+
 // moveTo starts a machine's move to another pool.
 func (m *MachineService) moveTo(machine *Machine, o wireMachineOrder) string {
 	if machine.Pool == o.Pool {
@@ -195,9 +209,9 @@
 
 // NewMachineService returns a service without machines. onStop is called with the runner of a machine that goes
 // offline, and onStart starts a machine's runner; boot counts the machine's boots from 1.
-func NewMachineService(sparePool string, moveTime, maintenanceTime time.Duration, c *Checker, onStop func(*Runner), onStart func(m *Machine, boot int) *Runner) *MachineService {
+func NewMachineService(sparePool string, moveTime, maintenanceTime, minTurn time.Duration, c *Checker, onStop func(*Runner), onStart func(m *Machine, boot int) *Runner) *MachineService {
 	return &MachineService{
-		byName: map[string]*Machine{}, sparePool: sparePool, moveTime: moveTime, maintenanceTime: maintenanceTime, checker: c, onStop: onStop, onStart: onStart,
+		byName: map[string]*Machine{}, sparePool: sparePool, moveTime: moveTime, maintenanceTime: maintenanceTime, minTurn: minTurn, checker: c, onStop: onStop, onStart: onStart,
 		waves: map[int64]map[string]struct{}{}, maxDown: map[int64]int{}, lastOrders: map[string]machineOrder{}, Maintenances: map[string]int{},
 	}
 }
