A coordinator forgets absences of machines with its role

Test on the code before the fix: --- FAIL: TestAbsenceBeforeARoleWasLostDoesNotCount Not equal: expected: 1, actual: 0 (maintenances of m0)

Cause: absentSince survived the loss of the role, so that the first absence after a later return of the role counted as one of over 3 s: the machine was marked as gone, and its wave as completed without its upkeep (rule MIXED).

Ruled out: the list itself; readList returns every page or an error.

Fix: all of a coordinator's own memory is dropped at one place, as soon as the role is lost. A machine is also marked as gone only when it may be claimed; Claim would refuse it, at the price of a read each 100 ms.

--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -117,13 +117,20 @@
 			c.step(ctx)
 			return
 		}
-		clear(c.moving)
-		clear(c.inMaintenance)
-		c.setReply(Reply{})
+		c.reset()
 	})
 	return nil
 }
 
+// reset forgets what was known while this daemon was the coordinator: another one may have acted since.
+func (c *Coordinator) reset() {
+	clear(c.moving)
+	clear(c.inMaintenance)
+	clear(c.absentSince)
+	clear(c.retryAt)
+	c.setReply(Reply{})
+}
+
 // Moving returns the number of machines that are moving to another pool.
 func (c *Coordinator) Moving() int64 {
 	c.mu.Lock()
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -201,3 +201,21 @@
 		require.Empty(t, s.checker.Violations)
 	})
 }
+
+// A coordinator that lost and regained its role took a machine for gone at once, and its wave for completed.
+func TestAbsenceBeforeARoleWasLostDoesNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Minute})
+		s.first.held.Store(true)
+		time.Sleep(time.Second)
+		s.first.held.Store(false)
+		time.Sleep(5 * time.Second)
+		s.first.held.Store(true)
+		time.Sleep(time.Second)
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: sparePool})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"))
+		row, _ := s.first.Waves.get(1)
+		require.True(t, row.Complete)
+	})
+}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -120,7 +120,7 @@
 		c.absentSince[name] = now
 		return
 	}
-	if now.Sub(since) > missingTimeout {
+	if now.Sub(since) > missingTimeout && c.canOrder(name, now) {
 		c.setStage(ctx, wave, name, maintenance.Gone)
 		delete(c.inMaintenance, name)
 	}
