A machine that returns under the same runner ID is neither offered nor ready

Tests on the code before the fix: --- FAIL: TestMachineThatReturnsUnderTheSameIDIsNotOffered []string{"o5", "m0", "o4"} should not contain "m0" --- FAIL: TestMachineThatReturnsUnderTheSameIDIsEvacuatedAgain Should be true

Cause: the PoolManager forgot an offer only when the machine returned with another runner ID, and an evacuation for a wave not at all. A runner may start again under its ID; the leader then places work on it, while the PoolManager offers its machine, or reports it ready for maintenance, whenever it happens to be empty. An order then ends what has been started since. The same holds after this daemon has lost and regained the leadership.

Ruled out: a restart that the leader notices without a new entry; it keeps the runner as evacuated, and the offer stands.

Fix: the leader's own status decides. What it doesn't evacuate is forgotten before each report, and chosen anew if need be.

--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -90,6 +90,7 @@
 // report begins the evacuations that are due in one pool and returns its report.
 func (p *PoolManager) report(now time.Time, leader Leader) Report {
 	runners := leader.RunnerStatuses()
+	p.forgetRestarted(runners)
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
 		p.scale(now, leader, runners, &report)
@@ -104,6 +105,20 @@
 	return report
 }
 
+// forgetRestarted forgets the evacuations of runners that their leader no longer evacuates: they are new ones under the
+// same ID, or the leader is. They are chosen anew if need be.
+func (p *PoolManager) forgetRestarted(runners []sched.RunnerStatus) {
+	for _, runner := range runners {
+		if runner.Evacuating {
+			continue
+		}
+		delete(p.evacuating, runner.Runner)
+		if p.offers[runner.Machine] == runner.Runner {
+			delete(p.offers, runner.Machine)
+		}
+	}
+}
+
 // scale sets how many machines the pool should have, and evacuates and offers the surplus.
 func (p *PoolManager) scale(now time.Time, leader Leader, runners []sched.RunnerStatus, report *Report) {
 	var room int64
