PoolManager forgets runners, waves and services that are gone

Tests on the code before the fix: --- FAIL: TestPoolManagerForgetsWhatIsGone Should be empty, but was map[m1:r1 m2:r2 m3:r3 m4:r4 m5:r5 m6:r6 m7:r7 m8:r8 m9:r9 o4:other4 o5:other5] --- FAIL: TestForgottenRunnerIsNotLeftEvacuating Should be false

Cause: nothing removed the entries of a runner that was listed no more, of a wave that was over, or of a service led elsewhere.

Ruled out: dropping a runner with its entry in the list; entries also expire while the store is down, and the leader goes on evacuating such a runner.

Fix: runners are forgotten a minute after they were last listed, waves and services at once. If a forgotten runner is listed again and its leader still evacuates it, the evacuation is ended; nobody else would end it.

--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +19,7 @@
 // Intervals and delays of the reports.
 const (
 	reportInterval = 150 * time.Millisecond
+	forgetDelay    = time.Minute            // until a runner that is no longer listed is forgotten
 	surplusDelay   = 900 * time.Millisecond // a surplus must last this long before it is released, unless other pools are short
 )
 
@@ -53,6 +56,7 @@
 	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
 	logged       map[string]poolLog   // last logged state, by service
 	replies      map[string]Reply     // the coordinator's last reply, by service
+	lastListed   map[string]time.Time // when a runner of a pool that this daemon leads was last listed, by runner
 }
 
 // poolLog is the state of a pool that is logged when it changes.
@@ -71,26 +75,53 @@
 		waveStart:       map[int64]time.Time{},
 		logged:          map[string]poolLog{},
 		replies:         map[string]Reply{},
+		lastListed:      map[string]time.Time{},
 	}
 }
 
 // Run reports the pools every reportInterval until ctx ends.
 func (p *PoolManager) Run(ctx context.Context) error {
 	sleep.Every(ctx, reportInterval, func() {
-		for _, leader := range p.Leaders() {
+		leaders := p.Leaders()
+		for _, leader := range leaders {
 			if leader.Service() != p.SparePool() {
 				// A failed call clears the reply: without a coordinator no other pool could use released machines.
 				p.replies[leader.Service()], _ = p.Send(ctx, p.report(p.Now(), leader))
 			}
 		}
+		p.forgetGone(p.Now(), leaders)
 	})
 	return nil
 }
 
+// forgetGone forgets runners that have not been listed for forgetDelay, waves that are no longer requested and services
+// that this daemon no longer leads.
+func (p *PoolManager) forgetGone(now time.Time, leaders []Leader) {
+	for runner, at := range p.lastListed {
+		if now.Sub(at) > forgetDelay {
+			delete(p.lastListed, runner)
+			delete(p.evacuating, runner)
+			maps.DeleteFunc(p.offers, func(_, offered string) bool { return offered == runner })
+		}
+	}
+	maps.DeleteFunc(p.waveStart, func(number int64, _ time.Time) bool {
+		return !slices.ContainsFunc(p.RequestedWaves(), func(wave platform.Wave) bool { return wave.Number == number })
+	})
+	notLed := func(service string) bool {
+		return !slices.ContainsFunc(leaders, func(leader Leader) bool { return leader.Service() == service })
+	}
+	maps.DeleteFunc(p.surplusSince, func(service string, _ time.Time) bool { return notLed(service) })
+	maps.DeleteFunc(p.logged, func(service string, _ poolLog) bool { return notLed(service) })
+	maps.DeleteFunc(p.replies, func(service string, _ Reply) bool { return notLed(service) })
+}
+
 // report begins the evacuations that are due in one pool and returns its report.
 func (p *PoolManager) report(now time.Time, leader Leader) Report {
 	runners := leader.RunnerStatuses()
-	p.forgetRestarted(runners)
+	for _, runner := range runners {
+		p.lastListed[runner.Runner] = now
+	}
+	p.forgetRestarted(leader, runners)
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
 		p.scale(now, leader, runners, &report)
@@ -106,15 +137,19 @@
 }
 
 // forgetRestarted forgets the evacuations of runners that their leader no longer evacuates: they are new ones under the
-// same ID, or the leader is. They are chosen anew if need be.
-func (p *PoolManager) forgetRestarted(runners []sched.RunnerStatus) {
+// same ID, or the leader is. They are chosen anew if need be. It ends evacuations that this PoolManager has forgotten.
+func (p *PoolManager) forgetRestarted(leader Leader, runners []sched.RunnerStatus) {
 	for _, runner := range runners {
-		if runner.Evacuating {
-			continue
-		}
-		delete(p.evacuating, runner.Runner)
-		if p.offers[runner.Machine] == runner.Runner {
-			delete(p.offers, runner.Machine)
+		offered := p.offers[runner.Machine] == runner.Runner
+		_, evacuating := p.evacuating[runner.Runner]
+		switch {
+		case !runner.Evacuating:
+			delete(p.evacuating, runner.Runner)
+			if offered {
+				delete(p.offers, runner.Machine)
+			}
+		case !offered && !evacuating:
+			leader.SetEvacuating(runner.Runner, false)
 		}
 	}
 }
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -119,3 +120,47 @@
 		require.True(t, pt.leader.runners["r0"].Evacuating)
 	})
 }
+
+// The PoolManager kept an entry for every runner, wave and service that it had ever seen.
+func TestPoolManagerForgetsWhatIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pt := newPoolTest()
+		for i := range 6 { // more than a pool keeps
+			pt.leader.add(fmt.Sprintf("other%d", i), fmt.Sprintf("o%d", i))
+		}
+		pt.reply = Reply{Known: true, Short: 1}
+		for i := range 10 {
+			runner, machine := fmt.Sprintf("r%d", i), fmt.Sprintf("m%d", i)
+			pt.waves = []platform.Wave{{Number: int64(i), Machines: []string{machine}, MaxDown: 1, TimeLimit: time.Second}}
+			pt.leader.add(runner, machine)
+			pt.run(time.Second)
+			delete(pt.leader.runners, runner)
+		}
+		require.NotEmpty(t, pt.offers)
+		require.NotEmpty(t, pt.evacuating)
+		clear(pt.leader.runners)
+		pt.waves = nil
+		pt.run(2 * forgetDelay)
+		pt.Leaders = func() []Leader { return nil }
+		pt.run(time.Second)
+		require.Empty(t, pt.offers)
+		require.Empty(t, pt.evacuating)
+		require.Empty(t, pt.lastListed)
+		require.Empty(t, pt.waveStart)
+		require.Empty(t, pt.surplusSince)
+		require.Empty(t, pt.logged)
+		require.Empty(t, pt.replies)
+	})
+}
+
+// A runner whose entry was missing for long is no longer known to be evacuated: it must take work again.
+func TestForgottenRunnerIsNotLeftEvacuating(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pt := newPoolTest()
+		pt.reply = Reply{Known: true, Floor: 1}
+		pt.leader.add("r0", "m0")
+		pt.leader.SetEvacuating("r0", true)
+		pt.run(time.Second)
+		require.False(t, pt.leader.runners["r0"].Evacuating)
+	})
+}
