Each caller of Registry.List gets its own map

Test on the code before the fix: --- FAIL: TestCallersOfListShareNoMap map[string]platform.Machine{} does not contain "m0"

Cause: List returned the registry's map, with a comment that it must not be changed. No caller changes it today (read: machines.Coordinator and the leaders' lookup of silent runners); a change would be a data race between the coordinator and the leaders.

Fix: a copy for each caller. It is made at most ten times a second, for some hundred machines.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -181,7 +182,7 @@
 }
 
 // List returns the machines by name and when the list was read, at most maxListAge ago. It returns false if the list
-// could not be read. Concurrent calls share one reading. The map must not be changed.
+// could not be read. Concurrent calls share one reading. The map is the caller's own.
 func (r *Registry) List(ctx context.Context) (map[string]platform.Machine, time.Time, bool) {
 	for {
 		r.mu.Lock()
@@ -189,7 +190,7 @@
 		now := r.Deps.Now()
 		if now.Sub(listedAt) < maxListAge {
 			r.mu.Unlock()
-			return list, listedAt, true
+			return maps.Clone(list), listedAt, true
 		}
 		if reading == nil {
 			reading = make(chan struct{})
@@ -224,5 +225,5 @@
 		byName[machine.Name] = machine
 	}
 	r.machineList, r.listedAt = byName, now
-	return byName, now, true
+	return maps.Clone(byName), now, true
 }
--- a/claims/registry_test.go
+++ b/claims/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/platform"
+	"gypsumlead/standin"
 )
 
 // One caller's reading of the list of machines gets no answer. The others must not wait for it beyond their own time.
@@ -36,3 +38,28 @@
 		time.Sleep(time.Second) // until the first reading has given up
 	})
 }
+
+// The callers of List got the same map: what one of them changed, the others and the next callers saw.
+func TestCallersOfListShareNoMap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork()
+		addr := netip.MustParseAddrPort("10.0.0.1:80")
+		service := standin.NewMachineService("spare", time.Second, time.Second, time.Second, standin.NewChecker(),
+			func(*standin.Runner) {}, func(*standin.Machine, int) *standin.Runner { return nil })
+		service.Add(&standin.Machine{Name: "m0", Pool: "spare"})
+		l, err := network.Listen(addr)
+		require.NoError(t, err)
+		server := &http.Server{Handler: service}
+		go func() { _ = server.Serve(l) }() // it returns when the server is closed
+		defer func() { _ = server.Close() }()
+		client := platform.NewMachineClient(addr, platform.DialFunc(network.Dialer(netip.MustParseAddr("10.0.1.1"))), platform.NewMeter())
+		defer client.Close()
+		r := New(Deps{Machines: client, Log: zap.NewNop(), Now: time.Now})
+		for range 3 { // the first call reads the list, the others share it
+			list, _, ok := r.List(t.Context())
+			require.True(t, ok)
+			require.Contains(t, list, "m0")
+			clear(list)
+		}
+	})
+}
