Reload logs each change of the settings file once

Test on the code before the fix: --- FAIL: TestReloadLogsEachChangeOnce Should be zero, but was 1

Cause: the settings that were read were compared with those in force, which never take over a key that needs a restart; from then on each reading (every 5 s) was logged as a change.

Fix: they are compared with those that were read before. The line also says whether a restart is needed.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -77,6 +77,7 @@
 	leaseConfig     sched.LeaseConfig
 
 	mu         sync.Mutex
+	lastRead   settings.Settings // the settings file as last read; only some of its changes are in settings
 	leaders    map[string]*leader.Leader
 	leaving    bool
 	leaderless map[string]time.Time // since when services have had no leader
@@ -124,6 +125,7 @@
 func New(conf settings.Settings, log *zap.Logger, opts ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings:    conf,
+		lastRead:    conf,
 		boot:        rand.Text(),
 		now:         clock.Now,
 		dial:        platform.DialTCP,
@@ -332,19 +334,20 @@
 }
 
 // Reload applies those changes of the settings that are possible while the daemon runs: the addresses of the
-// platform's store and machine service.
+// platform's store and machine service. It logs a change once, however often the settings are read.
 func (d *Daemon) Reload(conf settings.Settings) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if conf == d.settings {
+	if conf == d.lastRead {
 		return
 	}
+	d.lastRead = conf
 	if conf.Store != d.settings.Store {
 		d.store.MoveTo(conf.Store)
 	}
 	if d.machineClient != nil && conf.Machines.IsValid() && conf.Machines != d.settings.Machines {
 		d.machineClient.MoveTo(conf.Machines)
 	}
-	d.log.Info("settings changed", zap.Stringer("store", conf.Store), zap.Stringer("machines", conf.Machines))
 	d.settings.Store, d.settings.Machines = conf.Store, conf.Machines
+	d.log.Info("settings changed", zap.Stringer("store", conf.Store), zap.Stringer("machines", conf.Machines), zap.Bool("restart_needed", conf != d.settings))
 }
