--- a/cache/operator_state.go
+++ b/cache/operator_state.go
@@ -55,7 +55,7 @@
 		o.applyRow(r)
 	}
 	o.mu.Unlock()
-	if len(rows) > 0 {
+	if len(rows) > 0 || snapshot {
 		o.onChange()
 	}
 }
