Trail.Find no longer reads lines that Write evicts

Test on the code before the fix, with -race: WARNING: DATA RACE Write at 0x00c00030cab0 by goroutine 30: gypsumlead/logs.(*Trail).Write() trail.go:32 Previous read at 0x00c00030cab0 by goroutine 32: gypsumlead/logs.(*Trail).Find() trail.go:48

Cause: Find read the shared array of lines after unlocking, in which Write clears the entries of evicted lines.

Fix: Find copies the entries (not the lines, which are never changed) under the lock, so that decoding them still holds up no logging.

--- a/logs/trail.go
+++ b/logs/trail.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"sync"
 )
 
@@ -42,7 +43,7 @@
 // Find returns the lines with a field that equals name, or that starts with name and a dot, oldest first.
 func (t *Trail) Find(name string) []string {
 	t.mu.Lock()
-	lines := t.lines[:len(t.lines):len(t.lines)]
+	lines := slices.Clone(t.lines) // Write clears the lines that it evicts
 	t.mu.Unlock()
 	var matches []string
 	for _, line := range lines {
--- a/logs/trail_test.go
+++ b/logs/trail_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -40,3 +41,23 @@
 	require.LessOrEqual(t, tr.size, maxTrailBytes)
 	require.LessOrEqual(t, len(tr.lines), 4)
 }
+
+// Lines were read while others evicted them. It fails under the race detector.
+func TestTrailIsReadWhileItIsWritten(t *testing.T) {
+	var tr Trail
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			for range 2 * maxTrailLines {
+				_, _ = tr.Write([]byte(`{"job":"j"}` + "\n")) // it never fails
+			}
+		})
+	}
+	wg.Go(func() {
+		for range 10 {
+			tr.Find("j")
+		}
+	})
+	wg.Wait()
+	require.Len(t, tr.Find("j"), maxTrailLines)
+}
