Stand-in: its check of starts after the last attempt can fail

Test on the code before the fix: --- FAIL: TestStartAfterTheLastAttemptIsAViolation/acknowledged_before_the_start "[]" should have 1 item(s), but has 0 and the same for acknowledged_after_the_start and copy,_later

Cause: nothing counted taskRecord.ackedFails, which the check demanded.

Fix: failed ends are recorded like those as done: with their runner, number, acknowledgement, and whether a lost lease made them void.

--- a/standin/checker.go
+++ b/standin/checker.go
@@ -31,20 +31,20 @@
 
 // taskRecord is what the checker knows of a task.
 type taskRecord struct {
-	active     map[*Runner]int  // run numbers in progress, by runner
-	done       *runEnd          // latest end as done; an acknowledged one is not replaced
-	fails      map[int]struct{} // run numbers that failed
-	ackedFails int              // never incremented, so runStarted does not yet report starts after the last attempt
+	active map[*Runner]int // run numbers in progress, by runner
+	done   *runEnd         // latest end as done; an acknowledged one is not replaced
+	fails  map[int]*runEnd // ends as failed, by run number
 }
 
-// runEnd is the end of a run as done.
+// runEnd is the end of a run as done or failed.
 type runEnd struct {
 	runner      *Runner
 	born        int64
 	number      int64     // in the runner's list of ends
 	restartedAt time.Time // when the task was last started after this end; zero if it was not
 	acked       bool      // the leader acknowledged the end
-	void        bool      // the runner's lease expired, or it crashed, before the leader acknowledged the end
+	ackedAt     time.Time
+	void        bool // the runner's lease expired, or it crashed, before the leader acknowledged the end
 }
 
 // NewChecker returns a checker that has observed nothing.
@@ -91,7 +91,7 @@
 func (c *Checker) task(name string) *taskRecord {
 	tr, ok := c.tasks[name]
 	if !ok {
-		tr = &taskRecord{active: map[*Runner]int{}, fails: map[int]struct{}{}}
+		tr = &taskRecord{active: map[*Runner]int{}, fails: map[int]*runEnd{}}
 		c.tasks[name] = tr
 	}
 	return tr
@@ -123,9 +123,10 @@
 	if tr.done != nil && !tr.done.acked && !tr.done.void && !step.Speculative {
 		tr.done.restartedAt = time.Now() // a violation if the leader acknowledges that end later, see endAcked
 	}
-	if !step.LongRunning && len(tr.fails) >= jr.attempts && tr.ackedFails >= jr.attempts {
-		c.addViolation("%s run %d started after %d failures", name, run, len(tr.fails))
+	for _, end := range tr.fails {
+		end.restartedAt = time.Now()
 	}
+	c.checkAttempts(name, tr, jr.attempts, step)
 	grace := cancelGrace
 	if delayed {
 		grace += maxOrderDelay
@@ -144,6 +145,27 @@
 	tr.active[r] = run
 }
 
+// speculativeSlack is how long a copy may still be started after the last failure was acknowledged, from the platform's
+// documentation.
+const speculativeSlack = time.Second
+
+// checkAttempts records a violation if a task was started after all of its attempts had failed, and the leader has
+// acknowledged these ends. It is called for each start and each acknowledgement; the caller holds c.mu.
+func (c *Checker) checkAttempts(name string, tr *taskRecord, attempts int, step work.Step) {
+	if step.LongRunning {
+		return
+	}
+	counted := 0
+	for _, end := range tr.fails {
+		if end.acked && !end.restartedAt.IsZero() && (!step.Speculative || end.restartedAt.Sub(end.ackedAt) > speculativeSlack) {
+			counted++
+		}
+	}
+	if counted >= attempts {
+		c.addViolation("%s started after %d acknowledged failures", name, counted)
+	}
+}
+
 // runEnded records the end of a run and its number in the runner's list of ends.
 func (c *Checker) runEnded(r *Runner, endNumber int64, name string, run int, reason work.EndReason) {
 	c.mu.Lock()
@@ -157,18 +179,24 @@
 			tr.done = &runEnd{runner: r, born: r.born, number: endNumber}
 		}
 	case work.EndFailed:
-		tr.fails[run] = struct{}{}
+		tr.fails[run] = &runEnd{runner: r, born: r.born, number: endNumber}
 	}
 }
 
 // endAcked records that the leader acknowledged an end of a runner. It is a violation if the task was started again
-// between that end and its acknowledgement.
+// between that end and its acknowledgement, and it was done or this was its last attempt.
 func (c *Checker) endAcked(r *Runner, endNumber int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for name, tr := range c.tasks {
+		for _, end := range tr.fails {
+			if end.is(r, endNumber) && !end.void {
+				end.acked, end.ackedAt = true, time.Now()
+				c.checkFailAcked(name, tr)
+			}
+		}
 		end := tr.done
-		if end == nil || end.runner != r || end.born != r.born || end.number != endNumber || end.acked {
+		if end == nil || !end.is(r, endNumber) {
 			continue
 		}
 		if !end.void && !end.restartedAt.IsZero() {
@@ -178,6 +206,22 @@
 	}
 }
 
+// is reports whether this is the unacknowledged end with a number in the list of a runner's incarnation.
+func (e *runEnd) is(r *Runner, number int64) bool {
+	return e.runner == r && e.born == r.born && e.number == number && !e.acked
+}
+
+// checkFailAcked checks a task's starts after the leader has acknowledged a failure. The caller holds c.mu.
+func (c *Checker) checkFailAcked(name string, tr *taskRecord) {
+	t, ok := work.ParseTask(name)
+	if !ok {
+		return // runStarted has seen only names of tasks
+	}
+	if jr, ok := c.jobs[t.Job]; ok {
+		c.checkAttempts(name, tr, jr.attempts, jr.job.Steps[t.Step])
+	}
+}
+
 // runLost records that a run ended because its runner crashed.
 func (c *Checker) runLost(r *Runner, name string) {
 	c.mu.Lock()
@@ -199,6 +243,9 @@
 		if tr.done != nil && tr.done.runner == r && !tr.done.acked {
 			tr.done.void = true
 		}
+		for _, end := range tr.fails {
+			end.void = end.void || (end.runner == r && !end.acked)
+		}
 	}
 }
 
