A machine claimed by an earlier coordinator is evacuated and ordered anew

Cause: pools don't report a claimed machine as ready. A coordinator that found a claimed machine which was up again, since maintenance is shorter than the time until it may claim it, waited for that report for good. And an order that was repeated for long went to a machine on which a new leader of the pool might have placed work.

Fix: pools report a claimed machine while they evacuate it and it is empty. If a claimed machine is up and not reported, its claim is undone once no earlier order can take it down any more, and it goes through evacuation again; the platform does the maintenance only once.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -119,7 +119,19 @@
 		return false
 	}
 	last, ok := r.rows[machine]
-	return !ok || last.row.Boot == r.Boot || r.storeNow()-last.row.ClaimedAt > permitTTL+claimSlack+r.TTL
+	return !ok || last.row.Boot == r.Boot || r.quietAt(last.row, r.Deps.Now())
+}
+
+// QuietAt reports whether all permits of orders for a machine, of any daemon, had ended at least TTL before a time.
+func (r *Registry) QuietAt(machine string, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.synced && r.quietAt(r.rows[machine].row, at)
+}
+
+// quietAt is QuietAt for a machine's last claim. The caller holds r.mu.
+func (r *Registry) quietAt(last Row, at time.Time) bool {
+	return r.stamp.Now+at.Sub(r.stampAt)-last.ClaimedAt > permitTTL+claimSlack+r.TTL
 }
 
 // Claim claims machines for this daemon, in one transaction with other changes of the store, and returns the permit of
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -1,7 +1,9 @@
 package machines
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
@@ -32,6 +34,7 @@
 	moveTime        = 1500 * time.Millisecond
 	maintenanceTime = 2 * time.Second
 	machineLease    = 3 * time.Second
+	orderDelay      = 2500 * time.Millisecond // more than the caller waits for an answer
 	sparePool       = "spare"
 )
 
@@ -45,6 +48,7 @@
 	first, second *testDaemon
 	mu            sync.Mutex
 	throttled     map[string]struct{} // lease holders whose orders are refused as too many
+	delayed       string              // a machine whose orders get no answer and are executed after orderDelay
 }
 
 // testDaemon is one daemon's coordinator.
@@ -120,6 +124,14 @@
 		w.WriteHeader(http.StatusTooManyRequests)
 		return
 	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return // the caller has gone
+	}
+	if s.delayed != "" && bytes.Contains(body, []byte(s.delayed)) {
+		time.Sleep(orderDelay)
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	s.machines.ServeHTTP(w, r)
 }
 
@@ -219,3 +231,45 @@
 		require.True(t, row.Complete)
 	})
 }
+
+// A machine whose maintenance was over before another daemon could claim it stayed claimed for good, and its wave open.
+func TestWaveGoesOnAfterAHandOverDuringMaintenance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Minute})
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: "s0"})
+		s.first.held.Store(true)
+		ready := Report{Service: "s0", Ready: []ReadyMachine{{Machine: "m0", Wave: 1}}}
+		s.first.report(reportInterval, ready)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"))
+		s.handOver()
+		for range 100 {
+			row, _ := s.second.Waves.get(1)
+			report := Report{Service: "s0"}
+			if row.Machines["m0"] == "" { // a claimed machine is not reported, see PoolManager.evacuateForWave
+				report = ready
+			}
+			s.second.report(reportInterval, report)
+		}
+		row, _ := s.second.Waves.get(1)
+		require.True(t, row.Complete)
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"))
+		require.Empty(t, s.checker.Violations)
+	})
+}
+
+// A machine must count as down for as long as an unanswered order may still take it down.
+func TestClaimIsNotUndoneWhileAnOrderMayBeExecuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0", "m1"}, MaxDown: 1, TimeLimit: time.Minute})
+		s.delayed = "m0"
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: "s0"})
+		s.machines.Add(&standin.Machine{Name: "m1", Pool: "s0"})
+		s.first.held.Store(true)
+		s.first.report(reportInterval, Report{Service: "s0", Ready: []ReadyMachine{{Machine: "m0", Wave: 1}}})
+		s.first.report(12*time.Second, Report{Service: "s0", Ready: []ReadyMachine{{Machine: "m1", Wave: 1}}})
+		require.Equal(t, 1, s.machines.MaintenanceCount("m0"))
+		require.Equal(t, 1, s.machines.MaintenanceCount("m1"))
+		require.Empty(t, s.checker.Violations)
+	})
+}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -59,11 +59,8 @@
 	down, known := c.inMaintenance[machine.Name]
 	switch {
 	case !known:
-		// An earlier coordinator claimed the machine; whether it ordered the maintenance is unknown. A repeated
-		// order is safe: the maintenance is done only once.
-		if (empty || machine.State != platform.MachineUp) && c.canOrder(machine.Name, now) {
-			c.claimMaintenance(ctx, wave, machine.Name)
-		}
+		// An earlier coordinator claimed the machine; whether it ordered the maintenance is unknown.
+		c.resumeMaintenance(ctx, now, wave, machine, listedAt, empty)
 	case !down.acceptedAt.IsZero():
 		if machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack {
 			if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Done); ok {
@@ -76,7 +73,23 @@
 	default:
 		down.orderedAt = now // a failed claim is repeated after orderRetryDelay too
 		c.inMaintenance[machine.Name] = down
+		c.resumeMaintenance(ctx, now, wave, machine, listedAt, empty)
+	}
+}
+
+// resumeMaintenance handles a machine that is claimed but that nobody has a permit to order. A repeated order is safe, as
+// the maintenance is done only once. But a machine that is up may be back, or may have been given work by a new leader of
+// its pool. Once no earlier order can take it down any more, its claim is undone, so that it is evacuated and reported as
+// ready again.
+func (c *Coordinator) resumeMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
+	switch {
+	case !c.canOrder(machine.Name, now):
+	case empty || machine.State != platform.MachineUp:
 		c.claimMaintenance(ctx, wave, machine.Name)
+	case c.Claims.QuietAt(machine.Name, listedAt):
+		if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Pending); ok {
+			delete(c.inMaintenance, machine.Name)
+		}
 	}
 }
 
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -251,15 +251,15 @@
 			p.endMaintenance(leader, runner.Runner)
 			continue
 		}
-		if row.Machines[runner.Machine] == maintenance.Claimed {
-			continue // the machine is down, or is back and the coordinator hasn't seen it yet
-		}
-		leader.SetMaintenanceDue(runner.Runner, true)
 		_, offered := p.offers[runner.Machine]
-		candidates = append(candidates, maintenance.Candidate{Machine: runner.Machine, Runner: runner.Runner, Evacuating: evacuating || offered, LongRunning: runner.LongRunning})
 		if (evacuating || offered) && leader.RunnerEmpty(runner.Runner) {
 			report.Ready = append(report.Ready, ReadyMachine{runner.Machine, wave.Number})
 		}
+		if row.Machines[runner.Machine] == maintenance.Claimed {
+			continue // the machine will go down soon, is down, or is back and the coordinator hasn't seen it yet
+		}
+		leader.SetMaintenanceDue(runner.Runner, true)
+		candidates = append(candidates, maintenance.Candidate{Machine: runner.Machine, Runner: runner.Runner, Evacuating: evacuating || offered, LongRunning: runner.LongRunning})
 	}
 	size, busy := leader.Availability()
 	for _, c := range maintenance.Next(maintenance.Pool{Size: size, Busy: busy}, candidates, remaining) {
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"gypsumlead/maintenance"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/watch"
@@ -164,3 +165,21 @@
 		require.False(t, pt.leader.runners["r0"].Evacuating)
 	})
 }
+
+// The coordinator can repeat an order only if it knows that the claimed machine is still empty.
+func TestClaimedMachineIsReadyWhileItIsEvacuated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pt := newPoolTest()
+		pt.waves = []platform.Wave{{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Second}}
+		pt.leader.add("r0", "m0")
+		pt.run(time.Second)
+		pt.Waves.set(1, maintenance.Row{}.With("m0", maintenance.Claimed), 1)
+		ready := []ReadyMachine{{Machine: "m0", Wave: 1}}
+		require.Equal(t, ready, pt.report(time.Now(), pt.leader).Ready)
+		pt.leader.add("r0", "m0")
+		require.Empty(t, pt.report(time.Now(), pt.leader).Ready, "it is back under its ID")
+		pt.Waves.set(1, maintenance.Row{}.With("m0", maintenance.Pending), 2)
+		pt.run(time.Second)
+		require.Equal(t, ready, pt.report(time.Now(), pt.leader).Ready, "evacuated again")
+	})
+}
--- a/maintenance/row.go
+++ b/maintenance/row.go
@@ -12,6 +12,7 @@
 
 // The stages of a machine; a machine that isn't in the row hasn't begun.
 const (
+	Pending Stage = ""        // it still takes work, or is being evacuated
 	Claimed Stage = "claimed" // it counts as down
 	Done    Stage = "done"    // it is back in service
 	Gone    Stage = "left"    // it no longer exists, or is not a machine of the wave
