A coordinator that was paused or held up decides anew before it orders

Operators of similar systems: a process that had been paused for some seconds acted on a permission that had run out meanwhile.

Test on the code before the fix: --- FAIL: TestPausedCoordinatorDoesNotActOnWhatItKnewBefore/paused Not equal: expected: 0, actual: 1 (maintenances of m0)

Cause: a step read the reports (an empty machine, an offer) and then the list of machines, claimed and ordered; the permit ran only from the claim. After a pause before the claim a machine was taken down on a report of seconds ago. Likewise a move whose permit had ended was claimed anew without a new offer.

Ruled out: an order by another daemon in between; the conditions on the versions of the claim and of the wave's row turn the claim down then.

Fix: the reports are read after the list, the permit runs from that moment, and what is older than 1 s is decided anew in the next step. A move whose permit has ended is decided anew, unless the list shows that it has begun.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -135,9 +135,8 @@
 }
 
 // Claim claims machines for this daemon, in one transaction with other changes of the store, and returns the permit of
-// the orders that follow. It returns false if nothing was changed, or if a machine can't be claimed now.
-func (r *Registry) Claim(ctx context.Context, purpose string, machines []string, changes platform.Tx) (platform.OrderPermit, bool) {
-	sentAt := r.Deps.Now()
+// the orders that were decided on at a time. It returns false if nothing was changed, or if a machine can't be claimed now.
+func (r *Registry) Claim(ctx context.Context, decidedAt time.Time, purpose string, machines []string, changes platform.Tx) (platform.OrderPermit, bool) {
 	tx, claimedAt, err := r.claimTx(purpose, machines, changes)
 	if err != nil {
 		r.Log.Warn("cannot claim machines", zap.Strings("machines", machines), zap.Error(err))
@@ -153,7 +152,7 @@
 			row.Version = stamp.Version
 			r.record(row)
 		}
-		return r.permit(sentAt, claimedAt, stamp), true
+		return r.permit(decidedAt, claimedAt, stamp), true
 	}
 	var conflict *platform.Conflict
 	if errors.As(err, &conflict) {
@@ -166,10 +165,11 @@
 	return platform.OrderPermit{}, false
 }
 
-// permit returns the permit of a claim that was sent at a time and names claimedAt. Other daemons count from claimedAt,
-// which may lie before the store's time at sending. The store's time now is at most its stamp plus the time since sending.
-func (r *Registry) permit(sentAt time.Time, claimedAt time.Duration, stamp platform.Stamp) platform.OrderPermit {
-	expiresAt := sentAt.Add(permitTTL - max(stamp.Now-claimedAt, 0))
+// permit returns the permit of a claim that names claimedAt. Other daemons count from claimedAt, which may lie before the
+// store's time when the claim was sent. The store's time now is at most its stamp plus the time since then, and the orders
+// were decided on before that.
+func (r *Registry) permit(decidedAt time.Time, claimedAt time.Duration, stamp platform.Stamp) platform.OrderPermit {
+	expiresAt := decidedAt.Add(permitTTL - max(stamp.Now-claimedAt, 0))
 	return platform.OrderPermit{Holder: r.Name, Token: stamp.Version, Valid: func() bool { return r.Deps.Now().Before(expiresAt) }}
 }
 
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -23,6 +23,7 @@
 	busyBackoff         = time.Second            // before a machine that was busy gets another order
 	missingTimeout      = 3 * time.Second        // a machine absent from the list for longer is gone
 	maintenanceSlack    = 100 * time.Millisecond // added to MaintenanceDuration before a machine that is up counts as back
+	maxDecisionAge      = time.Second            // older decisions are not carried out, but made anew
 	maxConcurrentOrders = 16                     // move orders sent together
 )
 
@@ -49,6 +50,7 @@
 	movingCount int64 // length of moving, for other goroutines
 	reply       Reply
 	// The fields below are used only by Run.
+	decidedAt     time.Time // when the reports were read on which the present step is based
 	moving        map[string]move
 	inMaintenance map[string]takenDown
 	absentSince   map[string]time.Time // machines of waves that are absent from the list
@@ -145,15 +147,16 @@
 		defer c.mu.Unlock()
 		c.movingCount = int64(len(c.moving))
 	}()
-	now := c.Now()
-	reports := c.freshReports(now)
-	if !c.hasWork(reports) {
+	if !c.hasWork(c.freshReports(c.Now())) {
 		return
 	}
 	machines, listedAt, ok := c.Claims.List(ctx)
 	if !ok {
 		return
 	}
+	now := c.Now() // the list may have taken long
+	c.decidedAt = now
+	reports := c.freshReports(now)
 	for _, wave := range c.RequestedWaves() {
 		if row, _ := c.Waves.get(wave.Number); !row.Complete {
 			c.advanceWave(ctx, now, wave, machines, listedAt, reports)
@@ -187,6 +190,9 @@
 	c.retryAt[machine] = now.Add(busyBackoff)
 }
 
+// outdated reports whether the decisions of this step are too old to be carried out, after slow calls or a pause.
+func (c *Coordinator) outdated() bool { return c.Now().Sub(c.decidedAt) > maxDecisionAge }
+
 // canOrder reports whether a machine may get an order now.
 func (c *Coordinator) canOrder(machine string, now time.Time) bool {
 	return c.Claims.CanClaim(machine) && !now.Before(c.retryAt[machine])
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -48,6 +48,8 @@
 	first, second *testDaemon
 	mu            sync.Mutex
 	throttled     map[string]struct{} // lease holders whose orders are refused as too many
+	pause         atomic.Int64        // how far the daemons' clocks are ahead after the pauses so far
+	onList        func()              // called before the list of machines is answered; may be nil
 	delayed       string              // a machine whose orders get no answer and are executed after orderDelay
 }
 
@@ -72,12 +74,13 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
+	var servers []*http.Server
 	for addr, handler := range map[netip.AddrPort]http.Handler{storeAddr: s.store, machinesAddr: http.HandlerFunc(s.serveMachines)} {
 		l, err := s.net.Listen(addr)
 		require.NoError(t, err)
 		server := &http.Server{Handler: handler}
 		wg.Go(func() { _ = server.Serve(l) }) // it returns when the server is closed
-		t.Cleanup(func() { _ = server.Close() })
+		servers = append(servers, server)
 	}
 	s.first = s.startDaemon(ctx, &wg, "first", firstAddr)
 	s.second = s.startDaemon(ctx, &wg, "second", secondAddr)
@@ -87,6 +90,11 @@
 			d.store.Close()
 			d.Machines.Close()
 		}
+		for _, server := range servers {
+			_ = server.Close() // there are no requests to finish
+		}
+		wg.Wait()
+		time.Sleep(time.Second) // for the handlers in progress
 	})
 	return s
 }
@@ -98,12 +106,13 @@
 	machineClient := platform.NewMachineClient(machinesAddr, dial, platform.NewMeter())
 	interest := watch.NewInterest()
 	interest.Set(watch.Immediate)
+	now := func() time.Time { return time.Now().Add(time.Duration(s.pause.Load())) }
 	registry := claims.New(claims.Deps{
-		Store: d.store, Machines: machineClient, Log: zap.NewNop(), Name: name, Boot: name, Now: time.Now, TTL: machineLease, Interest: interest,
+		Store: d.store, Machines: machineClient, Log: zap.NewNop(), Name: name, Boot: name, Now: now, TTL: machineLease, Interest: interest,
 	})
 	tracker := NewWaveTracker(d.store, zap.NewNop(), interest)
 	d.Coordinator = NewCoordinator(CoordinatorDeps{
-		Log: zap.NewNop(), Now: time.Now, Claims: registry, Waves: tracker, Machines: machineClient,
+		Log: zap.NewNop(), Now: now, Claims: registry, Waves: tracker, Machines: machineClient,
 		MoveDuration: moveTime, MaintenanceDuration: maintenanceTime, OrderRate: 10,
 		RequestedWaves: func() []platform.Wave { return s.waves },
 		SparePool:      func() string { return sparePool },
@@ -117,6 +126,9 @@
 
 // serveMachines serves the machine service, which refuses the orders of throttled daemons.
 func (s *site) serveMachines(w http.ResponseWriter, r *http.Request) {
+	if s.onList != nil && r.Method == http.MethodGet {
+		s.onList()
+	}
 	s.mu.Lock()
 	_, throttled := s.throttled[r.Header.Get("X-Gypsumlead-Lease-Holder")]
 	s.mu.Unlock()
@@ -273,3 +285,30 @@
 		require.Empty(t, s.checker.Violations)
 	})
 }
+
+// A coordinator that was paused after it had read that a machine was empty took it down seconds later.
+func TestPausedCoordinatorDoesNotActOnWhatItKnewBefore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		pause            time.Duration
+		maintenances, to int
+	}{
+		"not paused": {0, 1, 1},
+		"paused":     {4 * time.Second, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(t, platform.Wave{Number: 1, Machines: []string{"m0"}, MaxDown: 1, TimeLimit: time.Minute})
+				s.machines.Add(&standin.Machine{Name: "m0", Pool: "s0"})
+				s.machines.Add(&standin.Machine{Name: "m1", Pool: "s0"})
+				time.Sleep(time.Second) // the claims have been read
+				s.onList = func() { s.pause.Add(int64(tc.pause)) }
+				s.first.HandleReport(Report{Service: "s0", Ready: []ReadyMachine{{Machine: "m0", Wave: 1}}, Offers: []string{"m1"}})
+				s.first.HandleReport(Report{Service: "s1", Want: 1})
+				s.first.held.Store(true)
+				time.Sleep(2 * time.Second)
+				require.Equal(t, tc.maintenances, s.machines.MaintenanceCount("m0"))
+				require.Len(t, s.machines.Names("s1"), tc.to)
+			})
+		})
+	}
+}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -28,6 +28,9 @@
 		}
 	}
 	for _, name := range wave.Machines {
+		if c.outdated() {
+			return
+		}
 		row, _ := c.Waves.get(wave.Number)
 		if row.Finished(name) {
 			continue
@@ -172,7 +175,7 @@
 	if version == 0 || row.Complete {
 		tx.Puts = append(tx.Puts, status)
 	}
-	permit, ok := c.Claims.Claim(ctx, "wave "+key.Key, machines, tx)
+	permit, ok := c.Claims.Claim(ctx, c.decidedAt, "wave "+key.Key, machines, tx)
 	if !ok {
 		c.reloadWave(ctx, key)
 		return platform.OrderPermit{}, false
--- a/machines/move.go
+++ b/machines/move.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -150,58 +149,42 @@
 	}
 }
 
-// retryMoves repeats the orders that were not accepted. Where the permit has expired, it claims the machine again first.
+// retryMoves repeats the orders that were not accepted, while their permits last. After that the move is decided anew,
+// unless it has begun.
 func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine) {
-	expired := map[string]string{} // target pool, by machine
 	for name, m := range c.moving {
-		if m.accepted || now.Sub(m.orderedAt) < orderRetryDelay {
-			continue
-		}
-		if machines[name].Pool == m.pool {
+		switch {
+		case m.accepted || now.Sub(m.orderedAt) < orderRetryDelay:
+		case machines[name].Pool == m.pool || machines[name].State == platform.MachineMoving:
 			m.accepted = true
 			c.moving[name] = m
-			continue
-		}
-		if m.permit.Valid() {
+		case m.permit.Valid():
 			c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.permit)
-			continue
-		}
-		if len(expired) < maxConcurrentOrders && c.canOrder(name, now) {
-			expired[name] = m.pool
+		default:
+			delete(c.moving, name)
 		}
-		m.orderedAt = now // a failed claim is repeated after orderRetryDelay too
-		c.moving[name] = m
 	}
-	c.claimMoves(ctx, now, expired)
 }
 
 // startMoves claims machines and orders the moves, at most maxConcurrentOrders.
 func (c *Coordinator) startMoves(ctx context.Context, now time.Time, moves []plannedMove) {
 	moves = moves[:min(len(moves), maxConcurrentOrders)]
+	if len(moves) == 0 || c.outdated() {
+		return
+	}
 	poolOf := map[string]string{}
+	var names []string
 	for _, planned := range moves {
 		poolOf[planned.machine] = planned.pool
+		names = append(names, planned.machine)
 	}
-	c.claimMoves(ctx, now, poolOf)
-}
-
-// claimMoves claims machines and orders their moves; poolOf maps machines to target pools.
-func (c *Coordinator) claimMoves(ctx context.Context, now time.Time, poolOf map[string]string) {
-	if len(poolOf) == 0 {
-		return
-	}
-	names := slices.Sorted(maps.Keys(poolOf))
-	permit, ok := c.Claims.Claim(ctx, "move", names, platform.Tx{})
+	slices.Sort(names)
+	permit, ok := c.Claims.Claim(ctx, c.decidedAt, "move", names, platform.Tx{})
 	if !ok {
 		return
 	}
 	for _, name := range names {
-		m, repeated := c.moving[name]
-		if !repeated {
-			m = move{pool: poolOf[name], startedAt: now}
-		}
-		m.permit = permit
-		c.moving[name] = m
+		c.moving[name] = move{pool: poolOf[name], startedAt: now, permit: permit}
 	}
 	c.sendMoves(ctx, now, poolOf, permit)
 }
