--- a/machines/move.go
+++ b/machines/move.go
@@ -19,7 +19,7 @@
 	startedAt time.Time
 	orderedAt time.Time
 	accepted  bool // the order needs no repetition
-	token     int64
+	permit    platform.OrderPermit
 }
 
 // moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool.
@@ -149,25 +149,27 @@
 	}
 }
 
-// retryMoves repeats the orders that were not accepted.
+// retryMoves repeats the orders that were not accepted, while their permits last. After that the move is decided anew,
+// unless it has begun.
 func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine) {
 	for name, m := range c.moving {
-		if m.accepted || now.Sub(m.orderedAt) < orderRetryDelay {
-			continue
-		}
-		if machines[name].Pool == m.pool {
+		switch {
+		case m.accepted || now.Sub(m.orderedAt) < orderRetryDelay:
+		case machines[name].Pool == m.pool || machines[name].State == platform.MachineMoving:
 			m.accepted = true
 			c.moving[name] = m
-			continue
+		case m.permit.Valid():
+			c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.permit)
+		default:
+			delete(c.moving, name)
 		}
-		c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.token)
 	}
 }
 
 // startMoves claims machines and orders the moves, at most maxConcurrentOrders.
 func (c *Coordinator) startMoves(ctx context.Context, now time.Time, moves []plannedMove) {
 	moves = moves[:min(len(moves), maxConcurrentOrders)]
-	if len(moves) == 0 {
+	if len(moves) == 0 || c.outdated() {
 		return
 	}
 	poolOf := map[string]string{}
@@ -177,26 +179,26 @@
 		names = append(names, planned.machine)
 	}
 	slices.Sort(names)
-	token, ok := c.Claims.Claim(ctx, "move", names, platform.Tx{})
+	permit, ok := c.Claims.Claim(ctx, c.decidedAt, "move", names, platform.Tx{})
 	if !ok {
 		return
 	}
 	for _, name := range names {
-		c.moving[name] = move{pool: poolOf[name], startedAt: now, token: token}
+		c.moving[name] = move{pool: poolOf[name], startedAt: now, permit: permit}
 	}
-	c.sendMoves(ctx, now, poolOf, token)
+	c.sendMoves(ctx, now, poolOf, permit)
 }
 
 // sendMoves sends the orders of moves concurrently; poolOf maps machines to target pools.
-func (c *Coordinator) sendMoves(ctx context.Context, now time.Time, poolOf map[string]string, token int64) {
+func (c *Coordinator) sendMoves(ctx context.Context, now time.Time, poolOf map[string]string, permit platform.OrderPermit) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for name, pool := range poolOf {
 		wg.Go(func() {
-			result, err := c.Machines.Move(ctx, name, pool, c.Name, token)
-			c.Log.Info("move order sent", zap.String("machine", name), zap.String("to", pool), zap.Int64("token", token), zap.String("answer", string(result)), zap.Error(err))
+			result, err := c.Machines.Move(ctx, name, pool, permit)
+			c.Log.Info("move order sent", zap.String("machine", name), zap.String("to", pool), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
 			mu.Lock()
 			defer mu.Unlock()
 			c.handleResult(now, name, result)
