--- /dev/null
+++ b/leader/count_test.go
@@ -0,0 +1,69 @@
+package leader
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"gypsumlead/member"
+	"gypsumlead/platform"
+	"gypsumlead/sched"
+	"gypsumlead/standin"
+)
+
+// muteStore is the stand-in's store. It executes the first transaction without answering it and refuses those that follow.
+type muteStore struct {
+	inner   *standin.Store
+	txCount atomic.Int64
+}
+
+func (s *muteStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case !strings.Contains(r.URL.Path, "rows-tx"):
+		s.inner.ServeHTTP(w, r)
+	case s.txCount.Add(1) == 1:
+		s.inner.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler) // closes the connection
+	default:
+		w.WriteHeader(http.StatusTooManyRequests)
+	}
+}
+
+func newTestStore(t *testing.T, handler http.Handler) *platform.Store {
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	client := platform.NewStore(netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")), platform.DialTCP, platform.NewMeter())
+	t.Cleanup(client.Close)
+	return client
+}
+
+// The leader's own transaction stored the job unanswered, so the daemon that hands it off finds it and accepts it.
+func TestCountIncludesJobsWhoseTransactionWasNotAnswered(t *testing.T) {
+	store := &muteStore{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
+	l := New(Lease{AcquiredAt: time.Now()}, sched.LeaseConfig{}, Deps{
+		Store: newTestStore(t, store), Log: zap.NewNop(), OnViolation: func(error) {}, Now: time.Now, HeartbeatTimeout: time.Hour,
+		Heartbeat: func() member.HeartbeatState { return member.HeartbeatState{Acked: time.Now()} },
+	})
+	l.inboxReadAt = time.Now()
+	reply, _ := l.submit(jobID(1), handoffQueue, handoffJob)
+	l.commitOnce(t.Context())
+	h := NewHandoff(newTestStore(t, store.inner), zap.NewNop(), time.Now)
+	require.Equal(t, Accepted, h.Submit(t.Context(), jobID(1), handoffQueue, handoffJob).Verdict)
+	l.commitOnce(t.Context())
+	require.Empty(t, reply)
+	require.False(t, l.pool.HasJob(jobID(1)))
+
+	result := l.Pending(handoffQueue.Name)
+
+	require.Equal(t, Accepted, result.Verdict, result.Why)
+	require.Equal(t, 1, result.Pending)
+	require.Zero(t, l.Pending("other").Pending)
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -146,13 +146,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	pending, unloaded := l.pool.Pending(queue), l.countUnloaded(queue)
+	pending, unloaded, unanswered := l.pool.Pending(queue), l.countUnloaded(queue), l.countUnanswered(queue)
 	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
-		zap.Int("unloaded", unloaded), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
+		zap.Int("unloaded", unloaded), zap.Int("unanswered", unanswered), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
 	if now.Sub(l.inboxReadAt) > countFreshness || !l.leaseConfirmed(now) {
 		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the leader has not heard from the store lately"}
 	}
-	return Result{Pending: pending.Jobs + unloaded}
+	return Result{Pending: pending.Jobs + unloaded + unanswered}
+}
+
+// countUnanswered returns the number of a queue's jobs in commits that the store has not answered. It may have them, and
+// then another daemon accepts them, which leaves no row in the inbox.
+func (l *Leader) countUnanswered(queue string) int {
+	ids := map[work.ID]struct{}{}
+	for _, batch := range l.unanswered {
+		for _, in := range batch.intents {
+			_, unloaded := l.unloadedJobs[in.id]
+			if in.kind == storeJob && in.row.Queue.Name == queue && !unloaded && !l.pool.HasJob(in.id) {
+				ids[in.id] = struct{}{}
+			}
+		}
+	}
+	return len(ids)
 }
 
 // await returns the result from reply, or Unknown if ctx ends first.
