A wave is completed only by its own maintenance of a machine (MIXED)

What the operator sees: a wave is completed, and a machine of it that stays has had no maintenance for it. The coordinator kept its orders by machine, not by wave and machine. When the answer to the end of one wave's maintenance is lost, the row is read again, the machine counts as done and the entry stays. The next wave with that machine finds an accepted order that was another wave's, and marks the machine done without an order, if - both waves are open at the same time: one lost answer is enough; or - the second comes later and the answer to its claim is lost too. Class: an old state that nobody has confirmed is taken for a fact. Orders are now kept by wave and machine, so an entry that stays behind says nothing about another wave. Ruled out: a new coordinator (it clears its orders, and orders again), another daemon's claim (the row's version conflicts). Before: go test -count 3 ./machines, both cases failed in 3 of 3 runs (want map[1:1 2:1], got map[1:1]). Now: go test -race -count 3 ./machines passed.

--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -51,7 +51,7 @@
 	reply       Reply
 	// The fields below are used only by Run.
 	moving        map[string]move
-	inMaintenance map[string]takenDown
+	inMaintenance map[waveMachine]takenDown
 	absentSince   map[string]time.Time // machines of waves that are absent from the list
 	retryAt       map[string]time.Time // earliest time of the next order for machines that were busy
 	incompatible  map[string]struct{}  // machines that don't fit into other pools
@@ -69,7 +69,7 @@
 		CoordinatorDeps: deps,
 		reports:         map[string]timedReport{},
 		moving:          map[string]move{},
-		inMaintenance:   map[string]takenDown{},
+		inMaintenance:   map[waveMachine]takenDown{},
 		absentSince:     map[string]time.Time{},
 		retryAt:         map[string]time.Time{},
 		incompatible:    map[string]struct{}{},
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -10,7 +10,13 @@
 	"gypsumlead/platform"
 )
 
-// takenDown is a machine whose maintenance this coordinator has ordered.
+// waveMachine is a machine in one wave; several waves may have the same machine.
+type waveMachine struct {
+	wave    int64
+	machine string
+}
+
+// takenDown is a machine whose maintenance this coordinator has ordered for a wave.
 type takenDown struct {
 	orderedAt  time.Time
 	acceptedAt time.Time // zero until the order is accepted
@@ -58,11 +64,11 @@
 
 // continueMaintenance handles a machine that is claimed and so counts as down.
 func (c *Coordinator) continueMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
-	down, known := c.inMaintenance[machine.Name]
+	down, known := c.inMaintenance[waveMachine{wave.Number, machine.Name}]
 	switch {
 	case !known:
-		// An earlier coordinator claimed the machine; whether it ordered the maintenance is unknown. A repeated
-		// order is safe: the maintenance is done only once.
+		// An earlier coordinator claimed the machine, or this one by a claim that was not answered; whether the
+		// maintenance was ordered is unknown. A repeated order is safe: the maintenance is done only once.
 		if (empty || machine.State != platform.MachineUp) && c.canOrder(machine.Name, now) {
 			if token, ok := c.setStage(ctx, wave, machine.Name, maintenance.Claimed); ok {
 				c.orderMaintenance(ctx, wave, machine.Name, token)
@@ -71,7 +77,7 @@
 	case !down.acceptedAt.IsZero():
 		if machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack {
 			if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Done); ok {
-				delete(c.inMaintenance, machine.Name)
+				delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
 			}
 		}
 	case now.Sub(down.orderedAt) > orderRetryDelay && c.canOrder(machine.Name, now):
@@ -83,8 +89,8 @@
 func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, name string, token int64) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	down := takenDown{orderedAt: c.Now(), token: token}
-	c.inMaintenance[name] = down
+	key, down := waveMachine{wave.Number, name}, takenDown{orderedAt: c.Now(), token: token}
+	c.inMaintenance[key] = down
 	result, err := c.Machines.Maintain(callCtx, name, wave.Number, c.Name, token)
 	c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", token), zap.String("answer", string(result)), zap.Error(err))
 	if err != nil {
@@ -93,11 +99,11 @@
 	switch result {
 	case platform.OrderDone:
 		down.acceptedAt = c.Now()
-		c.inMaintenance[name] = down
+		c.inMaintenance[key] = down
 	case platform.OrderInvalid, platform.OrderWrongWave:
 		c.setStage(ctx, wave, name, maintenance.Gone)
 	case platform.OrderFenced:
-		delete(c.inMaintenance, name) // the next attempt claims a new token
+		delete(c.inMaintenance, key) // the next attempt claims a new token
 		c.backOff(name, c.Now())
 	case platform.OrderBusy:
 		c.backOff(name, c.Now())
@@ -114,7 +120,7 @@
 	}
 	if now.Sub(since) > missingTimeout {
 		c.setStage(ctx, wave, name, maintenance.Gone)
-		delete(c.inMaintenance, name)
+		delete(c.inMaintenance, waveMachine{wave.Number, name})
 	}
 }
 
