--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -52,7 +52,7 @@
 	// The fields below are used only by Run.
 	moving        map[string]move
 	inMaintenance map[waveMachine]takenDown
-	absentSince   map[string]time.Time // machines of waves that are absent from the list
+	absences      map[string]absence   // machines of waves that are absent from the list
 	retryAt       map[string]time.Time // earliest time of the next order for machines that were busy
 	incompatible  map[string]struct{}  // machines that don't fit into other pools
 }
@@ -70,7 +70,7 @@
 		reports:         map[string]timedReport{},
 		moving:          map[string]move{},
 		inMaintenance:   map[waveMachine]takenDown{},
-		absentSince:     map[string]time.Time{},
+		absences:        map[string]absence{},
 		retryAt:         map[string]time.Time{},
 		incompatible:    map[string]struct{}{},
 	}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -40,10 +40,10 @@
 		}
 		machine, ok := machines[name]
 		if !ok {
-			c.markAbsent(ctx, wave, name, now)
+			c.markAbsent(ctx, wave, name, listedAt)
 			continue
 		}
-		delete(c.absentSince, name)
+		delete(c.absences, name)
 		_, empty := ready[name]
 		empty = empty || machine.Pool == c.SparePool()
 		if row.Machines[name] == maintenance.Claimed {
@@ -111,14 +111,19 @@
 	}
 }
 
-// markAbsent records that a machine is not listed; after missingTimeout it counts as gone.
-func (c *Coordinator) markAbsent(ctx context.Context, wave platform.Wave, name string, now time.Time) {
-	since, ok := c.absentSince[name]
-	if !ok {
-		c.absentSince[name] = now
-		return
+// absence is a time without a reading of the list that has the machine.
+type absence struct{ first, last time.Time } // readings without it
+
+// markAbsent records that a reading of the list doesn't have a machine; after missingTimeout it counts as gone. Readings
+// further apart say nothing about the time between them: the coordinator may have been another one.
+func (c *Coordinator) markAbsent(ctx context.Context, wave platform.Wave, name string, listedAt time.Time) {
+	a, ok := c.absences[name]
+	if !ok || listedAt.Sub(a.last) > missingTimeout {
+		a.first = listedAt
 	}
-	if now.Sub(since) > missingTimeout {
+	a.last = listedAt
+	c.absences[name] = a
+	if a.last.Sub(a.first) > missingTimeout {
 		c.setStage(ctx, wave, name, maintenance.Gone)
 		delete(c.inMaintenance, waveMachine{wave.Number, name})
 	}
--- a/machines/maintenance_test.go
+++ b/machines/maintenance_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/claims"
+	"gypsumlead/maintenance"
 	"gypsumlead/platform"
 	"gypsumlead/standin"
 	"gypsumlead/watch"
@@ -152,3 +153,32 @@
 		require.Equal(t, want, m.maintained)
 	})
 }
+
+// The coordinator reads the list twice, with a minute between in which it was not the coordinator.
+func TestMachineThatNobodyLookedForIsNotGone(t *testing.T) {
+	m := &fakeMachine{now: time.Now(), maintained: map[int64]int{}}
+	c := newTestCoordinator(t, m)
+	wave := platform.Wave{Number: 1, Machines: []string{"m1"}, MaxDown: 1}
+	for range 2 {
+		now := m.time()
+		c.advanceWave(t.Context(), now, wave, map[string]platform.Machine{}, now, nil)
+		row, _ := c.Waves.get(1)
+		require.False(t, row.Complete)
+		m.now = now.Add(time.Minute)
+	}
+	advanceAll(t, c, m, 1)
+	require.Equal(t, map[int64]int{1: 1}, m.maintained)
+}
+
+func TestMachineThatIsNotListedForSecondsIsGone(t *testing.T) {
+	m := &fakeMachine{now: time.Now(), maintained: map[int64]int{}}
+	c := newTestCoordinator(t, m)
+	wave := platform.Wave{Number: 1, Machines: []string{"m1"}, MaxDown: 1}
+	start := m.now
+	for row := (maintenance.Row{}); !row.Complete; row, _ = c.Waves.get(1) {
+		require.LessOrEqual(t, m.now.Sub(start), missingTimeout+time.Second)
+		c.advanceWave(t.Context(), m.now, wave, map[string]platform.Machine{}, m.now, nil)
+		m.now = m.now.Add(time.Second)
+	}
+	require.Equal(t, missingTimeout+2*time.Second, m.now.Sub(start))
+}
