An operator isn't told that a job is missing by a daemon without a configuration

GET /v1/jobs/ID of a daemon that has read no configuration yet (it started while the store was down) answered "there is no job": it asks each configured service, and there were none. Callers are not affected (503 without a configuration). It now answers that the store can't be reached and says what to do. Before: TestOperatorIsNotToldThatAJobIsMissingByADaemonWithoutConfiguration failed (expected "storedown", got "missing"). Now: go test -race ./emulator -run TestOperator passed.

--- a/daemon/operator_api.go
+++ b/daemon/operator_api.go
@@ -60,6 +60,9 @@
 
 // GetJob returns the state of a job; it asks all services for it.
 func (o operatorAPI) GetJob(ctx context.Context, p oas.GetJobParams) (*oas.Job, error) {
+	if o.d.operatorState.Config() == nil {
+		return nil, fault.New(fault.Unavailable, "no configuration yet, so the services are unknown: ask another daemon")
+	}
 	var last error
 	for _, name := range o.d.services() {
 		result := o.d.State(ctx, work.ID(p.ID), work.Queue{Service: name})
--- a/emulator/operators_test.go
+++ b/emulator/operators_test.go
@@ -13,6 +13,7 @@
 
 	"gypsumlead/api/oas"
 	"gypsumlead/fault"
+	"gypsumlead/standin"
 )
 
 // Every daemon answers operators with its configuration, the leaders of the services and the state of a job. The trails
@@ -67,3 +68,23 @@
 		require.Contains(t, text, "job is over")
 	})
 }
+
+// A daemon that has started while the store is down knows no services to ask for the job.
+func TestOperatorIsNotToldThatAJobIsMissingByADaemonWithoutConfiguration(t *testing.T) {
+	drainSyncPools()
+	synctest.Test(t, func(t *testing.T) {
+		c := New(context.Background(), Small, 5, zap.NewNop())
+		defer synctest.Wait()
+		defer c.Close()
+		c.Store.SetFaults(standin.StoreFaults{Down: true})
+		name := c.Daemons()[0]
+		c.Start(name)
+		time.Sleep(4 * time.Second)
+		client, err := oas.NewClient("http://"+netip.AddrPortFrom(c.daemons[name].addr, portReady).String(), oas.WithClient(c.http))
+		require.NoError(t, err)
+		_, err = client.GetJob(t.Context(), oas.GetJobParams{ID: "00000000000000ff"})
+		var f *oas.FaultStatusCode
+		require.ErrorAs(t, err, &f)
+		require.Equal(t, fault.Unavailable.String(), f.Response.Kind)
+	})
+}
