--- a/sched/pending_test.go
+++ b/sched/pending_test.go
@@ -48,3 +48,18 @@
 
 	require.Zero(t, f.pool.Pending(testQueue.Name).Jobs)
 }
+
+func TestJobsAreStillPendingAfterTheirStartsWereWithdrawn(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	id := f.accept("a", testQueue, stepOf(1, 1000))
+	f.pool.WithdrawStart(f.now, starts(f.planCommitted(true))[0])
+	f.pool.AllowStarts(false)
+	for range 10 {
+		f.poll()
+		require.Empty(t, starts(f.planCommitted(true)))
+	}
+
+	require.Equal(t, 1, f.pool.Pending(testQueue.Name).Jobs)
+	state, _ := f.pool.State(id)
+	require.Equal(t, work.Queued, state)
+}
