--- a/leader/count_test.go
+++ b/leader/count_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"gypsumlead/fault"
 	"gypsumlead/member"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
@@ -45,14 +46,20 @@
 	return client
 }
 
-// The leader's own transaction stored the job unanswered, so the daemon that hands it off finds it and accepts it.
-func TestCountIncludesJobsWhoseTransactionWasNotAnswered(t *testing.T) {
-	store := &muteStore{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
+// newConfirmedLeader returns a leader that has just heard from the store.
+func newConfirmedLeader(store *platform.Store) *Leader {
 	l := New(Lease{AcquiredAt: time.Now()}, sched.LeaseConfig{}, Deps{
-		Store: newTestStore(t, store), Log: zap.NewNop(), OnViolation: func(error) {}, Now: time.Now, HeartbeatTimeout: time.Hour,
+		Store: store, Log: zap.NewNop(), OnViolation: func(error) {}, Now: time.Now, HeartbeatTimeout: time.Hour,
 		Heartbeat: func() member.HeartbeatState { return member.HeartbeatState{Acked: time.Now()} },
 	})
 	l.inboxReadAt = time.Now()
+	return l
+}
+
+// The leader's own transaction stored the job unanswered, so the daemon that hands it off finds it and accepts it.
+func TestCountIncludesJobsWhoseTransactionWasNotAnswered(t *testing.T) {
+	store := &muteStore{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
+	l := newConfirmedLeader(newTestStore(t, store))
 	reply, _ := l.submit(jobID(1), handoffQueue, handoffJob)
 	l.commitOnce(t.Context())
 	h := NewHandoff(newTestStore(t, store.inner), zap.NewNop(), time.Now)
@@ -67,3 +74,10 @@
 	require.Equal(t, 1, result.Pending)
 	require.Zero(t, l.Pending("other").Pending)
 }
+
+func TestCountIsNotGivenByALeaderThatKnowsOfAnother(t *testing.T) {
+	l := newConfirmedLeader(nil)
+	require.Equal(t, Accepted, l.Pending("q").Verdict)
+	l.loseLease(fault.New(fault.Fenced, "b is now the leader"))
+	require.Equal(t, Refused, l.Pending("q").Verdict)
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -149,8 +149,8 @@
 	pending, unloaded, unanswered := l.pool.Pending(queue), l.countUnloaded(queue), l.countUnanswered(queue)
 	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
 		zap.Int("unloaded", unloaded), zap.Int("unanswered", unanswered), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
-	if now.Sub(l.inboxReadAt) > countFreshness || !l.leaseConfirmed(now) {
-		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the leader has not heard from the store lately"}
+	if l.lostErr != nil || now.Sub(l.inboxReadAt) > countFreshness || !l.leaseConfirmed(now) {
+		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the service may have another leader, or the store has not answered lately"}
 	}
 	return Result{Pending: pending.Jobs + unloaded + unanswered}
 }
