A job that the inbox has too is counted once

While the load of a job from the inbox fails and is repeated, the leader may accept the same job from its caller (the store has it: a conflict). Until the load succeeds, the job was counted as pending twice, and as pending though it runs. Too high a number breaks no rule; it is wrong all the same. Before: go test ./leader -run TestCountIncludesAJobOnce: expected 1, got 2. Now: go test -race ./leader passed.

--- a/leader/count_test.go
+++ b/leader/count_test.go
@@ -81,3 +81,12 @@
 	l.loseLease(fault.New(fault.Fenced, "b is now the leader"))
 	require.Equal(t, Refused, l.Pending("q").Verdict)
 }
+
+// A caller submits the job to the leader while the job's load from the inbox has to be repeated.
+func TestCountIncludesAJobOnceThatTheInboxHasToo(t *testing.T) {
+	l := newConfirmedLeader(nil)
+	l.noteUnloaded([]platform.Row{{RowKey: rowKey(tableInbox, "", string(jobID(1))), Value: []byte(`{"queue":"q"}`)}})
+	require.Equal(t, 1, l.Pending("q").Pending)
+	l.pool.Accept(time.Now(), jobID(1), handoffQueue, handoffJob)
+	require.Equal(t, 1, l.Pending("q").Pending)
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -91,8 +91,8 @@
 // unknown count for every queue.
 func (l *Leader) countUnloaded(queue string) int {
 	n := 0
-	for _, q := range l.unloadedJobs {
-		if q == queue || q == "" {
+	for id, q := range l.unloadedJobs {
+		if (q == queue || q == "") && !l.pool.HasJob(id) {
 			n++
 		}
 	}
