--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -52,8 +52,8 @@
 	// The fields below are used only by Run.
 	decidedAt     time.Time // when the reports were read on which the present step is based
 	moving        map[string]move
-	inMaintenance map[string]takenDown
-	absentSince   map[string]time.Time // machines of waves that are absent from the list
+	inMaintenance map[waveMachine]takenDown
+	absences      map[string]absence   // machines of waves that are absent from the list
 	retryAt       map[string]time.Time // earliest time of the next order for machines that were busy
 	incompatible  map[string]struct{}  // machines that don't fit into other pools
 }
@@ -70,8 +70,8 @@
 		CoordinatorDeps: deps,
 		reports:         map[string]timedReport{},
 		moving:          map[string]move{},
-		inMaintenance:   map[string]takenDown{},
-		absentSince:     map[string]time.Time{},
+		inMaintenance:   map[waveMachine]takenDown{},
+		absences:        map[string]absence{},
 		retryAt:         map[string]time.Time{},
 		incompatible:    map[string]struct{}{},
 	}
@@ -128,7 +128,7 @@
 func (c *Coordinator) reset() {
 	clear(c.moving)
 	clear(c.inMaintenance)
-	clear(c.absentSince)
+	clear(c.absences)
 	clear(c.retryAt)
 	c.setReply(Reply{})
 }
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -10,7 +10,13 @@
 	"gypsumlead/platform"
 )
 
-// takenDown is a machine whose maintenance this coordinator has ordered.
+// waveMachine is a machine in one wave; several waves may have the same machine.
+type waveMachine struct {
+	wave    int64
+	machine string
+}
+
+// takenDown is a machine whose maintenance this coordinator has ordered for a wave.
 type takenDown struct {
 	orderedAt  time.Time
 	acceptedAt time.Time // zero until the order is accepted
@@ -37,10 +43,10 @@
 		}
 		machine, ok := machines[name]
 		if !ok {
-			c.markAbsent(ctx, wave, name, now)
+			c.markAbsent(ctx, wave, name, listedAt)
 			continue
 		}
-		delete(c.absentSince, name)
+		delete(c.absences, name)
 		_, empty := ready[name]
 		empty = empty || machine.Pool == c.SparePool()
 		if row.Machines[name] == maintenance.Claimed {
@@ -59,15 +65,16 @@
 
 // continueMaintenance handles a machine that is claimed and so counts as down.
 func (c *Coordinator) continueMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
-	down, known := c.inMaintenance[machine.Name]
+	down, known := c.inMaintenance[waveMachine{wave.Number, machine.Name}]
 	switch {
 	case !known:
-		// An earlier coordinator claimed the machine; whether it ordered the maintenance is unknown.
+		// An earlier coordinator claimed the machine, or this one by a claim that was not answered; whether the
+		// maintenance was ordered is unknown.
 		c.resumeMaintenance(ctx, now, wave, machine, listedAt, empty)
 	case !down.acceptedAt.IsZero():
 		if machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack {
 			if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Done); ok {
-				delete(c.inMaintenance, machine.Name)
+				delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
 			}
 		}
 	case now.Sub(down.orderedAt) <= orderRetryDelay || !c.canOrder(machine.Name, now):
@@ -75,7 +82,7 @@
 		c.orderMaintenance(ctx, wave, machine.Name, down.permit)
 	default:
 		down.orderedAt = now // a failed claim is repeated after orderRetryDelay too
-		c.inMaintenance[machine.Name] = down
+		c.inMaintenance[waveMachine{wave.Number, machine.Name}] = down
 		c.resumeMaintenance(ctx, now, wave, machine, listedAt, empty)
 	}
 }
@@ -91,7 +98,7 @@
 		c.claimMaintenance(ctx, wave, machine.Name)
 	case c.Claims.QuietAt(machine.Name, listedAt):
 		if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Pending); ok {
-			delete(c.inMaintenance, machine.Name)
+			delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
 		}
 	}
 }
@@ -107,8 +114,8 @@
 func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, name string, permit platform.OrderPermit) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	down := takenDown{orderedAt: c.Now(), permit: permit}
-	c.inMaintenance[name] = down
+	key, down := waveMachine{wave.Number, name}, takenDown{orderedAt: c.Now(), permit: permit}
+	c.inMaintenance[key] = down
 	result, err := c.Machines.Maintain(callCtx, name, wave.Number, permit)
 	c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
 	if err != nil {
@@ -117,11 +124,11 @@
 	switch result {
 	case platform.OrderDone:
 		down.acceptedAt = c.Now()
-		c.inMaintenance[name] = down
+		c.inMaintenance[key] = down
 	case platform.OrderInvalid, platform.OrderWrongWave:
 		c.setStage(ctx, wave, name, maintenance.Gone)
 	case platform.OrderFenced:
-		delete(c.inMaintenance, name) // the next attempt claims a new token
+		delete(c.inMaintenance, key) // the next attempt claims a new token
 		c.backOff(name, c.Now())
 	case platform.OrderBusy:
 		c.backOff(name, c.Now())
@@ -129,16 +136,21 @@
 	}
 }
 
-// markAbsent records that a machine is not listed; after missingTimeout it counts as gone.
-func (c *Coordinator) markAbsent(ctx context.Context, wave platform.Wave, name string, now time.Time) {
-	since, ok := c.absentSince[name]
-	if !ok {
-		c.absentSince[name] = now
-		return
-	}
-	if now.Sub(since) > missingTimeout && c.canOrder(name, now) {
+// absence is a time without a reading of the list that has the machine.
+type absence struct{ first, last time.Time } // readings without it
+
+// markAbsent records that a reading of the list doesn't have a machine; after missingTimeout it counts as gone. Readings
+// further apart say nothing about the time between them: the coordinator may have been another one.
+func (c *Coordinator) markAbsent(ctx context.Context, wave platform.Wave, name string, listedAt time.Time) {
+	a, ok := c.absences[name]
+	if !ok || listedAt.Sub(a.last) > missingTimeout {
+		a.first = listedAt
+	}
+	a.last = listedAt
+	c.absences[name] = a
+	if a.last.Sub(a.first) > missingTimeout && c.canOrder(name, listedAt) {
 		c.setStage(ctx, wave, name, maintenance.Gone)
-		delete(c.inMaintenance, name)
+		delete(c.inMaintenance, waveMachine{wave.Number, name})
 	}
 }
 
