LIMIT: a planned run is dropped when its runner's room shrinks below what it needs

A planned run keeps its room until the store has its runner among the job's placements. Room was compared only when the run was planned, so its start was ordered however small the runner's Capacity had become meanwhile. On a runner that doesn't guard its room this start brings it over.

withdrawPlanned now drops planned runs, the least urgent first and a gang as a whole, from runners whose runs need more than their room. Runs in progress stay: the rule is about starts.

Test on the code before: TestPlannedRunStartsOnRunnerWhoseRoomHasShrunk "should have 2 item(s), but has 4"

--- /dev/null
+++ b/sched/capacity_test.go
@@ -0,0 +1,33 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/work"
+)
+
+// setRoom changes the room that a runner's entry in the platform's list shows.
+func (f *fakePool) setRoom(id string, room work.Resources) {
+	f.runners[id].info.Room = room
+	f.pool.UpdateRunner(f.now, f.runners[id].info)
+}
+
+func cores(n int64) work.Resources { return work.Resources{CPU: n * 1000, Mem: 1 << 20} }
+
+// A planned run keeps its room until the store has its placement. Its start was ordered although the runner's room had
+// shrunk meanwhile.
+func TestPlannedRunStartsOnRunnerWhoseRoomHasShrunk(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	f.accept("a", testQueue, stepOf(4, 2000))
+	f.pool.Plan(f.now, f.now, true)
+	f.setRoom("r0", cores(4))
+	f.pool.MarkCommitted(f.now, f.pool.UncommittedBatch(f.now, 100, true))
+
+	ordered := starts(f.plan())
+	require.Len(t, ordered, 2)
+	f.setRoom("r0", cores(8))
+	require.Len(t, starts(f.advance(50*time.Millisecond)), 2, "the room has grown again")
+}
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -166,9 +166,22 @@
 	for _, run := range unwanted {
 		run.task.removeRun(run, now)
 	}
+	p.withdrawOverfull(now)
 	p.planned = slices.DeleteFunc(p.planned, func(run *taskRun) bool { return !slices.Contains(run.task.runs, run) })
 }
 
+// withdrawOverfull drops planned runs, the least urgent first, from runners whose room has shrunk below what they need.
+func (p *Pool) withdrawOverfull(now time.Time) {
+	for _, run := range slices.Backward(p.planned) {
+		if run.phase != planned || !run.runner.overfull() {
+			continue
+		}
+		for _, member := range run.withGang() {
+			member.task.removeRun(member, now)
+		}
+	}
+}
+
 // unwanted reports whether a planned run is to be dropped.
 func (p *Pool) unwanted(now time.Time, run *taskRun) bool {
 	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.task.step.job.placements.stored(run.runner.ID)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -82,6 +82,9 @@
 // free returns the room that isn't in use. Best-effort tasks use none.
 func (r *runner) free() work.Resources { return r.Room.Sub(r.used) }
 
+// overfull reports whether the runs on the runner need more than its room, which may have shrunk.
+func (r *runner) overfull() bool { return !r.used.Fits(r.Room) }
+
 // silent reports whether polls have been unanswered for longer than silentAfter.
 func (r *runner) silent(now time.Time) bool {
 	return !r.answerDueAt.IsZero() && now.Sub(r.answerDueAt) > silentAfter
