LIMIT: a queued start isn't sent when its runner's room has shrunk meanwhile

Starts wait in their session's queue for up to two orders with a timeout of 600 ms each, longer on a runner that answers slowly. ShouldSend looked at the runner's state but not at its room. Now it withdraws starts until the rest fits.

Test on the code before: TestQueuedStartIsSentToRunnerWhoseRoomHasShrunk expected: 2, actual: 4

--- a/sched/capacity_test.go
+++ b/sched/capacity_test.go
@@ -31,3 +31,23 @@
 	f.setRoom("r0", cores(8))
 	require.Len(t, starts(f.advance(50*time.Millisecond)), 2, "the room has grown again")
 }
+
+// A start waits in its session's queue until earlier orders are answered.
+func TestQueuedStartIsSentToRunnerWhoseRoomHasShrunk(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	f.accept("a", testQueue, stepOf(4, 2000))
+	queued := starts(f.planCommitted(true))
+	require.Len(t, queued, 4)
+	f.setRoom("r0", cores(4))
+
+	sent := 0
+	for _, order := range queued {
+		if f.pool.ShouldSend(order) {
+			sent++
+			f.execute(order)
+		} else {
+			f.pool.WithdrawStart(f.now, order)
+		}
+	}
+	require.Equal(t, 2, sent)
+}
--- a/sched/queries.go
+++ b/sched/queries.go
@@ -11,7 +11,7 @@
 // ShouldSend reports whether an ordered start should still be sent.
 func (p *Pool) ShouldSend(order Start) bool {
 	r, ok := p.runners[order.Runner]
-	if !ok || r.Draining || r.evacuating || r.pollFailed || r.storedSilent || p.fenced {
+	if !ok || r.Draining || r.evacuating || r.pollFailed || r.storedSilent || r.overfull() || p.fenced {
 		return false
 	}
 	run := p.findRun(r, order.Task, order.Run)
