LIMIT: listed runs that nobody wants take up room until a poll no longer lists them

A new leader finds runs of cancelled or ended jobs on the runners, and second runs of a task. It ordered their stop and in the same plan started others in their room: orphans were never counted, and forgotten as soon as the stop was answered, though the run may take StopTimeoutMs to end. What is being stopped still counts.

Each poll now counts the resources of the orphans it lists. While it lists a run of an unknown job, whose needs nobody can tell, the runner gets no work; such a run is stopped like any other orphan.

Ruled out: resources freed by an abandoned run. A run is abandoned when its runner lists no such run, refused or never got its start, or its lease is over.

--- a/sched/capacity_test.go
+++ b/sched/capacity_test.go
@@ -51,3 +51,43 @@
 	}
 	require.Equal(t, 2, sent)
 }
+
+// listOrphan makes a runner list a run of a job that this leader knows to be cancelled, as after a change of leader.
+func (f *fakePool) listOrphan(runner string, need int64) work.Task {
+	id := f.accept("gone", testQueue, stepOf(1, need))
+	require.True(f.t, f.pool.Cancel(f.now, id))
+	task := taskOf(id, 0, 0)
+	f.runners[runner].runs[task.String()] = work.Run{Task: task, Run: 7}
+	return task
+}
+
+// What is being stopped still takes up room, also if the leader found the run on the runner and doesn't want it.
+func TestStartTakesRoomOfUnwantedRunThatIsStillBeingStopped(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	orphan := f.listOrphan("r0", 6000)
+	f.accept("a", testQueue, stepOf(2, 4000))
+	f.poll()
+
+	orders := f.planCommitted(true)
+	require.Empty(t, starts(orders))
+	require.Len(t, stops(orders), 1)
+	f.pool.HandleStopResult(f.now, stops(orders)[0], OutcomeDone)
+	require.Empty(t, starts(f.planCommitted(true)), "the stop is answered, but the run has not ended")
+	f.endRun("r0", orphan, work.EndStopped)
+	require.Len(t, starts(f.advance(50*time.Millisecond)), 2)
+}
+
+// The need of a run whose job the leader doesn't know is unknown.
+func TestStartOnRunnerWithRunOfUnknownJob(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	unknown := taskOf("00000000000000ff", 0, 0)
+	f.runners["r0"].runs[unknown.String()] = work.Run{Task: unknown, Run: 7}
+	f.accept("a", testQueue, stepOf(2, 4000))
+	f.poll()
+
+	orders := f.planCommitted(true)
+	require.Empty(t, starts(orders))
+	require.Len(t, stops(orders), 1)
+	f.execute(stops(orders)[0])
+	require.Len(t, starts(f.advance(50*time.Millisecond)), 2)
+}
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -124,18 +124,18 @@
 func (p *Pool) recordRun(now time.Time, r *runner, reported work.Run) *taskRun {
 	j, ok := p.jobs[reported.Task.Job]
 	if !ok {
-		p.addOrphan(r, reported)
+		p.addOrphan(r, nil, reported)
 		return nil
 	}
 	t := j.findTask(reported.Task)
 	if t == nil {
-		p.addOrphan(r, reported)
+		p.addOrphan(r, nil, reported)
 		return nil
 	}
 	run := t.findRun(r, reported.Run)
 	if run == nil {
 		if run = p.adopt(now, r, t, reported.Run); run == nil {
-			p.addOrphan(r, reported)
+			p.addOrphan(r, t.step, reported)
 			return nil
 		}
 	}
@@ -197,8 +197,9 @@
 	}
 }
 
-// addOrphan records an orphan run, to be stopped.
-func (p *Pool) addOrphan(r *runner, reported work.Run) {
+// addOrphan records an orphan run, to be stopped, which takes up room until it has ended; s is nil if its step is unknown.
+func (p *Pool) addOrphan(r *runner, s *step, reported work.Run) {
+	r.addOrphan(s)
 	o := orphan{r.ID, reported.Task, reported.Run}
 	if _, ok := p.orphans[o]; !ok {
 		p.orphans[o] = time.Time{}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -25,7 +25,9 @@
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
 	used            work.Resources
-	longRunningCPU  int64 // part of used: by long-running tasks
+	longRunningCPU  int64          // part of used: by long-running tasks
+	orphaned        work.Resources // by listed runs that belong to no task, until a poll no longer lists them
+	unknownRuns     bool           // it lists runs of unknown jobs, whose resources are unknown
 	bestEffortRuns  int
 	evacuating      bool
 	retained        bool // it stays when the pool releases machines
@@ -80,10 +82,23 @@
 }
 
 // free returns the room that isn't in use. Best-effort tasks use none.
-func (r *runner) free() work.Resources { return r.Room.Sub(r.used) }
+func (r *runner) free() work.Resources { return r.Room.Sub(r.used).Sub(r.orphaned) }
+
+// addOrphan counts the resources of a listed run that belongs to no task; s is nil if its step is unknown.
+func (r *runner) addOrphan(s *step) {
+	switch {
+	case s == nil:
+		r.unknownRuns = true
+	case !s.spec.BestEffort:
+		r.orphaned = r.orphaned.Add(s.spec.Resources)
+	}
+}
+
+// forgetOrphans forgets the orphans of the last poll.
+func (r *runner) forgetOrphans() { r.orphaned, r.unknownRuns = work.Resources{}, false }
 
-// overfull reports whether the runs on the runner need more than its room, which may have shrunk.
-func (r *runner) overfull() bool { return !r.used.Fits(r.Room) }
+// overfull reports whether the runs on the runner need more than its room, which may have shrunk, or may do so.
+func (r *runner) overfull() bool { return r.unknownRuns || !(work.Resources{}).Fits(r.free()) }
 
 // silent reports whether polls have been unanswered for longer than silentAfter.
 func (r *runner) silent(now time.Time) bool {
@@ -92,7 +107,7 @@
 
 // schedulable reports whether the runner may get new work.
 func (r *runner) schedulable(now time.Time) bool {
-	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && r.lease.ClockKnown() && !r.health.excluded(now)
+	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && !r.unknownRuns && r.lease.ClockKnown() && !r.health.excluded(now)
 }
 
 // rack returns the runner's rack, which is its last label by convention.
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -133,6 +133,7 @@
 		}
 		r.lastEnd, r.ackedEnd, r.pendingEnds = 0, 0, nil
 		r.health = health{}
+		r.forgetOrphans()
 		r.answerDueAt, r.pollFailed = time.Time{}, false
 		r.held = !p.leadershipConfirmed
 	}
@@ -210,6 +211,7 @@
 	for _, e := range result.Ends {
 		p.handleEnd(now, r, e)
 	}
+	r.forgetOrphans()
 	listed := make(map[*taskRun]struct{}, len(result.Runs))
 	for _, reported := range result.Runs {
 		if run := p.recordRun(now, r, reported); run != nil {
