LIMIT: a room that shrank below its lasting tasks no longer takes from the pool's CPU

Room and what lasting tasks use were subtracted without a bound, so one such runner hid the room of others, and a pool's CPU could become negative: then the widest jobs counted as the least urgent, and shedding was off.

Test on the code before: TestShrunkRoomMakesSchedulableCPUNegative expected: 1000, actual: -4000

--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -137,7 +137,7 @@
 		if !r.schedulable(now) {
 			continue
 		}
-		p.schedulableCPU += r.Room.CPU - r.longRunningCPU
+		p.schedulableCPU += max(0, r.Room.CPU-r.longRunningCPU) // a room may have shrunk below what runs there
 	}
 }
 
--- a/sched/capacity_test.go
+++ b/sched/capacity_test.go
@@ -91,3 +91,16 @@
 	f.execute(stops(orders)[0])
 	require.Len(t, starts(f.advance(50*time.Millisecond)), 2)
 }
+
+// The estimates by which waiting work is ordered divide by what a pool has for tasks that end.
+func TestShrunkRoomMakesSchedulableCPUNegative(t *testing.T) {
+	f := newFakePool(t, 2, 8)
+	lasting := stepOf(2, 6000)
+	lasting.LongRunning, lasting.MaxPerRunner = true, 1
+	f.accept("a", testQueue, lasting)
+	require.Len(t, starts(f.advance(50*time.Millisecond)), 2)
+	f.setRoom("r0", cores(1))
+	f.setRoom("r1", cores(7))
+	f.advance(50 * time.Millisecond)
+	require.Equal(t, int64(1000), f.pool.schedulableCPU)
+}
