LIMIT: emulator with runners that don't guard their room, and rooms that shrink and grow

The stand-in's Capacity may change while a runner runs; its entry shows that within a heartbeat. An unguarded runner starts whatever it is told, and the checker reports a start beyond its room, counting what is being stopped. A room that has shrunk counts for ContactMs and one beat (4.5 s), and longer for an order that the runner carries out late.

--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -34,7 +34,8 @@
 	moveTime        = 1500 * time.Millisecond
 	maintenanceTime = 2 * time.Second
 	machineLease    = 3 * time.Second         // between the orders of two daemons for one machine
-	entryTTL        = 4500 * time.Millisecond // a runner's entry is removed after three missed heartbeats
+	runnerHeartbeat = 1500 * time.Millisecond // between a runner's entries
+	entryTTL        = 3 * runnerHeartbeat     // a runner's entry is removed after three missed heartbeats
 	portCallers     = 8624
 	portReady       = 8622
 	portPeers       = 7060
@@ -48,6 +49,7 @@
 	RunnersPerService int
 	SpareMachines     int // machines of the spare service
 	CoresPerMachine   int64
+	Unguarded         bool // runners start whatever they are told, even without room
 }
 
 // Small exercises every decision of the daemons and runs quickly.
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -52,7 +52,7 @@
 	c.config = config{Version: 1, Limits: map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144}}
 	for i := range c.size.Services {
 		service := serviceName(i)
-		c.config.Services = append(c.config.Services, configService{Name: service, RejectsOverload: true})
+		c.config.Services = append(c.config.Services, configService{Name: service, RejectsOverload: !c.size.Unguarded})
 		c.config.Routes = append(c.config.Routes, configRoute{
 			Name: "q-" + service, Host: "jobs.example", Prefix: "/" + service + "/", Kind: "non_idempotent",
 			TimeoutMs: 3000, SloMs: 600, Service: service, MaxAttempts: maxAttempts, SlackFactor: 1.6,
@@ -108,6 +108,7 @@
 	}
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(number), byte(1 + boot%250)}), 8080)
 	r := standin.NewRunner(id, m.Name, m.Pool, addr, m.Centre, m.Rack, m.Room, maxLease, c.Checker, c.newRand())
+	r.Unguarded = c.size.Unguarded
 	server := &runnerServer{runner: r, seq: 1}
 	server.httpServer = c.serve(addr, r)
 	c.mu.Lock()
@@ -156,6 +157,23 @@
 	server.runner.SetFaults(faults)
 }
 
+// SetRunnerRoom changes what a runner has for runs. Its entry in the store shows that within a heartbeat.
+func (c *Cluster) SetRunnerRoom(id string, room work.Resources) {
+	c.mu.Lock()
+	server := c.runners[id]
+	c.mu.Unlock()
+	server.runner.SetRoom(room)
+	time.AfterFunc(time.Duration(c.newRand().Int64N(int64(runnerHeartbeat))), func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if server.removed || c.ctx.Err() != nil {
+			return
+		}
+		server.seq++
+		c.Store.Put("servers", id, server.runner.Heartbeat(server.seq, "ready"))
+	})
+}
+
 // CrashRunner crashes a runner and restarts it under the same ID after d. If d is longer than entryTTL, the runner's
 // entry in the store is removed after entryTTL.
 func (c *Cluster) CrashRunner(id string, d time.Duration) {
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -144,6 +144,13 @@
 	tr.active[r] = run
 }
 
+// roomExceeded records that a runner without a guard of its room is about to start a task that doesn't fit.
+func (c *Checker) roomExceeded(r *Runner, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("%s started on %s beyond its room", name, r.ID)
+}
+
 // runEnded records the end of a run and its number in the runner's list of ends.
 func (c *Checker) runEnded(r *Runner, endNumber int64, name string, run int, reason work.EndReason) {
 	c.mu.Lock()
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -39,17 +39,20 @@
 	Addr    netip.AddrPort
 	Centre  string
 	Rack    string
-	Room    work.Resources
+
+	Unguarded bool // it starts whatever it is told, even without room; set it before the first order
 
 	checker   *Checker
 	rand      *rand.Rand
 	clockRate float64 // of its monotonic clock, against real time
 
 	mu         sync.Mutex
-	startedAt  time.Time     // zero of the monotonic clock
-	born       int64         // Unix time of the start in ms; identifies the incarnation
-	token      int64         // highest fencing token seen
-	leaseUntil time.Duration // on the monotonic clock
+	room       work.Resources // what it has for runs, as its heartbeats say
+	pastRooms  []pastRoom     // what it had before, oldest first
+	startedAt  time.Time      // zero of the monotonic clock
+	born       int64          // Unix time of the start in ms; identifies the incarnation
+	token      int64          // highest fencing token seen
+	leaseUntil time.Duration  // on the monotonic clock
 	maxLease   time.Duration
 	runs       map[string]*activeRun // by task name
 	lastRuns   map[string]int        // by task name: highest run number that has ended or was stopped here
@@ -62,6 +65,12 @@
 	leaseTimer *time.Timer // calls expireLease; nil before the first lease
 }
 
+// pastRoom is what a runner had for runs until a moment.
+type pastRoom struct {
+	room  work.Resources
+	until time.Time
+}
+
 // activeRun is a run in progress.
 type activeRun struct {
 	name      string
@@ -79,7 +88,7 @@
 func NewRunner(id, machine, service string, addr netip.AddrPort, centre, rack string, room work.Resources, maxLease time.Duration, c *Checker, r *rand.Rand) *Runner {
 	now := time.Now()
 	return &Runner{
-		ID: id, Machine: machine, Service: service, Addr: addr, Centre: centre, Rack: rack, Room: room,
+		ID: id, Machine: machine, Service: service, Addr: addr, Centre: centre, Rack: rack, room: room,
 		checker: c, rand: r, clockRate: 1 - 0.02*r.Float64(),
 		startedAt: now, born: now.UnixMilli(), maxLease: maxLease,
 		runs: map[string]*activeRun{}, lastRuns: map[string]int{}, wake: make(chan struct{}),
@@ -93,10 +102,18 @@
 	return map[string]any{
 		"Service": r.Service, "Address": r.Addr.String(), "Zone": r.Centre, "Version": "v1", "Slots": 8, "State": state,
 		"SeqNo": seq, "ColdLeftMs": 0, "born": r.born, "Machine": r.Machine, "Labels": []string{"a", r.Rack},
-		"Capacity": map[string]any{"Cpu": r.Room.CPU, "MemMb": r.Room.Mem, "Gpus": r.Room.GPU}, "ClockMs": r.clock().Milliseconds(),
+		"Capacity": map[string]any{"Cpu": r.room.CPU, "MemMb": r.room.Mem, "Gpus": r.room.GPU}, "ClockMs": r.clock().Milliseconds(),
 	}
 }
 
+// SetRoom changes what the runner has for runs; those in progress stay.
+func (r *Runner) SetRoom(room work.Resources) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pastRooms = append(r.pastRooms, pastRoom{r.room, time.Now()})
+	r.room = room
+}
+
 // SetFaults replaces the faults that the runner injects, also for runs in progress that aren't being stopped.
 func (r *Runner) SetFaults(f RunnerFaults) {
 	r.mu.Lock()
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -27,7 +27,7 @@
 		return "bad"
 	}
 	step := spec.Steps[t.Step]
-	if !step.BestEffort && !r.fits(step) {
+	if !r.Unguarded && !step.BestEffort && !r.fits(step, r.room) {
 		return "room"
 	}
 	run := &activeRun{name: o.Task, number: o.Run, spec: step, startedAt: time.Now(), pace: 100, total: time.Duration(step.RunMS) * time.Millisecond}
@@ -39,6 +39,9 @@
 		run.restored = time.Duration(ms) * time.Millisecond
 		run.total += restoreTime
 	}
+	if r.Unguarded && !step.BestEffort && !r.fitsRecentRoom(step, delayed) {
+		r.checker.roomExceeded(r, o.Task)
+	}
 	r.runs[o.Task] = run
 	run.endTimer = time.AfterFunc(time.Hour*24*365, func() {})
 	r.scheduleEnd(run)
@@ -64,15 +67,38 @@
 	run.endTimer = time.AfterFunc(time.Duration(float64(remaining)*max(1, r.faults.SlowdownFactor)), func() { r.finishRun(run, reason) })
 }
 
-// fits reports whether the runner has room for a task of a step; best-effort runs don't count.
-func (r *Runner) fits(step SpecStep) bool {
+// shrunkRoomGrace is how long a room that has shrunk still counts for starts, from the platform's documentation: the time
+// in which daemons get in touch, and one heartbeat of the runner.
+const shrunkRoomGrace = 4500 * time.Millisecond
+
+// fitsRecentRoom reports whether a task of a step fits into the runner's room, or into one that it had so recently that the
+// leader may not know better; the caller holds r.mu.
+func (r *Runner) fitsRecentRoom(step SpecStep, delayed bool) bool {
+	grace := shrunkRoomGrace
+	if delayed {
+		grace += maxOrderDelay
+	}
+	if r.fits(step, r.room) {
+		return true
+	}
+	for _, past := range r.pastRooms {
+		if time.Since(past.until) <= grace && r.fits(step, past.room) {
+			return true
+		}
+	}
+	return false
+}
+
+// fits reports whether a task of a step fits into a room beside the active runs, also those that are being stopped.
+// Best-effort runs don't count; the caller holds r.mu.
+func (r *Runner) fits(step SpecStep, room work.Resources) bool {
 	used := work.Resources{}
 	for _, run := range r.runs {
 		if !run.spec.BestEffort {
 			used = used.Add(work.Resources{CPU: run.spec.CPU, Mem: run.spec.Mem})
 		}
 	}
-	return (work.Resources{CPU: step.CPU, Mem: step.Mem}).Fits(r.Room.Sub(used))
+	return (work.Resources{CPU: step.CPU, Mem: step.Mem}).Fits(room.Sub(used))
 }
 
 // stopRun stops a task's runs up to the order's number, and blocks later starts of them; the caller holds r.mu.
