LIMIT: the memory and GPUs of a best-effort task count against its runner's room

The scheduler counted nothing of such a task, and would have filled the memory of an unguarded runner beyond its Capacity. The stand-in was as lenient; it now counts memory as well.

Test on the code before: TestBestEffortStartsExceedMemoryOfRunner "should have 2 item(s), but has 3"

--- a/sched/capacity_test.go
+++ b/sched/capacity_test.go
@@ -104,3 +104,18 @@
 	f.advance(50 * time.Millisecond)
 	require.Equal(t, int64(1000), f.pool.schedulableCPU)
 }
+
+// Only the CPU of a best-effort task isn't counted against its runner's room.
+func TestBestEffortStartsExceedMemoryOfRunner(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	f.setRoom("r0", work.Resources{CPU: 8000, Mem: 1000})
+	filler := stepOf(3, 6000)
+	filler.BestEffort, filler.LongRunning, filler.Resources.Mem = true, true, 400
+	f.accept("a", testQueue, filler)
+	require.Len(t, starts(f.advance(50*time.Millisecond)), 2)
+
+	task := stepOf(1, 1000)
+	task.Resources.Mem = 300
+	f.accept("b", testQueue, task)
+	require.Empty(t, starts(f.advance(50*time.Millisecond)))
+}
--- a/sched/check.go
+++ b/sched/check.go
@@ -49,9 +49,7 @@
 func (p *Pool) checkRunner(r *runner) {
 	used := work.Resources{}
 	for run := range r.runs {
-		if !run.task.step.spec.BestEffort {
-			used = used.Add(run.task.step.spec.Resources)
-		}
+		used = used.Add(run.task.step.spec.Occupied())
 	}
 	if used != r.used {
 		p.reportViolation("runner %s: %v counted as used, but its runs use %v", r.ID, r.used, used)
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -14,7 +14,7 @@
 	if _, ok := p.reserved[r]; ok {
 		return false
 	}
-	if !s.spec.BestEffort && !s.spec.Resources.Fits(r.free()) {
+	if !s.spec.Occupied().Fits(r.free()) {
 		return false
 	}
 	if s.spec.MaxPerRunner > 0 && r.countRuns(s) >= s.spec.MaxPerRunner {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -161,7 +161,7 @@
 // fitsAnywhere reports whether a schedulable runner has room for a task of the step.
 func (p *Pool) fitsAnywhere(now time.Time, s *work.Step) bool {
 	for _, r := range p.runners {
-		if r.schedulable(now) && (s.BestEffort || s.Resources.Fits(r.free())) {
+		if r.schedulable(now) && s.Occupied().Fits(r.free()) {
 			return true
 		}
 	}
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -77,8 +77,8 @@
 	for _, r := range p.runners {
 		free := r.free()
 		for run := range r.runs {
-			if run.phase == stopping && !run.task.step.spec.BestEffort {
-				free = free.Add(run.task.step.spec.Resources)
+			if run.phase == stopping {
+				free = free.Add(run.task.step.spec.Occupied())
 			}
 		}
 		if free != r.free() && s.spec.Resources.Fits(free) {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -58,16 +58,15 @@
 // account adds a run to what the runner has in use, or with a sign of -1 takes it off.
 func (r *runner) account(run *taskRun, sign int64) {
 	s := run.task.step.spec
-	if s.BestEffort {
-		r.bestEffortRuns += int(sign)
-		return
-	}
 	if sign > 0 {
-		r.used = r.used.Add(s.Resources)
+		r.used = r.used.Add(s.Occupied())
 	} else {
-		r.used = r.used.Sub(s.Resources)
+		r.used = r.used.Sub(s.Occupied())
 	}
-	if s.LongRunning {
+	switch {
+	case s.BestEffort:
+		r.bestEffortRuns += int(sign)
+	case s.LongRunning:
 		r.longRunningCPU += sign * s.Resources.CPU
 	}
 }
@@ -81,17 +80,16 @@
 	r.account(run, -1)
 }
 
-// free returns the room that isn't in use. Best-effort tasks use none.
+// free returns the room that isn't in use. Best-effort tasks use no CPU of it.
 func (r *runner) free() work.Resources { return r.Room.Sub(r.used).Sub(r.orphaned) }
 
 // addOrphan counts the resources of a listed run that belongs to no task; s is nil if its step is unknown.
 func (r *runner) addOrphan(s *step) {
-	switch {
-	case s == nil:
+	if s == nil {
 		r.unknownRuns = true
-	case !s.spec.BestEffort:
-		r.orphaned = r.orphaned.Add(s.spec.Resources)
+		return
 	}
+	r.orphaned = r.orphaned.Add(s.spec.Occupied())
 }
 
 // forgetOrphans forgets the orphans of the last poll.
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -27,7 +27,7 @@
 		return "bad"
 	}
 	step := spec.Steps[t.Step]
-	if !r.Unguarded && !step.BestEffort && !r.fits(step, r.room) {
+	if !r.Unguarded && !r.fits(step, r.room) {
 		return "room"
 	}
 	run := &activeRun{name: o.Task, number: o.Run, spec: step, startedAt: time.Now(), pace: 100, total: time.Duration(step.RunMS) * time.Millisecond}
@@ -39,7 +39,7 @@
 		run.restored = time.Duration(ms) * time.Millisecond
 		run.total += restoreTime
 	}
-	if r.Unguarded && !step.BestEffort && !r.fitsRecentRoom(step, delayed) {
+	if r.Unguarded && !r.fitsRecentRoom(step, delayed) {
 		r.checker.roomExceeded(r, o.Task)
 	}
 	r.runs[o.Task] = run
@@ -90,15 +90,13 @@
 }
 
 // fits reports whether a task of a step fits into a room beside the active runs, also those that are being stopped.
-// Best-effort runs don't count; the caller holds r.mu.
+// The caller holds r.mu.
 func (r *Runner) fits(step SpecStep, room work.Resources) bool {
 	used := work.Resources{}
 	for _, run := range r.runs {
-		if !run.spec.BestEffort {
-			used = used.Add(work.Resources{CPU: run.spec.CPU, Mem: run.spec.Mem})
-		}
+		used = used.Add(run.spec.occupied())
 	}
-	return (work.Resources{CPU: step.CPU, Mem: step.Mem}).Fits(room.Sub(used))
+	return step.occupied().Fits(room.Sub(used))
 }
 
 // stopRun stops a task's runs up to the order's number, and blocks later starts of them; the caller holds r.mu.
--- a/standin/spec.go
+++ b/standin/spec.go
@@ -1,6 +1,10 @@
 package standin
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"gypsumlead/work"
+)
 
 // Spec tells an emulated runner what a job's tasks do; it is sent as the job's spec text.
 type Spec struct {
@@ -19,6 +23,14 @@
 	Gang          int   `json:"gang,omitempty"` // members of a gang; 0 if the step is not a gang
 }
 
+// occupied returns what a task of the step takes of its runner's room; the CPU of a best-effort task isn't counted.
+func (s SpecStep) occupied() work.Resources {
+	if s.BestEffort {
+		return work.Resources{Mem: s.Mem}
+	}
+	return work.Resources{CPU: s.CPU, Mem: s.Mem}
+}
+
 // Text returns the spec in JSON, as a job carries it.
 func (s Spec) Text() string {
 	b, err := json.Marshal(s)
--- a/work/job.go
+++ b/work/job.go
@@ -67,6 +67,15 @@
 	HasMaxUnavailable bool          `json:"bound,omitempty"`  // MaxUnavailable is set
 }
 
+// Occupied returns what a task of the step takes of its runner's room: all that it needs, except the CPU of a best-effort
+// task.
+func (s *Step) Occupied() Resources {
+	if s.BestEffort {
+		return Resources{Mem: s.Resources.Mem, GPU: s.Resources.GPU}
+	}
+	return s.Resources
+}
+
 // Job is a job as a caller submitted it.
 type Job struct {
 	Spec     string        `json:"spec"`
