LIMIT: a change of the runners' list is no longer overtaken by an older entry

A new leader was given a copy of the list while changes were passed on beside it. A change that arrived in between came first and the old entry last: the leader kept a Capacity that had shrunk, a runner that drains as ready, or a runner that had left, until the entry changed again - an entry changes only when more than SeqNo does. Likewise the removal of an entry whose time to return had just ended came after its return, and a sound runner got no work.

The list now makes and passes on each change under one lock, and gives a new leader its entries under the same one. Ruled out: the receivers call nothing of the list, so the lock can't wait for itself.

--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -32,6 +32,10 @@
 	onRemove func(work.Runner)
 	interest *watch.Interest
 
+	// delivery is held while a change is made and passed on, so that the receivers see changes in their order. It is locked
+	// before mu.
+	delivery sync.Mutex
+
 	mu           sync.Mutex
 	runners      map[string]work.Runner
 	missingUntil map[string]time.Time // when entries that are missing count as gone
@@ -68,6 +72,8 @@
 
 // apply applies rows; a snapshot has all entries of the list.
 func (r *RunnerList) apply(rows []platform.Row, snapshot bool) {
+	r.delivery.Lock()
+	defer r.delivery.Unlock()
 	now := r.now()
 	var updated []work.Runner
 	r.mu.Lock()
@@ -136,19 +142,33 @@
 
 // ExpireMissing removes missing entries that did not return in time, until ctx ends.
 func (r *RunnerList) ExpireMissing(ctx context.Context) error {
-	sleep.Every(ctx, expiryInterval, func() {
-		r.mu.Lock()
-		removed := r.takeExpired(r.now())
-		r.mu.Unlock()
-		for _, runner := range removed {
-			r.onRemove(runner)
-		}
-	})
+	sleep.Every(ctx, expiryInterval, r.removeExpired)
 	return nil
 }
 
-// ByService returns the runners of a service.
-func (r *RunnerList) ByService(service string) []work.Runner {
+// removeExpired removes missing entries that did not return in time.
+func (r *RunnerList) removeExpired() {
+	r.delivery.Lock()
+	defer r.delivery.Unlock()
+	r.mu.Lock()
+	removed := r.takeExpired(r.now())
+	r.mu.Unlock()
+	for _, runner := range removed {
+		r.onRemove(runner)
+	}
+}
+
+// Replay calls f for each runner of a service. Changes of the list are passed on after that.
+func (r *RunnerList) Replay(service string, f func(work.Runner)) {
+	r.delivery.Lock()
+	defer r.delivery.Unlock()
+	for _, runner := range r.byService(service) {
+		f(runner)
+	}
+}
+
+// byService returns the runners of a service.
+func (r *RunnerList) byService(service string) []work.Runner {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var list []work.Runner
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -158,9 +158,7 @@
 	delete(d.leaderless, service)
 	d.mu.Unlock()
 	d.setQueues(l)
-	for _, r := range d.runnerList.ByService(service) {
-		l.RunnerListed(r)
-	}
+	d.runnerList.Replay(service, l.RunnerListed)
 	d.publishLedServices()
 	g.Go(func() error {
 		err := l.Run(ctx)
