LIMIT: a leader starts no task before it knows the runners' present entries

Daemons that aren't to lead don't poll the runners' list. One that had to lead all the same, because the others were gone, gave its leader the list as it had been, perhaps minutes before: rooms that had shrunk since, runners that drain or have left. Usually its first reading follows within milliseconds; while that part of the store can't be read it doesn't.

Starts now wait until the list was read at most 2.5 s ago, as they do for cancellations. Where the runners guard their room, one such reading since the leader took over is enough, so that an outage of the list alone doesn't hold up their work; where they don't, it is required at every start, because the leader is the only guard.

--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -40,6 +40,7 @@
 	runners      map[string]work.Runner
 	missingUntil map[string]time.Time // when entries that are missing count as gone
 	lastFailure  time.Time            // when a call to the store last failed
+	readAt       time.Time            // when the store last answered a reading, all of which was passed on
 }
 
 // NewRunnerList returns an empty list, which Run keeps up to date. onUpdate is called for each runner that is new or
@@ -109,6 +110,16 @@
 	for _, runner := range updated {
 		r.onUpdate(runner)
 	}
+	r.mu.Lock()
+	r.readAt = now
+	r.mu.Unlock()
+}
+
+// ReadAt returns when the store last answered a reading of the list, all of which was passed on; zero if it never did.
+func (r *RunnerList) ReadAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readAt
 }
 
 // markMissing records that an entry is missing. Shortly after a store failure it gets a grace period to return.
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -11,6 +11,7 @@
 	"gypsumlead/fault"
 	"gypsumlead/leader"
 	"gypsumlead/member"
+	"gypsumlead/platform"
 	"gypsumlead/sleep"
 	"gypsumlead/work"
 )
@@ -137,6 +138,7 @@
 		Store:            d.store,
 		Runners:          d.runnerClient,
 		Approvals:        d.approvalClient,
+		RunnersReadAt:    d.runnerList.ReadAt,
 		Machines:         d.machineLister(),
 		Log:              d.log,
 		Heartbeat:        d.members.OwnHeartbeat,
@@ -157,7 +159,7 @@
 	d.leaseChanges.Add(1)
 	delete(d.leaderless, service)
 	d.mu.Unlock()
-	d.setQueues(l)
+	d.configure(l)
 	d.runnerList.Replay(service, l.RunnerListed)
 	d.publishLedServices()
 	g.Go(func() error {
@@ -199,8 +201,8 @@
 	return d.leaders[service]
 }
 
-// setQueues gives a leader the configured queues of its service.
-func (d *Daemon) setQueues(l *leader.Leader) {
+// configure gives a leader the configuration of its service.
+func (d *Daemon) configure(l *leader.Leader) {
 	c := d.operatorState.Config()
 	if c == nil {
 		return
@@ -211,13 +213,14 @@
 			queues = append(queues, r.Queue)
 		}
 	}
-	l.SetQueues(queues)
+	guarded := slices.ContainsFunc(c.Services, func(s platform.Service) bool { return s.Name == l.Service() && s.RejectsOverload })
+	l.Configure(queues, guarded)
 }
 
 // configChanged applies a change of the operator's configuration.
 func (d *Daemon) configChanged() {
 	for _, l := range d.localLeaders() {
-		d.setQueues(l)
+		d.configure(l)
 	}
 	d.updatePeerTargets()
 	d.updateInterests(d.ledServices())
--- a/emulator/capacity_test.go
+++ b/emulator/capacity_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gypsumlead/standin"
 	"gypsumlead/work"
 )
 
@@ -106,3 +107,29 @@
 		})
 	}
 }
+
+// Daemons that aren't to lead don't follow the runners' list. All others are killed while that list can't be read.
+func TestDaemonThatDidNotFollowRunnersStartsByTheirOldRooms(t *testing.T) {
+	size := unguarded()
+	size.Daemons, size.Services, size.SpareMachines = 9, 1, 0
+	runScenario(t, size, 80, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 4, 2*time.Second, batchShape)
+		for _, id := range runnersOf(c, "s0") {
+			setCores(c, id, c.size.CoresPerMachine/4)
+		}
+		time.Sleep(8 * time.Second)
+		c.Store.SetFaults(standin.StoreFaults{ResetPartitions: map[string]struct{}{"": {}}})
+		c.Store.Compact()
+		for _, name := range c.Daemons()[:6] {
+			c.Kill(name)
+		}
+		time.Sleep(6 * time.Second)
+		submitEvenly(c, "s0", 10, 6*time.Second, JobShape{MaxSteps: 1, MaxWidth: 4, MeanMS: 1500, CPU: 3000})
+		c.Store.SetFaults(standin.StoreFaults{})
+		for _, id := range runnersOf(c, "s0") {
+			setCores(c, id, c.size.CoresPerMachine)
+		}
+		time.Sleep(5 * time.Second)
+		require.Contains(t, []string{"e7", "e8", "e9"}, c.Leader("s0"))
+	})
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -64,9 +64,25 @@
 	return nil
 }
 
-// mayStart reports whether tasks may be started: a cancellation that was stored longer than inboxFreshness ago is known.
+// mayStart reports whether tasks may be started: the runners' entries are known, and so is a cancellation that was stored
+// longer than inboxFreshness ago.
 // While the store is silent, or until the inbox has been read after a gap, others may have stored and acknowledged some.
-func (l *Leader) mayStart(now time.Time) bool { return now.Sub(l.inboxReadAt) <= inboxFreshness }
+func (l *Leader) mayStart(now time.Time) bool {
+	return now.Sub(l.inboxReadAt) <= inboxFreshness && l.runnersKnown(now)
+}
+
+// runnersKnown reports whether the runners' entries are known: a daemon that wasn't to lead has not followed them. If the
+// runners don't guard their room, this leader has to know it at each start; others need to have been told once.
+func (l *Leader) runnersKnown(now time.Time) bool {
+	if l.guarded && l.runnersRead {
+		return true
+	}
+	if now.Sub(l.RunnersReadAt()) > listFreshness {
+		return false
+	}
+	l.runnersRead = true
+	return true
+}
 
 // inboxJobID returns the ID of the job that an inbox row refers to.
 func inboxJobID(row platform.Row) work.ID {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -23,6 +23,7 @@
 	Store            *platform.Store
 	Runners          *platform.RunnerClient
 	Approvals        *platform.ApprovalClient // nil if the platform has no policy service
+	RunnersReadAt    func() time.Time         // when the runners' list was last read
 	Machines         MachineLister            // nil if the platform has no machine service
 	Log              *zap.Logger
 	Heartbeat        func() member.HeartbeatState // state of this daemon's own heartbeat
@@ -59,6 +60,8 @@
 	lostErr         error
 	epoch           int64     // heartbeat epoch in which the store last confirmed the lease
 	inboxReadAt     time.Time // when the store last answered a reading of the inbox, all of which was applied
+	guarded         bool      // the service's runners reject what exceeds their room
+	runnersRead     bool      // the runners' list was up to date since this leader took over
 	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
 	commitFailed    bool      // the last commit was refused or not answered
 
@@ -257,10 +260,11 @@
 	}
 }
 
-// SetQueues sets the configured queues of the service.
-func (l *Leader) SetQueues(queues []work.Queue) {
+// Configure sets the configured queues of the service, and whether its runners reject what exceeds their room.
+func (l *Leader) Configure(queues []work.Queue, guarded bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pool.SetQueues(queues)
+	l.guarded = guarded
 	sleep.Wake(l.wakePlan)
 }
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -17,6 +17,7 @@
 	maxCommitWait       = 300 * time.Millisecond  // longest delay of a poll until the ends of the last one are stored
 	orderTimeout        = 600 * time.Millisecond  // for an order to a runner; allows for many round trips
 	inboxFreshness      = 2500 * time.Millisecond // of the last reading of the inbox, for starts: less than the 3 s within which a cancellation takes effect, more than a long poll on a slow store
+	listFreshness       = 2500 * time.Millisecond // of the last reading of the runners' list, for starts: less than the time for which a room that has shrunk counts, more than two readings by a daemon that is ready to lead
 	idleInterval        = 200 * time.Millisecond  // between plans, and between checks for changes to commit, without an event
 	minPlanInterval     = 5 * time.Millisecond    // between plans, so that events in this time are planned together
 	planShare           = 3                       // the pause between plans is at least this many times as long as the last plan took
