A job's tasks are limited over all its occurrences

MaxTasks limited the tasks of one occurrence; RepeatCount had no limit. A leader makes every task of every occurrence when it accepts a job, measured at 425 bytes for an occurrence with one task and at 201 bytes for a further task of a step. RepeatCount 1000000 thus takes 425 MB in a process that may have 284 MB: it is killed, and so is each next leader, which restores the job.

Such a job is now refused as invalid (400) before it is stored. 100,000 tasks take 42 MB at most.

--- a/work/job.go
+++ b/work/job.go
@@ -12,7 +12,7 @@
 const (
 	MaxSpec  = 4000    // bytes of a job's spec, set by the callers' interface
 	MaxSteps = 1000    // steps of a job
-	MaxTasks = 100_000 // tasks of all steps of one occurrence
+	MaxTasks = 100_000 // tasks of all steps of all occurrences
 	idLen    = 16      // hexadecimal digits of a job's ID, set by the callers' interface
 )
 
@@ -103,8 +103,8 @@
 		}
 		tasks += s.Count
 	}
-	if tasks > MaxTasks {
-		return fault.New(fault.Invalid, "job: %d tasks, %d are allowed", tasks, MaxTasks)
+	if tasks > MaxTasks/j.Occurrences() {
+		return fault.New(fault.Invalid, "job: %d tasks in each of %d occurrences, %d tasks are allowed", tasks, j.Occurrences(), MaxTasks)
 	}
 	return nil
 }
