--- a/work/job.go
+++ b/work/job.go
@@ -16,6 +16,12 @@
 	idLen    = 16      // hexadecimal digits of a job's ID, set by the callers' interface
 )
 
+// Limits on times, so that their sums and products stay within the range of a duration.
+const (
+	MaxEstimate = 10 * 24 * time.Hour        // a longer estimate of a task counts as this one
+	maxSpan     = 100 * 365 * 24 * time.Hour // from the first to the last occurrence
+)
+
 // ID identifies a job; callers choose it.
 type ID string
 
@@ -96,6 +102,9 @@
 	if j.Repeat < 0 || j.Interval < 0 {
 		return fault.New(fault.Invalid, "job: negative number of turns or interval")
 	}
+	if j.Interval > maxSpan/time.Duration(j.Occurrences()) {
+		return fault.New(fault.Invalid, "job: interval of %v between %d occurrences, which is too long", j.Interval, j.Occurrences())
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.check(i); err != nil {
