A connection that can't be accepted no longer ends the daemon

The server for other daemons returned every error of Accept, which ends the daemon's group of goroutines: one moment without a free descriptor (EMFILE), and the process exits with all that it leads. net/http waits and goes on in that case; now so does this server, unless the listener is closed.

--- a/peer/server.go
+++ b/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -11,11 +12,13 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/peer/wire"
+	"gypsumlead/sleep"
 )
 
 const (
-	maxSessions        = 512         // further connections are closed immediately
-	defaultIdleTimeout = time.Minute // more than ten pings from another data centre at defaultPingInterval
+	maxSessions         = 512                   // further connections are closed immediately
+	acceptRetryInterval = 50 * time.Millisecond // after a connection that could not be accepted
+	defaultIdleTimeout  = time.Minute           // more than ten pings from another data centre at defaultPingInterval
 )
 
 // Handler answers requests of other daemons. It must be safe for concurrent use.
@@ -65,9 +68,14 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			s.log.Warn("failed to accept a peer", zap.Error(err)) // for example because no descriptor is left now
+			sleep.ForOrWake(ctx, acceptRetryInterval, nil)
+			continue
+		}
 		if !s.add(conn) {
 			_ = conn.Close()
 			continue
