--- a/sched/runner.go
+++ b/sched/runner.go
@@ -25,7 +25,9 @@
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
 	used            work.Resources
-	longRunningCPU  int64 // part of used: by long-running tasks
+	longRunningCPU  int64          // part of used: by long-running tasks
+	orphaned        work.Resources // by listed runs that belong to no task, until a poll no longer lists them
+	unknownRuns     bool           // it lists runs of unknown jobs, whose resources are unknown
 	bestEffortRuns  int
 	evacuating      bool
 	retained        bool // it stays when the pool releases machines
@@ -56,16 +58,15 @@
 // account adds a run to what the runner has in use, or with a sign of -1 takes it off.
 func (r *runner) account(run *taskRun, sign int64) {
 	s := run.task.step.spec
-	if s.BestEffort {
-		r.bestEffortRuns += int(sign)
-		return
-	}
 	if sign > 0 {
-		r.used = r.used.Add(s.Resources)
+		r.used = r.used.Add(s.Occupied())
 	} else {
-		r.used = r.used.Sub(s.Resources)
+		r.used = r.used.Sub(s.Occupied())
 	}
-	if s.LongRunning {
+	switch {
+	case s.BestEffort:
+		r.bestEffortRuns += int(sign)
+	case s.LongRunning:
 		r.longRunningCPU += sign * s.Resources.CPU
 	}
 }
@@ -79,8 +80,23 @@
 	r.account(run, -1)
 }
 
-// free returns the room that isn't in use. Best-effort tasks use none.
-func (r *runner) free() work.Resources { return r.Room.Sub(r.used) }
+// free returns the room that isn't in use. Best-effort tasks use no CPU of it.
+func (r *runner) free() work.Resources { return r.Room.Sub(r.used).Sub(r.orphaned) }
+
+// addOrphan counts the resources of a listed run that belongs to no task; s is nil if its step is unknown.
+func (r *runner) addOrphan(s *step) {
+	if s == nil {
+		r.unknownRuns = true
+		return
+	}
+	r.orphaned = r.orphaned.Add(s.spec.Occupied())
+}
+
+// forgetOrphans forgets the orphans of the last poll.
+func (r *runner) forgetOrphans() { r.orphaned, r.unknownRuns = work.Resources{}, false }
+
+// overfull reports whether the runs on the runner need more than its room, which may have shrunk, or may do so.
+func (r *runner) overfull() bool { return r.unknownRuns || !(work.Resources{}).Fits(r.free()) }
 
 // silent reports whether polls have been unanswered for longer than silentAfter.
 func (r *runner) silent(now time.Time) bool {
@@ -89,7 +105,7 @@
 
 // schedulable reports whether the runner may get new work.
 func (r *runner) schedulable(now time.Time) bool {
-	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && r.lease.ClockKnown() && !r.health.excluded(now)
+	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && !r.unknownRuns && r.lease.ClockKnown() && !r.health.excluded(now)
 }
 
 // rack returns the runner's rack, which is its last label by convention.
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -191,6 +191,13 @@
 	}
 }
 
+// roomExceeded records that a runner without a guard of its room is about to start a task that doesn't fit.
+func (c *Checker) roomExceeded(r *Runner, name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.addViolation("%s started on %s beyond its room", name, r.ID)
+}
+
 // runEnded records the end of a run and its number in the runner's list of ends.
 func (c *Checker) runEnded(r *Runner, endNumber int64, name string, run int, reason work.EndReason) {
 	c.mu.Lock()
--- a/work/job.go
+++ b/work/job.go
@@ -12,10 +12,16 @@
 const (
 	MaxSpec  = 4000    // bytes of a job's spec, set by the callers' interface
 	MaxSteps = 1000    // steps of a job
-	MaxTasks = 100_000 // tasks of all steps of one occurrence
+	MaxTasks = 100_000 // tasks of all steps of all occurrences
 	idLen    = 16      // hexadecimal digits of a job's ID, set by the callers' interface
 )
 
+// Limits on times, so that their sums and products stay within the range of a duration.
+const (
+	MaxEstimate = 10 * 24 * time.Hour        // a longer estimate of a task counts as this one
+	maxSpan     = 100 * 365 * 24 * time.Hour // from the first to the last occurrence
+)
+
 // ID identifies a job; callers choose it.
 type ID string
 
@@ -67,6 +73,15 @@
 	HasMaxUnavailable bool          `json:"bound,omitempty"`  // MaxUnavailable is set
 }
 
+// Occupied returns what a task of the step takes of its runner's room: all that it needs, except the CPU of a best-effort
+// task.
+func (s *Step) Occupied() Resources {
+	if s.BestEffort {
+		return Resources{Mem: s.Resources.Mem, GPU: s.Resources.GPU}
+	}
+	return s.Resources
+}
+
 // Job is a job as a caller submitted it.
 type Job struct {
 	Spec     string        `json:"spec"`
@@ -87,6 +102,9 @@
 	if j.Repeat < 0 || j.Interval < 0 {
 		return fault.New(fault.Invalid, "job: negative number of turns or interval")
 	}
+	if j.Interval > maxSpan/time.Duration(j.Occurrences()) {
+		return fault.New(fault.Invalid, "job: interval of %v between %d occurrences, which is too long", j.Interval, j.Occurrences())
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		if err := s.check(i); err != nil {
@@ -94,8 +112,8 @@
 		}
 		tasks += s.Count
 	}
-	if tasks > MaxTasks {
-		return fault.New(fault.Invalid, "job: %d tasks, %d are allowed", tasks, MaxTasks)
+	if tasks > MaxTasks/j.Occurrences() {
+		return fault.New(fault.Invalid, "job: %d tasks in each of %d occurrences, %d tasks are allowed", tasks, j.Occurrences(), MaxTasks)
 	}
 	return nil
 }
