Stand-in: a runner that crashes answers no poll that it holds open

A poll that was open at the crash was answered at the end of its wait, with no runs: the leader took that as the proof that a run had never arrived, and started it again at once. A runner's connections end with it.

--- a/standin/runner.go
+++ b/standin/runner.go
@@ -259,11 +259,17 @@
 		r.extendLease(time.Duration(o.DeadlineMs) * time.Millisecond)
 	}
 	r.ack(o.AckCursor)
+	born := r.born
 	r.mu.Unlock()
 	timeout := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
 	defer timeout.Stop()
 	for {
 		r.mu.Lock()
+		if r.crashed || r.born != born {
+			r.mu.Unlock()
+			withholdReply(req) // the connection ended with the incarnation
+			return
+		}
 		wake := r.wake
 		if len(r.ends) > 0 || o.WaitMs == 0 {
 			break
