A task that crashes its runners is given up after two crashes that only its job can have caused

Only ends 'failed' counted as attempts. A run that is lost because its runner crashed (a new incarnation, another runner on the machine, the end of the lease) counted for nothing: such a task was started for ever, and took the tasks beside it along.

Now (sched/crashes.go) a crash is blamed on the runs that hadn't lasted for 0.5 s yet, or on all if there were none. A blamed task is a suspect: its next run is a trial, beside no unsettled run of another job, and nothing of other jobs starts on that runner until the run has lasted. A crash is certain if runs of only one job can be to blame, also later, once all others that were blamed have been cleared. Two certain crashes, with no run that lasted between them, fail the job; so do five of any kind, but not for long-running tasks and gangs, which see many crashes that they haven't caused. The ends of runners that drain, are evacuated or were moved are no crashes; a lease that ends counts once the runner is known to have crashed. Crashes are stored with the job's progress, and a trial before its start, so that a crash counts although the leader is killed as it gives the order. Rows without the fields are read as before. A runner's health isn't touched.

Ruled out: to count attempts at any loss of a run (an innocent task beside a deadly one would be failed, and a cut would count); to let suspects start only where nothing runs (a pool of three machines has no such runner).

--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -39,12 +39,13 @@
 
 // JobShape describes the jobs that NewBatchJob draws.
 type JobShape struct {
-	MaxSteps      int     // a job has 1 to MaxSteps steps, each after the previous one
-	MaxWidth      int     // a step has 1 to MaxWidth tasks
-	MeanMS        int64   // mean run time of a task in milliseconds
-	CPU           int64   // millicores per task
-	FailingShare  float64 // share of the jobs whose tasks always fail
-	Checkpointing bool
+	MaxSteps       int     // a job has 1 to MaxSteps steps, each after the previous one
+	MaxWidth       int     // a step has 1 to MaxWidth tasks
+	MeanMS         int64   // mean run time of a task in milliseconds
+	CPU            int64   // millicores per task
+	FailingShare   float64 // share of the jobs whose tasks always fail
+	Checkpointing  bool
+	CrashesRunners bool // each task crashes its runner
 }
 
 // wireStep is a step of a wireJob.
@@ -86,7 +87,7 @@
 		}
 		wire.JobSteps = append(wire.JobSteps, step)
 		job.Steps = append(job.Steps, work.Step{Count: step.Count, After: step.After, Checkpointing: shape.Checkpointing})
-		spec.Steps = append(spec.Steps, standin.SpecStep{RunMS: ms, CPU: step.CPU, Mem: step.MemMb, AlwaysFails: fails, Checkpointing: shape.Checkpointing})
+		spec.Steps = append(spec.Steps, standin.SpecStep{RunMS: ms, CPU: step.CPU, Mem: step.MemMb, AlwaysFails: fails, CrashesRunner: shape.CrashesRunners, Checkpointing: shape.Checkpointing})
 	}
 	wire.Spec = spec.Text()
 	job.Spec = wire.Spec
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -76,8 +76,10 @@
 	jobs       map[work.ID]*submission
 	nextID     uint64
 	http       *http.Client
-	violations []string // broken invariants that daemons reported
-	keepTrail  bool     // whether daemons keep their recent log lines, as they do outside the emulator
+	violations []string  // broken invariants that daemons reported
+	fatalRuns  int       // runs that have crashed their runners
+	onFatalRun func(int) // called with fatalRuns before each such crash
+	keepTrail  bool      // whether daemons keep their recent log lines, as they do outside the emulator
 }
 
 // daemonNode is the name, data centre and address of a daemon, and its process.
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -108,6 +108,7 @@
 	}
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(number), byte(1 + boot%250)}), 8080)
 	r := standin.NewRunner(id, m.Name, m.Pool, addr, m.Centre, m.Rack, m.Room, maxLease, c.Checker, c.newRand())
+	r.SetCrashHook(func() { c.handleFatalRun(r, boot) })
 	server := &runnerServer{runner: r, seq: 1}
 	server.httpServer = c.serve(addr, r)
 	c.mu.Lock()
@@ -117,6 +118,25 @@
 	return r
 }
 
+// crashDowntime is the time from the crash of a runner under a task until it is back.
+const crashDowntime = 3300 * time.Millisecond
+
+// handleFatalRun crashes a runner under a task. It is back under its ID, or every other time as a new runner.
+func (c *Cluster) handleFatalRun(r *standin.Runner, boot int) {
+	c.mu.Lock()
+	c.fatalRuns++
+	n, hook := c.fatalRuns, c.onFatalRun
+	c.mu.Unlock()
+	if hook != nil {
+		hook(n)
+	}
+	if boot%2 == 0 {
+		c.CrashRunner(r.ID, crashDowntime)
+		return
+	}
+	c.Machines.Crash(r, crashDowntime)
+}
+
 // stopRunner permanently stops a runner whose machine goes down.
 func (c *Cluster) stopRunner(r *standin.Runner) {
 	r.Crash()
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -40,7 +40,7 @@
 func (p *Pool) startsWaiting() []*job {
 	var jobs []*job
 	for _, run := range p.planned {
-		if j := run.task.step.job; !j.placements.stored(run.runner.ID) && !slices.Contains(jobs[max(0, len(jobs)-1):], j) {
+		if j := run.task.step.job; !run.stored() && !slices.Contains(jobs[max(0, len(jobs)-1):], j) {
 			jobs = append(jobs, j)
 		}
 	}
@@ -53,7 +53,7 @@
 // commitAt returns when a job's uncommitted changes are due for commit: immediately if the job has ended or a start
 // waits for them.
 func (j *job) commitAt() time.Time {
-	if j.state.Final() || j.placements.pending() {
+	if j.state.Final() || j.commitNow || j.placements.pending() {
 		return j.dirtySince
 	}
 	return j.dirtySince.Add(commitDelay)
@@ -69,6 +69,7 @@
 		j.committedSeq = b.seq
 		j.placements.markStored(b.Progress.Runners)
 		j.dirtySince = now
+		j.commitNow = j.commitNow && j.changeSeq != j.committedSeq
 		if p.idlePlacements(j) {
 			p.markChanged(j, now)
 		}
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -19,6 +19,7 @@
 	runners    map[string]*fakeRunner
 	orders     []Order
 	violations []string
+	stored     map[work.ID][]byte // committed progress
 }
 
 type fakeRunner struct {
@@ -33,7 +34,7 @@
 var testLeases = LeaseConfig{TTL: 4500 * time.Millisecond, InheritedTTL: 13 * time.Second}
 
 func newFakePool(t *testing.T, runners int, cores int64) *fakePool {
-	f := &fakePool{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}}
+	f := &fakePool{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}, stored: map[work.ID][]byte{}}
 	f.pool = New(f.now, 1, testLeases, WithCheckInterval(0), WithViolationHook(func(err error) { f.violations = append(f.violations, err.Error()) }))
 	for i := range runners {
 		info := work.Runner{
@@ -90,10 +91,21 @@
 		r.clock += d
 	}
 	f.poll()
-	f.pool.MarkCommitted(f.now, f.pool.UncommittedBatch(f.now, 100, true))
+	f.commit()
 	return f.plan()
 }
 
+// commit commits the progress that isn't committed.
+func (f *fakePool) commit() {
+	batch := f.pool.UncommittedBatch(f.now, 100, true)
+	for _, b := range batch {
+		value, err := b.Progress.Encode()
+		require.NoError(f.t, err)
+		f.stored[b.ID] = value
+	}
+	f.pool.MarkCommitted(f.now, batch)
+}
+
 // plan plans and executes the orders.
 func (f *fakePool) plan() []Order {
 	f.orders = f.planCommitted(true)
@@ -108,7 +120,7 @@
 // that the first one planned.
 func (f *fakePool) planCommitted(confirmed bool) []Order {
 	orders := slices.Clone(f.pool.Plan(f.now, f.now, confirmed))
-	f.pool.MarkCommitted(f.now, f.pool.UncommittedBatch(f.now, 100, true))
+	f.commit()
 	return append(orders, f.pool.Plan(f.now, f.now, confirmed)...)
 }
 
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -28,7 +28,7 @@
 		if r == nil {
 			p.undoGangStart(now, s)
 			p.planned = p.planned[:mark]
-			return false
+			return t.isSuspect() && p.reserveGangForTrial(now, s)
 		}
 		p.planRun(now, t, r, number)
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -23,6 +23,7 @@
 	changeSeq      int64     // sequence number of the latest change
 	committedSeq   int64     // sequence number of the latest change that the store has
 	dirtySince     time.Time // since when the progress has been uncommitted
+	commitNow      bool      // the changes don't wait for commitDelay
 	firstStart     time.Time
 	ended          time.Time
 }
@@ -65,6 +66,9 @@
 	done         bool
 	lastRun      int   // highest run number known
 	failedRuns   []int // numbers of its failed runs
+	crashes      []Crash
+	suspect      bool   // a runner has crashed under it, and no run of it has lasted since
+	lostTrial    *Trial // its runner may have crashed
 	checkpoint   string
 	runs         []*taskRun
 	failedOn     []string  // runners on which it failed, stalled or was too slow
@@ -99,6 +103,8 @@
 	load            float64   // as work.Run.Load: of a serving task its tail latency in ms
 	overTargetSince time.Time // since when its tail latency has been above the target
 	withdrawn       bool      // of a planned run: it is no longer wanted
+	trial           bool      // of a suspect: it isn't settled, and runs of other jobs are kept off its runner
+	needsSeq        int64     // sequence number of the job's change that the store must have before the start
 	pace            int       // percent of full speed; -1 if unknown
 	pacedAt         time.Time
 	stopReason      string
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -7,6 +7,11 @@
 
 // fits reports whether a runner can take a run of the task now.
 func (p *Pool) fits(now time.Time, r *runner, t *task) bool {
+	return p.hasRoom(now, r, t) && r.keepsTrialsApart(t)
+}
+
+// hasRoom reports whether a runner has room for a run of the task now and is allowed to run it.
+func (p *Pool) hasRoom(now time.Time, r *runner, t *task) bool {
 	s := t.step
 	if !r.schedulable(now) || !r.hasLabel(s.spec.RequiredLabel) {
 		return false
@@ -20,7 +25,7 @@
 	if s.spec.MaxPerRunner > 0 && r.countRuns(s) >= s.spec.MaxPerRunner {
 		return false
 	}
-	if !p.storeAvailable && !s.job.placements.stored(r.ID) {
+	if !p.storeAvailable && (!s.job.placements.stored(r.ID) || t.isSuspect()) {
 		return false // the start would have to wait for the store
 	}
 	return s.approvedOn(now, r)
@@ -79,6 +84,10 @@
 	}
 	left := r.free().CPU - s.Resources.CPU
 	switch {
+	case t.isSuspect():
+		// Where the fewest tasks are lost if the suspect crashes the runner.
+		c[3] = int64(r.countLongRunning())
+		c[4] = r.used.CPU
 	case s.BestEffort:
 		// Best-effort tasks go where the fewest serving tasks are, then where the most room is free.
 		c[3] = int64(r.countServing())*16 + int64(r.countBestEffort())
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -171,7 +171,7 @@
 
 // unwanted reports whether a planned run is to be dropped.
 func (p *Pool) unwanted(now time.Time, run *taskRun) bool {
-	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.task.step.job.placements.stored(run.runner.ID)
+	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.stored()
 	return run.withdrawn || stuck || !p.startsAllowed || run.task.held || !run.runner.schedulable(now)
 }
 
@@ -203,10 +203,16 @@
 	})
 }
 
+// stored reports whether the store has what a later leader has to know of a planned run.
+func (r *taskRun) stored() bool {
+	j := r.task.step.job
+	return j.placements.stored(r.runner.ID) && j.committedSeq >= r.needsSeq
+}
+
 // orderable reports whether the store has the placements of a planned run, and of its gang's members.
 func (r *taskRun) orderable() bool {
 	for _, member := range r.withGang() {
-		if member.withdrawn || !member.task.step.job.placements.stored(member.runner.ID) {
+		if member.withdrawn || !member.stored() {
 			return false
 		}
 	}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -131,6 +131,9 @@
 			continue
 		}
 		r := p.chooseRunner(now, t)
+		if r == nil && t.suspect && p.reserveForTrial(now, t) {
+			continue
+		}
 		if r == nil {
 			return false
 		}
@@ -176,11 +179,15 @@
 // planRun gives a run of a task its room on a runner. The start is ordered once the store has the runner among the job's
 // placements.
 func (p *Pool) planRun(now time.Time, t *task, r *runner, number int) {
-	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100}
+	j := t.step.job
+	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100, trial: t.isSuspect()}
 	t.addRun(run)
 	p.planned = append(p.planned, run)
-	if !t.step.job.placements.stored(r.ID) {
-		p.markChanged(t.step.job, now)
+	if run.trial || !j.placements.stored(r.ID) {
+		p.markChanged(j, now)
+	}
+	if run.trial {
+		run.needsSeq, j.commitNow = j.changeSeq, true
 	}
 }
 
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -31,6 +31,7 @@
 	schedulableCPU      int64                     // millicores of schedulable runners for tasks that end
 	leadershipConfirmed bool                      // as of the last plan: nobody else can have acquired leadership
 	heldTasks           map[*task]struct{}        // tasks that aren't restarted until leadership is confirmed
+	lostTrials          map[*task]struct{}        // tasks with a lost trial
 	estimateRatios      map[string]*estimateRatio // by queue
 	lastAssessed        time.Time
 	arrivals            arrivals
@@ -112,6 +113,7 @@
 		startsAllowed:       true,
 		storeAvailable:      true,
 		heldTasks:           map[*task]struct{}{},
+		lostTrials:          map[*task]struct{}{},
 		estimateRatios:      map[string]*estimateRatio{},
 		reserved:            map[*runner]struct{}{},
 		doneWithRuns:        map[*task]struct{}{},
@@ -250,6 +252,7 @@
 		if j.committedState.Final() && j.changeSeq == j.committedSeq && j.ended.Before(olderThan) && !j.hasRuns() {
 			ids = append(ids, id)
 			delete(p.jobs, id)
+			p.dropLostTrials(j)
 		}
 	}
 	p.prune()
@@ -269,6 +272,9 @@
 		run.task.held = true
 		p.heldTasks[run.task] = struct{}{}
 	}
+	if run.trial {
+		p.markChanged(run.task.step.job, now)
+	}
 	p.onAbandon(AbandonedRun{run.task.name, run.number, run.runner.ID, reason})
 	run.task.removeRun(run, now)
 }
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"gypsumlead/fault"
@@ -23,9 +24,11 @@
 
 // StepProgress is the progress of one step.
 type StepProgress struct {
-	Done        []byte         `json:"done,omitempty"`  // one bit per task, low bits first
-	FailedRuns  map[int][]int  `json:"fails,omitempty"` // numbers of failed runs, by task; a gang's by -1
-	Checkpoints map[int]string `json:"saved,omitempty"` // checkpoints, by task
+	Done        []byte          `json:"done,omitempty"`    // one bit per task, low bits first
+	FailedRuns  map[int][]int   `json:"fails,omitempty"`   // numbers of failed runs, by task; a gang's by -1
+	Checkpoints map[int]string  `json:"saved,omitempty"`   // checkpoints, by task
+	Crashes     map[int][]Crash `json:"crashes,omitempty"` // crashes of runners, by task
+	Trials      map[int]Trial   `json:"trials,omitempty"`  // trials that aren't settled, by task
 }
 
 // gangKey is the key of a gang's failed runs in StepProgress.FailedRuns.
@@ -42,7 +45,7 @@
 		any := false
 		for _, s := range occ.steps {
 			sp := s.progress()
-			any = any || sp.Done != nil || sp.FailedRuns != nil || sp.Checkpoints != nil
+			any = any || sp.Done != nil || sp.FailedRuns != nil || sp.Checkpoints != nil || sp.Crashes != nil || sp.Trials != nil
 			op.Steps = append(op.Steps, sp)
 		}
 		if any {
@@ -72,6 +75,7 @@
 			}
 			sp.Checkpoints[i] = t.checkpoint
 		}
+		sp.addCrashes(i, t)
 	}
 	if len(s.failedRuns) > 0 {
 		sp.addFailedRuns(gangKey, s.failedRuns)
@@ -87,6 +91,22 @@
 	sp.FailedRuns[key] = runs
 }
 
+// addCrashes sets the crashes and the trial of a task.
+func (sp *StepProgress) addCrashes(key int, t *task) {
+	if len(t.crashes) > 0 {
+		if sp.Crashes == nil {
+			sp.Crashes = map[int][]Crash{}
+		}
+		sp.Crashes[key] = slices.Clone(t.crashes)
+	}
+	if trial := t.trialToStore(); trial != nil {
+		if sp.Trials == nil {
+			sp.Trials = map[int]Trial{}
+		}
+		sp.Trials[key] = *trial
+	}
+}
+
 // Encode returns the progress in its stored form.
 func (pr Progress) Encode() ([]byte, error) {
 	b, err := json.Marshal(pr)
@@ -134,7 +154,7 @@
 		}
 		for stepIndex, sp := range op.Steps {
 			if stepIndex < len(j.occurrences[op.Occurrence].steps) {
-				j.occurrences[op.Occurrence].steps[stepIndex].restore(sp)
+				p.restoreStep(j.occurrences[op.Occurrence].steps[stepIndex], sp)
 			}
 		}
 	}
@@ -143,6 +163,16 @@
 	}
 }
 
+// restoreStep applies stored progress to a new step.
+func (p *Pool) restoreStep(s *step, sp StepProgress) {
+	s.restore(sp)
+	for i, t := range s.tasks {
+		if trial, ok := sp.Trials[i]; ok && !t.done {
+			p.addLostTrial(t, &trial)
+		}
+	}
+}
+
 // restore applies stored progress to a new step.
 func (s *step) restore(sp StepProgress) {
 	s.failedRuns = sp.FailedRuns[gangKey]
@@ -154,6 +184,11 @@
 		for _, number := range t.failedRuns {
 			t.lastRun = max(t.lastRun, number)
 		}
+		t.crashes = sp.Crashes[i]
+		t.suspect = len(t.crashes) > 0
+		for _, c := range t.crashes {
+			t.lastRun = max(t.lastRun, c.Run)
+		}
 		t.checkpoint = sp.Checkpoints[i]
 	}
 }
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -55,13 +55,21 @@
 	}
 	if run != nil {
 		p.learnRunTime(now, run, e.Reason)
+		if run.trial {
+			p.markChanged(t.step.job, now)
+		}
 		t.removeRun(run, now)
 	}
+	if t.lostTrial != nil && t.lostTrial.Run == e.Run {
+		p.dropLostTrial(t)
+	}
 	delete(p.orphans, orphan{r.ID, e.Task, e.Run})
 	switch e.Reason {
 	case work.EndDone:
+		p.clearSuspect(now, t)
 		p.handleTaskDone(now, t)
 	case work.EndFailed:
+		p.clearSuspect(now, t)
 		p.handleTaskFailure(now, r, t, e.Run)
 	}
 }
@@ -170,6 +178,10 @@
 	}
 	p.completePredecessors(now, t)
 	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100}
+	if t.lostTrial != nil && t.lostTrial.Run == number {
+		run.trial = true
+		p.dropLostTrial(t)
+	}
 	t.addRun(run)
 	if !j.placements.stored(r.ID) {
 		p.markChanged(j, now)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -24,6 +24,7 @@
 	ackedEnd        int64     // ends up to this number may be acknowledged
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
+	trials          int // runs that are trials
 	used            work.Resources
 	longRunningCPU  int64 // part of used: by long-running tasks
 	bestEffortRuns  int
@@ -50,6 +51,9 @@
 // addRun adds a run and takes up its resources.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
+	if run.trial {
+		r.trials++
+	}
 	r.account(run, 1)
 }
 
@@ -76,6 +80,7 @@
 		return
 	}
 	delete(r.runs, run)
+	r.endTrial(run)
 	r.account(run, -1)
 }
 
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -33,7 +33,7 @@
 // UpdateRunner adds or updates a runner from its entry in the platform's list.
 func (p *Pool) UpdateRunner(now time.Time, info work.Runner) {
 	r := p.getOrAddRunner(info)
-	p.endReplaced(now, info)
+	p.endReplaced(now, info, true)
 	p.setIncarnation(now, r, info.Born)
 	born := max(r.Born, info.Born)
 	if info.Draining && !r.Draining {
@@ -44,13 +44,17 @@
 	r.listed = true
 }
 
-// endReplaced drops runners that were started earlier on the same machine.
-func (p *Pool) endReplaced(now time.Time, info work.Runner) {
+// endReplaced drops runners that were started earlier on the same machine. crashed states that they have crashed, unless
+// their ends were planned.
+func (p *Pool) endReplaced(now time.Time, info work.Runner, crashed bool) {
 	if info.Machine == "" {
 		return
 	}
 	for _, old := range p.runners {
 		if old.Machine == info.Machine && old.ID != info.ID && old.Born < info.Born {
+			if crashed {
+				p.handleCrash(now, old)
+			}
 			p.runnerGone(now, old)
 		}
 	}
@@ -111,19 +115,24 @@
 	return false
 }
 
-// HandleReplacement handles a runner of any pool: earlier runners on the same machine no longer exist.
-func (p *Pool) HandleReplacement(now time.Time, info work.Runner) { p.endReplaced(now, info) }
+// HandleReplacement handles a runner of another pool: earlier runners on the same machine no longer exist, as the machine
+// was moved.
+func (p *Pool) HandleReplacement(now time.Time, info work.Runner) { p.endReplaced(now, info, false) }
 
 // setIncarnation sets the start time of the runner's present incarnation. A later one than before means that the
 // runner has restarted and the runs of the earlier incarnation are gone.
 func (p *Pool) setIncarnation(now time.Time, r *runner, born int64) {
+	p.resolveLostTrials(now, r.Runner, born)
 	if born <= r.Born {
 		return
 	}
 	if r.Born != 0 {
+		p.handleCrash(now, r)
 		r.lease.Reset()
 		for run := range r.runs {
 			switch {
+			case run.phase == planned && run.trial:
+				run.withdrawn = true // the stored trial names the old incarnation
 			case run.phase == planned:
 			case run.listed:
 				p.abandon(now, run, "its runner has started anew")
@@ -196,6 +205,7 @@
 		return
 	}
 	if result.Replaced {
+		p.handleCrash(now, r)
 		p.runnerGone(now, r)
 		return
 	}
@@ -221,6 +231,8 @@
 			p.handleUnlistedRun(now, run, sent)
 		}
 	}
+	p.dropAnsweredTrials(now, r)
+	p.clearSettled(now, r)
 }
 
 // HandlePollFailure handles a poll that wasn't answered.
@@ -247,6 +259,7 @@
 		if !ok || now.Before(expiry) {
 			continue
 		}
+		p.suspendBlame(r)
 		for run := range r.runs {
 			if run.phase != planned && run.sentAt.Before(expiry) {
 				p.abandon(now, run, "its runner is silent and the lease is over")
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -35,6 +35,8 @@
 	done       *runEnd          // latest end as done; an acknowledged one is not replaced
 	fails      map[int]struct{} // run numbers that failed
 	ackedFails int              // never incremented, so runStarted does not yet report starts after the last attempt
+	crashes    int              // runners that crashed under it
+	lateStarts int              // starts after maxRunnerCrashes
 }
 
 // runEnd is the end of a run as done.
@@ -97,6 +99,13 @@
 	return tr
 }
 
+// Limits for a task that crashes its runners, from the platform's documentation.
+const (
+	minRunnerCrashes = 2 // crashes of runners under a task after which it may be given up
+	maxRunnerCrashes = 3 // crashes after which it may be started fewer than maxLateStarts times more
+	maxLateStarts    = 3
+)
+
 // cancelGrace is how long a job's tasks may still start after its cancellation, from the platform's documentation. A
 // start that a runner executes late may come up to maxOrderDelay after that.
 const cancelGrace = 3 * time.Second
@@ -126,6 +135,7 @@
 	if !step.LongRunning && len(tr.fails) >= jr.attempts && tr.ackedFails >= jr.attempts {
 		c.addViolation("%s run %d started after %d failures", name, run, len(tr.fails))
 	}
+	c.checkCrashes(name, tr, jr, t.Step)
 	grace := cancelGrace
 	if delayed {
 		grace += maxOrderDelay
@@ -144,6 +154,18 @@
 	tr.active[r] = run
 }
 
+// checkCrashes checks that a task that crashes its runners is not started too often; the caller holds c.mu.
+func (c *Checker) checkCrashes(name string, tr *taskRecord, jr *jobRecord, step int) {
+	spec, ok := parseSpec(jr.job.Spec)
+	if !ok || !spec.Steps[step].CrashesRunner || tr.crashes < maxRunnerCrashes {
+		return
+	}
+	tr.lateStarts++
+	if tr.lateStarts == maxLateStarts {
+		c.addViolation("%s was started %d times more after %d runners had crashed under it", name, maxLateStarts, maxRunnerCrashes)
+	}
+}
+
 // runEnded records the end of a run and its number in the runner's list of ends.
 func (c *Checker) runEnded(r *Runner, endNumber int64, name string, run int, reason work.EndReason) {
 	c.mu.Lock()
@@ -182,7 +204,9 @@
 func (c *Checker) runLost(r *Runner, name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.task(name).active, r)
+	tr := c.task(name)
+	delete(tr.active, r)
+	tr.crashes++
 }
 
 // runnerLost records that a runner's lease expired or that it crashed: its ends that the leader has not acknowledged no
@@ -217,7 +241,7 @@
 
 // verifyJob returns what is wrong with a job in its last state.
 func (c *Checker) verifyJob(id work.ID, jr *jobRecord, state work.State) []string {
-	started, done, failed := false, true, false
+	started, done, failed, crashed := false, true, false, false
 	for stepIndex, step := range jr.job.Steps {
 		for i := range step.Count {
 			tr := c.tasks[work.Task{Job: id, Step: stepIndex, Index: i}.String()]
@@ -228,6 +252,7 @@
 			started = true
 			done = done && tr.done != nil
 			failed = failed || len(tr.fails) >= jr.attempts
+			crashed = crashed || tr.crashes >= minRunnerCrashes
 		}
 	}
 	switch {
@@ -238,8 +263,8 @@
 	case !jr.accepted:
 	case state == work.Done && !done:
 		return []string{fmt.Sprintf("job %s is reported as completed, but not all of its tasks are done", id)}
-	case state == work.Failed && !failed:
-		return []string{fmt.Sprintf("job %s is reported as failed, but no task has used up its attempts", id)}
+	case state == work.Failed && !failed && !crashed:
+		return []string{fmt.Sprintf("job %s is reported as failed, but no task has used up its attempts or crashed two runners", id)}
 	case jr.job.LongRunning() && jr.cancelledAt.IsZero():
 		return c.verifyLongRunning(id, jr.job)
 	case !state.Final():
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -193,6 +193,15 @@
 	})
 }
 
+// Crash takes a runner's machine down, if it is still its runner, and brings it up again after duration with a new runner.
+func (m *MachineService) Crash(r *Runner, duration time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if machine, ok := m.byName[r.Machine]; ok && machine.runner == r {
+		m.takeOffline(machine, "down", duration, func() {})
+	}
+}
+
 // NewMachineService returns a service without machines. onStop is called with the runner of a machine that goes
 // offline, and onStart starts a machine's runner; boot counts the machine's boots from 1.
 func NewMachineService(sparePool string, moveTime, maintenanceTime time.Duration, c *Checker, onStop func(*Runner), onStart func(m *Machine, boot int) *Runner) *MachineService {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -16,6 +16,7 @@
 	longRunningStartup = 300 * time.Millisecond // after which a long-running task reports full progress
 	stopTime           = 50 * time.Millisecond  // until a stopped or failing run ends
 	restoreTime        = 100 * time.Millisecond // of a checkpoint
+	crashDelay         = 10 * time.Millisecond  // from the start of a run that crashes its runner until it does
 	orderLatency       = time.Millisecond
 	maxEndsPerPoll     = 500
 	minOrderDelay      = 2 * time.Second // bounds of an order's delay under DelayedOrderRate
@@ -60,6 +61,7 @@
 	faults     RunnerFaults
 	crashed    bool
 	leaseTimer *time.Timer // calls expireLease; nil before the first lease
+	onCrash    func()      // called when a run crashes the runner
 }
 
 // activeRun is a run in progress.
@@ -109,6 +111,13 @@
 	}
 }
 
+// SetCrashHook sets the function that is called when a run crashes the runner. It has to call Crash.
+func (r *Runner) SetCrashHook(hook func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onCrash = hook
+}
+
 // Crash drops all runs without reporting their ends; the runner doesn't reply until Restart.
 func (r *Runner) Crash() {
 	r.mu.Lock()
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -43,9 +43,22 @@
 	run.endTimer = time.AfterFunc(time.Hour*24*365, func() {})
 	r.scheduleEnd(run)
 	r.checker.runStarted(r, t, o.Run, delayed)
+	if step.CrashesRunner {
+		time.AfterFunc(crashDelay, func() { r.crashUnder(run) })
+	}
 	return ""
 }
 
+// crashUnder crashes the runner if a run is still in progress.
+func (r *Runner) crashUnder(run *activeRun) {
+	r.mu.Lock()
+	active, hook := r.runs[run.name] == run, r.onCrash
+	r.mu.Unlock()
+	if active {
+		hook()
+	}
+}
+
 // scheduleEnd sets the timer of a run's end by its remaining time and the runner's faults; the caller holds r.mu.
 func (r *Runner) scheduleEnd(run *activeRun) {
 	run.endTimer.Stop()
--- a/standin/spec.go
+++ b/standin/spec.go
@@ -12,7 +12,8 @@
 	RunMS         int64 `json:"ms"` // run time of a task, without the restore of a checkpoint
 	CPU           int64 `json:"cpu"`
 	Mem           int64 `json:"mem"`
-	AlwaysFails   bool  `json:"fails,omitempty"` // every run ends as failed
+	AlwaysFails   bool  `json:"fails,omitempty"`   // every run ends as failed
+	CrashesRunner bool  `json:"crashes,omitempty"` // every run crashes its runner
 	LongRunning   bool  `json:"lasts,omitempty"`
 	Checkpointing bool  `json:"saves,omitempty"`
 	BestEffort    bool  `json:"fills,omitempty"`
