A runner with a trial answers polls as soon as the trial has settled

A poll is held open for up to a second, so that a trial was known to have lasted only 1 to 1.5 s after its start. Now polls of such runners wait no longer than until the trial is 0.5 s old.

--- a/leader/session.go
+++ b/leader/session.go
@@ -99,7 +99,7 @@
 		if !l.mayOrder(now) {
 			return
 		}
-		req := platform.PollRequest{Token: l.lease.Token, Wait: wait}
+		req := platform.PollRequest{Token: l.lease.Token}
 		l.mu.Lock()
 		if !l.pool.HasRunner(s.target.ID) {
 			l.close(s)
@@ -108,7 +108,8 @@
 		}
 		req.AckCursor = l.pool.AckCursor(s.target.ID)
 		req.LeaseExpiry = l.pool.ExtendLease(now, s.target.ID)
-		l.pool.PollSent(now, s.target.ID, wait)
+		req.Wait = l.pool.PollWait(now, s.target.ID, wait)
+		l.pool.PollSent(now, s.target.ID, req.Wait)
 		l.mu.Unlock()
 		if s.poll(ctx, now, req) {
 			wait = pollWait
--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -252,6 +252,21 @@
 	}
 }
 
+// PollWait returns how long a runner may delay its answer to a poll: at most longest, and not beyond the time at which
+// one of its trials has settled.
+func (p *Pool) PollWait(now time.Time, id string, longest time.Duration) time.Duration {
+	r, ok := p.runners[id]
+	if !ok || r.trials == 0 {
+		return longest
+	}
+	for run := range r.runs {
+		if run.trial && !run.confirmedAt.IsZero() {
+			longest = min(longest, max(0, run.confirmedAt.Add(settleTime).Sub(now)))
+		}
+	}
+	return longest.Round(time.Millisecond)
+}
+
 // clearSuspect clears a task of which a run has settled or ended: it didn't crash its earlier runners. Who else was blamed
 // for their crashes is more likely to have caused them.
 func (p *Pool) clearSuspect(now time.Time, t *task) {
--- a/sched/crashes_test.go
+++ b/sched/crashes_test.go
@@ -362,3 +362,20 @@
 	require.Empty(t, old.Occurrences[0].Steps[0].Crashes)
 	require.Equal(t, []int{1}, old.Occurrences[0].Steps[0].FailedRuns[1])
 }
+
+func TestPollOfARunnerWithATrialIsAnsweredWhenItHasSettled(t *testing.T) {
+	f := newCrashingPool(t, 2, 8)
+	id := f.submit("a", stepOf(1, 1000))
+	f.step()
+	first := f.runnerOf(taskOf(id, 0, 0))
+	require.Equal(t, time.Second, f.pool.PollWait(f.now, first, time.Second))
+	f.crash(first)
+	for f.starts[taskOf(id, 0, 0)] < 2 {
+		f.step()
+	}
+	second := f.runnerOf(taskOf(id, 0, 0))
+	require.Equal(t, settleTime, f.pool.PollWait(f.now, second, time.Second))
+	require.Equal(t, settleTime-crashTick, f.pool.PollWait(f.now.Add(crashTick), second, time.Second))
+	f.run(settleTime + crashTick)
+	require.Equal(t, time.Second, f.pool.PollWait(f.now, second, time.Second))
+}
