A runner is kept for a suspect that waits for the runs there to settle

A suspect starts only beside settled runs of other jobs. Where more urgent tasks start on every runner several times a second, no runner is ever without an unsettled run, and the suspect waited for as long as they came: it was reserved a runner only within a plan, after the more urgent steps had been placed. Now the runner stays kept from one plan to the next (0.3 s after the last plan in which the suspect asked), also from preemption and reservations for other jobs.

Test: TestSuspectStartsThoughMoreUrgentTasksKeepStarting; on: '"5.4s" is not less than "5.3s"' (no start within 2 s after the runner was back, with a third of the room in use).

--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -12,6 +12,7 @@
 	settleTime        = 500 * time.Millisecond // a run that has lasted this long isn't blamed for a crash while newer ones are on its runner
 	maxCertainCrashes = 2                      // crashes that only the task's own job can have caused, after which it is given up
 	maxCrashes        = 5                      // crashes of any kind after which it is given up
+	keepInterval      = 300 * time.Millisecond // for which a runner is kept for a suspect that waits; longer than the time between two plans
 )
 
 // Crash is the crash of a runner for which a run of a task is blamed.
@@ -79,24 +80,34 @@
 	return true
 }
 
-// reserveForTrial keeps other starts off the runner on which a suspect can soon start. It returns false if no runner has
-// room for the suspect.
+// keptFrom reports whether the runner is kept for a suspect of another job.
+func (r *runner) keptFrom(j *job, now time.Time) bool {
+	return r.keptFor != nil && r.keptFor != j && now.Before(r.keptUntil)
+}
+
+// reserveForTrial keeps other jobs off the runner on which a suspect can soon start, until then or until the suspect no
+// longer asks. It returns false if no runner has room for the suspect.
 func (p *Pool) reserveForTrial(now time.Time, t *task) bool {
 	var best *runner
-	fewest := 0
+	fewest, found := 0, false
 	for _, r := range p.sortedRunners() {
 		if !p.hasRoom(now, r, t) {
 			continue
 		}
-		if n := r.countUnsettled(); best == nil || n < fewest {
+		found = true
+		n := r.countUnsettled()
+		if r.keptFor == t.step.job && now.Before(r.keptUntil) {
+			n = -1
+		}
+		if !r.keptFrom(t.step.job, now) && (best == nil || n < fewest) {
 			best, fewest = r, n
 		}
 	}
-	if best == nil {
-		return false
+	if best != nil {
+		p.reserved[best] = struct{}{}
+		best.keptFor, best.keptUntil = t.step.job, now.Add(keepInterval)
 	}
-	p.reserved[best] = struct{}{}
-	return true
+	return found
 }
 
 // reserveGangForTrial is like reserveForTrial for each member of a gang.
--- a/sched/crashes_test.go
+++ b/sched/crashes_test.go
@@ -379,3 +379,21 @@
 	f.run(settleTime + crashTick)
 	require.Equal(t, time.Second, f.pool.PollWait(f.now, second, time.Second))
 }
+
+// Guards against a suspect that waits for ever because more urgent tasks keep starting on every runner.
+func TestSuspectStartsThoughMoreUrgentTasksKeepStarting(t *testing.T) {
+	f := newCrashingPool(t, 4, 8)
+	id := f.submit("a", stepOf(1, 1000))
+	task := taskOf(id, 0, 0)
+	f.step()
+	f.crash(f.runnerOf(task))
+	urgent, crashedAt := testQueue, f.now
+	urgent.Name, urgent.Priority = "urgent", -1
+	spread := work.Step{Count: 4, Resources: work.Resources{CPU: 500}, Estimate: time.Second, MaxPerRunner: 1}
+	for i := 0; f.starts[task] < 2; i++ {
+		f.jobs[f.accept(fmt.Sprintf("b%d", i), urgent, spread)] = work.Job{Steps: []work.Step{spread}}
+		f.step()
+		f.step()
+		require.Less(t, f.now.Sub(crashedAt), f.downFor+2*time.Second)
+	}
+}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -7,7 +7,7 @@
 
 // fits reports whether a runner can take a run of the task now.
 func (p *Pool) fits(now time.Time, r *runner, t *task) bool {
-	return p.hasRoom(now, r, t) && r.keepsTrialsApart(t)
+	return p.hasRoom(now, r, t) && r.keepsTrialsApart(t) && !r.keptFrom(t.step.job, now)
 }
 
 // hasRoom reports whether a runner has room for a run of the task now and is allowed to run it.
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -211,7 +211,7 @@
 func (p *Pool) reserve(now time.Time, s *step) bool {
 	var best *runner
 	for _, r := range p.runners {
-		if _, taken := p.reserved[r]; taken || !r.schedulable(now) || !s.spec.Resources.Fits(r.Room) || !r.hasLabel(s.spec.RequiredLabel) {
+		if _, taken := p.reserved[r]; taken || !r.schedulable(now) || r.keptFrom(s.job, now) || !s.spec.Resources.Fits(r.Room) || !r.hasLabel(s.spec.RequiredLabel) {
 			continue
 		}
 		if best == nil || r.free().CPU > best.free().CPU || (r.free().CPU == best.free().CPU && r.ID < best.ID) {
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -22,7 +22,7 @@
 	var best *runner
 	var victims []*taskRun
 	for _, r := range p.runners {
-		if !r.schedulable(now) || !r.hasLabel(s.spec.RequiredLabel) || !s.approvedOn(now, r) || (s.spec.MaxPerRunner > 0 && r.countRuns(s) >= s.spec.MaxPerRunner) {
+		if !r.schedulable(now) || r.keptFrom(s.job, now) || !r.hasLabel(s.spec.RequiredLabel) || !s.approvedOn(now, r) || (s.spec.MaxPerRunner > 0 && r.countRuns(s) >= s.spec.MaxPerRunner) {
 			continue
 		}
 		found, ok := p.victims(r, s)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -24,7 +24,9 @@
 	ackedEnd        int64     // ends up to this number may be acknowledged
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
-	trials          int // runs that are trials
+	trials          int       // runs that are trials
+	keptFor         *job      // only runs of this job may start, so that its suspects soon can
+	keptUntil       time.Time // of keptFor
 	used            work.Resources
 	longRunningCPU  int64 // part of used: by long-running tasks
 	bestEffortRuns  int
