--- a/sched/plan.go
+++ b/sched/plan.go
@@ -131,6 +131,9 @@
 			continue
 		}
 		r := p.chooseRunner(now, t)
+		if r == nil && t.suspect && p.reserveForTrial(now, t) {
+			continue
+		}
 		if r == nil {
 			return false
 		}
@@ -176,11 +179,15 @@
 // planRun gives a run of a task its room on a runner. The start is ordered once the store has the runner among the job's
 // placements.
 func (p *Pool) planRun(now time.Time, t *task, r *runner, number int) {
-	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100}
+	j := t.step.job
+	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100, trial: t.isSuspect()}
 	t.addRun(run)
 	p.planned = append(p.planned, run)
-	if !t.step.job.placements.stored(r.ID) {
-		p.markChanged(t.step.job, now)
+	if run.trial || !j.placements.stored(r.ID) {
+		p.markChanged(j, now)
+	}
+	if run.trial {
+		run.needsSeq, j.commitNow = j.changeSeq, true
 	}
 }
 
@@ -203,7 +210,7 @@
 func (p *Pool) reserve(now time.Time, s *step) bool {
 	var best *runner
 	for _, r := range p.runners {
-		if _, taken := p.reserved[r]; taken || !r.schedulable(now) || !s.spec.Resources.Fits(r.Room) || !r.hasLabel(s.spec.RequiredLabel) {
+		if _, taken := p.reserved[r]; taken || !r.schedulable(now) || r.keptFrom(s.job, now) || !s.spec.Resources.Fits(r.Room) || !r.hasLabel(s.spec.RequiredLabel) {
 			continue
 		}
 		if best == nil || r.free().CPU > best.free().CPU || (r.free().CPU == best.free().CPU && r.ID < best.ID) {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -24,6 +24,9 @@
 	ackedEnd        int64     // ends up to this number may be acknowledged
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
+	trials          int       // runs that are trials
+	keptFor         *job      // only runs of this job may start, so that its suspects soon can
+	keptUntil       time.Time // of keptFor
 	used            work.Resources
 	longRunningCPU  int64          // part of used: by long-running tasks
 	orphaned        work.Resources // by listed runs that belong to no task, until a poll no longer lists them
@@ -52,6 +55,9 @@
 // addRun adds a run and takes up its resources.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
+	if run.trial {
+		r.trials++
+	}
 	r.account(run, 1)
 }
 
@@ -77,6 +83,7 @@
 		return
 	}
 	delete(r.runs, run)
+	r.endTrial(run)
 	r.account(run, -1)
 }
 
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -33,9 +33,11 @@
 
 // taskRecord is what the checker knows of a task.
 type taskRecord struct {
-	active map[*Runner]int // run numbers in progress, by runner
-	done   *runEnd         // latest end as done; an acknowledged one is not replaced
-	fails  map[int]*runEnd // ends as failed, by run number
+	active     map[*Runner]int // run numbers in progress, by runner
+	done       *runEnd         // latest end as done; an acknowledged one is not replaced
+	fails      map[int]*runEnd // ends as failed, by run number
+	crashes    int             // runners that crashed under it
+	lateStarts int             // starts after maxRunnerCrashes
 }
 
 // runEnd is the end of a run as done or failed.
@@ -121,6 +123,13 @@
 	return tr
 }
 
+// Limits for a task that crashes its runners, from the platform's documentation.
+const (
+	minRunnerCrashes = 2 // crashes of runners under a task after which it may be given up
+	maxRunnerCrashes = 3 // crashes after which it may be started fewer than maxLateStarts times more
+	maxLateStarts    = 3
+)
+
 // cancelGrace is how long a job's tasks may still start after its cancellation, from the platform's documentation. A
 // start that a runner executes late may come up to maxOrderDelay after that.
 const cancelGrace = 3 * time.Second
@@ -152,6 +161,7 @@
 		end.restartedAt = time.Now()
 	}
 	c.checkAttempts(name, tr, jr.attempts, step)
+	c.checkCrashes(name, tr, jr, t.Step)
 	grace := cancelGrace
 	if delayed {
 		grace += maxOrderDelay
@@ -198,6 +208,18 @@
 	c.addViolation("%s started on %s beyond its room", name, r.ID)
 }
 
+// checkCrashes checks that a task that crashes its runners is not started too often; the caller holds c.mu.
+func (c *Checker) checkCrashes(name string, tr *taskRecord, jr *jobRecord, step int) {
+	spec, ok := parseSpec(jr.job.Spec)
+	if !ok || !spec.Steps[step].CrashesRunner || tr.crashes < maxRunnerCrashes {
+		return
+	}
+	tr.lateStarts++
+	if tr.lateStarts == maxLateStarts {
+		c.addViolation("%s was started %d times more after %d runners had crashed under it", name, maxLateStarts, maxRunnerCrashes)
+	}
+}
+
 // runEnded records the end of a run and its number in the runner's list of ends.
 func (c *Checker) runEnded(r *Runner, endNumber int64, name string, run int, reason work.EndReason) {
 	c.mu.Lock()
@@ -258,7 +280,9 @@
 func (c *Checker) runLost(r *Runner, name string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.task(name).active, r)
+	tr := c.task(name)
+	delete(tr.active, r)
+	tr.crashes++
 }
 
 // runnerLost records that a runner's lease expired or that it crashed: its ends that the leader has not acknowledged no
@@ -296,7 +320,7 @@
 
 // verifyJob returns what is wrong with a job in its last state.
 func (c *Checker) verifyJob(id work.ID, jr *jobRecord, state work.State) []string {
-	started, done, failed := false, true, false
+	started, done, failed, crashed := false, true, false, false
 	for stepIndex, step := range jr.job.Steps {
 		for i := range step.Count {
 			tr := c.tasks[work.Task{Job: id, Step: stepIndex, Index: i}.String()]
@@ -307,6 +331,7 @@
 			started = true
 			done = done && tr.done != nil
 			failed = failed || len(tr.fails) >= jr.attempts
+			crashed = crashed || tr.crashes >= minRunnerCrashes
 		}
 	}
 	switch {
@@ -317,8 +342,8 @@
 	case !jr.accepted:
 	case state == work.Done && !done:
 		return []string{fmt.Sprintf("job %s is reported as completed, but not all of its tasks are done", id)}
-	case state == work.Failed && !failed:
-		return []string{fmt.Sprintf("job %s is reported as failed, but no task has used up its attempts", id)}
+	case state == work.Failed && !failed && !crashed:
+		return []string{fmt.Sprintf("job %s is reported as failed, but no task has used up its attempts or crashed two runners", id)}
 	case jr.job.LongRunning() && jr.cancelledAt.IsZero():
 		return c.verifyLongRunning(id, jr.job)
 	case !state.Final():
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -16,6 +16,7 @@
 	longRunningStartup = 300 * time.Millisecond // after which a long-running task reports full progress
 	stopTime           = 50 * time.Millisecond  // until a stopped or failing run ends
 	restoreTime        = 100 * time.Millisecond // of a checkpoint
+	crashDelay         = 10 * time.Millisecond  // from the start of a run that crashes its runner until it does
 	orderLatency       = time.Millisecond
 	maxEndsPerPoll     = 500
 	minOrderDelay      = 2 * time.Second // bounds of an order's delay under DelayedOrderRate
@@ -63,6 +64,7 @@
 	faults     RunnerFaults
 	crashed    bool
 	leaseTimer *time.Timer // calls expireLease; nil before the first lease
+	onCrash    func()      // called when a run crashes the runner
 }
 
 // pastRoom is what a runner had for runs until a moment.
@@ -126,6 +128,13 @@
 	}
 }
 
+// SetCrashHook sets the function that is called when a run crashes the runner. It has to call Crash.
+func (r *Runner) SetCrashHook(hook func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onCrash = hook
+}
+
 // Crash drops all runs without reporting their ends; the runner doesn't reply until Restart.
 func (r *Runner) Crash() {
 	r.mu.Lock()
@@ -276,11 +285,17 @@
 		r.extendLease(time.Duration(o.DeadlineMs) * time.Millisecond)
 	}
 	r.ack(o.AckCursor)
+	born := r.born
 	r.mu.Unlock()
 	timeout := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
 	defer timeout.Stop()
 	for {
 		r.mu.Lock()
+		if r.crashed || r.born != born {
+			r.mu.Unlock()
+			withholdReply(req) // the connection ended with the incarnation
+			return
+		}
 		wake := r.wake
 		if len(r.ends) > 0 || o.WaitMs == 0 {
 			break
