A stop for a move is logged with what the leader knows of its step's other tasks

The stop line now names the others of the step: index, run, state, percent, whether this leader started the run or adopted it, how long ago, and the age of its runner's list; those away first, 32 at most. One line a stop order, as before.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -207,7 +207,7 @@
 		l.Log.Debug("start", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner))
 		l.enqueueOrder(o.Runner, o)
 	case sched.Stop:
-		l.Log.Info("stop", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner), zap.String("why", o.Reason))
+		l.logStop(o)
 		l.enqueueOrder(o.Runner, o)
 	case sched.Pace:
 		l.Log.Info("pace", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner), zap.Int("percent", o.Percent))
@@ -217,6 +217,15 @@
 	}
 }
 
+// logStop logs a stop, with what decided it.
+func (l *Leader) logStop(o sched.Stop) {
+	fields := []zap.Field{zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner), zap.String("why", o.Reason)}
+	if o.Detail != "" {
+		fields = append(fields, zap.String("others", o.Detail))
+	}
+	l.Log.Info("stop", fields...)
+}
+
 func (l *Leader) enqueueOrder(runner string, o sched.Order) {
 	s, ok := l.sessions[runner]
 	if !ok {
--- /dev/null
+++ b/sched/availability.go
@@ -0,0 +1,88 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxDescribedTasks limits the tasks that a stop's description of its step names.
+const maxDescribedTasks = 32
+
+// available reports whether one of the task's runs is known to be fully started. A run on a runner that hasn't
+// answered recently doesn't count: it may have ended since.
+func (t *task) available(now time.Time) bool {
+	for _, run := range t.runs {
+		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// countUnavailable returns the number of the step's tasks, except one, that aren't available.
+func (s *step) countUnavailable(now time.Time, except *task) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t != except && !t.available(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// describeOthers says what is known of the step's tasks, except one, those that aren't available first.
+func (s *step) describeOthers(now time.Time, except *task) string {
+	var away, atWork []string
+	for _, t := range s.tasks {
+		switch {
+		case t == except:
+		case t.available(now):
+			atWork = append(atWork, t.describe(now))
+		default:
+			away = append(away, t.describe(now))
+		}
+	}
+	summary := fmt.Sprintf("%d away, %d may be", len(away), s.spec.MaxUnavailable)
+	named := slices.Concat(away, atWork)
+	if left := len(named) - maxDescribedTasks; left > 0 {
+		named = append(named[:maxDescribedTasks], fmt.Sprintf("%d more at work", left))
+	}
+	return strings.Join(append([]string{summary}, named...), "; ")
+}
+
+// describe says what is known of a task: its index, and of each run its number, state, age, source and runner, and the
+// age of what the runner listed.
+func (t *task) describe(now time.Time) string {
+	if len(t.runs) == 0 {
+		return fmt.Sprintf("%d no run for %v", t.name.Index, now.Sub(t.waitingSince).Round(time.Millisecond))
+	}
+	var runs []string
+	for _, run := range t.runs {
+		source := "started"
+		if run.adopted {
+			source = "adopted"
+		}
+		runs = append(runs, fmt.Sprintf("run %d %s %d%% %s %v ago on %s polled %v ago", run.number, run.phase, run.percent,
+			source, now.Sub(run.sentAt).Round(time.Millisecond), run.runner.ID, now.Sub(run.runner.polledAt).Round(time.Millisecond)))
+	}
+	return fmt.Sprintf("%d %s", t.name.Index, strings.Join(runs, ", "))
+}
+
+// String returns the phase's name in logs.
+func (p phase) String() string {
+	switch p {
+	case planned:
+		return "planned"
+	case sending:
+		return "sending"
+	case unconfirmed:
+		return "unconfirmed"
+	case running:
+		return "running"
+	case stopping:
+		return "stopping"
+	}
+	return "unknown"
+}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -74,12 +74,20 @@
 	for _, r := range p.runnersWhere(func(r *runner) bool { return r.evacuating || r.Draining }) {
 		for _, run := range r.sortedRuns() {
 			if run.phase == running && (run.task.step.spec.LongRunning || run.task.step.spec.Checkpointing) && p.mayMove(now, r, run) {
-				run.stop("its runner is to be emptied")
+				run.stopToMove(now)
 			}
 		}
 	}
 }
 
+// stopToMove stops a run so that it restarts on another runner.
+func (r *taskRun) stopToMove(now time.Time) {
+	if s := r.task.step; s.spec.LongRunning && s.spec.HasMaxUnavailable {
+		r.stopDetail = s.describeOthers(now, r.task)
+	}
+	r.stop("its runner is to be emptied")
+}
+
 // mayMove reports whether a run may be stopped to restart on another runner.
 func (p *Pool) mayMove(now time.Time, r *runner, run *taskRun) bool {
 	s := run.task.step
@@ -93,17 +101,6 @@
 	return s.countUnavailable(now, run.task) < s.spec.MaxUnavailable
 }
 
-// countUnavailable returns the number of the step's tasks, except one, that aren't available.
-func (s *step) countUnavailable(now time.Time, except *task) int {
-	n := 0
-	for _, t := range s.tasks {
-		if t != except && !t.available(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // sortedRunners returns the runners sorted by ID, so that equal inputs give equal orders.
 func (p *Pool) sortedRunners() []*runner {
 	return p.runnersWhere(func(*runner) bool { return true })
--- a/sched/job.go
+++ b/sched/job.go
@@ -93,6 +93,7 @@
 	phase           phase
 	sentAt          time.Time
 	confirmedAt     time.Time // when it was first known to be running
+	adopted         bool      // an earlier leader started it
 	listed          bool      // a poll has listed it in its runner's present incarnation
 	percent         int
 	progressedAt    time.Time // when the percentage last changed
@@ -102,6 +103,7 @@
 	pace            int       // percent of full speed; -1 if unknown
 	pacedAt         time.Time
 	stopReason      string
+	stopDetail      string // what was known of the step's other tasks, if their allowance decided
 	stopSentAt      time.Time
 	stopAckedAt     time.Time // when a stop order was answered
 }
@@ -227,14 +229,3 @@
 		t.step.waiting--
 	}
 }
-
-// available reports whether one of the task's runs is known to be fully started. A run on a runner that hasn't
-// answered recently doesn't count: it may have ended since.
-func (t *task) available(now time.Time) bool {
-	for _, run := range t.runs {
-		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter {
-			return true
-		}
-	}
-	return false
-}
--- a/sched/order.go
+++ b/sched/order.go
@@ -32,6 +32,7 @@
 	Task   work.Task
 	Run    int
 	Reason string
+	Detail string // what was known of the step's other tasks, if their allowance decided
 }
 
 // Pace limits a run to a percentage of its full speed.
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -75,7 +75,7 @@
 				continue
 			}
 			run.stopSentAt = now
-			p.orders = append(p.orders, Stop{r.target(), run.task.name, run.number, run.stopReason})
+			p.orders = append(p.orders, Stop{r.target(), run.task.name, run.number, run.stopReason, run.stopDetail})
 		}
 	}
 	for o, stopSentAt := range p.orphans {
@@ -88,7 +88,7 @@
 			continue
 		}
 		p.orphans[o] = now
-		p.orders = append(p.orders, Stop{r.target(), o.task, o.run, "nobody wants it"})
+		p.orders = append(p.orders, Stop{r.target(), o.task, o.run, "nobody wants it", ""})
 	}
 }
 
