A new leader counts no task as at work that its predecessor may have ordered to stop

At 9.06 s the leader that is shut down orders task 10 to stop and hands its service over; at 9.27 s its successor has adopted task 10 as at work from its runner's first list, counts only task 19 as away, where 2 may be, and stops task 4. Now an adopted run counts once its runner lists it 250 ms, by the runner's clock, after its first answer to this leader: from that answer on it takes no order of an earlier one. Ruled out: a run that the predecessor has just started (it counts once it is at 100%); runs that this leader doesn't know, or on runners that haven't answered for 1.5 s (they count as away already).

--- a/sched/availability.go
+++ b/sched/availability.go
@@ -10,17 +10,27 @@
 // maxDescribedTasks limits the tasks that a stop's description of its step names.
 const maxDescribedTasks = 32
 
-// available reports whether one of the task's runs is known to be fully started. A run on a runner that hasn't
-// answered recently doesn't count: it may have ended since.
+// stopTimeout is the longest time from a stop order to the end of its run, by the runners' interface, with a margin.
+const stopTimeout = 250 * time.Millisecond
+
+// available reports whether one of the task's runs is known to be fully started and to stay. A run on a runner that
+// hasn't answered recently doesn't count: it may have ended since.
 func (t *task) available(now time.Time) bool {
 	for _, run := range t.runs {
-		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter {
+		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter && !run.mayBeStopping() {
 			return true
 		}
 	}
 	return false
 }
 
+// mayBeStopping reports whether an earlier leader may have ordered the run to stop: runners list a run until it has ended.
+// A runner that has answered this leader takes no more orders of earlier ones, so that a run which it still lists
+// stopTimeout later, by its own clock, is not being stopped.
+func (r *taskRun) mayBeStopping() bool {
+	return r.adopted && r.runner.listedClock-r.adoptedClock < stopTimeout
+}
+
 // countUnavailable returns the number of the step's tasks, except one, that aren't available.
 func (s *step) countUnavailable(now time.Time, except *task) int {
 	n := 0
--- a/sched/availability_test.go
+++ b/sched/availability_test.go
@@ -11,7 +11,7 @@
 
 // takeOverLongRunning returns a pool with a new leader, whose predecessor left the tasks of a step at work on r0 to r2,
 // and r3 without work. One of the tasks may be away.
-func takeOverLongRunning(t *testing.T) *fakePool {
+func takeOverLongRunning(t *testing.T) (*fakePool, work.ID) {
 	f := newFakePool(t, 4, 8)
 	id := work.ID("000000000000000a")
 	for i := range 3 {
@@ -23,11 +23,28 @@
 	for _, r := range f.runnerIDs() {
 		f.pool.InheritRunner(f.runners[r].info, time.Time{})
 	}
-	return f
+	return f, id
+}
+
+// The leader that hands over has just ordered r1 to stop its task, and r1 lists it until it has ended.
+func TestNewLeaderDoesNotSpendTheAllowanceThatItsPredecessorHasSpent(t *testing.T) {
+	f, id := takeOverLongRunning(t)
+	f.pool.SetEvacuating("r0", true)
+	for range 3 {
+		require.Empty(t, stops(f.advance(50*time.Millisecond)))
+	}
+	f.endRun("r1", taskOf(id, 0, 1), work.EndStopped)
+	for range 10 {
+		require.Empty(t, stops(f.advance(tickInterval))) // it is away until it is at work again
+	}
+	f.setProgress(taskOf(id, 0, 1), 100, 0)
+	got := stops(f.advance(tickInterval))
+	require.Len(t, got, 1)
+	require.Equal(t, "r0", got[0].Runner)
 }
 
 func TestStopForAMoveNamesTheOtherTasksOfItsStep(t *testing.T) {
-	f := takeOverLongRunning(t)
+	f, _ := takeOverLongRunning(t)
 	f.pool.SetEvacuating("r0", true)
 	var got []Stop
 	for range 5 {
--- a/sched/job.go
+++ b/sched/job.go
@@ -92,9 +92,10 @@
 	runner          *runner
 	phase           phase
 	sentAt          time.Time
-	confirmedAt     time.Time // when it was first known to be running
-	adopted         bool      // an earlier leader started it
-	listed          bool      // a poll has listed it in its runner's present incarnation
+	confirmedAt     time.Time     // when it was first known to be running
+	adopted         bool          // an earlier leader started it
+	adoptedClock    time.Duration // the runner's clock when it first listed the adopted run
+	listed          bool          // a poll has listed it in its runner's present incarnation
 	percent         int
 	progressedAt    time.Time // when the percentage last changed
 	load            float64   // as work.Run.Load: of a serving task its tail latency in ms
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -169,7 +169,7 @@
 		return nil
 	}
 	p.completePredecessors(now, t)
-	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100, adopted: true}
+	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100, adopted: true, adoptedClock: r.listedClock}
 	t.addRun(run)
 	if !j.placements.stored(r.ID) {
 		p.markChanged(j, now)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -11,17 +11,18 @@
 type runner struct {
 	work.Runner
 	lease           RunnerLease
-	listed          bool      // in the platform's list
-	inherited       bool      // an earlier leader may have given it work
-	known           bool      // it has listed its runs under this leader's fencing token
-	polledAt        time.Time // when a poll was last answered
-	answerDueAt     time.Time // by when the oldest unanswered poll should have been answered; zero if there is none
-	pollFailed      bool      // the last poll wasn't answered; its lease isn't extended until one is
-	held            bool      // restarted while leadership wasn't confirmed: no work until it is
-	storedSilent    bool      // the store may list it as silent; its lease isn't extended until that is corrected
-	inheritedExpiry time.Time // if inherited: when everything an earlier leader ordered has certainly ended
-	lastEnd         int64     // highest end number handled
-	ackedEnd        int64     // ends up to this number may be acknowledged
+	listed          bool          // in the platform's list
+	inherited       bool          // an earlier leader may have given it work
+	known           bool          // it has listed its runs under this leader's fencing token
+	polledAt        time.Time     // when a poll was last answered
+	listedClock     time.Duration // its clock in that answer
+	answerDueAt     time.Time     // by when the oldest unanswered poll should have been answered; zero if there is none
+	pollFailed      bool          // the last poll wasn't answered; its lease isn't extended until one is
+	held            bool          // restarted while leadership wasn't confirmed: no work until it is
+	storedSilent    bool          // the store may list it as silent; its lease isn't extended until that is corrected
+	inheritedExpiry time.Time     // if inherited: when everything an earlier leader ordered has certainly ended
+	lastEnd         int64         // highest end number handled
+	ackedEnd        int64         // ends up to this number may be acknowledged
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
 	used            work.Resources
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -204,7 +204,7 @@
 	}
 	p.setIncarnation(now, r, result.Born)
 	r.lease.ObserveClock(result.Clock, now)
-	r.polledAt = now
+	r.polledAt, r.listedClock = now, result.Clock
 	r.answerDueAt, r.pollFailed = time.Time{}, false
 	r.known = true
 	for _, e := range result.Ends {
