A daemon that leads a pool again forgets which machines it evacuated in its earlier term

In term 4 it evacuated and offered m-0026a, m-0b228 and others: the coordinator of that time fails to claim them at 13.77 and 15.85 s. The same held for machines evacuated for a wave.

The test on the code before: TestRegainedLeaderReportsOnlyMachinesThatItEvacuatesInThisTerm, pool_manager_test.go:72, Should be true: 'm4 may get tasks' (release of machines), 'm0 may get tasks' (maintenance wave).

--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,6 +24,7 @@
 // Leader is a service that this daemon leads, and so schedules.
 type Leader interface {
 	Service() string
+	Term() int
 	Demand() sched.Demand
 	RunnerStatuses() []sched.RunnerStatus
 	Availability() (size int, busy bool)
@@ -47,14 +49,18 @@
 // coordinator.
 type PoolManager struct {
 	PoolManagerDeps
-	offers       map[string]string    // runners being evacuated for release, by machine
-	evacuating   map[string]int64     // wave for which a runner is being evacuated, by runner
+	terms        map[string]int       // this daemon's last term of leadership, by service
+	offers       map[string]offer     // runners being evacuated for release, by machine
+	evacuating   map[string]string    // service of a runner that is being evacuated for a wave, by runner
 	surplusSince map[string]time.Time // since when a pool has a surplus, by service
 	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
 	logged       map[string]poolLog   // last logged state, by service
 	replies      map[string]Reply     // the coordinator's last reply, by service
 }
 
+// offer is a runner that is being evacuated to release its machine.
+type offer struct{ service, runner string }
+
 // poolLog is the state of a pool that is logged when it changes.
 type poolLog struct {
 	current, desired int
@@ -65,8 +71,9 @@
 func NewPoolManager(deps PoolManagerDeps) *PoolManager {
 	return &PoolManager{
 		PoolManagerDeps: deps,
-		offers:          map[string]string{},
-		evacuating:      map[string]int64{},
+		terms:           map[string]int{},
+		offers:          map[string]offer{},
+		evacuating:      map[string]string{},
 		surplusSince:    map[string]time.Time{},
 		waveStart:       map[int64]time.Time{},
 		logged:          map[string]poolLog{},
@@ -89,6 +96,7 @@
 
 // report begins the evacuations that are due in one pool and returns its report.
 func (p *PoolManager) report(now time.Time, leader Leader) Report {
+	p.beginTerm(leader)
 	runners := leader.RunnerStatuses()
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
@@ -104,6 +112,18 @@
 	return report
 }
 
+// beginTerm forgets, in a new term of leadership, what an earlier one evacuated: the new term starts tasks there.
+func (p *PoolManager) beginTerm(leader Leader) {
+	service := leader.Service()
+	if p.terms[service] == leader.Term() {
+		return
+	}
+	p.terms[service] = leader.Term()
+	maps.DeleteFunc(p.offers, func(_ string, o offer) bool { return o.service == service })
+	maps.DeleteFunc(p.evacuating, func(_, s string) bool { return s == service })
+	delete(p.surplusSince, service)
+}
+
 // scale sets how many machines the pool should have, and evacuates and offers the surplus.
 func (p *PoolManager) scale(now time.Time, leader Leader, runners []sched.RunnerStatus, report *Report) {
 	var room int64
@@ -128,10 +148,10 @@
 	report.Want = autoscale.Desired(demand, room)
 	p.logPool(leader.Service(), current, report.Want, demand)
 	p.releaseSurplus(now, leader, runners, retained, current, report.Want)
-	for machine, runnerID := range p.offers {
-		if listed, ok := runnerOf[machine]; ok && listed != runnerID {
+	for machine, o := range p.offers {
+		if listed, ok := runnerOf[machine]; ok && listed != o.runner {
 			delete(p.offers, machine) // the machine has returned with a new runner
-		} else if ok && leader.RunnerEmpty(runnerID) {
+		} else if ok && leader.RunnerEmpty(o.runner) {
 			report.Offers = append(report.Offers, machine)
 		}
 	}
@@ -164,7 +184,7 @@
 // evacuateSurplus evacuates up to n machines that the pool doesn't need, to offer them.
 func (p *PoolManager) evacuateSurplus(leader Leader, runners []sched.RunnerStatus, retained map[string]struct{}, n int) {
 	for _, runner := range autoscale.Surplus(runners, retained, n) {
-		p.offers[runner.Machine] = runner.Runner
+		p.offers[runner.Machine] = offer{leader.Service(), runner.Runner}
 		leader.SetEvacuating(runner.Runner, true)
 	}
 }
@@ -215,7 +235,7 @@
 	for _, c := range maintenance.Next(maintenance.Pool{Size: size, Busy: busy}, candidates, remaining) {
 		p.Log.Info("evacuating machine for wave", zap.Int64("wave", wave.Number), zap.String("machine", c.Machine), zap.String("runner", c.Runner),
 			zap.Int("lasting", c.LongRunning), zap.Bool("busy", busy), zap.Duration("left", remaining))
-		p.evacuating[c.Runner] = wave.Number
+		p.evacuating[c.Runner] = leader.Service()
 		leader.SetEvacuating(c.Runner, true)
 	}
 }
--- /dev/null
+++ b/machines/pool_manager_test.go
@@ -0,0 +1,86 @@
+package machines
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"gypsumlead/platform"
+	"gypsumlead/sched"
+	"gypsumlead/watch"
+	"gypsumlead/work"
+)
+
+// fakeLeader is one term of leadership over a pool of machines without work.
+type fakeLeader struct {
+	term       int
+	evacuating map[string]bool
+}
+
+const fakeService, fakePoolSize = "s", 6
+
+func (f *fakeLeader) Service() string                      { return fakeService }
+func (f *fakeLeader) Term() int                            { return f.term }
+func (f *fakeLeader) Demand() sched.Demand                 { return sched.Demand{} }
+func (f *fakeLeader) Availability() (int, bool)            { return fakePoolSize, false }
+func (f *fakeLeader) SetRetained(map[string]struct{})      {}
+func (f *fakeLeader) SetMaintenanceDue(string, bool)       {}
+func (f *fakeLeader) SetEvacuating(runner string, on bool) { f.evacuating[runner] = on }
+func (f *fakeLeader) RunnerEmpty(string) bool              { return true }
+func (f *fakeLeader) RunnerStatuses() []sched.RunnerStatus {
+	var list []sched.RunnerStatus
+	for i := range fakePoolSize {
+		runner := work.Runner{ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Room: work.Resources{CPU: 8000}}
+		list = append(list, sched.RunnerStatus{Runner: runner.ID, Machine: runner.Machine, Room: runner.Room, Schedulable: true, Evacuating: f.evacuating[runner.ID]})
+	}
+	return list
+}
+
+// A daemon that leads a pool again reported the machines that it had evacuated in its earlier term, where its new term
+// starts tasks.
+func TestRegainedLeaderReportsOnlyMachinesThatItEvacuatesInThisTerm(t *testing.T) {
+	wave := platform.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, MaxDown: 6, TimeLimit: time.Minute}
+	for _, tc := range []struct {
+		name  string
+		spare string
+		waves []platform.Wave
+	}{
+		{"release of machines", "spare", nil},
+		{"maintenance wave", "", []platform.Wave{wave}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+			p := NewPoolManager(PoolManagerDeps{
+				Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), &watch.Interest{}),
+				RequestedWaves: func() []platform.Wave { return tc.waves }, SparePool: func() string { return tc.spare },
+				Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
+			})
+			p.replies[fakeService] = Reply{Known: true, Short: 6}
+			earlier := &fakeLeader{term: 4, evacuating: map[string]bool{}}
+			p.report(now, earlier)
+			first := p.report(now, earlier)
+			require.NotEmpty(t, append(first.Offers, machinesOf(first.Ready)...))
+			regained := &fakeLeader{term: 5, evacuating: map[string]bool{}}
+			p.replies[fakeService] = Reply{} // the coordinator hasn't answered this term yet
+			for range 3 {
+				got := p.report(now, regained)
+				for _, machine := range append(got.Offers, machinesOf(got.Ready)...) {
+					require.True(t, regained.evacuating["r"+machine[1:]], "%s may get tasks", machine)
+				}
+			}
+		})
+	}
+}
+
+// machinesOf returns the machines that are ready for maintenance.
+func machinesOf(ready []ReadyMachine) []string {
+	var list []string
+	for _, r := range ready {
+		list = append(list, r.Machine)
+	}
+	return list
+}
