A runner that returns to its pool goes on being evacuated

Cause, read in the code beside the one before: the scheduler drops a runner without work when its entry in the store expires (Pool.removeIfUnused), as entries do while the store is down. When the entry is back, so is the runner, but not its evacuation, which the PoolManager believes to go on: it offers the machine while the scheduler starts tasks on it. A report now resumes the evacuations that the scheduler doesn't know.

The test on the code before: TestRunnerThatReturnsToThePoolIsStillEvacuated, pool_manager_test.go:99, Should be true: 'm5 may get tasks' (release of machines), 'm0 may get tasks' (maintenance wave).

--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -98,6 +98,7 @@
 func (p *PoolManager) report(now time.Time, leader Leader) Report {
 	p.beginTerm(leader)
 	runners := leader.RunnerStatuses()
+	p.resumeEvacuations(leader, runners)
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
 		p.scale(now, leader, runners, &report)
@@ -124,6 +125,17 @@
 	delete(p.surplusSince, service)
 }
 
+// resumeEvacuations evacuates again the runners that the scheduler has forgotten meanwhile: it drops a runner without
+// work whose entry in the store has expired.
+func (p *PoolManager) resumeEvacuations(leader Leader, runners []sched.RunnerStatus) {
+	for _, runner := range runners {
+		_, forWave := p.evacuating[runner.Runner]
+		if !runner.Evacuating && (forWave || p.offers[runner.Machine].runner == runner.Runner) {
+			leader.SetEvacuating(runner.Runner, true)
+		}
+	}
+}
+
 // scale sets how many machines the pool should have, and evacuates and offers the surplus.
 func (p *PoolManager) scale(now time.Time, leader Leader, runners []sched.RunnerStatus, report *Report) {
 	var room int64
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -40,34 +40,41 @@
 	return list
 }
 
+var evacuationCases = []struct {
+	name  string
+	spare string
+	waves []platform.Wave
+}{
+	{"release of machines", "spare", nil},
+	{"maintenance wave", "", []platform.Wave{{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, MaxDown: 6, TimeLimit: time.Minute}}},
+}
+
+// newFakePoolManager returns a PoolManager whose coordinator needs every machine.
+func newFakePoolManager(spare string, waves []platform.Wave) *PoolManager {
+	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+	p := NewPoolManager(PoolManagerDeps{
+		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), &watch.Interest{}),
+		RequestedWaves: func() []platform.Wave { return waves }, SparePool: func() string { return spare },
+		Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
+	})
+	p.replies[fakeService] = Reply{Known: true, Short: 6}
+	return p
+}
+
 // A daemon that leads a pool again reported the machines that it had evacuated in its earlier term, where its new term
 // starts tasks.
 func TestRegainedLeaderReportsOnlyMachinesThatItEvacuatesInThisTerm(t *testing.T) {
-	wave := platform.Wave{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, MaxDown: 6, TimeLimit: time.Minute}
-	for _, tc := range []struct {
-		name  string
-		spare string
-		waves []platform.Wave
-	}{
-		{"release of machines", "spare", nil},
-		{"maintenance wave", "", []platform.Wave{wave}},
-	} {
+	for _, tc := range evacuationCases {
 		t.Run(tc.name, func(t *testing.T) {
-			now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
-			p := NewPoolManager(PoolManagerDeps{
-				Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), &watch.Interest{}),
-				RequestedWaves: func() []platform.Wave { return tc.waves }, SparePool: func() string { return tc.spare },
-				Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
-			})
-			p.replies[fakeService] = Reply{Known: true, Short: 6}
+			p := newFakePoolManager(tc.spare, tc.waves)
 			earlier := &fakeLeader{term: 4, evacuating: map[string]bool{}}
-			p.report(now, earlier)
-			first := p.report(now, earlier)
+			p.report(p.Now(), earlier)
+			first := p.report(p.Now(), earlier)
 			require.NotEmpty(t, append(first.Offers, machinesOf(first.Ready)...))
 			regained := &fakeLeader{term: 5, evacuating: map[string]bool{}}
 			p.replies[fakeService] = Reply{} // the coordinator hasn't answered this term yet
 			for range 3 {
-				got := p.report(now, regained)
+				got := p.report(p.Now(), regained)
 				for _, machine := range append(got.Offers, machinesOf(got.Ready)...) {
 					require.True(t, regained.evacuating["r"+machine[1:]], "%s may get tasks", machine)
 				}
@@ -76,6 +83,25 @@
 	}
 }
 
+// The store's entries of runners expire while it is down. The scheduler forgot such a runner, and with it the evacuation.
+func TestRunnerThatReturnsToThePoolIsStillEvacuated(t *testing.T) {
+	for _, tc := range evacuationCases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newFakePoolManager(tc.spare, tc.waves)
+			leader := &fakeLeader{term: 1, evacuating: map[string]bool{}}
+			p.report(p.Now(), leader)
+			p.replies[fakeService] = Reply{}
+			leader.evacuating = map[string]bool{}
+			got := p.report(p.Now(), leader)
+			reported := append(got.Offers, machinesOf(got.Ready)...)
+			require.NotEmpty(t, reported)
+			for _, machine := range reported {
+				require.True(t, leader.evacuating["r"+machine[1:]], "%s may get tasks", machine)
+			}
+		})
+	}
+}
+
 // machinesOf returns the machines that are ready for maintenance.
 func machinesOf(ready []ReadyMachine) []string {
 	var list []string
