Randomised test that no order takes a lasting task below its step's allowance

The checker counts from what the emulated runners saw: an order that ends a task at work (a stop, or a move or maintenance of its machine) while as many others of its step are away as may be. It plays steps with allowances of 1 to 3, waves and moves between pools, leaders that are killed, cut off, silent or restarted while a stop is under way, lost answers, late orders and a slow store. The stand-in's stops may last 200 ms there, its start-ups up to 3 s; it maintains a machine once a wave, not once for all.

--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -96,9 +96,14 @@
 // NewLongRunningJob returns a job whose tasks run until it is cancelled, in the forms of NewBatchJob. The daemons' own
 // orders may take down at most mayMiss of its tasks at the same time. cpu is in millicores per task.
 func (c *Cluster) NewLongRunningJob(count, mayMiss int, cpu int64) (wireJob, work.Job) {
-	spec := standin.Spec{Steps: []standin.SpecStep{{CPU: cpu, Mem: 100, LongRunning: true}}}
-	wire := wireJob{Spec: spec.Text(), JobSteps: []wireStep{{Count: count, CPU: cpu, MemMb: 100, LongRunning: true, MayMiss: &mayMiss, MaxPerServer: 2}}}
-	return wire, work.Job{Spec: wire.Spec, Steps: []work.Step{{Count: count, LongRunning: true}}}
+	return newLongRunningJob(count, mayMiss, standin.SpecStep{CPU: cpu, Mem: 100, LongRunning: true})
+}
+
+// newLongRunningJob returns a job of one step that runs until it is cancelled, whose tasks do what the spec says.
+func newLongRunningJob(count, mayMiss int, tasks standin.SpecStep) (wireJob, work.Job) {
+	spec := standin.Spec{Steps: []standin.SpecStep{tasks}}
+	wire := wireJob{Spec: spec.Text(), JobSteps: []wireStep{{Count: count, CPU: tasks.CPU, MemMb: tasks.Mem, LongRunning: true, MayMiss: &mayMiss, MaxPerServer: 2}}}
+	return wire, work.Job{Spec: wire.Spec, Steps: []work.Step{{Count: count, LongRunning: true, HasMaxUnavailable: true, MaxUnavailable: mayMiss}}}
 }
 
 // Submit submits a job and polls it until it ends, in a new goroutine.
@@ -188,6 +193,7 @@
 	sub := c.jobs[id]
 	rng := c.newRand()
 	c.mu.Unlock()
+	c.Checker.CancelSent(id)
 	for range maxTries {
 		status, _, _ := c.request(http.MethodDelete, sub.service, string(id), nil, rng)
 		if status == http.StatusOK {
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -78,7 +78,7 @@
 
 // makeMachines adds the machines and boots those outside the spare service.
 func (c *Cluster) makeMachines() {
-	c.Machines = standin.NewMachineService(spareService, moveTime, maintenanceTime, c.Checker, c.stopRunner, c.startRunner)
+	c.Machines = standin.NewMachineService(spareService, moveTime, maintenanceTime, c.Checker, c.takeOffline, c.startRunner)
 	next := 0
 	add := func(pool string) {
 		centre := c.size.Centres[next%len(c.size.Centres)]
@@ -117,6 +117,12 @@
 	return r
 }
 
+// takeOffline permanently stops a runner whose machine an order takes down.
+func (c *Cluster) takeOffline(r *standin.Runner) {
+	r.TakeOffline()
+	c.stopRunner(r)
+}
+
 // stopRunner permanently stops a runner whose machine goes down.
 func (c *Cluster) stopRunner(r *standin.Runner) {
 	r.Crash()
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -17,6 +17,7 @@
 	Violations []string               // found so far
 	starts     int                    // number of runs started
 	ends       map[work.EndReason]int
+	services   map[string]*serviceRecord // by name of a long-running task
 }
 
 // jobRecord is what the checker knows of a submitted job.
@@ -26,6 +27,7 @@
 	accepted    bool      // at least one reply accepted it
 	refused     bool      // every reply so far was a refusal
 	lastRefused bool      // the latest reply was a refusal, after which no further try was sent
+	cancelSent  bool      // a caller has sent its cancellation
 	cancelledAt time.Time // zero unless a cancellation was acknowledged
 }
 
@@ -49,7 +51,7 @@
 
 // NewChecker returns a checker that has observed nothing.
 func NewChecker() *Checker {
-	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}}
+	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}}
 }
 
 // addViolation records a violation; the caller holds c.mu.
@@ -80,6 +82,13 @@
 	jr.refused = jr.refused && refused
 }
 
+// CancelSent records that a job's cancellation is about to be sent.
+func (c *Checker) CancelSent(id work.ID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.jobs[id].cancelSent = true
+}
+
 // CancelAcked records that a job's cancellation was acknowledged.
 func (c *Checker) CancelAcked(id work.ID) {
 	c.mu.Lock()
--- a/standin/machines.go
+++ b/standin/machines.go
@@ -144,12 +144,12 @@
 	return ""
 }
 
-// maintain starts a machine's maintenance as part of a wave; a machine that has had one is left alone.
+// maintain starts a machine's maintenance as part of a wave; a machine that has had the wave's is left alone.
 func (m *MachineService) maintain(machine *Machine, o wireMachineOrder) string {
 	if _, ok := m.waves[o.Wave][machine.Name]; !ok {
 		return "wave"
 	}
-	if m.Maintenances[machine.Name] > 0 {
+	if m.Maintenances[machine.Name] > 0 && machine.wave == o.Wave {
 		return ""
 	}
 	if machine.State != "up" {
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -117,12 +117,23 @@
 	for name, run := range r.runs {
 		run.endTimer.Stop()
 		r.checker.runLost(r, name)
+		r.checker.serviceGone(r, name)
 		delete(r.runs, name)
 	}
 	r.checker.runnerLost(r)
 	r.wakeWaiters()
 }
 
+// TakeOffline crashes the runner by an order for its machine, which ends the runs in progress.
+func (r *Runner) TakeOffline() {
+	r.mu.Lock()
+	for name := range r.runs {
+		r.checker.serviceOrdered(r, name, "an order for its machine", false)
+	}
+	r.mu.Unlock()
+	r.Crash()
+}
+
 // Restart starts a crashed runner again under the same ID, as a new incarnation without the state of the old one.
 func (r *Runner) Restart() {
 	r.mu.Lock()
@@ -235,7 +246,7 @@
 			return http.StatusConflict, reply
 		}
 	case "/gypsumlead/run-stop":
-		r.stopRun(o)
+		r.stopRun(o, delayed)
 	case "/gypsumlead/pace":
 		if run := r.runs[o.Task]; run != nil && run.number == o.Run {
 			run.pace = o.Percent
@@ -308,7 +319,7 @@
 		percent := 0
 		switch {
 		case r.faults.StallRuns:
-		case run.spec.LongRunning && time.Since(run.startedAt) >= longRunningStartup:
+		case run.spec.LongRunning && time.Since(run.startedAt) >= run.spec.startup():
 			percent = 100
 		case !run.spec.LongRunning && run.total > 0:
 			percent = int(min(99, 100*(run.restored+time.Since(run.startedAt))/run.total))
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -43,6 +43,9 @@
 	run.endTimer = time.AfterFunc(time.Hour*24*365, func() {})
 	r.scheduleEnd(run)
 	r.checker.runStarted(r, t, o.Run, delayed)
+	if step.LongRunning {
+		r.checker.serviceStarted(r, o.Task, time.Now().Add(step.startup()))
+	}
 	return ""
 }
 
@@ -76,12 +79,15 @@
 }
 
 // stopRun stops a task's runs up to the order's number, and blocks later starts of them; the caller holds r.mu.
-func (r *Runner) stopRun(o wireOrder) {
+func (r *Runner) stopRun(o wireOrder, delayed bool) {
 	r.lastRuns[o.Task] = max(r.lastRuns[o.Task], o.Run)
 	if run := r.runs[o.Task]; run != nil && run.number <= o.Run {
+		if !run.stopping {
+			r.checker.serviceOrdered(r, o.Task, "a stop", delayed)
+		}
 		run.stopping = true
 		run.endTimer.Stop()
-		run.endTimer = time.AfterFunc(stopTime, func() { r.finishRun(run, work.EndStopped) })
+		run.endTimer = time.AfterFunc(run.spec.stopTime(), func() { r.finishRun(run, work.EndStopped) })
 	}
 }
 
@@ -135,5 +141,6 @@
 	r.lastEnd++
 	r.ends = append(r.ends, []any{r.lastEnd, run.name, run.number, string(reason), checkpoint})
 	r.checker.runEnded(r, r.lastEnd, run.name, run.number, reason)
+	r.checker.serviceGone(r, run.name)
 	r.wakeWaiters()
 }
--- a/standin/spec.go
+++ b/standin/spec.go
@@ -1,6 +1,9 @@
 package standin
 
-import "encoding/json"
+import (
+	"encoding/json"
+	"time"
+)
 
 // Spec tells an emulated runner what a job's tasks do; it is sent as the job's spec text.
 type Spec struct {
@@ -9,7 +12,9 @@
 
 // SpecStep is one step of a Spec; every task of the step behaves alike.
 type SpecStep struct {
-	RunMS         int64 `json:"ms"` // run time of a task, without the restore of a checkpoint
+	RunMS         int64 `json:"ms"`                // run time of a task, without the restore of a checkpoint
+	StartupMS     int64 `json:"startup,omitempty"` // of a long-running task; longRunningStartup if 0
+	StopMS        int64 `json:"stop,omitempty"`    // until a stopped run ends; stopTime if 0
 	CPU           int64 `json:"cpu"`
 	Mem           int64 `json:"mem"`
 	AlwaysFails   bool  `json:"fails,omitempty"` // every run ends as failed
@@ -19,6 +24,22 @@
 	Gang          int   `json:"gang,omitempty"` // members of a gang; 0 if the step is not a gang
 }
 
+// startup returns the time after which a long-running task reports full progress.
+func (s SpecStep) startup() time.Duration {
+	if s.StartupMS > 0 {
+		return time.Duration(s.StartupMS) * time.Millisecond
+	}
+	return longRunningStartup
+}
+
+// stopTime returns the time until a stopped run ends.
+func (s SpecStep) stopTime() time.Duration {
+	if s.StopMS > 0 {
+		return time.Duration(s.StopMS) * time.Millisecond
+	}
+	return stopTime
+}
+
 // Text returns the spec in JSON, as a job carries it.
 func (s Spec) Text() string {
 	b, err := json.Marshal(s)
