A move is neither ordered nor repeated once its machine's leader has taken the machine back

Cause, read in the code: the coordinator orders a move after its claim is stored, which may take 2 s, on a report of up to 0.6 s before, and repeats an order without an answer for up to 4.5 s without looking at the reports. A new leader of the pool doesn't know of the offer and starts tasks on the machine meanwhile. Offers are now looked at again after the claim and before each repetition.

The test on the code before: TestMoveIsNotRepeatedOnceItsMachineIsNoLongerOffered/taken_back_by_its_leader, move_test.go:48, Not equal: expected: false, actual: true.

--- a/machines/move.go
+++ b/machines/move.go
@@ -25,15 +25,8 @@
 // moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool.
 func (c *Coordinator) moveMachines(ctx context.Context, now time.Time, machines map[string]platform.Machine, reports []Report) {
 	c.finishMoves(now, machines, reports)
-	c.retryMoves(ctx, now, machines)
-	offered := map[string]string{} // current pool, by machine
-	for _, r := range reports {
-		for _, name := range r.Offers {
-			if machine, ok := machines[name]; ok && machine.Pool == r.Service {
-				offered[name] = r.Service
-			}
-		}
-	}
+	offered := offeredMachines(machines, reports)
+	c.retryMoves(ctx, now, machines, offered)
 	var free []string
 	for name, machine := range machines {
 		_, moving := c.moving[name]
@@ -57,7 +50,20 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	c.startMoves(ctx, now, c.planMoves(reports, len(machines), free, offered))
+	c.startMoves(ctx, c.planMoves(reports, len(machines), free, offered), machines)
+}
+
+// offeredMachines returns the machines that may be moved, with their current pool.
+func offeredMachines(machines map[string]platform.Machine, reports []Report) map[string]string {
+	offered := map[string]string{}
+	for _, r := range reports {
+		for _, name := range r.Offers {
+			if machine, ok := machines[name]; ok && machine.Pool == r.Service {
+				offered[name] = r.Service
+			}
+		}
+	}
+	return offered
 }
 
 // planMoves returns the moves to make, the most urgent first: into pools that are short, then back to the spare pool,
@@ -149,8 +155,9 @@
 	}
 }
 
-// retryMoves repeats the orders that were not accepted.
-func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine) {
+// retryMoves repeats the orders that were not accepted. It drops the moves of machines that are no longer offered: a
+// later leader of their pool may have started tasks there.
+func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine, offered map[string]string) {
 	for name, m := range c.moving {
 		if m.accepted || now.Sub(m.orderedAt) < orderRetryDelay {
 			continue
@@ -160,12 +167,18 @@
 			c.moving[name] = m
 			continue
 		}
+		machine := machines[name]
+		if _, ok := offered[name]; !ok && machine.State == platform.MachineUp && machine.Pool != c.SparePool() {
+			delete(c.moving, name)
+			continue
+		}
 		c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.token)
 	}
 }
 
-// startMoves claims machines and orders the moves, at most maxConcurrentOrders.
-func (c *Coordinator) startMoves(ctx context.Context, now time.Time, moves []plannedMove) {
+// startMoves claims machines and orders the moves, at most maxConcurrentOrders. A machine that its leader has taken back
+// by the time of the claim stays.
+func (c *Coordinator) startMoves(ctx context.Context, moves []plannedMove, machines map[string]platform.Machine) {
 	moves = moves[:min(len(moves), maxConcurrentOrders)]
 	if len(moves) == 0 {
 		return
@@ -181,7 +194,13 @@
 	if !ok {
 		return
 	}
+	now := c.Now()
+	offered := offeredMachines(machines, c.freshReports(now))
 	for _, name := range names {
+		if _, ok := offered[name]; !ok && machines[name].Pool != c.SparePool() {
+			delete(poolOf, name)
+			continue
+		}
 		c.moving[name] = move{pool: poolOf[name], startedAt: now, token: token}
 	}
 	c.sendMoves(ctx, now, poolOf, token)
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -53,7 +53,7 @@
 func newFakePoolManager(spare string, waves []platform.Wave) *PoolManager {
 	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
 	p := NewPoolManager(PoolManagerDeps{
-		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), &watch.Interest{}),
+		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), watch.NewInterest()),
 		RequestedWaves: func() []platform.Wave { return waves }, SparePool: func() string { return spare },
 		Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
 	})
