A new leader evacuates the machines that a wave has claimed, and a maintenance is repeated on empty machines only

Cause, read in the code: the coordinator repeats a maintenance order without an answer for as long as it takes, and a leader that took the pool over meanwhile gives the machine tasks: nothing told it that the machine was claimed. At the start of its term a leader now evacuates the claimed machines, and the coordinator repeats an order only on an empty machine. For that, claimed machines that are empty are reported as ready; they never were, so that a coordinator which took over between a claim and its order waited for ever. A claimed machine whose runner stays for 5 s is evacuated in any case: a runner after the maintenance is recorded long before.

--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -74,7 +74,7 @@
 				delete(c.inMaintenance, machine.Name)
 			}
 		}
-	case now.Sub(down.orderedAt) > orderRetryDelay && c.canOrder(machine.Name, now):
+	case now.Sub(down.orderedAt) > orderRetryDelay && (empty || machine.State != platform.MachineUp) && c.canOrder(machine.Name, now):
 		c.orderMaintenance(ctx, wave, machine.Name, down.token)
 	}
 }
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -18,6 +18,7 @@
 // Intervals and delays of the reports.
 const (
 	reportInterval = 150 * time.Millisecond
+	claimedTimeout = 5 * time.Second        // the coordinator has recorded a machine that returned by then
 	surplusDelay   = 900 * time.Millisecond // a surplus must last this long before it is released, unless other pools are short
 )
 
@@ -52,6 +53,7 @@
 	terms        map[string]int       // this daemon's last term of leadership, by service
 	offers       map[string]offer     // runners being evacuated for release, by machine
 	evacuating   map[string]string    // service of a runner that is being evacuated for a wave, by runner
+	claimedSince map[string]time.Time // since when a runner's machine has been claimed by a wave, by runner
 	surplusSince map[string]time.Time // since when a pool has a surplus, by service
 	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
 	logged       map[string]poolLog   // last logged state, by service
@@ -74,6 +76,7 @@
 		terms:           map[string]int{},
 		offers:          map[string]offer{},
 		evacuating:      map[string]string{},
+		claimedSince:    map[string]time.Time{},
 		surplusSince:    map[string]time.Time{},
 		waveStart:       map[int64]time.Time{},
 		logged:          map[string]poolLog{},
@@ -96,8 +99,10 @@
 
 // report begins the evacuations that are due in one pool and returns its report.
 func (p *PoolManager) report(now time.Time, leader Leader) Report {
-	p.beginTerm(leader)
 	runners := leader.RunnerStatuses()
+	if p.terms[leader.Service()] != leader.Term() {
+		p.beginTerm(leader, runners)
+	}
 	p.resumeEvacuations(leader, runners)
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
@@ -113,19 +118,22 @@
 	return report
 }
 
-// beginTerm forgets, in a new term of leadership, what an earlier one evacuated: the new term starts tasks there.
-func (p *PoolManager) beginTerm(leader Leader) {
+// beginTerm forgets, in a new term of leadership, what an earlier one evacuated: the new term starts tasks there. It
+// evacuates the machines that waves have claimed: an order that begins their maintenance may be on its way.
+func (p *PoolManager) beginTerm(leader Leader, runners []sched.RunnerStatus) {
 	service := leader.Service()
-	if p.terms[service] == leader.Term() {
-		return
-	}
 	p.terms[service] = leader.Term()
 	maps.DeleteFunc(p.offers, func(_ string, o offer) bool { return o.service == service })
 	maps.DeleteFunc(p.evacuating, func(_, s string) bool { return s == service })
 	delete(p.surplusSince, service)
+	for _, runner := range runners {
+		if p.Waves.claimed(runner.Machine) {
+			p.evacuating[runner.Runner] = service
+		}
+	}
 }
 
-// resumeEvacuations evacuates again the runners that the scheduler has forgotten meanwhile: it drops a runner without
+// resumeEvacuations evacuates the runners that the scheduler doesn't know to be evacuated: it drops a runner without
 // work whose entry in the store has expired.
 func (p *PoolManager) resumeEvacuations(leader Leader, runners []sched.RunnerStatus) {
 	for _, runner := range runners {
@@ -234,7 +242,11 @@
 			continue
 		}
 		if row.Machines[runner.Machine] == maintenance.Claimed {
-			continue // the machine is down, or is back and the coordinator hasn't seen it yet
+			p.watchClaimed(leader, runner.Runner)
+			if evacuating && leader.RunnerEmpty(runner.Runner) {
+				report.Ready = append(report.Ready, ReadyMachine{runner.Machine, wave.Number})
+			}
+			continue
 		}
 		leader.SetMaintenanceDue(runner.Runner, true)
 		_, offered := p.offers[runner.Machine]
@@ -252,8 +264,22 @@
 	}
 }
 
+// watchClaimed handles a runner whose machine a wave has claimed: it is to go down, or it is a new runner after the
+// maintenance, which the coordinator hasn't seen yet. A runner that stays for claimedTimeout is of the first kind, and is
+// evacuated, so that the maintenance can be ordered.
+func (p *PoolManager) watchClaimed(leader Leader, runnerID string) {
+	since, ok := p.claimedSince[runnerID]
+	if !ok {
+		p.claimedSince[runnerID] = p.Now()
+	} else if _, evacuating := p.evacuating[runnerID]; !evacuating && p.Now().Sub(since) > claimedTimeout {
+		p.evacuating[runnerID] = leader.Service()
+		leader.SetEvacuating(runnerID, true)
+	}
+}
+
 // endMaintenance lets a runner take work again after its maintenance.
 func (p *PoolManager) endMaintenance(leader Leader, runnerID string) {
+	delete(p.claimedSince, runnerID)
 	leader.SetMaintenanceDue(runnerID, false)
 	if _, ok := p.evacuating[runnerID]; ok {
 		delete(p.evacuating, runnerID)
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"gypsumlead/maintenance"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/watch"
@@ -102,6 +103,30 @@
 	}
 }
 
+// A new leader gave tasks to a machine whose maintenance an order was about to begin.
+func TestNewLeaderEvacuatesTheMachinesThatAWaveHasClaimed(t *testing.T) {
+	p := newFakePoolManager("", evacuationCases[1].waves)
+	p.Waves.set(1, maintenance.Row{}.With("m3", maintenance.Claimed), 1)
+	leader := &fakeLeader{term: 2, evacuating: map[string]bool{}}
+	got := p.report(p.Now(), leader)
+	require.True(t, leader.evacuating["r3"])
+	require.Contains(t, machinesOf(got.Ready), "m3") // a new coordinator may order its maintenance
+}
+
+func TestRunnerOfAClaimedMachineIsEvacuatedOnlyIfItStays(t *testing.T) {
+	p := newFakePoolManager("", evacuationCases[1].waves)
+	leader := &fakeLeader{term: 2, evacuating: map[string]bool{}}
+	p.report(p.Now(), leader)
+	p.Waves.set(1, maintenance.Row{}.With("m5", maintenance.Claimed), 1)
+	require.NotContains(t, machinesOf(p.report(p.Now(), leader).Ready), "m5")
+	require.False(t, leader.evacuating["r5"]) // it may have returned
+	later := p.Now().Add(claimedTimeout + time.Second)
+	p.PoolManagerDeps.Now = func() time.Time { return later }
+	p.report(later, leader)
+	require.True(t, leader.evacuating["r5"])
+	require.Contains(t, machinesOf(p.report(later, leader).Ready), "m5")
+}
+
 // machinesOf returns the machines that are ready for maintenance.
 func machinesOf(ready []ReadyMachine) []string {
 	var list []string
