A lasting task is not stopped as stalled because its runner answers late

A concern of operators of similar systems: a machine that was only slow to report had its running work started again. It could happen here to a lasting task that was last listed below 100%, over 6 s after its start: the age of its progress was taken until now, not until the runner's last list, and so included up to 1 s of an open poll and 1.5 s until the runner counts as silent. Tasks that end had it right. Such a stop asks no allowance.

The test on the code before: TestLateAnswerIsNoStalledStartUp/slow_to_answer, stragglers_test.go:116, Not equal: expected: false, actual: true.

--- a/sched/stragglers.go
+++ b/sched/stragglers.go
@@ -90,8 +90,10 @@
 // assessRun stops a run if it is stalled or a straggler.
 func (p *Pool) assessRun(now time.Time, r *runner, run *taskRun) {
 	s := run.task.step
+	// Progress is known only as of the last poll, so its age is taken as of that poll.
+	sinceProgress := r.polledAt.Sub(run.progressedAt)
 	if s.spec.LongRunning {
-		if run.percent < 100 && now.Sub(run.confirmedAt) > longRunningStartup && now.Sub(run.progressedAt) > stallTimeout && !s.spec.BestEffort {
+		if run.percent < 100 && r.polledAt.Sub(run.confirmedAt) > longRunningStartup && sinceProgress > stallTimeout && !s.spec.BestEffort {
 			p.stopStalled(now, r, run)
 		}
 		return
@@ -99,8 +101,6 @@
 	if s.spec.BestEffort || s.spec.Gang {
 		return // its speed depends on other runs on the runner, or on the gang's slowest member
 	}
-	// Progress is known only as of the last poll, so its age is taken as of that poll.
-	sinceProgress := r.polledAt.Sub(run.progressedAt)
 	if sinceProgress > max(stallTimeout, s.spec.Estimate/20) && run.percent < 100 {
 		p.stopStalled(now, r, run)
 		return
--- a/sched/stragglers_test.go
+++ b/sched/stragglers_test.go
@@ -87,3 +87,33 @@
 	}
 	require.Equal(t, 1, stopped)
 }
+
+// A long-running task was stopped as stalled though its runner had only been slow to answer since it was seen starting.
+func TestLateAnswerIsNoStalledStartUp(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		stalled bool
+	}{
+		{"slow to answer", false},
+		{"stands still", true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFakePool(t, 2, 8)
+			id := f.accept("a", testQueue, work.Step{Count: 1, Resources: work.Resources{CPU: 1000}, LongRunning: true})
+			f.advance(tickInterval)
+			for percent := range 22 {
+				f.setProgress(taskOf(id, 0, 0), 1+percent, 0)
+				f.advance(tickInterval)
+			}
+			var got []Stop
+			for range 10 {
+				f.now = f.now.Add(tickInterval)
+				if tc.stalled {
+					f.poll()
+				}
+				got = append(got, stops(f.planCommitted(true))...)
+			}
+			require.Equal(t, tc.stalled, len(got) > 0)
+		})
+	}
+}
