--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -78,7 +78,7 @@
 			}
 		}
 	case now.Sub(down.orderedAt) <= orderRetryDelay || !c.canOrder(machine.Name, now):
-	case down.permit.Valid():
+	case down.permit.Valid() && (empty || machine.State != platform.MachineUp):
 		c.orderMaintenance(ctx, wave, machine.Name, down.permit)
 	default:
 		down.orderedAt = now // a failed claim is repeated after orderRetryDelay too
--- a/machines/move.go
+++ b/machines/move.go
@@ -25,15 +25,8 @@
 // moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool.
 func (c *Coordinator) moveMachines(ctx context.Context, now time.Time, machines map[string]platform.Machine, reports []Report) {
 	c.finishMoves(now, machines, reports)
-	c.retryMoves(ctx, now, machines)
-	offered := map[string]string{} // current pool, by machine
-	for _, r := range reports {
-		for _, name := range r.Offers {
-			if machine, ok := machines[name]; ok && machine.Pool == r.Service {
-				offered[name] = r.Service
-			}
-		}
-	}
+	offered := offeredMachines(machines, reports)
+	c.retryMoves(ctx, now, machines, offered)
 	var free []string
 	for name, machine := range machines {
 		_, moving := c.moving[name]
@@ -57,7 +50,20 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	c.startMoves(ctx, now, c.planMoves(reports, len(machines), free, offered))
+	c.startMoves(ctx, c.planMoves(reports, len(machines), free, offered), machines)
+}
+
+// offeredMachines returns the machines that may be moved, with their current pool.
+func offeredMachines(machines map[string]platform.Machine, reports []Report) map[string]string {
+	offered := map[string]string{}
+	for _, r := range reports {
+		for _, name := range r.Offers {
+			if machine, ok := machines[name]; ok && machine.Pool == r.Service {
+				offered[name] = r.Service
+			}
+		}
+	}
+	return offered
 }
 
 // planMoves returns the moves to make, the most urgent first: into pools that are short, then back to the spare pool,
@@ -149,15 +155,21 @@
 	}
 }
 
-// retryMoves repeats the orders that were not accepted, while their permits last. After that the move is decided anew,
-// unless it has begun.
-func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine) {
+// retryMoves repeats the orders that were not accepted, while their permits last; after that the move is decided anew,
+// unless it has begun. It drops the moves of machines that are no longer offered: a later leader of their pool may have
+// started tasks there.
+func (c *Coordinator) retryMoves(ctx context.Context, now time.Time, machines map[string]platform.Machine, offered map[string]string) {
 	for name, m := range c.moving {
+		machine := machines[name]
+		_, released := offered[name]
+		released = released || machine.Pool == c.SparePool()
 		switch {
 		case m.accepted || now.Sub(m.orderedAt) < orderRetryDelay:
-		case machines[name].Pool == m.pool || machines[name].State == platform.MachineMoving:
+		case machine.Pool == m.pool || machine.State == platform.MachineMoving:
 			m.accepted = true
 			c.moving[name] = m
+		case !released && machine.State == platform.MachineUp:
+			delete(c.moving, name)
 		case m.permit.Valid():
 			c.sendMoves(ctx, now, map[string]string{name: m.pool}, m.permit)
 		default:
@@ -166,8 +178,9 @@
 	}
 }
 
-// startMoves claims machines and orders the moves, at most maxConcurrentOrders.
-func (c *Coordinator) startMoves(ctx context.Context, now time.Time, moves []plannedMove) {
+// startMoves claims machines and orders the moves, at most maxConcurrentOrders. A machine that its leader has taken back
+// by the time of the claim stays.
+func (c *Coordinator) startMoves(ctx context.Context, moves []plannedMove, machines map[string]platform.Machine) {
 	moves = moves[:min(len(moves), maxConcurrentOrders)]
 	if len(moves) == 0 || c.outdated() {
 		return
@@ -183,7 +196,13 @@
 	if !ok {
 		return
 	}
+	now := c.Now()
+	offered := offeredMachines(machines, c.freshReports(now))
 	for _, name := range names {
+		if _, ok := offered[name]; !ok && machines[name].Pool != c.SparePool() {
+			delete(poolOf, name)
+			continue
+		}
 		c.moving[name] = move{pool: poolOf[name], startedAt: now, permit: permit}
 	}
 	c.sendMoves(ctx, now, poolOf, permit)
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -20,12 +20,14 @@
 const (
 	reportInterval = 150 * time.Millisecond
 	forgetDelay    = time.Minute            // until a runner that is no longer listed is forgotten
+	claimedTimeout = 5 * time.Second        // the coordinator has recorded a machine that returned by then
 	surplusDelay   = 900 * time.Millisecond // a surplus must last this long before it is released, unless other pools are short
 )
 
 // Leader is a service that this daemon leads, and so schedules.
 type Leader interface {
 	Service() string
+	Term() int
 	Demand() sched.Demand
 	RunnerStatuses() []sched.RunnerStatus
 	Availability() (size int, busy bool)
@@ -50,8 +52,10 @@
 // coordinator.
 type PoolManager struct {
 	PoolManagerDeps
+	terms        map[string]int       // this daemon's last term of leadership, by service
 	offers       map[string]string    // runners being evacuated for release, by machine
-	evacuating   map[string]int64     // wave for which a runner is being evacuated, by runner
+	evacuating   map[string]struct{}  // runners being evacuated for a wave
+	claimedSince map[string]time.Time // since when a runner's machine has been claimed by a wave, by runner
 	surplusSince map[string]time.Time // since when a pool has a surplus, by service
 	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
 	logged       map[string]poolLog   // last logged state, by service
@@ -69,8 +73,10 @@
 func NewPoolManager(deps PoolManagerDeps) *PoolManager {
 	return &PoolManager{
 		PoolManagerDeps: deps,
+		terms:           map[string]int{},
 		offers:          map[string]string{},
-		evacuating:      map[string]int64{},
+		evacuating:      map[string]struct{}{},
+		claimedSince:    map[string]time.Time{},
 		surplusSince:    map[string]time.Time{},
 		waveStart:       map[int64]time.Time{},
 		logged:          map[string]poolLog{},
@@ -101,6 +107,7 @@
 		if now.Sub(at) > forgetDelay {
 			delete(p.lastListed, runner)
 			delete(p.evacuating, runner)
+			delete(p.claimedSince, runner)
 			maps.DeleteFunc(p.offers, func(_, offered string) bool { return offered == runner })
 		}
 	}
@@ -110,6 +117,7 @@
 	notLed := func(service string) bool {
 		return !slices.ContainsFunc(leaders, func(leader Leader) bool { return leader.Service() == service })
 	}
+	maps.DeleteFunc(p.terms, func(service string, _ int) bool { return notLed(service) })
 	maps.DeleteFunc(p.surplusSince, func(service string, _ time.Time) bool { return notLed(service) })
 	maps.DeleteFunc(p.logged, func(service string, _ poolLog) bool { return notLed(service) })
 	maps.DeleteFunc(p.replies, func(service string, _ Reply) bool { return notLed(service) })
@@ -122,6 +130,9 @@
 		p.lastListed[runner.Runner] = now
 	}
 	p.forgetRestarted(leader, runners)
+	if p.terms[leader.Service()] != leader.Term() {
+		p.beginTerm(leader, runners)
+	}
 	report := Report{Service: leader.Service()}
 	if p.SparePool() != "" {
 		p.scale(now, leader, runners, &report)
@@ -154,6 +165,19 @@
 	}
 }
 
+// beginTerm evacuates, in a new term of leadership, the machines that waves have claimed: an order that begins their
+// maintenance may be on its way, and the new term starts tasks there.
+func (p *PoolManager) beginTerm(leader Leader, runners []sched.RunnerStatus) {
+	p.terms[leader.Service()] = leader.Term()
+	delete(p.surplusSince, leader.Service())
+	for _, runner := range runners {
+		if p.Waves.claimed(runner.Machine) {
+			p.evacuating[runner.Runner] = struct{}{}
+			leader.SetEvacuating(runner.Runner, true)
+		}
+	}
+}
+
 // scale sets how many machines the pool should have, and evacuates and offers the surplus.
 func (p *PoolManager) scale(now time.Time, leader Leader, runners []sched.RunnerStatus, report *Report) {
 	var room int64
@@ -256,7 +280,8 @@
 			report.Ready = append(report.Ready, ReadyMachine{runner.Machine, wave.Number})
 		}
 		if row.Machines[runner.Machine] == maintenance.Claimed {
-			continue // the machine will go down soon, is down, or is back and the coordinator hasn't seen it yet
+			p.watchClaimed(leader, runner.Runner)
+			continue
 		}
 		leader.SetMaintenanceDue(runner.Runner, true)
 		candidates = append(candidates, maintenance.Candidate{Machine: runner.Machine, Runner: runner.Runner, Evacuating: evacuating || offered, LongRunning: runner.LongRunning})
@@ -265,13 +290,27 @@
 	for _, c := range maintenance.Next(maintenance.Pool{Size: size, Busy: busy}, candidates, remaining) {
 		p.Log.Info("evacuating machine for wave", zap.Int64("wave", wave.Number), zap.String("machine", c.Machine), zap.String("runner", c.Runner),
 			zap.Int("lasting", c.LongRunning), zap.Bool("busy", busy), zap.Duration("left", remaining))
-		p.evacuating[c.Runner] = wave.Number
+		p.evacuating[c.Runner] = struct{}{}
 		leader.SetEvacuating(c.Runner, true)
 	}
 }
 
+// watchClaimed handles a runner whose machine a wave has claimed: it is to go down, or it is a new runner after the
+// maintenance, which the coordinator hasn't seen yet. A runner that stays for claimedTimeout is of the first kind, and is
+// evacuated, so that the maintenance can be ordered.
+func (p *PoolManager) watchClaimed(leader Leader, runnerID string) {
+	since, ok := p.claimedSince[runnerID]
+	if !ok {
+		p.claimedSince[runnerID] = p.Now()
+	} else if _, evacuating := p.evacuating[runnerID]; !evacuating && p.Now().Sub(since) > claimedTimeout {
+		p.evacuating[runnerID] = struct{}{}
+		leader.SetEvacuating(runnerID, true)
+	}
+}
+
 // endMaintenance lets a runner take work again after its maintenance.
 func (p *PoolManager) endMaintenance(leader Leader, runnerID string) {
+	delete(p.claimedSince, runnerID)
 	leader.SetMaintenanceDue(runnerID, false)
 	if _, ok := p.evacuating[runnerID]; ok {
 		delete(p.evacuating, runnerID)
--- /dev/null
+++ b/machines/pool_manager_term_test.go
@@ -0,0 +1,139 @@
+package machines
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"gypsumlead/maintenance"
+	"gypsumlead/platform"
+	"gypsumlead/sched"
+	"gypsumlead/watch"
+	"gypsumlead/work"
+)
+
+// fakeTerm is one term of leadership over a pool of machines without work.
+type fakeTerm struct {
+	term       int
+	evacuating map[string]bool
+}
+
+const fakeService, fakePoolSize = "s", 6
+
+func (f *fakeTerm) Service() string                      { return fakeService }
+func (f *fakeTerm) Term() int                            { return f.term }
+func (f *fakeTerm) Demand() sched.Demand                 { return sched.Demand{} }
+func (f *fakeTerm) Availability() (int, bool)            { return fakePoolSize, false }
+func (f *fakeTerm) SetRetained(map[string]struct{})      {}
+func (f *fakeTerm) SetMaintenanceDue(string, bool)       {}
+func (f *fakeTerm) SetEvacuating(runner string, on bool) { f.evacuating[runner] = on }
+func (f *fakeTerm) RunnerEmpty(string) bool              { return true }
+func (f *fakeTerm) RunnerStatuses() []sched.RunnerStatus {
+	var list []sched.RunnerStatus
+	for i := range fakePoolSize {
+		runner := work.Runner{ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Room: work.Resources{CPU: 8000}}
+		list = append(list, sched.RunnerStatus{Runner: runner.ID, Machine: runner.Machine, Room: runner.Room, Schedulable: true, Evacuating: f.evacuating[runner.ID]})
+	}
+	return list
+}
+
+var evacuationCases = []struct {
+	name  string
+	spare string
+	waves []platform.Wave
+}{
+	{"release of machines", "spare", nil},
+	{"maintenance wave", "", []platform.Wave{{Number: 1, Machines: []string{"m0", "m1", "m2", "m3", "m4", "m5"}, MaxDown: 6, TimeLimit: time.Minute}}},
+}
+
+// newFakePoolManager returns a PoolManager whose coordinator needs every machine.
+func newFakePoolManager(spare string, waves []platform.Wave) *PoolManager {
+	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+	p := NewPoolManager(PoolManagerDeps{
+		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), watch.NewInterest()),
+		RequestedWaves: func() []platform.Wave { return waves }, SparePool: func() string { return spare },
+		Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
+	})
+	p.replies[fakeService] = Reply{Known: true, Short: 6}
+	return p
+}
+
+// A daemon that leads a pool again reported the machines that it had evacuated in its earlier term, where its new term
+// starts tasks.
+func TestRegainedLeaderReportsOnlyMachinesThatItEvacuatesInThisTerm(t *testing.T) {
+	for _, tc := range evacuationCases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newFakePoolManager(tc.spare, tc.waves)
+			earlier := &fakeTerm{term: 4, evacuating: map[string]bool{}}
+			p.report(p.Now(), earlier)
+			first := p.report(p.Now(), earlier)
+			require.NotEmpty(t, append(first.Offers, machinesOf(first.Ready)...))
+			regained := &fakeTerm{term: 5, evacuating: map[string]bool{}}
+			p.replies[fakeService] = Reply{} // the coordinator hasn't answered this term yet
+			for range 3 {
+				got := p.report(p.Now(), regained)
+				for _, machine := range append(got.Offers, machinesOf(got.Ready)...) {
+					require.True(t, regained.evacuating["r"+machine[1:]], "%s may get tasks", machine)
+				}
+			}
+		})
+	}
+}
+
+// The store's entries of runners expire while it is down. The scheduler forgot such a runner, and with it the evacuation.
+func TestRunnerThatReturnsToThePoolIsReportedOnlyIfItIsEvacuated(t *testing.T) {
+	for _, tc := range evacuationCases {
+		t.Run(tc.name, func(t *testing.T) {
+			p := newFakePoolManager(tc.spare, tc.waves)
+			leader := &fakeTerm{term: 1, evacuating: map[string]bool{}}
+			p.report(p.Now(), leader)
+			leader.evacuating = map[string]bool{}
+			var reported []string
+			for range 2 {
+				got := p.report(p.Now(), leader)
+				reported = append(got.Offers, machinesOf(got.Ready)...)
+				for _, machine := range reported {
+					require.True(t, leader.evacuating["r"+machine[1:]], "%s may get tasks", machine)
+				}
+			}
+			require.NotEmpty(t, reported, "evacuated anew")
+		})
+	}
+}
+
+// A new leader gave tasks to a machine whose maintenance an order was about to begin.
+func TestNewLeaderEvacuatesTheMachinesThatAWaveHasClaimed(t *testing.T) {
+	p := newFakePoolManager("", evacuationCases[1].waves)
+	p.Waves.set(1, maintenance.Row{}.With("m3", maintenance.Claimed), 1)
+	leader := &fakeTerm{term: 2, evacuating: map[string]bool{}}
+	got := p.report(p.Now(), leader)
+	require.True(t, leader.evacuating["r3"])
+	require.Contains(t, machinesOf(got.Ready), "m3") // a new coordinator may order its maintenance
+}
+
+func TestRunnerOfAClaimedMachineIsEvacuatedOnlyIfItStays(t *testing.T) {
+	p := newFakePoolManager("", evacuationCases[1].waves)
+	leader := &fakeTerm{term: 2, evacuating: map[string]bool{}}
+	p.report(p.Now(), leader)
+	p.Waves.set(1, maintenance.Row{}.With("m5", maintenance.Claimed), 1)
+	require.NotContains(t, machinesOf(p.report(p.Now(), leader).Ready), "m5")
+	require.False(t, leader.evacuating["r5"]) // it may have returned
+	later := p.Now().Add(claimedTimeout + time.Second)
+	p.PoolManagerDeps.Now = func() time.Time { return later }
+	p.report(later, leader)
+	require.True(t, leader.evacuating["r5"])
+	require.Contains(t, machinesOf(p.report(later, leader).Ready), "m5")
+}
+
+// machinesOf returns the machines that are ready for maintenance.
+func machinesOf(ready []ReadyMachine) []string {
+	var list []string
+	for _, r := range ready {
+		list = append(list, r.Machine)
+	}
+	return list
+}
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -21,6 +21,7 @@
 type fakeLeader struct{ runners map[string]sched.RunnerStatus }
 
 func (l *fakeLeader) Service() string                 { return "s0" }
+func (l *fakeLeader) Term() int                       { return 1 }
 func (l *fakeLeader) Demand() sched.Demand            { return sched.Demand{} }
 func (l *fakeLeader) Availability() (int, bool)       { return len(l.runners), false }
 func (l *fakeLeader) SetRetained(map[string]struct{}) {}
--- /dev/null
+++ b/sched/availability_test.go
@@ -0,0 +1,56 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/work"
+)
+
+// takeOverLongRunning returns a pool with a new leader, whose predecessor left the tasks of a step at work on r0 to r2,
+// and r3 without work. One of the tasks may be away.
+func takeOverLongRunning(t *testing.T) (*fakePool, work.ID) {
+	f := newFakePool(t, 4, 8)
+	id := work.ID("000000000000000a")
+	for i := range 3 {
+		task := taskOf(id, 0, i)
+		f.runners[f.runnerIDs()[i]].runs[task.String()] = work.Run{Task: task, Run: 1, Percent: 100}
+	}
+	longRunning := work.Step{Count: 3, Resources: work.Resources{CPU: 1000}, LongRunning: true, MaxPerRunner: 1, MaxUnavailable: 1, HasMaxUnavailable: true}
+	f.pool.RestoreJob(f.now, id, testQueue, work.Job{Spec: "a", Steps: []work.Step{longRunning}}, f.now, &Progress{State: work.Running, Runners: f.runnerIDs()})
+	for _, r := range f.runnerIDs() {
+		f.pool.InheritRunner(f.runners[r].info, time.Time{})
+	}
+	return f, id
+}
+
+// The leader that hands over has just ordered r1 to stop its task, and r1 lists it until it has ended.
+func TestNewLeaderDoesNotSpendTheAllowanceThatItsPredecessorHasSpent(t *testing.T) {
+	f, id := takeOverLongRunning(t)
+	f.pool.SetEvacuating("r0", true)
+	for range 3 {
+		require.Empty(t, stops(f.advance(50*time.Millisecond)))
+	}
+	f.endRun("r1", taskOf(id, 0, 1), work.EndStopped)
+	for range 10 {
+		require.Empty(t, stops(f.advance(tickInterval))) // it is away until it is at work again
+	}
+	f.setProgress(taskOf(id, 0, 1), 100, 0)
+	got := stops(f.advance(tickInterval))
+	require.Len(t, got, 1)
+	require.Equal(t, "r0", got[0].Runner)
+}
+
+func TestStopForAMoveNamesTheOtherTasksOfItsStep(t *testing.T) {
+	f, _ := takeOverLongRunning(t)
+	f.pool.SetEvacuating("r0", true)
+	var got []Stop
+	for range 5 {
+		got = append(got, stops(f.advance(tickInterval))...)
+	}
+	require.Len(t, got, 1)
+	require.Contains(t, got[0].Detail, "0 away, 1 may be; 1 run 1 running 100% adopted")
+	require.Contains(t, got[0].Detail, "on r1 polled 0s ago; 2 run 1 running 100% adopted")
+}
