A damaged row or a peer's message about a job no longer ends the leader's process

A job from a caller is checked when it is decoded; one from a stored row or from another daemon was only decoded. Steps that name a step that doesn't exist, or progress of a negative occurrence, made the planner's goroutine panic and ended the process, and each next leader restored the same row. They are now checked the same way: such a row is logged and skipped, such a message is refused.

Test on the code before: TestDamagedRowOfJobEndsLeader "index out of range [7] with length 1", "index out of range [-1]"

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -266,6 +266,9 @@
 		if err := json.Unmarshal(r.Job, &job); err != nil {
 			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
 		}
+		if err := job.Check(); err != nil {
+			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
+		}
 		if err := d.storeLink.Check(ctx); err != nil {
 			d.log.Info("relayed job not taken", zap.String("job", r.Id), zap.Error(err))
 			return leader.Result{}, false, nil // the daemon that relays the job may reach the store
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -322,8 +322,8 @@
 		if in.kind != storeJob || string(in.id) != row.Key {
 			continue
 		}
-		var stored jobRow
-		if err := decode(row, &stored); err != nil {
+		stored, err := decodeJob(row)
+		if err != nil {
 			l.Log.Error("cannot decode a stored job", zap.Error(err))
 			stored = in.row // the same caller submitted it under the same ID
 		}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -103,8 +103,8 @@
 	if err != nil || len(page.Rows) == 0 {
 		return err
 	}
-	var job jobRow
-	if err := decode(page.Rows[0], &job); err != nil {
+	job, err := decodeJob(page.Rows[0])
+	if err != nil {
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return nil // a retry would read the same value
 	}
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -113,8 +113,8 @@
 
 // restoreJob adds a stored job to the pool. A job that cannot be decoded is logged and skipped.
 func (l *Leader) restoreJob(row platform.Row, progress *sched.Progress) {
-	var job jobRow
-	if err := decode(row, &job); err != nil {
+	job, err := decodeJob(row)
+	if err != nil {
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return
 	}
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -65,6 +65,15 @@
 	return value, err
 }
 
+// decodeJob decodes the row of an accepted job and checks the job.
+func decodeJob(row platform.Row) (jobRow, error) {
+	var job jobRow
+	if err := decode(row, &job); err != nil {
+		return jobRow{}, err
+	}
+	return job, fault.Wrap(fault.Invalid, job.Job.Check(), "row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
+}
+
 func decode(row platform.Row, into any) error {
 	return fault.Wrap(fault.Invalid, json.Unmarshal(row.Value, into), "decode row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
 }
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -129,7 +129,7 @@
 	}
 	j.restorePlacements(pr.Runners)
 	for _, op := range pr.Occurrences {
-		if op.Occurrence >= len(j.occurrences) {
+		if op.Occurrence < 0 || op.Occurrence >= len(j.occurrences) {
 			continue
 		}
 		for stepIndex, sp := range op.Steps {
