A job's progress no longer outgrows the row that the store takes for it

The progress of a job names each occurrence and each checkpoint in it: 56 bytes an occurrence of two steps and 26 bytes a checkpoint in the tests, so that some 1,200 occurrences or 2,500 checkpoints fill a row. A leader repeats a refused commit as it is, and the next one restores the same job: the whole service would accept and start nothing more.

A job with over 100 occurrences now stores those that are done as one bit each, 12.5 KB for the most that are allowed; smaller jobs are stored as before. The checkpoints of a job take 16 KB at most: tasks beyond that start from the beginning under the next leader. Not limited: numbers of failed runs, some 12 bytes for each task that has failed.

--- a/sched/progress.go
+++ b/sched/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"gypsumlead/fault"
@@ -11,10 +12,18 @@
 // Progress is the part of a job's state that is stored besides the job itself.
 type Progress struct {
 	State       work.State           `json:"state"`
-	Runners     []string             `json:"at,omitempty"` // those that may have runs of the job
+	Runners     []string             `json:"at,omitempty"`   // those that may have runs of the job
+	Done        []byte               `json:"past,omitempty"` // of a job with many occurrences: one bit for each that is done, low bits first
 	Occurrences []OccurrenceProgress `json:"turns,omitempty"`
 }
 
+// Limits that keep a job's progress well below what the store takes for a row.
+const (
+	fewOccurrences    = 100      // a job with more of them stores those that are done as bits
+	maxCheckpointSize = 16 << 10 // of all checkpoints of a job; tasks beyond that start from the beginning under another leader
+	checkpointExtra   = 10       // of each, for its task's index and punctuation
+)
+
 // OccurrenceProgress is the progress of one occurrence.
 type OccurrenceProgress struct {
 	Occurrence int            `json:"turn"`
@@ -37,11 +46,19 @@
 		return Progress{State: j.state}
 	}
 	pr := Progress{State: j.state, Runners: j.placements.list()}
-	for _, occ := range j.occurrences {
+	if len(j.occurrences) > fewOccurrences {
+		pr.Done = make([]byte, (len(j.occurrences)+7)/8)
+	}
+	checkpointRoom := maxCheckpointSize
+	for i, occ := range j.occurrences {
+		if pr.Done != nil && occ.done() {
+			pr.Done[i/8] |= 1 << (i % 8)
+			continue
+		}
 		op := OccurrenceProgress{Occurrence: occ.index}
 		any := false
 		for _, s := range occ.steps {
-			sp := s.progress()
+			sp := s.progress(&checkpointRoom)
 			any = any || sp.Done != nil || sp.FailedRuns != nil || sp.Checkpoints != nil
 			op.Steps = append(op.Steps, sp)
 		}
@@ -52,8 +69,13 @@
 	return pr
 }
 
-// progress returns the step's progress to store.
-func (s *step) progress() StepProgress {
+// done reports whether all tasks of the occurrence are done.
+func (o *occurrence) done() bool {
+	return !slices.ContainsFunc(o.steps, func(s *step) bool { return s.remaining > 0 })
+}
+
+// progress returns the step's progress to store, with checkpoints as far as there is room for them.
+func (s *step) progress(checkpointRoom *int) StepProgress {
 	var sp StepProgress
 	if s.remaining < len(s.tasks) {
 		sp.Done = make([]byte, (len(s.tasks)+7)/8)
@@ -66,7 +88,8 @@
 		if len(t.failedRuns) > 0 {
 			sp.addFailedRuns(i, t.failedRuns)
 		}
-		if t.checkpoint != "" && s.spec.Checkpointing {
+		if size := len(t.checkpoint) + checkpointExtra; t.checkpoint != "" && s.spec.Checkpointing && size <= *checkpointRoom {
+			*checkpointRoom -= size
 			if sp.Checkpoints == nil {
 				sp.Checkpoints = map[int]string{}
 			}
@@ -128,6 +151,11 @@
 		return
 	}
 	j.restorePlacements(pr.Runners)
+	for i, occ := range j.occurrences {
+		if bitSet(pr.Done, i) {
+			occ.markDone()
+		}
+	}
 	for _, op := range pr.Occurrences {
 		if op.Occurrence < 0 || op.Occurrence >= len(j.occurrences) {
 			continue
@@ -138,16 +166,28 @@
 			}
 		}
 	}
-	if len(pr.Occurrences) > 0 {
+	if len(pr.Occurrences) > 0 || slices.ContainsFunc(pr.Done, func(bits byte) bool { return bits != 0 }) {
 		j.state = work.Running
 	}
 }
 
+// markDone marks all tasks of the occurrence as done.
+func (o *occurrence) markDone() {
+	for _, s := range o.steps {
+		for _, t := range s.tasks {
+			t.markDone()
+		}
+	}
+}
+
+// bitSet reports whether a bit is set; low bits come first.
+func bitSet(bits []byte, i int) bool { return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 }
+
 // restore applies stored progress to a new step.
 func (s *step) restore(sp StepProgress) {
 	s.failedRuns = sp.FailedRuns[gangKey]
 	for i, t := range s.tasks {
-		if i/8 < len(sp.Done) && sp.Done[i/8]&(1<<(i%8)) != 0 {
+		if bitSet(sp.Done, i) {
 			t.markDone()
 		}
 		t.failedRuns = sp.FailedRuns[i]
