--- a/sched/pending_test.go
+++ b/sched/pending_test.go
@@ -63,3 +63,22 @@
 	state, _ := f.pool.State(id)
 	require.Equal(t, work.Queued, state)
 }
+
+// A start that nobody confirmed was blamed for the crash of its runner, and stored.
+func TestRestoredJobIsPendingIfOnlyACrashIsBlamedOnIt(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		step    StepProgress
+		pending int
+	}{
+		{"blamed for a crash", StepProgress{Crashes: map[int][]Crash{0: {{Run: 1}}}}, 1},
+		{"done", StepProgress{Done: []byte{1}}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFakePool(t, 1, 4)
+			progress := &Progress{Occurrences: []OccurrenceProgress{{Steps: []StepProgress{tc.step}}}}
+			f.pool.RestoreJob(f.now, "000000000000000a", testQueue, work.Job{Steps: []work.Step{stepOf(2, 1000)}}, f.now, progress)
+			require.Equal(t, tc.pending, f.pool.Pending(testQueue.Name).Jobs)
+		})
+	}
+}
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -185,11 +185,22 @@
 			}
 		}
 	}
-	if len(pr.Occurrences) > 0 || slices.ContainsFunc(pr.Done, func(bits byte) bool { return bits != 0 }) {
+	if pr.started() {
 		j.state = work.Running
 	}
 }
 
+// started reports whether the progress proves that a runner has started a task. A crash that is blamed on a task doesn't:
+// its start may not have been confirmed.
+func (pr Progress) started() bool {
+	for _, op := range pr.Occurrences {
+		if slices.ContainsFunc(op.Steps, func(sp StepProgress) bool { return sp.Done != nil || sp.FailedRuns != nil || sp.Checkpoints != nil }) {
+			return true
+		}
+	}
+	return slices.ContainsFunc(pr.Done, func(bits byte) bool { return bits != 0 })
+}
+
 // restoreStep applies stored progress to a new step.
 func (p *Pool) restoreStep(s *step, sp StepProgress) {
 	s.restore(sp)
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -97,14 +97,15 @@
 func (c *Checker) CountAnswered(ids []work.ID, askedAt time.Time, answer int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	waiting := 0
+	var waiting []work.ID
 	for _, id := range ids {
 		if jr := c.jobs[id]; jr.accepted && !jr.begun && jr.cancelledAt.IsZero() && askedAt.Sub(jr.acceptedAt) > countDelay {
-			waiting++
+			waiting = append(waiting, id)
 		}
 	}
-	if 2*answer < waiting {
-		c.addViolation("%d jobs were said to be pending while %d have been accepted for %v and have not begun", answer, waiting, countDelay)
+	if 2*answer < len(waiting) {
+		c.addViolation("%d jobs were said to be pending to a request of %v while %d have been accepted for %v and have not begun, the first is %s",
+			answer, askedAt.Format(time.TimeOnly), len(waiting), countDelay, waiting[0])
 	}
 }
 
