--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -150,7 +150,7 @@
 }
 
 // blamedRuns returns the runs that may have crashed the runner: those that aren't settled, or all if there are none. It
-// reports whether it is certain that one of the returned runs' only job has crashed it.
+// reports whether they are unsettled runs of a single job.
 func (r *runner) blamedRuns() ([]*taskRun, bool) {
 	var ordered, unsettled []*taskRun
 	for _, run := range r.sortedRuns() {
