A wave ends only its own evacuations, and all of them once it is completed

And in the code beside it: a wave that is completed with a machine that it gave up never ended that machine's evacuation. Evacuations now carry their wave.

The tests on the code before: TestFinishedWaveLeavesTheEvacuationOfAnotherWave, pool_manager_test.go:139, Should be true; TestCompletedWaveEndsItsEvacuations, pool_manager_test.go:151, Should be false.

--- a/machines/move.go
+++ b/machines/move.go
@@ -32,7 +32,8 @@
 		_, moving := c.moving[name]
 		_, incompatible := c.incompatible[name]
 		_, isOffered := offered[name]
-		if (machine.Pool != c.SparePool() && !isOffered) || machine.State != platform.MachineUp || moving || incompatible || c.Waves.claimed(name) || !c.canOrder(name, now) {
+		_, claimed := c.Waves.claimed(name)
+		if (machine.Pool != c.SparePool() && !isOffered) || machine.State != platform.MachineUp || moving || incompatible || claimed || !c.canOrder(name, now) {
 			continue
 		}
 		free = append(free, name)
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -50,19 +50,25 @@
 // coordinator.
 type PoolManager struct {
 	PoolManagerDeps
-	terms        map[string]int       // this daemon's last term of leadership, by service
-	offers       map[string]offer     // runners being evacuated for release, by machine
-	evacuating   map[string]string    // service of a runner that is being evacuated for a wave, by runner
-	claimedSince map[string]time.Time // since when a runner's machine has been claimed by a wave, by runner
-	surplusSince map[string]time.Time // since when a pool has a surplus, by service
-	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
-	logged       map[string]poolLog   // last logged state, by service
-	replies      map[string]Reply     // the coordinator's last reply, by service
+	terms        map[string]int        // this daemon's last term of leadership, by service
+	offers       map[string]offer      // runners being evacuated for release, by machine
+	evacuating   map[string]evacuation // by runner
+	claimedSince map[string]time.Time  // since when a runner's machine has been claimed by a wave, by runner
+	surplusSince map[string]time.Time  // since when a pool has a surplus, by service
+	waveStart    map[int64]time.Time   // when a wave was first seen, by its number
+	logged       map[string]poolLog    // last logged state, by service
+	replies      map[string]Reply      // the coordinator's last reply, by service
 }
 
 // offer is a runner that is being evacuated to release its machine.
 type offer struct{ service, runner string }
 
+// evacuation is the evacuation of a runner for a wave.
+type evacuation struct {
+	service string
+	wave    int64
+}
+
 // poolLog is the state of a pool that is logged when it changes.
 type poolLog struct {
 	current, desired int
@@ -75,7 +81,7 @@
 		PoolManagerDeps: deps,
 		terms:           map[string]int{},
 		offers:          map[string]offer{},
-		evacuating:      map[string]string{},
+		evacuating:      map[string]evacuation{},
 		claimedSince:    map[string]time.Time{},
 		surplusSince:    map[string]time.Time{},
 		waveStart:       map[int64]time.Time{},
@@ -124,11 +130,11 @@
 	service := leader.Service()
 	p.terms[service] = leader.Term()
 	maps.DeleteFunc(p.offers, func(_ string, o offer) bool { return o.service == service })
-	maps.DeleteFunc(p.evacuating, func(_, s string) bool { return s == service })
+	maps.DeleteFunc(p.evacuating, func(_ string, e evacuation) bool { return e.service == service })
 	delete(p.surplusSince, service)
 	for _, runner := range runners {
-		if p.Waves.claimed(runner.Machine) {
-			p.evacuating[runner.Runner] = service
+		if wave, ok := p.Waves.claimed(runner.Machine); ok {
+			p.evacuating[runner.Runner] = evacuation{service, wave}
 		}
 	}
 }
@@ -214,6 +220,7 @@
 	for _, wave := range p.RequestedWaves() {
 		row, _ := p.Waves.get(wave.Number)
 		if row.Complete {
+			p.endWave(leader, runners, wave.Number)
 			continue
 		}
 		if _, ok := p.waveStart[wave.Number]; !ok {
@@ -238,11 +245,11 @@
 		}
 		_, evacuating := p.evacuating[runner.Runner]
 		if row.Finished(runner.Machine) {
-			p.endMaintenance(leader, runner.Runner)
+			p.endMaintenance(leader, runner.Runner, wave.Number)
 			continue
 		}
 		if row.Machines[runner.Machine] == maintenance.Claimed {
-			p.watchClaimed(leader, runner.Runner)
+			p.watchClaimed(leader, runner.Runner, wave.Number)
 			if evacuating && leader.RunnerEmpty(runner.Runner) {
 				report.Ready = append(report.Ready, ReadyMachine{runner.Machine, wave.Number})
 			}
@@ -259,7 +266,7 @@
 	for _, c := range maintenance.Next(maintenance.Pool{Size: size, Busy: busy}, candidates, remaining) {
 		p.Log.Info("evacuating machine for wave", zap.Int64("wave", wave.Number), zap.String("machine", c.Machine), zap.String("runner", c.Runner),
 			zap.Int("lasting", c.LongRunning), zap.Bool("busy", busy), zap.Duration("left", remaining))
-		p.evacuating[c.Runner] = leader.Service()
+		p.evacuating[c.Runner] = evacuation{leader.Service(), wave.Number}
 		leader.SetEvacuating(c.Runner, true)
 	}
 }
@@ -267,21 +274,30 @@
 // watchClaimed handles a runner whose machine a wave has claimed: it is to go down, or it is a new runner after the
 // maintenance, which the coordinator hasn't seen yet. A runner that stays for claimedTimeout is of the first kind, and is
 // evacuated, so that the maintenance can be ordered.
-func (p *PoolManager) watchClaimed(leader Leader, runnerID string) {
+func (p *PoolManager) watchClaimed(leader Leader, runnerID string, wave int64) {
 	since, ok := p.claimedSince[runnerID]
 	if !ok {
 		p.claimedSince[runnerID] = p.Now()
 	} else if _, evacuating := p.evacuating[runnerID]; !evacuating && p.Now().Sub(since) > claimedTimeout {
-		p.evacuating[runnerID] = leader.Service()
+		p.evacuating[runnerID] = evacuation{leader.Service(), wave}
 		leader.SetEvacuating(runnerID, true)
 	}
 }
 
-// endMaintenance lets a runner take work again after its maintenance.
-func (p *PoolManager) endMaintenance(leader Leader, runnerID string) {
+// endWave ends the evacuations of a completed wave: machines that it gave up keep their runners.
+func (p *PoolManager) endWave(leader Leader, runners []sched.RunnerStatus, wave int64) {
+	for _, runner := range runners {
+		if p.evacuating[runner.Runner].wave == wave {
+			p.endMaintenance(leader, runner.Runner, wave)
+		}
+	}
+}
+
+// endMaintenance lets a runner take work again after its maintenance, unless another wave evacuates it.
+func (p *PoolManager) endMaintenance(leader Leader, runnerID string, wave int64) {
 	delete(p.claimedSince, runnerID)
 	leader.SetMaintenanceDue(runnerID, false)
-	if _, ok := p.evacuating[runnerID]; ok {
+	if e, ok := p.evacuating[runnerID]; ok && e.wave == wave {
 		delete(p.evacuating, runnerID)
 		leader.SetEvacuating(runnerID, false)
 	}
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -127,6 +127,30 @@
 	require.Contains(t, machinesOf(p.report(later, leader).Ready), "m5")
 }
 
+// Each report ended an open wave's evacuation of a machine for another open wave that had finished the machine.
+func TestFinishedWaveLeavesTheEvacuationOfAnotherWave(t *testing.T) {
+	open, finished := evacuationCases[1].waves[0], evacuationCases[1].waves[0]
+	open.Number = 2
+	p := newFakePoolManager("", []platform.Wave{open, finished})
+	p.Waves.set(1, maintenance.Row{}.With("m0", maintenance.Done), 1)
+	leader := &fakeLeader{term: 1, evacuating: map[string]bool{}}
+	for range 3 {
+		p.report(p.Now(), leader)
+		require.True(t, leader.evacuating["r0"])
+	}
+}
+
+// A machine that a wave gave up as its last one stayed evacuated.
+func TestCompletedWaveEndsItsEvacuations(t *testing.T) {
+	p := newFakePoolManager("", evacuationCases[1].waves)
+	leader := &fakeLeader{term: 1, evacuating: map[string]bool{}}
+	p.report(p.Now(), leader)
+	require.True(t, leader.evacuating["r0"])
+	p.Waves.set(1, maintenance.Row{Complete: true}, 2)
+	p.report(p.Now(), leader)
+	require.False(t, leader.evacuating["r0"])
+}
+
 // machinesOf returns the machines that are ready for maintenance.
 func machinesOf(ready []ReadyMachine) []string {
 	var list []string
--- a/machines/wave_tracker.go
+++ b/machines/wave_tracker.go
@@ -83,16 +83,16 @@
 	w.rows[number] = versionedRow{row, version}
 }
 
-// claimed reports whether an open wave has claimed a machine and not finished it.
-func (w *WaveTracker) claimed(machine string) bool {
+// claimed returns the open wave that has claimed a machine and not finished it, and false if there is none.
+func (w *WaveTracker) claimed(machine string) (int64, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for _, entry := range w.rows {
+	for number, entry := range w.rows {
 		if !entry.row.Complete && entry.row.Machines[machine] == maintenance.Claimed {
-			return true
+			return number, true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // waveKey returns the key of a wave's row.
