--- a/emulator/availability_test.go
+++ b/emulator/availability_test.go
@@ -10,35 +10,59 @@
 	"gypsumlead/standin"
 )
 
-// evacuatedSite has pools of which a wave evacuates several runners at a time.
-var evacuatedSite = Size{Centres: []string{"c1", "c2"}, Daemons: 3, Services: 2, RunnersPerService: 12, SpareMachines: 3, CoresPerMachine: 8}
+// allowanceSite is a site whose long-running steps have some more tasks than may be away.
+type allowanceSite struct {
+	size         Size
+	moreTasks    int
+	drawnTasks   int // up to so many more, drawn
+	maxPerServer int // no limit if 0
+}
+
+var (
+	tightSite = allowanceSite{size: Small, moreTasks: 2, maxPerServer: 2}
+	// wideSite has pools of which a wave evacuates several runners at a time.
+	wideSite = allowanceSite{Size{Centres: []string{"c1", "c2"}, Daemons: 3, Services: 2, RunnersPerService: 12, SpareMachines: 3, CoresPerMachine: 8}, 3, 4, 0}
+)
 
 // No order takes a task that lasts below the allowance of its step, whatever befalls the leader, the coordinator and
 // their calls in the middle of evacuations, maintenance waves and moves between pools.
 // For a longer run: go test -run LongRunningTasksKeepTheirAllowance ./emulator -seeds 200.
 func TestLongRunningTasksKeepTheirAllowance(t *testing.T) {
-	seeds := []uint64{23} // a leader stopped a task while its predecessor's stop of another was under way
+	type day struct {
+		name string
+		site allowanceSite
+		seed uint64
+	}
+	days := []day{
+		{"wide", wideSite, 23}, // a leader stopped a task while its predecessor's stop of another was under way
+		{"tight", tightSite, 2},
+		{"tight", tightSite, 7}, // a task found no runner to the end: a wave waited for ever on an evacuated one
+	}
 	for i := range *seedCount {
-		seeds = append(seeds, *firstSeed+uint64(i))
+		days = append(days, day{"wide", wideSite, *firstSeed + uint64(i)})
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runScenario(t, evacuatedSite, 9000+seed, func(_ *testing.T, c *Cluster) { runWavesAndOutages(c, seed) })
+	for _, d := range days {
+		t.Run(fmt.Sprint(d.name, " seed ", d.seed), func(t *testing.T) {
+			runScenario(t, d.site.size, 9000+d.seed, func(_ *testing.T, c *Cluster) { runWavesAndOutages(c, d.site, d.seed) })
 		})
 	}
 }
 
 // runWavesAndOutages runs long-running jobs of several allowances through waves and bursts of other work, while leaders
 // are replaced, cut off and silent.
-func runWavesAndOutages(c *Cluster, seed uint64) {
+func runWavesAndOutages(c *Cluster, site allowanceSite, seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 12))
 	services := []string{"s0", "s1"}
 	for _, service := range services {
 		for mayMiss := 1; mayMiss <= 3; mayMiss++ {
-			wire, job := newLongRunningJob(mayMiss+3+rng.IntN(5), mayMiss, standin.SpecStep{
+			count := mayMiss + site.moreTasks
+			if site.drawnTasks > 0 {
+				count += rng.IntN(site.drawnTasks + 1)
+			}
+			wire, job := newLongRunningJob(count, mayMiss, standin.SpecStep{
 				CPU: 1500, Mem: 100, LongRunning: true, StartupMS: 500 + rng.Int64N(2500), StopMS: 200,
 			})
-			wire.JobSteps[0].MaxPerServer = 0 // pools are released to fewer machines than a limit would need
+			wire.JobSteps[0].MaxPerServer = site.maxPerServer
 			c.Submit(service, wire, job)
 		}
 	}
