--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -54,7 +54,7 @@
 	PoolManagerDeps
 	terms        map[string]int       // this daemon's last term of leadership, by service
 	offers       map[string]string    // runners being evacuated for release, by machine
-	evacuating   map[string]struct{}  // runners being evacuated for a wave
+	evacuating   map[string]int64     // wave for which a runner is being evacuated, by runner
 	claimedSince map[string]time.Time // since when a runner's machine has been claimed by a wave, by runner
 	surplusSince map[string]time.Time // since when a pool has a surplus, by service
 	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
@@ -75,7 +75,7 @@
 		PoolManagerDeps: deps,
 		terms:           map[string]int{},
 		offers:          map[string]string{},
-		evacuating:      map[string]struct{}{},
+		evacuating:      map[string]int64{},
 		claimedSince:    map[string]time.Time{},
 		surplusSince:    map[string]time.Time{},
 		waveStart:       map[int64]time.Time{},
@@ -171,8 +171,8 @@
 	p.terms[leader.Service()] = leader.Term()
 	delete(p.surplusSince, leader.Service())
 	for _, runner := range runners {
-		if p.Waves.claimed(runner.Machine) {
-			p.evacuating[runner.Runner] = struct{}{}
+		if wave, ok := p.Waves.claimed(runner.Machine); ok {
+			p.evacuating[runner.Runner] = wave
 			leader.SetEvacuating(runner.Runner, true)
 		}
 	}
@@ -248,6 +248,7 @@
 	for _, wave := range p.RequestedWaves() {
 		row, _ := p.Waves.get(wave.Number)
 		if row.Complete {
+			p.endWave(leader, runners, wave.Number)
 			continue
 		}
 		if _, ok := p.waveStart[wave.Number]; !ok {
@@ -272,7 +273,7 @@
 		}
 		_, evacuating := p.evacuating[runner.Runner]
 		if row.Finished(runner.Machine) {
-			p.endMaintenance(leader, runner.Runner)
+			p.endMaintenance(leader, runner.Runner, wave.Number)
 			continue
 		}
 		_, offered := p.offers[runner.Machine]
@@ -280,7 +281,7 @@
 			report.Ready = append(report.Ready, ReadyMachine{runner.Machine, wave.Number})
 		}
 		if row.Machines[runner.Machine] == maintenance.Claimed {
-			p.watchClaimed(leader, runner.Runner)
+			p.watchClaimed(leader, runner.Runner, wave.Number)
 			continue
 		}
 		leader.SetMaintenanceDue(runner.Runner, true)
@@ -290,7 +291,7 @@
 	for _, c := range maintenance.Next(maintenance.Pool{Size: size, Busy: busy}, candidates, remaining) {
 		p.Log.Info("evacuating machine for wave", zap.Int64("wave", wave.Number), zap.String("machine", c.Machine), zap.String("runner", c.Runner),
 			zap.Int("lasting", c.LongRunning), zap.Bool("busy", busy), zap.Duration("left", remaining))
-		p.evacuating[c.Runner] = struct{}{}
+		p.evacuating[c.Runner] = wave.Number
 		leader.SetEvacuating(c.Runner, true)
 	}
 }
@@ -298,21 +299,30 @@
 // watchClaimed handles a runner whose machine a wave has claimed: it is to go down, or it is a new runner after the
 // maintenance, which the coordinator hasn't seen yet. A runner that stays for claimedTimeout is of the first kind, and is
 // evacuated, so that the maintenance can be ordered.
-func (p *PoolManager) watchClaimed(leader Leader, runnerID string) {
+func (p *PoolManager) watchClaimed(leader Leader, runnerID string, wave int64) {
 	since, ok := p.claimedSince[runnerID]
 	if !ok {
 		p.claimedSince[runnerID] = p.Now()
 	} else if _, evacuating := p.evacuating[runnerID]; !evacuating && p.Now().Sub(since) > claimedTimeout {
-		p.evacuating[runnerID] = struct{}{}
+		p.evacuating[runnerID] = wave
 		leader.SetEvacuating(runnerID, true)
 	}
 }
 
-// endMaintenance lets a runner take work again after its maintenance.
-func (p *PoolManager) endMaintenance(leader Leader, runnerID string) {
+// endWave ends the evacuations of a completed wave: machines that it gave up keep their runners.
+func (p *PoolManager) endWave(leader Leader, runners []sched.RunnerStatus, wave int64) {
+	for _, runner := range runners {
+		if evacuatedFor, ok := p.evacuating[runner.Runner]; ok && evacuatedFor == wave {
+			p.endMaintenance(leader, runner.Runner, wave)
+		}
+	}
+}
+
+// endMaintenance lets a runner take work again after its maintenance, unless another wave evacuates it.
+func (p *PoolManager) endMaintenance(leader Leader, runnerID string, wave int64) {
 	delete(p.claimedSince, runnerID)
 	leader.SetMaintenanceDue(runnerID, false)
-	if _, ok := p.evacuating[runnerID]; ok {
+	if evacuatedFor, ok := p.evacuating[runnerID]; ok && evacuatedFor == wave {
 		delete(p.evacuating, runnerID)
 		leader.SetEvacuating(runnerID, false)
 	}
