--- a/emulator/availability_test.go
+++ b/emulator/availability_test.go
@@ -35,6 +35,7 @@
 	}
 	days := []day{
 		{"wide", wideSite, 23}, // a leader stopped a task while its predecessor's stop of another was under way
+		{"wide", wideSite, 24}, // a coordinator that had lost its service ordered maintenance after a slow claim
 		{"tight", tightSite, 2},
 		{"tight", tightSite, 7}, // a task found no runner to the end: a wave waited for ever on an evacuated one
 	}
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -19,14 +19,7 @@
 
 // advanceWave gives the orders that are due for one wave and records its progress.
 func (c *Coordinator) advanceWave(ctx context.Context, now time.Time, wave platform.Wave, machines map[string]platform.Machine, listedAt time.Time, reports []Report) {
-	ready := map[string]struct{}{}
-	for _, r := range reports {
-		for _, entry := range r.Ready {
-			if entry.Wave == wave.Number && machines[entry.Machine].Pool == r.Service {
-				ready[entry.Machine] = struct{}{}
-			}
-		}
-	}
+	ready := readyMachines(wave, machines, reports)
 	for _, name := range wave.Machines {
 		row, _ := c.Waves.get(wave.Number)
 		if row.Finished(name) {
@@ -46,7 +39,9 @@
 		}
 		_, moving := c.moving[name]
 		if empty && !moving && machine.State == platform.MachineUp && c.canOrder(name, now) && row.Down() < wave.MaxDown {
-			if token, ok := c.setStage(ctx, wave, name, maintenance.Claimed); ok {
+			token, ok := c.setStage(ctx, wave, name, maintenance.Claimed)
+			// A claim may take long, and the machine's pool may have another leader by then, which uses it.
+			if _, still := readyMachines(wave, machines, c.freshReports(c.Now()))[name]; ok && (still || machine.Pool == c.SparePool()) {
 				c.orderMaintenance(ctx, wave, name, token)
 			}
 		}
@@ -56,6 +51,19 @@
 	}
 }
 
+// readyMachines returns the machines that a wave may take down by the reports of their pools.
+func readyMachines(wave platform.Wave, machines map[string]platform.Machine, reports []Report) map[string]struct{} {
+	ready := map[string]struct{}{}
+	for _, r := range reports {
+		for _, entry := range r.Ready {
+			if entry.Wave == wave.Number && machines[entry.Machine].Pool == r.Service {
+				ready[entry.Machine] = struct{}{}
+			}
+		}
+	}
+	return ready
+}
+
 // continueMaintenance handles a machine that is claimed and so counts as down.
 func (c *Coordinator) continueMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
 	down, known := c.inMaintenance[machine.Name]
