--- a/emulator/capacity_test.go
+++ b/emulator/capacity_test.go
@@ -47,8 +47,9 @@
 		wire, job := c.NewBatchJob(JobShape{MaxSteps: 2, MaxWidth: 5, MeanMS: 800, CPU: 4000, FailingShare: 0.05, Checkpointing: true})
 		id := c.Submit(service, wire, job)
 		if rng.IntN(3) == 0 {
+			delay := time.Duration(500+rng.IntN(2000)) * time.Millisecond
 			c.wg.Go(func() {
-				if c.sleep(time.Duration(500+rng.IntN(2000)) * time.Millisecond) {
+				if c.sleep(delay) {
 					c.Cancel(id)
 				}
 			})
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -25,14 +25,7 @@
 
 // advanceWave gives the orders that are due for one wave and records its progress.
 func (c *Coordinator) advanceWave(ctx context.Context, now time.Time, wave platform.Wave, machines map[string]platform.Machine, listedAt time.Time, reports []Report) {
-	ready := map[string]struct{}{}
-	for _, r := range reports {
-		for _, entry := range r.Ready {
-			if entry.Wave == wave.Number && machines[entry.Machine].Pool == r.Service {
-				ready[entry.Machine] = struct{}{}
-			}
-		}
-	}
+	ready := readyMachines(wave, machines, reports)
 	for _, name := range wave.Machines {
 		if c.outdated() {
 			return
@@ -55,7 +48,7 @@
 		}
 		_, moving := c.moving[name]
 		if empty && !moving && machine.State == platform.MachineUp && c.canOrder(name, now) && row.Down() < wave.MaxDown {
-			c.claimMaintenance(ctx, wave, name)
+			c.claimMaintenance(ctx, wave, machine)
 		}
 	}
 	if row, _ := c.Waves.get(wave.Number); row.AllFinished(wave.Machines) {
@@ -63,6 +56,19 @@
 	}
 }
 
+// readyMachines returns the machines that a wave may take down by the reports of their pools.
+func readyMachines(wave platform.Wave, machines map[string]platform.Machine, reports []Report) map[string]struct{} {
+	ready := map[string]struct{}{}
+	for _, r := range reports {
+		for _, entry := range r.Ready {
+			if entry.Wave == wave.Number && machines[entry.Machine].Pool == r.Service {
+				ready[entry.Machine] = struct{}{}
+			}
+		}
+	}
+	return ready
+}
+
 // continueMaintenance handles a machine that is claimed and so counts as down.
 func (c *Coordinator) continueMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
 	down, known := c.inMaintenance[waveMachine{wave.Number, machine.Name}]
@@ -95,7 +101,7 @@
 	switch {
 	case !c.canOrder(machine.Name, now):
 	case empty || machine.State != platform.MachineUp:
-		c.claimMaintenance(ctx, wave, machine.Name)
+		c.claimMaintenance(ctx, wave, machine)
 	case c.Claims.QuietAt(machine.Name, listedAt):
 		if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Pending); ok {
 			delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
@@ -103,10 +109,16 @@
 	}
 }
 
-// claimMaintenance claims a machine for its maintenance and orders that.
-func (c *Coordinator) claimMaintenance(ctx context.Context, wave platform.Wave, name string) {
-	if permit, ok := c.setStage(ctx, wave, name, maintenance.Claimed); ok {
-		c.orderMaintenance(ctx, wave, name, permit)
+// claimMaintenance claims a machine for its maintenance and orders that, unless the machine is in use by then: a claim may
+// take long, and the machine's pool may have another leader, which starts tasks on it.
+func (c *Coordinator) claimMaintenance(ctx context.Context, wave platform.Wave, machine platform.Machine) {
+	permit, ok := c.setStage(ctx, wave, machine.Name, maintenance.Claimed)
+	if !ok {
+		return
+	}
+	ready := readyMachines(wave, map[string]platform.Machine{machine.Name: machine}, c.freshReports(c.Now()))
+	if _, still := ready[machine.Name]; still || machine.Pool == c.SparePool() || machine.State != platform.MachineUp {
+		c.orderMaintenance(ctx, wave, machine.Name, permit)
 	}
 }
 
