Workspaces in the configuration: decoded, and passed to the leaders

Cause: the configuration's workspaces with their keys, weights and caps, and a route's Public, were not decoded. Ruled out: a workspace field beside the job in each row and message; the job carries it through hand-off, relay and restore.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -58,13 +58,15 @@
 	leaseVersion    int64         // version of the lease row
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
-	epoch           int64              // heartbeat epoch in which the store last confirmed the lease
-	inboxReadAt     time.Time          // when the store last answered a reading of the inbox, all of which was applied
-	unloadedJobs    map[work.ID]string // jobs that inbox rows submit and that are not loaded yet, with their queues
-	guarded         bool               // the service's runners reject what exceeds their room
-	runnersRead     bool               // the runners' list was up to date since this leader took over
-	commitSentAt    time.Time          // when the commit that is being sent began; zero if there is none
-	commitFailed    bool               // the last commit was refused or not answered
+	epoch           int64                // heartbeat epoch in which the store last confirmed the lease
+	inboxReadAt     time.Time            // when the store last answered a reading of the inbox, all of which was applied
+	unloadedJobs    map[work.ID]string   // jobs that inbox rows submit and that are not loaded yet, with their queues
+	guarded         bool                 // the service's runners reject what exceeds their room
+	workspaces      []platform.Workspace // as configured; empty if callers need no keys
+	services        int                  // number of configured services
+	runnersRead     bool                 // the runners' list was up to date since this leader took over
+	commitSentAt    time.Time            // when the commit that is being sent began; zero if there is none
+	commitFailed    bool                 // the last commit was refused or not answered
 
 	wakePlan   chan struct{}
 	wakeCommit chan struct{}
@@ -271,11 +273,13 @@
 	}
 }
 
-// Configure sets the configured queues of the service, and whether its runners reject what exceeds their room.
-func (l *Leader) Configure(queues []work.Queue, guarded bool) {
+// Configure sets the configured queues of the service, whether its runners reject what exceeds their room, and the
+// workspaces with the number of services that they share.
+func (l *Leader) Configure(queues []work.Queue, guarded bool, workspaces []platform.Workspace, services int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pool.SetQueues(queues)
 	l.guarded = guarded
+	l.workspaces, l.services = workspaces, services
 	sleep.Wake(l.wakePlan)
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -34,6 +34,10 @@
 	MoveTime        time.Duration `json:"move" validate:"min=0" doc:"Time that a machine takes to change its pool."`
 	MaintenanceTime time.Duration `json:"upkeep" validate:"min=0" doc:"Time that a machine's maintenance takes."`
 	OrdersPerSecond float64       `json:"orders" validate:"min=0" doc:"Orders a second that the service for machines takes."`
+	RemoteFactor    float64       `json:"remote" validate:"min=0" doc:"Factor by which a task is slower away from its data or its group; at most 1: tasks don't wait for a place near them."`
+	RevokedWithin   time.Duration `json:"revoke" validate:"min=0" doc:"Age of a copy of the configuration up to which callers' keys are accepted, if Strict is set."`
+	RevokeStrict    bool          `json:"strict" doc:"Whether callers with keys are refused while the copy of the configuration is older than Revoke."`
+	RateWindow      time.Duration `json:"window" validate:"min=0" doc:"Time over which the jobs of a workspace are counted against its rate."`
 	LeasePercent    float64       `json:"percent" validate:"min=0,max=100" doc:"Share in percent of Hold that runners are given; less frees a silent runner's tasks earlier."`
 }
 
@@ -48,6 +52,8 @@
 			MoveTime:        1500 * time.Millisecond,
 			MaintenanceTime: 2 * time.Second,
 			OrdersPerSecond: 64,
+			RevokedWithin:   5 * time.Second,
+			RateWindow:      5 * time.Second,
 			LeasePercent:    75,
 		},
 		LogLevel: "info",
--- a/work/job.go
+++ b/work/job.go
@@ -84,11 +84,12 @@
 
 // Job is a job as a caller submitted it.
 type Job struct {
-	Spec     string        `json:"spec"`
-	Steps    []Step        `json:"steps"`
-	Repeat   int           `json:"turns,omitempty"` // number of occurrences; 0 is one that starts immediately
-	Start    time.Time     `json:"start,omitzero"`  // when the first occurrence is due
-	Interval time.Duration `json:"every,omitempty"` // time between the starts of two occurrences
+	Spec      string        `json:"spec"`
+	Steps     []Step        `json:"steps"`
+	Repeat    int           `json:"turns,omitempty"` // number of occurrences; 0 is one that starts immediately
+	Start     time.Time     `json:"start,omitzero"`  // when the first occurrence is due
+	Interval  time.Duration `json:"every,omitempty"` // time between the starts of two occurrences
+	Workspace string        `json:"ws,omitempty"`    // that submitted it; empty if its route needs no key
 }
 
 // Check returns an error of kind fault.Invalid that names the first problem of the job, or nil if it is valid.
