Moves of machines go before the claims of a wave

Cause: a step of the coordinator first advanced the waves, one machine a transaction and an order after the other, and then the moves; on a slow store, or with a large wave, no move was ordered for seconds. Change: moves first; a wave claims up to 16 machines in one transaction and orders their maintenance together, and records returns together; while pools are short, only as many are down as it takes to end in time (maintenance.MaxDown); machines due for a wave don't fill up pools that aren't short. Moves of a step follow the rate of the machine service (16 at 64 orders a second, as before). Ruled out: the search for machines (free ones were there), the reports (150 ms apart).

--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,7 +26,9 @@
 	missingTimeout      = 3 * time.Second        // a machine absent from the list for longer is gone
 	maintenanceSlack    = 100 * time.Millisecond // added to MaintenanceDuration before a machine that is up counts as back
 	maxDecisionAge      = time.Second            // older decisions are not carried out, but made anew
-	maxConcurrentOrders = 16                     // move orders sent together
+	maxConcurrentOrders = 16                     // move orders sent together, or as many as the service takes in moveBatchTime
+	moveBatchTime       = 150 * time.Millisecond // about what one step with orders takes
+	maxMoveBatch        = 40                     // machines in one transaction of claims; each takes two entries
 )
 
 // CoordinatorDeps are the dependencies of a Coordinator.
@@ -56,6 +60,7 @@
 	absences      map[string]absence   // machines of waves that are absent from the list
 	retryAt       map[string]time.Time // earliest time of the next order for machines that were busy
 	incompatible  map[string]struct{}  // machines that don't fit into other pools
+	waveSince     map[int64]time.Time  // when this daemon first saw a wave, as the coordinator or not
 }
 
 // timedReport is a pool's latest report and when it was received.
@@ -74,6 +79,7 @@
 		absences:        map[string]absence{},
 		retryAt:         map[string]time.Time{},
 		incompatible:    map[string]struct{}{},
+		waveSince:       map[int64]time.Time{},
 	}
 }
 
@@ -115,6 +121,7 @@
 // Run gives orders while this daemon is the coordinator, until ctx ends.
 func (c *Coordinator) Run(ctx context.Context) error {
 	sleep.Every(ctx, coordinateInterval, func() {
+		c.noteWaves(c.Now())
 		if c.Held() {
 			c.step(ctx)
 			return
@@ -124,6 +131,19 @@
 	return nil
 }
 
+// noteWaves records when waves were first requested.
+func (c *Coordinator) noteWaves(now time.Time) {
+	requested := c.RequestedWaves()
+	for _, wave := range requested {
+		if _, ok := c.waveSince[wave.Number]; !ok {
+			c.waveSince[wave.Number] = now
+		}
+	}
+	maps.DeleteFunc(c.waveSince, func(number int64, _ time.Time) bool {
+		return !slices.ContainsFunc(requested, func(wave platform.Wave) bool { return wave.Number == number })
+	})
+}
+
 // reset forgets what was known while this daemon was the coordinator: another one may have acted since.
 func (c *Coordinator) reset() {
 	clear(c.moving)
@@ -157,14 +177,16 @@
 	now := c.Now() // the list may have taken long
 	c.decidedAt = now
 	reports := c.freshReports(now)
+	// Moves go first: the claims of a wave take seconds on a slow store, in which a pool would wait for its machines.
+	short := false
+	if c.SparePool() != "" {
+		short = c.moveMachines(ctx, now, machines, reports)
+	}
 	for _, wave := range c.RequestedWaves() {
 		if row, _ := c.Waves.get(wave.Number); !row.Complete {
-			c.advanceWave(ctx, now, wave, machines, listedAt, reports)
+			c.advanceWave(ctx, now, wave, machines, listedAt, reports, short)
 		}
 	}
-	if c.SparePool() != "" {
-		c.moveMachines(ctx, now, machines, reports)
-	}
 }
 
 // hasWork reports whether there may be orders to give. If not, the list of machines need not be read.
--- a/machines/maintenance.go
+++ b/machines/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -23,9 +24,16 @@
 	permit     platform.OrderPermit
 }
 
-// advanceWave gives the orders that are due for one wave and records its progress.
-func (c *Coordinator) advanceWave(ctx context.Context, now time.Time, wave platform.Wave, machines map[string]platform.Machine, listedAt time.Time, reports []Report) {
+// maxWaveBatch limits the machines of a wave that one transaction claims, and the orders that are sent together.
+const maxWaveBatch = 16
+
+// advanceWave gives the orders that are due for one wave and records its progress. short reports that pools lack
+// machines.
+func (c *Coordinator) advanceWave(ctx context.Context, now time.Time, wave platform.Wave, machines map[string]platform.Machine, listedAt time.Time, reports []Report, short bool) {
 	ready := readyMachines(wave, machines, reports)
+	row, _ := c.Waves.get(wave.Number)
+	limit := c.maxDown(now, wave, row, short) - row.Down()
+	var claimable, returned []platform.Machine
 	for _, name := range wave.Machines {
 		if c.outdated() {
 			return
@@ -43,19 +51,40 @@
 		_, empty := ready[name]
 		empty = empty || machine.Pool == c.SparePool()
 		if row.Machines[name] == maintenance.Claimed {
-			c.continueMaintenance(ctx, now, wave, machine, listedAt, empty)
+			if c.hasReturned(wave, machine, listedAt) {
+				returned = append(returned, machine)
+			} else {
+				c.continueMaintenance(ctx, now, wave, machine, listedAt, empty)
+			}
 			continue
 		}
 		_, moving := c.moving[name]
-		if empty && !moving && machine.State == platform.MachineUp && c.canOrder(name, now) && row.Down() < wave.MaxDown {
-			c.claimMaintenance(ctx, wave, machine)
+		if empty && !moving && machine.State == platform.MachineUp && c.canOrder(name, now) && len(claimable) < limit {
+			claimable = append(claimable, machine)
 		}
 	}
+	c.markDone(ctx, wave, returned)
+	c.claimMaintenance(ctx, wave, claimable)
 	if row, _ := c.Waves.get(wave.Number); row.AllFinished(wave.Machines) {
 		c.completeWave(ctx, wave)
 	}
 }
 
+// maxDown returns how many machines of a wave may be down at the same time.
+func (c *Coordinator) maxDown(now time.Time, wave platform.Wave, row maintenance.Row, short bool) int {
+	remaining := wave.TimeLimit
+	if since, ok := c.waveSince[wave.Number]; ok {
+		remaining -= now.Sub(since)
+	}
+	unfinished := 0
+	for _, name := range wave.Machines {
+		if !row.Finished(name) {
+			unfinished++
+		}
+	}
+	return maintenance.MaxDown(wave.MaxDown, unfinished, remaining, c.MaintenanceDuration, short)
+}
+
 // readyMachines returns the machines that a wave may take down by the reports of their pools.
 func readyMachines(wave platform.Wave, machines map[string]platform.Machine, reports []Report) map[string]struct{} {
 	ready := map[string]struct{}{}
@@ -69,7 +98,36 @@
 	return ready
 }
 
-// continueMaintenance handles a machine that is claimed and so counts as down.
+// hasReturned reports whether a machine is back from the maintenance that this coordinator ordered.
+func (c *Coordinator) hasReturned(wave platform.Wave, machine platform.Machine, listedAt time.Time) bool {
+	down, known := c.inMaintenance[waveMachine{wave.Number, machine.Name}]
+	return known && !down.acceptedAt.IsZero() && machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack
+}
+
+// markDone records that machines are back in service, as many at once as fit into a transaction.
+func (c *Coordinator) markDone(ctx context.Context, wave platform.Wave, returned []platform.Machine) {
+	names := machineNames(returned[:min(len(returned), maxWaveBatch)])
+	if len(names) == 0 || c.outdated() {
+		return
+	}
+	if _, ok := c.setStage(ctx, wave, maintenance.Done, names...); !ok {
+		return
+	}
+	for _, name := range names {
+		delete(c.inMaintenance, waveMachine{wave.Number, name})
+	}
+}
+
+// machineNames returns the names of machines.
+func machineNames(machines []platform.Machine) []string {
+	var names []string
+	for _, machine := range machines {
+		names = append(names, machine.Name)
+	}
+	return names
+}
+
+// continueMaintenance handles a machine that is claimed, counts as down and has not returned.
 func (c *Coordinator) continueMaintenance(ctx context.Context, now time.Time, wave platform.Wave, machine platform.Machine, listedAt time.Time, empty bool) {
 	down, known := c.inMaintenance[waveMachine{wave.Number, machine.Name}]
 	switch {
@@ -78,14 +136,9 @@
 		// maintenance was ordered is unknown.
 		c.resumeMaintenance(ctx, now, wave, machine, listedAt, empty)
 	case !down.acceptedAt.IsZero():
-		if machine.State == platform.MachineUp && listedAt.Sub(down.acceptedAt) > c.MaintenanceDuration+maintenanceSlack {
-			if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Done); ok {
-				delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
-			}
-		}
 	case now.Sub(down.orderedAt) <= orderRetryDelay || !c.canOrder(machine.Name, now):
 	case down.permit.Valid() && (empty || machine.State != platform.MachineUp):
-		c.orderMaintenance(ctx, wave, machine.Name, down.permit)
+		c.orderMaintenance(ctx, wave, []string{machine.Name}, down.permit)
 	default:
 		down.orderedAt = now // a failed claim is repeated after orderRetryDelay too
 		c.inMaintenance[waveMachine{wave.Number, machine.Name}] = down
@@ -101,50 +154,78 @@
 	switch {
 	case !c.canOrder(machine.Name, now):
 	case empty || machine.State != platform.MachineUp:
-		c.claimMaintenance(ctx, wave, machine)
+		c.claimMaintenance(ctx, wave, []platform.Machine{machine})
 	case c.Claims.QuietAt(machine.Name, listedAt):
-		if _, ok := c.setStage(ctx, wave, machine.Name, maintenance.Pending); ok {
+		if _, ok := c.setStage(ctx, wave, maintenance.Pending, machine.Name); ok {
 			delete(c.inMaintenance, waveMachine{wave.Number, machine.Name})
 		}
 	}
 }
 
-// claimMaintenance claims a machine for its maintenance and orders that, unless the machine is in use by then: a claim may
-// take long, and the machine's pool may have another leader, which starts tasks on it.
-func (c *Coordinator) claimMaintenance(ctx context.Context, wave platform.Wave, machine platform.Machine) {
-	permit, ok := c.setStage(ctx, wave, machine.Name, maintenance.Claimed)
+// claimMaintenance claims machines for their maintenance and orders that, except for machines that are in use by then: a
+// claim may take long, and a machine's pool may have another leader, which starts tasks on it.
+func (c *Coordinator) claimMaintenance(ctx context.Context, wave platform.Wave, claimable []platform.Machine) {
+	claimable = claimable[:min(len(claimable), maxWaveBatch)]
+	if len(claimable) == 0 || c.outdated() {
+		return
+	}
+	permit, ok := c.setStage(ctx, wave, maintenance.Claimed, machineNames(claimable)...)
 	if !ok {
 		return
 	}
-	ready := readyMachines(wave, map[string]platform.Machine{machine.Name: machine}, c.freshReports(c.Now()))
-	if _, still := ready[machine.Name]; still || machine.Pool == c.SparePool() || machine.State != platform.MachineUp {
-		c.orderMaintenance(ctx, wave, machine.Name, permit)
+	byName := map[string]platform.Machine{}
+	for _, machine := range claimable {
+		byName[machine.Name] = machine
 	}
+	ready := readyMachines(wave, byName, c.freshReports(c.Now()))
+	var empty []string
+	for _, machine := range claimable {
+		if _, still := ready[machine.Name]; still || machine.Pool == c.SparePool() || machine.State != platform.MachineUp {
+			empty = append(empty, machine.Name)
+		}
+	}
+	c.orderMaintenance(ctx, wave, empty, permit)
 }
 
-// orderMaintenance orders the maintenance of a machine that is claimed.
-func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, name string, permit platform.OrderPermit) {
+// orderMaintenance orders the maintenance of machines that are claimed, of all at the same time.
+func (c *Coordinator) orderMaintenance(ctx context.Context, wave platform.Wave, names []string, permit platform.OrderPermit) {
 	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	key, down := waveMachine{wave.Number, name}, takenDown{orderedAt: c.Now(), permit: permit}
-	c.inMaintenance[key] = down
-	result, err := c.Machines.Maintain(callCtx, name, wave.Number, permit)
-	c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
-	if err != nil {
-		return // the order is repeated
+	results := make([]platform.OrderResult, len(names))
+	var wg sync.WaitGroup
+	for i, name := range names {
+		c.inMaintenance[waveMachine{wave.Number, name}] = takenDown{orderedAt: c.Now(), permit: permit}
+		wg.Go(func() {
+			result, err := c.Machines.Maintain(callCtx, name, wave.Number, permit)
+			c.Log.Info("maintenance order sent", zap.Int64("wave", wave.Number), zap.String("machine", name), zap.Int64("token", permit.Token), zap.String("answer", string(result)), zap.Error(err))
+			if err == nil {
+				results[i] = result
+			}
+		})
 	}
+	wg.Wait()
+	for i, name := range names {
+		c.handleMaintenanceResult(ctx, wave, name, results[i])
+	}
+}
+
+// handleMaintenanceResult handles the answer to an order. An empty result means that no answer came; the order is
+// repeated.
+func (c *Coordinator) handleMaintenanceResult(ctx context.Context, wave platform.Wave, name string, result platform.OrderResult) {
+	key := waveMachine{wave.Number, name}
 	switch result {
 	case platform.OrderDone:
+		down := c.inMaintenance[key]
 		down.acceptedAt = c.Now()
 		c.inMaintenance[key] = down
 	case platform.OrderInvalid, platform.OrderWrongWave:
-		c.setStage(ctx, wave, name, maintenance.Gone)
+		c.setStage(ctx, wave, maintenance.Gone, name)
 	case platform.OrderFenced:
 		delete(c.inMaintenance, key) // the next attempt claims a new token
 		c.backOff(name, c.Now())
 	case platform.OrderBusy:
 		c.backOff(name, c.Now())
-	case platform.OrderThrottled:
+	case platform.OrderThrottled, "":
 	}
 }
 
@@ -161,7 +242,7 @@
 	a.last = listedAt
 	c.absences[name] = a
 	if a.last.Sub(a.first) > missingTimeout && c.canOrder(name, listedAt) {
-		c.setStage(ctx, wave, name, maintenance.Gone)
+		c.setStage(ctx, wave, maintenance.Gone, name)
 		delete(c.inMaintenance, waveMachine{wave.Number, name})
 	}
 }
@@ -175,10 +256,13 @@
 	}
 }
 
-// setStage sets the stage of a machine and returns the permit of the orders that follow.
-func (c *Coordinator) setStage(ctx context.Context, wave platform.Wave, machine string, stage maintenance.Stage) (platform.OrderPermit, bool) {
+// setStage sets the stage of machines and returns the permit of the orders that follow.
+func (c *Coordinator) setStage(ctx context.Context, wave platform.Wave, stage maintenance.Stage, machines ...string) (platform.OrderPermit, bool) {
 	row, version := c.Waves.get(wave.Number)
-	return c.writeWave(ctx, wave, version, row.With(machine, stage), []string{machine})
+	for _, machine := range machines {
+		row = row.With(machine, stage)
+	}
+	return c.writeWave(ctx, wave, version, row, machines)
 }
 
 // writeWave commits a wave's row, the claims of machines and, for a wave that begins or is complete, its status for
--- a/machines/move.go
+++ b/machines/move.go
@@ -22,8 +22,9 @@
 	permit    platform.OrderPermit
 }
 
-// moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool.
-func (c *Coordinator) moveMachines(ctx context.Context, now time.Time, machines map[string]platform.Machine, reports []Report) {
+// moveMachines assigns free machines to pools, and moves those that no pool needs to the spare pool. It reports whether
+// pools lack machines.
+func (c *Coordinator) moveMachines(ctx context.Context, now time.Time, machines map[string]platform.Machine, reports []Report) bool {
 	c.finishMoves(now, machines, reports)
 	offered := offeredMachines(machines, reports)
 	c.retryMoves(ctx, now, machines, offered)
@@ -51,7 +52,9 @@
 		}
 		return cmp.Compare(a, b)
 	})
-	c.startMoves(ctx, c.planMoves(reports, len(machines), free, offered), machines)
+	moves, short := c.planMoves(reports, len(machines), free, offered, due)
+	c.startMoves(ctx, moves, machines)
+	return short
 }
 
 // offeredMachines returns the machines that may be moved, with their current pool.
@@ -68,8 +71,9 @@
 }
 
 // planMoves returns the moves to make, the most urgent first: into pools that are short, then back to the spare pool,
-// then into pools below the floor that they keep while no pool is short.
-func (c *Coordinator) planMoves(reports []Report, fleetSize int, free []string, offered map[string]string) []plannedMove {
+// then into pools below the floor that they keep while no pool is short. The bool reports whether pools want more machines
+// than they have.
+func (c *Coordinator) planMoves(reports []Report, fleetSize int, free []string, offered map[string]string, due map[string]bool) ([]plannedMove, bool) {
 	pools := c.poolSizes(reports)
 	floor := autoscale.Floor(fleetSize, len(pools), c.OrderRate)
 	assigned := autoscale.Assign(pools, free)
@@ -87,7 +91,9 @@
 	if shortage > 0 {
 		remaining = nil // a released machine can be assigned immediately from the pool it is in
 	}
-	toFloor := autoscale.Assign(autoscale.WithFloor(pools, floor), remaining)
+	// A machine that is due for maintenance has it while it is off: it doesn't fill up a pool that isn't short.
+	notDue := slices.DeleteFunc(slices.Clone(remaining), func(name string) bool { return due[name] })
+	toFloor := autoscale.Assign(autoscale.WithFloor(pools, floor), notDue)
 	for _, name := range remaining {
 		if pool := toFloor[name]; pool == "" && offered[name] != "" {
 			moves = append(moves, plannedMove{name, c.SparePool()})
@@ -98,7 +104,7 @@
 			moves = append(moves, plannedMove{name, pool})
 		}
 	}
-	return moves
+	return moves, autoscale.Shortage(pools, 0) > 0
 }
 
 // plannedMove is a machine and its target pool.
@@ -179,10 +185,11 @@
 	}
 }
 
-// startMoves claims machines and orders the moves, at most maxConcurrentOrders. A machine that its leader has taken back
+// startMoves claims machines and orders the moves, as many as the machine service accepts until the next step. A machine that its leader has taken back
 // by the time of the claim stays.
 func (c *Coordinator) startMoves(ctx context.Context, moves []plannedMove, machines map[string]platform.Machine) {
-	moves = moves[:min(len(moves), maxConcurrentOrders)]
+	batch := min(max(maxConcurrentOrders, int(c.OrderRate*moveBatchTime.Seconds())), maxMoveBatch)
+	moves = moves[:min(len(moves), batch)]
 	if len(moves) == 0 || c.outdated() {
 		return
 	}
--- a/maintenance/maintenance_test.go
+++ b/maintenance/maintenance_test.go
@@ -48,3 +48,24 @@
 	require.Equal(t, next, decoded)
 	require.JSONEq(t, `{"machines":{"m1":"claimed","m2":"done","m3":"left"}}`, string(b))
 }
+
+// A wave must not take half of the free machines down at once while a queue's peak needs them, and must still end in time.
+func TestMaxDown(t *testing.T) {
+	for _, tc := range []struct {
+		name       string
+		unfinished int
+		remaining  time.Duration
+		short      bool
+		want       int
+	}{
+		{"no pool is short: all that the operator allows", 189, 25 * time.Second, false, 73},
+		{"short, with time: as many as end in time", 189, 24 * time.Second, true, 27},
+		{"short, little is left: at least two", 3, 24 * time.Second, true, 2},
+		{"short, the time limit is near", 100, 8 * time.Second, true, 73},
+		{"the time limit has passed", 10, -time.Second, true, 73},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			require.Equal(t, tc.want, MaxDown(73, tc.unfinished, tc.remaining, 2*time.Second, tc.short))
+		})
+	}
+}
--- a/maintenance/order.go
+++ b/maintenance/order.go
@@ -66,3 +66,18 @@
 	}
 	return limit
 }
+
+// roundOverhead is what one machine's turn in a wave takes beyond its maintenance: the claim, the order and the reading
+// of the list that shows the machine as back.
+const roundOverhead = time.Second
+
+// MaxDown returns how many machines of a wave may be down at the same time, at most limit. While pools are short of
+// machines, it is only as many as it takes to finish the unfinished ones in time. remaining is what is left of the wave's
+// time limit, and duration what the maintenance of one machine takes.
+func MaxDown(limit, unfinished int, remaining, duration time.Duration, short bool) int {
+	rounds := int((remaining - endMargin) / (duration + roundOverhead))
+	if !short || rounds < 2 {
+		return limit
+	}
+	return min(limit, max(minParallel, (unfinished+rounds-1)/rounds))
+}
