--- a/maintenance/order.go
+++ b/maintenance/order.go
@@ -71,11 +71,15 @@
 // of the list that shows the machine as back.
 const roundOverhead = time.Second
 
+// pacedShare is the part of a wave's remaining time in which a paced wave is to end: its last machines wait for the pools
+// that use them.
+const pacedShare = 0.6
+
 // MaxDown returns how many machines of a wave may be down at the same time, at most limit. While pools are short of
 // machines, it is only as many as it takes to finish the unfinished ones in time. remaining is what is left of the wave's
 // time limit, and duration what the maintenance of one machine takes.
 func MaxDown(limit, unfinished int, remaining, duration time.Duration, short bool) int {
-	rounds := int((remaining - endMargin) / (duration + roundOverhead))
+	rounds := int(pacedShare * float64(remaining-endMargin) / float64(duration+roundOverhead))
 	if !short || rounds < 2 {
 		return limit
 	}
