Workspaces: callers are identified by their keys, jobs belong to workspaces

Cause: the configuration's keys were decoded and not looked at; any caller could read and cancel any job. Change: package workspace looks keys up by keyed digest; jobapi answers 404, then 401 or stale, then the rest; leaders, relays and the store's rows are asked on behalf of a workspace, for which other workspaces' jobs don't exist (410), and a submission with the ID of such a job gets 409. A configuration with faulty workspaces isn't put in force, and no error quotes its text. The copy of the configuration has an age, counted from the sending of the last answered poll; one older than 2.5 s is read again before a key is judged by it. Ruled out: the arrival of a poll's answer as its age (a daemon that was suspended meanwhile would take an old answer for a new one); the progress row before the job's row for callers with keys (it has no owner; one call more for a job that exists, one less for others).

--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -254,6 +254,76 @@
 	return s.Decode(d)
 }
 
+// Encode encodes float64 as json.
+func (o OptFloat64) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Float64(float64(o.Value))
+}
+
+// Decode decodes float64 from json.
+func (o *OptFloat64) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptFloat64 to nil")
+	}
+	o.Set = true
+	v, err := d.Float64()
+	if err != nil {
+		return err
+	}
+	o.Value = float64(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptFloat64) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptFloat64) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
+// Encode encodes int as json.
+func (o OptInt) Encode(e *jx.Encoder) {
+	if !o.Set {
+		return
+	}
+	e.Int(int(o.Value))
+}
+
+// Decode decodes int from json.
+func (o *OptInt) Decode(d *jx.Decoder) error {
+	if o == nil {
+		return errors.New("invalid: unable to decode OptInt to nil")
+	}
+	o.Set = true
+	v, err := d.Int()
+	if err != nil {
+		return err
+	}
+	o.Value = int(v)
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s OptInt) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *OptInt) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode encodes Progress as json.
 func (o OptProgress) Encode(e *jx.Encoder) {
 	if !o.Set {
@@ -606,6 +676,18 @@
 		e.FieldStart("config")
 		e.Int64(s.Config)
 	}
+	{
+		if s.Workspaces.Set {
+			e.FieldStart("workspaces")
+			s.Workspaces.Encode(e)
+		}
+	}
+	{
+		if s.Age.Set {
+			e.FieldStart("age")
+			s.Age.Encode(e)
+		}
+	}
 	{
 		e.FieldStart("ready")
 		e.Bool(s.Ready)
@@ -632,15 +714,17 @@
 	}
 }
 
-var jsonFieldsNameOfStatus = [8]string{
+var jsonFieldsNameOfStatus = [10]string{
 	0: "instance",
 	1: "boot",
 	2: "centre",
 	3: "config",
-	4: "ready",
-	5: "leaving",
-	6: "daemons",
-	7: "holds",
+	4: "workspaces",
+	5: "age",
+	6: "ready",
+	7: "leaving",
+	8: "daemons",
+	9: "holds",
 }
 
 // Decode decodes Status from json.
@@ -648,7 +732,7 @@
 	if s == nil {
 		return errors.New("invalid: unable to decode Status to nil")
 	}
-	var requiredBitSet [1]uint8
+	var requiredBitSet [2]uint8
 
 	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
 		switch string(k) {
@@ -700,8 +784,28 @@
 			}(); err != nil {
 				return errors.Wrap(err, "decode field \"config\"")
 			}
+		case "workspaces":
+			if err := func() error {
+				s.Workspaces.Reset()
+				if err := s.Workspaces.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"workspaces\"")
+			}
+		case "age":
+			if err := func() error {
+				s.Age.Reset()
+				if err := s.Age.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"age\"")
+			}
 		case "ready":
-			requiredBitSet[0] |= 1 << 4
+			requiredBitSet[0] |= 1 << 6
 			if err := func() error {
 				v, err := d.Bool()
 				s.Ready = bool(v)
@@ -713,7 +817,7 @@
 				return errors.Wrap(err, "decode field \"ready\"")
 			}
 		case "leaving":
-			requiredBitSet[0] |= 1 << 5
+			requiredBitSet[0] |= 1 << 7
 			if err := func() error {
 				v, err := d.Bool()
 				s.Leaving = bool(v)
@@ -725,7 +829,7 @@
 				return errors.Wrap(err, "decode field \"leaving\"")
 			}
 		case "daemons":
-			requiredBitSet[0] |= 1 << 6
+			requiredBitSet[1] |= 1 << 0
 			if err := func() error {
 				s.Daemons = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -745,7 +849,7 @@
 				return errors.Wrap(err, "decode field \"daemons\"")
 			}
 		case "holds":
-			requiredBitSet[0] |= 1 << 7
+			requiredBitSet[1] |= 1 << 1
 			if err := func() error {
 				s.Holds = make([]string, 0)
 				if err := d.Arr(func(d *jx.Decoder) error {
@@ -773,8 +877,9 @@
 	}
 	// Validate required fields.
 	var failures []validate.FieldError
-	for i, mask := range [1]uint8{
-		0b11111111,
+	for i, mask := range [2]uint8{
+		0b11001111,
+		0b00000011,
 	} {
 		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
 			// Mask only required fields and check equality to mask using XOR.
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -100,6 +100,98 @@
 	s.State = val
 }
 
+// NewOptFloat64 returns new OptFloat64 with value set to v.
+func NewOptFloat64(v float64) OptFloat64 {
+	return OptFloat64{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptFloat64 is optional float64.
+type OptFloat64 struct {
+	Value float64
+	Set   bool
+}
+
+// IsSet returns true if OptFloat64 was set.
+func (o OptFloat64) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptFloat64) Reset() {
+	var v float64
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptFloat64) SetTo(v float64) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptFloat64) Get() (v float64, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptFloat64) Or(d float64) float64 {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
+// NewOptInt returns new OptInt with value set to v.
+func NewOptInt(v int) OptInt {
+	return OptInt{
+		Value: v,
+		Set:   true,
+	}
+}
+
+// OptInt is optional int.
+type OptInt struct {
+	Value int
+	Set   bool
+}
+
+// IsSet returns true if OptInt was set.
+func (o OptInt) IsSet() bool { return o.Set }
+
+// Reset unsets value.
+func (o *OptInt) Reset() {
+	var v int
+	o.Value = v
+	o.Set = false
+}
+
+// SetTo sets value to v.
+func (o *OptInt) SetTo(v int) {
+	o.Set = true
+	o.Value = v
+}
+
+// Get returns value and boolean that denotes whether value was set.
+func (o OptInt) Get() (v int, ok bool) {
+	if !o.Set {
+		return v, false
+	}
+	return o.Value, true
+}
+
+// Or returns value if set, or given parameter if does not.
+func (o OptInt) Or(d int) int {
+	if v, ok := o.Get(); ok {
+		return v
+	}
+	return d
+}
+
 // NewOptProgress returns new OptProgress with value set to v.
 func NewOptProgress(v Progress) OptProgress {
 	return OptProgress{
@@ -256,9 +348,13 @@
 	Boot   string `json:"boot"`
 	Centre string `json:"centre"`
 	// Version of the configuration in force; 0 is none.
-	Config  int64 `json:"config"`
-	Ready   bool  `json:"ready"`
-	Leaving bool  `json:"leaving"`
+	Config int64 `json:"config"`
+	// Number of workspaces of the configuration in force; 0 where callers need no keys.
+	Workspaces OptInt `json:"workspaces"`
+	// Seconds since the store last confirmed the configuration in force; absent where there is none.
+	Age     OptFloat64 `json:"age"`
+	Ready   bool       `json:"ready"`
+	Leaving bool       `json:"leaving"`
 	// Daemons that are known to be live, this one among them.
 	Daemons []string `json:"daemons"`
 	// Services that are scheduled here.
@@ -285,6 +381,16 @@
 	return s.Config
 }
 
+// GetWorkspaces returns the value of Workspaces.
+func (s *Status) GetWorkspaces() OptInt {
+	return s.Workspaces
+}
+
+// GetAge returns the value of Age.
+func (s *Status) GetAge() OptFloat64 {
+	return s.Age
+}
+
 // GetReady returns the value of Ready.
 func (s *Status) GetReady() bool {
 	return s.Ready
@@ -325,6 +431,16 @@
 	s.Config = val
 }
 
+// SetWorkspaces sets the value of Workspaces.
+func (s *Status) SetWorkspaces(val OptInt) {
+	s.Workspaces = val
+}
+
+// SetAge sets the value of Age.
+func (s *Status) SetAge(val OptFloat64) {
+	s.Age = val
+}
+
 // SetReady sets the value of Ready.
 func (s *Status) SetReady(val bool) {
 	s.Ready = val
--- a/api/oas/oas_validators_gen.go
+++ b/api/oas/oas_validators_gen.go
@@ -66,6 +66,24 @@
 	}
 
 	var failures []validate.FieldError
+	if err := func() error {
+		if value, ok := s.Age.Get(); ok {
+			if err := func() error {
+				if err := (validate.Float{}).Validate(float64(value)); err != nil {
+					return errors.Wrap(err, "float")
+				}
+				return nil
+			}(); err != nil {
+				return err
+			}
+		}
+		return nil
+	}(); err != nil {
+		failures = append(failures, validate.FieldError{
+			Name:  "age",
+			Error: err,
+		})
+	}
 	if err := func() error {
 		if s.Daemons == nil {
 			return errors.New("nil is invalid value")
--- a/cache/operator_state.go
+++ b/cache/operator_state.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
 	"go.uber.org/zap"
 
+	"gypsumlead/clock"
 	"gypsumlead/platform"
 	"gypsumlead/watch"
+	"gypsumlead/workspace"
 )
 
 // OperatorState follows the rows that the operator writes: the configuration, whose version only increases, and the
@@ -18,16 +19,19 @@
 type OperatorState struct {
 	store    *platform.Store
 	log      *zap.Logger
+	now      clock.Clock
 	onChange func()
+	secret   workspace.Secret
 
-	config atomic.Pointer[RouteTable]
-	mu     sync.Mutex
-	waves  map[string]platform.Wave
+	config       atomic.Pointer[RouteTable]
+	confirmation confirmation
+	mu           sync.Mutex
+	waves        map[string]platform.Wave
 }
 
 // NewOperatorState returns an empty OperatorState, which Run keeps up to date; onChange is called after each change.
-func NewOperatorState(store *platform.Store, log *zap.Logger, onChange func()) *OperatorState {
-	return &OperatorState{store: store, log: log, onChange: onChange, waves: map[string]platform.Wave{}}
+func NewOperatorState(store *platform.Store, log *zap.Logger, now clock.Clock, onChange func()) *OperatorState {
+	return &OperatorState{store: store, log: log, now: now, onChange: onChange, secret: workspace.NewSecret(), waves: map[string]platform.Wave{}}
 }
 
 // Run follows the operator's rows until ctx ends.
@@ -41,6 +45,8 @@
 			o.apply(page.Rows, snapshot)
 			return nil
 		},
+		OnAnswer: o.confirmation.confirm,
+		Now:      o.now,
 	}
 	return watcher.Run(ctx)
 }
@@ -72,8 +78,8 @@
 		if old := o.config.Load(); old != nil && config.Version <= old.Version {
 			return
 		}
-		o.config.Store(newRouteTable(config))
-		o.log.Info("configuration applied", zap.Int64("version", config.Version), zap.Int("routes", len(config.Routes)))
+		o.config.Store(NewRouteTable(config, o.secret))
+		o.log.Info("configuration applied", zap.Int64("version", config.Version), zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
 	case platform.IsWave(r.Key) && r.Deleted:
 		delete(o.waves, r.Key)
 	case platform.IsWave(r.Key):
@@ -101,34 +107,3 @@
 	slices.SortFunc(waves, func(a, b platform.Wave) int { return int(a.Number - b.Number) })
 	return waves
 }
-
-// RouteTable is a configuration whose routes are indexed by host.
-type RouteTable struct {
-	platform.Config
-	hosts map[string][]platform.Route // longest prefix first
-}
-
-func newRouteTable(config platform.Config) *RouteTable {
-	r := &RouteTable{Config: config, hosts: map[string][]platform.Route{}}
-	for _, route := range config.Routes {
-		r.hosts[route.Host] = append(r.hosts[route.Host], route)
-	}
-	for _, routes := range r.hosts {
-		slices.SortStableFunc(routes, func(a, b platform.Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
-	return r
-}
-
-// Match returns the route with the longest matching prefix for a host and path, and the rest of the path. It returns
-// false if no route matches.
-func (r *RouteTable) Match(host, path string) (platform.Route, string, bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	for _, route := range r.hosts[strings.ToLower(host)] {
-		if rest, ok := strings.CutPrefix(path, route.Prefix); ok {
-			return route, rest, true
-		}
-	}
-	return platform.Route{}, "", false
-}
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -15,6 +15,7 @@
 	"gypsumlead/peer/wire"
 	"gypsumlead/sleep"
 	"gypsumlead/work"
+	"gypsumlead/workspace"
 )
 
 // relayTimeout limits a request to the leader of a service. After it, the request is carried out through the
@@ -132,18 +133,18 @@
 }
 
 // Cancel cancels a job through the leader of its service, or through the store if the leader doesn't accept it.
-func (d *Daemon) Cancel(ctx context.Context, id work.ID, q work.Queue) leader.Result {
+func (d *Daemon) Cancel(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
 	var result leader.Result
 	delivered := answered
 	if l := d.leaderOf(q.Service); l != nil {
-		result = l.Cancel(ctx, id)
+		result = l.Cancel(ctx, id, caller)
 	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: q.Service, Id: string(id)})
+		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: q.Service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
 	}
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	result, err := leader.HandOffCancel(ctx, d.store, q.Service, id)
+	result, err := leader.HandOffCancel(ctx, d.store, q.Service, id, caller)
 	if err != nil {
 		return notStored(err)
 	}
@@ -151,18 +152,18 @@
 }
 
 // State returns the state of a job from the leader of its service, or from the store if the leader doesn't know it.
-func (d *Daemon) State(ctx context.Context, id work.ID, q work.Queue) leader.Result {
+func (d *Daemon) State(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
 	var result leader.Result
 	delivered := answered
 	if l := d.leaderOf(q.Service); l != nil {
-		result = l.State(id)
+		result = l.State(id, caller)
 	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: q.Service, Id: string(id)})
+		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: q.Service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
 	}
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	result, err := leader.StoredState(ctx, d.store, q.Service, id)
+	result, err := leader.StoredState(ctx, d.store, q.Service, id, caller)
 	if err != nil {
 		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
 	}
@@ -255,7 +256,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Wait)*time.Millisecond)
 	defer cancel()
-	id := work.ID(r.Id)
+	id, caller := work.ID(r.Id), workspace.Caller{Workspace: r.Workspace, Any: r.Any}
 	switch r.Verb {
 	case wire.Relay_SUBMIT:
 		var q work.Queue
@@ -278,11 +279,11 @@
 		}
 		return l.Submit(ctx, id, q, job), true, nil
 	case wire.Relay_CANCEL:
-		return l.Cancel(ctx, id), true, nil
+		return l.Cancel(ctx, id, caller), true, nil
 	case wire.Relay_PENDING:
 		return l.Pending(r.Queue), true, nil
 	}
-	return l.State(id), true, nil
+	return l.State(id, caller), true, nil
 }
 
 // updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to: no other daemon
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,7 @@
 	err   error
 
 	answers, calls, starts, ends, abandoned, stops, paceChanges, approvalRequests metric.Int64ObservableCounter
-	leaseChanges, sampledLogs, lostLogs                                           metric.Int64ObservableCounter
+	keyRefusals, leaseChanges, sampledLogs, lostLogs                              metric.Int64ObservableCounter
 	terms, waiting, running, excluded, silent, moving                             metric.Int64ObservableGauge
 	oldest                                                                        metric.Float64ObservableGauge
 }
@@ -35,6 +35,7 @@
 	d.metricsHandler = promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
 	in := &instruments{meter: sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("gypsumlead")}
 	in.answers = in.counter("gypsumlead.answers", "responses to callers, by status")
+	in.keyRefusals = in.counter("gypsumlead.keys.refused", "requests of callers refused because of their keys, by reason")
 	in.calls = in.counter("gypsumlead.calls", "calls to the store, runners, machines and the policy service, by name and answer")
 	in.starts = in.counter("gypsumlead.starts", "orders to start a run, by service")
 	in.ends = in.counter("gypsumlead.ends", "ends of runs that runners listed, by service and reason")
@@ -69,7 +70,7 @@
 	_, err = in.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		d.observe(o, in)
 		return nil
-	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.paceChanges, in.approvalRequests, in.leaseChanges, in.sampledLogs, in.lostLogs,
+	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.paceChanges, in.approvalRequests, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
 		in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
 	return err
 }
@@ -97,6 +98,9 @@
 	for status, n := range d.jobHandler.Counts.Snapshot() {
 		o.ObserveInt64(in.answers, n, label("status", status))
 	}
+	for reason, n := range d.jobHandler.KeyRefusals.Snapshot() {
+		o.ObserveInt64(in.keyRefusals, n, label("why", reason))
+	}
 	for c, n := range d.meter.Counts() {
 		o.ObserveInt64(in.calls, n, metric.WithAttributes(attribute.String("call", c.Call), attribute.String("answer", c.Result)))
 	}
--- a/daemon/operator_api.go
+++ b/daemon/operator_api.go
@@ -10,6 +10,7 @@
 	"gypsumlead/fault"
 	"gypsumlead/leader"
 	"gypsumlead/work"
+	"gypsumlead/workspace"
 )
 
 // operatorAPI implements the operators' read-only API.
@@ -21,7 +22,8 @@
 	d := o.d
 	status := &oas.Status{Instance: d.settings.Instance, Boot: d.boot, Centre: d.settings.Centre, Ready: d.notReadyReason() == "", Daemons: []string{}, Holds: d.ledServices()}
 	if c := d.operatorState.Config(); c != nil {
-		status.Config = c.Version
+		status.Config, status.Workspaces = c.Version, oas.NewOptInt(len(c.Workspaces))
+		status.Age = oas.NewOptFloat64(d.operatorState.Age().Seconds())
 	}
 	for _, n := range d.members.Live() {
 		status.Daemons = append(status.Daemons, n.Name)
@@ -65,7 +67,7 @@
 	}
 	var last error
 	for _, name := range o.d.services() {
-		result := o.d.State(ctx, work.ID(p.ID), work.Queue{Service: name})
+		result := o.d.State(ctx, work.ID(p.ID), work.Queue{Service: name}, workspace.Anyone())
 		switch result.Verdict {
 		case leader.Accepted:
 			return &oas.Job{ID: p.ID, Service: name, State: string(result.State)}, nil
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -15,6 +15,7 @@
 	"gypsumlead/leader"
 	"gypsumlead/platform"
 	"gypsumlead/work"
+	"gypsumlead/workspace"
 )
 
 // Defaults and limits of requests.
@@ -29,28 +30,44 @@
 // Dispatcher executes callers' requests, here or on another daemon; it is safe for concurrent use.
 type Dispatcher interface {
 	Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result
-	Cancel(ctx context.Context, id work.ID, q work.Queue) leader.Result
-	State(ctx context.Context, id work.ID, q work.Queue) leader.Result
+	Cancel(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result
+	State(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result
 	Pending(ctx context.Context, q work.Queue) leader.Result
 }
 
 // Handler serves callers' HTTP requests.
 type Handler struct {
-	routes        func() *cache.RouteTable // returns nil while there is no configuration
+	config        ConfigSource
 	dispatcher    Dispatcher
 	log           *zap.Logger
+	revocation    revocation
 	Counts        StatusCounts
+	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
 }
 
-// New returns a handler that looks up queues in routes and passes requests to dispatcher.
-func New(routes func() *cache.RouteTable, dispatcher Dispatcher, log *zap.Logger) *Handler {
-	return &Handler{routes: routes, dispatcher: dispatcher, log: log, ObserveSubmit: func(string, time.Duration) {}}
+// ConfigSource has the configuration in force; it is safe for concurrent use.
+type ConfigSource interface {
+	Config() *cache.RouteTable   // nil while there is none
+	Age() time.Duration          // since the store last confirmed it
+	Confirm(ctx context.Context) // reads it from the store if it is too old; returns soon
+}
+
+// Option changes a Handler under construction.
+type Option func(*Handler)
+
+// New returns a handler that looks up queues and keys in config and passes requests to dispatcher.
+func New(config ConfigSource, dispatcher Dispatcher, log *zap.Logger, opts ...Option) *Handler {
+	h := &Handler{config: config, dispatcher: dispatcher, log: log, ObserveSubmit: func(string, time.Duration) {}}
+	for _, o := range opts {
+		o(h)
+	}
+	return h
 }
 
 // ServeHTTP handles one request for a job or a queue.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	routes := h.routes()
+	routes := h.freshConfig(r.Context())
 	if routes == nil {
 		h.writeRetryLater(w, http.StatusServiceUnavailable, noConfigRetry, "no configuration yet")
 		return
@@ -60,15 +77,19 @@
 		h.writeResponse(w, http.StatusNotFound, nil)
 		return
 	}
+	caller, ok := h.identify(w, r, routes, route)
+	if !ok {
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout(r, route))
 	defer cancel()
 	switch r.Method {
 	case http.MethodPost:
-		h.submit(ctx, w, r, routes, route, work.ID(id))
+		h.submit(ctx, w, r, routes, route, work.ID(id), caller)
 	case http.MethodGet, http.MethodHead:
-		h.read(ctx, w, route, work.ID(id))
+		h.read(ctx, w, route, work.ID(id), caller)
 	case http.MethodDelete:
-		h.cancel(ctx, w, route, work.ID(id))
+		h.cancel(ctx, w, route, work.ID(id), caller)
 	default:
 		w.Header().Set("Allow", "GET, POST, DELETE")
 		h.writeResponse(w, http.StatusMethodNotAllowed, nil)
@@ -88,7 +109,7 @@
 }
 
 // submit decodes a job, submits it and writes the response.
-func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, routes *cache.RouteTable, route platform.Route, id work.ID) {
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, routes *cache.RouteTable, route platform.Route, id work.ID, caller workspace.Caller) {
 	if !id.Valid() {
 		h.writeError(w, http.StatusBadRequest, 0, "the path must end with the job's ID of 16 hexadecimal digits")
 		return
@@ -112,11 +133,14 @@
 		h.writeError(w, http.StatusBadRequest, 0, err.Error())
 		return
 	}
+	if !route.Public {
+		job.Workspace = caller.Workspace
+	}
 	start := time.Now()
 	result := h.dispatcher.Submit(ctx, id, route.Queue, job)
 	took := time.Since(start)
 	h.ObserveSubmit(verdictLabels[result.Verdict], took)
-	h.log.Info("job", zap.String("job", string(id)), zap.String("queue", route.Queue.Name), zap.Int64("config", routes.Version),
+	h.log.Info("job", zap.String("job", string(id)), zap.String("queue", route.Queue.Name), leader.WorkspaceField(job.Workspace), zap.Int64("config", routes.Version),
 		zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why), zap.Duration("retry", result.Retry), zap.Duration("took", took))
 	switch result.Verdict {
 	case leader.Accepted:
@@ -124,6 +148,8 @@
 	case leader.Refused:
 		w.Header().Set("Connection", "close") // another daemon may accept the job: let the balancer choose again
 		h.writeError(w, refusalStatus(result), result.Retry, result.Why)
+	case leader.Taken:
+		h.writeError(w, http.StatusConflict, 0, result.Why)
 	case leader.Unknown, leader.Absent:
 		// The job may have been stored, so it can be reported neither as accepted nor as refused.
 		h.writeUnknown(w, result)
@@ -135,6 +161,7 @@
 	leader.Refused:  "refused",
 	leader.Unknown:  "unknown",
 	leader.Absent:   "absent",
+	leader.Taken:    "taken",
 }
 
 // refusalStatus returns 429 if the service lacks the capacity for the job, 413 if the job can't be stored at all, and 503
@@ -150,7 +177,7 @@
 }
 
 // read responds with a job's state or, without a job ID, with the number of the queue's pending jobs.
-func (h *Handler) read(ctx context.Context, w http.ResponseWriter, route platform.Route, id work.ID) {
+func (h *Handler) read(ctx context.Context, w http.ResponseWriter, route platform.Route, id work.ID, caller workspace.Caller) {
 	if id == "" {
 		result := h.dispatcher.Pending(ctx, route.Queue)
 		h.log.Info("pending jobs", zap.String("queue", route.Queue.Name), zap.String("answer", verdictLabels[result.Verdict]),
@@ -162,27 +189,27 @@
 		h.writeResponse(w, http.StatusOK, platform.EncodePending(result.Pending))
 		return
 	}
-	result := h.dispatcher.State(ctx, id, route.Queue)
+	result := h.dispatcher.State(ctx, id, route.Queue, caller)
 	switch result.Verdict {
 	case leader.Accepted:
 		h.writeResponse(w, http.StatusOK, platform.EncodeState(result.State))
 	case leader.Absent:
 		h.writeResponse(w, http.StatusGone, nil)
-	case leader.Refused, leader.Unknown:
+	case leader.Refused, leader.Unknown, leader.Taken:
 		h.writeRetryLater(w, http.StatusServiceUnavailable, result.Retry, result.Why)
 	}
 }
 
 // cancel cancels a job and writes the response.
-func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, route platform.Route, id work.ID) {
-	result := h.dispatcher.Cancel(ctx, id, route.Queue)
-	h.log.Info("cancel", zap.String("job", string(id)), zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why))
+func (h *Handler) cancel(ctx context.Context, w http.ResponseWriter, route platform.Route, id work.ID, caller workspace.Caller) {
+	result := h.dispatcher.Cancel(ctx, id, route.Queue, caller)
+	h.log.Info("cancel", zap.String("job", string(id)), leader.WorkspaceField(caller.Workspace), zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why))
 	switch result.Verdict {
 	case leader.Accepted:
 		h.writeResponse(w, http.StatusOK, []byte("{}"))
 	case leader.Absent:
 		h.writeResponse(w, http.StatusGone, nil)
-	case leader.Refused, leader.Unknown:
+	case leader.Refused, leader.Unknown, leader.Taken:
 		h.writeUnknown(w, result) // a cancellation may be carried out though nothing has confirmed it
 	}
 }
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -316,7 +316,7 @@
 	return true
 }
 
-// handleExistingJob accepts a submitted job that the store already has.
+// handleExistingJob accepts a submitted job that the store already has, unless it is another workspace's.
 func (l *Leader) handleExistingJob(batch commitBatch, row platform.Row) {
 	for _, in := range batch.intents {
 		if in.kind != storeJob || string(in.id) != row.Key {
@@ -325,10 +325,15 @@
 		stored, err := decodeJob(row)
 		if err != nil {
 			l.Log.Error("cannot decode a stored job", zap.Error(err))
+			if in.row.Job.Workspace != "" {
+				l.removeIntent(in)
+				in.reply(unreadableOwner(err)) // it may be another workspace's
+				continue
+			}
 			stored = in.row // the same caller submitted it under the same ID
 		}
 		l.removeIntent(in)
 		l.pool.Accept(l.Now(), in.id, stored.Queue, stored.Job)
-		in.reply(Result{Verdict: Accepted})
+		in.reply(known(stored.Job.Workspace, in.row.Job))
 	}
 }
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -41,6 +41,7 @@
 // pendingJob is a job that is not stored yet.
 type pendingJob struct {
 	id          work.ID
+	job         work.Job
 	value       []byte // of the job's row
 	inboxValue  []byte
 	reply       chan Result // has room for one result
@@ -63,7 +64,7 @@
 	if err != nil {
 		return notStored(err.Error())
 	}
-	pending := &pendingJob{id: id, value: value, inboxValue: inboxValue, reply: make(chan Result, 1)}
+	pending := &pendingJob{id: id, job: job, value: value, inboxValue: inboxValue, reply: make(chan Result, 1)}
 	h.enqueue(q.Service, pending)
 	select {
 	case result := <-pending.reply:
@@ -216,12 +217,12 @@
 	queue.waiting = append(batch, queue.waiting...)
 }
 
-// requeue accepts the jobs that the store already has and puts the others back at the front of the queue.
+// requeue accepts the jobs that the store already has, unless they are other workspaces', and puts the others back at the front of the queue.
 func (h *Handoff) requeue(queue *serviceQueue, batch []*pendingJob, conflict *platform.Conflict) {
-	stored := map[string]struct{}{}
+	stored := map[string]platform.Row{}
 	for _, row := range conflict.Rows {
 		if row.Table == tableJobs && row.Version != 0 {
-			stored[row.Key] = struct{}{}
+			stored[row.Key] = row
 		}
 	}
 	if len(stored) == 0 {
@@ -230,8 +231,8 @@
 	}
 	var remaining []*pendingJob
 	for _, pending := range batch {
-		if _, ok := stored[string(pending.id)]; ok {
-			pending.reply <- Result{Verdict: Accepted}
+		if row, ok := stored[string(pending.id)]; ok {
+			pending.reply <- pending.exists(row)
 			continue
 		}
 		remaining = append(remaining, pending)
@@ -241,6 +242,18 @@
 	queue.waiting = append(remaining, queue.waiting...)
 }
 
+// exists returns the result of a job at whose key the store already has a row.
+func (p *pendingJob) exists(row platform.Row) Result {
+	stored, err := decodeJob(row)
+	switch {
+	case err == nil:
+		return known(stored.Job.Workspace, p.job)
+	case p.job.Workspace != "":
+		return unreadableOwner(err)
+	}
+	return Result{Verdict: Accepted} // the same caller submitted it under the same ID
+}
+
 func answerAll(batch []*pendingJob, result Result) {
 	for _, pending := range batch {
 		pending.reply <- result
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -11,7 +11,6 @@
 
 	"gypsumlead/fault"
 	"gypsumlead/platform"
-	"gypsumlead/sched"
 	"gypsumlead/sleep"
 	"gypsumlead/watch"
 	"gypsumlead/work"
@@ -163,40 +162,3 @@
 	}
 	l.intents = append(l.intents, &intent{kind: deleteInbox, id: inboxJobID(row), key: row.Key})
 }
-
-// StoredState reads a job's state from the store, without the leader. The verdict is Absent if the store has no such
-// job.
-func StoredState(ctx context.Context, store *platform.Store, service string, id work.ID) (Result, error) {
-	page, err := store.GetRow(ctx, rowKey(tableProgress, service, string(id)))
-	if err != nil {
-		return Result{}, err
-	}
-	if len(page.Rows) > 0 {
-		progress, err := sched.DecodeProgress(page.Rows[0].Value)
-		return Result{State: progress.State}, err
-	}
-	page, err = store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
-	if err != nil {
-		return Result{}, err
-	}
-	if len(page.Rows) == 0 {
-		return Result{Verdict: Absent}, nil
-	}
-	return Result{State: work.Queued}, nil
-}
-
-// HandOffCancel writes the cancellation of a job to the inbox of its service, for the leader to apply. The verdict is
-// Absent if the store has no such job.
-func HandOffCancel(ctx context.Context, store *platform.Store, service string, id work.ID) (Result, error) {
-	result, err := StoredState(ctx, store, service, id)
-	if err != nil || result.Verdict == Absent {
-		return result, err
-	}
-	key := rowKey(tableInbox, service, string(id)+cancelSuffix)
-	value, err := encode(inboxRow{})
-	if err != nil {
-		return Result{}, err
-	}
-	_, err = store.Commit(ctx, platform.Tx{Puts: []platform.Row{{RowKey: key, Value: value}}})
-	return Result{Verdict: Accepted, State: work.Cancelled}, err
-}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -110,7 +110,7 @@
 
 // logFinished logs the end of a job.
 func (l *Leader) logFinished(end sched.JobEnd) {
-	l.Log.Info("job is over", zap.String("job", string(end.Job)), zap.String("queue", end.Queue), zap.String("state", string(end.State)),
+	l.Log.Info("job is over", zap.String("job", string(end.Job)), zap.String("queue", end.Queue), WorkspaceField(end.Workspace), zap.String("state", string(end.State)),
 		zap.Duration("waited", end.QueueTime), zap.Duration("took", end.Elapsed), zap.Duration("aim", end.Objective))
 }
 
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -9,6 +9,7 @@
 
 	"gypsumlead/sleep"
 	"gypsumlead/work"
+	"gypsumlead/workspace"
 )
 
 // Verdict is the outcome of a caller's request.
@@ -19,7 +20,8 @@
 	Accepted Verdict = iota // accepted and stored
 	Refused                 // nothing was done; of a job: no try of it was or will be stored, so it never runs
 	Unknown                 // this try, or an earlier one of the same job, may have been stored
-	Absent                  // no such job
+	Absent                  // no such job, or none that exists for this caller
+	Taken                   // of a submission: another workspace's job has this ID
 )
 
 // Result is the answer to a caller's request.
@@ -87,8 +89,8 @@
 func (l *Leader) submit(id work.ID, q work.Queue, job work.Job) (chan Result, Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.pool.HasJob(id) {
-		return nil, Result{Verdict: Accepted}
+	if owner, ok := l.pool.Owner(id); ok {
+		return nil, known(owner, job)
 	}
 	if l.lostErr != nil {
 		return nil, Result{Verdict: Unknown, Why: "the service has another holder"}
@@ -96,6 +98,9 @@
 	reply := make(chan Result, 1)
 	for _, in := range l.intents {
 		if in.kind == storeJob && in.id == id {
+			if in.row.Job.Workspace != job.Workspace {
+				return nil, notStored("another workspace's job with this ID is being stored")
+			}
 			in.replies = append(in.replies, reply)
 			return reply, Result{}
 		}
@@ -109,13 +114,15 @@
 	return reply, Result{}
 }
 
-// Cancel cancels a job and returns once the cancellation is stored. If ctx ends first, the verdict is Unknown.
-func (l *Leader) Cancel(ctx context.Context, id work.ID) Result {
+// Cancel cancels a job and returns once the cancellation is stored. If ctx ends first, the verdict is Unknown. The verdict
+// is Absent for a job that doesn't exist for the caller.
+func (l *Leader) Cancel(ctx context.Context, id work.ID, caller workspace.Caller) Result {
 	l.mu.Lock()
-	if !l.pool.Cancel(l.Now(), id) {
+	if owner, ok := l.pool.Owner(id); !ok || !caller.MaySee(owner) {
 		l.mu.Unlock()
 		return Result{Verdict: Absent}
 	}
+	l.pool.Cancel(l.Now(), id)
 	if state, _ := l.pool.State(id); state.Final() {
 		l.mu.Unlock()
 		return Result{Verdict: Accepted, State: state}
@@ -129,12 +136,12 @@
 }
 
 // State returns the state of a job as the store has it, or Running once a task has started. The verdict is Absent for
-// an unknown job.
-func (l *Leader) State(id work.ID) Result {
+// a job that doesn't exist for the caller.
+func (l *Leader) State(id work.ID, caller workspace.Caller) Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, ok := l.pool.State(id)
-	if !ok {
+	if owner, _ := l.pool.Owner(id); !ok || !caller.MaySee(owner) {
 		return Result{Verdict: Absent}
 	}
 	return Result{State: state}
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -86,7 +86,7 @@
 
 // jobEnd describes how a job ended.
 func (p *Pool) jobEnd(j *job) JobEnd {
-	end := JobEnd{Job: j.id, Queue: j.queue.Name, State: j.committedState, Elapsed: j.ended.Sub(j.accepted)}
+	end := JobEnd{Workspace: j.spec.Workspace, Job: j.id, Queue: j.queue.Name, State: j.committedState, Elapsed: j.ended.Sub(j.accepted)}
 	if !j.firstStart.IsZero() {
 		end.QueueTime = j.firstStart.Sub(j.accepted)
 	}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -76,6 +76,7 @@
 
 // JobEnd describes a job whose final state has been committed.
 type JobEnd struct {
+	Workspace string // that submitted the job; empty if it has none
 	Job       work.ID
 	Queue     string
 	State     work.State
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/clock"
 	"gypsumlead/fault"
 	"gypsumlead/platform"
 	"gypsumlead/sleep"
@@ -42,6 +43,10 @@
 	Apply func(ctx context.Context, page platform.Page, snapshot bool) error
 	// OnError is called after each failed poll; it may be nil.
 	OnError func()
+	// OnAnswer is called after each poll whose rows, all that there were, have been applied, with the time by Now at which
+	// the poll was sent. It may be nil.
+	OnAnswer func(sentAt time.Time)
+	Now      clock.Clock // needed with OnAnswer
 }
 
 // Run follows the table until ctx ends.
@@ -90,6 +95,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, LongPollTimeout+slack)
 	defer cancel()
 	snapshot := w.FromVersion < 0
+	var sentAt time.Time
+	if w.OnAnswer != nil {
+		sentAt = w.Now()
+	}
 	var page platform.Page
 	var err error
 	switch {
@@ -107,5 +116,8 @@
 		return err
 	}
 	w.FromVersion = page.Version
+	if w.OnAnswer != nil && !page.More {
+		w.OnAnswer(sentAt)
+	}
 	return nil
 }
