Emulator: sites with workspaces, whose callers' keys are checked

Cause: nothing showed that whole daemons refuse withdrawn and unknown keys in time and hide other workspaces' jobs. Change: Size.Workspaces and Size.StrictRevocation; callers send their workspace's key; keys are replaced, and wrong, withdrawn, new and other workspaces' keys are tried, all the time. The checker counts as a violation: a served key that no configuration had; one served that was withdrawn, or refused that was valid, 3 s before, by a daemon whose contact with the store was undisturbed for 6 s; a job shown, cancelled or accepted for another workspace; and an accepted job that its own caller is told is absent (on all sites). Ruled out: the daemons' own view of their contact with the store as the checker's (it would excuse a daemon that doesn't poll).

--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -31,6 +31,7 @@
 // submission is a job as its caller sees it.
 type submission struct {
 	service     string
+	workspace   int // whose key the caller has
 	job         work.Job
 	submittedAt time.Time
 	accepted    bool
@@ -111,6 +112,12 @@
 // Submit submits a job and polls it until it ends, in a new goroutine.
 func (c *Cluster) Submit(service string, wire wireJob, job work.Job) work.ID {
 	id, sub := c.register(service, job)
+	c.submitInBackground(id, sub, wire)
+	return id
+}
+
+// submitInBackground submits a registered job and polls it until it ends, in a new goroutine.
+func (c *Cluster) submitInBackground(id work.ID, sub *submission, wire wireJob) {
 	rng := c.newRand()
 	body, err := json.Marshal(wire)
 	if err != nil {
@@ -121,16 +128,27 @@
 			c.pollUntilFinal(id, sub, rng)
 		}
 	})
-	return id
 }
 
-// register gives a new job an ID and tells the Checker of it.
+// register gives a new job an ID and a workspace, in turn, and tells the Checker of it.
 func (c *Cluster) register(service string, job work.Job) (work.ID, *submission) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	workspace := 0
+	if c.size.Workspaces > 0 {
+		workspace = int(c.nextID) % c.size.Workspaces
+	}
+	return c.registerAs(workspace, service, job)
+}
+
+// registerAs registers a job of a workspace; the caller holds c.mu.
+func (c *Cluster) registerAs(workspace int, service string, job work.Job) (work.ID, *submission) {
 	c.nextID++
 	id := work.ID(fmt.Sprintf("%016x", c.nextID))
-	sub := &submission{service: service, job: job, submittedAt: time.Now(), state: work.Queued}
+	if c.size.Workspaces > 0 {
+		job.Workspace = WorkspaceName(workspace)
+	}
+	sub := &submission{service: service, workspace: workspace, job: job, submittedAt: time.Now(), state: work.Queued}
 	c.jobs[id] = sub
 	c.Checker.Submitted(id, job, maxAttempts)
 	return id, sub
@@ -164,6 +182,7 @@
 func (c *Cluster) pollUntilFinal(id work.ID, sub *submission, rng *rand.Rand) {
 	for c.sleep(pollInterval) {
 		status, _, body := c.request(http.MethodGet, sub.service, string(id), nil, rng)
+		c.Checker.OwnerAnswered(id, status)
 		if status != http.StatusOK {
 			continue
 		}
@@ -251,9 +270,14 @@
 	return c.requestTo(ctx, c.pickDaemon(rng, ""), method, service, id, body)
 }
 
-// requestTo sends one HTTP request to a daemon; nil stands for none in rotation. The status is 0 if there is no reply
-// before ctx ends.
+// requestTo sends one HTTP request to a daemon, with the key of the job's workspace if the site has workspaces; nil stands
+// for none in rotation. The status is 0 if there is no reply before ctx ends.
 func (c *Cluster) requestTo(ctx context.Context, node *daemonNode, method, service, id string, body []byte) (int, http.Header, []byte) {
+	return c.requestWithKey(ctx, node, c.keyFor(work.ID(id)), method, service, id, body)
+}
+
+// requestWithKey is like requestTo, but with a certain key, or none if it is empty.
+func (c *Cluster) requestWithKey(ctx context.Context, node *daemonNode, key, method, service, id string, body []byte) (status int, header http.Header, data []byte) {
 	if node == nil {
 		return 0, http.Header{}, nil
 	}
@@ -264,12 +288,22 @@
 	}
 	req.Host = "jobs.example"
 	req.Header.Set("X-Gypsumlead-Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+		use := standin.KeyUse{Key: key, Daemon: node.name, SentAt: time.Now(), ContactSince: c.contactSince(node.name)}
+		defer func() {
+			use.Status = status
+			if c.checksKeys(service) {
+				c.Checker.KeyAnswered(use)
+			}
+		}()
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return 0, http.Header{}, nil
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
-	data, err := io.ReadAll(resp.Body)
+	data, err = io.ReadAll(resp.Body)
 	if err != nil {
 		return 0, http.Header{}, nil
 	}
@@ -343,39 +377,6 @@
 	return c.jobs[id].state
 }
 
-// Stats summarizes the jobs from the callers' side.
-type Stats struct {
-	Submitted, Accepted, Done, Failed int
-	MedianLatency, MaxLatency         time.Duration // from submission until the caller sees that the job is completed
-}
-
-// Stats returns the numbers and latencies so far.
-func (c *Cluster) Stats() Stats {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var stats Stats
-	var latencies []time.Duration
-	for _, sub := range c.jobs {
-		stats.Submitted++
-		if sub.accepted {
-			stats.Accepted++
-		}
-		switch sub.state {
-		case work.Done:
-			stats.Done++
-			latencies = append(latencies, sub.latency)
-		case work.Failed:
-			stats.Failed++
-		case work.Queued, work.Running, work.Cancelled:
-		}
-	}
-	if len(latencies) > 0 {
-		slices.Sort(latencies)
-		stats.MedianLatency, stats.MaxLatency = latencies[len(latencies)/2], latencies[len(latencies)-1]
-	}
-	return stats
-}
-
 func sorted(list []string) []string {
 	slices.Sort(list)
 	return list
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -50,6 +50,8 @@
 	SpareMachines     int // machines of the spare service
 	CoresPerMachine   int64
 	Unguarded         bool // runners start whatever they are told, even without room
+	Workspaces        int  // callers' accounts; 0 is a site whose callers need no keys
+	StrictRevocation  bool // daemons whose copy of the configuration is old refuse requests that need a key
 }
 
 // Small exercises every decision of the daemons and runs quickly.
@@ -78,10 +80,14 @@
 	jobs       map[work.ID]*submission
 	nextID     uint64
 	http       *http.Client
-	violations []string  // broken invariants that daemons reported
-	fatalRuns  int       // runs that have crashed their runners
-	onFatalRun func(int) // called with fatalRuns before each such crash
-	keepTrail  bool      // whether daemons keep their recent log lines, as they do outside the emulator
+	violations []string             // broken invariants that daemons reported
+	fatalRuns  int                  // runs that have crashed their runners
+	onFatalRun func(int)            // called with fatalRuns before each such crash
+	contact    map[string]time.Time // since when the contact of daemons with the store is undisturbed; zero while it is not
+	rotations  int                  // keys that were replaced
+	withdrawn  []string             // keys that were withdrawn
+	unchecked  map[string]struct{}  // services whose routes were public at some time
+	keepTrail  bool                 // whether daemons keep their recent log lines, as they do outside the emulator
 }
 
 // daemonNode is the name, data centre and address of a daemon, and its process.
@@ -121,6 +127,9 @@
 		daemons: map[string]*daemonNode{},
 		runners: map[string]*runnerServer{},
 		jobs:    map[work.ID]*submission{},
+		contact: map[string]time.Time{},
+
+		unchecked: map[string]struct{}{},
 	}
 	c.ctx, c.stop = context.WithCancel(ctx)
 	c.http = &http.Client{Transport: &http.Transport{DialContext: c.Net.Dialer(clientAddr), MaxIdleConnsPerHost: 8, IdleConnTimeout: 5 * time.Second}}
@@ -133,6 +142,10 @@
 		centre := size.Centres[i%len(size.Centres)]
 		c.daemons[name] = &daemonNode{name: name, centre: centre, addr: netip.AddrFrom4([4]byte{10, 1, byte(i % len(size.Centres)), byte(10 + i)})}
 	}
+	if size.Workspaces > 0 {
+		c.wg.Go(c.watchContact)
+		c.wg.Go(c.tryKeys)
+	}
 	return c
 }
 
@@ -287,6 +300,7 @@
 	s.Listen.Ready = netip.AddrPortFrom(node.addr, portReady)
 	s.Listen.Peers = netip.AddrPortFrom(node.addr, portPeers)
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
+	s.Bounds.RevokeStrict = c.size.StrictRevocation
 	return s
 }
 
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -15,6 +15,7 @@
 	Version  int64           `json:"Version"`
 	Routes   []configRoute   `json:"Routes"`
 	Services []configService `json:"Services"`
+	Tenants  []configTenant  `json:"Tenants,omitempty"`
 	Limits   map[string]int  `json:"Limits"`
 }
 
@@ -30,6 +31,7 @@
 	Service     string  `json:"Service"`
 	MaxAttempts int     `json:"MaxAttempts"`
 	SlackFactor float64 `json:"SlackFactor"`
+	Public      bool    `json:"Public,omitempty"`
 }
 
 // configService is a service of the configuration.
@@ -61,19 +63,32 @@
 	if c.size.SpareMachines > 0 {
 		c.config.Services = append(c.config.Services, configService{Name: spareService, RejectsOverload: true, Standby: true})
 	}
-	c.Store.Put("op", "config", c.config)
+	c.addWorkspaces()
+	c.storeConfig()
 }
 
 // UpdateConfig writes the next version of the configuration.
 func (c *Cluster) UpdateConfig() {
+	c.changeConfig(func(config *config) {
+		for i := range config.Routes {
+			config.Routes[i].TimeoutMs += 10
+		}
+	})
+}
+
+// changeConfig writes the next version of the configuration, with a change.
+func (c *Cluster) changeConfig(change func(*config)) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.config.Version += 3
-	for i := range c.config.Routes {
-		c.config.Routes[i].TimeoutMs += 10
-	}
-	updated := c.config
-	c.mu.Unlock()
-	c.Store.Put("op", "config", updated)
+	change(&c.config)
+	c.storeConfig()
+}
+
+// storeConfig writes the configuration to the store; the caller holds c.mu, or no daemon is running yet.
+func (c *Cluster) storeConfig() {
+	c.Store.Put("op", "config", c.config)
+	c.Checker.KeysInForce(c.config.keys())
 }
 
 // makeMachines adds the machines and boots those outside the spare service.
--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -16,7 +16,7 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runScenario(t, Small, seed, func(t *testing.T, c *Cluster) { runRandomFaults(t, c, seed) })
+			runScenario(t, randomSite(seed), seed, func(t *testing.T, c *Cluster) { runRandomFaults(t, c, seed) })
 		})
 	}
 }
@@ -119,3 +119,14 @@
 	}
 	return list
 }
+
+// randomSite returns the site of a random day: on every other one callers need keys, and daemons out of contact with the
+// store refuse them on every fourth.
+func randomSite(seed uint64) Size {
+	size := Small
+	if seed%2 == 0 {
+		size.Workspaces = 3
+		size.StrictRevocation = seed%4 == 0
+	}
+	return size
+}
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -18,6 +18,8 @@
 	starts     int                    // number of runs started
 	ends       map[work.EndReason]int
 	services   map[string]*serviceRecord // by name of a long-running task
+	keys       map[string]*keyRecord     // by key
+	keyUses    KeyUses
 }
 
 // jobRecord is what the checker knows of a submitted job.
@@ -55,7 +57,7 @@
 
 // NewChecker returns a checker that has observed nothing.
 func NewChecker() *Checker {
-	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}}
+	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}, keys: map[string]*keyRecord{}}
 }
 
 // addViolation records a violation; the caller holds c.mu.
--- a/standin/network.go
+++ b/standin/network.go
@@ -16,6 +16,7 @@
 	listeners map[netip.AddrPort]*listener
 	cutLinks  map[link]struct{}
 	conns     map[*conn]struct{}
+	brokenAt  map[netip.Addr]time.Time // when open connections of a host were last broken
 }
 
 // link is one direction between two hosts.
@@ -23,7 +24,7 @@
 
 // NewNetwork returns a network whose links all work.
 func NewNetwork() *Network {
-	return &Network{listeners: map[netip.AddrPort]*listener{}, cutLinks: map[link]struct{}{}, conns: map[*conn]struct{}{}}
+	return &Network{listeners: map[netip.AddrPort]*listener{}, cutLinks: map[link]struct{}{}, conns: map[*conn]struct{}{}, brokenAt: map[netip.Addr]time.Time{}}
 }
 
 // listener is a net.Listener of a Network.
@@ -197,10 +198,21 @@
 	}
 }
 
-// connsOf returns both ends of every open connection of a host.
+// BrokenAt returns when open connections of a host were last reset or blackholed; it is zero if they never were.
+func (n *Network) BrokenAt(host netip.Addr) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.brokenAt[host]
+}
+
+// Linked reports whether the links between two hosts work in both directions.
+func (n *Network) Linked(a, b netip.Addr) bool { return !n.cut(a, b) && !n.cut(b, a) }
+
+// connsOf returns both ends of every open connection of a host, which are about to be broken.
 func (n *Network) connsOf(host netip.Addr) []*conn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.brokenAt[host] = time.Now()
 	var conns []*conn
 	for c := range n.conns {
 		if c.from == host || c.to == host {
--- a/standin/store.go
+++ b/standin/store.go
@@ -90,6 +90,14 @@
 	s.faults = faults
 }
 
+// Serves reports whether the store's faults leave its reads by a host alone, apart from their latency.
+func (s *Store) Serves(host netip.Addr) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, rejected := s.faults.RejectFrom[host]
+	return !rejected && !s.faults.Down && !s.faults.Unresponsive
+}
+
 // Compact drops the change log, so that a feed from an older version gets 410 Gone.
 func (s *Store) Compact() {
 	s.mu.Lock()
