--- a/cache/confirmation.go
+++ b/cache/confirmation.go
@@ -13,8 +13,8 @@
 
 const (
 	// doubtfulAge is the age from which a copy of the configuration is confirmed before it is used. A version has to be in
-	// force 3 s after it was stored. A daemon in contact with the store confirms its copy about every 1.5 s; it gets older when
-	// the daemon was suspended or when the poll's connection is silently dead.
+	// force 3 s after it was stored. The copy of a daemon in contact with the store gets 1.5 s old, 2.3 s with a slow store, and
+	// older when the daemon was suspended or the poll's connection is silently dead.
 	doubtfulAge     = 2500 * time.Millisecond
 	confirmTimeout  = 300 * time.Millisecond // of the read that confirms the copy; callers wait for it
 	confirmInterval = 2 * time.Second        // between such reads that fail, so that an outage of the store delays few callers
@@ -23,18 +23,17 @@
 // confirmation records when the store last confirmed the copy of the configuration.
 type confirmation struct {
 	mu       sync.Mutex
-	at       time.Time     // when the newest read whose answer has been applied was sent
+	at       time.Time     // a time of which the copy is known to be the newest
 	failedAt time.Time     // when the last read by Confirm failed
 	reading  chan struct{} // closed when the read that is in progress ends; nil if there is none
 }
 
-// confirm records the answer to a read that was sent at a time. The sending counts, since an answer that arrived while the
-// process was suspended may be old by the time it is applied.
-func (c *confirmation) confirm(sentAt time.Time) {
+// confirm records that the copy was the newest at a time.
+func (c *confirmation) confirm(asOf time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if sentAt.After(c.at) {
-		c.at = sentAt
+	if asOf.After(c.at) {
+		c.at = asOf
 	}
 }
 
--- a/cli/operators.go
+++ b/cli/operators.go
@@ -25,8 +25,8 @@
 	if *asJSON {
 		return printJSON(e, s)
 	}
-	_, err = fmt.Fprintf(e.out, "instance   %s (%s)\ncentre     %s\nconfig     %d\nready      %t\nleaving    %t\ndaemons    %s\nschedules  %s\n",
-		s.Instance, s.Boot, s.Centre, s.Config, s.Ready, s.Leaving, strings.Join(s.Daemons, " "), strings.Join(s.Holds, " "))
+	_, err = fmt.Fprintf(e.out, "instance   %s (%s)\ncentre     %s\nconfig     %d\nconfirmed  %.1f s ago\nworkspaces %d\nready      %t\nleaving    %t\ndaemons    %s\nschedules  %s\n",
+		s.Instance, s.Boot, s.Centre, s.Config, s.Age.Or(0), s.Workspaces.Or(0), s.Ready, s.Leaving, strings.Join(s.Daemons, " "), strings.Join(s.Holds, " "))
 	return err
 }
 
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -207,6 +207,9 @@
 	if c.keepTrail {
 		log = zap.New(zapcore.NewTee(log.Core(), zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), trail, zapcore.InfoLevel)))
 	}
+	if c.size.Workspaces > 0 {
+		log = c.watchForKeys(log)
+	}
 	d, err := daemon.New(c.settings(node), log,
 		daemon.WithTrail(trail.Find),
 		daemon.WithClock(time.Now),
--- a/emulator/operators_test.go
+++ b/emulator/operators_test.go
@@ -21,7 +21,7 @@
 func TestOperatorAPI(t *testing.T) {
 	drainSyncPools()
 	synctest.Test(t, func(t *testing.T) {
-		c := New(context.Background(), Small, 5, zap.NewNop())
+		c := New(context.Background(), keyedSite(false), 5, zap.NewNop())
 		c.keepTrail = true
 		defer synctest.Wait()
 		defer c.Close()
@@ -42,6 +42,8 @@
 			require.True(t, status.Ready)
 			require.Len(t, status.Daemons, len(c.Daemons()))
 			require.Positive(t, status.Config)
+			require.Equal(t, 3, status.Workspaces.Value)
+			require.Less(t, status.Age.Value, 3.0)
 
 			services, err := client.ListServices(t.Context())
 			require.NoError(t, err)
--- a/emulator/scenario_test.go
+++ b/emulator/scenario_test.go
@@ -52,6 +52,7 @@
 		stats := c.Stats()
 		require.Empty(t, violations)
 		require.Empty(t, c.Violations())
+		require.Empty(t, c.storedKeys())
 		require.Positive(t, stats.Done)
 		starts, ends := c.Checker.RunCounts()
 		t.Logf("%+v, %d starts, ends %v, store calls %v", stats, starts, ends, c.Store.CallCounts())
--- a/emulator/workspaces.go
+++ b/emulator/workspaces.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,9 @@
 	"strconv"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"gypsumlead/standin"
 	"gypsumlead/work"
 )
@@ -22,6 +26,7 @@
 	defaultWeight    = 10
 	strangerIDPrefix = 0xffff << 48 // of jobs that must not be accepted
 	wrongKey         = "no-configuration-ever-had-this-key"
+	keyMark          = "key-" // part of each key that a configuration has
 )
 
 // configTenant is a workspace of the configuration in the platform's JSON format.
@@ -44,7 +49,7 @@
 func WorkspaceName(i int) string { return fmt.Sprintf("w%d", i) }
 
 // callerKey returns the key with which the callers of a workspace submit jobs; it is never withdrawn.
-func callerKey(workspace int) string { return "key-" + WorkspaceName(workspace) }
+func callerKey(workspace int) string { return keyMark + WorkspaceName(workspace) }
 
 // addWorkspaces adds the workspaces to the configuration, without caps.
 func (c *Cluster) addWorkspaces() {
@@ -131,6 +136,36 @@
 	return !unchecked
 }
 
+// watchForKeys returns a logger that reports lines with keys as violations.
+func (c *Cluster) watchForKeys(log *zap.Logger) *zap.Logger {
+	encoder := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	return zap.New(zapcore.NewTee(log.Core(), zapcore.NewCore(encoder, zapcore.AddSync(keyWatcher{c}), zapcore.DebugLevel)))
+}
+
+// keyWatcher receives the lines of daemons' logs.
+type keyWatcher struct{ c *Cluster }
+
+// Write reports a line that has a key.
+func (w keyWatcher) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte(keyMark)) || bytes.Contains(line, []byte(wrongKey)) {
+		w.c.mu.Lock()
+		defer w.c.mu.Unlock()
+		w.c.violations = append(w.c.violations, "a key is in the log: "+string(line))
+	}
+	return len(line), nil
+}
+
+// storedKeys returns the keys of the store's rows, other than the operator's, that contain a caller's key.
+func (c *Cluster) storedKeys() []string {
+	var list []string
+	for key, value := range c.Store.Values() {
+		if key != "op/config" && (bytes.Contains(value, []byte(keyMark)) || bytes.Contains(value, []byte(wrongKey))) {
+			list = append(list, key)
+		}
+	}
+	return list
+}
+
 // contactSince returns since when nothing has disturbed a daemon's contact with the store; zero if something does.
 func (c *Cluster) contactSince(daemon string) time.Time {
 	c.mu.Lock()
--- a/standin/store.go
+++ b/standin/store.go
@@ -138,6 +138,17 @@
 	return s.rows[rowKey{table, part, key}].Value
 }
 
+// Values returns the values of all rows by table and key.
+func (s *Store) Values() map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	values := map[string][]byte{}
+	for rk, row := range s.rows {
+		values[rk.table+"/"+rk.key] = append(values[rk.table+"/"+rk.key], row.Value...) // of all partitions
+	}
+	return values
+}
+
 // setRow stores or deletes a row and appends the change to the log.
 func (s *Store) setRow(r wireRow) {
 	rk := rowKey{r.Table, r.Partition, r.Key}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -43,9 +43,9 @@
 	Apply func(ctx context.Context, page platform.Page, snapshot bool) error
 	// OnError is called after each failed poll; it may be nil.
 	OnError func()
-	// OnAnswer is called after each poll whose rows, all that there were, have been applied, with the time by Now at which
-	// the poll was sent. It may be nil.
-	OnAnswer func(sentAt time.Time)
+	// OnAnswer is called after each poll whose rows have been applied, with a time, by Now, of which all rows are known. It
+	// may be nil.
+	OnAnswer func(asOf time.Time)
 	Now      clock.Clock // needed with OnAnswer
 }
 
@@ -117,7 +117,17 @@
 	}
 	w.FromVersion = page.Version
 	if w.OnAnswer != nil && !page.More {
-		w.OnAnswer(sentAt)
+		w.OnAnswer(w.answeredAsOf(sentAt, !snapshot && len(page.Rows) == 0))
 	}
 	return nil
 }
+
+// answeredAsOf returns the earliest time at which the store can have answered a poll. The arrival of the answer doesn't count:
+// a process that was suspended meanwhile takes an old answer for a new one. The store holds a poll for changes that has none
+// for LongPollTimeout.
+func (w *Watcher) answeredAsOf(sentAt time.Time, held bool) time.Time {
+	if end := sentAt.Add(LongPollTimeout); held && !w.Now().Before(end) {
+		return end
+	}
+	return sentAt
+}
