Caps of workspaces: a granter splits them over the services, leaders keep to their portions

Cause: a workspace's cap counts over all services, and each service's leader knows only its own runs. Change: package budget (Granter: what each service may hold, max-min split; Holding: portions in effect at a leader, which expire after 5 s and are scaled down under a lower cap); sched keeps what each workspace uses incrementally, bounds what earlier leaders' runs may use unseen, and starts nothing beyond the allowance, also for gangs, preemption, reservations, shedding and machines; leaders report every 200 ms and when a start is held up, to the daemon that leads the coordinator's service. The final progress of a cancelled job of a workspace names the runners that may still have its runs. WorkspaceUsage gets the amount that is next to start, without which two services could each get too little for one task. Metrics gypsumlead_caps_*; "job held up by the cap of its workspace" is logged under the job's ID, so that explain shows it. Ruled out: portions that expire at the granter (a cut-off leader may still use them); distributing by what is left over (a service that refills at once would keep all it has); see docs/design/75-caps.md.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -75,6 +75,7 @@
 	poolManager     *machines.PoolManager
 	coordinator     *machines.Coordinator
 	leaseConfig     sched.LeaseConfig
+	granter         granter
 
 	mu         sync.Mutex
 	lastRead   settings.Settings // the settings file as last read; only some of its changes are in settings
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -228,6 +228,8 @@
 		return &wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{}}}, nil
 	case *wire.Request_Report:
 		return d.handleReport(body.Report), nil
+	case *wire.Request_Usage:
+		return d.handleUsage(body.Usage), nil
 	case *wire.Request_Relay:
 		result, led, err := d.handleRelay(ctx, body.Relay)
 		if err != nil {
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -162,6 +162,10 @@
 	d.configure(l)
 	d.runnerList.Replay(service, l.RunnerListed)
 	d.publishLedServices()
+	g.Go(func() error {
+		d.reportUsage(ctx, l)
+		return nil
+	})
 	g.Go(func() error {
 		err := l.Run(ctx)
 		d.log.Info("leadership ended", zap.String("service", service), zap.Error(err))
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -59,6 +59,9 @@
 	if in.err != nil {
 		return in.err
 	}
+	if err := d.setUpCapMetrics(in); err != nil {
+		return err
+	}
 	duration, err := in.meter.Float64Histogram("gypsumlead.submit.duration", metric.WithUnit("s"), metric.WithDescription("time to answer a submitted job, by answer"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/emulator/caps_test.go
@@ -0,0 +1,149 @@
+package emulator
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/daemon"
+	"gypsumlead/leader"
+	"gypsumlead/platform"
+	"gypsumlead/work"
+)
+
+// cappedTenant is a workspace of the configuration with a cap.
+type cappedTenant struct {
+	Name string
+	Cap  struct {
+		CPU int64 `json:"Cpu"`
+	}
+}
+
+// setCap writes a configuration with one workspace that has a cap in millicores.
+func setCap(c *Cluster, workspace string, cpu int64) {
+	tenant := cappedTenant{Name: workspace}
+	tenant.Cap.CPU = cpu
+	c.mu.Lock()
+	c.config.Version += 3
+	updated := struct {
+		config
+		Tenants []cappedTenant
+	}{c.config, []cappedTenant{tenant}}
+	c.mu.Unlock()
+	c.Store.Put("op", "config", updated)
+}
+
+// submitAs submits a job of a workspace at a daemon, without the check of a key, and polls it until it ends.
+func submitAs(c *Cluster, workspace, service string, shape JobShape) work.ID {
+	wire, job := c.NewBatchJob(shape)
+	id, sub := c.register(service, job)
+	body, err := json.Marshal(wire)
+	if err != nil {
+		panic(err) // values made by the emulator always encode
+	}
+	rng := c.newRand()
+	c.wg.Go(func() {
+		parsed, err := platform.DecodeJob(body)
+		if err != nil {
+			panic(err) // so do they decode
+		}
+		parsed.Workspace = workspace
+		queue := work.Queue{Name: "q-" + service, Service: service, Attempts: maxAttempts, Slack: 1.6, Aim: 600 * time.Millisecond}
+		for range maxTries {
+			result := runningDaemon(c).Submit(c.ctx, id, queue, parsed)
+			c.Checker.SubmitAnswered(id, result.Verdict == leader.Accepted, result.Verdict == leader.Refused)
+			if result.Verdict == leader.Accepted {
+				c.mu.Lock()
+				sub.accepted = true
+				c.mu.Unlock()
+				c.pollUntilFinal(id, sub, rng)
+				return
+			}
+			if !c.sleep(retryDelay) {
+				return
+			}
+		}
+	})
+	return id
+}
+
+// runningDaemon returns a daemon that is ready.
+func runningDaemon(c *Cluster) *daemon.Daemon {
+	for {
+		if node := c.pickDaemon(c.newRand(), ""); node != nil {
+			c.mu.Lock()
+			proc := node.process
+			c.mu.Unlock()
+			if proc != nil {
+				return proc.daemon
+			}
+		}
+		c.sleep(retryDelay)
+	}
+}
+
+// watchUse records the most that all runners together had in use, in millicores, until stop is called.
+func watchUse(c *Cluster) (stop func() int64) {
+	most, done, ended := int64(0), make(chan struct{}), make(chan struct{})
+	c.wg.Go(func() {
+		defer close(ended)
+		for {
+			use := int64(0)
+			c.mu.Lock()
+			for _, server := range c.runners {
+				use += server.runner.InUse().CPU
+			}
+			c.mu.Unlock()
+			most = max(most, use)
+			select {
+			case <-done:
+				return
+			case <-c.ctx.Done():
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+		}
+	})
+	return func() int64 {
+		close(done)
+		<-ended
+		return most
+	}
+}
+
+// The workspace wants far more than its cap on two services, and leaders and granter are killed meanwhile: what a lost
+// leader's runs use and what a lost granter gave must go on counting, and all jobs must still end.
+func TestCapBindsWhileLeadersAreKilled(t *testing.T) {
+	for _, lost := range []string{"s0", spareService} {
+		t.Run(lost, func(t *testing.T) {
+			runScenario(t, Small, 61, func(t *testing.T, c *Cluster) {
+				const limit, task = 24_000, 2000
+				setCap(c, "w", limit)
+				time.Sleep(time.Second)
+				stop := watchUse(c)
+				shape := JobShape{MaxSteps: 2, MaxWidth: 5, MeanMS: 800, CPU: task}
+				var jobs []work.ID
+				for i := range 100 {
+					jobs = append(jobs, submitAs(c, "w", serviceName(i%2), shape))
+					time.Sleep(50 * time.Millisecond)
+					if i == 50 {
+						name := c.Leader(lost)
+						c.Kill(name)
+						c.wg.Go(func() {
+							c.sleep(10 * time.Second)
+							c.Start(name)
+						})
+					}
+				}
+				time.Sleep(40 * time.Second)
+				most := stop()
+				t.Logf("at most %d millicores of %d", most, limit)
+				require.LessOrEqual(t, most, int64(limit*11/10+task))
+				require.GreaterOrEqual(t, most, int64(limit*3/4), "the cap is used")
+				require.Equal(t, len(jobs), countDone(c, jobs))
+			})
+		})
+	}
+}
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -95,6 +95,7 @@
 // process is one start of a daemon.
 type process struct {
 	network   *daemonNet
+	daemon    *daemon.Daemon
 	stop      context.CancelFunc
 	done      chan struct{}
 	seenReady bool // it has been ready since its start; guarded by Cluster.mu
@@ -207,7 +208,7 @@
 		panic(err) // settings and addresses made by the emulator are valid
 	}
 	ctx, cancel := context.WithCancel(c.ctx)
-	proc := &process{network: dn, stop: cancel, done: make(chan struct{})}
+	proc := &process{network: dn, daemon: d, stop: cancel, done: make(chan struct{})}
 	node.process = proc
 	c.wg.Go(func() { c.awaitReady(node, proc) })
 	c.wg.Go(func() {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -64,9 +64,10 @@
 	guarded         bool                 // the service's runners reject what exceeds their room
 	workspaces      []platform.Workspace // as configured; empty if callers need no keys
 	services        int                  // number of configured services
-	runnersRead     bool                 // the runners' list was up to date since this leader took over
-	commitSentAt    time.Time            // when the commit that is being sent began; zero if there is none
-	commitFailed    bool                 // the last commit was refused or not answered
+	caps            caps
+	runnersRead     bool      // the runners' list was up to date since this leader took over
+	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
+	commitFailed    bool      // the last commit was refused or not answered
 
 	wakePlan   chan struct{}
 	wakeCommit chan struct{}
@@ -97,9 +98,10 @@
 		wakeCommit:    make(chan struct{}, 1),
 		done:          make(chan struct{}),
 		epoch:         lease.HeartbeatEpoch,
+		caps:          newCaps(lease),
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
-	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished))
+	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp))
 	return l
 }
 
@@ -195,6 +197,7 @@
 	defer l.mu.Unlock()
 	l.pool.SetStoreAvailable(l.storeTakesCommits(now))
 	l.pool.AllowStarts(l.mayStart(now))
+	l.expirePortions(now)
 	if l.pool.Fenced() {
 		l.loseLease(fault.New(fault.Fenced, "a runner has seen a later leader"))
 		return
@@ -202,6 +205,9 @@
 	for _, o := range l.pool.Plan(now, time.Now(), l.leaseConfirmed(now)) {
 		l.dispatch(o)
 	}
+	if l.pool.NewlyHeldUp() {
+		sleep.Wake(l.caps.reported)
+	}
 	if at, ok := l.pool.NextCommit(); ok && !now.Before(at) {
 		sleep.Wake(l.wakeCommit)
 	}
@@ -281,5 +287,6 @@
 	l.pool.SetQueues(queues)
 	l.guarded = guarded
 	l.workspaces, l.services = workspaces, services
+	l.configureCaps(workspaces)
 	sleep.Wake(l.wakePlan)
 }
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -5,6 +5,7 @@
 // Timeouts, intervals and limits of a leader.
 const (
 	LeaseGrace          = 8 * time.Second         // a leader that the store doesn't answer continues for this long after its last heartbeat has timed out
+	lateOrders          = 12 * time.Second        // after which an order that wasn't answered isn't executed any more
 	clockSlack          = 500 * time.Millisecond  // added to computed end times, for a runner's clock and orders in transit
 	callTimeout         = 2 * time.Second         // for a call to the store or the policy service; a slow store takes several hundred milliseconds
 	restoreTimeout      = 4 * time.Second         // for loading the state of earlier leaders, which takes several calls one after the other
--- a/leader/session.go
+++ b/leader/session.go
@@ -232,6 +232,7 @@
 	l := s.leader
 	now := l.Now()
 	l.mu.Lock()
+	l.expirePortions(now)
 	shouldSend := l.mayOrder(now) && l.mayStart(now) && l.pool.ShouldSend(o)
 	leaseExpiry := l.pool.ExtendLease(now, s.target.ID)
 	if !shouldSend {
--- a/sched/check.go
+++ b/sched/check.go
@@ -21,6 +21,7 @@
 	for _, r := range p.runners {
 		p.checkRunner(r)
 	}
+	p.checkWorkspaces()
 }
 
 // checkTask reports every violation of an invariant of one task.
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -74,11 +74,14 @@
 			}
 		}
 	}
-	for _, c := range p.candidates(now, wall) {
+	p.measureWorkspaces()
+	candidates := p.candidates(now, wall)
+	p.resetRooms()
+	for _, c := range candidates {
 		if c.step.spec.BestEffort {
 			continue
 		}
-		need := int64(c.step.waiting) * c.step.spec.Resources.CPU
+		need := p.countStartable(c.step) * c.step.spec.Resources.CPU
 		if c.late {
 			d.Late += need
 		} else {
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -49,7 +49,7 @@
 		}
 		for _, occ := range j.occurrences {
 			for _, s := range occ.steps {
-				if s.waiting > 0 && !s.spec.LongRunning && s.occurrence.due.IsZero() && s.ready(time.Time{}) {
+				if s.waiting > 0 && !s.spec.LongRunning && s.occurrence.due.IsZero() && s.ready(time.Time{}) && !p.heldByCap(s) {
 					return true
 				}
 			}
--- a/sched/job.go
+++ b/sched/job.go
@@ -17,6 +17,8 @@
 	committedState work.State // as the store has it
 	inherited      bool       // accepted under an earlier leader, whose runs may not all be known yet
 	placements     placements // runners that may have runs of the job
+	workspace      *workspace // nil if it has none
+	heldUp         bool       // the cap of its workspace has held it up
 	occurrences    []*occurrence
 	shedFactor     float64   // see shedWeight
 	remaining      int       // tasks that aren't done
@@ -206,6 +208,7 @@
 	t.runs = slices.Delete(t.runs, i, i+1)
 	run.runner.removeRun(run)
 	j := t.step.job
+	j.workspace.account(t.step.spec, -1)
 	j.placements.removeRun(run.runner.ID, j.changeSeq+1)
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting++
@@ -221,6 +224,7 @@
 	t.runs = append(t.runs, run)
 	t.lastRun = max(t.lastRun, run.number)
 	run.runner.addRun(run)
+	t.step.job.workspace.account(t.step.spec, 1)
 	t.step.job.placements.addRun(run.runner.ID)
 }
 
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -62,13 +62,14 @@
 func (p *Pool) overload(now, wall time.Time) map[*occurrence]struct{} {
 	shed := map[*occurrence]struct{}{}
 	byPriority := map[int][]occurrenceLoad{}
+	p.resetRooms()
 	for _, j := range p.live {
 		if j.state.Final() {
 			continue
 		}
 		for _, occ := range j.occurrences {
 			load, ok := p.loadOf(now, wall, occ, j)
-			if ok {
+			if ok && p.capsAllow(wall, occ) {
 				byPriority[j.queue.Priority] = append(byPriority[j.queue.Priority], load)
 			}
 		}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -23,6 +23,8 @@
 	p.assessRuns(now)
 	p.evacuate(now)
 	p.stopUnwanted()
+	p.measureWorkspaces()
+	p.beginHoldUps()
 	p.withdrawPlanned(now)
 	p.placeAll(now, wall)
 	p.orderPlanned(now)
@@ -101,13 +103,23 @@
 	}
 	p.leastUrgentPriority = p.leastUrgent()
 	blocked := 0
-	for _, c := range p.candidates(now, wall) {
+	candidates := p.candidates(now, wall)
+	defer p.noteWaiting(candidates)
+	for _, c := range candidates {
+		if p.heldByCap(c.step) {
+			p.holdUp(c.step)
+			continue
+		}
 		if !p.ensureApproved(now, c.step) {
 			continue
 		}
 		if p.placeStep(now, c.step) || c.step.spec.BestEffort {
 			continue
 		}
+		if p.heldByCap(c.step) {
+			p.holdUp(c.step)
+			continue
+		}
 		if !p.storeAvailable {
 			continue // it may be the store that it waits for, which no room would change
 		}
@@ -130,6 +142,9 @@
 		if t.done || len(t.runs) > 0 || t.held {
 			continue
 		}
+		if p.heldByCap(s) {
+			return false
+		}
 		r := p.chooseRunner(now, t)
 		if r == nil && t.suspect && p.reserveForTrial(now, t) {
 			continue
@@ -193,6 +208,7 @@
 
 // orderStart orders the start of a planned run.
 func (p *Pool) orderStart(now time.Time, run *taskRun) {
+	p.checkAllowance(run)
 	t, r, s := run.task, run.runner, run.task.step
 	run.phase, run.sentAt = sending, now
 	order := Start{Target: r.target(), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/fault"
@@ -25,6 +26,11 @@
 	onViolation         func(error)
 	onAbandon           func(AbandonedRun)
 	onJobEnd            func(JobEnd)
+	onHeldUp            func(HeldUp)
+	caps                map[string]work.Resources // configured caps of workspaces
+	allowances          map[string]work.Resources // what workspaces with caps may use in this pool
+	workspaces          map[string]*workspace     // of known jobs
+	endedInherited      []*job                    // jobs that ended under an earlier leader while they had runs
 	counts              counts
 	checkInterval       time.Duration // between two checks of the invariants
 	lastChecked         time.Time
@@ -107,6 +113,8 @@
 		onViolation:         func(error) {},
 		onAbandon:           func(AbandonedRun) {},
 		onJobEnd:            func(JobEnd) {},
+		onHeldUp:            func(HeldUp) {},
+		workspaces:          map[string]*workspace{},
 		counts:              newCounts(),
 		checkInterval:       defaultCheckInterval,
 		leadershipConfirmed: true,
@@ -146,9 +154,13 @@
 		queue = q
 	}
 	j := newJob(id, queue, spec, now)
+	j.workspace = p.joinWorkspace(spec.Workspace)
+	if j.workspace != nil {
+		j.workspace.accepted(now)
+	}
 	p.jobs[id] = j
 	p.live = append(p.live, j)
-	if !spec.LongRunning() {
+	if !spec.LongRunning() && !j.workspace.isHeldUp() {
 		p.arrivals.add(now, spec.CPUSeconds()*1000)
 	}
 }
@@ -263,6 +275,8 @@
 			ids = append(ids, id)
 			delete(p.jobs, id)
 			p.dropLostTrials(j)
+			p.leaveWorkspace(j.workspace)
+			p.endedInherited = slices.DeleteFunc(p.endedInherited, func(ended *job) bool { return ended == j })
 		}
 	}
 	p.prune()
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -45,6 +45,9 @@
 // progress returns the job's progress to store. A final job keeps only its state.
 func (j *job) progress() Progress {
 	if j.state.Final() {
+		if j.workspace != nil && j.hasRuns() {
+			return Progress{State: j.state, Runners: j.placements.list()} // its runs count against a cap until they have ended
+		}
 		return Progress{State: j.state}
 	}
 	pr := Progress{State: j.state, Runners: j.placements.list()}
@@ -152,7 +155,7 @@
 		queue = q
 	}
 	j := newJob(id, queue, spec, accepted)
-	j.inherited = true
+	j.inherited, j.workspace = true, p.joinWorkspace(spec.Workspace)
 	p.jobs[id] = j
 	if pr != nil {
 		p.restore(now, j, *pr)
@@ -167,6 +170,10 @@
 	if pr.State.Final() {
 		j.state, j.committedState, j.ended = pr.State, pr.State, now
 		// Polls find the job's remaining runs, which are then stopped.
+		if len(pr.Runners) > 0 {
+			j.restorePlacements(pr.Runners)
+			p.endedInherited = append(p.endedInherited, j)
+		}
 		return
 	}
 	j.restorePlacements(pr.Runners)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -29,9 +29,10 @@
 	keptFor         *job      // only runs of this job may start, so that its suspects soon can
 	keptUntil       time.Time // of keptFor
 	used            work.Resources
-	longRunningCPU  int64          // part of used: by long-running tasks
-	orphaned        work.Resources // by listed runs that belong to no task, until a poll no longer lists them
-	unknownRuns     bool           // it lists runs of unknown jobs, whose resources are unknown
+	longRunningCPU  int64                         // part of used: by long-running tasks
+	orphaned        work.Resources                // by listed runs that belong to no task, until a poll no longer lists them
+	orphanedBy      map[*workspace]work.Resources // the same by workspace, of tasks that have one
+	unknownRuns     bool                          // it lists runs of unknown jobs, whose resources are unknown
 	bestEffortRuns  int
 	evacuating      bool
 	retained        bool // it stays when the pool releases machines
@@ -98,10 +99,18 @@
 		return
 	}
 	r.orphaned = r.orphaned.Add(s.spec.Occupied())
+	if w := s.job.workspace; w != nil {
+		if r.orphanedBy == nil {
+			r.orphanedBy = map[*workspace]work.Resources{}
+		}
+		r.orphanedBy[w] = r.orphanedBy[w].Add(s.spec.Resources)
+	}
 }
 
 // forgetOrphans forgets the orphans of the last poll.
-func (r *runner) forgetOrphans() { r.orphaned, r.unknownRuns = work.Resources{}, false }
+func (r *runner) forgetOrphans() {
+	r.orphaned, r.orphanedBy, r.unknownRuns = work.Resources{}, nil, false
+}
 
 // overfull reports whether the runs on the runner need more than its room, which may have shrunk, or may do so.
 func (r *runner) overfull() bool { return r.unknownRuns || !(work.Resources{}).Fits(r.free()) }
