Operators see what workspaces use of their caps: /v1/workspaces, gypsumlead workspaces

Cause: nobody could tell how much of a cap is granted, in use and waited for. Change: the granter's daemon lists the workspaces with a cap; the command asks all daemons. The emulator's test reads it. Ruled out: relaying to the granter, as the other commands ask all daemons as well.

--- a/api/oas/oas_client_gen.go
+++ b/api/oas/oas_client_gen.go
@@ -45,6 +45,13 @@
 	//
 	// GET /v1/services
 	ListServices(ctx context.Context) ([]Service, error)
+	// ListWorkspaces invokes listWorkspaces operation.
+	//
+	// The workspaces with a cap and what they use of it, where this daemon splits the caps over the
+	// services.
+	//
+	// GET /v1/workspaces
+	ListWorkspaces(ctx context.Context) ([]Workspace, error)
 }
 
 // Client implements OAS client.
@@ -293,3 +300,47 @@
 
 	return result, nil
 }
+
+// ListWorkspaces invokes listWorkspaces operation.
+//
+// The workspaces with a cap and what they use of it, where this daemon splits the caps over the
+// services.
+//
+// GET /v1/workspaces
+func (c *Client) ListWorkspaces(ctx context.Context) ([]Workspace, error) {
+	res, err := c.sendListWorkspaces(ctx)
+	return res, err
+}
+
+func (c *Client) sendListWorkspaces(ctx context.Context) (res []Workspace, err error) {
+
+	u := uri.Clone(c.requestURL(ctx))
+	var pathParts [1]string
+	pathParts[0] = "/v1/workspaces"
+	uri.AddPathParts(u, pathParts[:]...)
+
+	r, err := ht.NewRequest(ctx, "GET", u)
+	if err != nil {
+		return res, errors.Wrap(err, "create request")
+	}
+
+	resp, err := c.cfg.Client.Do(r)
+	if err != nil {
+		return res, errors.Wrap(err, "do request")
+	}
+	body := resp.Body
+	defer func() {
+		// Drain the body to EOF before closing, so the underlying
+		// connection can be reused by the Transport regardless of the
+		// response status code. See https://github.com/ogen-go/ogen/issues/1670.
+		_, _ = io.Copy(io.Discard, body)
+		_ = body.Close()
+	}()
+
+	result, err := decodeListWorkspacesResponse(resp)
+	if err != nil {
+		return res, errors.Wrap(err, "decode response")
+	}
+
+	return result, nil
+}
--- a/api/oas/oas_handlers_gen.go
+++ b/api/oas/oas_handlers_gen.go
@@ -369,3 +369,80 @@
 		return
 	}
 }
+
+// handleListWorkspacesRequest handles listWorkspaces operation.
+//
+// The workspaces with a cap and what they use of it, where this daemon splits the caps over the
+// services.
+//
+// GET /v1/workspaces
+func (s *Server) handleListWorkspacesRequest(args [0]string, argsEscaped bool, w http.ResponseWriter, r *http.Request) {
+	statusWriter := &codeRecorder{ResponseWriter: w}
+	w = statusWriter
+	ctx := r.Context()
+
+	var (
+		err error
+	)
+
+	var rawBody []byte
+
+	var response []Workspace
+	if m := s.cfg.Middleware; m != nil {
+		mreq := middleware.Request{
+			Context:          ctx,
+			OperationName:    ListWorkspacesOperation,
+			OperationSummary: "The workspaces with a cap and what they use of it, where this daemon splits the caps over the services.",
+			OperationID:      "listWorkspaces",
+			Body:             nil,
+			RawBody:          rawBody,
+			Params:           middleware.Parameters{},
+			Raw:              r,
+		}
+
+		type (
+			Request  = struct{}
+			Params   = struct{}
+			Response = []Workspace
+		)
+		response, err = middleware.HookMiddleware[
+			Request,
+			Params,
+			Response,
+		](
+			m,
+			mreq,
+			nil,
+			func(ctx context.Context, request Request, params Params) (response Response, err error) {
+				response, err = s.h.ListWorkspaces(ctx)
+				return response, err
+			},
+		)
+	} else {
+		response, err = s.h.ListWorkspaces(ctx)
+	}
+	if err != nil {
+		if errRes, ok := errors.Into[*FaultStatusCode](err); ok {
+			if err := encodeErrorResponse(errRes, w); err != nil {
+				defer recordError("Internal", err)
+			}
+			return
+		}
+		if errors.Is(err, ht.ErrNotImplemented) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+			return
+		}
+		if err := encodeErrorResponse(s.h.NewError(ctx, err), w); err != nil {
+			defer recordError("Internal", err)
+		}
+		return
+	}
+
+	if err := encodeListWorkspacesResponse(response, w); err != nil {
+		defer recordError("EncodeResponse", err)
+		if !errors.Is(err, ht.ErrInternalServerErrorResponse) {
+			s.cfg.ErrorHandler(ctx, w, r, err)
+		}
+		return
+	}
+}
--- a/api/oas/oas_json_gen.go
+++ b/api/oas/oas_json_gen.go
@@ -11,6 +11,136 @@
 	"github.com/ogen-go/ogen/validate"
 )
 
+// Encode implements json.Marshaler.
+func (s *Amount) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Amount) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("cpu")
+		e.Int64(s.CPU)
+	}
+	{
+		e.FieldStart("mem")
+		e.Int64(s.Mem)
+	}
+	{
+		e.FieldStart("gpu")
+		e.Int64(s.Gpu)
+	}
+}
+
+var jsonFieldsNameOfAmount = [3]string{
+	0: "cpu",
+	1: "mem",
+	2: "gpu",
+}
+
+// Decode decodes Amount from json.
+func (s *Amount) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Amount to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "cpu":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Int64()
+				s.CPU = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cpu\"")
+			}
+		case "mem":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				v, err := d.Int64()
+				s.Mem = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"mem\"")
+			}
+		case "gpu":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				v, err := d.Int64()
+				s.Gpu = int64(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"gpu\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Amount")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00000111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfAmount) {
+					name = jsonFieldsNameOfAmount[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Amount) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Amount) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
+
 // Encode implements json.Marshaler.
 func (s *Fault) Encode(e *jx.Encoder) {
 	e.ObjStart()
@@ -819,3 +949,159 @@
 	d := jx.DecodeBytes(data)
 	return s.Decode(d)
 }
+
+// Encode implements json.Marshaler.
+func (s *Workspace) Encode(e *jx.Encoder) {
+	e.ObjStart()
+	s.encodeFields(e)
+	e.ObjEnd()
+}
+
+// encodeFields encodes fields.
+func (s *Workspace) encodeFields(e *jx.Encoder) {
+	{
+		e.FieldStart("name")
+		e.Str(s.Name)
+	}
+	{
+		e.FieldStart("cap")
+		s.Cap.Encode(e)
+	}
+	{
+		e.FieldStart("granted")
+		s.Granted.Encode(e)
+	}
+	{
+		e.FieldStart("running")
+		s.Running.Encode(e)
+	}
+	{
+		e.FieldStart("waiting")
+		s.Waiting.Encode(e)
+	}
+}
+
+var jsonFieldsNameOfWorkspace = [5]string{
+	0: "name",
+	1: "cap",
+	2: "granted",
+	3: "running",
+	4: "waiting",
+}
+
+// Decode decodes Workspace from json.
+func (s *Workspace) Decode(d *jx.Decoder) error {
+	if s == nil {
+		return errors.New("invalid: unable to decode Workspace to nil")
+	}
+	var requiredBitSet [1]uint8
+
+	if err := d.ObjBytes(func(d *jx.Decoder, k []byte) error {
+		switch string(k) {
+		case "name":
+			requiredBitSet[0] |= 1 << 0
+			if err := func() error {
+				v, err := d.Str()
+				s.Name = string(v)
+				if err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"name\"")
+			}
+		case "cap":
+			requiredBitSet[0] |= 1 << 1
+			if err := func() error {
+				if err := s.Cap.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"cap\"")
+			}
+		case "granted":
+			requiredBitSet[0] |= 1 << 2
+			if err := func() error {
+				if err := s.Granted.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"granted\"")
+			}
+		case "running":
+			requiredBitSet[0] |= 1 << 3
+			if err := func() error {
+				if err := s.Running.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"running\"")
+			}
+		case "waiting":
+			requiredBitSet[0] |= 1 << 4
+			if err := func() error {
+				if err := s.Waiting.Decode(d); err != nil {
+					return err
+				}
+				return nil
+			}(); err != nil {
+				return errors.Wrap(err, "decode field \"waiting\"")
+			}
+		default:
+			return d.Skip()
+		}
+		return nil
+	}); err != nil {
+		return errors.Wrap(err, "decode Workspace")
+	}
+	// Validate required fields.
+	var failures []validate.FieldError
+	for i, mask := range [1]uint8{
+		0b00011111,
+	} {
+		if result := (requiredBitSet[i] & mask) ^ mask; result != 0 {
+			// Mask only required fields and check equality to mask using XOR.
+			//
+			// If XOR result is not zero, result is not equal to expected, so some fields are missed.
+			// Bits of fields which would be set are actually bits of missed fields.
+			missed := bits.OnesCount8(result)
+			for bitN := 0; bitN < missed; bitN++ {
+				bitIdx := bits.TrailingZeros8(result)
+				fieldIdx := i*8 + bitIdx
+				var name string
+				if fieldIdx < len(jsonFieldsNameOfWorkspace) {
+					name = jsonFieldsNameOfWorkspace[fieldIdx]
+				} else {
+					name = strconv.Itoa(fieldIdx)
+				}
+				failures = append(failures, validate.FieldError{
+					Name:  name,
+					Error: validate.ErrFieldRequired,
+				})
+				// Reset bit.
+				result &^= 1 << bitIdx
+			}
+		}
+	}
+	if len(failures) > 0 {
+		return &validate.Error{Fields: failures}
+	}
+
+	return nil
+}
+
+// MarshalJSON implements stdjson.Marshaler.
+func (s *Workspace) MarshalJSON() ([]byte, error) {
+	e := jx.Encoder{}
+	s.Encode(&e)
+	return e.Bytes(), nil
+}
+
+// UnmarshalJSON implements stdjson.Unmarshaler.
+func (s *Workspace) UnmarshalJSON(data []byte) error {
+	d := jx.DecodeBytes(data)
+	return s.Decode(d)
+}
--- a/api/oas/oas_operations_gen.go
+++ b/api/oas/oas_operations_gen.go
@@ -6,8 +6,9 @@
 type OperationName = string
 
 const (
-	GetJobOperation       OperationName = "GetJob"
-	GetStatusOperation    OperationName = "GetStatus"
-	GetTrailOperation     OperationName = "GetTrail"
-	ListServicesOperation OperationName = "ListServices"
+	GetJobOperation         OperationName = "GetJob"
+	GetStatusOperation      OperationName = "GetStatus"
+	GetTrailOperation       OperationName = "GetTrail"
+	ListServicesOperation   OperationName = "ListServices"
+	ListWorkspacesOperation OperationName = "ListWorkspaces"
 )
--- a/api/oas/oas_response_decoders_gen.go
+++ b/api/oas/oas_response_decoders_gen.go
@@ -407,3 +407,103 @@
 	}
 	return res, errors.Wrap(defRes, "error")
 }
+
+func decodeListWorkspacesResponse(resp *http.Response) (res []Workspace, _ error) {
+	switch resp.StatusCode {
+	case 200:
+		// Code 200.
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response []Workspace
+			if err := func() error {
+				response = make([]Workspace, 0)
+				if err := d.Arr(func(d *jx.Decoder) error {
+					var elem Workspace
+					if err := elem.Decode(d); err != nil {
+						return err
+					}
+					response = append(response, elem)
+					return nil
+				}); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			// Validate response.
+			if err := func() error {
+				if response == nil {
+					return errors.New("nil is invalid value")
+				}
+				return nil
+			}(); err != nil {
+				return res, errors.Wrap(err, "validate")
+			}
+			return response, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}
+	// Convenient error response.
+	defRes, err := func() (res *FaultStatusCode, err error) {
+		ct, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+		if err != nil {
+			return res, errors.Wrap(err, "parse media type")
+		}
+		switch {
+		case ct == "application/json":
+			buf, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return res, err
+			}
+			d := jx.DecodeBytes(buf)
+
+			var response Fault
+			if err := func() error {
+				if err := response.Decode(d); err != nil {
+					return err
+				}
+				if err := d.Skip(); err != io.EOF {
+					return errors.New("unexpected trailing data")
+				}
+				return nil
+			}(); err != nil {
+				err = &ogenerrors.DecodeBodyError{
+					ContentType: ct,
+					Body:        buf,
+					Err:         err,
+				}
+				return res, err
+			}
+			return &FaultStatusCode{
+				StatusCode: resp.StatusCode,
+				Response:   response,
+			}, nil
+		default:
+			return res, validate.InvalidContentType(ct)
+		}
+	}()
+	if err != nil {
+		return res, errors.Wrapf(err, "default (code %d)", resp.StatusCode)
+	}
+	return res, errors.Wrap(defRes, "error")
+}
--- a/api/oas/oas_response_encoders_gen.go
+++ b/api/oas/oas_response_encoders_gen.go
@@ -70,6 +70,23 @@
 	return nil
 }
 
+func encodeListWorkspacesResponse(response []Workspace, w http.ResponseWriter) error {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.WriteHeader(200)
+
+	e := new(jx.Encoder)
+	e.ArrStart()
+	for _, elem := range response {
+		elem.Encode(e)
+	}
+	e.ArrEnd()
+	if _, err := e.WriteTo(w); err != nil {
+		return errors.Wrap(err, "write")
+	}
+
+	return nil
+}
+
 func encodeErrorResponse(response *FaultStatusCode, w http.ResponseWriter) error {
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	code := response.StatusCode
--- a/api/oas/oas_router_gen.go
+++ b/api/oas/oas_router_gen.go
@@ -197,6 +197,31 @@
 					return
 				}
 
+			case 'w': // Prefix: "workspaces"
+
+				if l := len("workspaces"); len(elem) >= l && elem[0:l] == "workspaces" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch r.Method {
+					case "GET":
+						s.handleListWorkspacesRequest([0]string{}, elemIsEscaped, w, r)
+					default:
+						s.notAllowed(w, r, notAllowedParams{
+							allowedMethods: "GET",
+							allowedHeaders: nil,
+							acceptPost:     "",
+							acceptPatch:    "",
+						})
+					}
+
+					return
+				}
+
 			}
 
 		}
@@ -429,6 +454,31 @@
 					}
 				}
 
+			case 'w': // Prefix: "workspaces"
+
+				if l := len("workspaces"); len(elem) >= l && elem[0:l] == "workspaces" {
+					elem = elem[l:]
+				} else {
+					break
+				}
+
+				if len(elem) == 0 {
+					// Leaf node.
+					switch method {
+					case "GET":
+						r.name = ListWorkspacesOperation
+						r.summary = "The workspaces with a cap and what they use of it, where this daemon splits the caps over the services."
+						r.operationID = "listWorkspaces"
+						r.operationGroup = ""
+						r.pathPattern = "/v1/workspaces"
+						r.args = args
+						r.count = 0
+						return r, true
+					default:
+						return
+					}
+				}
+
 			}
 
 		}
--- a/api/oas/oas_schemas_gen.go
+++ b/api/oas/oas_schemas_gen.go
@@ -10,6 +10,46 @@
 	return fmt.Sprintf("code %d: %+v", s.StatusCode, s.Response)
 }
 
+// An amount of runners' resources; of a cap, 0 is no limit.
+// Ref: #/components/schemas/Amount
+type Amount struct {
+	// Thousandths of a core.
+	CPU int64 `json:"cpu"`
+	// MB.
+	Mem int64 `json:"mem"`
+	Gpu int64 `json:"gpu"`
+}
+
+// GetCPU returns the value of CPU.
+func (s *Amount) GetCPU() int64 {
+	return s.CPU
+}
+
+// GetMem returns the value of Mem.
+func (s *Amount) GetMem() int64 {
+	return s.Mem
+}
+
+// GetGpu returns the value of Gpu.
+func (s *Amount) GetGpu() int64 {
+	return s.Gpu
+}
+
+// SetCPU sets the value of CPU.
+func (s *Amount) SetCPU(val int64) {
+	s.CPU = val
+}
+
+// SetMem sets the value of Mem.
+func (s *Amount) SetMem(val int64) {
+	s.Mem = val
+}
+
+// SetGpu sets the value of Gpu.
+func (s *Amount) SetGpu(val int64) {
+	s.Gpu = val
+}
+
 // Ref: #/components/schemas/Fault
 type Fault struct {
 	// One of the closed list of kinds.
@@ -344,3 +384,62 @@
 func (s *Status) SetHolds(val []string) {
 	s.Holds = val
 }
+
+// Ref: #/components/schemas/Workspace
+type Workspace struct {
+	Name    string `json:"name"`
+	Cap     Amount `json:"cap"`
+	Granted Amount `json:"granted"`
+	Running Amount `json:"running"`
+	Waiting Amount `json:"waiting"`
+}
+
+// GetName returns the value of Name.
+func (s *Workspace) GetName() string {
+	return s.Name
+}
+
+// GetCap returns the value of Cap.
+func (s *Workspace) GetCap() Amount {
+	return s.Cap
+}
+
+// GetGranted returns the value of Granted.
+func (s *Workspace) GetGranted() Amount {
+	return s.Granted
+}
+
+// GetRunning returns the value of Running.
+func (s *Workspace) GetRunning() Amount {
+	return s.Running
+}
+
+// GetWaiting returns the value of Waiting.
+func (s *Workspace) GetWaiting() Amount {
+	return s.Waiting
+}
+
+// SetName sets the value of Name.
+func (s *Workspace) SetName(val string) {
+	s.Name = val
+}
+
+// SetCap sets the value of Cap.
+func (s *Workspace) SetCap(val Amount) {
+	s.Cap = val
+}
+
+// SetGranted sets the value of Granted.
+func (s *Workspace) SetGranted(val Amount) {
+	s.Granted = val
+}
+
+// SetRunning sets the value of Running.
+func (s *Workspace) SetRunning(val Amount) {
+	s.Running = val
+}
+
+// SetWaiting sets the value of Waiting.
+func (s *Workspace) SetWaiting(val Amount) {
+	s.Waiting = val
+}
--- a/api/oas/oas_server_gen.go
+++ b/api/oas/oas_server_gen.go
@@ -32,6 +32,13 @@
 	//
 	// GET /v1/services
 	ListServices(ctx context.Context) ([]Service, error)
+	// ListWorkspaces implements listWorkspaces operation.
+	//
+	// The workspaces with a cap and what they use of it, where this daemon splits the caps over the
+	// services.
+	//
+	// GET /v1/workspaces
+	ListWorkspaces(ctx context.Context) ([]Workspace, error)
 	// NewError creates *FaultStatusCode from error returned by handler.
 	//
 	// Used for common default response.
--- a/api/oas/oas_unimplemented_gen.go
+++ b/api/oas/oas_unimplemented_gen.go
@@ -49,6 +49,16 @@
 	return r, ht.ErrNotImplemented
 }
 
+// ListWorkspaces implements listWorkspaces operation.
+//
+// The workspaces with a cap and what they use of it, where this daemon splits the caps over the
+// services.
+//
+// GET /v1/workspaces
+func (UnimplementedHandler) ListWorkspaces(ctx context.Context) (r []Workspace, _ error) {
+	return r, ht.ErrNotImplemented
+}
+
 // NewError creates *FaultStatusCode from error returned by handler.
 //
 // Used for common default response.
--- a/cli/commands.go
+++ b/cli/commands.go
@@ -8,6 +8,7 @@
 		{"settings", "Print the reference of the settings file, or its JSON Schema.", "[-schema]", "gypsumlead settings -schema", runSettings},
 		{"status", "Show a daemon's state and its configuration version.", "[-at ADDR] [-json]", "gypsumlead status -at 10.1.0.9:8622", runStatus},
 		{"services", "List the services with their leaders and progress.", "[-at ADDR,...] [-json]", "gypsumlead services -at 10.1.0.9:8622,10.2.0.9:8622", runServices},
+		{"workspaces", "List the workspaces with a cap and what they use of it.", "[-at ADDR,...] [-json]", "gypsumlead workspaces -at 10.1.0.9:8622,10.2.0.9:8622", runWorkspaces},
 		{"job", "Show the state of a job.", "ID [-at ADDR] [-json]", "gypsumlead job 5c0e7a21d94b36f8 -at 10.1.0.9:8622", runJob},
 		{"explain", "Show recent decisions about a job, an instance or a machine, from the daemons' memory.", "NAME [-at ADDR,...]", "gypsumlead explain 5c0e7a21d94b36f8 -at 10.1.0.9:8622,10.2.0.9:8622", runExplain},
 		{"trace", "Show decisions about a job, an instance or a machine, from the daemons' logs.", "NAME [-log FILE]", "gypsumlead trace 5c0e7a21d94b36f8 -log day.log", runTrace},
--- a/emulator/caps_test.go
+++ b/emulator/caps_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"gypsumlead/api/oas"
 	"gypsumlead/daemon"
 	"gypsumlead/leader"
 	"gypsumlead/platform"
@@ -113,6 +115,24 @@
 	}
 }
 
+// requireListed checks that exactly one daemon, the granter, tells operators what the capped workspace uses.
+func requireListed(t *testing.T, c *Cluster, limit int64) {
+	var list []oas.Workspace
+	for _, name := range c.Daemons() {
+		client, err := oas.NewClient("http://"+netip.AddrPortFrom(c.daemons[name].addr, portReady).String(), oas.WithClient(c.http))
+		require.NoError(t, err)
+		got, err := client.ListWorkspaces(t.Context())
+		require.NoError(t, err)
+		list = append(list, got...)
+	}
+	require.Len(t, list, 1)
+	require.Equal(t, "w", list[0].Name)
+	require.Equal(t, limit, list[0].Cap.CPU)
+	require.Positive(t, list[0].Waiting.CPU)
+	require.LessOrEqual(t, list[0].Running.CPU, list[0].Granted.CPU)
+	require.LessOrEqual(t, list[0].Granted.CPU, limit)
+}
+
 // The workspace wants far more than its cap on two services, and leaders and granter are killed meanwhile: what a lost
 // leader's runs use and what a lost granter gave must go on counting, and all jobs must still end.
 func TestCapBindsWhileLeadersAreKilled(t *testing.T) {
@@ -128,6 +148,9 @@
 				for i := range 100 {
 					jobs = append(jobs, submitAs(c, "w", serviceName(i%2), shape))
 					time.Sleep(50 * time.Millisecond)
+					if i == 40 {
+						requireListed(t, c, limit)
+					}
 					if i == 50 {
 						name := c.Leader(lost)
 						c.Kill(name)
