Shares and guaranteed rates: excess jobs after the others, and shedding by what a workspace has used

Cause: when the pool is full, a workspace that sends many times its usual displaces the jobs of all others. Change: a token bucket per workspace classes each accepted job once as guaranteed or excess; overload sheds excess jobs first, and among the rest weighs a job by what its workspace has used lately in relation to its weight. Loads flood and calm of the trial.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,6 +30,7 @@
 	HeartbeatTimeout time.Duration                // how long an acknowledged heartbeat keeps the daemon alive
 	OnViolation      func(error)
 	Now              clock.Clock
+	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
 }
 
 // MachineLister returns the platform's machines by name, and false if they could not be read.
@@ -99,7 +100,7 @@
 		epoch:         lease.HeartbeatEpoch,
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
-	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished))
+	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished))
 	return l
 }
 
@@ -281,5 +282,6 @@
 	l.pool.SetQueues(queues)
 	l.guarded = guarded
 	l.workspaces, l.services = workspaces, services
+	l.pool.SetWorkspaces(weights(workspaces), services)
 	sleep.Wake(l.wakePlan)
 }
--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -19,9 +19,9 @@
 func (p *Pool) candidates(now, wall time.Time) []candidate {
 	unresolved := p.unresolved()
 	p.measureSchedulableCPU(now)
-	var excess map[*occurrence]struct{}
+	var shed map[*occurrence]struct{}
 	if p.strategy == DeadlineAware {
-		excess = p.overload(now, wall)
+		shed = p.overload(now, wall)
 	}
 	var list []candidate
 	for _, j := range p.live {
@@ -29,7 +29,7 @@
 			continue
 		}
 		for _, occ := range j.occurrences {
-			list = append(list, p.candidatesOf(now, wall, occ, excess)...)
+			list = append(list, p.candidatesOf(now, wall, occ, shed)...)
 		}
 	}
 	if p.strategy == FIFO {
@@ -41,7 +41,7 @@
 }
 
 // candidatesOf returns the candidates of one occurrence. They differ only in their steps.
-func (p *Pool) candidatesOf(now, wall time.Time, occ *occurrence, excess map[*occurrence]struct{}) []candidate {
+func (p *Pool) candidatesOf(now, wall time.Time, occ *occurrence, shedSet map[*occurrence]struct{}) []candidate {
 	var ready []*step
 	for _, s := range occ.steps {
 		if s.waiting > 0 && s.ready(wall) {
@@ -54,7 +54,7 @@
 	j := ready[0].job
 	latest := p.latestStart(occ, j)
 	late, startBy, stale := now.After(latest), latest.Add(-p.fullPoolDuration(occ, j)), p.stale(now, occ, j)
-	_, shed := excess[occ]
+	_, shed := shedSet[occ]
 	list := make([]candidate, len(ready))
 	for i, s := range ready {
 		list[i] = candidate{s, late, shed, startBy, stale}
@@ -74,22 +74,40 @@
 	return a.startBy.Compare(b.startBy)
 }
 
-// rank orders candidates of equal priority: long-running steps, steps that can end on time, shed ones that still may,
-// late ones, those so late that their results are of little use to the caller, best-effort steps.
+// Ranks of candidates of equal priority, most urgent first; docs/design/76-shares.md has the reasons. Excess jobs come after
+// all guaranteed ones that may still end on time, and before those that can't, which have lost what the rate entitles to.
+const (
+	rankLongRunning = iota
+	rankOnTime
+	rankShed // may still end on time, if others end early or machines come
+	rankExcessOnTime
+	rankExcessShed
+	rankLate // worth a fraction
+	rankExcessLate
+	rankStale // of little use to the caller
+	rankExcessStale
+	rankBestEffort
+)
+
+// rank returns the rank of a candidate.
 func rank(c candidate) int {
+	guaranteed, excess := rankOnTime, rankExcessOnTime
 	switch {
 	case c.step.spec.BestEffort:
-		return 5
+		return rankBestEffort
 	case c.step.spec.LongRunning:
-		return 0
+		return rankLongRunning
 	case c.stale:
-		return 4
+		guaranteed, excess = rankStale, rankExcessStale
 	case c.late:
-		return 3
+		guaranteed, excess = rankLate, rankExcessLate
 	case c.shed:
-		return 2
+		guaranteed, excess = rankShed, rankExcessShed
+	}
+	if c.step.job.excess {
+		return excess
 	}
-	return 1
+	return guaranteed
 }
 
 // unresolved reports whether unknown runs of an earlier leader may still be in progress.
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -21,6 +21,7 @@
 	deadline   time.Time     // time by which the pool has to finish it
 	duration   time.Duration // with the whole pool to itself
 	shedWeight float64       // the largest is shed first
+	excess     bool          // beyond the guaranteed rate of its workspace: shed before all others
 }
 
 // minShedFactor is added to the job's pseudo-random factor, so that the job's size always counts.
@@ -44,10 +45,16 @@
 // shedHeap is a heap.Interface with the first load to shed on top.
 type shedHeap []occurrenceLoad
 
-func (h shedHeap) Len() int           { return len(h) }
-func (h shedHeap) Less(a, b int) bool { return h[a].shedWeight > h[b].shedWeight }
-func (h shedHeap) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
-func (h *shedHeap) Push(x any)        { *h = append(*h, x.(occurrenceLoad)) }
+func (h shedHeap) Len() int      { return len(h) }
+func (h shedHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *shedHeap) Push(x any)   { *h = append(*h, x.(occurrenceLoad)) }
+func (h shedHeap) Less(a, b int) bool {
+	if h[a].excess != h[b].excess {
+		return h[a].excess
+	}
+	return h[a].shedWeight > h[b].shedWeight
+}
+
 func (h *shedHeap) Pop() any {
 	last := len(*h) - 1
 	item := (*h)[last]
@@ -58,7 +65,8 @@
 // overload returns the occurrences to shed when the load exceeds the pool's capacity, so that as many of the others
 // as possible are on time. Scheduling by urgency alone would make every job a little late. The rule is close to the
 // Moore-Hodgson algorithm for one machine as wide as the pool: whenever an occurrence would be late, one of the
-// larger ones so far is shed.
+// larger ones so far is shed. Excess jobs are shed before those within the guaranteed rates, and the more a workspace has
+// used of the pool in relation to its share, the sooner its jobs are.
 func (p *Pool) overload(now, wall time.Time) map[*occurrence]struct{} {
 	shed := map[*occurrence]struct{}{}
 	byPriority := map[int][]occurrenceLoad{}
@@ -99,7 +107,10 @@
 	}
 	duration := p.durationOf(waiting, maxPacking*float64(p.schedulableCPU), j)
 	// The last tasks may start at the latest start; what follows them runs beside other work.
-	return occurrenceLoad{occ, deadline.Add(min(duration, p.estimateRatios[j.queue.Name].expected(occ.remainingCriticalPath()))), duration, shedWeight(duration, j.shedFactor)}, true
+	return occurrenceLoad{
+		occ, deadline.Add(min(duration, p.estimateRatios[j.queue.Name].expected(occ.remainingCriticalPath()))), duration,
+		shedWeight(duration, j.shedFactor) * p.shares.shareFactor(j), j.excess,
+	}, true
 }
 
 // shedExcess adds to shed the occurrences of one priority to shed. It returns how long the pool is busy with the
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -16,6 +16,8 @@
 func (p *Pool) Plan(now, wall time.Time, confirmed bool) []Order {
 	p.orders = nil
 	p.leadershipConfirmed = confirmed
+	p.shares.classifyRestored()
+	p.charge(now)
 	if confirmed {
 		p.releaseHeld()
 		p.expire(now)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -35,6 +35,7 @@
 	estimateRatios      map[string]*estimateRatio // by queue
 	lastAssessed        time.Time
 	arrivals            arrivals
+	shares              shares
 	retaining           bool // some runners are marked as retained
 	orders              []Order
 	doneWithRuns        map[*task]struct{} // done tasks that had runs left, which are stopped
@@ -117,6 +118,7 @@
 		estimateRatios:      map[string]*estimateRatio{},
 		reserved:            map[*runner]struct{}{},
 		doneWithRuns:        map[*task]struct{}{},
+		shares:              newShares(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -150,6 +152,7 @@
 	p.live = append(p.live, j)
 	if !spec.LongRunning() {
 		p.arrivals.add(now, spec.CPUSeconds()*1000)
+		p.admit(j)
 	}
 }
 
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -154,6 +154,7 @@
 	j := newJob(id, queue, spec, accepted)
 	j.inherited = true
 	p.jobs[id] = j
+	p.shares.unclassified = append(p.shares.unclassified, j)
 	if pr != nil {
 		p.restore(now, j, *pr)
 	}
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -15,11 +15,12 @@
 	Stops            map[string]int64 // stop orders, by reason
 	Paces            int64
 	ApprovalRequests int64
-	Waiting          int           // accepted jobs that haven't started
-	Running          int           // jobs that have started and haven't ended
-	Oldest           time.Duration // age of the oldest job that hasn't started
-	Out              int           // runners that get no new work for now, after failures or starts that were refused or not sent
-	Silent           int           // runners whose last poll wasn't answered
+	Classes          map[Class]int64 // accepted jobs, by class; none if no workspaces are configured
+	Waiting          int             // accepted jobs that haven't started
+	Running          int             // jobs that have started and haven't ended
+	Oldest           time.Duration   // age of the oldest job that hasn't started
+	Out              int             // runners that get no new work for now, after failures or starts that were refused or not sent
+	Silent           int             // runners whose last poll wasn't answered
 }
 
 // counts holds the counters of Stats, which only grow.
@@ -27,10 +28,11 @@
 	starts, paces, approvalRequests int64
 	ends                            map[work.EndReason]int64
 	abandoned, stops                map[string]int64
+	classes                         map[Class]int64
 }
 
 func newCounts() counts {
-	return counts{ends: map[work.EndReason]int64{}, abandoned: map[string]int64{}, stops: map[string]int64{}}
+	return counts{ends: map[work.EndReason]int64{}, abandoned: map[string]int64{}, stops: map[string]int64{}, classes: map[Class]int64{}}
 }
 
 // count adds the orders of one plan.
@@ -58,6 +60,7 @@
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
 		Stops:            maps.Clone(p.counts.stops),
+		Classes:          maps.Clone(p.counts.classes),
 	}
 	for _, j := range p.live {
 		switch j.state {
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -42,6 +42,8 @@
 	MaxLatency       string  `json:"worst"`
 	WastedShare      float64 `json:"wasted"` // share of the core time spent on runs that did not complete
 	Violations       int     `json:"broken"`
+	WorkspaceShare   float64 `json:"spaces,omitempty"`  // mean of OnTimeShare of the workspaces, without the one that sends a flood
+	WorstSpaces      float64 `json:"poorest,omitempty"` // OnTimeShare of the worst tenth of these
 }
 
 // simRunner is a simulated runner that executes every order.
@@ -72,6 +74,7 @@
 	clock          time.Duration // time since the start, also the runners' clock
 	runners        []*simRunner
 	jobs           map[work.ID]arrival
+	onTime         map[work.ID]struct{}
 	submittedAt    map[work.ID]time.Time
 	result         Result
 	latencies      []time.Duration
@@ -89,20 +92,35 @@
 	if !slices.Contains(Workloads, workload) {
 		return Result{}, fault.New(fault.Missing, "there is no load %q; there are %v", workload, Workloads)
 	}
-	strategy, ok := sched.Strategies[strategyName]
+	strategy, ok := strategyOf(strategyName)
 	if !ok {
 		return Result{}, fault.New(fault.Missing, "there is no way %q of deciding", strategyName)
 	}
 	s := newSimulation(newWorkload(workload, seed), strategy, seed)
 	s.result.Strategy = strategyName
+	if strategyName != withoutShares {
+		s.pool.SetWorkspaces(s.workload.weights, 1)
+	}
 	s.run()
 	return s.summarize(), nil
 }
 
+// withoutShares names the default strategy as it is without workspaces in the configuration.
+const withoutShares = "noshares"
+
+// strategyOf returns the strategy with the given name.
+func strategyOf(name string) (sched.Strategy, bool) {
+	if name == withoutShares {
+		return sched.DeadlineAware, true
+	}
+	strategy, ok := sched.Strategies[name]
+	return strategy, ok
+}
+
 func newSimulation(workload Workload, strategy sched.Strategy, seed uint64) *simulation {
 	s := &simulation{
 		workload: workload, rand: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_800_000_000, 0).UTC(),
-		jobs: map[work.ID]arrival{}, submittedAt: map[work.ID]time.Time{},
+		jobs: map[work.ID]arrival{}, onTime: map[work.ID]struct{}{}, submittedAt: map[work.ID]time.Time{},
 		result: Result{Workload: workload.Name, Seed: seed},
 	}
 	countViolation := func(error) { s.result.Violations++ }
@@ -282,6 +300,7 @@
 	switch {
 	case o.Elapsed <= objective+tick:
 		s.result.OnTime++
+		s.onTime[o.Job] = struct{}{}
 		s.earned += s.worth(a)
 		if a.coreSeconds() >= s.largeThreshold {
 			s.largeOnTime++
@@ -305,6 +324,9 @@
 	result.Worth = round(s.earned / owed)
 	result.OnTimeShare = share(result.OnTime, result.Submitted)
 	result.LargeOnTimeShare = share(s.largeOnTime, s.largeCount)
+	if s.workload.weights != nil {
+		result.WorkspaceShare, result.WorstSpaces = summarizeSpaces(s.jobs, s.onTime)
+	}
 	if s.usedCoreTime > 0 {
 		result.WastedShare = round(s.wastedCoreTime / s.usedCoreTime)
 	}
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -20,14 +20,15 @@
 	Machines        int
 	CoresPerMachine int64
 	arrivals        []arrival
-	rackLostAt      time.Duration // when the first rack is lost; 0 means never
-	leaderLostAt    time.Duration // when nobody schedules for leaderGap, while jobs go on being accepted; 0 means never
-	firstMachines   int           // machines that are there from the start; the others follow from machinesFrom to machinesUntil
-	span            time.Duration // of the arrivals
+	rackLostAt      time.Duration      // when the first rack is lost; 0 means never
+	leaderLostAt    time.Duration      // when nobody schedules for leaderGap, while jobs go on being accepted; 0 means never
+	firstMachines   int                // machines that are there from the start; the others follow from machinesFrom to machinesUntil
+	span            time.Duration      // of the arrivals
+	weights         map[string]float64 // of the workspaces; nil if jobs have none
 }
 
 // Workloads are the names of the workloads that Run accepts.
-var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover"}
+var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover", "flood", "calm"}
 
 // Times and sizes of the workloads.
 const (
@@ -52,6 +53,9 @@
 	if name == "surge" || name == "takeover" {
 		return newNoticeWorkload(name, rng)
 	}
+	if name == "flood" || name == "calm" {
+		return newFloodWorkload(name, rng)
+	}
 	workload := Workload{Name: name, Machines: machineCount, CoresPerMachine: coresPerMachine, firstMachines: machineCount, span: workloadSpan}
 	if name == "rack" {
 		workload.rackLostAt = rackLossTime
