--- a/leader/leader.go
+++ b/leader/leader.go
@@ -111,8 +111,14 @@
 
 // logFinished logs the end of a job.
 func (l *Leader) logFinished(end sched.JobEnd) {
-	l.Log.Info("job is over", zap.String("job", string(end.Job)), zap.String("queue", end.Queue), zap.String("state", string(end.State)),
-		zap.Duration("waited", end.QueueTime), zap.Duration("took", end.Elapsed), zap.Duration("aim", end.Objective))
+	fields := []zap.Field{
+		zap.String("job", string(end.Job)), zap.String("queue", end.Queue), zap.String("state", string(end.State)),
+		zap.Duration("waited", end.QueueTime), zap.Duration("took", end.Elapsed), zap.Duration("aim", end.Objective),
+	}
+	if end.Class != "" {
+		fields = append(fields, zap.String("class", string(end.Class)), zap.String("shed", end.ShedFor))
+	}
+	l.Log.Info("job is over", fields...)
 }
 
 // Service returns the name of the led service.
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -87,6 +87,9 @@
 // jobEnd describes how a job ended.
 func (p *Pool) jobEnd(j *job) JobEnd {
 	end := JobEnd{Job: j.id, Queue: j.queue.Name, State: j.committedState, Elapsed: j.ended.Sub(j.accepted)}
+	if p.shares.configured {
+		end.Class, end.ShedFor = j.class(), j.shedFor
+	}
 	if !j.firstStart.IsZero() {
 		end.QueueTime = j.firstStart.Sub(j.accepted)
 	}
--- a/sched/job.go
+++ b/sched/job.go
@@ -19,6 +19,7 @@
 	placements     placements // runners that may have runs of the job
 	occurrences    []*occurrence
 	shedFactor     float64   // see shedWeight
+	shedFor        string    // see JobEnd
 	excess         bool      // beyond the guaranteed rate of its workspace
 	remaining      int       // tasks that aren't done
 	changeSeq      int64     // sequence number of the latest change
--- a/sched/overload.go
+++ b/sched/overload.go
@@ -85,6 +85,7 @@
 	for _, priority := range slices.Sorted(maps.Keys(byPriority)) {
 		urgentWork = shedExcess(now, urgentWork, byPriority[priority], shed)
 	}
+	p.noteShed(shed)
 	return shed
 }
 
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -82,6 +82,8 @@
 	State     work.State
 	QueueTime time.Duration // from acceptance to the first start; zero if nothing started
 	Elapsed   time.Duration // from acceptance to the end
+	Class     Class         // empty if no workspaces are configured
+	ShedFor   string        // why it was last shed rather than others: "excess", "share", or empty
 	Objective time.Duration // longest Elapsed that counts as on time; set only for jobs with a single occurrence
 }
 
--- a/sched/share.go
+++ b/sched/share.go
@@ -155,6 +155,22 @@
 	p.counts.classes[j.class()]++
 }
 
+// noteShed records why jobs were shed rather than others.
+func (p *Pool) noteShed(shed map[*occurrence]struct{}) {
+	if !p.shares.configured {
+		return
+	}
+	for occ := range shed {
+		j := occ.steps[0].job
+		switch {
+		case j.excess:
+			j.shedFor = "excess"
+		case p.shares.shareFactor(j) > 1:
+			j.shedFor = "share"
+		}
+	}
+}
+
 // ClassOf returns the class of a job, and false if the job is unknown.
 func (p *Pool) ClassOf(id work.ID) (Class, bool) {
 	j, ok := p.jobs[id]
