--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,6 +30,7 @@
 	HeartbeatTimeout time.Duration                // how long an acknowledged heartbeat keeps the daemon alive
 	OnViolation      func(error)
 	Now              clock.Clock
+	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
 }
 
 // MachineLister returns the platform's machines by name, and false if they could not be read.
@@ -101,7 +102,7 @@
 		caps:          newCaps(lease),
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
-	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp))
+	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp))
 	return l
 }
 
@@ -112,8 +113,14 @@
 
 // logFinished logs the end of a job.
 func (l *Leader) logFinished(end sched.JobEnd) {
-	l.Log.Info("job is over", zap.String("job", string(end.Job)), zap.String("queue", end.Queue), WorkspaceField(end.Workspace), zap.String("state", string(end.State)),
-		zap.Duration("waited", end.QueueTime), zap.Duration("took", end.Elapsed), zap.Duration("aim", end.Objective))
+	fields := []zap.Field{
+		zap.String("job", string(end.Job)), zap.String("queue", end.Queue), WorkspaceField(end.Workspace), zap.String("state", string(end.State)),
+		zap.Duration("waited", end.QueueTime), zap.Duration("took", end.Elapsed), zap.Duration("aim", end.Objective),
+	}
+	if end.Class != "" {
+		fields = append(fields, zap.String("class", string(end.Class)), zap.String("shed", end.ShedFor))
+	}
+	l.Log.Info("job is over", fields...)
 }
 
 // Service returns the name of the led service.
@@ -288,5 +295,6 @@
 	l.guarded = guarded
 	l.workspaces, l.services = workspaces, services
 	l.configureCaps(workspaces)
+	l.pool.SetWorkspaces(weights(workspaces), services)
 	sleep.Wake(l.wakePlan)
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -21,6 +21,8 @@
 	heldUp         bool       // the cap of its workspace has held it up
 	occurrences    []*occurrence
 	shedFactor     float64   // see shedWeight
+	shedFor        string    // see JobEnd
+	excess         bool      // beyond the guaranteed rate of its workspace
 	remaining      int       // tasks that aren't done
 	changeSeq      int64     // sequence number of the latest change
 	committedSeq   int64     // sequence number of the latest change that the store has
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -41,6 +41,7 @@
 	estimateRatios      map[string]*estimateRatio // by queue
 	lastAssessed        time.Time
 	arrivals            arrivals
+	shares              shares
 	retaining           bool // some runners are marked as retained
 	orders              []Order
 	doneWithRuns        map[*task]struct{} // done tasks that had runs left, which are stopped
@@ -88,6 +89,8 @@
 	State     work.State
 	QueueTime time.Duration // from acceptance to the first start; zero if nothing started
 	Elapsed   time.Duration // from acceptance to the end
+	Class     Class         // empty if no workspaces are configured
+	ShedFor   string        // why it was last shed rather than others: "excess", "share", or empty
 	Objective time.Duration // longest Elapsed that counts as on time; set only for jobs with a single occurrence
 }
 
@@ -126,6 +129,7 @@
 		estimateRatios:      map[string]*estimateRatio{},
 		reserved:            map[*runner]struct{}{},
 		doneWithRuns:        map[*task]struct{}{},
+		shares:              newShares(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -163,6 +167,7 @@
 	p.live = append(p.live, j)
 	if !spec.LongRunning() && !j.workspace.isHeldUp() {
 		p.arrivals.add(now, spec.CPUSeconds()*1000)
+		p.admit(j)
 	}
 }
 
