The guaranteed rate of a service follows the workspace's arrivals at all services

Cause: a leader sees only its own part of a workspace's jobs, and gave each workspace a fixed fraction of its rate. Queues take turns, so nearly all jobs of a workspace come to one service at a time. Change: the granter's answers have the arrivals over all services; a workspace within its rate gets the whole rate at each service, one beyond it the service's part. Ruled out: parts that always follow the arrivals, which lag behind each change of turn.

--- a/leader/caps.go
+++ b/leader/caps.go
@@ -95,6 +95,7 @@
 	allowances := l.caps.holding.Allowances(now)
 	l.pool.SetAllowances(allowances)
 	l.caps.allowing = true
+	l.pool.SetFractions(l.fractions(now, a))
 	l.logPortions(now, a)
 	sleep.Wake(l.wakePlan)
 }
--- a/leader/shares.go
+++ b/leader/shares.go
@@ -1,6 +1,11 @@
 package leader
 
-import "gypsumlead/platform"
+import (
+	"time"
+
+	"gypsumlead/budget"
+	"gypsumlead/platform"
+)
 
 // weights returns the weights of the workspaces by name.
 func weights(workspaces []platform.Workspace) map[string]float64 {
@@ -11,10 +16,16 @@
 	return byName
 }
 
-// SetFractions sets the fractions of the workspaces' arrivals that this service gets. A workspace without one is assumed to
-// send the same to all services.
-func (l *Leader) SetFractions(fractions map[string]float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.pool.SetFractions(fractions)
+// fractions returns which part of each workspace's guaranteed rate this service gives. While a workspace keeps its rate over
+// all services, that is the whole rate: its jobs come to one service after the other, and parts that follow its arrivals
+// would be too small whenever its load changes over. The caller holds l.mu.
+func (l *Leader) fractions(now time.Time, a budget.Answer) map[string]float64 {
+	parts := make(map[string]float64, len(l.workspaces))
+	for _, w := range l.workspaces {
+		parts[w.Name] = 1
+		if total := a.Portions[w.Name].Arrivals; total > w.Weight {
+			parts[w.Name] = min(1, l.pool.WorkspaceArrivals(now, w.Name)/total)
+		}
+	}
+	return parts
 }
--- a/sched/workspaces.go
+++ b/sched/workspaces.go
@@ -40,6 +40,14 @@
 	return w.rate * math.Exp(-now.Sub(w.ratedAt).Seconds()/arrivalWindow.Seconds())
 }
 
+// WorkspaceArrivals returns the jobs per second that were lately accepted for a workspace.
+func (p *Pool) WorkspaceArrivals(now time.Time, name string) float64 {
+	if w, ok := p.workspaces[name]; ok {
+		return w.arrivals(now)
+	}
+	return 0
+}
+
 // joinWorkspace returns the workspace of a new job, or nil if the job has none.
 func (p *Pool) joinWorkspace(name string) *workspace {
 	if name == "" {
