Tasks wait for room in their rack where that is expected to pay off

Cause: a task whose preferred rack was full went to another rack in the first plan, where it takes two to three times as long. The trial has loads with data on racks and the ways direct and always. Not yet wired to the settings.

--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -20,7 +20,7 @@
 	unresolved := p.unresolved()
 	p.measureSchedulableCPU(now)
 	var excess map[*occurrence]struct{}
-	if p.strategy == DeadlineAware {
+	if p.strategy.shedsLoad() {
 		excess = p.overload(now, wall)
 	}
 	var list []candidate
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -78,7 +78,7 @@
 		if c.step.spec.BestEffort {
 			continue
 		}
-		need := int64(c.step.waiting) * c.step.spec.Resources.CPU
+		need := int64(c.step.waiting-c.step.awaiting) * c.step.spec.Resources.CPU
 		if c.late {
 			d.Late += need
 		} else {
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -17,6 +17,9 @@
 		number = max(number, t.lastRun)
 	}
 	number = p.nextRunNumber(number)
+	if p.gangWaits(now, s) {
+		return true
+	}
 	if s.checkpoint() != "" {
 		for _, t := range s.tasks {
 			t.checkpoint = s.checkpoint()
@@ -40,6 +43,7 @@
 	for _, t := range s.tasks {
 		for _, run := range t.runs {
 			t.removeRun(run, now)
+			p.projectRun(now, run, true)
 		}
 	}
 }
--- a/sched/job.go
+++ b/sched/job.go
@@ -47,6 +47,11 @@
 	failedRuns   []int         // of a gang: numbers of its failed runs
 	totalRunTime time.Duration // sum over the timed tasks
 	timedTasks   int           // tasks whose run time was measured
+	awaiting     int           // waiting tasks that the last plan let wait for a rack
+	rack         string        // rack of the first run, if the tasks belong in the same rack
+	spread       bool          // they have had runs in several racks
+	home         string        // rack that was chosen for such a step
+	spreads      bool          // it was decided to start them in several racks
 	// answers of the policy service by runner; only if the queue requires approval
 	approvals      map[string]approval
 	approvalSentAt time.Time
@@ -75,6 +80,7 @@
 	held         bool      // not restarted until leadership is confirmed: a later leader may have continued it
 	slowRestarts int       // how often it was restarted as a straggler
 	waitingSince time.Time // when it last became a task without a run
+	rackWait     *rackWait // its wait for a rack; nil if it has never waited
 }
 
 // phase is the stage of a run's life.
@@ -215,6 +221,7 @@
 
 // addRun adds a run to the task and to the run's runner.
 func (t *task) addRun(run *taskRun) {
+	t.step.noteRack(run.runner)
 	if len(t.runs) == 0 && !t.done {
 		t.step.waiting--
 	}
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"gypsumlead/work"
 )
 
 // fits reports whether a runner can take a run of the task now.
@@ -152,6 +154,9 @@
 			return run.runner.rack()
 		}
 	}
+	if s.home != "" {
+		return s.home
+	}
 	return p.roomiestRack(now, s)
 }
 
@@ -174,8 +179,11 @@
 }
 
 // countFitting returns how many waiting tasks of the step the runner has room for.
-func countFitting(r *runner, s *step) int64 {
-	free, need := r.free(), s.spec.Resources
+func countFitting(r *runner, s *step) int64 { return countFittingInto(r.free(), r, s) }
+
+// countFittingInto returns how many waiting tasks of the step fit into the given room of the runner.
+func countFittingInto(free work.Resources, r *runner, s *step) int64 {
+	need := s.spec.Resources
 	n := int64(s.waiting)
 	if need.CPU > 0 {
 		n = min(n, free.CPU/need.CPU)
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -96,12 +96,15 @@
 func (p *Pool) placeAll(now, wall time.Time) {
 	clear(p.reserved)
 	p.unplaceable = p.unplaceable[:0]
+	p.resetWaits(now)
 	if !p.startsAllowed {
 		return
 	}
 	p.leastUrgentPriority = p.leastUrgent()
 	blocked := 0
-	for _, c := range p.candidates(now, wall) {
+	list := p.candidates(now, wall)
+	p.prepareOutlook(now, list)
+	for _, c := range list {
 		if !p.ensureApproved(now, c.step) {
 			continue
 		}
@@ -118,7 +121,8 @@
 	}
 }
 
-// placeStep starts the step's tasks as far as there is room, and reports whether it found room for all.
+// placeStep starts the step's tasks as far as there is room, and reports whether it found room for all but those that wait
+// for a rack.
 func (p *Pool) placeStep(now time.Time, s *step) bool {
 	if s.spec.Gang {
 		return p.placeGang(now, s)
@@ -126,6 +130,7 @@
 	if !p.mayFit(now, s.spec) {
 		return false
 	}
+	p.chooseHome(now, s)
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.held {
 			continue
@@ -137,6 +142,9 @@
 		if r == nil {
 			return false
 		}
+		if p.waitsForRack(now, t, r) {
+			continue
+		}
 		p.planRun(now, t, r, p.nextRunNumber(t.lastRun))
 	}
 	return true
@@ -182,6 +190,7 @@
 	j := t.step.job
 	run := &taskRun{task: t, number: number, runner: r, phase: planned, sentAt: now, pace: 100, trial: t.isSuspect()}
 	t.addRun(run)
+	p.projectRun(now, run, false)
 	p.planned = append(p.planned, run)
 	if run.trial || !j.placements.stored(r.ID) {
 		p.markChanged(j, now)
@@ -195,6 +204,7 @@
 func (p *Pool) orderStart(now time.Time, run *taskRun) {
 	t, r, s := run.task, run.runner, run.task.step
 	run.phase, run.sentAt = sending, now
+	p.endWait(run)
 	order := Start{Target: r.target(), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
 	if s.spec.Checkpointing {
 		order.Checkpoint = t.checkpoint
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -43,6 +43,10 @@
 	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
+	remoteFactor        float64          // by which tasks are slower away from their rack
+	outlook             *outlook         // of this plan; nil if no task may wait for a rack
+	awaiting            []*step          // steps with tasks that the last plan let wait for a rack
+	plannedAt           time.Time        // time of the last plan
 	leastUrgentPriority int              // largest priority number among preemptible runs in this plan
 }
 
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -14,6 +14,7 @@
 	Abandoned        map[string]int64 // abandoned runs, by reason
 	Stops            map[string]int64 // stop orders, by reason
 	Paces            int64
+	RackWaits        RackWaits
 	ApprovalRequests int64
 	Waiting          int           // accepted jobs that haven't started
 	Running          int           // jobs that have started and haven't ended
@@ -27,6 +28,7 @@
 	starts, paces, approvalRequests int64
 	ends                            map[work.EndReason]int64
 	abandoned, stops                map[string]int64
+	rackWaits                       RackWaits
 }
 
 func newCounts() counts {
@@ -54,6 +56,7 @@
 	s := Stats{
 		Starts:           p.counts.starts,
 		Paces:            p.counts.paces,
+		RackWaits:        p.counts.rackWaits,
 		ApprovalRequests: p.counts.approvalRequests,
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
--- a/sched/stragglers.go
+++ b/sched/stragglers.go
@@ -62,7 +62,7 @@
 		ratio = &estimateRatio{}
 		p.estimateRatios[s.job.queue.Name] = ratio
 	}
-	took := now.Sub(run.confirmedAt)
+	took := p.localTime(run, now.Sub(run.confirmedAt))
 	run.runner.health.recordRunTime(took, ratio.expected(s.spec.Estimate))
 	ratio.observe(took, s.spec.Estimate)
 	s.totalRunTime += took
@@ -116,7 +116,7 @@
 	if s.timedTasks == 0 || run.task.slowRestarts >= maxSlowRestarts || elapsed < minRunAge || run.percent <= 0 || run.percent >= 100 || run.task.checkpoint != "" {
 		return
 	}
-	remaining := time.Duration(float64(elapsed) / float64(run.percent) * float64(100-run.percent))
+	remaining := p.localTime(run, time.Duration(float64(elapsed)/float64(run.percent)*float64(100-run.percent)))
 	typical := s.totalRunTime / time.Duration(s.timedTasks)
 	if float64(remaining) < stragglerFactor*float64(typical) || !p.fitsElsewhere(now, run) {
 		return
--- a/sched/strategy.go
+++ b/sched/strategy.go
@@ -10,10 +10,15 @@
 	DeadlineAware Strategy = iota // as many jobs on time as possible, on the best-fitting runner
 	LatestStart                   // by latest start, without shedding excess load
 	FIFO                          // by acceptance, on the first runner that fits
+	GoAtOnce                      // as DeadlineAware, but no task waits for a rack
+	WaitAlways                    // as DeadlineAware, but tasks wait for their racks as long as these have runners
 )
 
 // Strategies maps names to strategies.
-var Strategies = map[string]Strategy{"now": DeadlineAware, "urgent": LatestStart, "first": FIFO}
+var Strategies = map[string]Strategy{"now": DeadlineAware, "urgent": LatestStart, "first": FIFO, "direct": GoAtOnce, "always": WaitAlways}
+
+// shedsLoad reports whether excess load is shed.
+func (s Strategy) shedsLoad() bool { return s != LatestStart && s != FIFO }
 
 // WithStrategy sets the strategy; DeadlineAware is the default.
 func WithStrategy(s Strategy) Option {
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -75,13 +75,14 @@
 	submittedAt    map[work.ID]time.Time
 	result         Result
 	latencies      []time.Duration
-	largeCount     int     // jobs in the largest tenth
-	largeOnTime    int     // of these, completed on time
-	largeThreshold float64 // minimum core-seconds of a job in the largest tenth
-	meanSize       float64 // core-seconds of a job
-	earned         float64 // worth of the jobs that ended on time or late
-	usedCoreTime   float64 // core-seconds of all runs
-	wastedCoreTime float64 // core-seconds of runs that did not complete
+	largeCount     int               // jobs in the largest tenth
+	largeOnTime    int               // of these, completed on time
+	largeThreshold float64           // minimum core-seconds of a job in the largest tenth
+	meanSize       float64           // core-seconds of a job
+	earned         float64           // worth of the jobs that ended on time or late
+	stepRacks      map[stepID]string // of steps whose tasks belong in one rack
+	usedCoreTime   float64           // core-seconds of all runs
+	wastedCoreTime float64           // core-seconds of runs that did not complete
 }
 
 // Run simulates the named workload under the named scheduling strategy. An unknown name is a fault.Missing.
@@ -102,11 +103,11 @@
 func newSimulation(workload Workload, strategy sched.Strategy, seed uint64) *simulation {
 	s := &simulation{
 		workload: workload, rand: rand.New(rand.NewPCG(seed, 2)), now: time.Unix(1_800_000_000, 0).UTC(),
-		jobs: map[work.ID]arrival{}, submittedAt: map[work.ID]time.Time{},
+		jobs: map[work.ID]arrival{}, submittedAt: map[work.ID]time.Time{}, stepRacks: map[stepID]string{},
 		result: Result{Workload: workload.Name, Seed: seed},
 	}
 	countViolation := func(error) { s.result.Violations++ }
-	s.pool = sched.New(s.now, 1, sched.LeaseConfig{TTL: leaseTTL}, sched.WithStrategy(strategy), sched.WithViolationHook(countViolation), sched.WithJobEndHook(s.jobFinished))
+	s.pool = sched.New(s.now, 1, sched.LeaseConfig{TTL: leaseTTL}, sched.WithStrategy(strategy), sched.WithRemoteFactor(workload.remoteFactor), sched.WithViolationHook(countViolation), sched.WithJobEndHook(s.jobFinished))
 	for i := range workload.Machines {
 		r := &simRunner{runs: map[work.Task]*execution{}, info: work.Runner{
 			ID: fmt.Sprintf("r%03d", i), Machine: fmt.Sprintf("m%03d", i), Service: "s", Leaves: -1, Born: 1,
@@ -250,6 +251,7 @@
 		if took := s.jobs[o.Task.Job].took; took != nil {
 			duration = took[o.Task.Step][o.Task.Index]
 		}
+		duration = s.remoteDuration(r, o.Task, step, duration)
 		r.runs[o.Task] = &execution{o.Run, s.now, s.now.Add(duration), step.Resources.CPU}
 		s.pool.HandleStartResult(s.now, o, sched.OutcomeDone, "", s.clock)
 	case sched.Stop:
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"gypsumlead/work"
@@ -21,13 +22,14 @@
 	CoresPerMachine int64
 	arrivals        []arrival
 	rackLostAt      time.Duration // when the first rack is lost; 0 means never
+	remoteFactor    float64       // by which tasks are slower away from their rack; 0 means not at all
 	leaderLostAt    time.Duration // when nobody schedules for leaderGap, while jobs go on being accepted; 0 means never
 	firstMachines   int           // machines that are there from the start; the others follow from machinesFrom to machinesUntil
 	span            time.Duration // of the arrivals
 }
 
 // Workloads are the names of the workloads that Run accepts.
-var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover"}
+var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover", "hot", "ebb", "loss", "group", "uneven"}
 
 // Times and sizes of the workloads.
 const (
@@ -52,6 +54,9 @@
 	if name == "surge" || name == "takeover" {
 		return newNoticeWorkload(name, rng)
 	}
+	if slices.Contains(rackWorkloads, name) {
+		return newRackWorkload(name, rng)
+	}
 	workload := Workload{Name: name, Machines: machineCount, CoresPerMachine: coresPerMachine, firstMachines: machineCount, span: workloadSpan}
 	if name == "rack" {
 		workload.rackLostAt = rackLossTime
