Waits for racks: a pool isn't busy because tasks wait by choice

Cause: hasWaitingTasks counted them, so that lending and waves would have treated the pool as full. Change: it leaves out those that the last plan let wait. Ruled out: nothing else.

--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -40,8 +40,8 @@
 	return schedulable, p.hasWaitingTasks() || float64(used) > busyUtilization*float64(room)
 }
 
-// hasWaitingTasks reports whether a ready task waits for room. Long-running steps and occurrences with a start time
-// don't count.
+// hasWaitingTasks reports whether a ready task waits for room, other than in its preferred rack only. Long-running steps
+// and occurrences with a start time don't count.
 func (p *Pool) hasWaitingTasks() bool {
 	for _, j := range p.live {
 		if j.state.Final() {
@@ -49,7 +49,7 @@
 		}
 		for _, occ := range j.occurrences {
 			for _, s := range occ.steps {
-				if s.waiting > 0 && !s.spec.LongRunning && s.occurrence.due.IsZero() && s.ready(time.Time{}) {
+				if s.waiting > s.awaiting && !s.spec.LongRunning && s.occurrence.due.IsZero() && s.ready(time.Time{}) {
 					return true
 				}
 			}
--- a/sched/wait_test.go
+++ b/sched/wait_test.go
@@ -52,6 +52,7 @@
 	require.Contains(t, []string{"r2", "r3", "r4", "r5"}, f.runnerOf(taskOf(hot, 0, 2)), "two ends can't serve three tasks")
 	require.NotEmpty(t, f.runnerOf(taskOf(behind, 0, 0)))
 	require.Zero(t, f.pool.Demand(f.now, f.now).Waiting)
+	require.False(t, f.pool.hasWaitingTasks())
 	require.Empty(t, f.pool.reserved)
 	waits := f.pool.RackWaits(hot)
 	require.Len(t, waits, 2)
