--- a/daemon/election.go
+++ b/daemon/election.go
@@ -145,6 +145,7 @@
 		HeartbeatTimeout: member.HeartbeatTimeout,
 		Now:              d.now,
 		RateWindow:       d.settings.Bounds.RateWindow,
+		RemoteFactor:     d.settings.Bounds.RemoteFactor,
 		OnViolation:      d.reportViolation,
 	})
 	if err := l.Restore(ctx); err != nil {
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -81,7 +81,7 @@
 		if c.step.spec.BestEffort {
 			continue
 		}
-		need := p.countStartable(c.step) * c.step.spec.Resources.CPU
+		need := max(0, p.countStartable(c.step)-int64(c.step.awaiting)) * c.step.spec.Resources.CPU
 		if c.late {
 			d.Late += need
 		} else {
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -31,6 +31,7 @@
 	allowances          map[string]work.Resources // what workspaces with caps may use in this pool
 	workspaces          map[string]*workspace     // of known jobs
 	endedInherited      []*job                    // jobs that ended under an earlier leader while they had runs
+	onRackWait          func(RackWait)
 	counts              counts
 	checkInterval       time.Duration // between two checks of the invariants
 	lastChecked         time.Time
@@ -50,6 +51,10 @@
 	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
+	remoteFactor        float64          // by which tasks are slower away from their rack
+	outlook             *outlook         // of this plan; nil if no task may wait for a rack
+	awaiting            []*step          // steps with tasks that the last plan let wait for a rack
+	plannedAt           time.Time        // time of the last plan
 	leastUrgentPriority int              // largest priority number among preemptible runs in this plan
 }
 
@@ -119,6 +124,7 @@
 		onJobEnd:            func(JobEnd) {},
 		onHeldUp:            func(HeldUp) {},
 		workspaces:          map[string]*workspace{},
+		onRackWait:          func(RackWait) {},
 		counts:              newCounts(),
 		checkInterval:       defaultCheckInterval,
 		leadershipConfirmed: true,
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -14,6 +14,7 @@
 	Abandoned        map[string]int64 // abandoned runs, by reason
 	Stops            map[string]int64 // stop orders, by reason
 	Paces            int64
+	RackWaits        RackWaits
 	ApprovalRequests int64
 	Classes          map[Class]int64 // accepted jobs, by class; none if no workspaces are configured
 	Waiting          int             // accepted jobs that haven't started
@@ -29,6 +30,7 @@
 	ends                            map[work.EndReason]int64
 	abandoned, stops                map[string]int64
 	classes                         map[Class]int64
+	rackWaits                       RackWaits
 }
 
 func newCounts() counts {
@@ -56,6 +58,7 @@
 	s := Stats{
 		Starts:           p.counts.starts,
 		Paces:            p.counts.paces,
+		RackWaits:        p.counts.rackWaits,
 		ApprovalRequests: p.counts.approvalRequests,
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
