Store calls relayed through a peer while the store rejects this daemon

Cause: a daemon that the store rejects (503, 429, resets, silence) while it serves others lost its leases and turned callers away. The store stand-in rejects single callers in four ways. Ruled out: relaying after two rejected calls alone: a full partition or a rate limit would switch; a direct probe and a carrier that the store serves are asked for first.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -228,6 +228,8 @@
 		return &wire.Response{Body: &wire.Response_Pong{Pong: &wire.Pong{}}}, nil
 	case *wire.Request_Report:
 		return d.handleReport(body.Report), nil
+	case *wire.Request_StoreCall:
+		return d.handleStoreCall(ctx, body.StoreCall)
 	case *wire.Request_Relay:
 		result, led, err := d.handleRelay(ctx, body.Relay)
 		if err != nil {
@@ -285,8 +287,8 @@
 	return l.State(id), true, nil
 }
 
-// updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to: no other daemon
-// receives requests, and each session costs pings.
+// updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to, and to minCarriers: no
+// other daemon receives requests, and each session costs pings.
 func (d *Daemon) updatePeerTargets() {
 	live := d.members.Live()
 	planned := map[string]bool{}
@@ -296,8 +298,16 @@
 	var list []peer.Target
 	for _, n := range live {
 		if n.Name != d.settings.Instance && (len(n.Holds) > 0 || planned[n.Name]) {
-			list = append(list, peer.Target{Instance: n.Name, Addr: n.Peer, Centre: n.Centre})
+			list = append(list, targetOf(n))
 		}
 	}
-	d.mesh.SetTargets(list)
+	var candidates []peer.Target
+	for _, n := range d.members.Candidates() {
+		candidates = append(candidates, targetOf(n))
+	}
+	d.mesh.SetTargets(moreTargets(d.settings.Instance, list, candidates))
+}
+
+func targetOf(n member.Node) peer.Target {
+	return peer.Target{Instance: n.Name, Addr: n.Peer, Centre: n.Centre}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,7 +11,13 @@
 	"gypsumlead/peer/wire"
 )
 
-const maxMessageBytes = 1 << 20 // a job takes at most a quarter
+const (
+	// MaxBodyBytes is the size of the largest answer of the store that a message can carry: 1 MB of values is 1.4 MB in
+	// base64.
+	MaxBodyBytes = 2 << 20
+
+	maxMessageBytes = MaxBodyBytes + 64<<10 // a job takes at most an eighth
+)
 
 // writeMessage writes one length-delimited message. It buffers the message, so that length and body are sent together.
 func writeMessage(w io.Writer, m proto.Message) error {
--- a/standin/store.go
+++ b/standin/store.go
@@ -56,13 +56,40 @@
 type StoreFaults struct {
 	Down              bool                    // replies 503 to every request
 	Unresponsive      bool                    // never replies
-	RejectFrom        map[netip.Addr]struct{} // replies 503 to these callers
+	RejectFrom        map[netip.Addr]struct{} // rejects the calls of these callers
+	RejectBy          Rejection               // how it rejects them
+	BusyRate          float64                 // fraction of all requests that get 429
 	ResetPartitions   map[string]struct{}     // closes the connections of reads and transactions of these partitions
 	LostReplyRate     float64                 // fraction of transactions that are committed without a reply
 	DelayedCommitRate float64                 // fraction of transactions that get no reply and are committed seconds later
 	ExtraLatency      time.Duration           // added to the latency of every reply and to a transaction's time in its partition
 }
 
+// Rejection is how a Store rejects the calls of some callers.
+type Rejection int
+
+// The ways of rejecting.
+const (
+	RejectByStatus  Rejection = iota // 503
+	RejectAsBusy                     // 429
+	RejectByReset                    // closes the connection
+	RejectBySilence                  // never replies
+)
+
+// reject rejects a request.
+func (by Rejection) reject(w http.ResponseWriter, r *http.Request) {
+	switch by {
+	case RejectByStatus:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case RejectAsBusy:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case RejectByReset:
+		panic(http.ErrAbortHandler) // the way to close a connection without a response
+	case RejectBySilence:
+		withholdReply(r)
+	}
+}
+
 // Store emulates the platform's table store.
 type Store struct {
 	mu          sync.Mutex
@@ -76,11 +103,12 @@
 	startedAt   time.Time
 	busyUntil   map[string]time.Time // by partition: end of the last queued transaction
 	callCounts  map[string]int       // by call name
+	callsFrom   map[netip.Addr]int   // by caller
 }
 
 // NewStore returns an empty store that draws its random faults from r.
 func NewStore(r *rand.Rand) *Store {
-	return &Store{rows: map[rowKey]wireRow{}, wake: make(chan struct{}), rand: r, startedAt: time.Now(), busyUntil: map[string]time.Time{}, callCounts: map[string]int{}}
+	return &Store{rows: map[rowKey]wireRow{}, wake: make(chan struct{}), rand: r, startedAt: time.Now(), busyUntil: map[string]time.Time{}, callCounts: map[string]int{}, callsFrom: map[netip.Addr]int{}}
 }
 
 // SetFaults replaces the faults that the store injects.
@@ -158,13 +186,23 @@
 	faults := s.faults
 	name := strings.TrimPrefix(r.URL.Path, "/gypsumlead/")
 	s.callCounts[name]++
+	s.callsFrom[from.Addr()]++
+	busy := faults.BusyRate > 0 && s.rand.Float64() < faults.BusyRate // no draw without the fault: seeds keep their days
 	s.mu.Unlock()
 	if faults.Unresponsive {
 		withholdReply(r)
 		return
 	}
-	if _, rejected := faults.RejectFrom[from.Addr()]; rejected || faults.Down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if _, rejected := faults.RejectFrom[from.Addr()]; rejected {
+		faults.RejectBy.reject(w, r)
+		return
+	}
+	if faults.Down {
+		RejectByStatus.reject(w, r)
+		return
+	}
+	if busy {
+		RejectAsBusy.reject(w, r)
 		return
 	}
 	time.Sleep(replyLatency + faults.ExtraLatency)
@@ -310,3 +348,10 @@
 	defer s.mu.Unlock()
 	return maps.Clone(s.callCounts)
 }
+
+// CallsFrom returns the number of calls by caller.
+func (s *Store) CallsFrom() map[netip.Addr]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.callsFrom)
+}
