--- a/daemon/carrier.go
+++ b/daemon/carrier.go
@@ -17,7 +17,7 @@
 
 const (
 	maxCarried  = 32 // calls of other daemons that this one makes at the same time
-	minCarriers = 2  // daemons that this one has sessions with, so that it finds a carrier
+	minCarriers = 3  // daemons that this one has sessions with, so that it finds a carrier
 )
 
 // carrier counts the calls to the store that this daemon makes for others.
@@ -30,8 +30,11 @@
 	if !platform.IsStoreCall(c.Method, c.Path) {
 		return nil, fault.New(fault.Invalid, "no call to the table store")
 	}
+	d.mu.Lock()
+	leaving := d.leaving
+	d.mu.Unlock()
 	defer d.carrier.inFlight.Add(-1)
-	if d.carrier.inFlight.Add(1) > maxCarried || !d.store.Serves() {
+	if d.carrier.inFlight.Add(1) > maxCarried || leaving || !d.store.Serves() {
 		d.carrier.refused.Add(1)
 		return storeAnswer(platform.StoreAnswer{}), nil
 	}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,8 @@
 	err   error
 
 	answers, calls, starts, ends, abandoned, stops, paceChanges, approvalRequests metric.Int64ObservableCounter
-	leaseChanges, sampledLogs, lostLogs                                           metric.Int64ObservableCounter
+	leaseChanges, sampledLogs, lostLogs, relayedCalls, carriedCalls, refusedCalls metric.Int64ObservableCounter
+	relayedTime                                                                   metric.Float64ObservableCounter
 	terms, waiting, running, excluded, silent, moving                             metric.Int64ObservableGauge
 	oldest                                                                        metric.Float64ObservableGauge
 }
@@ -45,6 +46,10 @@
 	in.leaseChanges = in.counter("gypsumlead.seats.changes", "leases of leadership acquired or lost by this daemon")
 	in.sampledLogs = in.counter("gypsumlead.log.sampled", "log lines dropped because the same message was logged too often")
 	in.lostLogs = in.counter("gypsumlead.log.lost", "log lines lost because the reader was too slow")
+	in.relayedCalls = in.counter("gypsumlead.relay.sent", "calls to the store that this daemon sent through a carrier")
+	in.carriedCalls = in.counter("gypsumlead.relay.carried", "calls to the store that this daemon made for others")
+	in.refusedCalls = in.counter("gypsumlead.relay.refused", "calls to the store that this daemon refused to make for others")
+	in.relayedTime = in.seconds("gypsumlead.relay.time", "time during which this daemon's calls to the store were relayed")
 	in.terms = in.gauge("gypsumlead.seats.term", "term of the leader, for each service led by this daemon")
 	in.waiting = in.gauge("gypsumlead.jobs.waiting", "accepted jobs that haven't started, by service")
 	in.running = in.gauge("gypsumlead.jobs.running", "jobs that have started, by service")
@@ -70,7 +75,7 @@
 		d.observe(o, in)
 		return nil
 	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.paceChanges, in.approvalRequests, in.leaseChanges, in.sampledLogs, in.lostLogs,
-		in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
+		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
 	return err
 }
 
@@ -83,6 +88,15 @@
 	return c
 }
 
+// seconds creates a counter of seconds; the first error is kept in in.err.
+func (in *instruments) seconds(name, description string) metric.Float64ObservableCounter {
+	c, err := in.meter.Float64ObservableCounter(name, metric.WithUnit("s"), metric.WithDescription(description))
+	if in.err == nil {
+		in.err = err
+	}
+	return c
+}
+
 // gauge creates a gauge; the first error is kept in in.err.
 func (in *instruments) gauge(name, description string) metric.Int64ObservableGauge {
 	c, err := in.meter.Int64ObservableGauge(name, metric.WithDescription(description))
@@ -104,6 +118,11 @@
 	o.ObserveInt64(in.sampledLogs, sampled)
 	o.ObserveInt64(in.lostLogs, lost)
 	o.ObserveInt64(in.leaseChanges, d.leaseChanges.Load())
+	relayed := d.store.RelayCounts()
+	o.ObserveInt64(in.relayedCalls, relayed.Relayed)
+	o.ObserveFloat64(in.relayedTime, relayed.Time.Seconds())
+	o.ObserveInt64(in.carriedCalls, d.carrier.carried.Load())
+	o.ObserveInt64(in.refusedCalls, d.carrier.refused.Load())
 	if d.coordinator != nil {
 		o.ObserveInt64(in.moving, d.coordinator.Moving())
 	}
