--- a/daemon/carrier.go
+++ b/daemon/carrier.go
@@ -59,25 +59,30 @@
 	return carrierOrder(c.d.settings.Instance, c.d.settings.Centre, c.d.mesh.Peers())
 }
 
-// carrierOrder sorts daemons as carriers of one daemon: those of its data centre first, and among these in an order that
-// differs between daemons, so that the calls of many spread over the carriers.
+// carrierOrder sorts daemons as carriers of one daemon and returns their names.
 func carrierOrder(self, centre string, peers []peer.Identity) []string {
+	names := make([]string, len(peers))
 	slices.SortFunc(peers, func(a, b peer.Identity) int {
-		if near := a.Centre == centre; near != (b.Centre == centre) {
-			if near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(carrierRank(self, a.Instance), carrierRank(self, b.Instance)), cmp.Compare(a.Instance, b.Instance))
+		return compareCarriers(self, centre, a.Instance, a.Centre, b.Instance, b.Centre)
 	})
-	names := make([]string, len(peers))
 	for i, p := range peers {
 		names[i] = p.Instance
 	}
 	return names
 }
 
+// compareCarriers compares two daemons, each with its data centre, as carriers of one daemon: those of its data centre come
+// first, and among these the order differs between daemons, so that the calls of many spread over the carriers.
+func compareCarriers(self, centre, a, aCentre, b, bCentre string) int {
+	if near := aCentre == centre; near != (bCentre == centre) {
+		if near {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(carrierRank(self, a), carrierRank(self, b)), cmp.Compare(a, b))
+}
+
 // carrierRank returns the rank of a carrier for one daemon, which is evenly distributed.
 func carrierRank(self, carrier string) uint64 {
 	sum := sha256.Sum256([]byte(self + "/" + carrier)) // FNV would order similar names alike for every daemon
@@ -96,10 +101,10 @@
 	return platform.StoreAnswer{Sent: a.GetSent(), Status: int(a.GetStatus()), Body: a.GetBody()}
 }
 
-// moreTargets returns further targets for a daemon that would have sessions with fewer than minCarriers others.
-func moreTargets(self string, targets, candidates []peer.Target) []peer.Target {
+// addCarriers returns the targets and further ones of a daemon that would have sessions with fewer than minCarriers others.
+func addCarriers(self, centre string, targets, candidates []peer.Target) []peer.Target {
 	slices.SortFunc(candidates, func(a, b peer.Target) int {
-		return cmp.Compare(carrierRank(self, a.Instance), carrierRank(self, b.Instance))
+		return compareCarriers(self, centre, a.Instance, a.Centre, b.Instance, b.Centre)
 	})
 	for _, c := range candidates {
 		known := slices.ContainsFunc(targets, func(t peer.Target) bool { return t.Instance == c.Instance })
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -305,7 +305,7 @@
 	for _, n := range d.members.Candidates() {
 		candidates = append(candidates, targetOf(n))
 	}
-	d.mesh.SetTargets(moreTargets(d.settings.Instance, list, candidates))
+	d.mesh.SetTargets(addCarriers(d.settings.Instance, d.settings.Centre, list, candidates))
 }
 
 func targetOf(n member.Node) peer.Target {
