Relayed store calls: a leader that is cut off from the store alone

Cause: no test had a daemon that reaches its peers but not the store. Such a daemon is ready and goes on now. Ruled out: a scenario of its own.

--- a/emulator/carrier_test.go
+++ b/emulator/carrier_test.go
@@ -31,22 +31,23 @@
 
 // The store rejects the leader of a service, or a third of the daemons, and serves the others. The leader must go on
 // through a carrier, within the time in which the others would take its lease, also when its links to the others are cut
-// by turns, one of them its carrier's. Callers must hardly notice.
+// by turns, one of them its carrier's, and when it is cut off from the store alone. Callers must hardly notice.
 func TestRejectedDaemonsGoOnThroughCarriers(t *testing.T) {
 	for _, tc := range []struct {
 		name    string
 		size    Size
 		by      standin.Rejection
 		slowest time.Duration // answer
-		cutLink bool
+		cut     string        // links of the leader that are cut: none, to the store, or to the other daemons by turns
 	}{
-		{"503", Small, standin.RejectByStatus, 300 * time.Millisecond, false},
-		{"429", Small, standin.RejectAsBusy, 300 * time.Millisecond, false},
-		{"resets", Small, standin.RejectByReset, 300 * time.Millisecond, false},
-		{"silence", Small, standin.RejectBySilence, time.Second, false},
-		{"503, third of the daemons", Typical, standin.RejectByStatus, 300 * time.Millisecond, false},
-		{"silence, third of the daemons", Typical, standin.RejectBySilence, time.Second, false},
-		{"503, carrier lost", Small, standin.RejectByStatus, 2 * time.Second, true},
+		{"503", Small, standin.RejectByStatus, 300 * time.Millisecond, ""},
+		{"429", Small, standin.RejectAsBusy, 300 * time.Millisecond, ""},
+		{"resets", Small, standin.RejectByReset, 300 * time.Millisecond, ""},
+		{"silence", Small, standin.RejectBySilence, time.Second, ""},
+		{"503, third of the daemons", Typical, standin.RejectByStatus, 300 * time.Millisecond, ""},
+		{"silence, third of the daemons", Typical, standin.RejectBySilence, time.Second, ""},
+		{"503, carrier lost", Small, standin.RejectByStatus, 2 * time.Second, "others"},
+		{"cut off from the store", Small, standin.RejectByStatus, time.Second, "store"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			runScenario(t, tc.size, 41, func(t *testing.T, c *Cluster) {
@@ -57,8 +58,12 @@
 				for i := 4; i <= tc.size.Daemons; i += 3 {
 					rejected[c.DaemonAddr(c.Daemons()[i-1])] = struct{}{}
 				}
+				if tc.cut == "store" {
+					rejected = nil
+					cut(c, []netip.Addr{c.DaemonAddr(leader)}, []netip.Addr{storeAddr.Addr()})
+				}
 				c.wg.Go(func() {
-					for i := 1; i < 3 && tc.cutLink; i++ {
+					for i := 1; i < 3 && tc.cut == "others"; i++ {
 						time.Sleep(1500 * time.Millisecond)
 						cut(c, []netip.Addr{c.DaemonAddr(leader)}, []netip.Addr{c.DaemonAddr(c.Daemons()[i])})
 						time.Sleep(1500 * time.Millisecond)
