--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -231,6 +231,8 @@
 		return d.handleReport(body.Report), nil
 	case *wire.Request_Usage:
 		return d.handleUsage(body.Usage), nil
+	case *wire.Request_StoreCall:
+		return d.handleStoreCall(ctx, body.StoreCall)
 	case *wire.Request_Relay:
 		result, led, err := d.handleRelay(ctx, body.Relay)
 		if err != nil {
@@ -288,8 +290,8 @@
 	return l.State(id, caller), true, nil
 }
 
-// updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to: no other daemon
-// receives requests, and each session costs pings.
+// updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to, and to minCarriers: no
+// other daemon receives requests, and each session costs pings.
 func (d *Daemon) updatePeerTargets() {
 	live := d.members.Live()
 	planned := map[string]bool{}
@@ -299,8 +301,16 @@
 	var list []peer.Target
 	for _, n := range live {
 		if n.Name != d.settings.Instance && (len(n.Holds) > 0 || planned[n.Name]) {
-			list = append(list, peer.Target{Instance: n.Name, Addr: n.Peer, Centre: n.Centre})
+			list = append(list, targetOf(n))
 		}
 	}
-	d.mesh.SetTargets(list)
+	var candidates []peer.Target
+	for _, n := range d.members.Candidates() {
+		candidates = append(candidates, targetOf(n))
+	}
+	d.mesh.SetTargets(addCarriers(d.settings.Instance, d.settings.Centre, list, candidates))
+}
+
+func targetOf(n member.Node) peer.Target {
+	return peer.Target{Instance: n.Name, Addr: n.Peer, Centre: n.Centre}
 }
