--- a/emulator/workspaces.go
+++ b/emulator/workspaces.go
@@ -118,6 +118,13 @@
 	return callerKey(0)
 }
 
+// SpareKey returns the second key of a workspace, which RotateKey replaces.
+func (c *Cluster) SpareKey(workspace int) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Tenants[workspace].APIKeys[1]
+}
+
 // RotateKey replaces the second key of a workspace.
 func (c *Cluster) RotateKey(workspace int) {
 	c.changeConfig(func(config *config) {
