--- a/jobapi/keys_test.go
+++ b/jobapi/keys_test.go
@@ -53,7 +53,9 @@
 	return s.record(c)
 }
 
-func (s *site) Pending(context.Context, work.Queue) leader.Result { return s.record(workspace.Caller{}) }
+func (s *site) Pending(context.Context, work.Queue) leader.Result {
+	return s.record(workspace.Caller{})
+}
 
 // newSite returns a site with the workspace a, whose key is k1.
 func newSite(t *testing.T, opts ...Option) *site {
