--- a/emulator/caps_test.go
+++ b/emulator/caps_test.go
@@ -1,7 +1,10 @@
 package emulator
 
 import (
+	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"testing"
@@ -13,29 +16,18 @@
 	"gypsumlead/daemon"
 	"gypsumlead/leader"
 	"gypsumlead/platform"
+	"gypsumlead/standin"
 	"gypsumlead/work"
 )
 
-// cappedTenant is a workspace of the configuration with a cap.
-type cappedTenant struct {
-	Name string
-	Cap  struct {
-		CPU int64 `json:"Cpu"`
-	}
-}
-
 // setCap writes a configuration with one workspace that has a cap in millicores.
 func setCap(c *Cluster, workspace string, cpu int64) {
-	tenant := cappedTenant{Name: workspace}
+	tenant := configTenant{Name: workspace}
 	tenant.Cap.CPU = cpu
 	c.mu.Lock()
-	c.config.Version += 3
-	updated := struct {
-		config
-		Tenants []cappedTenant
-	}{c.config, []cappedTenant{tenant}}
+	c.config.Tenants = []configTenant{tenant}
 	c.mu.Unlock()
-	c.Store.Put("op", "config", updated)
+	c.UpdateConfig()
 }
 
 // submitAs submits a job of a workspace at a daemon, without the check of a key, and polls it until it ends.
@@ -55,7 +47,9 @@
 		parsed.Workspace = workspace
 		queue := work.Queue{Name: "q-" + service, Service: service, Attempts: maxAttempts, Slack: 1.6, Aim: 600 * time.Millisecond}
 		for range maxTries {
-			result := runningDaemon(c).Submit(c.ctx, id, queue, parsed)
+			ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
+			result := runningDaemon(c).Submit(ctx, id, queue, parsed)
+			cancel()
 			c.Checker.SubmitAnswered(id, result.Verdict == leader.Accepted, result.Verdict == leader.Refused)
 			if result.Verdict == leader.Accepted {
 				c.mu.Lock()
@@ -72,10 +66,11 @@
 	return id
 }
 
-// runningDaemon returns a daemon that is ready.
+// runningDaemon returns a daemon that has been ready, once there is one.
 func runningDaemon(c *Cluster) *daemon.Daemon {
+	rng := c.newRand()
 	for {
-		if node := c.pickDaemon(c.newRand(), ""); node != nil {
+		if node := c.pickDaemon(rng, ""); node != nil {
 			c.mu.Lock()
 			proc := node.process
 			c.mu.Unlock()
@@ -182,3 +177,39 @@
 		})
 	}
 }
+
+// Random faults of every kind, several at a time, while a workspace wants more than its cap on two services. For a longer run:
+// go test ./emulator -run CapHoldsOnRandomDays -seeds 100.
+func TestCapHoldsOnRandomDays(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runScenario(t, Small, seed, func(t *testing.T, c *Cluster) {
+				const limit, task = 24_000, 2000
+				setCap(c, "w", limit)
+				time.Sleep(time.Second)
+				stop := watchUse(c)
+				rng, wave := rand.New(rand.NewPCG(seed, 98)), int64(0)
+				for i := range 60 {
+					submitAs(c, "w", serviceName(i%2), JobShape{MaxSteps: 2, MaxWidth: 6, MeanMS: 1200, CPU: task, FailingShare: 0.05})
+					if rng.IntN(3) == 0 {
+						injectRandomFault(c, rng, &wave)
+					}
+					time.Sleep(400 * time.Millisecond)
+				}
+				c.Net.Heal()
+				c.Store.SetFaults(standin.StoreFaults{})
+				for _, id := range c.Runners() {
+					c.SetRunnerFaults(id, standin.RunnerFaults{})
+				}
+				for _, name := range c.Daemons() {
+					c.Start(name)
+				}
+				time.Sleep(40 * time.Second)
+				most := stop()
+				t.Logf("at most %d millicores of %d", most, limit)
+				require.LessOrEqual(t, most, int64(limit*11/10+task))
+			})
+		})
+	}
+}
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -15,9 +15,18 @@
 	Version  int64           `json:"Version"`
 	Routes   []configRoute   `json:"Routes"`
 	Services []configService `json:"Services"`
+	Tenants  []configTenant  `json:"Tenants,omitempty"`
 	Limits   map[string]int  `json:"Limits"`
 }
 
+// configTenant is a workspace of the configuration.
+type configTenant struct {
+	Name string `json:"Name"`
+	Cap  struct {
+		CPU int64 `json:"Cpu"`
+	} `json:"Cap"`
+}
+
 // configRoute is a queue: the path under which callers submit jobs of a service.
 type configRoute struct {
 	Name        string  `json:"Name"`
