Caps: report times are taken before the report is made; no loops over workspaces without caps

Cause: review. A freeze between making a report and taking its time would have made portions last longer; plans looped over the workspaces of a configuration without caps. Change: as the title says; sequence numbers of a granter that starts again in the same term leave room for 10,000 answers a second. Ruled out: nothing.

--- a/budget/granter.go
+++ b/budget/granter.go
@@ -67,8 +67,8 @@
 // after silence nothing runs in a service that has no leader.
 func NewGranter(now time.Time, term int, age, settle, silence time.Duration) *Granter {
 	// A daemon may become the granter twice in one term, if the service to whose leader this falls changes and changes
-	// back. A granter sends fewer than 1,000 answers a second, so the later one's numbers are higher.
-	first := int64(term)<<TermShift + age.Milliseconds()
+	// back. A granter sends fewer than 10,000 answers a second, so the later one's numbers are higher.
+	first := int64(term)<<TermShift + age.Microseconds()/100
 	return &Granter{
 		first: first, last: first, started: now, settledAt: now.Add(settle), silence: silence,
 		services: map[string]*service{}, workspaces: map[string]*workspace{},
--- a/daemon/caps.go
+++ b/daemon/caps.go
@@ -38,14 +38,13 @@
 	interval := budget.ReportInterval
 	for ctx.Err() == nil && d.leaderOf(l.Service()) == l {
 		sleep.ForOrWake(ctx, interval, l.ReportUrgent())
-		service := d.coordinatorService()
+		service, sentAt := d.coordinatorService(), d.now()
 		report, capped := l.UsageReport(service)
 		if !capped {
 			interval = capsIdle
 			continue
 		}
 		interval = budget.ReportInterval
-		sentAt := d.now()
 		answer, ok := d.sendUsage(ctx, service, report)
 		if ok {
 			failed = 0
--- a/sched/workspaces.go
+++ b/sched/workspaces.go
@@ -125,13 +125,14 @@
 	return work.Resources{CPU: a.CPU * n, Mem: a.Mem * n, GPU: a.GPU * n}
 }
 
+// leavesRoom reports whether the allowance of a workspace, which may be nil, suffices for a further need.
+func (w *workspace) leavesRoom(need work.Resources) bool {
+	return w == nil || !w.capped || w.inUse().Add(need).Fits(w.allowance)
+}
+
 // heldByCap reports whether the cap of the step's workspace leaves no room to start any of the step's waiting tasks.
 func (p *Pool) heldByCap(s *step) bool {
-	w := s.job.workspace
-	if w == nil || !w.capped || w.inUse().Add(s.unit()).Fits(w.allowance) {
-		return false
-	}
-	return s.waiting > 0 && !s.partlyRunning()
+	return !s.job.workspace.leavesRoom(s.unit()) && s.waiting > 0 && !s.partlyRunning()
 }
 
 // partlyRunning reports whether the step is a gang with runs left, which are to end before it starts again.
@@ -179,6 +180,9 @@
 
 // NewlyHeldUp reports whether the last plan held up tasks of a workspace of which the plan before held up none.
 func (p *Pool) NewlyHeldUp() bool {
+	if len(p.caps) == 0 {
+		return false
+	}
 	for _, w := range p.workspaces {
 		if w.heldUp && !w.heldBefore {
 			return true
@@ -189,8 +193,7 @@
 
 // overAllowance reports whether the workspace of a run uses more than its allowance, so that the run may not be started.
 func (p *Pool) overAllowance(run *taskRun) bool {
-	w := run.task.step.job.workspace
-	return w != nil && w.capped && !w.inUse().Fits(w.allowance)
+	return !run.task.step.job.workspace.leavesRoom(work.Resources{})
 }
 
 // checkAllowance reports a start that exceeds the allowance of its workspace.
