Caps: a leader confirms at once that it has lost a notable part of a cap

Cause: quota that one service no longer uses reached another only after two more of its reports, 200 ms apart. Change: an answer that takes away more than a sixteenth of a cap makes the next report urgent. Ruled out: a flag in the answer; the leader sees it from the amounts.

--- a/budget/granter_test.go
+++ b/budget/granter_test.go
@@ -84,7 +84,10 @@
 	require.Equal(t, int64(30), f.exchange("b", needs(0, 1000, 2)))
 	f.exchange("a", needs(50, 1000, 2))
 	require.Equal(t, int64(50), f.exchange("b", needs(30, 1000, 2)))
-	require.LessOrEqual(t, f.exchange("a", needs(10, 0, 0)), int64(30), "reduced, as it isn't used")
+	less := f.ask("a", needs(10, 0, 0))
+	require.True(t, f.leaders["a"].Shrinks(less), "b waits for its confirmation")
+	require.LessOrEqual(t, less.Portions["w"].Amount.CPU, int64(30), "reduced, as it isn't used")
+	require.False(t, f.leaders["a"].Shrinks(Answer{Portions: f.leaders["a"].portions}))
 }
 
 // Guards against two services that each get too little for one task, so that neither starts any, and against one of them
--- a/budget/holding.go
+++ b/budget/holding.go
@@ -64,6 +64,22 @@
 	return true
 }
 
+// shrinkage is the part of a cap by which a portion has to shrink for its leader to confirm that at once: another service
+// may wait for it.
+const shrinkage = 16
+
+// Shrinks reports whether an answer takes away a notable part of a cap, so that the leader is to confirm it at once.
+func (h *Holding) Shrinks(a Answer) bool {
+	for name, p := range h.portions {
+		taken := p.Amount.Sub(a.Portions[name].Amount)
+		limit := part(h.caps[name], shrinkage)
+		if taken.CPU > limit.CPU || taken.Mem > limit.Mem || taken.GPU > limit.GPU {
+			return true
+		}
+	}
+	return false
+}
+
 // Expired reports whether the portions are no longer in effect.
 func (h *Holding) Expired(now time.Time) bool { return !now.Before(h.expiry) }
 
--- a/leader/caps.go
+++ b/leader/caps.go
@@ -88,9 +88,13 @@
 func (l *Leader) ApplyPortions(granter string, sent time.Time, a budget.Answer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	shrinks := l.caps.holding.Shrinks(a)
 	if !l.caps.holding.Apply(granter, sent, a) {
 		return
 	}
+	if shrinks {
+		sleep.Wake(l.caps.reported)
+	}
 	now := l.Now()
 	allowances := l.caps.holding.Allowances(now)
 	l.pool.SetAllowances(allowances)
