--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -19,6 +19,14 @@
 	Limits   map[string]int  `json:"Limits"`
 }
 
+// configTenant is a workspace of the configuration.
+type configTenant struct {
+	Name string `json:"Name"`
+	Cap  struct {
+		CPU int64 `json:"Cpu"`
+	} `json:"Cap"`
+}
+
 // configRoute is a queue: the path under which callers submit jobs of a service.
 type configRoute struct {
 	Name        string  `json:"Name"`
