Refusal of jobs that are certain to be too late, after a row at their key says so

Cause: in overload every job was accepted, also those that could only end after three times their objective; their callers waited for nothing, and no daemon could refuse truthfully, because it doesn't know earlier tries of the same ID. Change: where workspaces are configured, the leader refuses such a job with 429 once a refused row is stored at the job's key, with other commits. Only a try that arrived after the row was stored replaces it: daemons send the newest version of the store that they had been shown with each relayed try. Restore, handoff, the inbox and the reading of states recognise refused rows.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -35,8 +35,9 @@
 // job is handed off through the store. A try that was certainly not stored is repeated for up to submitPatience.
 func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
 	giveUpAt := d.now().Add(submitPatience)
+	seen := d.store.SeenVersion() // what is stored by then was there before this try
 	for {
-		result := d.submitOnce(ctx, id, q, job)
+		result := d.submitOnce(ctx, id, q, job, seen)
 		notStored := result.Verdict == leader.Unknown && result.Retry > 0
 		if !notStored || ctx.Err() != nil || !d.now().Add(resubmitInterval).Before(giveUpAt) {
 			return result
@@ -46,7 +47,7 @@
 }
 
 // submitOnce tries once to have a job stored.
-func (d *Daemon) submitOnce(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
+func (d *Daemon) submitOnce(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) leader.Result {
 	if d.isIsolated() {
 		return notStored(errIsolated)
 	}
@@ -55,13 +56,13 @@
 		if err := d.storeLink.Check(ctx); err != nil {
 			return notStored(err)
 		}
-		result := l.Submit(ctx, id, q, job)
+		result := l.Submit(ctx, id, q, job, seen)
 		if result.Verdict != leader.Unknown || ctx.Err() != nil {
 			return result
 		}
 		mayBeStored = result.Retry == 0
 	} else {
-		result, delivered := d.relaySubmit(ctx, id, q, job)
+		result, delivered := d.relaySubmit(ctx, id, q, job, seen)
 		if delivered == answered && result.Verdict != leader.Unknown {
 			return result
 		}
@@ -98,7 +99,7 @@
 )
 
 // relaySubmit relays a submission to the leader of the service, or to the daemon that is to become its leader.
-func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job) (leader.Result, delivery) {
+func (d *Daemon) relaySubmit(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) (leader.Result, delivery) {
 	queueJSON, err := json.Marshal(q)
 	if err != nil {
 		return notStored(err), notSent
@@ -107,7 +108,7 @@
 	if err != nil {
 		return notStored(err), notSent
 	}
-	r := &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: queueJSON, Job: jobJSON}
+	r := &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: queueJSON, Job: jobJSON, Seen: seen}
 	if _, ok := d.members.Leader(q.Service); ok {
 		return d.relay(ctx, r)
 	}
@@ -276,7 +277,7 @@
 		if l == nil {
 			return d.handoff.Submit(ctx, id, q, job), true, nil
 		}
-		return l.Submit(ctx, id, q, job), true, nil
+		return l.Submit(ctx, id, q, job, r.Seen), true, nil
 	case wire.Relay_CANCEL:
 		return l.Cancel(ctx, id), true, nil
 	case wire.Relay_PENDING:
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,10 +19,10 @@
 	meter metric.Meter
 	err   error
 
-	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests metric.Int64ObservableCounter
-	leaseChanges, sampledLogs, lostLogs                                                    metric.Int64ObservableCounter
-	terms, waiting, running, excluded, silent, moving                                      metric.Int64ObservableGauge
-	oldest                                                                                 metric.Float64ObservableGauge
+	answers, calls, starts, ends, abandoned, stops, classes, refusals, paceChanges, approvalRequests metric.Int64ObservableCounter
+	leaseChanges, sampledLogs, lostLogs                                                              metric.Int64ObservableCounter
+	terms, waiting, running, excluded, silent, moving                                                metric.Int64ObservableGauge
+	oldest                                                                                           metric.Float64ObservableGauge
 }
 
 // setUpMetrics creates the instruments and the callback that reads all of them.
@@ -42,6 +42,7 @@
 	in.stops = in.counter("gypsumlead.stops", "orders to stop a run, by service and reason")
 	in.paceChanges = in.counter("gypsumlead.paces", "orders to change the pace of a run, by service")
 	in.classes = in.counter("gypsumlead.jobs.classes", "accepted jobs of workspaces, by service and class: guaranteed or excess")
+	in.refusals = in.counter("gypsumlead.jobs.refusals", "refused jobs, and tries turned down because of an earlier refusal, by service and reason")
 	in.approvalRequests = in.counter("gypsumlead.asks", "requests to the policy service, by service")
 	in.leaseChanges = in.counter("gypsumlead.seats.changes", "leases of leadership acquired or lost by this daemon")
 	in.sampledLogs = in.counter("gypsumlead.log.sampled", "log lines dropped because the same message was logged too often")
@@ -70,7 +71,7 @@
 	_, err = in.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		d.observe(o, in)
 		return nil
-	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.paceChanges, in.approvalRequests, in.leaseChanges, in.sampledLogs, in.lostLogs,
+	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.leaseChanges, in.sampledLogs, in.lostLogs,
 		in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
 	return err
 }
@@ -134,6 +135,9 @@
 	for reason, n := range stats.Stops {
 		o.ObserveInt64(in.stops, n, service, label("why", reason))
 	}
+	for cause, n := range l.Refusals() {
+		o.ObserveInt64(in.refusals, n, service, label("why", cause))
+	}
 	for class, n := range stats.Classes {
 		o.ObserveInt64(in.classes, n, service, label("class", string(class)))
 	}
--- /dev/null
+++ b/leader/admission.go
@@ -0,0 +1,167 @@
+package leader
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"go.uber.org/zap"
+
+	"gypsumlead/platform"
+	"gypsumlead/work"
+)
+
+const (
+	refusedTTL     = 120 * time.Second // refused rows stay in the store for this long; writes of earlier tries are carried out seconds later at most
+	fleetFreshness = 30 * time.Second  // of the list of machines, for refusals; machines are added and removed by operators
+)
+
+// Causes of refusals and of tries that are turned down because of one, for the metrics.
+const (
+	causeFull    = "full"    // the job is certain to miss its late objective
+	causeEarlier = "earlier" // the try may be older than a refused one; answered as unknown
+)
+
+// refusedRow is a row at a job's key which states that no try of the job was accepted. While it is there, each late write
+// of an earlier try fails.
+type refusedRow struct {
+	version int64
+	at      time.Time
+}
+
+// admission is the state on which a leader decides whether to refuse jobs.
+type admission struct {
+	refused     map[work.ID]refusedRow
+	causes      map[string]int64
+	fleetCPU    int64 // of all machines, which a move may bring
+	fleetReadAt time.Time
+	reading     bool // the list of machines is being read
+}
+
+func newAdmission() admission {
+	return admission{refused: map[work.ID]refusedRow{}, causes: map[string]int64{}}
+}
+
+// Refusals returns how many jobs were refused and how many tries were turned down because of a refusal, by cause.
+func (l *Leader) Refusals() map[string]int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.admission.causes)
+}
+
+// admit decides on a new submission: it may become a refusal, or replace a refused row. It returns false if the try may be
+// older than the refusal of another one, whose caller was told that no earlier try ever runs.
+func (l *Leader) admit(in *intent) bool {
+	if row, ok := l.admission.refused[in.id]; ok {
+		in.version = row.version
+		if in.seen < row.version {
+			l.admission.causes[causeEarlier]++
+			return false
+		}
+	}
+	now := l.Now()
+	if len(l.workspaces) == 0 || !l.leaseConfirmed(now) || !l.pool.MayRefuse(now, in.row.Queue, in.row.Job) || !l.fleetKnown(now) {
+		return true
+	}
+	retry, refused := l.pool.Refusal(now, time.Now(), in.id, in.row.Queue, in.row.Job, l.admission.fleetCPU)
+	if !refused {
+		return true
+	}
+	value, err := encode(jobRow{Refused: true, At: in.row.At})
+	if err != nil {
+		l.Log.Error("cannot encode a refusal", zap.Error(err))
+		return true
+	}
+	in.kind, in.value, in.retry = refuseJob, value, retry
+	return true
+}
+
+// fleetKnown reports whether the list of machines was read lately. If not, it is read in the background.
+func (l *Leader) fleetKnown(now time.Time) bool {
+	if l.Machines == nil {
+		return true // no machine ever changes its pool
+	}
+	if !l.admission.fleetReadAt.IsZero() && now.Sub(l.admission.fleetReadAt) < fleetFreshness {
+		return true
+	}
+	if !l.admission.reading && l.group != nil {
+		l.admission.reading = true
+		l.group.Go(func() error {
+			l.readFleet(l.ctx)
+			return nil
+		})
+	}
+	return false
+}
+
+// readFleet reads the list of machines.
+func (l *Leader) readFleet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	machines, ok := l.Machines(ctx)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.admission.reading = false
+	if !ok {
+		return // read again for the next job
+	}
+	l.admission.fleetCPU, l.admission.fleetReadAt = 0, l.Now()
+	for _, m := range machines {
+		l.admission.fleetCPU += m.Room.CPU
+	}
+}
+
+// refusedStored answers the callers of a job whose refusal is stored.
+func (l *Leader) refusedStored(in *intent) {
+	l.admission.refused[in.id] = refusedRow{l.leaseVersion, in.row.At}
+	l.admission.causes[causeFull]++
+	l.Log.Info("job refused", zap.String("job", string(in.id)), zap.String("workspace", in.row.Job.Workspace), zap.Duration("retry", in.retry))
+	in.reply(Result{Verdict: Refused, Full: true, Retry: in.retry, Why: "the service can't finish the job in time"})
+}
+
+// noteRefused records a refused row that the store has.
+func (l *Leader) noteRefused(row platform.Row, stored jobRow) {
+	l.admission.refused[work.ID(row.Key)] = refusedRow{row.Version, stored.At}
+}
+
+// handleRefusedRow prepares an intent whose commit met a refused row for the next commit, unless its try may be older than
+// the refusal.
+func (l *Leader) handleRefusedRow(in *intent, row platform.Row, stored jobRow) {
+	l.noteRefused(row, stored)
+	if in.kind == storeJob && in.seen < row.Version {
+		l.admission.causes[causeEarlier]++
+		l.removeIntent(in)
+		in.reply(olderTry())
+		return
+	}
+	in.version = row.Version
+}
+
+// olderTry returns the result of a try that may be older than a refused one. It claims nothing, and nothing of it is stored.
+func olderTry() Result {
+	return Result{Verdict: Unknown, Why: "another try of the job was refused, and this one may be older"}
+}
+
+// forgetRefused removes the refused rows that no late write of an earlier try can meet any more.
+func (l *Leader) forgetRefused(now time.Time) {
+	for id, row := range l.admission.refused {
+		if now.Sub(row.at) < refusedTTL || l.pendingSubmission(id) != nil {
+			continue
+		}
+		delete(l.admission.refused, id)
+		l.intents = append(l.intents, &intent{kind: deleteJob, id: id})
+	}
+}
+
+// pendingSubmission returns the pending submission or refusal of a job, or nil.
+func (l *Leader) pendingSubmission(id work.ID) *intent {
+	for _, in := range l.intents {
+		if in.id == id && in.submission() {
+			return in
+		}
+	}
+	return nil
+}
+
+// submission reports whether callers wait for the intent's job.
+func (in *intent) submission() bool { return in.kind == storeJob || in.kind == refuseJob }
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -110,6 +110,9 @@
 		if in.kind == deleteInbox && !l.inboxRowDone(in) {
 			continue // the inbox row is the only record of the request that the next leader would find
 		}
+		if in.submission() && slices.ContainsFunc(next, func(earlier *intent) bool { return earlier.kind == deleteJob && earlier.id == in.id }) {
+			continue // one transaction can't both delete and write a row
+		}
 		size += len(in.value)
 		if len(next) == min(limit, maxBatchJobs) || (size > maxBatchBytes && len(next) > 0) {
 			break
@@ -163,8 +166,8 @@
 	for _, in := range batch.intents {
 		jobKey := rowKey(tableJobs, service, string(in.id))
 		switch in.kind {
-		case storeJob:
-			tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey})
+		case storeJob, refuseJob:
+			tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey, Version: in.version})
 			tx.Puts = append(tx.Puts, platform.Row{RowKey: jobKey, Value: in.value})
 		case deleteJob:
 			tx.Deletes = append(tx.Deletes, jobKey, rowKey(tableProgress, service, string(in.id)))
@@ -216,9 +219,14 @@
 	now := l.Now()
 	for _, in := range batch.intents {
 		l.removeIntent(in)
-		if in.kind == storeJob {
+		switch in.kind {
+		case storeJob:
+			delete(l.admission.refused, in.id)
 			l.pool.Accept(now, in.id, in.row.Queue, in.row.Job)
 			in.reply(Result{Verdict: Accepted})
+		case refuseJob:
+			l.refusedStored(in)
+		case deleteJob, deleteInbox:
 		}
 	}
 	l.pool.MarkCommitted(now, batch.progress)
@@ -266,7 +274,7 @@
 		return // an earlier attempt with the same intents may still take effect
 	}
 	for _, in := range batch.intents {
-		if in.kind == storeJob {
+		if in.submission() {
 			l.removeIntent(in)
 			in.reply(notStored("the store refuses: " + err.Error()))
 		}
@@ -290,7 +298,7 @@
 		return false
 	}
 	for _, row := range conflict.Rows {
-		if row.Table == tableJobs && row.Version != 0 {
+		if row.Table == tableJobs {
 			l.handleExistingJob(batch, row)
 		}
 	}
@@ -316,10 +324,15 @@
 	return true
 }
 
-// handleExistingJob accepts a submitted job that the store already has.
+// handleExistingJob accepts a submitted job that the store already has, and notes whether it has a refused row.
 func (l *Leader) handleExistingJob(batch commitBatch, row platform.Row) {
 	for _, in := range batch.intents {
-		if in.kind != storeJob || string(in.id) != row.Key {
+		if !in.submission() || string(in.id) != row.Key {
+			continue
+		}
+		if row.Version == 0 {
+			in.version = 0
+			delete(l.admission.refused, in.id)
 			continue
 		}
 		stored, err := decodeJob(row)
@@ -327,6 +340,10 @@
 			l.Log.Error("cannot decode a stored job", zap.Error(err))
 			stored = in.row // the same caller submitted it under the same ID
 		}
+		if stored.Refused {
+			l.handleRefusedRow(in, row, stored)
+			continue
+		}
 		l.removeIntent(in)
 		l.pool.Accept(l.Now(), in.id, stored.Queue, stored.Job)
 		in.reply(Result{Verdict: Accepted})
--- a/leader/count_test.go
+++ b/leader/count_test.go
@@ -60,7 +60,7 @@
 func TestCountIncludesJobsWhoseTransactionWasNotAnswered(t *testing.T) {
 	store := &muteStore{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
 	l := newConfirmedLeader(newTestStore(t, store))
-	reply, _ := l.submit(jobID(1), handoffQueue, handoffJob)
+	reply, _ := l.submit(jobID(1), handoffQueue, handoffJob, 0)
 	l.commitOnce(t.Context())
 	h := NewHandoff(newTestStore(t, store.inner), zap.NewNop(), time.Now)
 	require.Equal(t, Accepted, h.Submit(t.Context(), jobID(1), handoffQueue, handoffJob).Verdict)
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -216,12 +216,16 @@
 	queue.waiting = append(batch, queue.waiting...)
 }
 
-// requeue accepts the jobs that the store already has and puts the others back at the front of the queue.
+// requeue answers the jobs that the store already has, or has refused rows of, and puts the others back at the front of the queue.
 func (h *Handoff) requeue(queue *serviceQueue, batch []*pendingJob, conflict *platform.Conflict) {
-	stored := map[string]struct{}{}
+	stored := map[string]Result{}
 	for _, row := range conflict.Rows {
 		if row.Table == tableJobs && row.Version != 0 {
-			stored[row.Key] = struct{}{}
+			stored[row.Key] = Result{Verdict: Accepted}
+			if isRefused(row) {
+				// This try may be older than the refused one. Leaders know which tries are newer and replace the row.
+				stored[row.Key] = olderTry()
+			}
 		}
 	}
 	if len(stored) == 0 {
@@ -230,8 +234,8 @@
 	}
 	var remaining []*pendingJob
 	for _, pending := range batch {
-		if _, ok := stored[string(pending.id)]; ok {
-			pending.reply <- Result{Verdict: Accepted}
+		if result, ok := stored[string(pending.id)]; ok {
+			pending.reply <- result
 			continue
 		}
 		remaining = append(remaining, pending)
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -143,6 +143,9 @@
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return nil // a retry would read the same value
 	}
+	if job.Refused {
+		return nil // nothing to load; the inbox row cancels a job that was never accepted
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
@@ -179,7 +182,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if len(page.Rows) == 0 {
+	if len(page.Rows) == 0 || isRefused(page.Rows[0]) {
 		return Result{Verdict: Absent}, nil
 	}
 	return Result{State: work.Queued}, nil
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -59,9 +59,10 @@
 	leaseVersion    int64         // version of the lease row
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
-	epoch           int64                // heartbeat epoch in which the store last confirmed the lease
-	inboxReadAt     time.Time            // when the store last answered a reading of the inbox, all of which was applied
-	unloadedJobs    map[work.ID]string   // jobs that inbox rows submit and that are not loaded yet, with their queues
+	epoch           int64              // heartbeat epoch in which the store last confirmed the lease
+	inboxReadAt     time.Time          // when the store last answered a reading of the inbox, all of which was applied
+	unloadedJobs    map[work.ID]string // jobs that inbox rows submit and that are not loaded yet, with their queues
+	admission       admission
 	guarded         bool                 // the service's runners reject what exceeds their room
 	workspaces      []platform.Workspace // as configured; empty if callers need no keys
 	services        int                  // number of configured services
@@ -93,6 +94,7 @@
 		cancelWaiters: map[work.ID][]chan Result{},
 		unloadedJobs:  map[work.ID]string{},
 		unanswered:    map[int64]commitBatch{},
+		admission:     newAdmission(),
 		commitDone:    make(chan struct{}),
 		wakePlan:      make(chan struct{}, 1),
 		wakeCommit:    make(chan struct{}, 1),
@@ -278,6 +280,7 @@
 	for _, id := range l.pool.ForgetJobs(now.Add(-finishedTTL)) {
 		l.intents = append(l.intents, &intent{kind: deleteJob, id: id})
 	}
+	l.forgetRefused(now)
 }
 
 // Configure sets the configured queues of the service, whether its runners reject what exceeds their room, and the
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,7 +35,8 @@
 type intentKind int
 
 const (
-	storeJob intentKind = iota
+	storeJob  intentKind = iota
+	refuseJob            // store a refused row
 	deleteJob
 	deleteInbox
 )
@@ -48,6 +48,9 @@
 	key     string // key of the inbox row, for deleteInbox
 	row     jobRow
 	value   []byte
+	version int64         // of the refused row that a submission replaces; 0 if there is none
+	seen    int64         // version of the store that was known before the try arrived
+	retry   time.Duration // of a refusal
 	replies []chan Result
 }
 
@@ -61,14 +64,15 @@
 func tooLarge(err error) Result { return Result{Verdict: Refused, Why: err.Error()} }
 
 // Submit stores a job and returns once the outcome is known. If ctx ends first, or while the store is silent, the
-// verdict is Unknown.
-func (l *Leader) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
+// verdict is Unknown. seen is the version of the store that the daemon which received the try knew before that; a try
+// replaces a refusal only with an earlier version.
+func (l *Leader) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) Result {
 	if !l.knows(id) {
 		if err := l.storeLink.Check(ctx); err != nil {
 			return notStored("the store is silent: " + err.Error())
 		}
 	}
-	reply, result := l.submit(id, q, job)
+	reply, result := l.submit(id, q, job, seen)
 	if reply == nil {
 		return result
 	}
@@ -80,11 +84,11 @@
 func (l *Leader) knows(id work.ID) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.pool.HasJob(id) || slices.ContainsFunc(l.intents, func(in *intent) bool { return in.kind == storeJob && in.id == id })
+	return l.pool.HasJob(id) || l.pendingSubmission(id) != nil
 }
 
 // submit queues a job and returns the channel for its result. If the channel is nil, the returned result is final.
-func (l *Leader) submit(id work.ID, q work.Queue, job work.Job) (chan Result, Result) {
+func (l *Leader) submit(id work.ID, q work.Queue, job work.Job, seen int64) (chan Result, Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.pool.HasJob(id) {
@@ -94,18 +98,20 @@
 		return nil, Result{Verdict: Unknown, Why: "the service has another holder"}
 	}
 	reply := make(chan Result, 1)
-	for _, in := range l.intents {
-		if in.kind == storeJob && in.id == id {
-			in.replies = append(in.replies, reply)
-			return reply, Result{}
-		}
+	if in := l.pendingSubmission(id); in != nil {
+		in.replies = append(in.replies, reply)
+		return reply, Result{}
 	}
 	row := jobRow{Queue: q, Job: job, At: time.Now()}
 	value, err := encodeJob(row)
 	if err != nil {
 		return nil, tooLarge(err)
 	}
-	l.intents = append(l.intents, &intent{kind: storeJob, id: id, row: row, value: value, replies: []chan Result{reply}})
+	in := &intent{kind: storeJob, id: id, row: row, value: value, seen: seen, replies: []chan Result{reply}}
+	if !l.admit(in) {
+		return nil, olderTry()
+	}
+	l.intents = append(l.intents, in)
 	return reply, Result{}
 }
 
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -118,6 +118,10 @@
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return
 	}
+	if job.Refused {
+		l.noteRefused(row, job)
+		return
+	}
 	now := l.Now()
 	acceptedAt := job.At
 	if acceptedAt.After(now) {
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -43,6 +43,8 @@
 	Queue work.Queue `json:"queue"`
 	Job   work.Job   `json:"job"`
 	At    time.Time  `json:"at"`
+	// Refused states that no try of the job was accepted so far; the row has no job then.
+	Refused bool `json:"refused,omitempty"`
 }
 
 // inboxRow is the value of an inbox row. The key has the job's ID and whether the row cancels the job.
@@ -70,15 +72,24 @@
 	return value, err
 }
 
-// decodeJob decodes the row of an accepted job and checks the job.
+// decodeJob decodes the row of an accepted job and checks the job, or the row of a refused one.
 func decodeJob(row platform.Row) (jobRow, error) {
 	var job jobRow
 	if err := decode(row, &job); err != nil {
 		return jobRow{}, err
 	}
+	if job.Refused {
+		return job, nil
+	}
 	return job, fault.Wrap(fault.Invalid, job.Job.Check(), "row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
 }
 
+// isRefused reports whether a row at a job's key states that the job was refused.
+func isRefused(row platform.Row) bool {
+	var job jobRow
+	return decode(row, &job) == nil && job.Refused
+}
+
 func decode(row platform.Row, into any) error {
 	return fault.Wrap(fault.Invalid, json.Unmarshal(row.Value, into), "decode row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
 }
--- a/sched/candidates.go
+++ b/sched/candidates.go
@@ -17,8 +17,21 @@
 
 // candidates returns the steps with tasks that can start, most urgent first.
 func (p *Pool) candidates(now, wall time.Time) []candidate {
-	unresolved := p.unresolved()
 	p.measureSchedulableCPU(now)
+	return p.orderedCandidates(now, wall)
+}
+
+// candidatesWith returns the candidates as they would be if schedulable runners had cpu millicores for tasks that end.
+func (p *Pool) candidatesWith(now, wall time.Time, cpu int64) []candidate {
+	measured := p.schedulableCPU
+	p.schedulableCPU = cpu
+	defer func() { p.schedulableCPU = measured }()
+	return p.orderedCandidates(now, wall)
+}
+
+// orderedCandidates returns the steps with tasks that can start, most urgent first.
+func (p *Pool) orderedCandidates(now, wall time.Time) []candidate {
+	unresolved := p.unresolved()
 	var shed map[*occurrence]struct{}
 	if p.strategy == DeadlineAware {
 		shed = p.overload(now, wall)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -36,6 +36,7 @@
 	lastAssessed        time.Time
 	arrivals            arrivals
 	shares              shares
+	backlog             backlog
 	retaining           bool // some runners are marked as retained
 	orders              []Order
 	doneWithRuns        map[*task]struct{} // done tasks that had runs left, which are stopped
--- a/sched/share.go
+++ b/sched/share.go
@@ -95,11 +95,23 @@
 // classify sets the class of a job that was accepted at j.accepted. A job keeps its class: a class that followed the
 // bucket would let jobs change places from plan to plan. Long-running jobs and those without a workspace take no tokens.
 func (s *shares) classify(j *job) {
+	j.excess = s.wouldExceed(j)
+	if w, ok := s.byName[j.spec.Workspace]; ok && !j.excess && !j.spec.LongRunning() {
+		w.tokens--
+	}
+}
+
+// wouldExceed reports whether a job would be excess if it were accepted now.
+func (s *shares) wouldExceed(j *job) bool {
 	if !s.configured || j.spec.Workspace == "" || j.spec.LongRunning() {
-		return
+		return false
 	}
 	w, ok := s.byName[j.spec.Workspace]
-	j.excess = !ok || !w.take(j.accepted, s.rate(j.spec.Workspace), s.window)
+	if !ok {
+		return true
+	}
+	w.fill(j.accepted, s.rate(j.spec.Workspace), s.window)
+	return w.tokens < 1
 }
 
 // bucketDepth returns how many tokens a bucket holds: those of one window, one more, and twice the standard deviation of
@@ -111,24 +123,18 @@
 	return inWindow + 1 + 2*math.Sqrt(inWindow)
 }
 
-// take takes a token, if there is one.
-func (w *share) take(now time.Time, rate float64, window time.Duration) bool {
-	if rate <= 0 {
-		return false
-	}
+// fill brings the tokens up to date.
+func (w *share) fill(now time.Time, rate float64, window time.Duration) {
 	depth := bucketDepth(rate, window)
 	switch {
+	case rate <= 0:
+		w.tokens = 0
 	case w.filledAt.IsZero():
 		w.tokens, w.filledAt = depth, now
 	case now.After(w.filledAt):
 		w.tokens = min(depth, w.tokens+rate*now.Sub(w.filledAt).Seconds())
 		w.filledAt = now
 	}
-	if w.tokens < 1 {
-		return false
-	}
-	w.tokens--
-	return true
 }
 
 // classifyRestored classifies the restored jobs in the order of their acceptance, which also brings the buckets to where
