--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,7 @@
 	err   error
 
 	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests metric.Int64ObservableCounter
-	keyRefusals, rackWaits, leaseChanges, sampledLogs, lostLogs                            metric.Int64ObservableCounter
+	refusals, keyRefusals, rackWaits, leaseChanges, sampledLogs, lostLogs                  metric.Int64ObservableCounter
 	relayedCalls, carriedCalls, refusedCalls                                               metric.Int64ObservableCounter
 	rackWaited, relayedTime                                                                metric.Float64ObservableCounter
 	terms, waiting, running, excluded, silent, moving                                      metric.Int64ObservableGauge
@@ -45,6 +45,7 @@
 	in.stops = in.counter("gypsumlead.stops", "orders to stop a run, by service and reason")
 	in.paceChanges = in.counter("gypsumlead.paces", "orders to change the pace of a run, by service")
 	in.classes = in.counter("gypsumlead.jobs.classes", "accepted jobs of workspaces, by service and class: guaranteed or excess")
+	in.refusals = in.counter("gypsumlead.jobs.refusals", "refused jobs, and tries turned down because of an earlier refusal, by service and reason")
 	in.approvalRequests = in.counter("gypsumlead.asks", "requests to the policy service, by service")
 	in.rackWaits = in.counter("gypsumlead.waits", "waits of tasks for a rack, by service and state: begun, ended in the rack (place), ended in another (away)")
 	waited, err := in.meter.Float64ObservableCounter("gypsumlead.waits.duration", metric.WithUnit("s"), metric.WithDescription("time that tasks have waited for racks although others had room, by service"))
@@ -86,7 +87,7 @@
 	_, err = in.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		d.observe(o, in)
 		return nil
-	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
+	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
 		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
 	return err
 }
@@ -171,6 +172,9 @@
 	for reason, n := range stats.Stops {
 		o.ObserveInt64(in.stops, n, service, label("why", reason))
 	}
+	for cause, n := range l.Refusals() {
+		o.ObserveInt64(in.refusals, n, service, label("why", cause))
+	}
 	for class, n := range stats.Classes {
 		o.ObserveInt64(in.classes, n, service, label("class", string(class)))
 	}
--- a/emulator/caps_test.go
+++ b/emulator/caps_test.go
@@ -1,8 +1,6 @@
 package emulator
 
 import (
-	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -13,73 +11,23 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/api/oas"
-	"gypsumlead/daemon"
-	"gypsumlead/leader"
-	"gypsumlead/platform"
 	"gypsumlead/standin"
 	"gypsumlead/work"
 )
 
-// setCap writes a configuration with one workspace that has a cap in millicores.
-func setCap(c *Cluster, workspace string, cpu int64) {
-	tenant := configTenant{Name: workspace}
-	tenant.Cap.CPU = cpu
-	c.mu.Lock()
-	c.config.Tenants = []configTenant{tenant}
-	c.mu.Unlock()
-	c.UpdateConfig()
+// capped returns a site with a workspace.
+func capped(size Size) Size {
+	size.Workspaces = 1
+	return size
 }
 
-// submitAs submits a job of a workspace at a daemon, without the check of a key, and polls it until it ends.
-func submitAs(c *Cluster, workspace, service string, shape JobShape) work.ID {
-	wire, job := c.NewBatchJob(shape)
-	id, sub := c.register(service, job)
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
-	rng := c.newRand()
-	c.wg.Go(func() {
-		parsed, err := platform.DecodeJob(body)
-		if err != nil {
-			panic(err) // so do they decode
-		}
-		parsed.Workspace = workspace
-		queue := work.Queue{Name: "q-" + service, Service: service, Attempts: maxAttempts, Slack: 1.6, Aim: 600 * time.Millisecond}
-		for range maxTries {
-			ctx, cancel := context.WithTimeout(c.ctx, requestTimeout)
-			result := runningDaemon(c).Submit(ctx, id, queue, parsed)
-			cancel()
-			c.Checker.SubmitAnswered(id, result.Verdict == leader.Accepted, result.Verdict == leader.Refused)
-			if result.Verdict == leader.Accepted {
-				c.mu.Lock()
-				sub.accepted = true
-				c.mu.Unlock()
-				c.pollUntilFinal(id, sub, rng)
-				return
-			}
-			if !c.sleep(retryDelay) {
-				return
-			}
-		}
-	})
-	return id
-}
+// setCap sets the cap of the workspace, in millicores.
+func setCap(c *Cluster, cpu int64) { c.SetCap(0, work.Resources{CPU: cpu}) }
 
-// runningDaemon returns a daemon that has been ready, once there is one.
-func runningDaemon(c *Cluster) *daemon.Daemon {
-	rng := c.newRand()
-	for {
-		if node := c.pickDaemon(rng, ""); node != nil {
-			c.mu.Lock()
-			proc := node.process
-			c.mu.Unlock()
-			if proc != nil {
-				return proc.daemon
-			}
-		}
-		c.sleep(retryDelay)
-	}
+// submitCapped submits a job of the workspace.
+func submitCapped(c *Cluster, service string, shape JobShape) work.ID {
+	wire, job := c.NewBatchJob(shape)
+	return c.SubmitAs(0, service, wire, job)
 }
 
 // watchUse records the most that all runners together had in use, in millicores, until stop is called.
@@ -128,7 +76,7 @@
 	}
 	require.Contains(t, strings.Join(trail, "\n"), `"why":"cap"`)
 	require.Len(t, list, 1)
-	require.Equal(t, "w", list[0].Name)
+	require.Equal(t, WorkspaceName(0), list[0].Name)
 	require.Equal(t, limit, list[0].Cap.CPU)
 	require.Positive(t, list[0].Waiting.CPU)
 	require.LessOrEqual(t, list[0].Running.CPU, list[0].Granted.CPU)
@@ -140,20 +88,20 @@
 func TestCapBindsWhileLeadersAreKilled(t *testing.T) {
 	for _, lost := range []string{"s0", spareService} {
 		t.Run(lost, func(t *testing.T) {
-			runScenario(t, Small, 61, func(t *testing.T, c *Cluster) {
+			runScenario(t, capped(Small), 61, func(t *testing.T, c *Cluster) {
 				const limit, task = 24_000, 2000
 				c.keepTrail = true
 				for _, name := range c.Daemons() {
 					c.Stop(name)
 					c.Start(name)
 				}
-				setCap(c, "w", limit)
+				setCap(c, limit)
 				time.Sleep(5 * time.Second)
 				stop := watchUse(c)
 				shape := JobShape{MaxSteps: 2, MaxWidth: 5, MeanMS: 800, CPU: task}
 				var jobs []work.ID
 				for i := range 100 {
-					jobs = append(jobs, submitAs(c, "w", serviceName(i%2), shape))
+					jobs = append(jobs, submitCapped(c, serviceName(i%2), shape))
 					time.Sleep(50 * time.Millisecond)
 					if i == 40 {
 						requireListed(t, c, limit, jobs[i-1])
@@ -169,7 +117,7 @@
 				}
 				time.Sleep(5 * time.Second)
 				most := stop()
-				setCap(c, "w", limit/2)
+				setCap(c, limit/2)
 				time.Sleep(5 * time.Second) // until the version is in force everywhere, and the tasks of before have ended
 				stop = watchUse(c)
 				time.Sleep(50 * time.Second)
@@ -190,14 +138,14 @@
 	for i := range *seedCount {
 		seed := *firstSeed + uint64(i)
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			runScenario(t, Small, seed, func(t *testing.T, c *Cluster) {
+			runScenario(t, capped(Small), seed, func(t *testing.T, c *Cluster) {
 				const limit, task = 24_000, 2000
-				setCap(c, "w", limit)
+				setCap(c, limit)
 				time.Sleep(time.Second)
 				stop := watchUse(c)
 				rng, wave := rand.New(rand.NewPCG(seed, 98)), int64(0)
 				for i := range 60 {
-					submitAs(c, "w", serviceName(i%2), JobShape{MaxSteps: 2, MaxWidth: 6, MeanMS: 1200, CPU: task, FailingShare: 0.05})
+					submitCapped(c, serviceName(i%2), JobShape{MaxSteps: 2, MaxWidth: 6, MeanMS: 1200, CPU: task, FailingShare: 0.05})
 					if rng.IntN(3) == 0 {
 						injectRandomFault(c, rng, &wave)
 					}
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -217,7 +217,7 @@
 	queue.waiting = append(batch, queue.waiting...)
 }
 
-// requeue accepts the jobs that the store already has, unless they are other workspaces', and puts the others back at the front of the queue.
+// requeue answers the jobs for which the store already has a row, and puts the others back at the front of the queue.
 func (h *Handoff) requeue(queue *serviceQueue, batch []*pendingJob, conflict *platform.Conflict) {
 	stored := map[string]platform.Row{}
 	for _, row := range conflict.Rows {
@@ -246,6 +246,9 @@
 func (p *pendingJob) exists(row platform.Row) Result {
 	stored, err := decodeJob(row)
 	switch {
+	case err == nil && stored.Refused:
+		// This try may be older than the refused one. Leaders know which tries are newer and replace the row.
+		return olderTry()
 	case err == nil:
 		return known(stored.Job.Workspace, p.job)
 	case p.job.Workspace != "":
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -142,6 +142,9 @@
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return nil // a retry would read the same value
 	}
+	if job.Refused {
+		return nil // nothing to load; the inbox row cancels a job that was never accepted
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
--- a/leader/ownership.go
+++ b/leader/ownership.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if len(page.Rows) == 0 {
+	if len(page.Rows) == 0 || isRefused(page.Rows[0]) {
 		return Result{Verdict: Absent}, nil
 	}
 	return Result{State: work.Queued}, nil
@@ -71,7 +71,7 @@
 	if err != nil {
 		return Result{}, 0, err
 	}
-	if !caller.MaySee(job.Job.Workspace) {
+	if job.Refused || !caller.MaySee(job.Job.Workspace) {
 		return Result{Verdict: Absent}, 0, nil
 	}
 	page, err = store.GetRow(ctx, rowKey(tableProgress, service, string(id)))
--- a/leader/ownership_test.go
+++ b/leader/ownership_test.go
@@ -44,13 +44,13 @@
 	store, _, h := storeWithJob(t, func() {})
 
 	l := newConfirmedLeader(store)
-	reply, _ := l.submit(jobID(1), handoffQueue, jobOf("b"))
-	_, other := l.submit(jobID(1), handoffQueue, jobOf("a"))
+	reply, _ := l.submit(jobID(1), handoffQueue, jobOf("b"), 0)
+	_, other := l.submit(jobID(1), handoffQueue, jobOf("a"), 0)
 	require.Equal(t, Unknown, other.Verdict, "the ID's owner is decided by the store")
 	l.commitOnce(t.Context())
 	require.Equal(t, Taken, (<-reply).Verdict)
 	for name, want := range map[string]Verdict{"a": Accepted, "b": Taken, "": Taken} {
-		require.Equal(t, want, l.Submit(t.Context(), jobID(1), handoffQueue, jobOf(name)).Verdict, name)
+		require.Equal(t, want, l.Submit(t.Context(), jobID(1), handoffQueue, jobOf(name), 0).Verdict, name)
 		require.Equal(t, want, h.Submit(t.Context(), jobID(1), handoffQueue, jobOf(name)).Verdict, name)
 	}
 
