Speculative copies of slow tasks

Cause: a straggler was stopped and started again, which loses the work of a task that is long wherever it runs; steps that allow copies had none. Change: sched/copies.go starts a second run where it pays in expectation by what the queue's copies have won, within a twentieth of the pool's CPU, in room that no waiting task of equal or higher precedence needs, and only with two attempts left. The loser counts against nobody. The end as done is acknowledged once the other run can't start late. Stalled runs and steps without copies as before. The stand-in's checker reports a third run, and a copy that starts 1 s after the end was acknowledged.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -20,7 +20,7 @@
 	err   error
 
 	answers, calls, starts, ends, abandoned, stops, paceChanges, approvalRequests metric.Int64ObservableCounter
-	rackWaits                                                                     metric.Int64ObservableCounter
+	rackWaits, copies                                                             metric.Int64ObservableCounter
 	rackWaited                                                                    metric.Float64ObservableCounter
 	leaseChanges, sampledLogs, lostLogs                                           metric.Int64ObservableCounter
 	terms, waiting, running, excluded, silent, moving                             metric.Int64ObservableGauge
@@ -45,6 +45,7 @@
 	in.paceChanges = in.counter("gypsumlead.paces", "orders to change the pace of a run, by service")
 	in.approvalRequests = in.counter("gypsumlead.asks", "requests to the policy service, by service")
 	in.rackWaits = in.counter("gypsumlead.waits", "waits of tasks for a rack, by service and state: begun, ended in the rack (place), ended in another (away)")
+	in.copies = in.counter("gypsumlead.copies", "copies of slow tasks, by service and state: begun, won, lost")
 	waited, err := in.meter.Float64ObservableCounter("gypsumlead.waits.duration", metric.WithUnit("s"), metric.WithDescription("time that tasks have waited for racks although others had room, by service"))
 	in.rackWaited = waited
 	if in.err == nil {
@@ -77,7 +78,7 @@
 	_, err = in.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		d.observe(o, in)
 		return nil
-	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.leaseChanges, in.sampledLogs, in.lostLogs,
+	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.copies, in.leaseChanges, in.sampledLogs, in.lostLogs,
 		in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
 	return err
 }
@@ -136,6 +137,9 @@
 	o.ObserveInt64(in.rackWaits, stats.RackWaits.InPlace, service, label("state", "place"))
 	o.ObserveInt64(in.rackWaits, stats.RackWaits.Elsewhere, service, label("state", "away"))
 	o.ObserveFloat64(in.rackWaited, stats.RackWaits.Waited.Seconds(), service)
+	o.ObserveInt64(in.copies, stats.Copies.Started, service, label("state", "begun"))
+	o.ObserveInt64(in.copies, stats.Copies.Won, service, label("state", "won"))
+	o.ObserveInt64(in.copies, stats.Copies.Lost, service, label("state", "lost"))
 	for reason, n := range stats.Ends {
 		o.ObserveInt64(in.ends, n, service, label("how", string(reason)))
 	}
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -46,21 +46,24 @@
 	CPU            int64   // millicores per task
 	FailingShare   float64 // share of the jobs whose tasks always fail
 	Checkpointing  bool
-	CrashesRunners bool // each task crashes its runner
+	CrashesRunners bool  // each task crashes its runner
+	SlowPercent    int64 // of the runs, which are slow; if set, copies are allowed
 }
 
 // wireStep is a step of a wireJob.
 type wireStep struct {
-	Count         int   `json:"Count"`
-	CPU           int64 `json:"Cpu"`
-	MemMb         int64 `json:"MemMb"`
-	EstimateMs    int64 `json:"EstimateMs,omitempty"`
-	After         []int `json:"After,omitempty"`
-	Checkpointing bool  `json:"Checkpointing,omitempty"`
-	LongRunning   bool  `json:"LongRunning,omitempty"`
-	MayMiss       *int  `json:"MayMiss,omitempty"`
-	MaxPerServer  int   `json:"MaxPerServer,omitempty"`
-	Gang          bool  `json:"Gang,omitempty"`
+	Count         int    `json:"Count"`
+	CPU           int64  `json:"Cpu"`
+	MemMb         int64  `json:"MemMb"`
+	EstimateMs    int64  `json:"EstimateMs,omitempty"`
+	After         []int  `json:"After,omitempty"`
+	Checkpointing bool   `json:"Checkpointing,omitempty"`
+	LongRunning   bool   `json:"LongRunning,omitempty"`
+	MayMiss       *int   `json:"MayMiss,omitempty"`
+	MaxPerServer  int    `json:"MaxPerServer,omitempty"`
+	Speculative   bool   `json:"Speculative,omitempty"`
+	Affinity      string `json:"Affinity,omitempty"`
+	Gang          bool   `json:"Gang,omitempty"`
 }
 
 // wireJob is a job in the platform's JSON format.
@@ -82,13 +85,13 @@
 	fails := c.rand.Float64() < shape.FailingShare
 	for i := range 1 + c.rand.IntN(shape.MaxSteps) {
 		ms := shape.MeanMS/2 + c.rand.Int64N(shape.MeanMS)
-		step := wireStep{Count: 1 + c.rand.IntN(shape.MaxWidth), CPU: shape.CPU, MemMb: 100, EstimateMs: ms * (60 + c.rand.Int64N(90)) / 100, Checkpointing: shape.Checkpointing}
+		step := wireStep{Count: 1 + c.rand.IntN(shape.MaxWidth), CPU: shape.CPU, MemMb: 100, EstimateMs: ms * (60 + c.rand.Int64N(90)) / 100, Checkpointing: shape.Checkpointing, Speculative: shape.SlowPercent > 0}
 		if i > 0 {
 			step.After = []int{i - 1}
 		}
 		wire.JobSteps = append(wire.JobSteps, step)
-		job.Steps = append(job.Steps, work.Step{Count: step.Count, After: step.After, Checkpointing: shape.Checkpointing})
-		spec.Steps = append(spec.Steps, standin.SpecStep{RunMS: ms, CPU: step.CPU, Mem: step.MemMb, AlwaysFails: fails, CrashesRunner: shape.CrashesRunners, Checkpointing: shape.Checkpointing})
+		job.Steps = append(job.Steps, work.Step{Count: step.Count, After: step.After, Checkpointing: shape.Checkpointing, Speculative: step.Speculative})
+		spec.Steps = append(spec.Steps, standin.SpecStep{RunMS: ms, CPU: step.CPU, Mem: step.MemMb, AlwaysFails: fails, CrashesRunner: shape.CrashesRunners, SlowPercent: shape.SlowPercent, Checkpointing: shape.Checkpointing})
 	}
 	wire.Spec = spec.Text()
 	job.Spec = wire.Spec
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -287,6 +287,7 @@
 	s.Listen.Ready = netip.AddrPortFrom(node.addr, portReady)
 	s.Listen.Peers = netip.AddrPortFrom(node.addr, portPeers)
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
+	s.Bounds.RemoteFactor = 2
 	return s
 }
 
--- a/sched/check.go
+++ b/sched/check.go
@@ -35,6 +35,9 @@
 	if len(t.runs) == 0 {
 		return
 	}
+	if r := t.duplicateRunner(); r != nil {
+		p.reportViolation("task %s has two runs on runner %s", t.name, r.ID)
+	}
 	for _, a := range t.step.spec.After {
 		if t.step.occurrence.steps[a].remaining > 0 {
 			p.reportViolation("task %s has a run before step %d is done", t.name, a)
--- a/sched/commit.go
+++ b/sched/commit.go
@@ -100,7 +100,7 @@
 func (p *Pool) advanceAckCursor(r *runner) {
 	n := 0
 	for _, e := range r.pendingEnds {
-		if e.job != nil && e.job.committedSeq < e.seq {
+		if e.job != nil && (e.job.committedSeq < e.seq || p.mayStartLate(e.task)) {
 			break
 		}
 		r.ackedEnd = e.number
--- a/sched/demand.go
+++ b/sched/demand.go
@@ -67,6 +67,8 @@
 		for run := range r.runs {
 			switch s := run.task.step; {
 			case s.spec.BestEffort:
+			case run.isCopy():
+				d.Used -= s.spec.Resources.CPU // it uses what is free and needs no machines
 			case s.spec.LongRunning:
 				d.LongRunning += s.spec.Resources.CPU
 			case now.After(p.objective(s.occurrence, s.job)):
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -23,6 +23,7 @@
 	p.assessRuns(now)
 	p.evacuate(now)
 	p.stopUnwanted()
+	p.releaseAcks()
 	p.withdrawPlanned(now)
 	p.placeAll(now, wall)
 	p.orderPlanned(now)
@@ -101,24 +102,28 @@
 		return
 	}
 	p.leastUrgentPriority = p.leastUrgent()
-	blocked := 0
+	reserved := 0
+	var blocked blockage
 	list := p.candidates(now, wall)
 	p.prepareOutlook(now, list)
 	for _, c := range list {
 		if !p.ensureApproved(now, c.step) {
 			continue
 		}
-		if p.placeStep(now, c.step) || c.step.spec.BestEffort {
+		placed := p.placeStep(now, c.step)
+		blocked.note(c, placed)
+		if placed || c.step.spec.BestEffort {
 			continue
 		}
 		if !p.storeAvailable {
 			continue // it may be the store that it waits for, which no room would change
 		}
 		p.preempt(now, c.step)
-		if blocked < maxReservations && p.reserve(now, c.step) {
-			blocked++
+		if reserved < maxReservations && p.reserve(now, c.step) {
+			reserved++
 		}
 	}
+	p.startCopies(now, blocked)
 }
 
 // placeStep starts the step's tasks as far as there is room, and reports whether it found room for all but those that wait
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -34,6 +34,8 @@
 	heldTasks           map[*task]struct{}        // tasks that aren't restarted until leadership is confirmed
 	lostTrials          map[*task]struct{}        // tasks with a lost trial
 	estimateRatios      map[string]*estimateRatio // by queue
+	copyRecords         map[string]*copyRecord    // by queue
+	copiesAssessedAt    time.Time                 // when slow runs were last looked for
 	lastAssessed        time.Time
 	arrivals            arrivals
 	retaining           bool // some runners are marked as retained
@@ -121,6 +123,7 @@
 		heldTasks:           map[*task]struct{}{},
 		lostTrials:          map[*task]struct{}{},
 		estimateRatios:      map[string]*estimateRatio{},
+		copyRecords:         map[string]*copyRecord{},
 		reserved:            map[*runner]struct{}{},
 		doneWithRuns:        map[*task]struct{}{},
 	}
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -19,10 +19,15 @@
 		p.advanceAckCursor(r)
 		return
 	}
-	if t := j.findTask(e.Task); t != nil {
+	t := j.findTask(e.Task)
+	if t != nil {
 		p.applyEnd(now, r, t, e)
 	}
-	r.pendingEnds = append(r.pendingEnds, pendingEnd{e.N, j, j.changeSeq})
+	pending := pendingEnd{number: e.N, job: j, seq: j.changeSeq}
+	if e.Reason == work.EndDone && t != nil && t.step.spec.Speculative {
+		pending.task = t
+	}
+	r.pendingEnds = append(r.pendingEnds, pending)
 	p.advanceAckCursor(r)
 }
 
@@ -55,6 +60,9 @@
 		t.checkpoint = e.Checkpoint
 	}
 	if run != nil {
+		if e.Reason == work.EndDone {
+			p.recordCopy(run)
+		}
 		p.learnRunTime(now, run, e.Reason)
 		if run.trial {
 			p.markChanged(t.step.job, now)
@@ -65,6 +73,9 @@
 		p.dropLostTrial(t)
 	}
 	delete(p.orphans, orphan{r.ID, e.Task, e.Run})
+	if endsAfterDone(t, e.Reason) {
+		return
+	}
 	switch e.Reason {
 	case work.EndDone:
 		p.clearSuspect(now, t)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -45,6 +45,7 @@
 	number int64
 	job    *job  // nil for an unknown job, whose end needs no commit
 	seq    int64 // sequence number of the job's change
+	task   *task // of an end as done whose acknowledgement has to wait for the task's other run; usually nil
 }
 
 func newRunner(info work.Runner) *runner {
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -15,6 +15,7 @@
 	Stops            map[string]int64 // stop orders, by reason
 	Paces            int64
 	RackWaits        RackWaits
+	Copies           Copies
 	ApprovalRequests int64
 	Waiting          int           // accepted jobs that haven't started
 	Running          int           // jobs that have started and haven't ended
@@ -29,6 +30,7 @@
 	ends                            map[work.EndReason]int64
 	abandoned, stops                map[string]int64
 	rackWaits                       RackWaits
+	copies                          Copies
 }
 
 func newCounts() counts {
@@ -57,6 +59,7 @@
 		Starts:           p.counts.starts,
 		Paces:            p.counts.paces,
 		RackWaits:        p.counts.rackWaits,
+		Copies:           p.counts.copies,
 		ApprovalRequests: p.counts.approvalRequests,
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
--- a/sched/stragglers.go
+++ b/sched/stragglers.go
@@ -54,7 +54,7 @@
 		return
 	}
 	run.runner.health.recordSuccess()
-	if run.task.lastRun > run.number || run.pace < 100 {
+	if (run.task.lastRun > run.number && !run.hasCopy()) || run.pace < 100 {
 		return
 	}
 	ratio, ok := p.estimateRatios[s.job.queue.Name]
@@ -75,11 +75,12 @@
 		return
 	}
 	p.lastAssessed = now
-	for _, r := range p.runners {
+	// In a fixed order, as a run that is stopped here may exclude its runner from taking the next one.
+	for _, r := range p.sortedRunners() {
 		if r.silent(now) || r.polledAt.IsZero() {
 			continue
 		}
-		for run := range r.runs {
+		for _, run := range r.sortedRuns() {
 			if run.phase == running {
 				p.assessRun(now, r, run)
 			}
@@ -111,6 +112,9 @@
 // stopStraggler stops a run that a new one on another runner would overtake, if there is such a runner. It compares
 // with the mean run time of the step's other tasks, as the declared run time may be wrong for all of them.
 func (p *Pool) stopStraggler(now time.Time, r *runner, run *taskRun) {
+	if p.copiesApply(run.task) {
+		return
+	}
 	s := run.task.step
 	elapsed := r.polledAt.Sub(run.confirmedAt)
 	if s.timedTasks == 0 || run.task.slowRestarts >= maxSlowRestarts || elapsed < minRunAge || run.percent <= 0 || run.percent >= 100 || run.task.checkpoint != "" {
--- a/sched/strategy.go
+++ b/sched/strategy.go
@@ -11,11 +11,12 @@
 	LatestStart                   // by latest start, without shedding excess load
 	FIFO                          // by acceptance, on the first runner that fits
 	GoAtOnce                      // as DeadlineAware, but no task waits for a rack
+	SingleRuns                    // as DeadlineAware, but slow runs are stopped instead of copied
 	WaitAlways                    // as DeadlineAware, but tasks wait for their racks as long as these have runners
 )
 
 // Strategies maps names to strategies.
-var Strategies = map[string]Strategy{"now": DeadlineAware, "urgent": LatestStart, "first": FIFO, "direct": GoAtOnce, "always": WaitAlways}
+var Strategies = map[string]Strategy{"now": DeadlineAware, "urgent": LatestStart, "first": FIFO, "direct": GoAtOnce, "always": WaitAlways, "single": SingleRuns}
 
 // shedsLoad reports whether excess load is shed.
 func (s Strategy) shedsLoad() bool { return s != LatestStart && s != FIFO }
--- a/sched/wait.go
+++ b/sched/wait.go
@@ -85,7 +85,7 @@
 
 // waitsForRacks reports whether tasks may wait for racks.
 func (p *Pool) waitsForRacks() bool {
-	return p.remoteFactor > 1 && (p.strategy == DeadlineAware || p.strategy == WaitAlways)
+	return p.remoteFactor > 1 && p.strategy.shedsLoad() && p.strategy != GoAtOnce
 }
 
 // prefersRack reports whether the step's tasks are slower in some racks than in others. Long-running and best-effort
--- a/standin/checker_test.go
+++ b/standin/checker_test.go
@@ -35,6 +35,11 @@
 	b.runEnded(b.runner, int64(b.run), b.task.String(), b.run, work.EndFailed)
 }
 
+func (b *budgetTest) done() {
+	b.start()
+	b.runEnded(b.runner, int64(b.run), b.task.String(), b.run, work.EndDone)
+}
+
 // The check of starts after the last attempt could not fail: nothing counted the failures that were acknowledged.
 func TestStartAfterTheLastAttemptIsAViolation(t *testing.T) {
 	for name, tc := range map[string]struct {
@@ -98,6 +103,17 @@
 			time.Sleep(speculativeSlack + time.Millisecond)
 			b.start()
 		}, 1},
+		"copy of a done task, just after": {work.Step{Speculative: true}, func(b *budgetTest) {
+			b.done()
+			b.endAcked(b.runner, 1)
+			b.start()
+		}, 0},
+		"copy of a done task, later": {work.Step{Speculative: true}, func(b *budgetTest) {
+			b.done()
+			b.endAcked(b.runner, 1)
+			time.Sleep(speculativeSlack + time.Millisecond)
+			b.start()
+		}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -31,6 +31,9 @@
 		return "room"
 	}
 	run := &activeRun{name: o.Task, number: o.Run, spec: step, startedAt: time.Now(), pace: 100, total: time.Duration(step.RunMS) * time.Millisecond}
+	if step.isSlow(o.Task, o.Run, r.ID) {
+		run.total *= slowFactor
+	}
 	if o.Checkpoint != "" {
 		var ms int64
 		if _, err := fmt.Sscanf(o.Checkpoint, "%d", &ms); err != nil {
--- a/standin/spec.go
+++ b/standin/spec.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"hash/fnv"
 	"time"
 
 	"gypsumlead/work"
@@ -21,6 +23,7 @@
 	Mem           int64 `json:"mem"`
 	AlwaysFails   bool  `json:"fails,omitempty"`   // every run ends as failed
 	CrashesRunner bool  `json:"crashes,omitempty"` // every run crashes its runner
+	SlowPercent   int64 `json:"slow,omitempty"`    // of the runs, which take slowFactor times as long
 	LongRunning   bool  `json:"lasts,omitempty"`
 	Checkpointing bool  `json:"saves,omitempty"`
 	BestEffort    bool  `json:"fills,omitempty"`
@@ -51,6 +54,19 @@
 	return stopTime
 }
 
+// slowFactor is how many times as long a slow run takes.
+const slowFactor = 7
+
+// isSlow reports whether a run is slow, by a hash of its names.
+func (s SpecStep) isSlow(task string, run int, runner string) bool {
+	if s.SlowPercent == 0 {
+		return false
+	}
+	h := fnv.New32a()
+	fmt.Fprint(h, task, run, runner) // a hash's Write returns no error
+	return int64(h.Sum32()%100) < s.SlowPercent
+}
+
 // Text returns the spec in JSON, as a job carries it.
 func (s Spec) Text() string {
 	b, err := json.Marshal(s)
--- a/trial/workload.go
+++ b/trial/workload.go
@@ -12,6 +12,7 @@
 type arrival struct {
 	at   time.Duration
 	spec work.Job
+	long [][]bool          // which tasks take slowTaskFactor times as long wherever they run; nil under most loads
 	took [][]time.Duration // real run times by step and task; nil if they are about as long as estimated
 }
 
@@ -23,13 +24,14 @@
 	arrivals        []arrival
 	rackLostAt      time.Duration // when the first rack is lost; 0 means never
 	remoteFactor    float64       // by which tasks are slower away from their rack; 0 means not at all
+	slowRunShare    float64       // of runs that take slowTaskFactor times as long
 	leaderLostAt    time.Duration // when nobody schedules for leaderGap, while jobs go on being accepted; 0 means never
 	firstMachines   int           // machines that are there from the start; the others follow from machinesFrom to machinesUntil
 	span            time.Duration // of the arrivals
 }
 
 // Workloads are the names of the workloads that Run accepts.
-var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover", "hot", "ebb", "loss", "group", "uneven"}
+var Workloads = []string{"steady", "turns", "bursts", "rack", "surge", "takeover", "hot", "ebb", "loss", "group", "uneven", "slow", "long", "mixed"}
 
 // Times and sizes of the workloads.
 const (
@@ -57,6 +59,9 @@
 	if slices.Contains(rackWorkloads, name) {
 		return newRackWorkload(name, rng)
 	}
+	if slices.Contains(copyWorkloads, name) {
+		return newCopyWorkload(name, rng)
+	}
 	workload := Workload{Name: name, Machines: machineCount, CoresPerMachine: coresPerMachine, firstMachines: machineCount, span: workloadSpan}
 	if name == "rack" {
 		workload.rackLostAt = rackLossTime
