--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -310,6 +310,7 @@
 	s.Listen.Peers = netip.AddrPortFrom(node.addr, portPeers)
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
 	s.Bounds.RevokeStrict = c.size.StrictRevocation
+	s.Bounds.RemoteFactor = 2
 	return s
 }
 
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -15,6 +15,7 @@
 	Stops            map[string]int64 // stop orders, by reason
 	Paces            int64
 	RackWaits        RackWaits
+	Copies           Copies
 	ApprovalRequests int64
 	Classes          map[Class]int64 // accepted jobs, by class; none if no workspaces are configured
 	Waiting          int             // accepted jobs that haven't started
@@ -31,6 +32,7 @@
 	abandoned, stops                map[string]int64
 	classes                         map[Class]int64
 	rackWaits                       RackWaits
+	copies                          Copies
 }
 
 func newCounts() counts {
@@ -59,6 +61,7 @@
 		Starts:           p.counts.starts,
 		Paces:            p.counts.paces,
 		RackWaits:        p.counts.rackWaits,
+		Copies:           p.counts.copies,
 		ApprovalRequests: p.counts.approvalRequests,
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
