--- a/cache/confirmation_test.go
+++ b/cache/confirmation_test.go
@@ -77,8 +77,8 @@
 	put := func(value string) {
 		o.apply([]platform.Row{{RowKey: platform.ConfigKey(), Version: 1, Value: []byte(value)}}, false)
 	}
-	put(`{"Version":2,"Tenants":[{"Name":"a","ApiKeys":["k1"]}]}`)
-	for _, faulty := range []string{`{"Version":3,"Tenants":[{"Name":"a","ApiKeys":["k3",""]}]}`, `{k3`, `{"Version":3,"Tenants":"k3"}`, `{"Version":1}`} {
+	put(standin.WorkspaceConfig(2, "k1"))
+	for _, faulty := range []string{standin.WorkspaceConfig(3, "k3", ""), `{k3`, standin.MalformedWorkspaceConfig(3, "k3"), `{"Version":1}`} {
 		put(faulty)
 		_, ok := o.Config().Keys.Lookup("k1")
 		require.True(t, ok, faulty)
