Relay: the choice between direct and relayed store calls has its own package

Cause: platform is the adapter to the platform's interfaces and is to decide nothing, but it held the state machine that chooses between direct and relayed calls, the probes and the questions to carriers. Change: package relay has them, with their tests. platform keeps what makes a call: Transport and Store.Use, CallDirect, Probe, RecordCarried, RowPath, PathName, IsStoreCall, IsRejection and WaitOf. The daemon wires the two. No behaviour changes; names of metrics, log lines and settings are the same. Ruled out: moving platform/seen.go; it only records the newest version that answers have shown.

--- a/daemon/carrier.go
+++ b/daemon/carrier.go
@@ -13,6 +13,7 @@
 	"gypsumlead/peer"
 	"gypsumlead/peer/wire"
 	"gypsumlead/platform"
+	"gypsumlead/relay"
 )
 
 const (
@@ -34,17 +35,17 @@
 	leaving := d.leaving
 	d.mu.Unlock()
 	defer d.carrier.inFlight.Add(-1)
-	if d.carrier.inFlight.Add(1) > maxCarried || leaving || !d.store.Serves() {
+	if d.carrier.inFlight.Add(1) > maxCarried || leaving || !d.storeRelay.Serves() {
 		d.carrier.refused.Add(1)
-		return storeAnswer(platform.StoreAnswer{}), nil
+		return storeAnswer(relay.Answer{}), nil
 	}
 	d.carrier.carried.Add(1)
 	wait := time.Duration(c.Wait) * time.Millisecond
-	return storeAnswer(d.store.Carry(ctx, platform.StoreCall{Method: c.Method, Path: c.Path, Body: c.Body, Wait: wait})), nil
+	return storeAnswer(d.storeRelay.Carry(ctx, relay.Call{Method: c.Method, Path: c.Path, Body: c.Body, Wait: wait})), nil
 }
 
 // storeAnswer encodes the result of a call. A body that no message can hold counts as no answer.
-func storeAnswer(a platform.StoreAnswer) *wire.Response {
+func storeAnswer(a relay.Answer) *wire.Response {
 	if len(a.Body) > peer.MaxBodyBytes {
 		a.Status, a.Body = 0, nil
 	}
@@ -90,15 +91,15 @@
 }
 
 // Carry has a daemon make a call. A call was certainly not sent if there is no session or the daemon refused it.
-func (c carriers) Carry(ctx context.Context, name string, call platform.StoreCall) platform.StoreAnswer {
+func (c carriers) Carry(ctx context.Context, name string, call relay.Call) relay.Answer {
 	req := &wire.StoreCall{Method: call.Method, Path: call.Path, Body: call.Body, Wait: call.Wait.Milliseconds()}
 	resp, err := c.d.mesh.Call(ctx, name, &wire.Request{Body: &wire.Request_StoreCall{StoreCall: req}})
 	if err != nil {
 		// A daemon of an earlier version answers that the request is invalid.
-		return platform.StoreAnswer{Sent: !fault.Is(err, fault.NoUpstream) && !fault.Is(err, fault.Invalid)}
+		return relay.Answer{Sent: !fault.Is(err, fault.NoUpstream) && !fault.Is(err, fault.Invalid)}
 	}
 	a := resp.GetStoreAnswer()
-	return platform.StoreAnswer{Sent: a.GetSent(), Status: int(a.GetStatus()), Body: a.GetBody()}
+	return relay.Answer{Sent: a.GetSent(), Status: int(a.GetStatus()), Body: a.GetBody()}
 }
 
 // addCarriers returns the targets and further ones of a daemon that would have sessions with fewer than minCarriers others.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"gypsumlead/member"
 	"gypsumlead/peer"
 	"gypsumlead/platform"
+	"gypsumlead/relay"
 	"gypsumlead/sched"
 	"gypsumlead/settings"
 )
@@ -53,6 +54,7 @@
 
 	meter          *platform.Meter
 	store          *platform.Store
+	storeRelay     *relay.Relay
 	carrier        carrier
 	storeLink      *contact.Link
 	runnerClient   *platform.RunnerClient
@@ -150,7 +152,8 @@
 	d.startedAt = d.now()
 	d.log = log.With(zap.String("instance", conf.Instance))
 	d.store = platform.NewStore(conf.Store, d.dial, d.meter)
-	d.store.EnableRelay(carriers{d}, platform.RowKey{Table: member.Table, Partition: conf.Instance, Key: conf.Instance}, d.log, d.now)
+	d.storeRelay = relay.New(d.store, carriers{d}, platform.RowKey{Table: member.Table, Partition: conf.Instance, Key: conf.Instance}, d.log, d.now)
+	d.store.Use(d.storeRelay)
 	d.storeLink = contact.New(d.probeStore, storeFreshness, d.now)
 	d.store.SetAnswerHook(d.storeLink.Heard)
 	d.handoff = leader.NewHandoff(d.store, d.log, d.now)
@@ -227,7 +230,7 @@
 	d.serve(g, ready, d.readyListener)
 	g.Go(func() error { return d.peerServer.Serve(serveCtx, d.peerListener) })
 	g.Go(func() error { return d.mesh.Run(serveCtx) })
-	g.Go(func() error { return d.store.RunRelay(serveCtx) })
+	g.Go(func() error { return d.storeRelay.Run(serveCtx) })
 	g.Go(func() error { return d.members.RunHeartbeat(serveCtx) })
 	g.Go(func() error { return d.members.Watch(serveCtx) })
 	g.Go(func() error { return d.operatorState.Run(serveCtx) })
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -134,7 +134,7 @@
 	o.ObserveInt64(in.sampledLogs, sampled)
 	o.ObserveInt64(in.lostLogs, lost)
 	o.ObserveInt64(in.leaseChanges, d.leaseChanges.Load())
-	relayed := d.store.RelayCounts()
+	relayed := d.storeRelay.Counts()
 	o.ObserveInt64(in.relayedCalls, relayed.Relayed)
 	o.ObserveFloat64(in.relayedTime, relayed.Time.Seconds())
 	o.ObserveInt64(in.carriedCalls, d.carrier.carried.Load())
--- a/platform/route.go
+++ b/relay/route.go
@@ -1,4 +1,4 @@
-package platform
+package relay
 
 import "time"
 
--- a/platform/route_test.go
+++ b/relay/route_test.go
@@ -1,4 +1,4 @@
-package platform
+package relay
 
 import (
 	"context"
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/platform"
 )
 
 // origin is the time from which the times of these tests count.
@@ -91,35 +92,37 @@
 }
 
 // fakeCarriers answer each call by name.
-type fakeCarriers map[string]func(ctx context.Context) StoreAnswer
+type fakeCarriers map[string]func(ctx context.Context) Answer
 
 func (f fakeCarriers) Candidates() []string { return slices.Sorted(maps.Keys(f)) }
 
-func (f fakeCarriers) Carry(ctx context.Context, name string, _ StoreCall) StoreAnswer {
+func (f fakeCarriers) Carry(ctx context.Context, name string, _ Call) Answer {
 	return f[name](ctx)
 }
 
-// relayedStore returns a client whose calls are relayed through carrier "a". Its own dials are refused.
-func relayedStore(f fakeCarriers) *Store {
+// relayedStore returns a client whose calls are relayed through carrier "a", and its relay. Its own dials are refused.
+func relayedStore(f fakeCarriers) (*platform.Store, *Relay) {
 	refuse := func(context.Context, string, string) (net.Conn, error) {
 		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
-	store := NewStore(netip.MustParseAddrPort("10.0.0.1:1"), refuse, NewMeter())
-	store.EnableRelay(f, RowKey{Key: "own"}, zap.NewNop(), time.Now)
-	store.relay.route = route{mode: modeRelayed, carrier: "a", nextProbe: time.Now().Add(time.Hour)}
-	return store
+	store := platform.NewStore(netip.MustParseAddrPort("10.0.0.1:1"), refuse, platform.NewMeter())
+	relay := New(store, f, platform.RowKey{Key: "own"}, zap.NewNop(), time.Now)
+	store.Use(relay)
+	relay.route = route{mode: modeRelayed, carrier: "a", nextProbe: time.Now().Add(time.Hour)}
+	return store, relay
 }
 
 // The outcome of a relayed call must be known as well as that of a direct one: a call that may have been sent is never
 // reported as not executed, nor made again.
 func TestRelayedOutcomes(t *testing.T) {
-	for kind, answer := range map[fault.Kind]StoreAnswer{
+	for kind, answer := range map[fault.Kind]Answer{
 		fault.Overload:    {}, // refused by the carrier, then made directly
 		fault.Unavailable: {Sent: true},
 		fault.Conflict:    {Sent: true, Status: http.StatusPreconditionFailed, Body: []byte("{}")},
 	} {
-		carrier := func(context.Context) StoreAnswer { return answer }
-		_, err := relayedStore(fakeCarriers{"a": carrier}).Commit(t.Context(), Tx{})
+		carrier := func(context.Context) Answer { return answer }
+		store, _ := relayedStore(fakeCarriers{"a": carrier})
+		_, err := store.Commit(t.Context(), platform.Tx{})
 		require.Equal(t, kind, fault.KindOf(err), "%v", err)
 	}
 }
@@ -128,17 +131,17 @@
 func TestSilentCarrierIsReplaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		silent := func(ctx context.Context) StoreAnswer { <-ctx.Done(); return StoreAnswer{Sent: true} }
-		good := func(context.Context) StoreAnswer {
-			return StoreAnswer{Sent: true, Status: http.StatusOK, Body: []byte("{}")}
+		silent := func(ctx context.Context) Answer { <-ctx.Done(); return Answer{Sent: true} }
+		good := func(context.Context) Answer {
+			return Answer{Sent: true, Status: http.StatusOK, Body: []byte("{}")}
 		}
-		store := relayedStore(fakeCarriers{"a": silent, "b": good})
-		go func() { _ = store.RunRelay(ctx) }() // ends with ctx
+		store, relay := relayedStore(fakeCarriers{"a": silent, "b": good})
+		go func() { _ = relay.Run(ctx) }() // ends with ctx
 		start := time.Now()
-		_, err := store.GetRow(ctx, RowKey{Key: "k"})
+		_, err := store.GetRow(ctx, platform.RowKey{Key: "k"})
 		require.True(t, fault.Is(err, fault.Unavailable))
 		require.Equal(t, silenceLimit+askTimeout, time.Since(start))
-		_, err = store.GetRow(ctx, RowKey{Key: "k"})
+		_, err = store.GetRow(ctx, platform.RowKey{Key: "k"})
 		require.NoError(t, err)
 		cancel()
 	})
