Waits for racks: cost of a plan, with a benchmark

Cause: each task of a step that waits looked through all runners, though the one before had found the same. Change: the runner that a waiting task would get is used for the next task of the step; one bound for each need and rack.

--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -16,6 +16,29 @@
 		f.accept(fmt.Sprintf("%d", n), testQueue, s, after)
 	}
 	f.advance(50 * time.Millisecond)
+	planRepeatedly(b, f)
+}
+
+// BenchmarkPlanWithRackWaits plans for a pool of 84 runners of which one is empty, while the tasks of 200 jobs wait for their
+// racks.
+func BenchmarkPlanWithRackWaits(b *testing.B) {
+	f := newFakePool(&testing.T{}, 84, 64)
+	f.pool.remoteFactor = 3
+	for n := range 420 {
+		s := stepOf(8, 6200)
+		s.PreferredRack = fmt.Sprintf("rack%d", n%41)
+		f.accept(fmt.Sprintf("%d", n), testQueue, s)
+		if n == 104 {
+			f.advance(50 * time.Millisecond) // 830 tasks are placed
+		}
+	}
+	begun := time.Now()
+	f.pool.Plan(f.now, f.now, true)
+	b.Logf("the plan that begins %d waits takes %v", f.pool.Stats(f.now).RackWaits.Begun, time.Since(begun))
+	planRepeatedly(b, f)
+}
+
+func planRepeatedly(b *testing.B, f *fakePool) {
 	b.ReportAllocs()
 	b.ResetTimer()
 	for range b.N {
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -93,6 +93,16 @@
 	return at, true
 }
 
+// setBound adds a bound, or replaces an earlier one for the same need.
+func (o *rackOutlook) setBound(b roomBound) {
+	i := slices.IndexFunc(o.bounds, func(c roomBound) bool { return c.need == b.need && c.d == b.d })
+	if i < 0 {
+		o.bounds = append(o.bounds, b)
+		return
+	}
+	o.bounds[i] = b
+}
+
 // outlook is the projected room of the racks that steps wait for in one plan. Room that a waiting task counts on is taken
 // from it, so that two tasks don't count on the same end of a run.
 type outlook struct {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -136,20 +136,27 @@
 		return false
 	}
 	p.chooseHome(now, s)
+	var r *runner
+	waited := false // the task before waits for a rack, so that the next one would get the same runner
 	for _, t := range s.tasks {
 		if t.done || len(t.runs) > 0 || t.held {
 			continue
 		}
-		r := p.chooseRunner(now, t)
+		if !waited || t.isSuspect() || len(t.failedOn) > 0 {
+			r = p.chooseRunner(now, t)
+		}
 		if r == nil && t.suspect && p.reserveForTrial(now, t) {
+			waited = false
 			continue
 		}
 		if r == nil {
 			return false
 		}
 		if p.waitsForRack(now, t, r) {
+			waited = len(t.failedOn) == 0
 			continue
 		}
+		waited = false
 		p.planRun(now, t, r, p.nextRunNumber(t.lastRun))
 	}
 	return true
--- a/sched/wait.go
+++ b/sched/wait.go
@@ -218,7 +218,7 @@
 		}
 	}
 	if s.spec.RequiredLabel == "" && s.spec.MaxPerRunner == 0 && s.job.queue.Advice == nil && len(t.failedOn) == 0 {
-		o.bounds = append(o.bounds, roomBound{s.spec.Occupied(), local, bestAt})
+		o.setBound(roomBound{s.spec.Occupied(), local, bestAt})
 	}
 	return best, bestAt
 }
