--- a/trial/simulation_test.go
+++ b/trial/simulation_test.go
@@ -43,7 +43,7 @@
 
 // The same seed gives the same result, also when runs are preempted.
 func TestRunIsDeterministic(t *testing.T) {
-	for workload, seed := range map[string]uint64{"rack": 7, "turns": 1} {
+	for workload, seed := range map[string]uint64{"rack": 7, "turns": 1, "uneven": 3} {
 		t.Run(workload, func(t *testing.T) {
 			t.Parallel()
 			a, err := Run(workload, "now", seed)
