No copies of slow tasks while work of use waits for room

Cause: copies took room of jobs that are shed for the time being. Change: no copy starts in a plan in which a task that isn't stale found no room. Ruled out: the share of CPU for copies, a twentieth, was not reached.

--- a/sched/copies.go
+++ b/sched/copies.go
@@ -136,6 +136,9 @@
 	if !p.makesCopies() || !p.storeAvailable || now.Sub(p.copiesAssessedAt) < assessInterval {
 		return
 	}
+	if blocked.first.step != nil && !blocked.first.stale {
+		return // the pool is crowded: a copy's room would be missing for work that is still of use to its caller
+	}
 	p.copiesAssessedAt = now
 	slow, used := p.slowRuns(now)
 	left := p.schedulableCPU/copyShare - used
