--- a/leader/admission.go
+++ b/leader/admission.go
@@ -13,6 +13,8 @@
 
 const (
 	refusedTTL     = 120 * time.Second // refused rows stay in the store for this long; writes of earlier tries are carried out seconds later at most
+	decisionShare  = 5                 // the pause between two decisions is at least this many times as long as the last one took:
+	cheapDecision  = time.Millisecond  // with 3000 waiting jobs that is some 11 ms; shorter ones need no pause
 	fleetFreshness = 30 * time.Second  // of the list of machines, for refusals; machines are added and removed by operators
 )
 
@@ -35,7 +37,9 @@
 	causes      map[string]int64
 	fleetCPU    int64 // of all machines, which a move may bring
 	fleetReadAt time.Time
-	reading     bool // the list of machines is being read
+	decidedAt   time.Time
+	took        time.Duration // by the last decision
+	reading     bool          // the list of machines is being read
 }
 
 func newAdmission() admission {
@@ -63,7 +67,12 @@
 	if len(l.workspaces) == 0 || !l.leaseConfirmed(now) || !l.pool.MayRefuse(now, in.row.Queue, in.row.Job) || !l.fleetKnown(now) {
 		return true
 	}
+	if l.admission.took > cheapDecision && now.Sub(l.admission.decidedAt) < decisionShare*l.admission.took {
+		return true
+	}
 	retry, refused := l.pool.Refusal(now, time.Now(), in.id, in.row.Queue, in.row.Job, l.admission.fleetCPU)
+	l.admission.decidedAt = l.Now()
+	l.admission.took = l.admission.decidedAt.Sub(now)
 	if !refused {
 		return true
 	}
