Refusals: jobs accepted before at the same urgency are ahead; test on a clock of its own

Cause: under -race a decision takes over 1 ms, so the test of refusals that are stored together met the pause between decisions, and one of its jobs was accepted. On a clock that stands still all jobs have the same startBy, and none counted as ahead of a new one. Change: the test's clock moves only when it says so. Of occurrences with the same startBy the one accepted before is ahead, as in the order of candidates.

--- a/leader/admission_test.go
+++ b/leader/admission_test.go
@@ -25,6 +25,7 @@
 	l := newConfirmedLeader(newTestStore(t, store))
 	l.Configure(nil, false, []platform.Workspace{{Name: "a"}}, 1)
 	now := time.Now()
+	l.Now = func() time.Time { return now } // decisions take no time, so that none is left out
 	l.pool.UpdateRunner(now, work.Runner{ID: "r", Service: "", Room: work.Resources{CPU: 8000, Mem: 1 << 20}, Born: 1})
 	l.pool.PollSent(now, "r", 0)
 	l.pool.ExtendLease(now, "r")
@@ -52,7 +53,8 @@
 		l.pool.Cancel(l.Now(), work.ID(fmt.Sprintf("f%015d", n)))
 	}
 	l.pool.Plan(l.Now(), l.Now(), true)
-	time.Sleep(110 * time.Millisecond) // until the backlog is summed again
+	later := l.Now().Add(time.Second) // the backlog is summed again
+	l.Now = func() time.Time { return later }
 }
 
 // Guards against a 429 after which an earlier try, whose write the store carries out late, runs, and against refusals that
--- a/sched/admission.go
+++ b/sched/admission.go
@@ -177,7 +177,7 @@
 	case a.excess != b.excess:
 		return b.excess
 	}
-	return w.startBy.Before(of.startBy)
+	return !w.startBy.After(of.startBy) // of equals, the one that was accepted before
 }
 
 // waitingWork returns the expected CPU time of the tasks of a job that wait.
