A start that wasn't answered causes no certain crash

Cause: a crash of a runner was certain for a task whose start had not been answered, though that start may never have arrived.

Change: a crash, and a trial that is stored before its start, is certain only for a run that is known to have begun: its start was answered or a poll listed it. Other runs stay suspects and count among maxCrashes, so that a task whose runners crash before they answer is still given up, unless it is long-running or in a gang. That a suspect has begun is stored at once, so that its crash is certain under a later leader.

--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -18,8 +18,9 @@
 // Crash is the crash of a runner for which a run of a task is blamed.
 type Crash struct {
 	Run     int  `json:"run"`
-	Certain bool `json:"certain,omitempty"` // no run of another job can be to blame
+	Certain bool `json:"certain,omitempty"` // the run was known to have begun, and no run of another job can be to blame
 	shared  *sharedBlame
+	unbegun bool // the run wasn't known to have begun; such a crash never becomes certain
 }
 
 // sharedBlame is the blame for one crash on the tasks of several jobs. It becomes certain for the last job of which no
@@ -44,7 +45,7 @@
 	Runner  string `json:"runner"`
 	Machine string `json:"machine,omitempty"`
 	Born    int64  `json:"born,omitempty"`   // the runner's incarnation
-	Shared  bool   `json:"shared,omitempty"` // runs of other jobs may be to blame as well
+	Shared  bool   `json:"shared,omitempty"` // runs of other jobs may be to blame as well, or the run isn't known to have begun
 }
 
 func newTrial(run *taskRun, shared bool) *Trial {
@@ -60,6 +61,10 @@
 	return slices.ContainsFunc(t.step.tasks, func(m *task) bool { return m.suspect })
 }
 
+// begun reports whether the run is known to have begun: its start was answered or a poll has listed it. A start that
+// wasn't answered may never have arrived, so that its runner crashed for another reason.
+func (r *taskRun) begun() bool { return !r.confirmedAt.IsZero() }
+
 // settled reports whether a run is known to have lasted for settleTime.
 func (r *taskRun) settled() bool {
 	return !r.confirmedAt.IsZero() && r.runner.polledAt.Sub(r.confirmedAt) >= settleTime
@@ -145,7 +150,7 @@
 		}
 	}
 	for _, run := range blamed {
-		p.recordCrash(now, run.task, Crash{run.number, certain, shared})
+		p.recordCrash(now, run.task, Crash{Run: run.number, Certain: certain && run.begun(), shared: shared, unbegun: !run.begun()})
 	}
 }
 
@@ -211,7 +216,7 @@
 	blamed, certain := r.blamedRuns()
 	for _, run := range blamed {
 		if !run.settled() {
-			p.addLostTrial(run.task, newTrial(run, !certain))
+			p.addLostTrial(run.task, newTrial(run, !certain || !run.begun()))
 		}
 	}
 }
@@ -302,7 +307,7 @@
 // makeCertain marks a crash as certainly caused by a task's job.
 func (p *Pool) makeCertain(now time.Time, t *task, shared *sharedBlame) {
 	for i := range t.crashes {
-		if t.crashes[i].shared == shared {
+		if t.crashes[i].shared == shared && !t.crashes[i].unbegun {
 			t.crashes[i].Certain = true
 			p.markChanged(t.step.job, now)
 		}
@@ -322,7 +327,7 @@
 func (t *task) trialToStore() *Trial {
 	for _, run := range t.runs {
 		if run.trial {
-			return newTrial(run, false)
+			return newTrial(run, !run.begun())
 		}
 	}
 	return t.lostTrial
--- a/sched/results.go
+++ b/sched/results.go
@@ -41,9 +41,7 @@
 	switch outcome {
 	case OutcomeDone:
 		p.markStarted(now, run.task.step.job)
-		if run.confirmedAt.IsZero() {
-			run.confirmedAt, run.progressedAt = now, now
-		}
+		p.markBegun(now, run)
 		if run.phase == sending || run.phase == unconfirmed {
 			run.phase = running
 		}
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -156,9 +156,7 @@
 	}
 	run.listed = true
 	p.markStarted(now, j)
-	if run.confirmedAt.IsZero() {
-		run.confirmedAt, run.progressedAt = now, now
-	}
+	p.markBegun(now, run)
 	if reported.Percent != run.percent {
 		run.percent, run.progressedAt = reported.Percent, now
 	}
@@ -185,7 +183,7 @@
 		p.dropLostTrial(t)
 	}
 	t.addRun(run)
-	if !j.placements.stored(r.ID) {
+	if run.trial || !j.placements.stored(r.ID) {
 		p.markChanged(j, now)
 	}
 	return run
@@ -200,6 +198,19 @@
 	}
 }
 
+// markBegun records that a run is known to have begun. That of a suspect is stored, so that a crash of its runner is
+// certain under a later leader, too.
+func (p *Pool) markBegun(now time.Time, run *taskRun) {
+	if run.begun() {
+		return
+	}
+	run.confirmedAt, run.progressedAt = now, now
+	if run.trial {
+		p.markChanged(run.task.step.job, now)
+		run.task.step.job.commitNow = true
+	}
+}
+
 // markStarted records that a runner has started a task of the job. An order alone doesn't prove it: it may be delayed,
 // refused or lost.
 func (p *Pool) markStarted(now time.Time, j *job) {
