The planned end of a machine is no crash of what runs there

Cause: a leader took an end as planned only while the runner was being evacuated or drained when the next runner became known. It did not know so if - the lease of the silent runner expired first: suspendBlame didn't ask at all; - the evacuation ended before, because the wave was done or the runner unlisted; - it had taken over lately and the order was on its way by the report of the former leader: claims of waves are evacuated once, in the first report of a term, and claims for moves not at all; - the machine came back by way of another pool.

Change: each leader is told of each claim of a machine by which an order may go out, of any daemon, for a wave or a move (claims.Registry.Recent). The runners that the machine has then end as planned, whatever happens to their evacuation; the next incarnation is free of that. A machine that a new leader finds in another pool, or a runner of another pool on the machine, drops the blame as well. Daemons that lead follow the table of claims at least once a second (until now only candidates did).

Limit: a real crash within the life of a claimed runner doesn't count, at most one for each claim.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -134,6 +134,20 @@
 	return r.stamp.Now+at.Sub(r.stampAt)-last.ClaimedAt > permitTTL+claimSlack+r.TTL
 }
 
+// Recent returns the machines that an order may take down now, or may have taken down a moment ago, with the versions of
+// their claims, whichever daemon made them.
+func (r *Registry) Recent() map[string]int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := map[string]int64{}
+	for machine, claim := range r.rows {
+		if r.synced && !r.quietAt(claim.row, r.Deps.Now()) {
+			recent[machine] = claim.version
+		}
+	}
+	return recent
+}
+
 // Claim claims machines for this daemon, in one transaction with other changes of the store, and returns the permit of
 // the orders that were decided on at a time. It returns false if nothing was changed, or if a machine can't be claimed now.
 func (r *Registry) Claim(ctx context.Context, decidedAt time.Time, purpose string, machines []string, changes platform.Tx) (platform.OrderPermit, bool) {
--- a/claims/registry_test.go
+++ b/claims/registry_test.go
@@ -63,3 +63,16 @@
 		}
 	})
 }
+
+// The end of a machine that an order of any daemon takes down isn't to count as a crash: Recent has to name it from the
+// claim on, and no longer once its next runner may crash for other reasons.
+func TestRecentNamesMachinesThatAnOrderMayTakeDown(t *testing.T) {
+	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
+	r := New(Deps{Log: zap.NewNop(), Now: func() time.Time { return now }, TTL: 3 * time.Second})
+	r.rows["m0"] = versionedRow{Row{Owner: "other", ClaimedAt: time.Minute}, 7}
+	require.Empty(t, r.Recent(), "the store's clock isn't known")
+	r.stamp, r.stampAt, r.synced = platform.Stamp{Now: time.Minute}, now, true
+	require.Equal(t, map[string]int64{"m0": 7}, r.Recent())
+	now = now.Add(permitTTL + claimSlack + r.TTL + time.Millisecond)
+	require.Empty(t, r.Recent())
+}
--- a/daemon/interests.go
+++ b/daemon/interests.go
@@ -11,7 +11,7 @@
 type interests struct {
 	runners *watch.Interest // runners' list: immediate while the daemon leads a service
 	waves   *watch.Interest // maintenance waves: immediate while the daemon leads a service
-	claims  *watch.Interest // claims on machines: immediate while the daemon is the coordinator
+	claims  *watch.Interest // claims on machines: immediate while the daemon is the coordinator, occasional while it leads another service
 }
 
 func newInterests() interests {
@@ -32,6 +32,9 @@
 	}
 	d.interests.runners.Set(level(len(led) > 0))
 	d.interests.waves.Set(level(len(led) > 0))
+	if len(led) > 0 {
+		idle = watch.Occasional
+	}
 	d.interests.claims.Set(level(slices.Contains(led, d.coordinatorService())))
 }
 
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -36,6 +36,7 @@
 		Now:            d.now,
 		Waves:          d.waveTracker,
 		RequestedWaves: d.operatorState.Waves,
+		RecentClaims:   d.claims.Recent,
 		Leaders:        d.machineLeaders,
 		SparePool:      d.standbyService,
 		Send:           d.sendReport,
--- a/leader/machines.go
+++ b/leader/machines.go
@@ -16,6 +16,13 @@
 	sleep.Wake(l.wakePlan)
 }
 
+// SetEndPlanned records that an order may take a machine down, so that the end of its runner is no crash.
+func (l *Leader) SetEndPlanned(machine string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pool.SetEndPlanned(l.Now(), machine)
+}
+
 // SetMaintenanceDue sets whether a runner will be evacuated for maintenance soon.
 func (l *Leader) SetMaintenanceDue(runner string, on bool) {
 	l.mu.Lock()
--- a/leader/takeover.go
+++ b/leader/takeover.go
@@ -58,6 +58,9 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	for _, r := range runners {
+		if machine, ok := machines[r.Machine]; ok && machine.Pool != l.lease.Service {
+			l.pool.SetEndPlanned(now, r.Machine)
+		}
 		if l.moved(r, machines) {
 			l.pool.RunnerGone(now, r.ID)
 		}
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -34,6 +34,7 @@
 	SetRetained(runners map[string]struct{})
 	SetMaintenanceDue(runner string, on bool)
 	SetEvacuating(runner string, on bool)
+	SetEndPlanned(machine string)
 	RunnerEmpty(runner string) bool
 }
 
@@ -43,6 +44,7 @@
 	Now            clock.Clock
 	Waves          *WaveTracker
 	RequestedWaves func() []platform.Wave                            // maintenance waves requested by the operator
+	RecentClaims   func() map[string]int64                           // versions of the claims by which orders may take machines down now, by machine
 	Leaders        func() []Leader                                   // the services that this daemon leads
 	SparePool      func() string                                     // service of the spare pool, or "" if there is none
 	Send           func(ctx context.Context, r Report) (Reply, bool) // sends a report to the coordinator; false if it was not delivered
@@ -52,15 +54,16 @@
 // coordinator.
 type PoolManager struct {
 	PoolManagerDeps
-	terms        map[string]int       // this daemon's last term of leadership, by service
-	offers       map[string]string    // runners being evacuated for release, by machine
-	evacuating   map[string]int64     // wave for which a runner is being evacuated, by runner
-	claimedSince map[string]time.Time // since when a runner's machine has been claimed by a wave, by runner
-	surplusSince map[string]time.Time // since when a pool has a surplus, by service
-	waveStart    map[int64]time.Time  // when a wave was first seen, by its number
-	logged       map[string]poolLog   // last logged state, by service
-	replies      map[string]Reply     // the coordinator's last reply, by service
-	lastListed   map[string]time.Time // when a runner of a pool that this daemon leads was last listed, by runner
+	terms        map[string]int        // this daemon's last term of leadership, by service
+	offers       map[string]string     // runners being evacuated for release, by machine
+	evacuating   map[string]int64      // wave for which a runner is being evacuated, by runner
+	claimedSince map[string]time.Time  // since when a runner's machine has been claimed by a wave, by runner
+	surplusSince map[string]time.Time  // since when a pool has a surplus, by service
+	waveStart    map[int64]time.Time   // when a wave was first seen, by its number
+	logged       map[string]poolLog    // last logged state, by service
+	replies      map[string]Reply      // the coordinator's last reply, by service
+	claimsSeen   map[leaderClaim]int64 // versions of the claims that leaders were told of
+	lastListed   map[string]time.Time  // when a runner of a pool that this daemon leads was last listed, by runner
 }
 
 // poolLog is the state of a pool that is logged when it changes.
@@ -81,6 +84,7 @@
 		waveStart:       map[int64]time.Time{},
 		logged:          map[string]poolLog{},
 		replies:         map[string]Reply{},
+		claimsSeen:      map[leaderClaim]int64{},
 		lastListed:      map[string]time.Time{},
 	}
 }
@@ -129,6 +133,7 @@
 	for _, runner := range runners {
 		p.lastListed[runner.Runner] = now
 	}
+	p.notePlannedEnds(leader)
 	p.forgetRestarted(leader, runners)
 	if p.terms[leader.Service()] != leader.Term() {
 		p.beginTerm(leader, runners)
--- a/machines/pool_manager_term_test.go
+++ b/machines/pool_manager_term_test.go
@@ -20,6 +20,7 @@
 type fakeTerm struct {
 	term       int
 	evacuating map[string]bool
+	planned    []string // machines whose end is planned
 }
 
 const fakeService, fakePoolSize = "s", 6
@@ -32,6 +33,7 @@
 func (f *fakeTerm) SetMaintenanceDue(string, bool)       {}
 func (f *fakeTerm) SetEvacuating(runner string, on bool) { f.evacuating[runner] = on }
 func (f *fakeTerm) RunnerEmpty(string) bool              { return true }
+func (f *fakeTerm) SetEndPlanned(machine string)         { f.planned = append(f.planned, machine) }
 func (f *fakeTerm) RunnerStatuses() []sched.RunnerStatus {
 	var list []sched.RunnerStatus
 	for i := range fakePoolSize {
@@ -55,7 +57,7 @@
 	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
 	p := NewPoolManager(PoolManagerDeps{
 		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), watch.NewInterest()),
-		RequestedWaves: func() []platform.Wave { return waves }, SparePool: func() string { return spare },
+		RequestedWaves: func() []platform.Wave { return waves }, RecentClaims: func() map[string]int64 { return nil }, SparePool: func() string { return spare },
 		Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
 	})
 	p.replies[fakeService] = Reply{Known: true, Short: 6}
@@ -153,6 +155,24 @@
 	require.False(t, leader.evacuating["r0"])
 }
 
+// A leader that had just taken over, or whose runner had just been given a task, counted the end that an order had caused
+// as a crash of the task. The claim is known to all leaders before the machine is back.
+func TestEachTermIsToldOfEachClaimOnce(t *testing.T) {
+	p := newFakePoolManager("", nil)
+	recent := map[string]int64{"m1": 7}
+	p.RecentClaims = func() map[string]int64 { return recent }
+	for term := range 2 {
+		recent["m1"] = 7
+		leader := &fakeTerm{term: term, evacuating: map[string]bool{}}
+		p.report(p.Now(), leader)
+		p.report(p.Now(), leader)
+		require.Equal(t, []string{"m1"}, leader.planned, "its next runner isn't to end")
+		recent["m1"] = 9
+		p.report(p.Now(), leader)
+		require.Equal(t, []string{"m1", "m1"}, leader.planned)
+	}
+}
+
 // machinesOf returns the machines that are ready for maintenance.
 func machinesOf(ready []ReadyMachine) []string {
 	var list []string
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -26,6 +26,7 @@
 func (l *fakeLeader) Availability() (int, bool)       { return len(l.runners), false }
 func (l *fakeLeader) SetRetained(map[string]struct{}) {}
 func (l *fakeLeader) RunnerEmpty(string) bool         { return true }
+func (l *fakeLeader) SetEndPlanned(string)            {}
 
 func (l *fakeLeader) RunnerStatuses() []sched.RunnerStatus {
 	var list []sched.RunnerStatus
@@ -71,6 +72,7 @@
 		Log: zap.NewNop(), Now: time.Now,
 		Waves:          NewWaveTracker(nil, zap.NewNop(), watch.NewInterest()),
 		RequestedWaves: func() []platform.Wave { return pt.waves },
+		RecentClaims:   func() map[string]int64 { return nil },
 		Leaders:        func() []Leader { return []Leader{pt.leader} },
 		SparePool:      func() string { return sparePool },
 		Send:           func(context.Context, Report) (Reply, bool) { return pt.reply, true },
--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -136,10 +136,9 @@
 	return n
 }
 
-// handleCrash counts the crash of a runner against the runs to blame. The end of a runner that drains or is evacuated is
-// planned.
+// handleCrash counts the crash of a runner against the runs to blame, unless its end was planned.
 func (p *Pool) handleCrash(now time.Time, r *runner) {
-	if r.Draining || r.evacuating {
+	if r.endIsPlanned() {
 		return
 	}
 	blamed, certain := r.blamedRuns()
@@ -211,8 +210,11 @@
 }
 
 // suspendBlame remembers the unsettled runs on a silent runner whose lease has expired. They are blamed once it is known
-// that the runner has crashed.
+// that the runner has crashed. The end of a runner that was planned isn't a crash.
 func (p *Pool) suspendBlame(r *runner) {
+	if r.endIsPlanned() {
+		return
+	}
 	blamed, certain := r.blamedRuns()
 	for _, run := range blamed {
 		if !run.settled() {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -35,6 +35,7 @@
 	unknownRuns     bool                          // it lists runs of unknown jobs, whose resources are unknown
 	bestEffortRuns  int
 	evacuating      bool
+	endPlanned      bool // an order may end its present incarnation
 	retained        bool // it stays when the pool releases machines
 	maintenanceDue  bool // it has to be evacuated for maintenance soon
 	health          health
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -117,7 +117,15 @@
 
 // HandleReplacement handles a runner of another pool: earlier runners on the same machine no longer exist, as the machine
 // was moved.
-func (p *Pool) HandleReplacement(now time.Time, info work.Runner) { p.endReplaced(now, info, false) }
+func (p *Pool) HandleReplacement(now time.Time, info work.Runner) {
+	p.endReplaced(now, info, false)
+	for t := range p.lostTrials {
+		if info.Machine != "" && t.lostTrial.Machine == info.Machine && t.lostTrial.Born < info.Born {
+			p.dropLostTrial(t)
+			p.markChanged(t.step.job, now)
+		}
+	}
+}
 
 // setIncarnation sets the start time of the runner's present incarnation. A later one than before means that the
 // runner has restarted and the runs of the earlier incarnation are gone.
@@ -145,6 +153,7 @@
 		r.forgetOrphans()
 		r.answerDueAt, r.pollFailed = time.Time{}, false
 		r.held = !p.leadershipConfirmed
+		r.endPlanned = false
 	}
 	r.Born = born
 }
