Stalled tasks that last are restarted within the allowance of their step

Cause: the stop is the one for a stalled run ("stands still": no full progress longRunningStartup after its start), which asked for no allowance. A task that doesn't report full progress may be at work all the same.

Change: such a run is stopped only while fewer others of its step than may be are away. Others that stall too count as at work here, as otherwise none of them would ever be restarted. Where a step names no allowance nothing changes.

Ruled out: evacuation (it did ask), a predecessor's stop, and late orders.

--- a/sched/availability.go
+++ b/sched/availability.go
@@ -42,6 +42,30 @@
 	return n
 }
 
+// mayRestartStalled reports whether a task that lasts may be stopped because its run doesn't get to full progress. It may
+// be at work all the same, so the allowance of its step holds. Others that stall aren't counted as away: if they were, none
+// of them would ever be restarted.
+func (s *step) mayRestartStalled(now time.Time, except *task) bool {
+	if !s.spec.HasMaxUnavailable {
+		return true
+	}
+	away := 0
+	for _, t := range s.tasks {
+		if t != except && !t.available(now) && !t.stalled(now) {
+			away++
+		}
+	}
+	return away < s.spec.MaxUnavailable
+}
+
+// stalled reports whether a run of the task is known to stay, but hasn't got to full progress within longRunningStartup.
+func (t *task) stalled(now time.Time) bool {
+	return slices.ContainsFunc(t.runs, func(run *taskRun) bool {
+		polledAt := run.runner.polledAt
+		return run.phase == running && now.Sub(polledAt) < silentAfter && polledAt.Sub(run.confirmedAt) > longRunningStartup && !run.mayBeStopping()
+	})
+}
+
 // describeOthers says what is known of the step's tasks, except one, those that aren't available first.
 func (s *step) describeOthers(now time.Time, except *task) string {
 	var away, atWork []string
--- a/sched/availability_test.go
+++ b/sched/availability_test.go
@@ -54,3 +54,35 @@
 	require.Contains(t, got[0].Detail, "0 away, 1 may be; 1 run 1 running 100% adopted")
 	require.Contains(t, got[0].Detail, "on r1 polled 0s ago; 2 run 1 running 100% adopted")
 }
+
+// Tasks that report no full progress may be at work. They were all stopped at once as stalled, and while others of their
+// step were out of reach (seeds 349 and 470 of the random days).
+func TestStalledTasksAreRestartedWithinTheAllowance(t *testing.T) {
+	f, id := takeOverLongRunning(t)
+	for i := range 3 {
+		f.setProgress(taskOf(id, 0, i), 0, 0)
+	}
+	for range longRunningStartup / tickInterval {
+		require.Empty(t, stops(f.advance(tickInterval)))
+	}
+	f.runners["r2"].silent = true
+	f.now = f.now.Add(silentAfter)
+	for range 10 {
+		require.Empty(t, stops(f.advance(tickInterval)), "r2's task may be away")
+	}
+	f.runners["r2"].silent = false
+	var stopped []work.Task
+	for range longRunningStartup/tickInterval - 1 {
+		for _, stop := range stops(f.advance(tickInterval)) {
+			stopped = append(stopped, stop.Task)
+		}
+	}
+	require.Len(t, stopped, 1, "the first isn't at work again")
+	f.setProgress(stopped[0], 100, 0)
+	for range 10 {
+		for _, stop := range stops(f.advance(tickInterval)) {
+			stopped = append(stopped, stop.Task)
+		}
+	}
+	require.Len(t, stopped, 2, "the next may go")
+}
--- a/sched/stragglers.go
+++ b/sched/stragglers.go
@@ -93,7 +93,7 @@
 	// Progress is known only as of the last poll, so its age is taken as of that poll.
 	sinceProgress := r.polledAt.Sub(run.progressedAt)
 	if s.spec.LongRunning {
-		if run.percent < 100 && r.polledAt.Sub(run.confirmedAt) > longRunningStartup && sinceProgress > stallTimeout && !s.spec.BestEffort {
+		if run.percent < 100 && r.polledAt.Sub(run.confirmedAt) > longRunningStartup && sinceProgress > stallTimeout && !s.spec.BestEffort && s.mayRestartStalled(now, run.task) {
 			p.stopStalled(now, r, run)
 		}
 		return
