A later claim of a machine ends the permit of an earlier one

Cause: waves that have the same machine all claim it in one step, as each decides on the same reading of the list. The machine is busy for all but the first.

Change: a permit is valid only as long as no claim of one of its machines with a higher version is known. The order is then given under a new claim.

Ruled out: two coordinators (one sender, and the minimum time between senders held). Not changed: the useless claims in that one step.

--- a/claims/registry.go
+++ b/claims/registry.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -166,7 +167,7 @@
 			row.Version = stamp.Version
 			r.record(row)
 		}
-		return r.permit(decidedAt, claimedAt, stamp), true
+		return r.permit(decidedAt, claimedAt, stamp, machines), true
 	}
 	var conflict *platform.Conflict
 	if errors.As(err, &conflict) {
@@ -181,10 +182,19 @@
 
 // permit returns the permit of a claim that names claimedAt. Other daemons count from claimedAt, which may lie before the
 // store's time when the claim was sent. The store's time now is at most its stamp plus the time since then, and the orders
-// were decided on before that.
-func (r *Registry) permit(decidedAt time.Time, claimedAt time.Duration, stamp platform.Stamp) platform.OrderPermit {
+// were decided on before that. A later claim of one of the machines ends the permit: an order under it could follow one with
+// a higher fencing token.
+func (r *Registry) permit(decidedAt time.Time, claimedAt time.Duration, stamp platform.Stamp, machines []string) platform.OrderPermit {
 	expiresAt := decidedAt.Add(permitTTL - max(stamp.Now-claimedAt, 0))
-	return platform.OrderPermit{Holder: r.Name, Token: stamp.Version, Valid: func() bool { return r.Deps.Now().Before(expiresAt) }}
+	valid := func() bool { return r.Deps.Now().Before(expiresAt) && !r.claimedSince(stamp.Version, machines) }
+	return platform.OrderPermit{Holder: r.Name, Token: stamp.Version, Valid: valid}
+}
+
+// claimedSince reports whether one of the machines has a claim with a higher version.
+func (r *Registry) claimedSince(version int64, machines []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.ContainsFunc(machines, func(machine string) bool { return r.rows[machine].version > version })
 }
 
 // claimTx adds the claims of machines to a transaction. It returns the time that they name.
