Command check takes an operator's configuration

Cause: an operator learned only from the daemons' logs that a configuration was refused, and not at all that an entry is never used, such as a route behind one with the same host and prefix.

Change: `gypsumlead check -config FILE [-current FILE] [-machine CORES/MB/GPUS] [-json]` decodes the file by platform.DecodeConfig and prints faults, notes and, with -current, the differences grouped by their effect on callers. The decisions are in the new package configcheck, which is pure; keys are only counted. leader.MaxRowBytes is exported for the note about the body limit.

Ruled out: the size of the smallest machine isn't in the configuration, so the sum of caps is compared only with the one given by -machine. A body limit above what can be stored, a timeout below the objective, small caps and workspaces without keys are notes and don't fail the command, since daemons serve such a configuration.

--- a/cli/commands.go
+++ b/cli/commands.go
@@ -4,7 +4,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "Run the daemon of an entry instance.", "-settings FILE", "gypsumlead serve -settings entry-1.json", runServe},
-		{"check", "Check a settings file and print every problem in it.", "-settings FILE", "gypsumlead check -settings entry-1.json", runCheck},
+		{"check", "Check a settings file, or an operator's configuration before it is sent, and print every problem in it.", "-settings FILE | -config FILE [-current FILE] [-machine CORES/MB/GPUS] [-json]", "gypsumlead check -config next.json -current now.json", runCheck},
 		{"settings", "Print the reference of the settings file, or its JSON Schema.", "[-schema]", "gypsumlead settings -schema", runSettings},
 		{"status", "Show a daemon's state and its configuration version.", "[-at ADDR] [-json]", "gypsumlead status -at 10.1.0.9:8622", runStatus},
 		{"services", "List the services with their leaders and progress.", "[-at ADDR,...] [-json]", "gypsumlead services -at 10.1.0.9:8622,10.2.0.9:8622", runServices},
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -25,8 +25,9 @@
 	return err
 }
 
-func runCheck(_ context.Context, e *env, args []string) error {
-	conf, err := loadSettings(e, args)
+// checkSettings checks a settings file.
+func checkSettings(e *env, file string) error {
+	conf, err := settings.Load(file)
 	if err != nil {
 		return err
 	}
@@ -34,14 +35,6 @@
 	return nil
 }
 
-func loadSettings(e *env, args []string) (settings.Settings, error) {
-	file, err := settingsFile(e, args)
-	if err != nil {
-		return settings.Settings{}, err
-	}
-	return settings.Load(file)
-}
-
 // settingsFile returns the path given by the -settings flag.
 func settingsFile(e *env, args []string) (string, error) {
 	fs := e.flags()
--- a/leader/commit_test.go
+++ b/leader/commit_test.go
@@ -39,9 +39,9 @@
 	require.Len(t, l.nextIntents(maxBatchJobs), maxBatchJobs)
 	l.intents = nil
 	for range 10 {
-		l.intents = append(l.intents, &intent{kind: storeJob, value: make([]byte, maxRowBytes)})
+		l.intents = append(l.intents, &intent{kind: storeJob, value: make([]byte, MaxRowBytes)})
 	}
 	n := len(l.nextIntents(maxBatchJobs))
-	require.LessOrEqual(t, n*maxRowBytes, maxBatchBytes)
+	require.LessOrEqual(t, n*MaxRowBytes, maxBatchBytes)
 	require.Positive(t, n)
 }
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -31,6 +31,6 @@
 	maxBatchBytes       = 400 << 10               // of these jobs' rows; the store accepts 1 MB, and its encoding adds a third
 	entriesPerJob       = 2                       // transaction entries for each job: its condition and its row, or two rows to delete
 	fixedEntries        = 2 + shardCount          // transaction entries for the lease row's condition, the lease row and the rows of the runners
-	maxRowBytes         = 48 << 10                // of a row's value; the store accepts 64 KB, and its encoding adds a third
+	MaxRowBytes         = 48 << 10                // of a row's value; the store accepts 64 KB, and its encoding adds a third
 	maxConcurrentOrders = 2                       // orders sent to one runner at the same time
 )
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -66,7 +66,7 @@
 // encodeJob encodes an accepted job for the store. It returns fault.Invalid for a job that is too large for a row.
 func encodeJob(row jobRow) ([]byte, error) {
 	value, err := encode(row)
-	if err == nil && len(value) > maxRowBytes {
+	if err == nil && len(value) > MaxRowBytes {
 		return nil, fault.New(fault.Invalid, "the job is too large to be stored")
 	}
 	return value, err
--- a/leader/shards_test.go
+++ b/leader/shards_test.go
@@ -59,7 +59,7 @@
 	tx, err := l.buildTx(batch)
 	require.NoError(t, err)
 	for _, row := range tx.Puts {
-		require.LessOrEqual(t, len(row.Value), maxRowBytes, row.Key)
+		require.LessOrEqual(t, len(row.Value), MaxRowBytes, row.Key)
 	}
 	require.LessOrEqual(t, len(tx.Conditions)+len(tx.Puts)+entriesPerJob*maxBatchJobs, platform.MaxTxEntries)
 }
