--- a/configcheck/check.go
+++ b/configcheck/check.go
@@ -106,8 +106,8 @@
 	var findings []Finding
 	if c.Limits.Body > b.Row {
 		findings = append(findings, Finding{
-			Note, "limits: body", fmt.Sprintf("%d bytes are more than the %d bytes of the largest job that can be stored", c.Limits.Body, b.Row),
-			"Lower the limit, or tell callers that larger jobs get 413.",
+			Note, "limits: body", fmt.Sprintf("bodies of up to %d bytes are read, but a stored job takes at most %d", c.Limits.Body, b.Row),
+			"Lower the limit, or expect 413 for jobs that are too large to be stored.",
 		})
 	}
 	for _, amount := range amounts() {
--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -53,7 +53,8 @@
 		{"weight of 0", func(c *platform.Config) { c.Workspaces[0].Weight = 0 }, Note, "workspace w: weight"},
 		{"cap below a core", func(c *platform.Config) {
 			c.Workspaces[0].Cap.CPU = 999
-			c.Workspaces = append(c.Workspaces, platform.Workspace{Name: "x", Keys: []string{"k"}, Weight: 1, Cap: work.Resources{CPU: 1 << 62, Mem: 1 << 62}})
+			large := platform.Workspace{Name: "x", Keys: []string{"k"}, Weight: 1, Cap: work.Resources{CPU: 1 << 62, Mem: 1 << 62}}
+			c.Workspaces = append(c.Workspaces, large, large) // the sum would overflow
 		}, Note, "workspace w: cap.cpu"},
 		{"cap below 64 MB", func(c *platform.Config) { c.Workspaces[0].Cap.Mem = 63 }, Note, "workspace w: cap.mem"},
 		{"sum of caps below a machine", func(c *platform.Config) { c.Workspaces[0].Cap.CPU = 63999 }, Note, "workspaces: cap.cpu"},
--- a/configcheck/finding.go
+++ b/configcheck/finding.go
@@ -27,7 +27,7 @@
 
 // Bounds are what limits outside the configuration allow.
 type Bounds struct {
-	Row     int64          // bytes of the largest job that can be stored
+	Row     int64          // most bytes that a stored job can take
 	Machine work.Resources // smallest machine; zero if it isn't known
 }
 
