A task waits for its rack for 2.5 s at most

Cause: the limit of a wait was what the rack can save, (factor - 1) x the run time, which is over 3 s for tasks of 1.5 s at a factor of 3. Change: the limit is 2.5 s at most. Test: TestTotalWaitIsBounded with a factor of 8.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -49,11 +49,7 @@
 	in.approvalRequests = in.counter("gypsumlead.asks", "requests to the policy service, by service")
 	in.rackWaits = in.counter("gypsumlead.waits", "waits of tasks for a rack, by service and state: begun, ended in the rack (place), ended in another (away)")
 	in.copies = in.counter("gypsumlead.copies", "copies of slow tasks, by service and state: begun, won, lost")
-	waited, err := in.meter.Float64ObservableCounter("gypsumlead.waits.duration", metric.WithUnit("s"), metric.WithDescription("time that tasks have waited for racks although others had room, by service"))
-	in.rackWaited = waited
-	if in.err == nil {
-		in.err = err
-	}
+	in.rackWaited = in.seconds("gypsumlead.waits.duration", "time that tasks have waited for racks although others had room, by service")
 	in.leaseChanges = in.counter("gypsumlead.seats.changes", "leases of leadership acquired or lost by this daemon")
 	in.sampledLogs = in.counter("gypsumlead.log.sampled", "log lines dropped because the same message was logged too often")
 	in.lostLogs = in.counter("gypsumlead.log.lost", "log lines lost because the reader was too slow")
--- a/sched/wait.go
+++ b/sched/wait.go
@@ -14,6 +14,9 @@
 // slow run takes from others counts as much as what the task itself loses.
 const crowdedFactor = 2
 
+// maxRackWait limits the waits of a task in total: a job that could start must not be held up for 3 s.
+const maxRackWait = 2500 * time.Millisecond
+
 // unlimitedWait is longer than any task of a trial waits.
 const unlimitedWait = time.Hour
 
@@ -251,7 +254,7 @@
 	case p.strategy == WaitAlways:
 		return c.now.Add(unlimitedWait)
 	case t.rackWait == nil:
-		return c.now.Add(scale(c.local, c.factor-1))
+		return c.now.Add(min(scale(c.local, c.factor-1), maxRackWait))
 	}
 	return c.now.Add(t.rackWait.limit - t.rackWait.waited)
 }
--- a/sched/wait_test.go
+++ b/sched/wait_test.go
@@ -109,9 +109,18 @@
 	}
 }
 
-// Runs that take much longer than expected mustn't hold a task beyond what its rack can save: (factor-1) x its run time.
+// Runs that take much longer than expected mustn't hold a task beyond what its rack can save, (factor-1) x its run time, nor
+// for 3 s, after which a job that could start counts as lost.
 func TestTotalWaitIsBounded(t *testing.T) {
+	for factor, want := range map[float64]time.Duration{2: time.Second, 8: 2500 * time.Millisecond} {
+		testTotalWait(t, factor, want)
+	}
+}
+
+// testTotalWait checks how long a task waits for a rack whose runs don't end.
+func testTotalWait(t *testing.T, factor float64, want time.Duration) {
 	f := newRackPool(t)
+	f.pool.remoteFactor = factor
 	filler := f.fill(800*time.Millisecond, 80)
 	task := taskOf(f.accept("a", testQueue, near("rack0", 1)), 0, 0)
 	begun := f.now
@@ -124,8 +133,8 @@
 	}
 	require.Contains(t, []string{"r2", "r3", "r4", "r5"}, f.runnerOf(task))
 	waited := f.now.Sub(begun)
-	require.InDelta(t, time.Second, waited, float64(100*time.Millisecond))
-	require.LessOrEqual(t, waited, time.Second)
+	require.InDelta(t, want, waited, float64(100*time.Millisecond))
+	require.LessOrEqual(t, waited, want)
 	require.Equal(t, waited, f.pool.Stats(f.now).RackWaits.Waited)
 }
 
