A start that the next incarnation of a runner answered has not crashed the one before

Cause: a runner that has restarted may answer a start before a poll shows its new incarnation. The run counted as begun, and the crash that had come before it as a certain crash of its task.

Change: an answer whose clock lies before that of the last poll is of a later incarnation; in the present one, a poll after the start would have listed the run. Such a run is left to the polls like one whose start wasn't answered.

--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -65,6 +65,10 @@
 // wasn't answered may never have arrived, so that its runner crashed for another reason.
 func (r *taskRun) begun() bool { return !r.confirmedAt.IsZero() }
 
+// startedAnew reports whether the answer to a start shows that the runner has restarted since its last poll: its clock has
+// gone back. A poll after the start in the same incarnation would have listed the run.
+func (r *runner) startedAnew(clock time.Duration) bool { return clock > 0 && clock < r.listedClock }
+
 // settled reports whether a run is known to have lasted for settleTime.
 func (r *taskRun) settled() bool {
 	return !r.confirmedAt.IsZero() && r.runner.polledAt.Sub(r.confirmedAt) >= settleTime
--- a/sched/crashes_begun_test.go
+++ b/sched/crashes_begun_test.go
@@ -71,3 +71,21 @@
 	got, _ := f.pool.State(id)
 	require.Equal(f.t, want, got)
 }
+
+// Guards against a crash that counts against a run which began only after it: the runner's next incarnation answers the
+// start before a poll shows that there is one.
+func TestStartThatTheNextIncarnationAnsweredHasNotCrashedTheOneBefore(t *testing.T) {
+	f := newFakePool(t, 1, 8)
+	f.advance(10 * time.Second)
+	id := f.accept("a", testQueue, stepOf(1, 1000))
+	info := f.runners["r0"].info
+	info.Born++
+	f.runners["r0"] = &fakeRunner{info: info, runs: map[string]work.Run{}, clock: 50 * time.Millisecond}
+	require.Len(t, starts(f.plan()), 1)
+	f.advance(100 * time.Millisecond)
+	task := f.pool.jobs[id].findTask(taskOf(id, 0, 0))
+	require.Len(t, task.runs, 1, "it goes on")
+	for _, crash := range task.crashes {
+		require.False(t, crash.Certain)
+	}
+}
--- a/sched/results.go
+++ b/sched/results.go
@@ -41,6 +41,10 @@
 	switch outcome {
 	case OutcomeDone:
 		p.markStarted(now, run.task.step.job)
+		if !run.begun() && r.startedAnew(clock) {
+			run.awaitPoll()
+			return
+		}
 		p.markBegun(now, run)
 		if run.phase == sending || run.phase == unconfirmed {
 			run.phase = running
@@ -49,9 +53,14 @@
 		p.abandon(now, run, "its start was not sent")
 		r.health.excludedUntil = later(r.health.excludedUntil, now.Add(noRoomBackoff))
 	case OutcomeUnknown:
-		if run.phase == sending {
-			run.phase = unconfirmed
-		}
+		run.awaitPoll()
+	}
+}
+
+// awaitPoll leaves it to the runner's polls whether a run that was ordered has begun.
+func (r *taskRun) awaitPoll() {
+	if r.phase == sending {
+		r.phase = unconfirmed
 	}
 }
 
