--- a/configcheck/configcheck_test.go
+++ b/configcheck/configcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -47,14 +48,18 @@
 		{"prefix without slash", func(c *platform.Config) { c.Routes[0].Prefix = "p/" }, Error, "routes[0] q: prefix"},
 		{"unknown service", func(c *platform.Config) { c.Routes[0].Queue.Service = "x" }, Error, "routes[0] q: service"},
 		{"short timeout", func(c *platform.Config) { c.Routes[0].Timeout = 599 }, Note, "routes[0] q: timeout"},
+		{"no timeout", func(c *platform.Config) { c.Routes[0].Timeout = 0 }, "", ""},
+		{"caps whose sum overflows", func(c *platform.Config) {
+			c.Workspaces[0].Cap.CPU = 63000
+			c.Workspaces = append(c.Workspaces, platform.Workspace{Name: "x", Keys: []string{"k"}, Weight: 1, Cap: work.Resources{CPU: math.MaxInt64}})
+		}, "", ""},
 		{"service without route", func(c *platform.Config) { c.Services[1].Standby = false }, Note, "services[1] spare"},
 		{"service twice", func(c *platform.Config) { c.Services[1].Name = "s" }, Note, "services[1] s"},
 		{"no keys", func(c *platform.Config) { c.Workspaces[0].Keys = nil }, Note, "workspace w: keys"},
 		{"weight of 0", func(c *platform.Config) { c.Workspaces[0].Weight = 0 }, Note, "workspace w: weight"},
 		{"cap below a core", func(c *platform.Config) {
 			c.Workspaces[0].Cap.CPU = 999
-			large := platform.Workspace{Name: "x", Keys: []string{"k"}, Weight: 1, Cap: work.Resources{CPU: 1 << 62, Mem: 1 << 62}}
-			c.Workspaces = append(c.Workspaces, large, large) // the sum would overflow
+			c.Workspaces = append(c.Workspaces, platform.Workspace{Name: "x", Keys: []string{"k"}, Weight: 1})
 		}, Note, "workspace w: cap.cpu"},
 		{"cap below 64 MB", func(c *platform.Config) { c.Workspaces[0].Cap.Mem = 63 }, Note, "workspace w: cap.mem"},
 		{"sum of caps below a machine", func(c *platform.Config) { c.Workspaces[0].Cap.CPU = 63999 }, Note, "workspaces: cap.cpu"},
@@ -122,6 +127,11 @@
 			}, string(text))
 		})
 	}
+	first := Compare(platform.Config{}, platform.Config{Workspaces: valid().Workspaces})
+	require.Equal(t, "workspaces", first[0].Findings[0].Path, "with the first workspace, all callers need keys")
+	twice := valid()
+	twice.Workspaces[0].Keys = append(twice.Workspaces[0].Keys, "secret1")
+	require.Contains(t, Compare(twice, platform.Config{})[0].Findings[2].Problem, "its keys: 2", "a key named twice is one key")
 	require.Empty(t, CheckVersion(platform.Config{Version: 6}, valid()))
 	require.Equal(t, 1, Errors(CheckVersion(valid(), valid())), "a version that isn't higher is ignored")
 }
