--- a/leader/admission.go
+++ b/leader/admission.go
@@ -13,8 +13,8 @@
 
 const (
 	refusedTTL     = 120 * time.Second // refused rows stay in the store for this long; writes of earlier tries are carried out seconds later at most
-	decisionShare  = 5                 // the pause between two decisions is at least this many times as long as the last one took:
-	cheapDecision  = time.Millisecond  // with 3000 waiting jobs that is some 11 ms; shorter ones need no pause
+	decisionShare  = 50                // the pause between two decisions is at least this many times as long as the last one took:
+	cheapDecision  = time.Millisecond  // plans are due most when most jobs wait, and a decision then takes longer than a plan
 	fleetFreshness = 30 * time.Second  // of the list of machines, for refusals; machines are added and removed by operators
 )
 
