--- a/cache/operator_state.go
+++ b/cache/operator_state.go
@@ -79,7 +79,8 @@
 			return
 		}
 		o.config.Store(NewRouteTable(config, o.secret))
-		o.log.Info("configuration applied", zap.Int64("version", config.Version), zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
+		o.log.Info("configuration applied", zap.Int64("version", config.Version), zap.Int64("row", r.Version), zap.Duration("confirmed", o.Age()),
+			zap.Int("routes", len(config.Routes)), zap.Int("workspaces", len(config.Workspaces)))
 	case platform.IsWave(r.Key) && r.Deleted:
 		delete(o.waves, r.Key)
 	case platform.IsWave(r.Key):
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -23,8 +23,8 @@
 	refusals, keyRefusals, rackWaits, copies, leaseChanges, sampledLogs, lostLogs          metric.Int64ObservableCounter
 	relayedCalls, carriedCalls, refusedCalls                                               metric.Int64ObservableCounter
 	rackWaited, relayedTime                                                                metric.Float64ObservableCounter
-	terms, waiting, running, excluded, silent, moving                                      metric.Int64ObservableGauge
-	oldest                                                                                 metric.Float64ObservableGauge
+	terms, waiting, running, excluded, silent, moving, configVersion                       metric.Int64ObservableGauge
+	oldest, configAge                                                                      metric.Float64ObservableGauge
 }
 
 // setUpMetrics creates the instruments and the callback that reads all of them.
@@ -63,11 +63,9 @@
 	in.excluded = in.gauge("gypsumlead.runners.out", "runners excluded because of failures, by service")
 	in.silent = in.gauge("gypsumlead.runners.silent", "runners that don't answer, by service")
 	in.moving = in.gauge("gypsumlead.machines.moving", "machines being moved to another pool")
-	oldest, err := in.meter.Float64ObservableGauge("gypsumlead.jobs.oldest", metric.WithUnit("s"), metric.WithDescription("age of the oldest job that hasn't started, by service"))
-	in.oldest = oldest
-	if in.err == nil {
-		in.err = err
-	}
+	in.configVersion = in.gauge("gypsumlead.config.version", "version of the configuration in force")
+	in.oldest = in.secondsGauge("gypsumlead.jobs.oldest", "age of the oldest job that hasn't started, by service")
+	in.configAge = in.secondsGauge("gypsumlead.config.age", "time since the store confirmed the configuration in force")
 	if in.err != nil {
 		return in.err
 	}
@@ -85,7 +83,7 @@
 		d.observe(o, in)
 		return nil
 	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.copies, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
-		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest)
+		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge)
 	return err
 }
 
@@ -116,6 +114,15 @@
 	return c
 }
 
+// secondsGauge creates a gauge of seconds; the first error is kept in in.err.
+func (in *instruments) secondsGauge(name, description string) metric.Float64ObservableGauge {
+	g, err := in.meter.Float64ObservableGauge(name, metric.WithUnit("s"), metric.WithDescription(description))
+	if in.err == nil {
+		in.err = err
+	}
+	return g
+}
+
 // observe records the current values of all instruments.
 func (d *Daemon) observe(o metric.Observer, in *instruments) {
 	for status, n := range d.jobHandler.Counts.Snapshot() {
@@ -127,6 +134,10 @@
 	for c, n := range d.meter.Counts() {
 		o.ObserveInt64(in.calls, n, metric.WithAttributes(attribute.String("call", c.Call), attribute.String("answer", c.Result)))
 	}
+	if config := d.operatorState.Config(); config != nil {
+		o.ObserveInt64(in.configVersion, config.Version)
+		o.ObserveFloat64(in.configAge, d.operatorState.Age().Seconds())
+	}
 	sampled, lost := d.droppedLogs()
 	o.ObserveInt64(in.sampledLogs, sampled)
 	o.ObserveInt64(in.lostLogs, lost)
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -74,6 +74,7 @@
 	}
 	route, id, ok := routes.Match(r.Host, r.URL.Path)
 	if !ok {
+		h.log.Info("no such queue", zap.String("method", r.Method), zap.Int64("config", routes.Version), zap.Duration("confirmed", h.config.Age()))
 		h.writeResponse(w, http.StatusNotFound, nil)
 		return
 	}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -53,6 +53,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	slack := callSlack
 	for ctx.Err() == nil {
+		started := time.Now()
 		err := w.poll(ctx, slack)
 		switch {
 		case err == nil:
@@ -61,8 +62,9 @@
 		case fault.Is(err, fault.Missing):
 			w.FromVersion = FromSnapshot // the store no longer has the changes since FromVersion: read all rows again
 		case ctx.Err() == nil:
+			w.Log.Warn("failed to poll table", zap.String("table", w.Table), zap.Int64("after", w.FromVersion),
+				zap.Duration("waited", time.Since(started)), zap.Duration("limit", LongPollTimeout+slack), zap.Error(err))
 			slack = min(2*slack, maxCallSlack)
-			w.Log.Warn("failed to poll table", zap.String("table", w.Table), zap.Error(err))
 			if w.OnError != nil {
 				w.OnError()
 			}
