--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -293,7 +293,7 @@
 	req.Header.Set("X-Gypsumlead-Deadline-Ms", strconv.FormatInt(requestTimeout.Milliseconds(), 10))
 	if key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
-		use := standin.KeyUse{Key: key, Daemon: node.name, SentAt: time.Now(), ContactSince: c.contactSince(node.name)}
+		use := standin.KeyUse{Key: key, Request: c.newRequest(node)}
 		defer func() {
 			use.Status = status
 			if c.checksKeys(service) {
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -89,6 +89,7 @@
 func (c *Cluster) storeConfig() {
 	c.Store.Put("op", "config", c.config)
 	c.Checker.KeysInForce(c.config.keys())
+	c.Checker.RoutesInForce(c.config.prefixes())
 }
 
 // makeMachines adds the machines and boots those outside the spare service.
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -21,6 +21,7 @@
 	services   map[string]*serviceRecord // by name of a long-running task
 	keys       map[string]*keyRecord     // by key
 	keyUses    KeyUses
+	routes     map[string]*routeRecord // by prefix
 }
 
 // jobRecord is what the checker knows of a submitted job.
@@ -58,7 +59,7 @@
 
 // NewChecker returns a checker that has observed nothing.
 func NewChecker() *Checker {
-	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}, keys: map[string]*keyRecord{}}
+	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}, keys: map[string]*keyRecord{}, routes: map[string]*routeRecord{}}
 }
 
 // addViolation records a violation; the caller holds c.mu.
--- a/standin/keys.go
+++ b/standin/keys.go
@@ -7,12 +7,6 @@
 	"gypsumlead/work"
 )
 
-// Limits on keys, from the platform's documentation.
-const (
-	applyTime    = 3 * time.Second // after a version is stored, requests are handled by it
-	contactGrace = 3 * time.Second // after its contact with the store was disturbed, a daemon may still go by what it had
-)
-
 // keyRecord is what the checker knows of a key that a configuration had.
 type keyRecord struct {
 	workspace   string
@@ -22,11 +16,8 @@
 
 // KeyUse is a request with a key, and its answer.
 type KeyUse struct {
-	Key          string
-	Daemon       string
-	SentAt       time.Time
-	ContactSince time.Time // since when nothing has disturbed the daemon's contact with the store; zero if something does
-	Status       int       // 0 without an answer
+	Key string
+	Request
 }
 
 // served reports whether the request was handled for its key: it was not refused for it, nor because nothing is known.
@@ -34,12 +25,6 @@
 	return u.Status != 0 && u.Status != http.StatusUnauthorized && u.Status != http.StatusNotFound && u.Status < http.StatusInternalServerError
 }
 
-// must reports whether the request has to be handled by a configuration that was stored at a time.
-func (u KeyUse) must(storedAt time.Time) bool {
-	inContact := !u.ContactSince.IsZero() && u.SentAt.Sub(u.ContactSince) > applyTime+contactGrace
-	return inContact && u.SentAt.Sub(storedAt) > applyTime
-}
-
 // KeysInForce records that the store has acknowledged a configuration with these keys; the values are the names of their
 // workspaces.
 func (c *Checker) KeysInForce(keys map[string]string) {
@@ -60,7 +45,7 @@
 
 // KeyAnswered checks the answer to a request on a route that needs a key. It is a violation if the request is served though
 // no configuration ever had the key, or, by a daemon in contact with the store, if it is served though the key was withdrawn
-// longer ago than applyTime, or refused for its key though that has been valid for longer.
+// longer ago than ApplyTime, or refused for its key though that has been valid for longer.
 func (c *Checker) KeyAnswered(use KeyUse) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
