Settings: the bounds on configurations, draining runners and cancellations

Cause: a follower of the store has to know a change within a bound that differs between sites (ConfigApplyMs and DrainMs 2 to 4 s, cancel_ms 3 to 5 s), and the code assumes one site's.

--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -15,6 +15,7 @@
 	require.NoError(t, err)
 	require.Equal(t, 6*time.Second, s.Bounds.MaxRunnerLease)
 	require.False(t, s.Machines.IsValid())
+	require.Equal(t, 2*time.Second, s.Bounds.ApplyWithin)
 	for _, tc := range []struct {
 		name, in string
 		want     []string
@@ -26,7 +27,7 @@
 		{"duplicate address", strings.Replace(validSettings, "10.0.0.2:2", "10.0.0.2:1", 1), []string{"listen.ready: the same address as listen.callers"}},
 		{"missing keys", `{}`, []string{"instance: missing", "store: missing", "listen.ready: missing"}},
 		{"wrong types of values", `{"weight":"much","bounds":{"hold":6000}}`, []string{"weight", "bounds.hold", "with a unit"}},
-		{"out of range", `{"weight":0,"memory":1}`, []string{"weight", "memory: must be 32 at least"}},
+		{"out of range", `{"weight":0,"memory":1,"bounds":{"apply":"0s"}}`, []string{"weight", "memory: must be 32 at least", "bounds.apply: must be 500ms at least"}},
 		{"unknown key", `{"colour":1}`, []string{"colour: unknown key"}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
