A poll of the store that is not answered no longer keeps its follower from asking again

Cause: a Watcher made one poll at a time, and the limit of a poll doubled with each that failed, up to 6.5 s. Ruled out: a fixed short limit in place of the growing one (a store slower than that would starve all followers).

--- a/cache/confirmation_test.go
+++ b/cache/confirmation_test.go
@@ -17,6 +17,9 @@
 	"gypsumlead/standin"
 )
 
+// applyWithin is the bound on new versions of the grown sites.
+const applyWithin = 3 * time.Second
+
 // onCopy runs a test on virtual time with a copy of a configuration that follows a store.
 func onCopy(t *testing.T, test func(t *testing.T, o *OperatorState, store *standin.Store)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -26,7 +29,7 @@
 		server := &http.Server{Handler: store}
 		go func() { _ = server.Serve(listener) }()
 		client := platform.NewStore(addr, network.Dialer(netip.MustParseAddr("10.0.0.1")), platform.NewMeter())
-		o := NewOperatorState(client, zap.NewNop(), time.Now, func() {})
+		o := NewOperatorState(client, zap.NewNop(), time.Now, applyWithin, func() {})
 		store.Put("op", "config", map[string]any{"Version": 1})
 		go func() { _ = o.Run(t.Context()) }()
 		t.Cleanup(func() {
@@ -73,7 +76,7 @@
 // A faulty or older version must not replace the configuration in force, and the log must name the fault but no key.
 func TestInvalidConfigurationKeepsThePreviousOne(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
-	o := NewOperatorState(nil, zap.New(core), time.Now, func() {})
+	o := NewOperatorState(nil, zap.New(core), time.Now, applyWithin, func() {})
 	put := func(value string) {
 		o.apply([]platform.Row{{RowKey: platform.ConfigKey(), Version: 1, Value: []byte(value)}}, false)
 	}
--- a/cache/operator_state.go
+++ b/cache/operator_state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -20,6 +21,7 @@
 	store    *platform.Store
 	log      *zap.Logger
 	now      clock.Clock
+	within   time.Duration
 	onChange func()
 	secret   workspace.Secret
 
@@ -29,9 +31,10 @@
 	waves        map[string]platform.Wave
 }
 
-// NewOperatorState returns an empty OperatorState, which Run keeps up to date; onChange is called after each change.
-func NewOperatorState(store *platform.Store, log *zap.Logger, now clock.Clock, onChange func()) *OperatorState {
-	return &OperatorState{store: store, log: log, now: now, onChange: onChange, secret: workspace.NewSecret(), waves: map[string]platform.Wave{}}
+// NewOperatorState returns an empty OperatorState, which Run keeps up to date. A change has to be known within a time of being
+// stored; onChange is called after it.
+func NewOperatorState(store *platform.Store, log *zap.Logger, now clock.Clock, within time.Duration, onChange func()) *OperatorState {
+	return &OperatorState{store: store, log: log, now: now, within: within, onChange: onChange, secret: workspace.NewSecret(), waves: map[string]platform.Wave{}}
 }
 
 // Run follows the operator's rows until ctx ends.
@@ -40,6 +43,7 @@
 		Store:       o.store,
 		Table:       platform.TableOperator,
 		FromVersion: watch.FromSnapshot,
+		Within:      o.within,
 		Log:         o.log,
 		Apply: func(_ context.Context, page platform.Page, snapshot bool) error {
 			o.apply(page.Rows, snapshot)
--- a/cache/operator_state_test.go
+++ b/cache/operator_state_test.go
@@ -13,7 +13,7 @@
 // All waves were withdrawn while the history was lost, and nobody heard of it.
 func TestEmptySnapshotIsAChange(t *testing.T) {
 	changes := 0
-	o := NewOperatorState(nil, zap.NewNop(), time.Now, func() { changes++ })
+	o := NewOperatorState(nil, zap.NewNop(), time.Now, applyWithin, func() { changes++ })
 	key := platform.RowKey{Table: platform.TableOperator, Key: "wave/1"}
 	o.apply([]platform.Row{{RowKey: key, Version: 1, Value: []byte(`{"Wave":1,"Machines":["m0"],"DurationS":9,"Cap":1}`)}}, false)
 	require.Len(t, o.Waves(), 1)
--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -31,6 +31,7 @@
 	onUpdate func(work.Runner)
 	onRemove func(work.Runner)
 	interest *watch.Interest
+	within   time.Duration
 
 	// delivery is held while a change is made and passed on, so that the receivers see changes in their order. It is locked
 	// before mu.
@@ -43,10 +44,10 @@
 	readAt       time.Time            // when the store last answered a reading, all of which was passed on
 }
 
-// NewRunnerList returns an empty list, which Run keeps up to date. onUpdate is called for each runner that is new or
-// has changed, onRemove for each that is gone.
-func NewRunnerList(store *platform.Store, log *zap.Logger, now clock.Clock, interest *watch.Interest, onUpdate, onRemove func(work.Runner)) *RunnerList {
-	return &RunnerList{store: store, log: log, now: now, interest: interest, onUpdate: onUpdate, onRemove: onRemove, runners: map[string]work.Runner{}, missingUntil: map[string]time.Time{}}
+// NewRunnerList returns an empty list, which Run keeps up to date. While it is needed immediately, a change has to be known
+// within a time of being stored. onUpdate is called for each runner that is new or has changed, onRemove for each that is gone.
+func NewRunnerList(store *platform.Store, log *zap.Logger, now clock.Clock, within time.Duration, interest *watch.Interest, onUpdate, onRemove func(work.Runner)) *RunnerList {
+	return &RunnerList{store: store, log: log, now: now, within: within, interest: interest, onUpdate: onUpdate, onRemove: onRemove, runners: map[string]work.Runner{}, missingUntil: map[string]time.Time{}}
 }
 
 // Run follows the list until ctx ends.
@@ -55,6 +56,7 @@
 		Store:       r.store,
 		Table:       platform.TableRunners,
 		FromVersion: watch.FromSnapshot,
+		Within:      r.within,
 		Interval:    batchWindow,
 		Interest:    r.interest,
 		Log:         r.log,
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -27,6 +27,7 @@
 		Table:       tableInbox,
 		Partition:   l.lease.Service,
 		FromVersion: watch.FromSnapshot,
+		Within:      l.CancelWithin,
 		Log:         l.Log,
 		Apply:       l.applyInbox,
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,6 +31,7 @@
 	RemoteFactor     float64                      // by which tasks are slower away from their rack
 	OnViolation      func(error)
 	Now              clock.Clock
+	CancelWithin     time.Duration // after which no task of a cancelled job is started any more
 	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
 }
 
--- a/member/members.go
+++ b/member/members.go
@@ -25,6 +25,7 @@
 	rareTimeout       = 16 * time.Second        // the timeout for these: three heartbeats
 	recheckInterval   = 250 * time.Millisecond  // between checks of whether this daemon is a candidate
 	pollInterval      = 200 * time.Millisecond  // between polls for changes
+	knownWithin       = 2 * time.Second         // after which a change among the daemons is known
 	callTimeout       = time.Second             // for a write, whose answer may be lost; a slow store takes some hundred milliseconds
 	retryDelay        = 100 * time.Millisecond  // after a failed call
 )
@@ -186,6 +187,7 @@
 		Table:         Table,
 		AllPartitions: true,
 		FromVersion:   watch.FromSnapshot,
+		Within:        knownWithin,
 		Interval:      pollInterval,
 		Log:           m.log,
 		OnError:       m.pollFailed,
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -12,19 +12,6 @@
 	"gypsumlead/sleep"
 )
 
-// Timing of polls.
-const (
-	// LongPollTimeout is how long the store holds a poll without changes. It is short because a connection may be
-	// silently dead.
-	LongPollTimeout = 1500 * time.Millisecond
-
-	callSlack    = time.Second            // beyond LongPollTimeout, for the response; a slow store takes some hundred milliseconds
-	maxCallSlack = 5 * time.Second        // limit of the slack, which doubles after each failed poll
-	retryDelay   = 250 * time.Millisecond // after a failed poll
-	idleInterval = time.Second            // between polls while nobody needs the changes immediately
-	dormantCheck = time.Minute            // between checks of whether somebody needs the changes again, besides the wake-up
-)
-
 // FromSnapshot is the FromVersion of a Watcher that begins by reading all rows.
 const FromSnapshot = -1
 
@@ -35,13 +22,14 @@
 	Partition     string        // partition whose rows are read first
 	AllPartitions bool          // read the rows of all partitions first
 	FromVersion   int64         // version to continue from, or FromSnapshot
+	Within        time.Duration // a change is known this long after it was stored, if the store answers; 0 is defaultWithin
 	Interval      time.Duration // between polls; changes of one interval are applied together
 	Interest      *Interest     // how soon changes are needed; nil is always Immediate
 	Log           *zap.Logger
 	// Apply applies rows; snapshot reports that they are all rows that exist. After an error the same rows are
 	// delivered again.
 	Apply func(ctx context.Context, page platform.Page, snapshot bool) error
-	// OnError is called after each failed poll; it may be nil.
+	// OnError is called after each poll that failed or is overdue; it may be nil.
 	OnError func()
 	// OnAnswer is called after each poll whose rows have been applied, with a time, by Now, of which all rows are known. It
 	// may be nil.
@@ -51,29 +39,49 @@
 
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
-	slack := callSlack
 	for ctx.Err() == nil {
-		started := time.Now()
-		err := w.poll(ctx, slack)
+		err := w.advance(ctx)
 		switch {
 		case err == nil:
-			slack = callSlack
 			w.waitNext(ctx)
 		case fault.Is(err, fault.Missing):
 			w.FromVersion = FromSnapshot // the store no longer has the changes since FromVersion: read all rows again
 		case ctx.Err() == nil:
-			w.Log.Warn("failed to poll table", zap.String("table", w.Table), zap.Int64("after", w.FromVersion),
-				zap.Duration("waited", time.Since(started)), zap.Duration("limit", LongPollTimeout+slack), zap.Error(err))
-			slack = min(2*slack, maxCallSlack)
-			if w.OnError != nil {
-				w.OnError()
-			}
+			w.handleFailure(err)
 			sleep.ForOrWake(ctx, retryDelay, nil)
 		}
 	}
 	return nil
 }
 
+// advance reads and applies all rows, or the changes since FromVersion.
+func (w *Watcher) advance(ctx context.Context) error {
+	a := w.poll(ctx)
+	if a.err != nil {
+		return a.err
+	}
+	if err := w.Apply(ctx, a.page, a.snapshot); err != nil {
+		return err
+	}
+	w.FromVersion = a.page.Version
+	if w.OnAnswer != nil && !a.page.More {
+		w.OnAnswer(a.asOf)
+	}
+	return nil
+}
+
+// handleFailure logs and notes a poll that failed.
+func (w *Watcher) handleFailure(err error) {
+	w.Log.Warn("failed to poll table", zap.String("table", w.Table), zap.Int64("after", w.FromVersion), zap.Error(err))
+	w.noteFailure()
+}
+
+func (w *Watcher) noteFailure() {
+	if w.OnError != nil {
+		w.OnError()
+	}
+}
+
 // waitNext waits until the next poll is due.
 func (w *Watcher) waitNext(ctx context.Context) {
 	if w.Interest == nil {
@@ -91,45 +99,3 @@
 		}
 	}
 }
-
-// poll reads and applies all rows, or the changes since FromVersion.
-func (w *Watcher) poll(ctx context.Context, slack time.Duration) error {
-	callCtx, cancel := context.WithTimeout(ctx, LongPollTimeout+slack)
-	defer cancel()
-	snapshot := w.FromVersion < 0
-	var sentAt time.Time
-	if w.OnAnswer != nil {
-		sentAt = w.Now()
-	}
-	var page platform.Page
-	var err error
-	switch {
-	case snapshot && w.AllPartitions:
-		page, err = w.Store.ScanTable(callCtx, w.Table)
-	case snapshot:
-		page, err = w.Store.ScanPartition(callCtx, w.Table, w.Partition)
-	default:
-		page, err = w.Store.Changes(callCtx, w.Table, w.FromVersion, LongPollTimeout)
-	}
-	if err != nil {
-		return err
-	}
-	if err := w.Apply(ctx, page, snapshot); err != nil {
-		return err
-	}
-	w.FromVersion = page.Version
-	if w.OnAnswer != nil && !page.More {
-		w.OnAnswer(w.answeredAsOf(sentAt, !snapshot && len(page.Rows) == 0))
-	}
-	return nil
-}
-
-// answeredAsOf returns the earliest time at which the store can have answered a poll. The arrival of the answer doesn't count:
-// a process that was suspended meanwhile takes an old answer for a new one. The store holds a poll for changes that has none
-// for LongPollTimeout.
-func (w *Watcher) answeredAsOf(sentAt time.Time, held bool) time.Time {
-	if end := sentAt.Add(LongPollTimeout); held && !w.Now().Before(end) {
-		return end
-	}
-	return sentAt
-}
