A caller no longer waits beyond its deadline for a ping of the store or of another daemon

Cause: contact.Link.Check made the ping itself, without the context of the caller whose check began it; two attempts take 1.6 s. Change: the ping runs in a goroutine of its own, and its first caller waits like all others.

--- a/contact/link.go
+++ b/contact/link.go
@@ -67,22 +67,27 @@
 			defer l.mu.Unlock()
 			return l.failure
 		}
-		if pending := l.pending; pending != nil {
-			l.mu.Unlock()
-			wait(ctx, pending)
-			continue
+		if l.pending == nil {
+			l.startPing(ctx)
 		}
-		ended := make(chan struct{})
-		l.pending = ended
+		pending := l.pending
 		l.mu.Unlock()
-		err := l.ping(context.WithoutCancel(ctx)) // others wait for this ping too
-		l.record(err)
-		close(ended)
-		return err
+		wait(ctx, pending)
 	}
 	return ctx.Err()
 }
 
+// startPing asks the other end in a goroutine that ends with the ping. Others wait for it too, so it goes on after ctx. The
+// caller holds l.mu.
+func (l *Link) startPing(ctx context.Context) {
+	ended := make(chan struct{})
+	l.pending = ended
+	go func() {
+		defer close(ended)
+		l.record(l.ping(context.WithoutCancel(ctx)))
+	}()
+}
+
 // record notes the result of the ping in progress.
 func (l *Link) record(err error) {
 	l.mu.Lock()
--- a/contact/link_test.go
+++ b/contact/link_test.go
@@ -109,3 +109,16 @@
 		require.Equal(t, 1, end.pings)
 	})
 }
+
+// The caller whose check began the ping waited for its end, beyond its own deadline.
+func TestCheckThatAsksEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := New((&fakeEnd{}).ping, freshness, time.Now)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		require.ErrorIs(t, l.Check(ctx), context.DeadlineExceeded)
+		require.Equal(t, 10*time.Millisecond, time.Since(start))
+		time.Sleep(time.Second) // the ping ends
+	})
+}
