Confirming the configuration: a slow read goes on, and waiting for it counts against the caller's timeout

Cause: the read that confirms the copy was given up after 300 ms, which a slow store never meets, so that it was made again and again; and a request's timeout began only after it had waited for the read. Change: callers wait for at most 300 ms after the read began, the read goes on for up to a second; a copy is doubtful at 0.9 of its bound, when an overdue poll has usually been followed by an answered one; the timeout counts from the request's arrival. Evidence: go test -race ./cache ./jobapi.

--- a/cache/confirmation.go
+++ b/cache/confirmation.go
@@ -12,17 +12,24 @@
 )
 
 const (
-	confirmTimeout  = 300 * time.Millisecond // of the read that confirms the copy; callers wait for it
+	confirmTimeout  = 300 * time.Millisecond // for which callers wait for the read that confirms the copy
+	readTimeout     = time.Second            // of that read; a slow store takes some hundred milliseconds
 	confirmInterval = 2 * time.Second        // between such reads that fail, so that an outage of the store delays few callers
 )
 
 // confirmation records when the store last confirmed the copy of the configuration.
 type confirmation struct {
 	mu       sync.Mutex
-	at       time.Time     // a time of which the copy is known to be the newest
-	failedAt time.Time     // when the last read by Confirm failed
-	answers  int64         // calls that the store had answered by then
-	reading  chan struct{} // closed when the read that is in progress ends; nil if there is none
+	at       time.Time // a time of which the copy is known to be the newest
+	failedAt time.Time // when the last read by Confirm failed
+	answers  int64     // calls that the store had answered by then
+	reading  *reading  // in progress; nil if there is none
+}
+
+// reading is a read that confirms the copy.
+type reading struct {
+	startedAt time.Time
+	ended     chan struct{} // closed at its end
 }
 
 // confirm records that the copy was the newest at a time.
@@ -41,47 +48,50 @@
 	return o.now().Sub(o.confirmation.at)
 }
 
-// doubtfulAge returns the age from which the copy is confirmed before it is used. The copy gets that old while a poll is
-// overdue, and when the process was suspended or had no processor time.
-func (o *OperatorState) doubtfulAge() time.Duration { return o.within * 4 / 5 }
+// doubtfulAge returns the age from which the copy is confirmed before it is used. It gets that old if a poll is not answered,
+// and if the process was suspended or had no processor time.
+func (o *OperatorState) doubtfulAge() time.Duration { return o.within * 9 / 10 }
 
 // Confirm reads the configuration from the store if the copy is older than doubtfulAge. It returns after confirmTimeout at
 // the latest. All callers share one read, and after one that failed there is none for confirmInterval, unless the store
-// has answered another call.
+// has answered another call since.
 func (o *OperatorState) Confirm(ctx context.Context) {
-	reading := o.startConfirming()
-	if reading == nil {
+	r, wait := o.startConfirming()
+	if wait <= 0 {
 		return
 	}
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
 	select {
-	case <-reading:
+	case <-r.ended:
+	case <-timeout.C:
 	case <-ctx.Done():
 	}
 }
 
-// startConfirming returns the channel that is closed when the copy has been read again, or nil if there is no need or it
-// failed lately.
-func (o *OperatorState) startConfirming() <-chan struct{} {
+// startConfirming returns the read that confirms the copy, and for how long to wait for it: 0 if there is no need to, or no
+// hope that it is answered soon.
+func (o *OperatorState) startConfirming() (*reading, time.Duration) {
 	c := &o.confirmation
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := o.now()
 	if now.Sub(c.at) <= o.doubtfulAge() {
-		return nil
+		return nil, 0
 	}
 	if c.reading == nil {
 		if now.Sub(c.failedAt) < confirmInterval && o.store.Answers() == c.answers {
-			return nil
+			return nil, 0
 		}
-		c.reading = make(chan struct{})
+		c.reading = &reading{startedAt: now, ended: make(chan struct{})}
 		go o.readConfig(now)
 	}
-	return c.reading
+	return c.reading, c.reading.startedAt.Add(confirmTimeout).Sub(now)
 }
 
 // readConfig reads and applies the configuration. Idle connections are not used: they may be silent.
 func (o *OperatorState) readConfig(sentAt time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
 	o.store.Close()
 	page, err := o.store.GetRow(ctx, platform.ConfigKey())
@@ -100,6 +110,6 @@
 	if err != nil {
 		c.failedAt, c.answers = o.now(), o.store.Answers()
 	}
-	close(c.reading)
+	close(c.reading.ended)
 	c.reading = nil
 }
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -67,6 +67,7 @@
 
 // ServeHTTP handles one request for a job or a queue.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrivedAt := time.Now()
 	routes := h.freshConfig(r.Context())
 	if routes == nil {
 		h.writeRetryLater(w, http.StatusServiceUnavailable, noConfigRetry, "no configuration yet")
@@ -82,7 +83,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout(r, route))
+	ctx, cancel := context.WithDeadline(r.Context(), arrivedAt.Add(requestTimeout(r, route)))
 	defer cancel()
 	switch r.Method {
 	case http.MethodPost:
