A carrier whose connections have gone silent goes on carrying

What callers would see: a daemon that the store rejects got changes later than its site's bounds once its carrier's connections to the store went silent: its polls met one after the other, and the carrier's silence looked like a rejection. Cause: nothing closed a carrier's idle connections before a call ended; a question to it met a silent one too, and with no other carrier the next question came a second later. Change: a direct call that is overdue closes the idle connections at once, for carried calls too; if no carrier is found, the present one is asked a second time, within the same budget of questions. Evidence: TestCarriedPollsMeetOneSilentConnectionAfterTheOther fails before (change 0 not seen within 2 s), passes after; the tests of the route are unchanged and pass.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -133,7 +133,10 @@
 // callDirect makes a call on this daemon's own connections and notes what its outcome says about the store.
 func (r *Relay) callDirect(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
 	started, expected := r.now(), expectedTime(path)
-	alarm := time.AfterFunc(expected, func() { r.note(func(now time.Time) { r.route.silent(started, now) }) })
+	alarm := time.AfterFunc(expected, func() {
+		r.store.Close() // idle connections may be as silent as this call's
+		r.note(func(now time.Time) { r.route.silent(started, now) })
+	})
 	status, data, err := r.store.CallDirect(ctx, method, path, body)
 	alarm.Stop()
 	r.note(func(now time.Time) {
@@ -252,8 +255,9 @@
 	})
 }
 
-// firstServed asks up to limit carriers in turn, beginning with the present one. It returns how many it asked and the first
-// that the store serves, or "". The next round then goes on with the others.
+// firstServed asks up to limit carriers in turn, beginning with the present one. If none is served, that one is asked again:
+// its first question may have met a silent connection to the store. It returns how many questions it asked and the first
+// carrier that the store serves, or "". The next round then goes on with the others.
 func (r *Relay) firstServed(ctx context.Context, present string, limit int) (asked int, found string) {
 	if present != "" {
 		asked++
@@ -271,6 +275,12 @@
 		}
 		r.nextAsked++
 	}
+	if present != "" && asked < limit {
+		asked++
+		if r.isServed(ctx, present) {
+			return asked, present
+		}
+	}
 	return asked, ""
 }
 
