Every emulated site adds and drops routes and checks draining runners

Change: each cluster adds a route and drops one every 2 s, and asks all daemons for them; a start that a daemon in contact orders on a runner that has drained for longer than DrainTime (2 s) is a violation. Contact is disturbed, too, while the store answers 429 or resets a partition (both showed as refused routes).

--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -52,6 +52,7 @@
 	CoresPerMachine   int64
 	Unguarded         bool // runners start whatever they are told, even without room
 	Workspaces        int  // callers' accounts; 0 is a site whose callers need no keys
+	SteadyConfig      bool // no routes are added and dropped all the time
 	StrictRevocation  bool // daemons whose copy of the configuration is old refuse requests that need a key
 }
 
@@ -145,8 +146,12 @@
 		centre := size.Centres[i%len(size.Centres)]
 		c.daemons[name] = &daemonNode{name: name, centre: centre, addr: netip.AddrFrom4([4]byte{10, 1, byte(i % len(size.Centres)), byte(10 + i)})}
 	}
+	c.Checker.WatchContact(c.contactOf)
+	c.wg.Go(c.watchContact)
+	if !size.SteadyConfig {
+		c.wg.Go(c.tryRoutes)
+	}
 	if size.Workspaces > 0 {
-		c.wg.Go(c.watchContact)
 		c.wg.Go(c.tryKeys)
 	}
 	return c
--- a/emulator/config_test.go
+++ b/emulator/config_test.go
@@ -16,8 +16,6 @@
 	for _, outage := range []time.Duration{3 * time.Second, 5 * time.Second, 8 * time.Second} {
 		t.Run(outage.String(), func(t *testing.T) {
 			runScenario(t, Small, 91, func(_ *testing.T, c *Cluster) {
-				c.wg.Go(c.watchContact)
-				c.wg.Go(c.tryRoutes)
 				submitEvenly(c, "s0", 10, 3*time.Second, batchShape)
 				c.Store.SetFaults(standin.StoreFaults{Unresponsive: true})
 				time.Sleep(outage)
@@ -45,3 +43,20 @@
 		}
 	})
 }
+
+// A reading of the runners' list that was sent while the store was silent keeps the leader from hearing of the drain.
+func TestTaskStartsOnDrainingRunnerAfterStoreWasSilent(t *testing.T) {
+	for _, outage := range []time.Duration{5 * time.Second, 7 * time.Second, 8 * time.Second} {
+		t.Run(outage.String(), func(t *testing.T) {
+			runScenario(t, Small, 93, func(_ *testing.T, c *Cluster) {
+				submitEvenly(c, "s0", 10, 3*time.Second, batchShape)
+				c.Store.SetFaults(standin.StoreFaults{Unresponsive: true})
+				time.Sleep(outage)
+				c.Store.SetFaults(standin.StoreFaults{})
+				time.Sleep(time.Second)
+				c.DrainRunner(runnersOf(c, "s0")[0], 10*time.Second)
+				submitEvenly(c, "s0", 60, 8*time.Second, batchShape)
+			})
+		})
+	}
+}
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -290,6 +290,7 @@
 	c.mu.Unlock()
 	heartbeat["RemainingMs"] = after.Milliseconds()
 	c.Store.Put("servers", id, heartbeat)
+	server.runner.Drain()
 	time.AfterFunc(after, func() {
 		if c.ctx.Err() == nil {
 			c.Machines.Remove(server.runner.Machine)
--- a/emulator/routes.go
+++ b/emulator/routes.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	routeTryInterval = 50 * time.Millisecond
-	routeChangeEvery = 25 // tries between two changes of the routes
+	routeTryInterval = 100 * time.Millisecond
+	routeChangeEvery = 20 // tries between two changes of the routes
 	addedRoutes      = 3  // that the configuration has; as many were dropped last
 )
 
--- a/emulator/workspaces.go
+++ b/emulator/workspaces.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"strconv"
 	"time"
@@ -180,6 +181,16 @@
 	return c.contact[daemon]
 }
 
+// contactOf is contactSince for the daemon at an address.
+func (c *Cluster) contactOf(addr netip.Addr) time.Time {
+	for name, node := range c.daemons {
+		if node.addr == addr {
+			return c.contactSince(name)
+		}
+	}
+	return time.Time{}
+}
+
 // watchContact records the daemons' contact with the store until the cluster is closed.
 func (c *Cluster) watchContact() {
 	for c.sleep(contactInterval) {
--- a/standin/checker.go
+++ b/standin/checker.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -22,6 +23,7 @@
 	keys       map[string]*keyRecord     // by key
 	keyUses    KeyUses
 	routes     map[string]*routeRecord // by prefix
+	contact    func(netip.Addr) time.Time
 }
 
 // jobRecord is what the checker knows of a submitted job.
@@ -59,7 +61,7 @@
 
 // NewChecker returns a checker that has observed nothing.
 func NewChecker() *Checker {
-	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}, keys: map[string]*keyRecord{}, routes: map[string]*routeRecord{}}
+	return &Checker{jobs: map[work.ID]*jobRecord{}, tasks: map[string]*taskRecord{}, ends: map[work.EndReason]int{}, services: map[string]*serviceRecord{}, keys: map[string]*keyRecord{}, routes: map[string]*routeRecord{}, contact: func(netip.Addr) time.Time { return time.Time{} }}
 }
 
 // addViolation records a violation; the caller holds c.mu.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -51,6 +51,7 @@
 	room       work.Resources // what it has for runs, as its heartbeats say
 	pastRooms  []pastRoom     // what it had before, oldest first
 	startedAt  time.Time      // zero of the monotonic clock
+	drainingAt time.Time      // when the store accepted that it drains; zero if it doesn't
 	born       int64          // Unix time of the start in ms; identifies the incarnation
 	token      int64          // highest fencing token seen
 	leaseUntil time.Duration  // on the monotonic clock
@@ -196,6 +197,8 @@
 	AckCursor    int64  `json:"AckCursor"`
 	WaitMs       int64  `json:"WaitMs"`
 	Percent      int    `json:"Percent"`
+
+	contactSince time.Time // since when the contact of the daemon that sent it with the store is undisturbed
 }
 
 // ServeHTTP serves orders and polls.
@@ -216,6 +219,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	o.contactSince = r.checker.contactOf(req.RemoteAddr)
 	time.Sleep(orderLatency)
 	path := req.URL.Path
 	if delayed && path != "/gypsumlead/hold" {
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -49,6 +49,9 @@
 	run.endTimer = time.AfterFunc(time.Hour*24*365, func() {})
 	r.scheduleEnd(run)
 	r.checker.runStarted(r, t, o.Run, delayed)
+	if !delayed && !r.drainingAt.IsZero() {
+		r.checker.startedWhileDraining(r, o)
+	}
 	if step.CrashesRunner {
 		time.AfterFunc(crashDelay, func() { r.crashUnder(run) })
 	}
--- a/standin/store.go
+++ b/standin/store.go
@@ -123,7 +123,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, rejected := s.faults.RejectFrom[host]
-	return !rejected && !s.faults.Down && !s.faults.Unresponsive
+	return !rejected && !s.faults.Down && !s.faults.Unresponsive && s.faults.BusyRate == 0 && len(s.faults.ResetPartitions) == 0
 }
 
 // Compact drops the change log, so that a feed from an older version gets 410 Gone.
