The time of a stop comes from the settings

What callers would see: on a site whose runners take up to 900 ms to stop a run (StopTimeoutMs; 200 ms elsewhere), a new leader takes a task that its predecessor has just ordered to stop for available, and stops another of its step beyond the allowance (AVAIL). Change: bounds.stop (StopTimeoutMs; 1 s if it isn't set) for both. Evidence: TestNewLeaderTakesSlowlyStoppingTaskForAvailable fails with 250 ms (r0's task is stopped 250 ms after r1's was), passes now.

--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -34,6 +34,7 @@
 	maxLease        = 6 * time.Second // of a runner
 	moveTime        = 1500 * time.Millisecond
 	maintenanceTime = 2 * time.Second
+	stopTime        = 200 * time.Millisecond
 	machineLease    = 3 * time.Second         // between the orders of two daemons for one machine
 	runnerHeartbeat = 1500 * time.Millisecond // between a runner's entries
 	entryTTL        = 3 * runnerHeartbeat     // a runner's entry is removed after three missed heartbeats
@@ -316,6 +317,7 @@
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
 	s.Bounds.RevokeStrict = c.size.StrictRevocation
 	s.Bounds.RemoteFactor = 2
+	s.Bounds.StopTime = stopTime
 	return s
 }
 
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,6 +31,7 @@
 	RemoteFactor     float64                      // by which tasks are slower away from their rack
 	OnViolation      func(error)
 	Now              clock.Clock
+	StopTime         time.Duration // that runners take at the longest to stop a run
 	CancelWithin     time.Duration // after which no task of a cancelled job is started any more
 	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
 }
@@ -107,7 +108,7 @@
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
 	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp),
-		sched.WithRemoteFactor(deps.RemoteFactor), sched.WithRackWaitHook(l.logRackWait))
+		sched.WithRemoteFactor(deps.RemoteFactor), sched.WithStopTime(deps.StopTime), sched.WithRackWaitHook(l.logRackWait))
 	return l
 }
 
--- a/sched/availability.go
+++ b/sched/availability.go
@@ -10,8 +10,16 @@
 // maxDescribedTasks limits the tasks that a stop's description of its step names.
 const maxDescribedTasks = 32
 
-// stopTimeout is the longest time from a stop order to the end of its run, by the runners' interface, with a margin.
-const stopTimeout = 250 * time.Millisecond
+// Longest time from a stop order to the end of its run.
+const (
+	defaultStopTime = time.Second           // if it isn't configured
+	stopSlack       = 50 * time.Millisecond // until the runner no longer lists the run
+)
+
+// WithStopTime sets the longest time that runners take to stop a run.
+func WithStopTime(d time.Duration) Option {
+	return func(p *Pool) { p.stopTime = d }
+}
 
 // available reports whether one of the task's runs is known to be fully started and to stay. A run on a runner that
 // hasn't answered recently doesn't count: it may have ended since.
@@ -25,10 +33,10 @@
 }
 
 // mayBeStopping reports whether an earlier leader may have ordered the run to stop: runners list a run until it has ended.
-// A runner that has answered this leader takes no more orders of earlier ones, so that a run which it still lists
-// stopTimeout later, by its own clock, is not being stopped.
+// A runner that has answered this leader takes no more orders of earlier ones, so that a run which it still lists after the
+// longest time of a stop, by its own clock, is not being stopped.
 func (r *taskRun) mayBeStopping() bool {
-	return r.adopted && r.runner.listedClock-r.adoptedClock < stopTimeout
+	return r.adopted && r.runner.listedClock < r.stoppedBy
 }
 
 // countUnavailable returns the number of the step's tasks, except one, that aren't available.
--- a/sched/availability_test.go
+++ b/sched/availability_test.go
@@ -11,8 +11,11 @@
 
 // takeOverLongRunning returns a pool with a new leader, whose predecessor left the tasks of a step at work on r0 to r2,
 // and r3 without work. One of the tasks may be away.
-func takeOverLongRunning(t *testing.T) (*fakePool, work.ID) {
+func takeOverLongRunning(t *testing.T, opts ...Option) (*fakePool, work.ID) {
 	f := newFakePool(t, 4, 8)
+	for _, o := range opts {
+		o(f.pool)
+	}
 	id := work.ID("000000000000000a")
 	for i := range 3 {
 		task := taskOf(id, 0, i)
@@ -43,6 +46,17 @@
 	require.Equal(t, "r0", got[0].Runner)
 }
 
+// On some sites a stop takes four times as long: the run is listed at work until then.
+func TestNewLeaderTakesSlowlyStoppingTaskForAvailable(t *testing.T) {
+	f, id := takeOverLongRunning(t, WithStopTime(900*time.Millisecond))
+	f.pool.SetEvacuating("r0", true)
+	for range 18 {
+		require.Empty(t, stops(f.advance(50*time.Millisecond)))
+	}
+	f.endRun("r1", taskOf(id, 0, 1), work.EndStopped)
+	require.Empty(t, stops(f.advance(tickInterval)))
+}
+
 func TestStopForAMoveNamesTheOtherTasksOfItsStep(t *testing.T) {
 	f, _ := takeOverLongRunning(t)
 	f.pool.SetEvacuating("r0", true)
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -35,7 +35,7 @@
 
 func newFakePool(t *testing.T, runners int, cores int64) *fakePool {
 	f := &fakePool{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}, stored: map[work.ID][]byte{}}
-	f.pool = New(f.now, 1, testLeases, WithCheckInterval(0), WithViolationHook(func(err error) { f.violations = append(f.violations, err.Error()) }))
+	f.pool = New(f.now, 1, testLeases, WithCheckInterval(0), WithStopTime(200*time.Millisecond), WithViolationHook(func(err error) { f.violations = append(f.violations, err.Error()) }))
 	for i := range runners {
 		info := work.Runner{
 			ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Resources{CPU: cores * 1000, Mem: 1 << 20},
--- a/sched/job.go
+++ b/sched/job.go
@@ -109,7 +109,7 @@
 	sentAt          time.Time
 	confirmedAt     time.Time     // when it was first known to be running
 	adopted         bool          // an earlier leader started it
-	adoptedClock    time.Duration // the runner's clock when it first listed the adopted run
+	stoppedBy       time.Duration // by the runner's clock: when a stop of the adopted run that was ordered before has ended it
 	listed          bool          // a poll has listed it in its runner's present incarnation
 	percent         int
 	progressedAt    time.Time // when the percentage last changed
--- a/sched/outlook.go
+++ b/sched/outlook.go
@@ -8,9 +8,6 @@
 	"gypsumlead/work"
 )
 
-// stopDelay is the time after which a stopping run is expected to have ended.
-const stopDelay = 200 * time.Millisecond
-
 // minKnownPercent is the reported progress from which a run's end is projected from its own rate. One report of less may
 // be rounding.
 const minKnownPercent = 5
@@ -187,7 +184,7 @@
 func (p *Pool) expectedEnd(now time.Time, run *taskRun) (time.Time, bool) {
 	s := run.task.step
 	if run.phase == stopping {
-		return now.Add(stopDelay), true
+		return now.Add(p.stopTime), true
 	}
 	if s.spec.LongRunning || s.spec.BestEffort {
 		return time.Time{}, false
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -54,6 +54,7 @@
 	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]struct{}
 	unplaceable         []work.Resources // needs that no runner had room for in this plan
+	stopTime            time.Duration    // that runners take at the longest to stop a run
 	remoteFactor        float64          // by which tasks are slower away from their rack
 	outlook             *outlook         // of this plan; nil if no task may wait for a rack
 	awaiting            []*step          // steps with tasks that the last plan let wait for a rack
@@ -118,6 +119,7 @@
 		leases:              leases,
 		term:                term,
 		termStart:           now,
+		stopTime:            defaultStopTime,
 		queues:              map[string]work.Queue{},
 		jobs:                map[work.ID]*job{},
 		runners:             map[string]*runner{},
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -188,7 +188,7 @@
 		return nil
 	}
 	p.completePredecessors(now, t)
-	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100, adopted: true, adoptedClock: r.listedClock}
+	run := &taskRun{task: t, number: number, runner: r, phase: running, sentAt: now, confirmedAt: now, progressedAt: now, pace: 100, adopted: true, stoppedBy: r.listedClock + p.stopTime + stopSlack}
 	if t.lostTrial != nil && t.lostTrial.Run == number {
 		run.trial = true
 		p.dropLostTrial(t)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,7 @@
 	RemoteFactor    float64       `json:"remote" validate:"min=0" doc:"Factor by which a task is slower away from its data or its group; at most 1: tasks don't wait for a place near them."`
 	RevokedWithin   time.Duration `json:"revoke" validate:"min=0" doc:"Age of a copy of the configuration up to which callers' keys are accepted, if Strict is set."`
 	RevokeStrict    bool          `json:"strict" doc:"Whether callers with keys are refused while the copy of the configuration is older than Revoke."`
+	StopTime        time.Duration `json:"stop" validate:"min=0" doc:"Time that a runner takes at the longest to stop a run."`
 	ApplyWithin     time.Duration `json:"apply" validate:"min=500ms" doc:"Time within which an accepted configuration is in force in every daemon that the store answers."`
 	DrainWithin     time.Duration `json:"drain" validate:"min=500ms" doc:"Time within which a runner that drains gets no new tasks."`
 	CancelWithin    time.Duration `json:"cancel" validate:"min=1500ms" doc:"Time within which no task of a cancelled job is started any more."`
@@ -56,6 +57,7 @@
 			MaintenanceTime: 2 * time.Second,
 			OrdersPerSecond: 64,
 			RevokedWithin:   5 * time.Second,
+			StopTime:        time.Second,
 			ApplyWithin:     2 * time.Second,
 			DrainWithin:     2 * time.Second,
 			CancelWithin:    3 * time.Second,
