Freshness of cancellations and of the runners' list comes from the settings

Change: the inbox may be as old as bounds.cancel less 0.5 s (unchanged on the small sites; on the others tasks go on starting with a slow store); the list's times are multiples of bounds.beat.

--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -18,7 +18,7 @@
 const (
 	batchWindow    = 50 * time.Millisecond   // changes within this time are applied together
 	reappearGrace  = 2500 * time.Millisecond // entries that expired during a store outage are back within about two seconds
-	outageWindow   = 6 * time.Second         // an entry removed this soon after a store failure may return; a bit more than three heartbeats
+	outageBeats    = 4                       // an entry removed within this many heartbeats after a store failure may return: it expires after three
 	expiryInterval = 250 * time.Millisecond  // between checks for missing entries that did not return
 )
 
@@ -32,6 +32,7 @@
 	onRemove func(work.Runner)
 	interest *watch.Interest
 	within   time.Duration
+	beat     time.Duration // between two entries of a runner
 
 	// delivery is held while a change is made and passed on, so that the receivers see changes in their order. It is locked
 	// before mu.
@@ -45,9 +46,10 @@
 }
 
 // NewRunnerList returns an empty list, which Run keeps up to date. While it is needed immediately, a change has to be known
-// within a time of being stored. onUpdate is called for each runner that is new or has changed, onRemove for each that is gone.
-func NewRunnerList(store *platform.Store, log *zap.Logger, now clock.Clock, within time.Duration, interest *watch.Interest, onUpdate, onRemove func(work.Runner)) *RunnerList {
-	return &RunnerList{store: store, log: log, now: now, within: within, interest: interest, onUpdate: onUpdate, onRemove: onRemove, runners: map[string]work.Runner{}, missingUntil: map[string]time.Time{}}
+// within a time of being stored; runners write an entry every beat. onUpdate is called for each runner that is new or has
+// changed, onRemove for each that is gone.
+func NewRunnerList(store *platform.Store, log *zap.Logger, now clock.Clock, within, beat time.Duration, interest *watch.Interest, onUpdate, onRemove func(work.Runner)) *RunnerList {
+	return &RunnerList{store: store, log: log, now: now, within: within, beat: beat, interest: interest, onUpdate: onUpdate, onRemove: onRemove, runners: map[string]work.Runner{}, missingUntil: map[string]time.Time{}}
 }
 
 // Run follows the list until ctx ends.
@@ -133,7 +135,7 @@
 		return
 	}
 	deadline := now
-	if now.Sub(r.lastFailure) < outageWindow {
+	if now.Sub(r.lastFailure) < outageBeats*r.beat {
 		deadline = now.Add(reappearGrace)
 	}
 	r.missingUntil[id] = deadline
--- a/cache/runner_list_test.go
+++ b/cache/runner_list_test.go
@@ -44,7 +44,7 @@
 // A new leader is given the list while a change of it arrives.
 func TestChangeDuringReplayIsOvertakenByOldEntry(t *testing.T) {
 	l := &listener{busy: make(chan struct{}, 10)}
-	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) {})
+	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) {})
 	list.apply([]platform.Row{entry(8)}, true)
 	<-l.busy
 
@@ -61,7 +61,7 @@
 // An entry returns just as its time to do so ends.
 func TestReturnOfEntryIsOvertakenByItsRemoval(t *testing.T) {
 	l := &listener{busy: make(chan struct{}, 10)}
-	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) { l.tell(work.Resources{}, 20*time.Millisecond) })
+	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) { l.tell(work.Resources{}, 20*time.Millisecond) })
 	list.apply([]platform.Row{entry(8)}, true)
 	<-l.busy
 	list.mu.Lock()
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,7 +165,7 @@
 		d.approvalClient = platform.NewApprovalClient(conf.Policy, d.dial, d.meter)
 	}
 	d.operatorState = cache.NewOperatorState(d.store, d.log, d.now, conf.Bounds.ApplyWithin, d.configChanged)
-	d.runnerList = cache.NewRunnerList(d.store, d.log, d.now, conf.Bounds.DrainWithin, d.interests.runners, d.runnerListed, d.runnerUnlisted)
+	d.runnerList = cache.NewRunnerList(d.store, d.log, d.now, conf.Bounds.DrainWithin, conf.Bounds.RunnerHeartbeat, d.interests.runners, d.runnerListed, d.runnerUnlisted)
 	d.members = member.New(d.store, d.self(), d.log, d.now, d.candidateCount, d.membersChanged)
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -144,6 +144,7 @@
 		Heartbeat:        d.members.OwnHeartbeat,
 		HeartbeatTimeout: member.HeartbeatTimeout,
 		Now:              d.now,
+		RunnerHeartbeat:  d.settings.Bounds.RunnerHeartbeat,
 		StopTime:         d.settings.Bounds.StopTime,
 		CancelWithin:     d.settings.Bounds.CancelWithin,
 		RateWindow:       d.settings.Bounds.RateWindow,
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -317,7 +317,7 @@
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
 	s.Bounds.RevokeStrict = c.size.StrictRevocation
 	s.Bounds.RemoteFactor = 2
-	s.Bounds.StopTime = stopTime
+	s.Bounds.RunnerHeartbeat, s.Bounds.StopTime = runnerHeartbeat, stopTime
 	return s
 }
 
--- a/leader/count_test.go
+++ b/leader/count_test.go
@@ -90,3 +90,21 @@
 	l.pool.Accept(time.Now(), jobID(1), handoffQueue, handoffJob)
 	require.Equal(t, 1, l.Pending("q").Pending)
 }
+
+// With one site's bound on cancellations for all, tasks started later than another's, or waited though they need not.
+func TestMayStartFollowsTheBoundOnCancellations(t *testing.T) {
+	now := time.Now()
+	for _, tc := range []struct {
+		within, age time.Duration
+		may         bool
+	}{
+		{3 * time.Second, 2500 * time.Millisecond, true},
+		{3 * time.Second, 2501 * time.Millisecond, false},
+		{2 * time.Second, 1501 * time.Millisecond, false},
+		{5 * time.Second, 4500 * time.Millisecond, true},
+	} {
+		l := New(Lease{AcquiredAt: now}, sched.LeaseConfig{}, Deps{Log: zap.NewNop(), CancelWithin: tc.within})
+		l.guarded, l.runnersRead, l.inboxReadAt = true, true, now.Add(-tc.age)
+		require.Equal(t, tc.may, l.mayStart(now), "%+v", tc)
+	}
+}
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -99,20 +99,21 @@
 	return n
 }
 
-// mayStart reports whether tasks may be started: the runners' entries are known, and so is a cancellation that was stored
-// longer than inboxFreshness ago.
+// mayStart reports whether tasks may be started: the runners' entries are known, and so are the cancellations that must take
+// effect by the time they start.
 // While the store is silent, or until the inbox has been read after a gap, others may have stored and acknowledged some.
 func (l *Leader) mayStart(now time.Time) bool {
-	return now.Sub(l.inboxReadAt) <= inboxFreshness && l.runnersKnown(now)
+	return now.Sub(l.inboxReadAt) <= l.CancelWithin-startTime && l.runnersKnown(now)
 }
 
 // runnersKnown reports whether the runners' entries are known: a daemon that wasn't to lead has not followed them. If the
-// runners don't guard their room, this leader has to know it at each start; others need to have been told once.
+// runners don't guard their room, this leader has to know it at each start, as of less than the three heartbeats for which an
+// earlier room counts; others need to have been told once.
 func (l *Leader) runnersKnown(now time.Time) bool {
 	if l.guarded && l.runnersRead {
 		return true
 	}
-	if now.Sub(l.RunnersReadAt()) > listFreshness {
+	if now.Sub(l.RunnersReadAt()) > l.RunnerHeartbeat*5/3 {
 		return false
 	}
 	l.runnersRead = true
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -31,6 +31,7 @@
 	RemoteFactor     float64                      // by which tasks are slower away from their rack
 	OnViolation      func(error)
 	Now              clock.Clock
+	RunnerHeartbeat  time.Duration // between two entries of a runner in the platform's list
 	StopTime         time.Duration // that runners take at the longest to stop a run
 	CancelWithin     time.Duration // after which no task of a cancelled job is started any more
 	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,6 +37,7 @@
 	RemoteFactor    float64       `json:"remote" validate:"min=0" doc:"Factor by which a task is slower away from its data or its group; at most 1: tasks don't wait for a place near them."`
 	RevokedWithin   time.Duration `json:"revoke" validate:"min=0" doc:"Age of a copy of the configuration up to which callers' keys are accepted, if Strict is set."`
 	RevokeStrict    bool          `json:"strict" doc:"Whether callers with keys are refused while the copy of the configuration is older than Revoke."`
+	RunnerHeartbeat time.Duration `json:"beat" validate:"min=100ms" doc:"Interval at which runners write their entries in the platform's list."`
 	StopTime        time.Duration `json:"stop" validate:"min=0" doc:"Time that a runner takes at the longest to stop a run."`
 	ApplyWithin     time.Duration `json:"apply" validate:"min=500ms" doc:"Time within which an accepted configuration is in force in every daemon that the store answers."`
 	DrainWithin     time.Duration `json:"drain" validate:"min=500ms" doc:"Time within which a runner that drains gets no new tasks."`
@@ -57,6 +58,7 @@
 			MaintenanceTime: 2 * time.Second,
 			OrdersPerSecond: 64,
 			RevokedWithin:   5 * time.Second,
+			RunnerHeartbeat: 1500 * time.Millisecond,
 			StopTime:        time.Second,
 			ApplyWithin:     2 * time.Second,
 			DrainWithin:     2 * time.Second,
