An odd entry among those of the runners names no runner and ends no run

Within the types' ranges it could happen, worse: an entry that names a machine which there is, with a start in a distant future or a service that nobody configured, made the leaders give up the runs of the machine's runner and start them again elsewhere while they went on. Not covered: a well-formed entry of a configured service that names a real machine and a start within the last minute can't be told from a machine's next runner (docs/QUESTIONS.md).

--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/clock"
+	"gypsumlead/fault"
 	"gypsumlead/platform"
 	"gypsumlead/sleep"
 	"gypsumlead/watch"
@@ -19,6 +20,7 @@
 	batchWindow    = 50 * time.Millisecond   // changes within this time are applied together
 	reappearGrace  = 2500 * time.Millisecond // entries that expired during a store outage are back within about two seconds
 	outageBeats    = 4                       // an entry removed within this many heartbeats after a store failure may return: it expires after three
+	maxClockAhead  = time.Minute             // of a runner's time of day before this daemon's
 	expiryInterval = 250 * time.Millisecond  // between checks for missing entries that did not return
 )
 
@@ -90,6 +92,9 @@
 			continue
 		}
 		runner, err := platform.DecodeRunner(row.Key, row.Value)
+		if err == nil && runner.Born > now.Add(maxClockAhead).UnixMilli() {
+			err = fault.New(fault.Invalid, "runner %s: born in the future, at %d", row.Key, runner.Born)
+		}
 		if err != nil {
 			r.log.Warn("invalid runner entry; treating it as missing", zap.Error(err))
 			r.markMissing(row.Key, now)
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -251,10 +251,12 @@
 // runnerListed passes a runner's entry in the list to the leader of its service. The other leaders learn that the
 // runner belongs to another service.
 func (d *Daemon) runnerListed(r work.Runner) {
+	configured := slices.Contains(d.services(), r.Service)
 	for _, l := range d.localLeaders() {
-		if l.Service() == r.Service {
+		switch {
+		case l.Service() == r.Service:
 			l.RunnerListed(r)
-		} else {
+		case configured: // an entry of another writer may name a service that there isn't, and a machine that there is
 			l.RunnerMoved(r)
 		}
 	}
--- a/standin/store.go
+++ b/standin/store.go
@@ -140,10 +140,15 @@
 	if err != nil {
 		panic(err) // callers pass only values that encode
 	}
+	s.PutBytes(table, key, b)
+}
+
+// PutBytes writes any bytes to a row without a condition, as another writer may do.
+func (s *Store) PutBytes(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	s.setRow(wireRow{Table: table, Key: key, Value: b, RowVersion: s.version})
+	s.setRow(wireRow{Table: table, Key: key, Value: value, RowVersion: s.version})
 	s.wakeWaiters()
 }
 
