How long states are told and how long a shutdown may take come from the settings

Change: bounds.status and bounds.grace; the times that follow are unchanged with 120 s and 6 s. Evidence: go test ./settings ./leader ./daemon, ./emulator -run 'Stopped|RollingRestart|OperatorAPI|Cancel'.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -33,7 +33,7 @@
 const (
 	storeContactTimeout = 3 * time.Second         // a daemon is not ready if the store hasn't answered it for this long
 	drainDelay          = 2500 * time.Millisecond // the balancer polls every second and drops a daemon after two failures
-	shutdownTimeout     = 1500 * time.Millisecond // for requests still in progress after drainDelay
+	exitTime            = 2 * time.Second         // left of the time for shutting down, for the process to end
 	releaseTimeout      = 2400 * time.Millisecond // for releasing all leases of leadership; a slow store takes a second
 	readHeaderTimeout   = 3 * time.Second         // for reading a request's header
 	idleTimeout         = 15 * time.Second        // until a connection's next request
@@ -270,7 +270,7 @@
 }
 
 // shutDown releases the leases of leadership, lets the load balancer notice that the daemon is not ready, and closes
-// the callers' server.
+// the callers' server once requests in progress have ended or their time is up.
 func (d *Daemon) shutDown(callers *http.Server) {
 	d.log.Info("daemon shutting down")
 	d.mu.Lock()
@@ -281,7 +281,7 @@
 	d.releaseLeases(d.localLeaders())
 	d.members.SetLedServices(nil)
 	<-drain.C
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Bounds.ShutdownTime-drainDelay-exitTime)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn("aborting requests in progress", zap.Error(err))
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -146,6 +146,7 @@
 		Now:              d.now,
 		RunnerHeartbeat:  d.settings.Bounds.RunnerHeartbeat,
 		StopTime:         d.settings.Bounds.StopTime,
+		StatusFor:        d.settings.Bounds.StatusFor,
 		CancelWithin:     d.settings.Bounds.CancelWithin,
 		RateWindow:       d.settings.Bounds.RateWindow,
 		RemoteFactor:     d.settings.Bounds.RemoteFactor,
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -33,6 +33,7 @@
 	Now              clock.Clock
 	RunnerHeartbeat  time.Duration // between two entries of a runner in the platform's list
 	StopTime         time.Duration // that runners take at the longest to stop a run
+	StatusFor        time.Duration // after a job's end, for which callers may ask for its state
 	CancelWithin     time.Duration // after which no task of a cancelled job is started any more
 	RateWindow       time.Duration // over which the jobs of a workspace are counted against its rate
 }
@@ -293,7 +294,7 @@
 func (l *Leader) forgetFinished(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, id := range l.pool.ForgetJobs(now.Add(-finishedTTL)) {
+	for _, id := range l.pool.ForgetJobs(now.Add(-l.StatusFor - finishedSlack)) {
 		l.intents = append(l.intents, &intent{kind: deleteJob, id: id})
 	}
 	l.forgetRefused(now)
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -23,7 +23,7 @@
 	minPlanInterval     = 5 * time.Millisecond   // between plans, so that events in this time are planned together
 	planShare           = 3                      // the pause between plans is at least this many times as long as the last plan took
 	maxInboxLoads       = 16                     // jobs that other daemons stored, loaded from the store at the same time
-	finishedTTL         = 150 * time.Second      // callers may query a job's state for 120 s after its end
+	finishedSlack       = 30 * time.Second       // for which finished jobs are kept beyond the time for which callers may ask for their state
 	forgetInterval      = 5 * time.Second        // between removals of finished jobs
 	maxBatchJobs        = 40                     // jobs in one transaction
 	maxStartEntries     = 50                     // transaction entries that new jobs leave to the progress of jobs whose starts wait
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 	ApplyWithin     time.Duration `json:"apply" validate:"min=500ms" doc:"Time within which an accepted configuration is in force in every daemon that the store answers."`
 	DrainWithin     time.Duration `json:"drain" validate:"min=500ms" doc:"Time within which a runner that drains gets no new tasks."`
 	CancelWithin    time.Duration `json:"cancel" validate:"min=1500ms" doc:"Time within which no task of a cancelled job is started any more."`
+	StatusFor       time.Duration `json:"status" validate:"min=1s" doc:"Time for which callers may ask for the state of a job after its end."`
+	ShutdownTime    time.Duration `json:"grace" validate:"min=5s" doc:"Time from the signal to stop until the platform kills the process."`
 	RateWindow      time.Duration `json:"window" validate:"min=0" doc:"Time over which the jobs of a workspace are counted against its rate."`
 	LeasePercent    float64       `json:"percent" validate:"min=0,max=100" doc:"Share in percent of Hold that runners are given; less frees a silent runner's tasks earlier."`
 }
@@ -63,6 +65,8 @@
 			ApplyWithin:     2 * time.Second,
 			DrainWithin:     2 * time.Second,
 			CancelWithin:    3 * time.Second,
+			StatusFor:       2 * time.Minute,
+			ShutdownTime:    6 * time.Second,
 			RateWindow:      5 * time.Second,
 			LeasePercent:    75,
 		},
