--- a/emulator/trace_test.go
+++ b/emulator/trace_test.go
@@ -133,7 +133,7 @@
 		require.NoError(t, err)
 		for _, name := range []string{
 			"gypsumlead_starts_total", "gypsumlead_ends_total", "gypsumlead_calls_total", "gypsumlead_answers_total",
-			"gypsumlead_seats_term", "gypsumlead_jobs_waiting", "gypsumlead_log_lost_total",
+			"gypsumlead_seats_term", "gypsumlead_jobs_waiting", "gypsumlead_log_lost_total", "gypsumlead_config_version", "gypsumlead_config_age_seconds",
 		} {
 			require.Contains(t, string(data), name)
 		}
