--- a/emulator/admission_test.go
+++ b/emulator/admission_test.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"gypsumlead/standin"
 )
 
 // floodShape is the shape of jobs of which some hundred are more than all machines can process in time.
@@ -50,11 +48,7 @@
 					}
 					time.Sleep(30 * time.Millisecond)
 				}
-				c.Net.Heal()
-				c.Store.SetFaults(standin.StoreFaults{})
-				for _, name := range c.Daemons() {
-					c.Start(name)
-				}
+				repairAll(c)
 				time.Sleep(100 * time.Second) // until all accepted work is done; 60 s were too short on one of 12 seeds
 				require.Positive(t, refusals.Load())
 				t.Logf("%d refusals", refusals.Load())
--- a/emulator/availability_test.go
+++ b/emulator/availability_test.go
@@ -85,14 +85,7 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
-	c.Net.Heal()
-	c.Store.SetFaults(standin.StoreFaults{})
-	for _, id := range c.Runners() {
-		c.SetRunnerFaults(id, standin.RunnerFaults{})
-	}
-	for _, name := range c.Daemons() {
-		c.Start(name)
-	}
+	repairAll(c)
 	time.Sleep(30 * time.Second)
 }
 
--- a/emulator/cancel_test.go
+++ b/emulator/cancel_test.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"testing"
 	"time"
-
-	"gypsumlead/standin"
 )
 
 // Behaviour of callers that cancel.
@@ -48,11 +46,7 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
-	c.Net.Heal()
-	c.Store.SetFaults(standin.StoreFaults{})
-	for _, name := range c.Daemons() {
-		c.Start(name)
-	}
+	repairAll(c)
 	time.Sleep(30 * time.Second)
 }
 
--- a/emulator/caps_test.go
+++ b/emulator/caps_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/api/oas"
-	"gypsumlead/standin"
 	"gypsumlead/work"
 )
 
@@ -151,14 +150,7 @@
 					}
 					time.Sleep(400 * time.Millisecond)
 				}
-				c.Net.Heal()
-				c.Store.SetFaults(standin.StoreFaults{})
-				for _, id := range c.Runners() {
-					c.SetRunnerFaults(id, standin.RunnerFaults{})
-				}
-				for _, name := range c.Daemons() {
-					c.Start(name)
-				}
+				repairAll(c)
 				time.Sleep(40 * time.Second)
 				most := stop()
 				t.Logf("at most %d millicores of %d", most, limit)
--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -43,6 +43,12 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
+	repairAll(c)
+	time.Sleep(15 * time.Second)
+}
+
+// repairAll repairs all faults and starts the daemons that are down.
+func repairAll(c *Cluster) {
 	c.Net.Heal()
 	c.Store.SetFaults(standin.StoreFaults{})
 	for _, id := range c.Runners() {
@@ -51,7 +57,6 @@
 	for _, name := range c.Daemons() {
 		c.Start(name)
 	}
-	time.Sleep(15 * time.Second)
 }
 
 // injectRandomFault injects one fault, repairs earlier ones or requests a maintenance wave.
--- a/emulator/refusal_test.go
+++ b/emulator/refusal_test.go
@@ -50,11 +50,7 @@
 		}
 		time.Sleep(250 * time.Millisecond)
 	}
-	c.Net.Heal()
-	c.Store.SetFaults(standin.StoreFaults{})
-	for _, name := range c.Daemons() {
-		c.Start(name)
-	}
+	repairAll(c)
 	time.Sleep(10 * time.Second)
 }
 
--- a/standin/draining.go
+++ b/standin/draining.go
@@ -18,7 +18,9 @@
 
 // WatchContact sets the function that tells since when nothing has disturbed a daemon's contact with the store, zero if
 // something does. It has to be set before the first order; without it, draining is not checked.
-func (c *Checker) WatchContact(contactSince func(daemon netip.Addr) time.Time) { c.contact = contactSince }
+func (c *Checker) WatchContact(contactSince func(daemon netip.Addr) time.Time) {
+	c.contact = contactSince
+}
 
 // contactOf returns since when the contact of the daemon at an address and port is undisturbed.
 func (c *Checker) contactOf(addrPort string) time.Time {
