A read of the configuration that the store rejects is not repeated at every request

What callers would see: nothing, but while the store served other tables and rejected the operator's, each request made a call to it. Cause: a failed read was repeated once any other call had been answered, which is meant for a store that is back after silence.

--- a/cache/confirmation.go
+++ b/cache/confirmation.go
@@ -23,6 +23,7 @@
 	at       time.Time // a time of which the copy is known to be the newest
 	failedAt time.Time // when the last read by Confirm failed
 	answers  int64     // calls that the store had answered by then
+	silent   bool      // it answered none while that read waited for readTimeout
 	reading  *reading  // in progress; nil if there is none
 }
 
@@ -54,7 +55,7 @@
 
 // Confirm reads the configuration from the store if the copy is older than doubtfulAge. It returns after confirmTimeout at
 // the latest. All callers share one read, and after one that failed there is none for confirmInterval, unless the store
-// has answered another call since.
+// was silent and has answered another call since.
 func (o *OperatorState) Confirm(ctx context.Context) {
 	r, wait := o.startConfirming()
 	if wait <= 0 {
@@ -80,7 +81,8 @@
 		return nil, 0
 	}
 	if c.reading == nil {
-		if now.Sub(c.failedAt) < confirmInterval && o.store.Answers() == c.answers {
+		isBack := c.silent && o.store.Answers() > c.answers
+		if now.Sub(c.failedAt) < confirmInterval && !isBack {
 			return nil, 0
 		}
 		c.reading = &reading{startedAt: now, ended: make(chan struct{})}
@@ -93,6 +95,7 @@
 func (o *OperatorState) readConfig(sentAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	defer cancel()
+	before := o.store.Answers()
 	o.store.Close()
 	page, err := o.store.GetRow(ctx, platform.ConfigKey())
 	if err == nil && len(page.Rows) == 0 {
@@ -109,6 +112,7 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		c.failedAt, c.answers = o.now(), o.store.Answers()
+		c.silent = ctx.Err() != nil && c.answers == before
 	}
 	close(c.reading.ended)
 	c.reading = nil
--- a/cache/confirmation_test.go
+++ b/cache/confirmation_test.go
@@ -89,6 +89,26 @@
 	})
 }
 
+// While the store serves other tables only, requests must not repeat a read that it rejects.
+func TestRejectedReadIsRepeatedAtEveryRequest(t *testing.T) {
+	onCopy(t, func(t *testing.T, o *OperatorState, store *standin.Store) {
+		store.SetFaults(standin.StoreFaults{ResetPartitions: map[string]struct{}{"": {}}})
+		store.Put("t", "k", 1)
+		store.Compact() // the follower has to read all rows
+		time.Sleep(applyWithin)
+		const requests = 500
+		before := store.CallCounts()["rows-get"]
+		for range requests {
+			o.Confirm(t.Context())
+			_, err := o.store.Get(t.Context(), "t", "served", "", "", 1)
+			require.NoError(t, err)
+			time.Sleep(10 * time.Millisecond)
+		}
+		reads := store.CallCounts()["rows-get"] - before - requests
+		require.Less(t, reads, requests/5, "the follower makes four a second, each twice as net/http repeats what is reset")
+	})
+}
+
 // A faulty or older version must not replace the configuration in force, and the log must name the fault but no key.
 func TestInvalidConfigurationKeepsThePreviousOne(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
