--- a/emulator/caps_test.go
+++ b/emulator/caps_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gypsumlead/api/oas"
+	"gypsumlead/standin"
 	"gypsumlead/work"
 )
 
@@ -159,3 +160,33 @@
 		})
 	}
 }
+
+// Portions of a cap are out while the store is silent for 10 s: leaders and granter go on without it, and must neither exceed
+// the cap by what they can't store nor keep what they were granted for good.
+func TestCapHoldsWhileTheStoreIsAway(t *testing.T) {
+	runScenario(t, capped(Small), 64, func(t *testing.T, c *Cluster) {
+		const limit, task = 24_000, 2000
+		setCap(c, limit)
+		time.Sleep(5 * time.Second)
+		stop := watchUse(c)
+		var jobs []work.ID
+		submit := func(count int) {
+			for i := range count {
+				jobs = append(jobs, submitCapped(c, serviceName(i%2), JobShape{MaxSteps: 2, MaxWidth: 5, MeanMS: 800, CPU: task}))
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		submit(60)
+		c.Store.SetFaults(standin.StoreFaults{Unresponsive: true})
+		time.Sleep(10 * time.Second)
+		c.Store.SetFaults(standin.StoreFaults{})
+		time.Sleep(3 * time.Second)
+		submit(30)
+		time.Sleep(30 * time.Second)
+		most := stop()
+		t.Logf("at most %d millicores of %d", most, limit)
+		require.LessOrEqual(t, most, int64(limit*11/10+task))
+		require.GreaterOrEqual(t, most, int64(limit*3/4), "the cap is used")
+		require.Equal(t, len(jobs), countDone(c, jobs))
+	})
+}
--- a/emulator/demo.go
+++ b/emulator/demo.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/work"
 )
 
 // Times of the demo.
@@ -19,6 +20,9 @@
 	demoWaveTimeout  = 25 * time.Second
 )
 
+// demoCap is what the second workspace of the demo may have running: about half of what it asks for.
+var demoCap = work.Resources{CPU: 8000}
+
 // DemoResult is the result that Demo prints.
 type DemoResult struct {
 	Submitted     int      `json:"asked"`
@@ -28,15 +32,19 @@
 	MedianLatency string   `json:"median"`
 	MaxLatency    string   `json:"worst"`
 	Starts        int      `json:"starts"`
+	KeysServed    int      `json:"keys"`      // requests that were handled for their keys
+	KeysWithdrawn int      `json:"withdrawn"` // requests refused because their keys were withdrawn
 	WaveDone      bool     `json:"wave"`
 	Violations    []string `json:"broken"`
 }
 
-// Demo runs a cluster in real time: jobs of two services, long-running tasks, a maintenance wave, a leader that is
-// killed and a leader that is stopped. It prints a DemoResult as one line of JSON, and fails if an invariant was
+// Demo runs a cluster in real time: jobs of two services by two workspaces, one of them with a cap, keys that are withdrawn,
+// long-running tasks, a maintenance wave, a leader that is killed and a leader that is stopped. It prints a DemoResult as one line of JSON, and fails if an invariant was
 // violated or the wave was not completed.
 func Demo(ctx context.Context, out io.Writer, seed uint64, duration time.Duration) error {
-	c := New(ctx, Small, seed, zap.NewNop())
+	site := Small
+	site.Workspaces = 2
+	c := New(ctx, site, seed, zap.NewNop())
 	defer c.Close()
 	for _, name := range c.Daemons() {
 		c.Start(name)
@@ -57,6 +65,7 @@
 // runDemo generates the load and the faults of the demo.
 func (c *Cluster) runDemo(duration time.Duration) {
 	shape := JobShape{MaxSteps: 2, MaxWidth: 5, MeanMS: 800, CPU: 2000, FailingShare: 0.05}
+	c.SetCap(1, demoCap)
 	wire, job := c.NewLongRunningJob(3, 1, 3000)
 	c.Submit(serviceName(0), wire, job)
 	c.RequestWave(1, append(c.Machines.Names(serviceName(0)), c.Machines.Names(serviceName(1))...), 2, demoWaveTimeout)
@@ -99,6 +108,8 @@
 		WaveDone: c.WaveDone(1),
 	}
 	result.Starts, _ = c.Checker.RunCounts()
+	uses := c.Checker.KeyUses()
+	result.KeysServed, result.KeysWithdrawn = uses.Served, uses.Withdrawn
 	result.Violations = append([]string{}, c.Checker.Verify(c.State)...)
 	result.Violations = append(result.Violations, c.Violations()...)
 	return result
