Daemons' rows are followed from the newest version, and lists are read page by page by those who need them

Cause: every daemon began by reading the rows of all daemons, one call each, as each row is a partition of its own: 90,000 reads at a start, 15 s of the store's rate, and again whenever the history was lost; a scan that met a 429 began anew. Every daemon also read the list of 3,000 runners, as each takes itself for a candidate until it knows the others. Polls that overlap made it worse: a reading of many pages was begun again while it went on. Change: a Watcher may begin with the newest version and the changes to come, as daemons write their rows again within 0.5 or 5 s; readings overlap page by page, not as a whole; lists are not read before a daemon knows whether it is a candidate (1.2 s).

--- a/daemon/election.go
+++ b/daemon/election.go
@@ -34,7 +34,7 @@
 func (d *Daemon) runElections(ctx context.Context, g *errgroup.Group) error {
 	t := time.NewTicker(electionInterval)
 	defer t.Stop()
-	for {
+	for started := false; ; {
 		select {
 		case <-ctx.Done():
 			return nil
@@ -44,6 +44,10 @@
 		if d.now().Sub(d.startedAt) < startupDelay {
 			continue
 		}
+		if !started {
+			started = true
+			d.updateInterests(d.ledServices())
+		}
 		for _, l := range d.leadersToTransfer(d.now()) {
 			g.Go(func() error {
 				d.releaseLeases([]*leader.Leader{l})
--- a/daemon/interests.go
+++ b/daemon/interests.go
@@ -15,13 +15,18 @@
 }
 
 func newInterests() interests {
-	return interests{runners: watch.NewInterest(), waves: watch.NewInterest(), claims: watch.NewInterest()}
+	i := interests{runners: watch.NewInterest(), waves: watch.NewInterest(), claims: watch.NewInterest()}
+	for _, interest := range []*watch.Interest{i.runners, i.waves, i.claims} {
+		interest.Set(watch.Dormant)
+	}
+	return i
 }
 
-// updateInterests sets the interests according to the services led here.
+// updateInterests sets the interests according to the services led here. For startupDelay a daemon that doesn't know the
+// others yet takes itself for a candidate.
 func (d *Daemon) updateInterests(led []string) {
 	idle := watch.Dormant
-	if d.members.IsCandidate() {
+	if d.now().Sub(d.startedAt) >= startupDelay && d.members.IsCandidate() {
 		idle = watch.Occasional
 	}
 	level := func(needed bool) watch.Level {
--- a/member/members.go
+++ b/member/members.go
@@ -183,14 +183,13 @@
 // Watch follows the rows of all daemons until ctx ends.
 func (m *Members) Watch(ctx context.Context) error {
 	watcher := watch.Watcher{
-		Store:         m.store,
-		Table:         Table,
-		AllPartitions: true,
-		FromVersion:   watch.FromSnapshot,
-		Within:        knownWithin,
-		Interval:      pollInterval,
-		Log:           m.log,
-		OnError:       m.pollFailed,
+		Store:       m.store,
+		Table:       Table,
+		FromVersion: watch.FromNewest, // live daemons write their rows again soon; to read them all takes a call each
+		Within:      knownWithin,
+		Interval:    pollInterval,
+		Log:         m.log,
+		OnError:     m.pollFailed,
 		Apply: func(_ context.Context, page platform.Page, _ bool) error {
 			if m.applyRows(page.Rows) {
 				m.onChange()
--- a/watch/poll.go
+++ b/watch/poll.go
@@ -10,22 +10,63 @@
 	"gypsumlead/platform"
 )
 
-// answer is the outcome of one poll.
+// answer is the outcome of one call.
 type answer struct {
-	page     platform.Page
-	snapshot bool      // the page has all rows that exist
-	asOf     time.Time // of which the page is known to be up to date; zero without OnAnswer
-	err      error
+	page platform.Page
+	asOf time.Time // of which the page is known to be up to date; zero without OnAnswer
+	err  error
 }
 
-// poll returns the first answer to a poll. While a poll is overdue, another one is sent on a new connection, and the store
-// doesn't hold that one: the overdue poll's connection may be silent for good. The store may also be slow, so the overdue poll
-// goes on until attemptTimeout.
-func (w *Watcher) poll(ctx context.Context) answer {
+// call asks the store for a page. The store may hold it until there is a change.
+type call func(ctx context.Context, hold time.Duration) (platform.Page, error)
+
+// read reads what FromVersion asks for, and reports whether it is all rows that exist.
+func (w *Watcher) read(ctx context.Context) (a answer, snapshot bool) {
+	switch w.FromVersion {
+	case FromSnapshot:
+		return w.readAll(ctx), true
+	case FromNewest:
+		return w.readNewest(ctx), false
+	}
+	from := w.FromVersion
+	return w.first(ctx, newTiming(w.Within).hold, func(ctx context.Context, hold time.Duration) (platform.Page, error) {
+		return w.Store.Changes(ctx, w.Table, from, hold)
+	}), false
+}
+
+// readAll reads all rows of the partition, page by page, as of the first page's version.
+func (w *Watcher) readAll(ctx context.Context) answer {
+	all := w.readRows(ctx, "", 0)
+	for last := all; last.err == nil && last.page.More && len(last.page.Rows) > 0; {
+		last = w.readRows(ctx, last.page.Next(), 0)
+		all.page.Rows = append(all.page.Rows, last.page.Rows...)
+		all.err = last.err
+	}
+	all.page.More = false
+	return all
+}
+
+// readNewest reads the store's version without the rows that exist.
+func (w *Watcher) readNewest(ctx context.Context) answer {
+	a := w.readRows(ctx, "", 1)
+	a.page.Rows, a.page.More = nil, false
+	return a
+}
+
+// readRows reads rows of the partition from a key on; a limit of 0 is the store's own.
+func (w *Watcher) readRows(ctx context.Context, from string, limit int) answer {
+	return w.first(ctx, 0, func(ctx context.Context, _ time.Duration) (platform.Page, error) {
+		return w.Store.Get(ctx, w.Table, w.Partition, from, "", limit)
+	})
+}
+
+// first makes a call and returns the first answer to it. While the call is overdue, it is made again on a new connection, and
+// the store doesn't hold that one: the overdue call's connection may be silent for good. The store may also be slow, so the
+// overdue call goes on until attemptTimeout.
+func (w *Watcher) first(ctx context.Context, hold time.Duration, ask call) answer {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	timing := newTiming(w.Within)
-	hold := timing.hold
+	patience := newTiming(w.Within).overdue()
 	answers := make(chan answer)
 	due := time.NewTimer(0)
 	defer due.Stop()
@@ -45,8 +86,8 @@
 			}
 			sent = sending{at: time.Now(), answers: w.Store.Answers()}
 			pending++
-			w.startPoll(ctx, hold, answers)
-			due.Reset(timing.hold + timing.patience)
+			w.start(ctx, hold, ask, answers)
+			due.Reset(patience)
 		case a := <-answers:
 			pending--
 			if a.err == nil || pending == 0 || fault.Is(a.err, fault.Missing) {
@@ -58,61 +99,49 @@
 	}
 }
 
-// sending is when a poll was sent, and how many calls the store had answered by then.
+// sending is when a call was sent, and how many calls the store had answered by then.
 type sending struct {
 	at      time.Time
 	answers int64
 }
 
-// isSilentSince reports whether the store has answered no call since a poll was sent. While it is silent, the daemon's few
+// isSilentSince reports whether the store has answered no call since one was sent. While it is silent, the daemon's few
 // other calls show soon enough when it is back.
 func (w *Watcher) isSilentSince(sent sending) bool {
 	return w.Store.Answers() == sent.answers && time.Since(sent.at) < maxSilence
 }
 
-// handleOverdue prepares for a further poll. Idle connections are as old as the one that is silent.
+// handleOverdue prepares for a further call. Idle connections are as old as the one that is silent.
 func (w *Watcher) handleOverdue(sent sending) {
 	w.Log.Warn("poll of table is overdue", zap.String("table", w.Table), zap.Int64("after", w.FromVersion), zap.Duration("waited", time.Since(sent.at)))
 	w.noteFailure()
 	w.Store.Close()
 }
 
-// startPoll sends one poll in a goroutine that ends with ctx.
-func (w *Watcher) startPoll(ctx context.Context, hold time.Duration, answers chan<- answer) {
-	from := w.FromVersion // it may change while an earlier poll ends
+// start makes a call in a goroutine that ends with ctx.
+func (w *Watcher) start(ctx context.Context, hold time.Duration, ask call, answers chan<- answer) {
 	go func() {
 		select {
-		case answers <- w.pollOnce(ctx, from, hold):
+		case answers <- w.attempt(ctx, hold, ask):
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// pollOnce reads all rows, or the changes since a version.
-func (w *Watcher) pollOnce(ctx context.Context, from int64, hold time.Duration) answer {
+// attempt makes a call once.
+func (w *Watcher) attempt(ctx context.Context, hold time.Duration, ask call) answer {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	a := answer{snapshot: from < 0}
-	var sentAt time.Time
-	if w.OnAnswer != nil {
-		sentAt = w.Now()
+	if w.OnAnswer == nil {
+		page, err := ask(ctx, hold)
+		return answer{page: page, err: err}
 	}
-	switch {
-	case a.snapshot && w.AllPartitions:
-		a.page, a.err = w.Store.ScanTable(ctx, w.Table)
-	case a.snapshot:
-		a.page, a.err = w.Store.ScanPartition(ctx, w.Table, w.Partition)
-	default:
-		a.page, a.err = w.Store.Changes(ctx, w.Table, from, hold)
-	}
-	if w.OnAnswer != nil {
-		held := a.err == nil && !a.snapshot && len(a.page.Rows) == 0
-		a.asOf = w.answeredAsOf(sentAt, hold, held)
-	}
-	return a
+	sentAt := w.Now()
+	page, err := ask(ctx, hold)
+	return answer{page, w.answeredAsOf(sentAt, hold, err == nil && len(page.Rows) == 0), err}
 }
 
-// answeredAsOf returns the earliest time at which the store can have answered a poll. The arrival of the answer doesn't count:
+// answeredAsOf returns the earliest time at which the store can have answered a call. The arrival of the answer doesn't count:
 // a process that was suspended meanwhile takes an old answer for a new one. The store holds a poll for changes that has none.
 func (w *Watcher) answeredAsOf(sentAt time.Time, hold time.Duration, held bool) time.Time {
 	if end := sentAt.Add(hold); held && !w.Now().Before(end) {
--- a/watch/timing.go
+++ b/watch/timing.go
@@ -20,6 +20,9 @@
 	patience time.Duration
 }
 
+// overdue returns the time after which a poll is overdue.
+func (t timing) overdue() time.Duration { return t.hold + t.patience }
+
 // newTiming returns the timing with which a change is known within a time of being stored, also if the poll that should
 // return it is never answered: a fifth of that time is left for the next poll.
 func newTiming(within time.Duration) timing {
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -12,20 +12,22 @@
 	"gypsumlead/sleep"
 )
 
-// FromSnapshot is the FromVersion of a Watcher that begins by reading all rows.
-const FromSnapshot = -1
+// Values of the FromVersion of a Watcher that begins anew.
+const (
+	FromSnapshot = -1 // with all rows of the partition
+	FromNewest   = -2 // with the changes to come; for tables whose rows are written again and again
+)
 
-// Watcher reads all rows of one partition of a table, or of all partitions, and then every change of the table.
+// Watcher reads all rows of one partition of a table, or none, and then every change of the table.
 type Watcher struct {
-	Store         *platform.Store
-	Table         string
-	Partition     string        // partition whose rows are read first
-	AllPartitions bool          // read the rows of all partitions first
-	FromVersion   int64         // version to continue from, or FromSnapshot
-	Within        time.Duration // a change is known this long after it was stored, if the store answers; 0 is defaultWithin
-	Interval      time.Duration // between polls; changes of one interval are applied together
-	Interest      *Interest     // how soon changes are needed; nil is always Immediate
-	Log           *zap.Logger
+	Store       *platform.Store
+	Table       string
+	Partition   string        // partition whose rows are read first
+	FromVersion int64         // version to continue from, FromSnapshot or FromNewest
+	Within      time.Duration // a change is known this long after it was stored, if the store answers; 0 is defaultWithin
+	Interval    time.Duration // between polls; changes of one interval are applied together
+	Interest    *Interest     // how soon changes are needed; nil is always Immediate
+	Log         *zap.Logger
 	// Apply applies rows; snapshot reports that they are all rows that exist. After an error the same rows are
 	// delivered again.
 	Apply func(ctx context.Context, page platform.Page, snapshot bool) error
@@ -39,13 +41,15 @@
 
 // Run follows the table until ctx ends.
 func (w *Watcher) Run(ctx context.Context) error {
+	anew := w.FromVersion
+	w.awaitInterest(ctx)
 	for ctx.Err() == nil {
 		err := w.advance(ctx)
 		switch {
 		case err == nil:
 			w.waitNext(ctx)
 		case fault.Is(err, fault.Missing):
-			w.FromVersion = FromSnapshot // the store no longer has the changes since FromVersion: read all rows again
+			w.FromVersion = anew // the store no longer has the changes since FromVersion
 		case ctx.Err() == nil:
 			w.handleFailure(err)
 			sleep.ForOrWake(ctx, retryDelay, nil)
@@ -56,11 +60,11 @@
 
 // advance reads and applies all rows, or the changes since FromVersion.
 func (w *Watcher) advance(ctx context.Context) error {
-	a := w.poll(ctx)
+	a, snapshot := w.read(ctx)
 	if a.err != nil {
 		return a.err
 	}
-	if err := w.Apply(ctx, a.page, a.snapshot); err != nil {
+	if err := w.Apply(ctx, a.page, snapshot); err != nil {
 		return err
 	}
 	w.FromVersion = a.page.Version
@@ -94,8 +98,13 @@
 	case Occasional:
 		sleep.ForOrWake(ctx, idleInterval, w.Interest.wake)
 	case Dormant:
-		for ctx.Err() == nil && w.Interest.Level() == Dormant {
-			sleep.ForOrWake(ctx, dormantCheck, w.Interest.wake)
-		}
+		w.awaitInterest(ctx)
+	}
+}
+
+// awaitInterest waits while the changes aren't needed at all.
+func (w *Watcher) awaitInterest(ctx context.Context) {
+	for ctx.Err() == nil && w.Interest != nil && w.Interest.Level() == Dormant {
+		sleep.ForOrWake(ctx, dormantCheck, w.Interest.wake)
 	}
 }
