A page of changes that the store has cut does not count as up to date

A daemon that follows the list loosely read one page a second, of 2,000 changes a second, fell behind for good, and took its copy for up to date when it took over. The same holds for the inbox and configuration.

--- a/cache/runner_list.go
+++ b/cache/runner_list.go
@@ -70,22 +70,22 @@
 			r.lastFailure = r.now()
 		},
 		Apply: func(_ context.Context, page platform.Page, snapshot bool) error {
-			r.apply(page.Rows, snapshot)
+			r.apply(page, snapshot)
 			return nil
 		},
 	}
 	return watcher.Run(ctx)
 }
 
-// apply applies rows; a snapshot has all entries of the list.
-func (r *RunnerList) apply(rows []platform.Row, snapshot bool) {
+// apply applies a page; a snapshot has all entries of the list.
+func (r *RunnerList) apply(page platform.Page, snapshot bool) {
 	r.delivery.Lock()
 	defer r.delivery.Unlock()
 	now := r.now()
 	var updated []work.Runner
 	r.mu.Lock()
 	listed := map[string]struct{}{}
-	for _, row := range rows {
+	for _, row := range page.Rows {
 		listed[row.Key] = struct{}{}
 		if row.Deleted {
 			r.markMissing(row.Key, now)
@@ -119,6 +119,9 @@
 	for _, runner := range updated {
 		r.onUpdate(runner)
 	}
+	if page.More {
+		return // the list is known as of before now
+	}
 	r.mu.Lock()
 	r.readAt = now
 	r.mu.Unlock()
--- a/cache/runner_list_test.go
+++ b/cache/runner_list_test.go
@@ -45,7 +45,7 @@
 func TestChangeDuringReplayIsOvertakenByOldEntry(t *testing.T) {
 	l := &listener{busy: make(chan struct{}, 10)}
 	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) {})
-	list.apply([]platform.Row{entry(8)}, true)
+	list.apply(platform.Page{Rows: []platform.Row{entry(8)}}, true)
 	<-l.busy
 
 	var replay sync.WaitGroup
@@ -53,7 +53,7 @@
 		list.Replay("s", func(r work.Runner) { l.tell(r.Room, 20*time.Millisecond) })
 	})
 	<-l.busy
-	list.apply([]platform.Row{entry(4)}, false)
+	list.apply(platform.Page{Rows: []platform.Row{entry(4)}}, false)
 	replay.Wait()
 	require.Equal(t, work.Resources{CPU: 4000}, l.last())
 }
@@ -62,7 +62,7 @@
 func TestReturnOfEntryIsOvertakenByItsRemoval(t *testing.T) {
 	l := &listener{busy: make(chan struct{}, 10)}
 	list := NewRunnerList(nil, zap.NewNop(), time.Now, 2*time.Second, time.Second, nil, func(r work.Runner) { l.tell(r.Room, 0) }, func(work.Runner) { l.tell(work.Resources{}, 20*time.Millisecond) })
-	list.apply([]platform.Row{entry(8)}, true)
+	list.apply(platform.Page{Rows: []platform.Row{entry(8)}}, true)
 	<-l.busy
 	list.mu.Lock()
 	list.missingUntil["r1"] = time.Now()
@@ -72,7 +72,7 @@
 	var expiry sync.WaitGroup
 	expiry.Go(func() { _ = list.ExpireMissing(ctx) })
 	<-l.busy
-	list.apply([]platform.Row{entry(8)}, false)
+	list.apply(platform.Page{Rows: []platform.Row{entry(8)}}, false)
 	cancel()
 	expiry.Wait()
 	require.Equal(t, work.Resources{CPU: 8000}, l.last())
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -49,9 +49,11 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	l.mu.Lock()
-	l.inboxReadAt = answeredAt
-	l.mu.Unlock()
+	if !page.More {
+		l.mu.Lock()
+		l.inboxReadAt = answeredAt
+		l.mu.Unlock()
+	}
 	sleep.Wake(l.wakePlan)
 	return nil
 }
--- a/standin/store.go
+++ b/standin/store.go
@@ -16,7 +16,7 @@
 
 // Limits and latencies of the store, from the platform's documentation.
 const (
-	maxRows        = 500 // in the reply to one get
+	maxRows        = 500 // in the reply to one get or feed
 	maxTxEntries   = 100
 	maxValueSize   = 48 << 10 // bytes; 64 KB once encoded in base64
 	maxNameSize    = 200
@@ -315,6 +315,10 @@
 		}
 		page, wake := s.newPage(s.since(q.Get("Table"), after)), s.wake
 		s.mu.Unlock()
+		if len(page.Rows) > maxRows {
+			page.Rows = page.Rows[:maxRows]
+			page.RowVersion = page.Rows[maxRows-1].RowVersion
+		}
 		if len(page.Rows) > 0 {
 			writeJSON(w, page)
 			return
--- a/watch/poll_test.go
+++ b/watch/poll_test.go
@@ -25,9 +25,10 @@
 
 // followed is a store with a Watcher of its table t, which has seen the values of the row k.
 type followed struct {
-	store   *standin.Store
-	network *standin.Network
-	seen    sync.Map
+	store    *standin.Store
+	network  *standin.Network
+	interest *Interest
+	seen     sync.Map
 }
 
 // put stores a value and returns when.
@@ -39,14 +40,15 @@
 // onWatcher runs a test on virtual time.
 func onWatcher(t *testing.T, within time.Duration, test func(t *testing.T, f *followed)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &followed{store: standin.NewStore(rand.New(rand.NewPCG(1, 1))), network: standin.NewNetwork()}
+		f := &followed{store: standin.NewStore(rand.New(rand.NewPCG(1, 1))), network: standin.NewNetwork(), interest: NewInterest()}
 		listener, err := f.network.Listen(storeAddr)
 		require.NoError(t, err)
 		server := &http.Server{Handler: f.store}
 		go func() { _ = server.Serve(listener) }()
 		client := platform.NewStore(storeAddr, f.network.Dialer(watcherAddr), platform.NewMeter())
 		f.put(0)
-		watcher := &Watcher{Store: client, Table: "t", FromVersion: FromSnapshot, Within: within, Log: zap.NewNop()}
+		f.interest.Set(Immediate)
+		watcher := &Watcher{Store: client, Table: "t", FromVersion: FromSnapshot, Within: within, Interest: f.interest, Log: zap.NewNop()}
 		watcher.Apply = func(_ context.Context, page platform.Page, _ bool) error {
 			for _, row := range page.Rows {
 				f.seen.Store(string(row.Value), true)
@@ -131,3 +133,16 @@
 		})
 	}
 }
+
+// A table changes faster than one page a poll holds: who follows it loosely fell behind for good, and took its copy for new.
+func TestFollowerFallsBehindManyChanges(t *testing.T) {
+	onWatcher(t, 2*time.Second, func(t *testing.T, f *followed) {
+		f.interest.Set(Occasional)
+		for i := 1; i <= 5000; i++ {
+			f.store.Put("t", strconv.Itoa(i), i)
+		}
+		time.Sleep(2 * idleInterval)
+		_, ok := f.seen.Load("5000")
+		require.True(t, ok)
+	})
+}
--- a/watch/watcher.go
+++ b/watch/watcher.go
@@ -44,8 +44,9 @@
 	anew := w.FromVersion
 	w.awaitInterest(ctx)
 	for ctx.Err() == nil {
-		err := w.advance(ctx)
+		more, err := w.advance(ctx)
 		switch {
+		case err == nil && more:
 		case err == nil:
 			w.waitNext(ctx)
 		case fault.Is(err, fault.Missing):
@@ -58,20 +59,20 @@
 	return nil
 }
 
-// advance reads and applies all rows, or the changes since FromVersion.
-func (w *Watcher) advance(ctx context.Context) error {
+// advance reads and applies all rows, or the changes since FromVersion, and reports whether further changes follow at once.
+func (w *Watcher) advance(ctx context.Context) (more bool, err error) {
 	a, snapshot := w.read(ctx)
 	if a.err != nil {
-		return a.err
+		return false, a.err
 	}
 	if err := w.Apply(ctx, a.page, snapshot); err != nil {
-		return err
+		return false, err
 	}
 	w.FromVersion = a.page.Version
 	if w.OnAnswer != nil && !a.page.More {
 		w.OnAnswer(a.asOf)
 	}
-	return nil
+	return a.page.More && len(a.page.Rows) > 0, nil
 }
 
 // handleFailure logs and notes a poll that failed.
