--- a/cache/confirmation_test.go
+++ b/cache/confirmation_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -24,10 +23,8 @@
 func onCopy(t *testing.T, test func(t *testing.T, o *OperatorState, store *standin.Store)) {
 	synctest.Test(t, func(t *testing.T) {
 		network, store, addr := standin.NewNetwork(), standin.NewStore(rand.New(rand.NewPCG(1, 1))), netip.MustParseAddrPort("10.0.0.2:80")
-		listener, err := network.Listen(addr)
+		server, err := network.Serve(addr, store)
 		require.NoError(t, err)
-		server := &http.Server{Handler: store}
-		go func() { _ = server.Serve(listener) }()
 		client := platform.NewStore(addr, network.Dialer(netip.MustParseAddr("10.0.0.1")), platform.NewMeter())
 		o := NewOperatorState(client, zap.NewNop(), time.Now, applyWithin, func() {})
 		store.Put("op", "config", map[string]any{"Version": 1})
--- a/claims/registry_test.go
+++ b/claims/registry_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 	"testing/synctest"
@@ -47,10 +46,8 @@
 		service := standin.NewMachineService("spare", time.Second, time.Second, time.Second, standin.NewChecker(),
 			func(*standin.Runner) {}, func(*standin.Machine, int) *standin.Runner { return nil })
 		service.Add(&standin.Machine{Name: "m0", Pool: "spare"})
-		l, err := network.Listen(addr)
+		server, err := network.Serve(addr, service)
 		require.NoError(t, err)
-		server := &http.Server{Handler: service}
-		go func() { _ = server.Serve(l) }() // it returns when the server is closed
 		defer func() { _ = server.Close() }()
 		client := platform.NewMachineClient(addr, platform.DialFunc(network.Dialer(netip.MustParseAddr("10.0.1.1"))), platform.NewMeter())
 		defer client.Close()
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -189,16 +189,11 @@
 
 // serve runs an HTTP server on the emulated network until the cluster is closed.
 func (c *Cluster) serve(addr netip.AddrPort, handler http.Handler) *http.Server {
-	l, err := c.Net.Listen(addr)
+	srv, err := c.Net.Serve(addr, handler)
 	if err != nil {
 		panic(err) // addresses made by the emulator are free
 	}
-	srv := &http.Server{Handler: handler}
-	c.wg.Go(func() {
-		stop := context.AfterFunc(c.ctx, func() { _ = srv.Close() })
-		defer stop()
-		_ = srv.Serve(l) // it returns when the server is closed
-	})
+	context.AfterFunc(c.ctx, func() { _ = srv.Close() })
 	return srv
 }
 
--- a/relay/carrier_test.go
+++ b/relay/carrier_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"sync"
 	"testing"
@@ -33,10 +32,8 @@
 		const within, idle = 2 * time.Second, 4
 		network, table := standin.NewNetwork(), standin.NewStore(rand.New(rand.NewPCG(1, 1)))
 		storeAddr, carrierAddr := netip.MustParseAddrPort("10.0.0.2:80"), netip.MustParseAddr("10.0.0.1")
-		listener, err := network.Listen(storeAddr)
+		server, err := network.Serve(storeAddr, table)
 		require.NoError(t, err)
-		server := &http.Server{Handler: table}
-		go func() { _ = server.Serve(listener) }()
 		carrierStore := platform.NewStore(storeAddr, network.Dialer(carrierAddr), platform.NewMeter())
 		carrier := New(carrierStore, fakeCarriers{}, platform.RowKey{Key: "own"}, zap.NewNop(), time.Now)
 		carrierStore.Use(carrier)
--- a/standin/network.go
+++ b/standin/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -48,6 +49,17 @@
 	return l, nil
 }
 
+// Serve runs an HTTP server at an address until it is closed; it fails if the address is in use.
+func (n *Network) Serve(addr netip.AddrPort, handler http.Handler) (*http.Server, error) {
+	l, err := n.Listen(addr)
+	if err != nil {
+		return nil, err
+	}
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }() // it returns when the server is closed
+	return server, nil
+}
+
 // Accept waits for the next connection; it returns net.ErrClosed once the listener is closed.
 func (l *listener) Accept() (net.Conn, error) {
 	select {
--- a/watch/poll_test.go
+++ b/watch/poll_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"strconv"
 	"sync"
@@ -41,10 +40,8 @@
 func onWatcher(t *testing.T, within time.Duration, test func(t *testing.T, f *followed)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &followed{store: standin.NewStore(rand.New(rand.NewPCG(1, 1))), network: standin.NewNetwork(), interest: NewInterest()}
-		listener, err := f.network.Listen(storeAddr)
+		server, err := f.network.Serve(storeAddr, f.store)
 		require.NoError(t, err)
-		server := &http.Server{Handler: f.store}
-		go func() { _ = server.Serve(listener) }()
 		client := platform.NewStore(storeAddr, f.network.Dialer(watcherAddr), platform.NewMeter())
 		f.put(0)
 		f.interest.Set(Immediate)
