--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -14,6 +14,7 @@
 
 	"gypsumlead/platform"
 	"gypsumlead/standin"
+	"gypsumlead/work"
 )
 
 // Bounds for a daemon that reaches neither the store nor a leader.
@@ -200,3 +201,23 @@
 		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
 	})
 }
+
+// All connections of a leader's daemon go silent, again and again at other moments of its polls. Its runners must be heard of on
+// new ones before their leases end, and callers get their answers.
+func TestRunsGoOnThoughAllConnectionsOfTheirLeaderGoSilent(t *testing.T) {
+	runScenario(t, Small, 42, func(t *testing.T, c *Cluster) {
+		wire, job := c.NewLongRunningJob(3, 1, 3000)
+		c.Submit("s0", wire, job)
+		submitEvenly(c, "s0", 10, 2*time.Second, batchShape)
+		leader := c.Leader("s0")
+		for range 12 {
+			blackhole(c, c.DaemonAddr(leader))
+			submitEvenly(c, "s0", 10, 6150*time.Millisecond, batchShape) // another phase each time
+		}
+		_, ends := c.Checker.RunCounts()
+		require.Zero(t, ends[work.EndLeaseExpired])
+		require.Equal(t, leader, c.Leader("s0"))
+		stats := c.Stats()
+		require.Equal(t, stats.Submitted, stats.Accepted)
+	})
+}
