--- a/emulator/demo.go
+++ b/emulator/demo.go
@@ -39,8 +39,8 @@
 }
 
 // Demo runs a cluster in real time: jobs of two services by two workspaces, one of them with a cap, keys that are withdrawn,
-// long-running tasks, a maintenance wave, a leader that is killed and a leader that is stopped. It prints a DemoResult as one line of JSON, and fails if an invariant was
-// violated or the wave was not completed.
+// long-running tasks, a maintenance wave, a leader that is killed and a leader that is stopped. It prints a DemoResult as one
+// line of JSON, and fails if an invariant was violated or the wave was not completed.
 func Demo(ctx context.Context, out io.Writer, seed uint64, duration time.Duration) error {
 	site := Small
 	site.Workspaces = 2
