--- a/peer/dialer.go
+++ b/peer/dialer.go
@@ -14,8 +14,9 @@
 
 const (
 	dialTimeout      = 2 * time.Second
-	maxMissedPings   = 3 // a session is closed when a ping takes more than this many intervals
-	remotePingFactor = 5 // pings to another data centre are sent this many times less often
+	lingerTime       = 2 * time.Second // for which a replaced session's calls may be answered; callers wait about as long
+	maxMissedPings   = 3               // a session is closed when a ping takes more than this many intervals
+	remotePingFactor = 5               // pings to another data centre are sent this many times less often
 	minRedialBackoff = 100 * time.Millisecond
 	maxRedialBackoff = 5 * time.Second
 )
@@ -41,7 +42,9 @@
 			continue
 		}
 		backoff = minRedialBackoff
-		d.keepSession(ctx, s)
+		for s != nil {
+			s = d.keepSession(ctx, s)
+		}
 	}
 }
 
@@ -59,22 +62,50 @@
 	return s, err
 }
 
-// keepSession pings the session until it fails or ctx ends.
-func (d *dialer) keepSession(ctx context.Context, s *session) {
-	defer s.close()
+// keepSession keeps a session until its pings fail or ctx ends. While the other end doesn't answer a probe, the session's
+// connection may be silent for good and a new one work: then keepSession returns the session that replaces this one, which
+// is closed lingerTime later, as calls in progress may still be answered.
+func (d *dialer) keepSession(ctx context.Context, s *session) (replacement *session) {
 	if s.remote.Instance == d.mesh.local.Instance {
+		defer s.close()
 		// The address is this daemon's own. Close the session after a delay; run redials, in case the address moves to
 		// another daemon, or handles the end of ctx.
 		_ = sleep.For(ctx, maxRedialBackoff)
-		return
+		return nil
 	}
 	d.mesh.addSession(s)
 	defer d.mesh.removeSession(s)
+	d.mesh.wg.Go(func() { d.pingSession(ctx, s) })
+	openedAt := time.Now()
+	for {
+		select {
+		case <-s.mux.CloseChan():
+			return nil
+		case <-s.silent:
+		}
+		if time.Since(openedAt) < lingerTime {
+			continue // a slow daemon gets no more sessions than one each lingerTime
+		}
+		next, err := d.dial(ctx)
+		if err == nil {
+			d.mesh.log.Info("peer session replaced", zap.String("peer", s.remote.Instance), zap.Duration("silent", s.link.Silence()))
+			d.mesh.addSession(next)
+			time.AfterFunc(lingerTime, s.close)
+			return next
+		}
+	}
+}
+
+// pingSession pings a session until that fails or ctx ends, and closes it.
+func (d *dialer) pingSession(ctx context.Context, s *session) {
+	stop := context.AfterFunc(ctx, s.close)
+	defer stop()
+	defer s.close()
 	interval := d.mesh.pingInterval
 	if s.remote.Centre != d.mesh.local.Centre {
 		interval *= remotePingFactor
 	}
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !s.mux.IsClosed() {
 		if err := s.pingOnce(maxMissedPings * d.mesh.pingInterval); err != nil {
 			d.mesh.log.Info("peer session ended", zap.String("peer", s.remote.Instance), zap.Error(err))
 			return
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -83,3 +83,39 @@
 	<-done
 	<-done
 }
+
+// A session whose connection goes silent while new ones work must not hold up calls until its pings fail.
+func TestSilentSessionHoldsUpCallsUntilItsPingsFail(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewServer(Identity{Instance: "b", Centre: "c"}, &pingHandler{}, zap.NewNop())
+	done := make(chan struct{}, 2)
+	go func() { _ = server.Serve(ctx, listener); done <- struct{}{} }()
+	var lost atomic.Bool // of the first connection
+	var dials atomic.Int64
+	dial := func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		c, err := DialTCP(ctx, addr)
+		if dials.Add(1) == 1 {
+			c = &lossyConn{c, &lost}
+		}
+		return c, err
+	}
+	mesh := NewMesh(Identity{Instance: "a", Centre: "c"}, zap.NewNop(), WithPing(time.Hour), WithDial(dial))
+	go func() { _ = mesh.Run(ctx); done <- struct{}{} }()
+	mesh.SetTargets([]Target{{Instance: "b", Addr: netip.MustParseAddrPort(listener.Addr().String()), Centre: "c"}})
+	answered := func() bool {
+		ctx, cancel := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer cancel()
+		_, err := mesh.Call(ctx, "b", &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}})
+		return err == nil
+	}
+	require.Eventually(t, answered, waitTimeout, time.Millisecond)
+	lost.Store(true)
+	require.Never(t, answered, 300*time.Millisecond, 50*time.Millisecond)
+	require.Eventually(t, answered, waitTimeout, time.Millisecond)
+	require.EqualValues(t, 2, dials.Load())
+	cancel()
+	<-done
+	<-done
+}
--- a/peer/session.go
+++ b/peer/session.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	mux    *yamux.Session
 	remote Identity
 	link   *contact.Link
+	silent chan struct{} // receives a value when the other end has not answered a probe
 
 	pingMu     sync.Mutex
 	pingStream net.Conn
@@ -33,9 +35,9 @@
 	if err != nil {
 		return nil, fault.Wrap(fault.Internal, err, "start session")
 	}
-	s := &session{mux: mux}
+	s := &session{mux: mux, silent: make(chan struct{}, 1)}
 	s.link = contact.New(s.probe, answerFreshness, now)
-	resp, err := s.call(ctx, &wire.Request{Body: &wire.Request_Hello{Hello: local.hello()}})
+	resp, err := s.ask(ctx, &wire.Request{Body: &wire.Request_Hello{Hello: local.hello()}})
 	if err != nil {
 		_ = mux.Close()
 		return nil, err
@@ -49,8 +51,17 @@
 	return s, nil
 }
 
-// call sends one request on its own stream and waits for the response.
+// call sends one request on its own stream and waits for the response. If that takes too long, the other end is probed.
 func (s *session) call(ctx context.Context, req *wire.Request) (*wire.Response, error) {
+	resp, err := s.ask(ctx, req)
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		go func() { _ = s.link.Check(context.WithoutCancel(ctx)) }()
+	}
+	return resp, err
+}
+
+// ask sends one request on its own stream and waits for the response.
+func (s *session) ask(ctx context.Context, req *wire.Request) (*wire.Response, error) {
 	stream, err := s.mux.Open()
 	if err != nil {
 		return nil, fault.Wrap(fault.NoUpstream, err, "open stream to %s", s.remote.Instance)
@@ -70,11 +81,17 @@
 	probeTimeout    = 400 * time.Millisecond // allows for many round trips within a region
 )
 
-// probe asks the other end for an answer, on a stream of its own.
+// probe asks the other end for an answer, on a stream of its own, and reports its silence.
 func (s *session) probe(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	_, err := s.call(ctx, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}})
+	_, err := s.ask(ctx, &wire.Request{Body: &wire.Request_Ping{Ping: &wire.Ping{}}})
+	if err != nil {
+		select {
+		case s.silent <- struct{}{}:
+		default: // reported already
+		}
+	}
 	return err
 }
 
