--- a/emulator/config_test.go
+++ b/emulator/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -60,3 +61,28 @@
 		})
 	}
 }
+
+// A daemon that is cut off can't tell a route that there isn't from one that was added since, which others serve.
+func TestAddedRouteIsRefusedByDaemonThatIsCutOff(t *testing.T) {
+	runScenario(t, Small, 94, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s0", 5, 2*time.Second, batchShape)
+		name := c.Daemons()[len(c.Daemons())-1]
+		others := []netip.Addr{c.StoreAddr()}
+		for _, other := range c.Daemons() {
+			if other != name {
+				others = append(others, c.DaemonAddr(other))
+			}
+		}
+		c.Net.Cut([]netip.Addr{c.DaemonAddr(name)}, others)
+		const added = 1000
+		c.replaceRoute(added)
+		for start := time.Now(); time.Since(start) < 8*time.Second; time.Sleep(500 * time.Millisecond) {
+			got := send(t, c, http.MethodGet, netip.AddrPortFrom(c.DaemonAddr(name), portCallers), "/"+addedRoute(added)+"/", nil)
+			if time.Since(start) > standin.ApplyTime {
+				require.Equal(t, http.StatusServiceUnavailable, got.status)
+				require.True(t, got.notStored, "the caller must be told when to come back")
+			}
+		}
+		c.Net.Heal()
+	})
+}
