--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -31,14 +31,13 @@
 
 // Timeouts, intervals and limits of a daemon.
 const (
-	storeContactTimeout = 3 * time.Second         // a daemon is not ready if the store hasn't answered it for this long
-	drainDelay          = 2500 * time.Millisecond // the balancer polls every second and drops a daemon after two failures
-	exitTime            = 2 * time.Second         // left of the time for shutting down, for the process to end
-	releaseTimeout      = 2400 * time.Millisecond // for releasing all leases of leadership; a slow store takes a second
-	readHeaderTimeout   = 3 * time.Second         // for reading a request's header
-	idleTimeout         = 15 * time.Second        // until a connection's next request
-	maxHeaderBytes      = 16 << 10                // of a caller's request
-	pingInterval        = 2 * time.Second         // between pings to another daemon
+	drainDelay        = 2500 * time.Millisecond // the balancer polls every second and drops a daemon after two failures
+	exitTime          = 2 * time.Second         // left of the time for shutting down, for the process to end
+	releaseTimeout    = 2400 * time.Millisecond // for releasing all leases of leadership; a slow store takes a second
+	readHeaderTimeout = 3 * time.Second         // for reading a request's header
+	idleTimeout       = 15 * time.Second        // until a connection's next request
+	maxHeaderBytes    = 16 << 10                // of a caller's request
+	pingInterval      = 2 * time.Second         // between pings to another daemon
 )
 
 // Daemon is one daemon of the fleet.
--- a/daemon/readiness.go
+++ b/daemon/readiness.go
@@ -45,7 +45,7 @@
 		return "shutting down"
 	case d.operatorState.Config() == nil:
 		return "no configuration"
-	case d.now().Sub(d.members.LastContact()) >= storeContactTimeout:
+	case d.now().Sub(d.members.LastContact()) >= d.settings.Bounds.ContactTime:
 		return "the store does not answer"
 	case d.isIsolated():
 		return errIsolated.Error()
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -51,10 +51,11 @@
 	RunnersPerService int
 	SpareMachines     int // machines of the spare service
 	CoresPerMachine   int64
-	Unguarded         bool // runners start whatever they are told, even without room
-	Workspaces        int  // callers' accounts; 0 is a site whose callers need no keys
-	SteadyConfig      bool // no routes are added and dropped all the time
-	StrictRevocation  bool // daemons whose copy of the configuration is old refuse requests that need a key
+	Unguarded         bool          // runners start whatever they are told, even without room
+	Workspaces        int           // callers' accounts; 0 is a site whose callers need no keys
+	SteadyConfig      bool          // no routes are added and dropped all the time
+	StrictRevocation  bool          // daemons whose copy of the configuration is old refuse requests that need a key
+	ContactTime       time.Duration // of the settings; 0 is the default
 }
 
 // Small exercises every decision of the daemons and runs quickly.
@@ -312,6 +313,9 @@
 	s.Bounds.MaxRunnerLease, s.Bounds.MoveTime, s.Bounds.MaintenanceTime, s.Bounds.MachineLease = maxLease, moveTime, maintenanceTime, machineLease
 	s.Bounds.RevokeStrict = c.size.StrictRevocation
 	s.Bounds.RemoteFactor = 2
+	if c.size.ContactTime > 0 {
+		s.Bounds.ContactTime = c.size.ContactTime
+	}
 	s.Bounds.RunnerHeartbeat, s.Bounds.StopTime = runnerHeartbeat, stopTime
 	return s
 }
--- a/emulator/cut_off_test.go
+++ b/emulator/cut_off_test.go
@@ -221,3 +221,26 @@
 		require.Equal(t, stats.Submitted, stats.Accepted)
 	})
 }
+
+// On a site whose bound on contact is 5 s, daemons must not turn callers away after 3 s without the store.
+func TestReadinessEndsByAnotherSitesBound(t *testing.T) {
+	const pollHold = 1500 * time.Millisecond // a poll that the store holds as it goes silent is still answered
+	for _, contact := range []time.Duration{3 * time.Second, 5 * time.Second} {
+		size := Small
+		size.ContactTime = contact
+		runScenario(t, size, 95, func(t *testing.T, c *Cluster) {
+			submitEvenly(c, "s0", 5, 2*time.Second, batchShape)
+			c.Store.SetFaults(standin.StoreFaults{Unresponsive: true})
+			for start := time.Now(); time.Since(start) < contact+2*pollHold; time.Sleep(100 * time.Millisecond) {
+				for _, daemon := range c.Daemons() {
+					if silent := time.Since(start); silent < contact-500*time.Millisecond {
+						require.True(t, isReady(t, c, daemon), "%s after %v of %v", daemon, silent, contact)
+					} else if silent > contact+pollHold {
+						require.False(t, isReady(t, c, daemon), "%s after %v of %v", daemon, silent, contact)
+					}
+				}
+			}
+			c.Store.SetFaults(standin.StoreFaults{})
+		})
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,6 +40,7 @@
 	RunnerHeartbeat time.Duration `json:"beat" validate:"min=100ms" doc:"Interval at which runners write their entries in the platform's list."`
 	StopTime        time.Duration `json:"stop" validate:"min=0" doc:"Time that a runner takes at the longest to stop a run."`
 	ApplyWithin     time.Duration `json:"apply" validate:"min=500ms" doc:"Time within which an accepted configuration is in force in every daemon that the store answers."`
+	ContactTime     time.Duration `json:"contact" validate:"min=1s" doc:"Time for which the platform's store may be silent until a daemon reports that it is not ready."`
 	DrainWithin     time.Duration `json:"drain" validate:"min=500ms" doc:"Time within which a runner that drains gets no new tasks."`
 	CancelWithin    time.Duration `json:"cancel" validate:"min=1500ms" doc:"Time within which no task of a cancelled job is started any more."`
 	StatusFor       time.Duration `json:"status" validate:"min=1s" doc:"Time for which callers may ask for the state of a job after its end."`
@@ -63,6 +64,7 @@
 			RunnerHeartbeat: 1500 * time.Millisecond,
 			StopTime:        time.Second,
 			ApplyWithin:     2 * time.Second,
+			ContactTime:     3 * time.Second,
 			DrainWithin:     2 * time.Second,
 			CancelWithin:    3 * time.Second,
 			StatusFor:       2 * time.Minute,
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -16,6 +16,7 @@
 	require.Equal(t, 6*time.Second, s.Bounds.MaxRunnerLease)
 	require.False(t, s.Machines.IsValid())
 	require.Equal(t, 2*time.Second, s.Bounds.ApplyWithin)
+	require.Equal(t, 3*time.Second, s.Bounds.ContactTime)
 	for _, tc := range []struct {
 		name, in string
 		want     []string
