--- a/sched/admission.go
+++ b/sched/admission.go
@@ -36,10 +36,7 @@
 	if !p.refusable(spec) {
 		return 0, false
 	}
-	if q, ok := p.queues[queue.Name]; ok {
-		queue = q
-	}
-	j := newJob(id, queue, spec, now)
+	j := newJob(id, p.newestTerms(queue), spec, now)
 	if !p.backlogExceeds(now, j, fullCPU) {
 		return 0, false
 	}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -156,21 +156,25 @@
 		p.queues[q.Name] = q
 	}
 	for _, j := range p.live {
-		if q, ok := p.queues[j.queue.Name]; ok {
-			j.queue = q
-		}
+		j.queue = p.newestTerms(j.queue)
 	}
 }
 
+// newestTerms returns the terms of a job's queue: the pool's own, unless the daemon that let the job in went by a newer
+// configuration.
+func (p *Pool) newestTerms(queue work.Queue) work.Queue {
+	if own, ok := p.queues[queue.Name]; ok && own.Version >= queue.Version {
+		return own
+	}
+	return queue
+}
+
 // Accept adds a job that is already in the store. It does nothing if the job is known.
 func (p *Pool) Accept(now time.Time, id work.ID, queue work.Queue, spec work.Job) {
 	if _, ok := p.jobs[id]; ok {
 		return
 	}
-	if q, ok := p.queues[queue.Name]; ok {
-		queue = q
-	}
-	j := newJob(id, queue, spec, now)
+	j := newJob(id, p.newestTerms(queue), spec, now)
 	j.workspace = p.joinWorkspace(spec.Workspace)
 	if j.workspace != nil {
 		j.workspace.accepted(now)
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -151,10 +151,7 @@
 	if _, ok := p.jobs[id]; ok {
 		return
 	}
-	if q, ok := p.queues[queue.Name]; ok {
-		queue = q
-	}
-	j := newJob(id, queue, spec, accepted)
+	j := newJob(id, p.newestTerms(queue), spec, accepted)
 	j.inherited, j.workspace = true, p.joinWorkspace(spec.Workspace)
 	p.jobs[id] = j
 	p.shares.unclassified = append(p.shares.unclassified, j)
--- a/sched/workspaces_test.go
+++ b/sched/workspaces_test.go
@@ -185,3 +185,23 @@
 	f.advance(50 * time.Millisecond)
 	require.Equal(t, work.Resources{CPU: 28_000}, pool.WorkspaceUsage(f.now)["w"].Used)
 }
+
+// The daemon that let a job in knew newer terms of its queue than the leader, which must not put its own in their place.
+func TestLeadersOlderTermsReplaceNewerOnes(t *testing.T) {
+	f := newFakePool(t, 1, 16)
+	own, newer := testQueue, testQueue
+	own.Attempts, own.Version = 1, 1
+	newer.Attempts, newer.Version = 2, 2
+	f.pool.SetQueues([]work.Queue{own})
+	id := f.accept("a", newer, stepOf(1, 1000))
+	f.advance(50 * time.Millisecond)
+	f.endRun(f.runnerOf(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
+	f.advance(50 * time.Millisecond)
+	f.requireState(id, work.Running)
+
+	own.Version = 3
+	f.pool.SetQueues([]work.Queue{own})
+	f.endRun(f.runnerOf(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
+	f.advance(50 * time.Millisecond)
+	f.requireState(id, work.Failed)
+}
--- a/work/state.go
+++ b/work/state.go
@@ -41,6 +41,7 @@
 	Slack    float64         // a job is on time if it takes at most Slack times its critical path, plus Aim
 	Aim      time.Duration   // see Slack
 	Advice   *ApprovalTiming // nil if every runner of the service may run its steps
+	Version  int64           `json:",omitempty"` // of the configuration that these terms are of
 }
 
 // ApprovalTiming describes how long requests to the queue's policy service take and how long approvals are valid.
