--- a/daemon/election.go
+++ b/daemon/election.go
@@ -228,7 +228,7 @@
 		}
 	}
 	guarded := slices.ContainsFunc(c.Services, func(s platform.Service) bool { return s.Name == l.Service() && s.RejectsOverload })
-	l.Configure(queues, guarded, c.Workspaces, len(c.Services))
+	l.Configure(c.Version, queues, guarded, c.Workspaces, len(c.Services))
 }
 
 // configChanged applies a change of the operator's configuration.
--- a/leader/admission_test.go
+++ b/leader/admission_test.go
@@ -24,7 +24,7 @@
 // newFullLeader returns a leader whose pool has one runner and far more work than that can end in time.
 func newFullLeader(t *testing.T, store *standin.Store) *Leader {
 	l := newConfirmedLeader(newTestStore(t, store))
-	l.Configure(nil, false, []platform.Workspace{{Name: "a"}}, 1)
+	l.Configure(1, nil, false, []platform.Workspace{{Name: "a"}}, 1)
 	now := time.Now()
 	l.Now = func() time.Time { return now } // decisions take no time, so that none is left out
 	l.pool.UpdateRunner(now, work.Runner{ID: "r", Service: "", Room: work.Resources{CPU: 8000, Mem: 1 << 20}, Born: 1})
--- a/leader/caps.go
+++ b/leader/caps.go
@@ -150,7 +150,11 @@
 }
 
 func (l *Leader) writeHeldUp(h sched.HeldUp) {
-	l.Log.Info("job held up by the cap of its workspace", zap.String("job", string(h.Job)), zap.String("queue", h.Queue), zap.String("workspace", h.Workspace), zap.String("why", "cap"))
+	why := "cap"
+	if h.Unknown {
+		why = "the configuration here is older than the workspace"
+	}
+	l.Log.Info("job held up by the cap of its workspace", zap.String("job", string(h.Job)), zap.String("queue", h.Queue), zap.String("workspace", h.Workspace), zap.String("why", why))
 }
 
 // ExplainJob logs what holds up a job now, so that an operator who asks for the log lines about it is told.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -300,12 +300,12 @@
 	l.forgetRefused(now)
 }
 
-// Configure sets the configured queues of the service, whether its runners reject what exceeds their room, and the
-// workspaces with the number of services that they share.
-func (l *Leader) Configure(queues []work.Queue, guarded bool, workspaces []platform.Workspace, services int) {
+// Configure sets the queues of the service by a version of the configuration, whether its runners reject what exceeds their
+// room, and the workspaces with the number of services that they share.
+func (l *Leader) Configure(version int64, queues []work.Queue, guarded bool, workspaces []platform.Workspace, services int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.pool.SetQueues(queues)
+	l.pool.SetQueues(version, queues)
 	l.guarded = guarded
 	l.workspaces, l.services = workspaces, services
 	l.configureCaps(workspaces)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -16,6 +16,7 @@
 	strategy            Strategy
 	term                int
 	termStart           time.Time // when this leader took over
+	version             int64     // of the configuration
 	queues              map[string]work.Queue
 	jobs                map[work.ID]*job
 	live                []*job // jobs that aren't final, or that still have uncommitted changes or runs
@@ -149,8 +150,9 @@
 	return p
 }
 
-// SetQueues replaces the queues that the configuration assigns to this pool.
-func (p *Pool) SetQueues(queues []work.Queue) {
+// SetQueues replaces the queues that a version of the configuration assigns to this pool.
+func (p *Pool) SetQueues(version int64, queues []work.Queue) {
+	p.version = version
 	p.queues = map[string]work.Queue{}
 	for _, q := range queues {
 		p.queues[q.Name] = q
@@ -158,6 +160,7 @@
 	for _, j := range p.live {
 		j.queue = p.newestTerms(j.queue)
 	}
+	p.limitWorkspaces()
 }
 
 // newestTerms returns the terms of a job's queue: the pool's own, unless the daemon that let the job in went by a newer
@@ -175,7 +178,7 @@
 		return
 	}
 	j := newJob(id, p.newestTerms(queue), spec, now)
-	j.workspace = p.joinWorkspace(spec.Workspace)
+	j.workspace = p.joinWorkspace(spec.Workspace, queue.Version)
 	if j.workspace != nil {
 		j.workspace.accepted(now)
 	}
--- a/sched/progress.go
+++ b/sched/progress.go
@@ -152,7 +152,7 @@
 		return
 	}
 	j := newJob(id, p.newestTerms(queue), spec, accepted)
-	j.inherited, j.workspace = true, p.joinWorkspace(spec.Workspace)
+	j.inherited, j.workspace = true, p.joinWorkspace(spec.Workspace, queue.Version)
 	p.jobs[id] = j
 	p.shares.unclassified = append(p.shares.unclassified, j)
 	if pr != nil {
--- a/sched/share.go
+++ b/sched/share.go
@@ -73,6 +73,13 @@
 	for _, name := range slices.Sorted(maps.Keys(kept)) {
 		s.sorted = append(s.sorted, kept[name])
 	}
+	p.limitWorkspaces()
+}
+
+// has reports whether a workspace is configured.
+func (s *shares) has(name string) bool {
+	_, ok := s.byName[name]
+	return ok
 }
 
 // SetFractions replaces the fractions of the workspaces' arrivals that this pool gets. A workspace without one is assumed
--- a/sched/workspaces.go
+++ b/sched/workspaces.go
@@ -13,6 +13,8 @@
 	name       string
 	jobs       int            // known jobs, those that have ended included
 	used       work.Resources // by runs in any phase
+	version    int64          // newest of the configurations by which its jobs were let in
+	unknown    bool           // that is newer than the pool's, which lacks the workspace: it may have a cap
 	capped     bool           // the configuration has a cap for it
 	maximum    work.Resources // its cap
 	allowance  work.Resources // what it may use in this pool
@@ -48,17 +50,19 @@
 	return 0
 }
 
-// joinWorkspace returns the workspace of a new job, or nil if the job has none.
-func (p *Pool) joinWorkspace(name string) *workspace {
+// joinWorkspace returns the workspace of a new job that was let in by a version of the configuration, or nil if the job has
+// none.
+func (p *Pool) joinWorkspace(name string, version int64) *workspace {
 	if name == "" {
 		return nil
 	}
 	w, ok := p.workspaces[name]
 	if !ok {
 		w = &workspace{name: name}
-		w.limit(p.caps, p.allowances)
 		p.workspaces[name] = w
 	}
+	w.version = max(w.version, version)
+	p.limit(w)
 	w.jobs++
 	return w
 }
@@ -104,17 +108,18 @@
 
 func (p *Pool) limitWorkspaces() {
 	for _, w := range p.workspaces {
-		w.limit(p.caps, p.allowances)
+		p.limit(w)
 	}
 }
 
-// limit sets the workspace's cap and allowance.
-func (w *workspace) limit(caps, allowances map[string]work.Resources) {
-	w.maximum, w.capped = caps[w.name]
+// limit sets a workspace's cap and allowance.
+func (p *Pool) limit(w *workspace) {
+	w.unknown = w.version > p.version && !p.shares.has(w.name)
+	w.maximum, w.capped = p.caps[w.name]
 	if !w.capped {
 		return
 	}
-	allowance, ok := allowances[w.name]
+	allowance, ok := p.allowances[w.name]
 	if !ok {
 		allowance = budget.Limit(work.Resources{}, w.maximum)
 	}
@@ -133,9 +138,13 @@
 	return work.Resources{CPU: a.CPU * n, Mem: a.Mem * n, GPU: a.GPU * n}
 }
 
-// leavesRoom reports whether the allowance of a workspace, which may be nil, suffices for a further need.
+// leavesRoom reports whether the allowance of a workspace, which may be nil, suffices for a further need. An unknown one has none
+// until the pool gets the configuration that has it.
 func (w *workspace) leavesRoom(need work.Resources) bool {
-	return w == nil || !w.capped || w.inUse().Add(need).Fits(w.allowance)
+	if w == nil {
+		return true
+	}
+	return !w.unknown && (!w.capped || w.inUse().Add(need).Fits(w.allowance))
 }
 
 // heldByCap reports whether the cap of the step's workspace leaves no room to start any of the step's waiting tasks.
@@ -151,7 +160,7 @@
 	s.job.workspace.heldUp = true
 	if !s.job.heldUp {
 		s.job.heldUp = true
-		p.onHeldUp(HeldUp{s.job.id, s.job.queue.Name, s.job.workspace.name})
+		p.onHeldUp(s.job.heldUpBy())
 	}
 }
 
@@ -164,7 +173,7 @@
 	for _, occ := range j.occurrences {
 		for _, s := range occ.steps {
 			if s.waiting > 0 && s.ready(wall) && p.heldByCap(s) {
-				return HeldUp{j.id, j.queue.Name, j.workspace.name}, true
+				return j.heldUpBy(), true
 			}
 		}
 	}
@@ -176,6 +185,11 @@
 	Job       work.ID
 	Queue     string
 	Workspace string
+	Unknown   bool // the pool's configuration is older than the workspace, whose cap is not known yet
+}
+
+func (j *job) heldUpBy() HeldUp {
+	return HeldUp{j.id, j.queue.Name, j.workspace.name, j.workspace.unknown}
 }
 
 // isHeldUp reports whether the cap of the workspace, which may be nil, held up tasks in the last plan.
--- a/sched/workspaces_test.go
+++ b/sched/workspaces_test.go
@@ -186,13 +186,33 @@
 	require.Equal(t, work.Resources{CPU: 28_000}, pool.WorkspaceUsage(f.now)["w"].Used)
 }
 
+// A workspace that was added a moment ago must not run without its cap where the configuration that has it is not known yet. One
+// that was removed has no cap.
+func TestWorkspaceNewerThanTheLeadersConfigurationRunsWithoutCap(t *testing.T) {
+	f := newFakePool(t, 4, 16)
+	f.pool.SetWorkspaces(map[string]float64{"other": 1}, 1)
+	f.pool.SetQueues(1, nil)
+	newer := testQueue
+	newer.Version = 2
+	f.pool.Accept(f.now, work.ID(fmt.Sprintf("%016s", "a")), newer, work.Job{Spec: "a", Steps: []work.Step{stepOf(8, 4000)}, Workspace: "w"})
+	f.acceptFor("removed", "b", stepOf(4, 4000))
+	f.advance(50 * time.Millisecond)
+	require.Equal(t, 4, f.running(), "those of the removed workspace alone")
+
+	f.allow(100, 10)
+	f.pool.SetWorkspaces(map[string]float64{"w": 1}, 1)
+	f.pool.SetQueues(2, nil)
+	f.advance(50 * time.Millisecond)
+	require.Equal(t, 4+2, f.running(), "two within the allowance")
+}
+
 // The daemon that let a job in knew newer terms of its queue than the leader, which must not put its own in their place.
 func TestLeadersOlderTermsReplaceNewerOnes(t *testing.T) {
 	f := newFakePool(t, 1, 16)
 	own, newer := testQueue, testQueue
 	own.Attempts, own.Version = 1, 1
 	newer.Attempts, newer.Version = 2, 2
-	f.pool.SetQueues([]work.Queue{own})
+	f.pool.SetQueues(1, []work.Queue{own})
 	id := f.accept("a", newer, stepOf(1, 1000))
 	f.advance(50 * time.Millisecond)
 	f.endRun(f.runnerOf(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
@@ -200,7 +220,7 @@
 	f.requireState(id, work.Running)
 
 	own.Version = 3
-	f.pool.SetQueues([]work.Queue{own})
+	f.pool.SetQueues(3, []work.Queue{own})
 	f.endRun(f.runnerOf(taskOf(id, 0, 0)), taskOf(id, 0, 0), work.EndFailed)
 	f.advance(50 * time.Millisecond)
 	f.requireState(id, work.Failed)
--- a/sched/workspaces_usage.go
+++ b/sched/workspaces_usage.go
@@ -92,9 +92,6 @@
 
 // beginHoldUps starts a plan's record of what is held up and waits.
 func (p *Pool) beginHoldUps() {
-	if len(p.caps) == 0 {
-		return
-	}
 	for _, w := range p.workspaces {
 		w.heldBefore, w.heldUp = w.heldUp, false
 		w.waiting, w.next = work.Resources{}, work.Resources{}
