--- a/cache/confirmation.go
+++ b/cache/confirmation.go
@@ -63,6 +63,21 @@
 	return o.Age() <= o.within
 }
 
+// CatchUp reads the configuration from the store if the copy is older than a version, by which another daemon goes. It returns
+// like Confirm.
+func (o *OperatorState) CatchUp(ctx context.Context, version int64) {
+	if c := o.Config(); c != nil && c.Version >= version {
+		return
+	}
+	c := &o.confirmation
+	c.mu.Lock()
+	r, wait := o.join(o.now())
+	c.mu.Unlock()
+	if wait > 0 {
+		r.await(ctx, wait)
+	}
+}
+
 // await waits for the end of the read, but not longer than wait.
 func (r *reading) await(ctx context.Context, wait time.Duration) {
 	timeout := time.NewTimer(wait)
@@ -84,6 +99,12 @@
 	if now.Sub(c.at) <= o.doubtfulAge() {
 		return nil, 0
 	}
+	return o.join(now)
+}
+
+// join returns the read in progress or a new one, and for how long to wait for it. The caller holds the confirmation's mu.
+func (o *OperatorState) join(now time.Time) (*reading, time.Duration) {
+	c := &o.confirmation
 	if c.reading == nil {
 		isBack := c.silent && o.store.Answers() > c.answers
 		if now.Sub(c.failedAt) < confirmInterval && !isBack {
--- a/cache/confirmation_test.go
+++ b/cache/confirmation_test.go
@@ -106,6 +106,19 @@
 	})
 }
 
+// A leader that is passed a job must not go by its older copy until its next poll is answered.
+func TestLeaderGoesByOlderCopyThanTheEntry(t *testing.T) {
+	onCopy(t, func(t *testing.T, followed *OperatorState, store *standin.Store) {
+		o := NewOperatorState(followed.store, zap.NewNop(), time.Now, applyWithin, func() {})
+		store.Put("op", "config", map[string]any{"Version": 5})
+		o.CatchUp(t.Context(), 5)
+		require.EqualValues(t, 5, o.Config().Version)
+		before := store.CallCounts()["rows-get"]
+		o.CatchUp(t.Context(), 5)
+		require.Equal(t, before, store.CallCounts()["rows-get"])
+	})
+}
+
 // A faulty or older version must not replace the configuration in force, and the log must name the fault but no key.
 func TestInvalidConfigurationKeepsThePreviousOne(t *testing.T) {
 	core, logs := observer.New(zap.InfoLevel)
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -279,6 +279,7 @@
 			d.log.Info("relayed job not taken", zap.String("job", r.Id), zap.Error(err))
 			return leader.Result{}, false, nil // the daemon that relays the job may reach the store
 		}
+		d.operatorState.CatchUp(ctx, q.Version)
 		if l == nil {
 			return d.handoff.Submit(ctx, id, q, job), true, nil
 		}
