--- a/sched/availability.go
+++ b/sched/availability.go
@@ -22,10 +22,10 @@
 }
 
 // available reports whether one of the task's runs is known to be fully started and to stay. A run on a runner that
-// hasn't answered recently doesn't count: it may have ended since.
+// hasn't answered recently doesn't count: it may have ended since. Nor does one on a runner that drains: it ends soon.
 func (t *task) available(now time.Time) bool {
 	for _, run := range t.runs {
-		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter && !run.mayBeStopping() {
+		if run.phase == running && run.percent >= 100 && now.Sub(run.runner.polledAt) < silentAfter && !run.mayBeStopping() && !run.runner.Draining {
 			return true
 		}
 	}
--- a/sched/availability_test.go
+++ b/sched/availability_test.go
@@ -100,3 +100,62 @@
 	}
 	require.Len(t, stopped, 2, "the next may go")
 }
+
+// settle advances until no stop of an earlier leader can be in effect.
+func (f *fakePool) settle() {
+	for range 5 {
+		f.advance(tickInterval)
+	}
+}
+
+// setDraining sets whether a runner drains.
+func (f *fakePool) setDraining(id string, draining bool) {
+	f.runners[id].info.Draining = draining
+	f.pool.UpdateRunner(f.now, f.runners[id].info)
+}
+
+// A task on a runner that drains ends in any case and counts as away, so that an evacuation doesn't spend the allowance too.
+func TestEvacuationSpendsTheAllowanceBesideDrainingRunners(t *testing.T) {
+	f, id := takeOverLongRunning(t)
+	f.settle()
+	f.setDraining("r1", true)
+	f.pool.SetEvacuating("r0", true)
+	got := stops(f.advance(tickInterval))
+	require.Len(t, got, 1)
+	require.Equal(t, "r1", got[0].Runner)
+	for range 10 {
+		require.Empty(t, stops(f.advance(tickInterval)))
+	}
+	f.setDraining("r1", false) // there is room for the task on r0 again
+	f.setProgress(taskOf(id, 0, 1), 100, 0)
+	got = stops(f.advance(tickInterval))
+	require.Len(t, got, 1)
+	require.Equal(t, "r0", got[0].Runner)
+}
+
+// Orders to two runners may overtake each other: while the stop of an evacuated task is on its way, a task on a runner that
+// begins to drain stays there.
+func TestDrainingRunnersTaskIsMovedBeforeEvacuatedOneHasEnded(t *testing.T) {
+	f, _ := takeOverLongRunning(t)
+	f.settle()
+	f.pool.SetEvacuating("r0", true)
+	require.Len(t, stops(f.planCommitted(true)), 1)
+	f.setDraining("r1", true)
+	ordered := f.now
+	for f.now.Sub(ordered) < moveSettles {
+		for _, stop := range stops(f.planCommitted(true)) {
+			require.Equal(t, "r0", stop.Runner, "after %v", f.now.Sub(ordered))
+		}
+		f.now = f.now.Add(100 * time.Millisecond)
+		f.poll()
+	}
+	require.Contains(t, runnersOfStops(f.planCommitted(true)), "r1", "the stop is held up, and the runner leaves")
+}
+
+func runnersOfStops(orders []Order) []string {
+	var list []string
+	for _, stop := range stops(orders) {
+		list = append(list, stop.Runner)
+	}
+	return list
+}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -22,6 +22,9 @@
 	}
 }
 
+// moveSettles is the time after which the stop of a run that is to move has taken effect, or was held up.
+const moveSettles = time.Second
+
 // busyUtilization is the share of a pool's CPU in use above which the pool is busy.
 const busyUtilization = 0.7
 
@@ -85,19 +88,32 @@
 	if s := r.task.step; s.spec.LongRunning && s.spec.HasMaxUnavailable {
 		r.stopDetail = s.describeOthers(now, r.task)
 	}
+	r.movedAt = now
 	r.stop("its runner is to be emptied")
 }
 
+// moving reports whether a task of the step is being stopped to move from a runner that isn't draining. The allowance was spent
+// on it, and orders to other runners may overtake its stop.
+func (s *step) moving(now time.Time) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool {
+		return slices.ContainsFunc(t.runs, func(run *taskRun) bool {
+			return run.phase == stopping && !run.runner.Draining && now.Sub(run.movedAt) < moveSettles
+		})
+	})
+}
+
 // mayMove reports whether a run may be stopped to restart on another runner.
 func (p *Pool) mayMove(now time.Time, r *runner, run *taskRun) bool {
 	s := run.task.step
 	if !p.fitsElsewhere(now, run) || (s.spec.Gang && !s.spec.LongRunning) {
 		return false
 	}
-	// On a draining runner the task ends in any case; moving it early costs nothing more.
-	if r.Draining || !s.spec.LongRunning || !s.spec.HasMaxUnavailable {
+	if !s.spec.LongRunning || !s.spec.HasMaxUnavailable {
 		return true
 	}
+	if r.Draining { // the task ends in any case; moving it early costs nothing more
+		return !s.moving(now)
+	}
 	return s.countUnavailable(now, run.task) < s.spec.MaxUnavailable
 }
 
--- a/sched/job.go
+++ b/sched/job.go
@@ -121,7 +121,8 @@
 	pace            int       // percent of full speed; -1 if unknown
 	pacedAt         time.Time
 	stopReason      string
-	stopDetail      string // what was known of the step's other tasks, if their allowance decided
+	stopDetail      string    // what was known of the step's other tasks, if their allowance decided
+	movedAt         time.Time // when it was stopped to restart on another runner
 	stopSentAt      time.Time
 	stopAckedAt     time.Time // when a stop order was answered
 }
