--- a/cache/confirmation.go
+++ b/cache/confirmation.go
@@ -71,7 +71,7 @@
 	}
 	c := &o.confirmation
 	c.mu.Lock()
-	r, wait := o.join(o.now())
+	r, wait := o.joinReading(o.now())
 	c.mu.Unlock()
 	if wait > 0 {
 		r.await(ctx, wait)
@@ -99,11 +99,11 @@
 	if now.Sub(c.at) <= o.doubtfulAge() {
 		return nil, 0
 	}
-	return o.join(now)
+	return o.joinReading(now)
 }
 
-// join returns the read in progress or a new one, and for how long to wait for it. The caller holds the confirmation's mu.
-func (o *OperatorState) join(now time.Time) (*reading, time.Duration) {
+// joinReading returns the read in progress or a new one, and for how long to wait for it. The caller holds the confirmation's mu.
+func (o *OperatorState) joinReading(now time.Time) (*reading, time.Duration) {
 	c := &o.confirmation
 	if c.reading == nil {
 		isBack := c.silent && o.store.Answers() > c.answers
--- a/sched/availability_test.go
+++ b/sched/availability_test.go
@@ -142,7 +142,7 @@
 	require.Len(t, stops(f.planCommitted(true)), 1)
 	f.setDraining("r1", true)
 	ordered := f.now
-	for f.now.Sub(ordered) < moveSettles {
+	for f.now.Sub(ordered) < stopDelivery+f.pool.stopTime {
 		for _, stop := range stops(f.planCommitted(true)) {
 			require.Equal(t, "r0", stop.Runner, "after %v", f.now.Sub(ordered))
 		}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -22,8 +22,8 @@
 	}
 }
 
-// moveSettles is the time after which the stop of a run that is to move has taken effect, or was held up.
-const moveSettles = time.Second
+// stopDelivery is the time after which an order to stop a run has reached its runner, or was held up.
+const stopDelivery = 600 * time.Millisecond
 
 // busyUtilization is the share of a pool's CPU in use above which the pool is busy.
 const busyUtilization = 0.7
@@ -94,10 +94,10 @@
 
 // moving reports whether a task of the step is being stopped to move from a runner that isn't draining. The allowance was spent
 // on it, and orders to other runners may overtake its stop.
-func (s *step) moving(now time.Time) bool {
+func (p *Pool) moving(now time.Time, s *step) bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool {
 		return slices.ContainsFunc(t.runs, func(run *taskRun) bool {
-			return run.phase == stopping && !run.runner.Draining && now.Sub(run.movedAt) < moveSettles
+			return run.phase == stopping && !run.runner.Draining && now.Sub(run.movedAt) < stopDelivery+p.stopTime
 		})
 	})
 }
@@ -112,7 +112,7 @@
 		return true
 	}
 	if r.Draining { // the task ends in any case; moving it early costs nothing more
-		return !s.moving(now)
+		return !p.moving(now, s)
 	}
 	return s.countUnavailable(now, run.task) < s.spec.MaxUnavailable
 }
