--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -7,22 +7,28 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 )
 
-// specStep tells a runner what the tasks of a step do; a job's Spec has one for each step.
+// specStep tells a runner what the tasks of a step do, and says what the rules allow; a job's Spec has one for each step.
 type specStep struct {
-	Ms     int  `json:"ms"`
-	CPU    int  `json:"cpu"`
-	Mem    int  `json:"mem"`
-	Gang   int  `json:"gang,omitempty"`  // members
-	Saves  int  `json:"saves,omitempty"` // ms between two checkpoints
-	Lasts  bool `json:"lasts,omitempty"`
-	Fails  int  `json:"fails,omitempty"`  // runs of each task that fail first
-	Spread int  `json:"spread,omitempty"` // ms by which the longest task takes longer than the shortest
+	Count  int    `json:"count,omitempty"`
+	Ms     int    `json:"ms"`
+	Spread int    `json:"spread,omitempty"` // ms by which the longest task takes longer than the shortest
+	CPU    int    `json:"cpu"`
+	Mem    int    `json:"mem"`
+	Gang   int    `json:"gang,omitempty"` // members
+	Lasts  bool   `json:"lasts,omitempty"`
+	Fails  int    `json:"fails,omitempty"` // runs of each task that fail first
+	After  []int  `json:"after,omitempty"`
+	Label  string `json:"label,omitempty"`
+	Most   int    `json:"most,omitempty"` // MaxPerServer
+	Copies bool   `json:"copies,omitempty"`
+	Rack   bool   `json:"rack,omitempty"`
 }
 
 // duration returns how long a task works, by its number.
@@ -96,6 +102,7 @@
 	id         taskID
 	number     int
 	step       specStep
+	steps      []specStep
 	startedAt  time.Time
 	workSince  time.Time // when it began to work: a gang waits for its members
 	workLeft   time.Duration
@@ -343,7 +350,7 @@
 		return "room"
 	}
 	now := time.Now()
-	started := &run{task: o.Task, id: id, number: o.Run, step: step, startedAt: now, checkpoint: o.Checkpoint, workLeft: step.duration(id.index)}
+	started := &run{task: o.Task, id: id, number: o.Run, step: step, steps: steps, startedAt: now, checkpoint: o.Checkpoint, workLeft: step.duration(id.index)}
 	if step.Gang == 0 {
 		started.workSince = now
 	}
@@ -424,7 +431,10 @@
 	record *record
 	byTask map[string]*taskHistory
 	gangs  map[string]map[string]string // by gang run: how each member ended, or "" while it runs
-	broken []string                     // rules that were broken
+	alone  int                          // ends alone
+	// cancelled has the jobs whose cancelling was acknowledged, with the time of that.
+	cancelled map[string]time.Time
+	broken    []string // rules that were broken
 }
 
 // taskHistory is what has happened to a task.
@@ -436,12 +446,13 @@
 	done      bool
 	// startAfterDone describes a start after an end done that wasn't taken note of by then.
 	startAfterDone string
+	startNumber    int
 	lastRun        time.Time // when it last started or ended
 	job            string
 }
 
 func newTaskLog(rec *record) *taskLog {
-	return &taskLog{record: rec, byTask: map[string]*taskHistory{}, gangs: map[string]map[string]string{}}
+	return &taskLog{record: rec, byTask: map[string]*taskHistory{}, gangs: map[string]map[string]string{}, cancelled: map[string]time.Time{}}
 }
 
 func (l *taskLog) history(task string) *taskHistory {
@@ -463,15 +474,17 @@
 	defer l.mu.Unlock()
 	h := l.history(started.task)
 	l.record.log("run %s #%d starts on %s", started.task, started.number, r.id)
-	if h.running > 0 {
+	if h.running > 0 && !started.step.Copies {
 		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s starts on %s while it runs elsewhere", started.task, r.id))
 	}
-	if h.done && !h.doneNoted {
+	if h.done && !h.doneNoted && !started.step.Copies {
 		h.startAfterDone = fmt.Sprintf("%s #%d starts on %s after a run of it has ended done", started.task, started.number, r.id)
+		h.startNumber = started.number
 	}
-	if h.doneNoted {
+	if h.doneNoted && !started.step.Copies {
 		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s starts on %s after its end was taken note of", started.task, r.id))
 	}
+	l.checkStart(r, started)
 	h.running++
 	h.starts++
 	h.lastRun = time.Now()
@@ -484,6 +497,43 @@
 	}
 }
 
+// checkStart checks the rules ORDER, ROUTE and BUDGET at a start; the caller holds l.mu and r.mu.
+func (l *taskLog) checkStart(r *runner, started *run) {
+	for _, before := range started.step.After {
+		count := started.steps[before].Count
+		gang := started.steps[before].Gang > 0
+		done := 0
+		for i := range count {
+			if h := l.byTask[fmt.Sprintf("%s.%d.%d.%d", started.id.job, started.id.turn, before, i)]; h != nil && h.done {
+				done++
+			}
+		}
+		if done < count && !(gang && done > 0) {
+			l.broken = append(l.broken, fmt.Sprintf("ORDER: %s starts, %d of %d tasks of step %d are done", started.task, done, count, before))
+		}
+	}
+	if label := started.step.Label; label != "" && !slices.Contains(r.labels, label) {
+		l.broken = append(l.broken, fmt.Sprintf("ROUTE: %s starts on %s without the label %s", started.task, r.id, label))
+	}
+	if started.step.Most > 0 {
+		n := 0
+		for _, run := range r.runs {
+			if run != started && run.id.job == started.id.job && run.id.turn == started.id.turn && run.id.step == started.id.step {
+				n++
+			}
+		}
+		if n >= started.step.Most {
+			l.broken = append(l.broken, fmt.Sprintf("ROUTE: %s starts on %s beside %d others of its step", started.task, r.id, n))
+		}
+	}
+	if h := l.history(started.task); started.step.Gang == 0 && h.failed >= maxAttempts && !started.step.Lasts {
+		l.broken = append(l.broken, fmt.Sprintf("BUDGET: %s starts after %d ends as failed", started.task, h.failed))
+	}
+	if at, ok := l.cancelled[started.id.job]; ok && time.Since(at) > cancelMs*time.Millisecond {
+		l.broken = append(l.broken, fmt.Sprintf("UNASKED: %s starts %.1f s after its job's cancelling was acknowledged", started.task, time.Since(at).Seconds()))
+	}
+}
+
 func (l *taskLog) ended(r *runner, ended *run, how string, number int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -497,6 +547,10 @@
 	if ended.step.Gang > 0 {
 		l.gangs[gangName(ended)][ended.task] = how
 	}
+	if _, ok := l.cancelled[ended.id.job]; how == "alone" && !ok {
+		l.alone++
+		l.record.log("ALONE %s", ended.task)
+	}
 	l.record.log("run %s #%d ends on %s: %s (end %d)", ended.task, ended.number, r.id, how, number)
 }
 
@@ -519,7 +573,7 @@
 	}
 	h := l.history(end.run.task)
 	h.doneNoted = true
-	if h.startAfterDone != "" {
+	if h.startAfterDone != "" && end.run.number < h.startNumber {
 		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s; that end, %d of %s, has been taken note of since", h.startAfterDone, end.number, r.id))
 		h.startAfterDone = ""
 	}
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -28,6 +28,8 @@
 	stopMs      = 200
 	gangMs      = 3000
 	finishS     = 14
+	cancelMs    = 3000
+	memoryMb    = 284
 	maxAttempts = 3
 	maxEnds     = 500 // that a runner returns at a time
 )
@@ -175,7 +177,7 @@
 	settings := map[string]any{
 		"instance": name, "centre": zone, "region": "r1", "store": s.storeAt.String(), "machines": s.cloudAt.String(),
 		"listen": map[string]any{"callers": ports[0].String(), "ready": ports[1].String(), "peers": ports[2].String()},
-		"weight": 0.4, "memory": 284,
+		"weight": 0.4, "memory": memoryMb,
 		"bounds": map[string]any{
 			"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
 			"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 2,
