--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -43,6 +43,11 @@
 func (c *clients) call(method string, d *daemonProcess, path string, body []byte) (int, []byte) {
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
+	return c.callWithin(ctx, method, d, path, body)
+}
+
+// callWithin is call for a client that leaves when ctx ends.
+func (c *clients) callWithin(ctx context.Context, method string, d *daemonProcess, path string, body []byte) (int, []byte) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+d.callers.String()+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -89,3 +89,20 @@
 	text, _ := json.Marshal(body)
 	return &clientJob{id: id, service: service, body: text, tasks: steps * count * turns}
 }
+
+// chainJob returns a job with the given steps.
+func chainJob(id, service string, steps []specStep) *clientJob {
+	spec, _ := json.Marshal(steps)
+	var wire []map[string]any
+	tasks := 0
+	for _, step := range steps {
+		entry := map[string]any{"Count": step.Count, "Cpu": step.CPU, "MemMb": step.Mem, "EstimateMs": step.Ms}
+		if len(step.After) > 0 {
+			entry["After"] = step.After
+		}
+		wire = append(wire, entry)
+		tasks += step.Count
+	}
+	body, _ := json.Marshal(map[string]any{"Spec": string(spec), "JobSteps": wire})
+	return &clientJob{id: id, service: service, body: body, tasks: tasks}
+}
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -433,8 +433,9 @@
 	gangs  map[string]map[string]string // by gang run: how each member ended, or "" while it runs
 	alone  int                          // ends alone
 	// cancelled has the jobs whose cancelling was acknowledged, with the time of that.
-	cancelled map[string]time.Time
-	broken    []string // rules that were broken
+	cancelled   map[string]time.Time
+	inTouchFrom time.Time // ContactMs after the end of the disruption; rules for machines in touch hold from then on
+	broken      []string  // rules that were broken
 }
 
 // taskHistory is what has happened to a task.
@@ -497,6 +498,20 @@
 	}
 }
 
+// cancelAcknowledged records that a client was told that its job is cancelled, or that there is none.
+func (l *taskLog) cancelAcknowledged(job string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cancelled[job] = time.Now()
+}
+
+// calmSince records that a disruption has ended at a time.
+func (l *taskLog) calmSince(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.inTouchFrom = at.Add(contactMs * time.Millisecond)
+}
+
 // checkStart checks the rules ORDER, ROUTE and BUDGET at a start; the caller holds l.mu and r.mu.
 func (l *taskLog) checkStart(r *runner, started *run) {
 	for _, before := range started.step.After {
@@ -529,7 +544,7 @@
 	if h := l.history(started.task); started.step.Gang == 0 && h.failed >= maxAttempts && !started.step.Lasts {
 		l.broken = append(l.broken, fmt.Sprintf("BUDGET: %s starts after %d ends as failed", started.task, h.failed))
 	}
-	if at, ok := l.cancelled[started.id.job]; ok && time.Since(at) > cancelMs*time.Millisecond {
+	if at, ok := l.cancelled[started.id.job]; ok && time.Since(at) > cancelMs*time.Millisecond && time.Now().After(l.inTouchFrom) {
 		l.broken = append(l.broken, fmt.Sprintf("UNASKED: %s starts %.1f s after its job's cancelling was acknowledged", started.task, time.Since(at).Seconds()))
 	}
 }
--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -29,6 +29,7 @@
 	gangMs      = 3000
 	finishS     = 14
 	cancelMs    = 3000
+	contactMs   = 3000
 	memoryMb    = 284
 	maxAttempts = 3
 	maxEnds     = 500 // that a runner returns at a time
