--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -476,14 +476,14 @@
 	h := l.history(started.task)
 	l.record.log("run %s #%d starts on %s", started.task, started.number, r.id)
 	if h.running > 0 && !started.step.Copies {
-		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s starts on %s while it runs elsewhere", started.task, r.id))
+		l.breaks(fmt.Sprintf("TWICE: %s starts on %s while it runs elsewhere", started.task, r.id))
 	}
 	if h.done && !h.doneNoted && !started.step.Copies {
 		h.startAfterDone = fmt.Sprintf("%s #%d starts on %s after a run of it has ended done", started.task, started.number, r.id)
 		h.startNumber = started.number
 	}
 	if h.doneNoted && !started.step.Copies {
-		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s starts on %s after its end was taken note of", started.task, r.id))
+		l.breaks(fmt.Sprintf("TWICE: %s starts on %s after its end was taken note of", started.task, r.id))
 	}
 	l.checkStart(r, started)
 	h.running++
@@ -498,6 +498,12 @@
 	}
 }
 
+// breaks records that a rule was broken; the caller holds l.mu.
+func (l *taskLog) breaks(line string) {
+	l.broken = append(l.broken, line)
+	l.record.log("BROKEN %s", line)
+}
+
 // cancelAcknowledged records that a client was told that its job is cancelled, or that there is none.
 func (l *taskLog) cancelAcknowledged(job string) {
 	l.mu.Lock()
@@ -524,11 +530,11 @@
 			}
 		}
 		if done < count && !(gang && done > 0) {
-			l.broken = append(l.broken, fmt.Sprintf("ORDER: %s starts, %d of %d tasks of step %d are done", started.task, done, count, before))
+			l.breaks(fmt.Sprintf("ORDER: %s starts, %d of %d tasks of step %d are done", started.task, done, count, before))
 		}
 	}
 	if label := started.step.Label; label != "" && !slices.Contains(r.labels, label) {
-		l.broken = append(l.broken, fmt.Sprintf("ROUTE: %s starts on %s without the label %s", started.task, r.id, label))
+		l.breaks(fmt.Sprintf("ROUTE: %s starts on %s without the label %s", started.task, r.id, label))
 	}
 	if started.step.Most > 0 {
 		n := 0
@@ -538,14 +544,14 @@
 			}
 		}
 		if n >= started.step.Most {
-			l.broken = append(l.broken, fmt.Sprintf("ROUTE: %s starts on %s beside %d others of its step", started.task, r.id, n))
+			l.breaks(fmt.Sprintf("ROUTE: %s starts on %s beside %d others of its step", started.task, r.id, n))
 		}
 	}
 	if h := l.history(started.task); started.step.Gang == 0 && h.failed >= maxAttempts && !started.step.Lasts {
-		l.broken = append(l.broken, fmt.Sprintf("BUDGET: %s starts after %d ends as failed", started.task, h.failed))
+		l.breaks(fmt.Sprintf("BUDGET: %s starts after %d ends as failed", started.task, h.failed))
 	}
 	if at, ok := l.cancelled[started.id.job]; ok && time.Since(at) > cancelMs*time.Millisecond && time.Now().After(l.inTouchFrom) {
-		l.broken = append(l.broken, fmt.Sprintf("UNASKED: %s starts %.1f s after its job's cancelling was acknowledged", started.task, time.Since(at).Seconds()))
+		l.breaks(fmt.Sprintf("UNASKED: %s starts %.1f s after its job's cancelling was acknowledged", started.task, time.Since(at).Seconds()))
 	}
 }
 
@@ -589,7 +595,7 @@
 	h := l.history(end.run.task)
 	h.doneNoted = true
 	if h.startAfterDone != "" && end.run.number < h.startNumber {
-		l.broken = append(l.broken, fmt.Sprintf("TWICE: %s; that end, %d of %s, has been taken note of since", h.startAfterDone, end.number, r.id))
+		l.breaks(fmt.Sprintf("TWICE: %s; that end, %d of %s, has been taken note of since", h.startAfterDone, end.number, r.id))
 		h.startAfterDone = ""
 	}
 }
