--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -94,13 +95,19 @@
 	return l, netip.MustParseAddrPort(l.Addr().String()), nil
 }
 
-// freePort returns a loopback address whose port is free now.
+// freePort returns a loopback address whose port is free now. It lies below the ports that the system gives to clients, so that
+// no client takes it before it is used.
 func freePort() (netip.AddrPort, error) {
-	l, at, err := listen()
-	if err != nil {
-		return at, err
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20_000+rand.IntN(12_000)))
+		if errors.Is(err, syscall.EADDRINUSE) {
+			continue
+		}
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		return netip.MustParseAddrPort(l.Addr().String()), l.Close()
 	}
-	return at, l.Close()
 }
 
 // newSite starts the store and the service for machines.
