--- a/review/stand/standing.go
+++ b/review/stand/standing.go
@@ -12,17 +12,17 @@
 
 func init() { cases["standing"] = standing }
 
-// standing: eight standing jobs are handed in, one every two seconds, each due every minute for five weeks (RepeatCount 50,000) from
-// an hour from now on, with two steps of one task. Other clients hand in a job of one task every half second. The platform
-// ends a process that takes more than MemoryMb and starts it again a second later. Without the trouble the jobs run 50 times.
+// standing: forty standing jobs are handed in, one every 500 ms, each due every minute for a week (RepeatCount 10,080) from an hour
+// from now on, with two steps of one task. Other clients hand in a job of one task every half second. The platform ends a
+// process that takes more than MemoryMb and starts it again a second later. Without the trouble the jobs are due for an hour.
 func standing(s *site, trouble bool) int {
 	if err := smallSite(s, 4, 16); err != nil {
 		s.record.say("%v", err)
 		return exitNotRun
 	}
-	turns := 50
+	turns := 60
 	if trouble {
-		turns = 50_000
+		turns = 10_080
 	}
 	stop := make(chan struct{})
 	defer close(stop)
@@ -35,7 +35,7 @@
 	var waiting []*clientJob
 	trafficEnds := time.Now().Add(45 * time.Second)
 	for n := 0; time.Now().Before(trafficEnds); n++ {
-		if n%4 == 0 && len(waiting) < 8 {
+		if len(waiting) < 40 {
 			extra := map[string]any{"RepeatCount": turns, "StartAtMs": first, "IntervalMs": 60_000}
 			job := newJob(fmt.Sprintf("%016x", 0xbb00+n), "alerts", 2, 1, specStep{Ms: 500, CPU: 100, Mem: 64}, extra)
 			waiting = append(waiting, job)
