--- a/review/stand/site.go
+++ b/review/stand/site.go
@@ -22,9 +22,9 @@
 	"gypsumlead/standin"
 )
 
-// Bounds of the deployment, those of ptscna-sched.
+// Bounds of the deployment, those of tvl-refill.
 const (
-	maxHoldMs   = 6000
+	maxHoldMs   = 10_000
 	heartbeatMs = 1500
 	stopMs      = 200
 	gangMs      = 3000
@@ -187,8 +187,8 @@
 		"listen": map[string]any{"callers": ports[0].String(), "ready": ports[1].String(), "peers": ports[2].String()},
 		"weight": 0.4, "memory": memoryMb,
 		"bounds": map[string]any{
-			"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
-			"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 2,
+			"hold": "10000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
+			"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 3,
 		},
 	}
 	text, err := json.MarshalIndent(settings, "", "  ")
