--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -342,14 +342,8 @@
 
 // running returns the tasks of a job that run, with their runners.
 func (s *scene) running(job string) map[string]*runner {
-	s.mu.Lock()
-	var all []*runner
-	for _, r := range s.runners {
-		all = append(all, r)
-	}
-	s.mu.Unlock()
 	found := map[string]*runner{}
-	for _, r := range all {
+	for _, r := range s.allRunners() {
 		r.mu.Lock()
 		for task := range r.runs {
 			if strings.HasPrefix(task, job+".") {
--- a/review/stand2/scene.go
+++ b/review/stand2/scene.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -117,15 +119,20 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	list := []map[string]any{}
-	for _, r := range s.runners {
+	for _, r := range s.allRunners() {
 		list = append(list, r.machineEntry())
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"Machines": list, "NextToken": nil})
 }
 
+// allRunners returns the runners in no order.
+func (s *scene) allRunners() []*runner {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.runners))
+}
+
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	b, err := json.Marshal(body)
 	if err != nil {
