--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,6 +28,7 @@
 	"crash":  playCrash,
 	"advice": playAdvice,
 	"gang":   playGang,
+	"moved":  playMoved,
 	"memory": playMemory,
 }
 
--- a/review/stand2/scene.go
+++ b/review/stand2/scene.go
@@ -46,6 +46,7 @@
 
 	store     *standin.Store
 	gate      *gate
+	version   int // of the configuration
 	storeAddr string
 	cloudAddr string
 	adviser   *adviser
@@ -157,7 +158,7 @@
 	var list []map[string]any
 	for _, r := range routes {
 		entry := map[string]any{
-			"Name": "q" + strings.Trim(r.prefix, "/"), "Host": host, "Prefix": r.prefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "SloMs": 600,
+			"Name": "q" + strings.Trim(r.prefix, "/") + "-" + r.service, "Host": host, "Prefix": r.prefix, "Kind": "non_idempotent", "TimeoutMs": 3000, "SloMs": 600,
 			"Priority": 0, "Service": r.service, "MaxAttempts": 3, "SlackFactor": 1.6,
 		}
 		if r.advice != nil {
@@ -170,7 +171,7 @@
 		}
 	}
 	s.store.Put("op", "config", map[string]any{
-		"Version": 7, "Routes": wire, "Services": list,
+		"Version": 7 + 3*s.version, "Routes": wire, "Services": list,
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 }
