--- a/review/stand2/advice_case.go
+++ b/review/stand2/advice_case.go
@@ -145,16 +145,17 @@
 	for _, d := range s.daemons {
 		s.note("%s takes %d MB", d.name, d.residentMB())
 	}
-	time.Sleep(30 * time.Second)
-	answered := 0
+	time.Sleep(12 * time.Second)
+	var accepted []string
 	for n := range 10 {
-		status, _ := s.daemons[n%3].call(http.MethodPost, "/jobs/"+jobID(100+n), map[string]any{"Spec": "cpu=1000 ms=200", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 200}}}, 3*time.Second)
-		s.note("POST %s: %d", jobID(100+n), status)
-		if status == http.StatusOK {
-			answered++
+		id := jobID(100 + n)
+		if s.submit("/jobs/"+id, map[string]any{"Spec": "cpu=1000 ms=200", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 200}}}) {
+			s.note("POST %s: 200", id)
+			accepted = append(accepted, id)
 		}
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(14 * time.Second) // finish_s, without traffic
+	lost := s.unfinished(accepted, 3*time.Second)
 	ended, often := []string{}, 0
 	for _, d := range s.daemons {
 		d.mu.Lock()
@@ -164,9 +165,40 @@
 		}
 		d.mu.Unlock()
 	}
-	s.note("%s; %d of 10 ordinary jobs accepted", strings.Join(ended, ", "), answered)
+	s.note("%s; %d of 10 ordinary jobs accepted", strings.Join(ended, ", "), len(accepted))
+	var broken []string
+	if len(lost) > 0 {
+		broken = append(broken, fmt.Sprintf("LOST: of %d ordinary jobs that were accepted, these have nothing running or get no answer: %s", len(accepted), strings.Join(lost, " ")))
+	}
 	if often >= 2 {
-		return []string{"Fault: " + strings.Join(ended, ", ")}, nil
+		broken = append(broken, "Fault: "+strings.Join(ended, ", "))
+	}
+	return broken, nil
+}
+
+// unfinished returns the jobs that are shown as queued or running, or get no answer, and of which nothing runs for a time.
+func (s *scene) unfinished(jobs []string, during time.Duration) []string {
+	ran := map[string]bool{}
+	for until := time.Now().Add(during); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		for _, id := range jobs {
+			ran[id] = ran[id] || len(s.running(id)) > 0
+		}
+	}
+	var lost []string
+	for _, id := range jobs {
+		state := "no answer"
+		for i := range 5 {
+			status, body := s.daemons[i%len(s.daemons)].call(http.MethodGet, "/jobs/"+id, nil, 3*time.Second)
+			if status == http.StatusOK {
+				state = body
+				break
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		s.note("GET %s: %s; has run in the last %v: %v", id, state, during, ran[id])
+		if !ran[id] && !strings.Contains(state, "completed") {
+			lost = append(lost, id)
+		}
 	}
-	return nil, nil
+	return lost
 }
