--- a/review/stand2/advice_case.go
+++ b/review/stand2/advice_case.go
@@ -121,7 +121,7 @@
 	go func() {
 		for range time.Tick(50 * time.Millisecond) {
 			for _, d := range s.daemons {
-				if mb := d.residentMB(); mb > memoryMB {
+				if mb := d.residentMB(); mb > d.memoryMB() {
 					s.note("%s takes %d MB: killed", d.name, mb)
 					d.kill()
 					time.Sleep(50 * time.Millisecond)
--- a/review/stand2/caps_case.go
+++ b/review/stand2/caps_case.go
@@ -9,28 +9,20 @@
 	"time"
 )
 
-// useTenants makes the scene that of a small deployment with tenants: sembada-ho-grown's bounds, and a tenant with a cap.
-func (s *scene) useTenants() {
-	s.key = "k-1"
-	s.tenants = []any{map[string]any{"Name": "t-1", "ApiKeys": []string{s.key}, "Weight": 50, "Cap": map[string]any{"Cpu": 40_000, "MemMb": 0, "Gpus": 0}}}
-	s.weights = []float64{0.4, 0.8}
-	for bound, value := range map[string]string{
-		"hold": "10000ms", "apply": "3000ms", "contact": "4000ms", "drain": "3000ms", "cancel": "4000ms", "revoke": "5000ms", "window": "5s",
-	} {
-		s.bounds[bound] = value
-	}
-}
-
 // playCaps: one of two daemons is killed and started again, while the store is down for 1.3 s. Jobs that are handed in later, without
 // any disruption, must run: the pools are idle and the tenant is below its cap.
 func playCaps(s *scene) ([]string, error) {
-	s.useTenants()
-	s.standby = "a-spare"
-	s.configure(route{prefix: "/one/", service: "b-one"}, route{prefix: "/two/", service: "c-two"})
+	s.setCap(40_000)
+	s.weights = []float64{smallWeight, 0.8}
+	s.standby = "kantor-pusat"
+	s.configure(
+		route{prefix: "/one/", service: "korporat"}, route{prefix: "/two/", service: "tarif"},
+		route{prefix: "/three/", service: "loket"}, route{prefix: "/four/", service: "pesanan"},
+	)
 	for i := range 8 {
-		service := "b-one"
+		service := "korporat"
 		if i >= 4 {
-			service = "c-two"
+			service = "tarif"
 		}
 		if _, err := s.addRunner(fmt.Sprintf("i-%d", i), service, 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
--- a/review/stand2/scene.go
+++ b/review/stand2/scene.go
@@ -25,13 +25,13 @@
 	"gypsumlead/standin"
 )
 
-// Figures of the small deployments (SYSTEM.md, bounds of ptscna-sched).
+// Figures of the small deployments (demands/LATER.md, sembada-ho-grown).
 const (
 	heartbeat    = 1500 * time.Millisecond
-	maxHold      = 6 * time.Second
+	maxHold      = 10 * time.Second
 	stopTimeout  = 200 * time.Millisecond
-	cancelTime   = 3 * time.Second
-	memoryMB     = 284
+	cancelTime   = 4 * time.Second
+	smallWeight  = 0.192
 	restartDelay = 200 * time.Millisecond // of a process that has ended
 	host         = "jobs.example"
 )
@@ -71,10 +71,12 @@
 		return nil, err
 	}
 	s := &scene{trouble: trouble, program: program, dir: dir, begun: time.Now(), record: f, runners: map[string]*runner{}}
-	s.weights = []float64{0.4}
+	s.weights = []float64{smallWeight}
+	s.key = "k-1"
+	s.setCap(0)
 	s.bounds = map[string]string{
-		"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms", "contact": "3000ms",
-		"drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s",
+		"hold": "10000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "3000ms", "contact": "4000ms",
+		"drain": "3000ms", "cancel": "4000ms", "status": "120s", "grace": "6s", "revoke": "5000ms", "window": "5s",
 	}
 	s.store = standin.NewStore(rand.New(rand.NewPCG(1, 2)))
 	s.gate = &gate{next: s.store}
@@ -204,6 +206,7 @@
 	scene    *scene
 	name     string
 	settings string
+	weight   float64
 	front    string
 	ready    string
 	mu       sync.Mutex
@@ -215,7 +218,7 @@
 // startDaemons starts n daemons with settings as deploy/settings.json.tmpl gives them.
 func (s *scene) startDaemons(n int) error {
 	for i := range n {
-		d := &daemon{scene: s, name: fmt.Sprintf("front-a-%d", i+1)}
+		d := &daemon{scene: s, name: fmt.Sprintf("front-a-%d", i+1), weight: s.weights[i%len(s.weights)]}
 		var addrs [3]string
 		for k := range addrs {
 			a, err := freeAddr()
@@ -225,13 +228,13 @@
 			addrs[k] = a
 		}
 		d.front, d.ready = addrs[0], addrs[1]
-		bounds := map[string]any{"orders": 64.0, "remote": 2}
+		bounds := map[string]any{"orders": 64.0, "remote": 3}
 		for bound, value := range s.bounds {
 			bounds[bound] = value
 		}
 		settings := map[string]any{
 			"instance": d.name, "centre": "zone-" + string(rune('a'+i%3)), "region": "r", "store": s.storeAddr, "machines": s.cloudAddr,
-			"listen": map[string]any{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2]}, "weight": s.weights[i%len(s.weights)], "memory": memoryMB,
+			"listen": map[string]any{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2]}, "weight": d.weight, "memory": d.memoryMB(),
 			"bounds": bounds,
 		}
 		if s.adviser != nil {
@@ -311,6 +314,19 @@
 	}
 }
 
+// memoryMB is MemoryMb of the site's machines of this size.
+func (d *daemon) memoryMB() int {
+	if d.weight == smallWeight {
+		return 184
+	}
+	return 536
+}
+
+// setCap sets the tenant of all callers, with a cap in thousandths of a core; 0 is none.
+func (s *scene) setCap(cpu int) {
+	s.tenants = []any{map[string]any{"Name": "t-1", "ApiKeys": []string{s.key}, "Weight": 50, "Cap": map[string]any{"Cpu": cpu, "MemMb": 0, "Gpus": 0}}}
+}
+
 // kill sends SIGKILL, as the platform does to a process that exceeds its memory.
 func (d *daemon) kill() {
 	d.mu.Lock()
