--- /dev/null
+++ b/review/stand2/advice_case.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// playAdvice: wide jobs come at once on a queue that needs approvals. The service for approvals answers each call after the time
+// that the pages state. Each accepted job must have something running at the end, as the pool is idle.
+func playAdvice(s *scene) ([]string, error) {
+	if err := s.addAdviser(200*time.Millisecond, 50*time.Millisecond, 3*time.Second, func(string, string) bool { return true }); err != nil {
+		return nil, err
+	}
+	s.configure(route{prefix: "/work/", service: "desk", advice: s.adviser.terms()})
+	for i := range 40 {
+		if _, err := s.addRunner(fmt.Sprintf("i-%02d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.startDaemons(3); err != nil {
+		return nil, err
+	}
+	job := func(count int) map[string]any {
+		return map[string]any{"Spec": "cpu=1000 ms=1000", "JobSteps": []any{map[string]any{"Count": count, "Cpu": 1000, "MemMb": 512, "EstimateMs": 1000}}}
+	}
+	ids := []string{}
+	for n := range 4 {
+		if !s.submit("/work/"+jobID(n), job(6)) {
+			return nil, fmt.Errorf("a job was not accepted")
+		}
+		ids = append(ids, jobID(n))
+		time.Sleep(2 * time.Second)
+	}
+	if s.trouble {
+		for n := 10; n < 13; n++ {
+			if !s.submit("/work/"+jobID(n), job(24)) {
+				return nil, fmt.Errorf("a wide job was not accepted")
+			}
+			s.note("POST %s, 24 tasks: 200", jobID(n))
+			ids = append(ids, jobID(n))
+		}
+	}
+	time.Sleep(20 * time.Second) // more than finish_s, without traffic
+	var broken []string
+	for _, id := range ids {
+		status, body := s.daemons[0].call(http.MethodGet, "/work/"+id, nil, 3*time.Second)
+		s.note("GET %s: %d %s", id, status, body)
+		if strings.Contains(body, "queued") && len(s.running(id)) == 0 {
+			broken = append(broken, "LOST: "+id+" has nothing running 20 s after the last job came, though all runners are free and approved")
+		}
+	}
+	return broken, nil
+}
+
+// playMemory: timed jobs with many occurrences come at once. The platform kills a process that exceeds its memory.
+func playMemory(s *scene) ([]string, error) {
+	s.configure(route{prefix: "/work/", service: "desk"})
+	for i := range 8 {
+		if _, err := s.addRunner(fmt.Sprintf("i-%d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
+			return nil, err
+		}
+	}
+	if err := s.startDaemons(3); err != nil {
+		return nil, err
+	}
+	go func() {
+		for range time.Tick(50 * time.Millisecond) {
+			for _, d := range s.daemons {
+				if mb := d.residentMB(); mb > memoryMB {
+					s.note("%s takes %d MB: killed", d.name, mb)
+					d.kill()
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		}
+	}()
+	turns := 6
+	if s.trouble {
+		turns = 100_000
+	}
+	for n := range 6 {
+		job := map[string]any{
+			"Spec": "cpu=1000 ms=1000", "RepeatCount": turns, "StartAtMs": time.Now().Add(time.Minute).UnixMilli(), "IntervalMs": 60_000,
+			"JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 1000}},
+		}
+		status, _ := s.daemons[n%3].call(http.MethodPost, "/work/"+jobID(n), job, 3*time.Second)
+		s.note("POST %s, %d times: %d", jobID(n), turns, status)
+		time.Sleep(500 * time.Millisecond)
+		for _, d := range s.daemons {
+			s.note("%s takes %d MB", d.name, d.residentMB())
+		}
+	}
+	time.Sleep(30 * time.Second)
+	answered := 0
+	for n := range 10 {
+		status, _ := s.daemons[n%3].call(http.MethodPost, "/work/"+jobID(100+n), map[string]any{"Spec": "cpu=1000 ms=200", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 200}}}, 3*time.Second)
+		s.note("POST %s: %d", jobID(100+n), status)
+		if status == http.StatusOK {
+			answered++
+		}
+	}
+	time.Sleep(5 * time.Second)
+	ended, often := []string{}, 0
+	for _, d := range s.daemons {
+		d.mu.Lock()
+		ended = append(ended, fmt.Sprintf("%s ended %d times", d.name, d.ends))
+		if d.ends >= 3 {
+			often++
+		}
+		d.mu.Unlock()
+	}
+	s.note("%s; %d of 10 ordinary jobs accepted", strings.Join(ended, ", "), answered)
+	if often >= 2 {
+		return []string{"Fault: " + strings.Join(ended, ", ")}, nil
+	}
+	return nil, nil
+}
