--- a/review/stand2/advice_case.go
+++ b/review/stand2/advice_case.go
@@ -54,6 +54,57 @@
 	return broken, nil
 }
 
+// playGang: two of 40 runners are lost for good. A gang of eight that needs a runner each is handed in on a queue that needs
+// approvals; 18 of the runners that are left are free and would be approved.
+func playGang(s *scene) ([]string, error) {
+	allowed := func(_, id string) bool { return id <= "i-08" || (id >= "i-25" && id <= "i-35") }
+	if err := s.addAdviser(50*time.Millisecond, 3*time.Millisecond, 3*time.Second, allowed); err != nil {
+		return nil, err
+	}
+	s.configure(route{prefix: "/work/", service: "desk", advice: s.adviser.terms()})
+	var runners []*runner
+	for i := range 40 {
+		r, err := s.addRunner(fmt.Sprintf("i-%02d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4))
+		if err != nil {
+			return nil, err
+		}
+		runners = append(runners, r)
+	}
+	if err := s.startDaemons(3); err != nil {
+		return nil, err
+	}
+	gang := map[string]any{"Spec": "cpu=8000 ms=1000 gang=8", "JobSteps": []any{map[string]any{"Count": 8, "Cpu": 8000, "MemMb": 512, "EstimateMs": 1000, "Gang": true}}}
+	if !s.submit("/work/"+jobID(0), gang) {
+		return nil, fmt.Errorf("the first job was not accepted")
+	}
+	time.Sleep(6 * time.Second)
+	if _, body := s.daemons[0].call(http.MethodGet, "/work/"+jobID(0), nil, 3*time.Second); !strings.Contains(body, "completed") {
+		return nil, fmt.Errorf("the first gang did not run: %s", body)
+	}
+	if s.trouble {
+		runners[0].crash()
+		runners[1].crash()
+	}
+	time.Sleep(8 * time.Second) // their entries are gone and the rest is in touch
+	if !s.submit("/work/"+jobID(1), gang) {
+		return nil, fmt.Errorf("the second job was not accepted")
+	}
+	free := 0
+	for _, r := range runners {
+		if r.up && allowed("", r.id) {
+			free++
+		}
+	}
+	for until := time.Now().Add(25 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
+		status, body := s.daemons[0].call(http.MethodGet, "/work/"+jobID(1), nil, 3*time.Second)
+		s.note("GET %s: %d %s; %d of its tasks run", jobID(1), status, body, len(s.running(jobID(1))))
+		if strings.Contains(body, "completed") {
+			return nil, nil
+		}
+	}
+	return []string{fmt.Sprintf("LOST: %s has nothing running for 25 s, though %d runners are free and would be approved, and it needs 8", jobID(1), free)}, nil
+}
+
 // playMemory: timed jobs with many occurrences come at once. The platform kills a process that exceeds its memory.
 func playMemory(s *scene) ([]string, error) {
 	s.configure(route{prefix: "/work/", service: "desk"})
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,6 +27,7 @@
 	"cancel": playCancel,
 	"crash":  playCrash,
 	"advice": playAdvice,
+	"gang":   playGang,
 	"memory": playMemory,
 }
 
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -132,10 +132,20 @@
 	return map[string]any{"Machine": r.machine, "Pool": r.service, "State": state, "Zone": "zone-a", "Labels": r.labels, "Capacity": r.capacity(), "Id": r.id}
 }
 
-// beat writes the entry every heartbeat.
+// beat writes the entry every heartbeat. The entry of a runner that has been silent for three is removed.
 func (r *runner) beat() {
+	silent := 0
 	for range time.Tick(heartbeat) {
-		r.register()
+		r.mu.Lock()
+		up := r.up
+		r.mu.Unlock()
+		if up {
+			silent = 0
+			r.register()
+		} else if silent++; silent == 3 {
+			r.scene.store.Remove("servers", r.id)
+			r.scene.note("the entry of %s is removed", r.id)
+		}
 	}
 }
 
