--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the cases 6 to 10; the build of deploy/system.toml comes first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -ldflags=-linkmode=external -o target/ ./review/stand2
+go build -tags review -ldflags=-linkmode=external -o target/ ./review/stand2
--- a/review/stand2/advice_case.go
+++ b/review/stand2/advice_case.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -129,19 +131,19 @@
 	}()
 	turns := 6
 	if s.trouble {
-		turns = 100_000
+		turns = 10_080 // a week
 	}
-	for n := range 6 {
+	for n := range 64 {
 		job := map[string]any{
-			"Spec": "cpu=1000 ms=1000", "RepeatCount": turns, "StartAtMs": time.Now().Add(time.Minute).UnixMilli(), "IntervalMs": 60_000,
+			"Spec": "cpu=1000 ms=1000", "RepeatCount": turns, "StartAtMs": time.Now().Add(time.Hour).UnixMilli(), "IntervalMs": 60_000,
 			"JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 1000}},
 		}
 		status, _ := s.daemons[n%3].call(http.MethodPost, "/work/"+jobID(n), job, 3*time.Second)
 		s.note("POST %s, %d times: %d", jobID(n), turns, status)
-		time.Sleep(500 * time.Millisecond)
-		for _, d := range s.daemons {
-			s.note("%s takes %d MB", d.name, d.residentMB())
-		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	for _, d := range s.daemons {
+		s.note("%s takes %d MB", d.name, d.residentMB())
 	}
 	time.Sleep(30 * time.Second)
 	answered := 0
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command stand2 plays the cases of the second review: it starts daemons of this repository as separate processes on loopback
 // addresses, with stand-ins of the platform, the runners and the callers in its own process, and judges what these see.
 //
@@ -27,6 +29,7 @@
 	"cancel": playCancel,
 	"crash":  playCrash,
 	"advice": playAdvice,
+	"caps":   playCaps,
 	"gang":   playGang,
 	"moved":  playMoved,
 	"memory": playMemory,
--- a/review/stand2/scene.go
+++ b/review/stand2/scene.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -16,6 +18,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -24,12 +27,13 @@
 
 // Figures of the small deployments (SYSTEM.md, bounds of ptscna-sched).
 const (
-	heartbeat   = 1500 * time.Millisecond
-	maxHold     = 6 * time.Second
-	stopTimeout = 200 * time.Millisecond
-	cancelTime  = 3 * time.Second
-	memoryMB    = 284
-	host        = "jobs.example"
+	heartbeat    = 1500 * time.Millisecond
+	maxHold      = 6 * time.Second
+	stopTimeout  = 200 * time.Millisecond
+	cancelTime   = 3 * time.Second
+	memoryMB     = 284
+	restartDelay = 200 * time.Millisecond // of a process that has ended
+	host         = "jobs.example"
 )
 
 // scene is one play: the platform's stand-ins, the daemons and the record.
@@ -47,6 +51,11 @@
 	store     *standin.Store
 	gate      *gate
 	version   int // of the configuration
+	bounds    map[string]string
+	weights   []float64 // of the daemons, by turns
+	tenants   []any
+	key       string // of the callers
+	standby   string // service whose machines are off
 	storeAddr string
 	cloudAddr string
 	adviser   *adviser
@@ -62,6 +71,11 @@
 		return nil, err
 	}
 	s := &scene{trouble: trouble, program: program, dir: dir, begun: time.Now(), record: f, runners: map[string]*runner{}}
+	s.weights = []float64{0.4}
+	s.bounds = map[string]string{
+		"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms", "contact": "3000ms",
+		"drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s",
+	}
 	s.store = standin.NewStore(rand.New(rand.NewPCG(1, 2)))
 	s.gate = &gate{next: s.store}
 	if s.storeAddr, err = serve(s.gate); err != nil {
@@ -102,12 +116,18 @@
 	return l.Addr().String(), nil
 }
 
-// freeAddr returns a loopback address that was free a moment ago, with a port that the system gives to no connection by itself.
+// nextPort is the next port to try. The system gives ports of this range to no connection by itself, and plays that run beside
+// each other begin at different ones.
+var nextPort atomic.Int64
+
+func init() { nextPort.Store(10_000 + int64(os.Getpid()%100)*200) }
+
+// freeAddr returns a loopback address that is free, another one each time.
 func freeAddr() (string, error) {
 	var err error
-	for range 100 {
+	for range 200 {
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+rand.IntN(20_000))); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", nextPort.Add(1))); err == nil {
 			return l.Addr().String(), l.Close()
 		}
 	}
@@ -170,8 +190,11 @@
 			list = append(list, map[string]any{"Name": r.service, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1", "Tls": false, "RejectsOverload": true, "Standby": false})
 		}
 	}
+	if s.standby != "" {
+		list = append(list, map[string]any{"Name": s.standby, "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1", "Tls": false, "RejectsOverload": true, "Standby": true})
+	}
 	s.store.Put("op", "config", map[string]any{
-		"Version": 7 + 3*s.version, "Routes": wire, "Services": list,
+		"Version": 7 + 3*s.version, "Routes": wire, "Services": list, "Tenants": s.tenants,
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 	})
 }
@@ -202,13 +225,14 @@
 			addrs[k] = a
 		}
 		d.front, d.ready = addrs[0], addrs[1]
+		bounds := map[string]any{"orders": 64.0, "remote": 2}
+		for bound, value := range s.bounds {
+			bounds[bound] = value
+		}
 		settings := map[string]any{
 			"instance": d.name, "centre": "zone-" + string(rune('a'+i%3)), "region": "r", "store": s.storeAddr, "machines": s.cloudAddr,
-			"listen": map[string]any{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2]}, "weight": 0.4, "memory": memoryMB,
-			"bounds": map[string]any{
-				"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms", "contact": "3000ms",
-				"drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64.0, "remote": 2,
-			},
+			"listen": map[string]any{"callers": addrs[0], "ready": addrs[1], "peers": addrs[2]}, "weight": s.weights[i%len(s.weights)], "memory": memoryMB,
+			"bounds": bounds,
 		}
 		if s.adviser != nil {
 			settings["policy"] = s.adviser.addr
@@ -270,7 +294,7 @@
 		d.mu.Unlock()
 		if !stopped {
 			d.scene.note("%s ended: %v", d.name, err)
-			time.Sleep(500 * time.Millisecond)
+			time.Sleep(restartDelay)
 			_ = d.start()
 		}
 	}()
@@ -337,6 +361,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Gypsumlead-Deadline-Ms", "3000")
 	req.Close = true
+	if d.scene.key != "" {
+		req.Header.Set("Authorization", "Bearer "+d.scene.key)
+	}
 	c := http.Client{Timeout: wait}
 	resp, err := c.Do(req)
 	if err != nil {
@@ -368,9 +395,16 @@
 	next http.Handler
 	mu   sync.Mutex
 	slow time.Duration
+	down bool
 	late func(tx []byte) time.Duration // time after which a write is carried out without an answer; 0 is now, with one
 }
 
+func (g *gate) setDown(down bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.down = down
+}
+
 func (g *gate) setSlow(d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -400,8 +434,12 @@
 		return
 	}
 	g.mu.Lock()
-	late := g.late
+	late, down := g.late, g.down
 	g.mu.Unlock()
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	if strings.HasSuffix(r.URL.Path, "/rows-tx") && late != nil {
 		if delay := late(body); delay > 0 {
 			go func() {
