--- a/review/stand2/advice_case.go
+++ b/review/stand2/advice_case.go
@@ -15,7 +15,7 @@
 	if err := s.addAdviser(200*time.Millisecond, 50*time.Millisecond, 3*time.Second, func(string, string) bool { return true }); err != nil {
 		return nil, err
 	}
-	s.configure(route{prefix: "/work/", service: "desk", advice: s.adviser.terms()})
+	s.configure(route{prefix: "/jobs/", service: "desk", advice: s.adviser.terms()})
 	for i := range 40 {
 		if _, err := s.addRunner(fmt.Sprintf("i-%02d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
@@ -29,7 +29,7 @@
 	}
 	ids := []string{}
 	for n := range 4 {
-		if !s.submit("/work/"+jobID(n), job(6)) {
+		if !s.submit("/jobs/"+jobID(n), job(6)) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
 		ids = append(ids, jobID(n))
@@ -37,7 +37,7 @@
 	}
 	if s.trouble {
 		for n := 10; n < 13; n++ {
-			if !s.submit("/work/"+jobID(n), job(24)) {
+			if !s.submit("/jobs/"+jobID(n), job(24)) {
 				return nil, fmt.Errorf("a wide job was not accepted")
 			}
 			s.note("POST %s, 24 tasks: 200", jobID(n))
@@ -47,7 +47,7 @@
 	time.Sleep(20 * time.Second) // more than finish_s, without traffic
 	var broken []string
 	for _, id := range ids {
-		status, body := s.daemons[0].call(http.MethodGet, "/work/"+id, nil, 3*time.Second)
+		status, body := s.daemons[0].call(http.MethodGet, "/jobs/"+id, nil, 3*time.Second)
 		s.note("GET %s: %d %s", id, status, body)
 		if strings.Contains(body, "queued") && len(s.running(id)) == 0 {
 			broken = append(broken, "LOST: "+id+" has nothing running 20 s after the last job came, though all runners are free and approved")
@@ -63,7 +63,7 @@
 	if err := s.addAdviser(50*time.Millisecond, 3*time.Millisecond, 3*time.Second, allowed); err != nil {
 		return nil, err
 	}
-	s.configure(route{prefix: "/work/", service: "desk", advice: s.adviser.terms()})
+	s.configure(route{prefix: "/jobs/", service: "desk", advice: s.adviser.terms()})
 	var runners []*runner
 	for i := range 40 {
 		r, err := s.addRunner(fmt.Sprintf("i-%02d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4))
@@ -76,11 +76,11 @@
 		return nil, err
 	}
 	gang := map[string]any{"Spec": "cpu=8000 ms=1000 gang=8", "JobSteps": []any{map[string]any{"Count": 8, "Cpu": 8000, "MemMb": 512, "EstimateMs": 1000, "Gang": true}}}
-	if !s.submit("/work/"+jobID(0), gang) {
+	if !s.submit("/jobs/"+jobID(0), gang) {
 		return nil, fmt.Errorf("the first job was not accepted")
 	}
 	time.Sleep(6 * time.Second)
-	if _, body := s.daemons[0].call(http.MethodGet, "/work/"+jobID(0), nil, 3*time.Second); !strings.Contains(body, "completed") {
+	if _, body := s.daemons[0].call(http.MethodGet, "/jobs/"+jobID(0), nil, 3*time.Second); !strings.Contains(body, "completed") {
 		return nil, fmt.Errorf("the first gang did not run: %s", body)
 	}
 	if s.trouble {
@@ -88,7 +88,7 @@
 		runners[1].crash()
 	}
 	time.Sleep(8 * time.Second) // their entries are gone and the rest is in touch
-	if !s.submit("/work/"+jobID(1), gang) {
+	if !s.submit("/jobs/"+jobID(1), gang) {
 		return nil, fmt.Errorf("the second job was not accepted")
 	}
 	free := 0
@@ -98,7 +98,7 @@
 		}
 	}
 	for until := time.Now().Add(25 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
-		status, body := s.daemons[0].call(http.MethodGet, "/work/"+jobID(1), nil, 3*time.Second)
+		status, body := s.daemons[0].call(http.MethodGet, "/jobs/"+jobID(1), nil, 3*time.Second)
 		s.note("GET %s: %d %s; %d of its tasks run", jobID(1), status, body, len(s.running(jobID(1))))
 		if strings.Contains(body, "completed") {
 			return nil, nil
@@ -109,7 +109,7 @@
 
 // playMemory: timed jobs with many occurrences come at once. The platform kills a process that exceeds its memory.
 func playMemory(s *scene) ([]string, error) {
-	s.configure(route{prefix: "/work/", service: "desk"})
+	s.configure(route{prefix: "/jobs/", service: "desk"})
 	for i := range 8 {
 		if _, err := s.addRunner(fmt.Sprintf("i-%d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
@@ -138,7 +138,7 @@
 			"Spec": "cpu=1000 ms=1000", "RepeatCount": turns, "StartAtMs": time.Now().Add(time.Hour).UnixMilli(), "IntervalMs": 60_000,
 			"JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 1000}},
 		}
-		status, _ := s.daemons[n%3].call(http.MethodPost, "/work/"+jobID(n), job, 3*time.Second)
+		status, _ := s.daemons[n%3].call(http.MethodPost, "/jobs/"+jobID(n), job, 3*time.Second)
 		s.note("POST %s, %d times: %d", jobID(n), turns, status)
 		time.Sleep(150 * time.Millisecond)
 	}
@@ -148,7 +148,7 @@
 	time.Sleep(30 * time.Second)
 	answered := 0
 	for n := range 10 {
-		status, _ := s.daemons[n%3].call(http.MethodPost, "/work/"+jobID(100+n), map[string]any{"Spec": "cpu=1000 ms=200", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 200}}}, 3*time.Second)
+		status, _ := s.daemons[n%3].call(http.MethodPost, "/jobs/"+jobID(100+n), map[string]any{"Spec": "cpu=1000 ms=200", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 1000, "MemMb": 512, "EstimateMs": 200}}}, 3*time.Second)
 		s.note("POST %s: %d", jobID(100+n), status)
 		if status == http.StatusOK {
 			answered++
--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -14,7 +14,7 @@
 // playLabel: a runner crashes and starts again under its Id and address, as another kind. Its entry, which it writes before it
 // takes calls, reaches the daemons later, as the store is slow. No task that needs the old kind's label may be started on it.
 func playLabel(s *scene) ([]string, error) {
-	s.configure(route{prefix: "/work/", service: "desk"})
+	s.configure(route{prefix: "/jobs/", service: "desk"})
 	var changed *runner
 	for i := range 8 {
 		kind := "a"
@@ -53,7 +53,7 @@
 			}
 			jobs.Go(func() {
 				job := map[string]any{"Spec": "cpu=2000 ms=800", "JobSteps": []any{map[string]any{"Count": 2, "Cpu": 2000, "MemMb": 512, "EstimateMs": 800, "RequiredLabel": "b"}}}
-				if s.submit("/work/"+jobID(n), job) {
+				if s.submit("/jobs/"+jobID(n), job) {
 					accepted.Add(1)
 				}
 			})
@@ -91,7 +91,7 @@
 // playCancel: the answer of the write that stores a job is lost, and the write is carried out later. The client leaves and
 // cancels the job; DELETE is answered 410. The job must not run after that.
 func playCancel(s *scene) ([]string, error) {
-	s.configure(route{prefix: "/work/", service: "desk"})
+	s.configure(route{prefix: "/jobs/", service: "desk"})
 	for i := range 8 {
 		if _, err := s.addRunner(fmt.Sprintf("i-%d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
@@ -102,7 +102,7 @@
 	}
 	job := map[string]any{"Spec": "cpu=2000 lasts", "JobSteps": []any{map[string]any{"Count": 3, "Cpu": 2000, "MemMb": 512, "EstimateMs": 800, "LongRunning": true}}}
 	// The service works before.
-	if !s.submit("/work/"+jobID(0), job) {
+	if !s.submit("/jobs/"+jobID(0), job) {
 		return nil, fmt.Errorf("the first job was not accepted")
 	}
 	time.Sleep(2 * time.Second)
@@ -132,10 +132,10 @@
 		}
 		d := s.daemons[n%len(s.daemons)]
 		begun := time.Now()
-		status, _ := d.call(http.MethodPost, "/work/"+id, job, 600*time.Millisecond)
+		status, _ := d.call(http.MethodPost, "/jobs/"+id, job, 600*time.Millisecond)
 		s.note("POST %s at %s: %d after %d ms; the client leaves", id, d.name, status, time.Since(begun).Milliseconds())
 		for {
-			status, _ = d.call(http.MethodDelete, "/work/"+id, nil, 3*time.Second)
+			status, _ = d.call(http.MethodDelete, "/jobs/"+id, nil, 3*time.Second)
 			s.note("DELETE %s at %s: %d", id, d.name, status)
 			if status == http.StatusOK || status == http.StatusGone {
 				break
@@ -160,7 +160,7 @@
 // playCrash: the runner of a task crashes, five times in all, one runner at a time. No run has ended as failed, so the job must
 // not be shown as failed.
 func playCrash(s *scene) ([]string, error) {
-	s.configure(route{prefix: "/work/", service: "desk"})
+	s.configure(route{prefix: "/jobs/", service: "desk"})
 	for i := range 8 {
 		if _, err := s.addRunner(fmt.Sprintf("i-%d", i), "desk", 8000, "a", fmt.Sprintf("r%d", i/4)); err != nil {
 			return nil, err
@@ -171,7 +171,7 @@
 	}
 	id := jobID(1)
 	job := map[string]any{"Spec": "cpu=2000 ms=12000", "JobSteps": []any{map[string]any{"Count": 1, "Cpu": 2000, "MemMb": 512, "EstimateMs": 12000}}}
-	if !s.submit("/work/"+id, job) {
+	if !s.submit("/jobs/"+id, job) {
 		return nil, fmt.Errorf("the job was not accepted")
 	}
 	for n := 0; s.trouble && n < 5; {
@@ -191,7 +191,7 @@
 		}
 	}
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(500 * time.Millisecond) {
-		status, body := s.daemons[0].call(http.MethodGet, "/work/"+id, nil, 3*time.Second)
+		status, body := s.daemons[0].call(http.MethodGet, "/jobs/"+id, nil, 3*time.Second)
 		s.note("GET %s: %d %s", id, status, body)
 		switch {
 		case strings.Contains(body, "failed"):
--- a/review/stand2/moved_case.go
+++ b/review/stand2/moved_case.go
@@ -13,7 +13,7 @@
 // playMoved: a version of the configuration removes a queue's route and adds one with the same prefix to another service. The
 // requests of jobs that were accepted before arrive once more. Each remains one job: no task may run twice.
 func playMoved(s *scene) ([]string, error) {
-	s.configure(route{prefix: "/work/", service: "desk"}, route{prefix: "/other/", service: "bus"})
+	s.configure(route{prefix: "/jobs/", service: "desk"}, route{prefix: "/other/", service: "bus"})
 	var mu sync.Mutex
 	var broken []string
 	startedOn := map[string]string{}
@@ -44,7 +44,7 @@
 		return map[string]any{"Spec": fmt.Sprintf("cpu=2000 ms=%d", lengths[n]), "JobSteps": []any{map[string]any{"Count": 2, "Cpu": 2000, "MemMb": 512, "EstimateMs": lengths[n]}}}
 	}
 	for n := range lengths {
-		if !s.submit("/work/"+jobID(n), job(n)) {
+		if !s.submit("/jobs/"+jobID(n), job(n)) {
 			return nil, fmt.Errorf("a job was not accepted")
 		}
 		s.note("POST %s: 200", jobID(n))
@@ -52,12 +52,12 @@
 	time.Sleep(2 * time.Second)
 	if s.trouble {
 		s.version++
-		s.configure(route{prefix: "/work/", service: "bus"}, route{prefix: "/other/", service: "bus"}, route{prefix: "/rest/", service: "desk"})
+		s.configure(route{prefix: "/jobs/", service: "bus"}, route{prefix: "/other/", service: "bus"}, route{prefix: "/rest/", service: "desk"})
 		s.note("version %d: the route to desk is removed, and one with the same prefix to bus is added", s.version)
 	}
 	time.Sleep(4 * time.Second) // ConfigApplyMs is 2,000
 	for n := range lengths {
-		status, body := s.daemons[n%3].call(http.MethodGet, "/work/"+jobID(n), nil, 3*time.Second)
+		status, body := s.daemons[n%3].call(http.MethodGet, "/jobs/"+jobID(n), nil, 3*time.Second)
 		s.note("GET %s: %d %s", jobID(n), status, body)
 		if status == http.StatusGone {
 			mu.Lock()
@@ -66,12 +66,12 @@
 		}
 	}
 	for n := range lengths {
-		status, _ := s.daemons[(n+1)%3].call(http.MethodPost, "/work/"+jobID(n), job(n), 3*time.Second)
+		status, _ := s.daemons[(n+1)%3].call(http.MethodPost, "/jobs/"+jobID(n), job(n), 3*time.Second)
 		s.note("POST %s once more: %d", jobID(n), status)
 	}
 	time.Sleep(18 * time.Second)
 	for n := range lengths {
-		status, body := s.daemons[0].call(http.MethodGet, "/work/"+jobID(n), nil, 3*time.Second)
+		status, body := s.daemons[0].call(http.MethodGet, "/jobs/"+jobID(n), nil, 3*time.Second)
 		s.note("GET %s: %d %s", jobID(n), status, strings.TrimSpace(body))
 	}
 	mu.Lock()
