--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,12 +19,12 @@
 	meter metric.Meter
 	err   error
 
-	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests metric.Int64ObservableCounter
-	refusals, keyRefusals, rackWaits, copies, leaseChanges, sampledLogs, lostLogs          metric.Int64ObservableCounter
-	relayedCalls, carriedCalls, refusedCalls                                               metric.Int64ObservableCounter
-	rackWaited, relayedTime                                                                metric.Float64ObservableCounter
-	terms, waiting, running, excluded, silent, moving, configVersion                       metric.Int64ObservableGauge
-	oldest, configAge                                                                      metric.Float64ObservableGauge
+	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests, restarts metric.Int64ObservableCounter
+	refusals, keyRefusals, rackWaits, copies, leaseChanges, sampledLogs, lostLogs                    metric.Int64ObservableCounter
+	relayedCalls, carriedCalls, refusedCalls                                                         metric.Int64ObservableCounter
+	rackWaited, relayedTime                                                                          metric.Float64ObservableCounter
+	terms, waiting, running, excluded, silent, moving, configVersion                                 metric.Int64ObservableGauge
+	oldest, configAge                                                                                metric.Float64ObservableGauge
 }
 
 // setUpMetrics creates the instruments and the callback that reads all of them.
@@ -47,6 +47,7 @@
 	in.classes = in.counter("gypsumlead.jobs.classes", "accepted jobs of workspaces, by service and class: guaranteed or excess")
 	in.refusals = in.counter("gypsumlead.jobs.refusals", "refused jobs, and tries turned down because of an earlier refusal, by service and reason")
 	in.approvalRequests = in.counter("gypsumlead.asks", "requests to the policy service, by service")
+	in.restarts = in.counter("gypsumlead.runners.restarts", "runners that have started again under their IDs, by service")
 	in.rackWaits = in.counter("gypsumlead.waits", "waits of tasks for a rack, by service and state: begun, ended in the rack (place), ended in another (away)")
 	in.copies = in.counter("gypsumlead.copies", "copies of slow tasks, by service and state: begun, won, lost")
 	in.rackWaited = in.seconds("gypsumlead.waits.duration", "time that tasks have waited for racks although others had room, by service")
@@ -82,7 +83,7 @@
 	_, err = in.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		d.observe(o, in)
 		return nil
-	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.copies, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
+	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.restarts, in.rackWaits, in.rackWaited, in.copies, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
 		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge)
 	return err
 }
@@ -162,6 +163,7 @@
 	o.ObserveInt64(in.starts, stats.Starts, service)
 	o.ObserveInt64(in.paceChanges, stats.Paces, service)
 	o.ObserveInt64(in.approvalRequests, stats.ApprovalRequests, service)
+	o.ObserveInt64(in.restarts, stats.Restarts, service)
 	o.ObserveInt64(in.waiting, int64(stats.Waiting), service)
 	o.ObserveInt64(in.running, int64(stats.Running), service)
 	o.ObserveInt64(in.excluded, int64(stats.Out), service)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -116,7 +116,8 @@
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
 	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp),
-		sched.WithRemoteFactor(deps.RemoteFactor), sched.WithStopTime(deps.StopTime), sched.WithRackWaitHook(l.logRackWait))
+		sched.WithRemoteFactor(deps.RemoteFactor), sched.WithStopTime(deps.StopTime), sched.WithRackWaitHook(l.logRackWait),
+		sched.WithRestartHook(l.logRestart), sched.WithOrphanHook(l.logOrphan))
 	return l
 }
 
@@ -125,6 +126,16 @@
 	l.Log.Info("run given up", zap.Stringer("task", run.Task), zap.Int("run", run.Run), zap.String("runner", run.Runner), zap.String("why", run.Reason))
 }
 
+// logRestart logs that a runner has started again under its ID.
+func (l *Leader) logRestart(r sched.Restart) {
+	l.Log.Info("runner has restarted", zap.String("runner", r.Runner), zap.Int64("born", r.Born), zap.Int64("earlier", r.Earlier), zap.Int("listed", r.Listed), zap.Int("unlisted", r.Unlisted))
+}
+
+// logOrphan logs that a runner lists a run that nobody wants.
+func (l *Leader) logOrphan(o sched.OrphanRun) {
+	l.Log.Info("runner lists an unwanted run", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", o.Runner))
+}
+
 // logRackWait logs that the first task of a step waits for a rack.
 func (l *Leader) logRackWait(w sched.RackWait) {
 	l.Log.Info("waits for its rack", zap.Stringer("task", w.Task), zap.String("rack", w.Rack), zap.String("until", w.Until.Format(time.RFC3339Nano)), zap.String("latest", w.Latest.Format(time.RFC3339Nano)))
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -29,6 +29,8 @@
 	onAbandon           func(AbandonedRun)
 	onJobEnd            func(JobEnd)
 	onHeldUp            func(HeldUp)
+	onRestart           func(Restart)
+	onOrphan            func(OrphanRun)
 	caps                map[string]work.Resources // configured caps of workspaces
 	allowances          map[string]work.Resources // what workspaces with caps may use in this pool
 	workspaces          map[string]*workspace     // of known jobs
@@ -130,6 +132,8 @@
 		onAbandon:           func(AbandonedRun) {},
 		onJobEnd:            func(JobEnd) {},
 		onHeldUp:            func(HeldUp) {},
+		onRestart:           func(Restart) {},
+		onOrphan:            func(OrphanRun) {},
 		workspaces:          map[string]*workspace{},
 		onRackWait:          func(RackWait) {},
 		counts:              newCounts(),
--- a/sched/run_events.go
+++ b/sched/run_events.go
@@ -239,6 +239,7 @@
 	o := orphan{r.ID, reported.Task, reported.Run}
 	if _, ok := p.orphans[o]; !ok {
 		p.orphans[o] = time.Time{}
+		p.onOrphan(OrphanRun{reported.Task, reported.Run, r.ID})
 	}
 }
 
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -127,51 +127,6 @@
 	}
 }
 
-// setIncarnation sets the start time of the runner's present incarnation. A later one than before means that the
-// runner has restarted and the runs of the earlier incarnation are gone.
-func (p *Pool) setIncarnation(now time.Time, r *runner, born int64) {
-	p.resolveLostTrials(now, r.Runner, born)
-	if born <= r.Born {
-		return
-	}
-	if r.Born != 0 {
-		p.handleCrash(now, r)
-		r.lease.Reset()
-		for run := range r.runs {
-			switch {
-			case run.phase == planned && run.trial:
-				run.withdrawn = true // the stored trial names the old incarnation
-			case run.phase == planned:
-			case run.listed:
-				p.abandon(now, run, "its runner has started anew")
-			default:
-				p.carryOver(now, r, run)
-			}
-		}
-		r.lastEnd, r.ackedEnd, r.pendingEnds = 0, 0, nil
-		r.health = health{}
-		r.forgetOrphans()
-		r.answerDueAt, r.pollFailed = time.Time{}, false
-		r.held = !p.leadershipConfirmed
-		r.endPlanned = false
-	}
-	r.Born = born
-}
-
-// carryOver handles a run that no poll has listed before its runner restarted. Its start order may have reached the
-// new incarnation, even if it was answered. A poll of the new incarnation decides, or a stop prevents the run.
-func (p *Pool) carryOver(now time.Time, r *runner, run *taskRun) {
-	switch run.phase {
-	case running:
-		run.phase, run.confirmedAt = unconfirmed, time.Time{}
-	case stopping:
-		run.stopAckedAt = time.Time{} // a stop answered by the old incarnation prevents nothing in the new one
-	case planned, sending, unconfirmed:
-	}
-	longest := max(p.leases.MaxTTL, p.leases.TTL)
-	r.lease.KeepUntil(now.Add(time.Duration(float64(longest) / (1 - MaxClockSkew))))
-}
-
 // PollSent records that a poll was sent to a runner. wait is how long the runner may delay its answer until a run ends.
 func (p *Pool) PollSent(sent time.Time, id string, wait time.Duration) {
 	if r, ok := p.runners[id]; ok && r.answerDueAt.IsZero() {
--- a/sched/stats.go
+++ b/sched/stats.go
@@ -17,6 +17,7 @@
 	RackWaits        RackWaits
 	Copies           Copies
 	ApprovalRequests int64
+	Restarts         int64           // runners that have started again under their IDs
 	Classes          map[Class]int64 // accepted jobs, by class; none if no workspaces are configured
 	Waiting          int             // accepted jobs that haven't started
 	Running          int             // jobs that have started and haven't ended
@@ -27,12 +28,12 @@
 
 // counts holds the counters of Stats, which only grow.
 type counts struct {
-	starts, paces, approvalRequests int64
-	ends                            map[work.EndReason]int64
-	abandoned, stops                map[string]int64
-	classes                         map[Class]int64
-	rackWaits                       RackWaits
-	copies                          Copies
+	starts, paces, approvalRequests, restarts int64
+	ends                                      map[work.EndReason]int64
+	abandoned, stops                          map[string]int64
+	classes                                   map[Class]int64
+	rackWaits                                 RackWaits
+	copies                                    Copies
 }
 
 func newCounts() counts {
@@ -63,6 +64,7 @@
 		RackWaits:        p.counts.rackWaits,
 		Copies:           p.counts.copies,
 		ApprovalRequests: p.counts.approvalRequests,
+		Restarts:         p.counts.restarts,
 		Ends:             maps.Clone(p.counts.ends),
 		Abandoned:        maps.Clone(p.counts.abandoned),
 		Stops:            maps.Clone(p.counts.stops),
