--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -38,17 +38,30 @@
 	f := &fakePool{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}, stored: map[work.ID][]byte{}}
 	f.pool = New(f.now, 1, testLeases, WithCheckInterval(0), WithStopTime(200*time.Millisecond), WithViolationHook(func(err error) { f.violations = append(f.violations, err.Error()) }))
 	for i := range runners {
-		info := work.Runner{
-			ID: fmt.Sprintf("r%d", i), Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Resources{CPU: cores * 1000, Mem: 1 << 20},
-			Labels: []string{"a", fmt.Sprintf("rack%d", i/2)}, Born: 1,
-		}
-		f.runners[info.ID] = &fakeRunner{info: info, runs: map[string]work.Run{}}
-		f.pool.UpdateRunner(f.now, info)
+		f.addRunner(fmt.Sprintf("r%d", i), cores)
 	}
 	f.poll()
 	return f
 }
 
+// addRunner adds a runner; two with successive numbers share a rack.
+func (f *fakePool) addRunner(id string, cores int64) {
+	i := len(f.runners)
+	info := work.Runner{
+		ID: id, Machine: fmt.Sprintf("m%d", i), Service: "s", Room: work.Resources{CPU: cores * 1000, Mem: 1 << 20},
+		Labels: []string{"a", fmt.Sprintf("rack%d", i/2)}, Born: 1,
+	}
+	f.runners[id] = &fakeRunner{info: info, runs: map[string]work.Run{}}
+	f.pool.UpdateRunner(f.now, info)
+}
+
+// restart restarts a runner under its ID.
+func (f *fakePool) restart(id string) {
+	r := f.runners[id]
+	r.info.Born++
+	r.lastEnd, r.ends, r.clock, r.runs = 0, nil, 0, map[string]work.Run{}
+}
+
 var testQueue = work.Queue{Name: "q", Service: "s", Attempts: 2, Slack: 1.6, Aim: 600 * time.Millisecond}
 
 // accept adds a job to the pool and returns its ID.
--- a/sched/runner_restart_test.go
+++ b/sched/runner_restart_test.go
@@ -86,3 +86,32 @@
 	}
 	t.Fatal("the task wasn't restarted")
 }
+
+// An order for the earlier incarnation may have given the new one the longest lease.
+func TestRunOnRestartedRunnerIsNotRepeatedBeforeTheLongestLeaseIsOver(t *testing.T) {
+	for name, restarts := range map[string]int{"one restart": 1, "three restarts": 3} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakePool(t, 1, 4)
+			f.pool.leases.MaxTTL = 6 * time.Second
+			f.advance(tickInterval)
+			for range restarts {
+				f.restart("r0")
+				f.poll()
+			}
+			learned := f.now
+			task := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
+			for f.runnerOf(task) == "" {
+				require.Less(t, f.now.Sub(learned), time.Second)
+				f.advance(tickInterval)
+			}
+			f.runners["r0"].silent = true
+			f.addRunner("r1", 4)
+			var again []Start
+			for len(again) == 0 {
+				again = starts(f.advance(tickInterval))
+			}
+			require.Equal(t, "r1", again[0].Runner)
+			require.GreaterOrEqual(t, f.now.Sub(learned).Seconds(), 6/(1-MaxClockSkew))
+		})
+	}
+}
