--- a/leader/admission_test.go
+++ b/leader/admission_test.go
@@ -30,7 +30,7 @@
 	l.pool.UpdateRunner(now, work.Runner{ID: "r", Service: "", Room: work.Resources{CPU: 8000, Mem: 1 << 20}, Born: 1})
 	l.pool.PollSent(now, "r", 0)
 	l.pool.ExtendLease(now, "r")
-	l.pool.HandlePollResult(now, "r", now, work.PollResult{Born: 1})
+	l.pool.HandlePollResult(now, "r", now, l.pool.Fence("r"), work.PollResult{Born: 1})
 	for n := range overfullTime {
 		l.pool.Accept(now, work.ID(fmt.Sprintf("f%015d", n)), servedQueue, wideJob)
 	}
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -165,6 +165,7 @@
 			if current, ok := l.listedRunners[id]; ok && current.Addr == runner.Addr {
 				l.admitRunner(current)
 			}
+			l.pool.IncarnationRecorded(id, runner.Born, l.leaseVersion)
 		}
 	}
 	l.answerCancels()
--- a/leader/commit_batch.go
+++ b/leader/commit_batch.go
@@ -147,11 +147,15 @@
 			runners[id] = runner // an unlisted runner may still have work
 		}
 	}
+	for id, runner := range runners {
+		runner.Born = max(runner.Born, l.pool.Fence(id).Born) // a poll may have shown a restart before the runner's entry does
+		runners[id] = runner
+	}
 	silent := l.pool.SilentRunners(now)
 	if l.storeTime == 0 {
 		silent = nil // end times are stored on the store's clock, which is still unknown
 	}
-	unchanged := maps.EqualFunc(runners, l.storedRunners, func(x, y work.Runner) bool { return x.Addr == y.Addr })
+	unchanged := maps.EqualFunc(runners, l.storedRunners, sameIncarnation)
 	if unchanged && !l.silentDirty && maps.EqualFunc(silent, l.storedSilent, func(_, _ time.Time) bool { return true }) {
 		return
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -89,6 +89,7 @@
 
 // New returns a Leader for an acquired lease. Call Restore and then Run.
 func New(lease Lease, config sched.LeaseConfig, deps Deps) *Leader {
+	config.LateOrders = lateOrders
 	config.InheritedTTL, config.InheritedPlacements = lease.InheritedTTL, lease.Row.Placements
 	l := &Leader{
 		Deps:          deps,
@@ -115,7 +116,7 @@
 		caps:          newCaps(lease),
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
-	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp),
+	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithToken(lease.Token), sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp),
 		sched.WithRemoteFactor(deps.RemoteFactor), sched.WithStopTime(deps.StopTime), sched.WithRackWaitHook(l.logRackWait),
 		sched.WithRestartHook(l.logRestart), sched.WithOrphanHook(l.logOrphan))
 	return l
--- a/leader/session.go
+++ b/leader/session.go
@@ -33,6 +33,9 @@
 		sleep.Wake(l.wakeCommit) // the runner gets no work before the store lists it as possibly having work
 		return
 	}
+	if old := l.storedRunners[runner.ID]; old.Born < runner.Born {
+		sleep.Wake(l.wakeCommit)
+	}
 	l.admitRunner(runner)
 }
 
@@ -99,19 +102,21 @@
 		if !l.mayOrder(now) {
 			return
 		}
-		req := platform.PollRequest{Token: l.lease.Token}
+		var req platform.PollRequest
 		l.mu.Lock()
 		if !l.pool.HasRunner(s.target.ID) {
 			l.close(s)
 			l.mu.Unlock()
 			return
 		}
+		fence := l.pool.Fence(s.target.ID)
+		req.Token = fence.Token
 		req.AckCursor = l.pool.AckCursor(s.target.ID)
 		req.LeaseExpiry = l.extendLease(now, s.target.ID)
 		req.Wait = l.pool.PollWait(now, s.target.ID, wait)
 		l.pool.PollSent(now, s.target.ID, req.Wait)
 		l.mu.Unlock()
-		if s.poll(ctx, now, req) {
+		if s.poll(ctx, now, fence, req) {
 			wait = pollWait
 			sleep.ForOrWake(ctx, pollInterval, nil)
 			s.awaitCommitted(ctx)
@@ -123,7 +128,7 @@
 }
 
 // poll sends one poll, applies its result and reports whether the runner answered.
-func (s *session) poll(ctx context.Context, sentAt time.Time, req platform.PollRequest) bool {
+func (s *session) poll(ctx context.Context, sentAt time.Time, fence sched.Fence, req platform.PollRequest) bool {
 	l := s.leader
 	pollCtx, cancel := context.WithTimeout(ctx, req.Wait+pollSlack)
 	defer cancel()
@@ -139,7 +144,10 @@
 		}
 		return false
 	}
-	l.pool.HandlePollResult(now, s.target.ID, sentAt, result)
+	l.pool.HandlePollResult(now, s.target.ID, sentAt, fence, result)
+	if l.pool.AwaitsRecord(s.target.ID) {
+		sleep.Wake(l.wakeCommit)
+	}
 	for _, e := range result.Ends {
 		if e.N > req.AckCursor {
 			sleep.Wake(l.wakeCommit)
@@ -149,14 +157,14 @@
 	return true
 }
 
-// awaitCommitted waits up to maxCommitWait until the run ends from the last poll are stored. While they are not
-// acknowledged, the runner would answer the next poll immediately.
+// awaitCommitted waits up to maxCommitWait until the run ends from the last poll are stored, and the runner's restart if there
+// was one. Until then the runner would answer the next poll immediately, and to no use.
 func (s *session) awaitCommitted(ctx context.Context) {
 	l := s.leader
 	deadline := l.Now().Add(maxCommitWait)
 	for ctx.Err() == nil {
 		l.mu.Lock()
-		uncommitted, commitDone := l.pool.HasUncommittedEnds(s.target.ID), l.commitDone
+		uncommitted, commitDone := l.pool.HasUncommittedEnds(s.target.ID) || l.pool.AwaitsRecord(s.target.ID), l.commitDone
 		l.mu.Unlock()
 		remaining := deadline.Sub(l.Now())
 		if !uncommitted || remaining <= 0 {
@@ -212,13 +220,13 @@
 	case sched.Start:
 		s.sendStart(ctx, o)
 	case sched.Stop:
-		err := l.Runners.Stop(ctx, s.target, o.Task, o.Run, l.lease.Token)
+		err := l.Runners.Stop(ctx, s.target, o.Task, o.Run, o.Fence.Token)
 		l.mu.Lock()
 		l.pool.HandleStopResult(l.Now(), o, outcome(err))
 		l.mu.Unlock()
 		sleep.Wake(l.wakePlan)
 	case sched.Pace:
-		if err := l.Runners.Pace(ctx, s.target, o.Task, o.Run, o.Percent, l.lease.Token); err != nil {
+		if err := l.Runners.Pace(ctx, s.target, o.Task, o.Run, o.Percent, o.Fence.Token); err != nil {
 			l.Log.Warn("cannot set the pace of a run", zap.Stringer("task", o.Task), zap.String("runner", s.target.ID), zap.Error(err))
 			l.mu.Lock()
 			l.pool.HandlePaceFailure(o)
@@ -243,7 +251,7 @@
 		return
 	}
 	result, err := l.Runners.Start(ctx, s.target, platform.StartRequest{
-		Task: o.Task, Run: o.Run, Spec: o.Spec, LeaseExpiry: leaseExpiry, Token: l.lease.Token, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
+		Task: o.Task, Run: o.Run, Spec: o.Spec, LeaseExpiry: leaseExpiry, Token: o.Fence.Token, Checkpoint: o.Checkpoint, Ticket: o.Ticket,
 	})
 	if err != nil || result.Refused != "" {
 		l.Log.Info("runner did not confirm a start", zap.Stringer("task", o.Task), zap.Int("run", o.Run), zap.String("runner", s.target.ID),
--- a/leader/shards.go
+++ b/leader/shards.go
@@ -54,10 +54,13 @@
 // shardChanged reports whether a row has to be written, because it differs from the stored one at the version of the
 // lease row that the transaction requires.
 func (l *Leader) shardChanged(shard int, batch commitBatch) bool {
-	return !sameShard(shard, l.storedRunners, batch.runners, func(a, b work.Runner) bool { return a.Addr == b.Addr }) ||
+	return !sameShard(shard, l.storedRunners, batch.runners, sameIncarnation) ||
 		!sameShard(shard, l.storedSilent, batch.silent, func(_, _ time.Time) bool { return true })
 }
 
+// sameIncarnation reports whether two states of a runner are of the same incarnation at the same address.
+func sameIncarnation(a, b work.Runner) bool { return a.Addr == b.Addr && a.Born == b.Born }
+
 // sameShard reports whether two maps have the same entries in one shard.
 func sameShard[V any](shard int, a, b map[string]V, same func(x, y V) bool) bool {
 	for id, x := range a {
--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -278,9 +278,12 @@
 // one of its trials has settled.
 func (p *Pool) PollWait(now time.Time, id string, longest time.Duration) time.Duration {
 	r, ok := p.runners[id]
-	if !ok || r.trials == 0 {
+	if !ok {
 		return longest
 	}
+	if r.fencing.pending {
+		return 0 // it gets no work before it has answered a poll with its own token
+	}
 	for run := range r.runs {
 		if run.trial && !run.confirmedAt.IsZero() {
 			longest = min(longest, max(0, run.confirmedAt.Add(settleTime).Sub(now)))
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -20,6 +20,7 @@
 	orders     []Order
 	violations []string
 	stored     map[work.ID][]byte // committed progress
+	version    int64              // of the store
 }
 
 type fakeRunner struct {
@@ -100,7 +101,7 @@
 		for _, run := range r.runs {
 			result.Runs = append(result.Runs, run)
 		}
-		f.pool.HandlePollResult(f.now, id, f.now, result)
+		f.pool.HandlePollResult(f.now, id, f.now, f.pool.Fence(id), result)
 	}
 }
 
@@ -124,6 +125,10 @@
 		f.stored[b.ID] = value
 	}
 	f.pool.MarkCommitted(f.now, batch)
+	f.version++
+	for _, id := range f.runnerIDs() {
+		f.pool.IncarnationRecorded(id, f.pool.Fence(id).Born, f.version)
+	}
 }
 
 // plan plans and executes the orders.
--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -59,6 +59,7 @@
 		p.noteRestart(r, born)
 		p.handleCrash(now, r)
 		r.lease.Reset()
+		p.startFencing(now, r)
 		for run := range r.runs {
 			switch {
 			case run.phase == planned && run.trial:
@@ -67,7 +68,7 @@
 			case run.listed:
 				p.abandon(now, run, "its runner has started anew")
 			default:
-				p.carryOver(now, r, run)
+				run.carryOver()
 			}
 		}
 		r.lastEnd, r.ackedEnd, r.pendingEnds = 0, 0, nil
@@ -82,14 +83,12 @@
 
 // carryOver handles a run that no poll has listed before its runner restarted. Its start order may have reached the
 // new incarnation, even if it was answered. A poll of the new incarnation decides, or a stop prevents the run.
-func (p *Pool) carryOver(now time.Time, r *runner, run *taskRun) {
-	switch run.phase {
+func (r *taskRun) carryOver() {
+	switch r.phase {
 	case running:
-		run.phase, run.confirmedAt = unconfirmed, time.Time{}
+		r.phase, r.confirmedAt = unconfirmed, time.Time{}
 	case stopping:
-		run.stopAckedAt = time.Time{} // a stop answered by the old incarnation prevents nothing in the new one
+		r.stopAckedAt = time.Time{} // a stop answered by the old incarnation prevents nothing in the new one
 	case planned, sending, unconfirmed:
 	}
-	longest := max(p.leases.MaxTTL, p.leases.TTL)
-	r.lease.KeepUntil(now.Add(time.Duration(float64(longest) / (1 - MaxClockSkew))))
 }
--- a/sched/lease_config.go
+++ b/sched/lease_config.go
@@ -6,6 +6,7 @@
 type LeaseConfig struct {
 	TTL          time.Duration // lease that a poll or a start gives a runner
 	MaxTTL       time.Duration // longest lease that a runner accepts, whatever is asked for
+	LateOrders   time.Duration // after which an order that wasn't answered isn't carried out any more
 	InheritedTTL time.Duration // after a change of leader: longest that an earlier leader's runs can last on a silent runner
 	// InheritedPlacements states that earlier leaders stored on which runners they placed each job.
 	InheritedPlacements bool
--- a/sched/order.go
+++ b/sched/order.go
@@ -9,10 +9,11 @@
 // Order is an action for the caller of Plan to carry out: a Start, Stop, Pace or ApprovalRequest.
 type Order interface{ order() }
 
-// Target identifies the runner that an order is sent to.
+// Target identifies the runner, and its incarnation, that an order is for.
 type Target struct {
 	Runner string
 	Addr   netip.AddrPort
+	Fence  Fence
 }
 
 // Start starts a run of a task.
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -27,7 +27,7 @@
 				continue
 			}
 			run.pace, run.pacedAt = next, now
-			p.orders = append(p.orders, Pace{r.target(), run.task.name, run.number, next, "tail of a serving task beside it"})
+			p.orders = append(p.orders, Pace{p.target(r), run.task.name, run.number, next, "tail of a serving task beside it"})
 		}
 	}
 }
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -80,7 +80,7 @@
 				continue
 			}
 			run.stopSentAt = now
-			p.orders = append(p.orders, Stop{r.target(), run.task.name, run.number, run.stopReason, run.stopDetail})
+			p.orders = append(p.orders, Stop{p.target(r), run.task.name, run.number, run.stopReason, run.stopDetail})
 		}
 	}
 	for o, stopSentAt := range p.orphans {
@@ -93,7 +93,7 @@
 			continue
 		}
 		p.orphans[o] = now
-		p.orders = append(p.orders, Stop{r.target(), o.task, o.run, "nobody wants it", ""})
+		p.orders = append(p.orders, Stop{p.target(r), o.task, o.run, "nobody wants it", ""})
 	}
 }
 
@@ -234,7 +234,7 @@
 	t, r, s := run.task, run.runner, run.task.step
 	run.phase, run.sentAt = sending, now
 	p.endWait(run)
-	order := Start{Target: r.target(), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
+	order := Start{Target: p.target(r), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
 	if s.spec.Checkpointing {
 		order.Checkpoint = t.checkpoint
 	}
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -16,14 +16,16 @@
 	leasesEnd           time.Time // beyond which no lease is extended; zero is no limit
 	strategy            Strategy
 	term                int
+	token               int64     // fencing token of the term
 	termStart           time.Time // when this leader took over
 	version             int64     // of the configuration
 	queues              map[string]work.Queue
 	jobs                map[work.ID]*job
 	live                []*job // jobs that aren't final, or that still have uncommitted changes or runs
 	runners             map[string]*runner
-	orphans             map[orphan]time.Time // with the time of the last stop order
-	seq                 int64                // sequence number of the latest change of any job
+	removed             map[string]removedRunner // runners that this leader has given a lease and removed since, by ID
+	orphans             map[orphan]time.Time     // with the time of the last stop order
+	seq                 int64                    // sequence number of the latest change of any job
 	fenced              bool
 	onViolation         func(error)
 	onAbandon           func(AbandonedRun)
@@ -127,6 +129,7 @@
 		queues:              map[string]work.Queue{},
 		jobs:                map[work.ID]*job{},
 		runners:             map[string]*runner{},
+		removed:             map[string]removedRunner{},
 		orphans:             map[orphan]time.Time{},
 		onViolation:         func(error) {},
 		onAbandon:           func(AbandonedRun) {},
--- a/sched/results.go
+++ b/sched/results.go
@@ -35,7 +35,7 @@
 		return
 	}
 	if refusal != "" {
-		p.handleRefusal(now, r, run, refusal)
+		p.handleRefusal(now, r, run, order, refusal)
 		return
 	}
 	switch outcome {
@@ -65,11 +65,11 @@
 }
 
 // handleRefusal handles a runner's refusal to start a run.
-func (p *Pool) handleRefusal(now time.Time, r *runner, run *taskRun, refusal work.Refusal) {
+func (p *Pool) handleRefusal(now time.Time, r *runner, run *taskRun, order Start, refusal work.Refusal) {
 	p.abandon(now, run, "its start was refused: "+string(refusal))
 	switch refusal {
 	case work.RefusedFenced:
-		p.fenced = true
+		p.fenced = p.fenced || !p.superseded(r, order.Fence)
 	case work.RefusedApproval:
 		delete(run.task.step.approvals, r.ID)
 	case work.RefusedUnhealthy, work.RefusedMismatch:
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -28,6 +28,7 @@
 	trials          int       // runs that are trials
 	keptFor         *job      // only runs of this job may start, so that its suspects soon can
 	keptUntil       time.Time // of keptFor
+	fencing         fencing
 	used            work.Resources
 	longRunningCPU  int64                         // part of used: by long-running tasks
 	orphaned        work.Resources                // by listed runs that belong to no task, until a poll no longer lists them
@@ -54,8 +55,6 @@
 	return &runner{Runner: info, runs: map[*taskRun]struct{}{}}
 }
 
-func (r *runner) target() Target { return Target{r.ID, r.Addr} }
-
 // addRun adds a run and takes up its resources.
 func (r *runner) addRun(run *taskRun) {
 	r.runs[run] = struct{}{}
@@ -124,7 +123,7 @@
 
 // schedulable reports whether the runner may get new work.
 func (r *runner) schedulable(now time.Time) bool {
-	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && !r.unknownRuns && r.lease.ClockKnown() && !r.health.excluded(now)
+	return r.listed && r.known && !r.Draining && !r.evacuating && !r.pollFailed && !r.storedSilent && !r.held && !r.fencing.pending && !r.unknownRuns && r.lease.ClockKnown() && !r.health.excluded(now)
 }
 
 // rack returns the runner's rack, which is its last label by convention.
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -25,6 +25,7 @@
 	r, ok := p.runners[info.ID]
 	if !ok {
 		r = newRunner(info)
+		p.takeBack(r)
 		p.runners[info.ID] = r
 	}
 	return r
@@ -102,7 +103,7 @@
 	if expiry, ok := r.lease.Expiry(); ok && now.Before(expiry) && p.hasOrphan(r) {
 		return
 	}
-	delete(p.runners, r.ID)
+	p.remove(r)
 }
 
 // hasOrphan reports whether an orphan run may be left on the runner.
@@ -151,7 +152,9 @@
 	if ttl <= 0 {
 		return 0
 	}
-	return r.lease.Extend(now, ttl)
+	deadline := r.lease.Extend(now, ttl)
+	r.fencing.leased = r.fencing.leased || deadline > 0
+	return deadline
 }
 
 // AckCursor returns the number up to which a runner's ends are committed, so that the runner may drop them.
@@ -169,14 +172,14 @@
 	return ok && len(r.pendingEnds) > 0
 }
 
-// HandlePollResult handles the result of a poll that was sent at the given time.
-func (p *Pool) HandlePollResult(now time.Time, id string, sent time.Time, result work.PollResult) {
+// HandlePollResult handles the result of a poll that was sent at the given time with the given fence.
+func (p *Pool) HandlePollResult(now time.Time, id string, sent time.Time, fence Fence, result work.PollResult) {
 	r, ok := p.runners[id]
 	if !ok {
 		return
 	}
 	if result.Fenced {
-		p.fenced = true
+		p.fenced = p.fenced || !p.superseded(r, fence)
 		return
 	}
 	if result.Replaced {
@@ -188,6 +191,9 @@
 		return // a delayed answer of an earlier incarnation
 	}
 	p.setIncarnation(now, r, result.Born)
+	if result.Born == r.Born {
+		p.confirmFence(now, r, fence)
+	}
 	r.lease.ObserveClock(result.Clock, now)
 	r.polledAt, r.listedClock = now, result.Clock
 	r.answerDueAt, r.pollFailed = time.Time{}, false
--- a/sched/runner_lease.go
+++ b/sched/runner_lease.go
@@ -25,6 +25,9 @@
 // time.
 func (l *RunnerLease) KeepUntil(t time.Time) { l.keepUntil = later(l.keepUntil, t) }
 
+// KeepOnlyUntil replaces the time that KeepUntil recorded.
+func (l *RunnerLease) KeepOnlyUntil(t time.Time) { l.keepUntil = t }
+
 // ClockKnown reports whether the runner's clock has been observed.
 func (l *RunnerLease) ClockKnown() bool { return !l.clockAt.IsZero() }
 
--- a/trial/simulation.go
+++ b/trial/simulation.go
@@ -228,7 +228,7 @@
 	result.Ends = r.ends
 	s.pool.PollSent(s.now, r.info.ID, 0)
 	s.pool.ExtendLease(s.now, r.info.ID)
-	s.pool.HandlePollResult(s.now, r.info.ID, s.now, result)
+	s.pool.HandlePollResult(s.now, r.info.ID, s.now, s.pool.Fence(r.info.ID), result)
 	acked := s.pool.AckCursor(r.info.ID)
 	r.ends = slices.DeleteFunc(r.ends, func(e work.RunEnd) bool { return e.N <= acked })
 }
