--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -90,3 +90,29 @@
 	require.Equal(t, task, again[0].Task)
 	require.GreaterOrEqual(t, f.now.Sub(begun).Seconds(), 12+6/(1-MaxClockSkew))
 }
+
+// Guards against a lease on the clock of an earlier incarnation, which a later one makes the longest lease.
+func TestLateAnswerOfAnEarlierIncarnationDoesNotSetTheClock(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	f.accept("a", testQueue, stepOf(1, 2000))
+	start := starts(f.planCommitted(true))[0]
+	f.restart("r0")
+	f.poll()
+	f.pool.HandleStartResult(f.now, start, OutcomeDone, "", time.Hour)
+	require.Equal(t, testLeases.TTL, f.pool.ExtendLease(f.now, "r0"))
+}
+
+// Guards against a second run beside one that an unanswered start begins in the new incarnation.
+func TestStopAnsweredByAnEarlierIncarnationDoesNotEndARun(t *testing.T) {
+	f, task, runnerID := restartRunner(t, false, false)
+	stop := stops(f.advance(tickInterval))
+	require.Len(t, stop, 1)
+	f.runners[runnerID].silent = true
+	f.restart(runnerID)
+	f.pool.UpdateRunner(f.now, f.runners[runnerID].info)
+	f.pool.HandleStopResult(f.now, stop[0], OutcomeDone)
+	f.runners[runnerID].silent = false
+	f.now = f.now.Add(tickInterval)
+	f.poll()
+	require.Empty(t, starts(f.planCommitted(true)), "the new incarnation has answered no stop of %s", task)
+}
--- a/sched/results.go
+++ b/sched/results.go
@@ -21,13 +21,14 @@
 const noRoomBackoff = 150 * time.Millisecond
 
 // HandleStartResult handles the result of a start. refusal is empty unless the runner refused it; clock is the runner's
-// clock, or 0 if unknown.
+// clock, or 0 if unknown. The answer says nothing of an incarnation later than the one that the start was for.
 func (p *Pool) HandleStartResult(now time.Time, order Start, outcome Outcome, refusal work.Refusal, clock time.Duration) {
 	r, ok := p.runners[order.Runner]
 	if !ok {
 		return
 	}
-	if clock > 0 {
+	current := order.Fence.Born == r.Born
+	if clock > 0 && current {
 		r.lease.ObserveClock(clock, now)
 	}
 	run := p.findRun(r, order.Task, order.Run)
@@ -41,7 +42,7 @@
 	switch outcome {
 	case OutcomeDone:
 		p.markStarted(now, run.task.step.job)
-		if !run.begun() && r.startedAnew(clock) {
+		if !run.begun() && (!current || r.startedAnew(clock)) {
 			run.awaitPoll()
 			return
 		}
@@ -83,8 +84,8 @@
 // HandleStopResult handles the result of a stop.
 func (p *Pool) HandleStopResult(now time.Time, order Stop, outcome Outcome) {
 	r, ok := p.runners[order.Runner]
-	if !ok || outcome != OutcomeDone {
-		return
+	if !ok || outcome != OutcomeDone || order.Fence.Born != r.Born {
+		return // what an earlier incarnation has stopped may still start in the present one
 	}
 	if run := p.findRun(r, order.Task, order.Run); run != nil && run.stopAckedAt.IsZero() {
 		run.stopAckedAt = now
