--- a/sched/placements.go
+++ b/sched/placements.go
@@ -185,7 +185,7 @@
 // unwanted reports whether a planned run is to be dropped.
 func (p *Pool) unwanted(now time.Time, run *taskRun) bool {
 	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.stored()
-	return run.withdrawn || stuck || p.overAllowance(run) || !p.startsAllowed || run.task.held || !run.runner.schedulable(now)
+	return run.withdrawn || stuck || p.overAllowance(run) || !p.startsAllowed || run.task.held || !run.runner.schedulable(now) || !run.runner.hasLabel(run.task.step.spec.RequiredLabel)
 }
 
 // withGang returns a planned run with the planned runs of its gang.
--- a/sched/queries.go
+++ b/sched/queries.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	run := p.findRun(r, order.Task, order.Run)
-	return run != nil && run.phase == sending && order.Fence.Born == r.Born && !run.task.done && !run.task.step.job.state.Final() && !p.overAllowance(run)
+	return run != nil && run.phase == sending && r.hasLabel(run.task.step.spec.RequiredLabel) && order.Fence.Born == r.Born && !run.task.done && !run.task.step.job.state.Final() && !p.overAllowance(run)
 }
 
 // HandlePaceFailure handles a pace order that wasn't carried out.
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -12,6 +12,7 @@
 	work.Runner
 	lease           RunnerLease
 	listed          bool          // in the platform's list
+	entryBorn       int64         // incarnation whose entry was last in that list; 0 if it didn't say
 	inherited       bool          // an earlier leader may have given it work
 	known           bool          // it has listed its runs under this leader's fencing token
 	polledAt        time.Time     // when a poll was last answered
@@ -134,8 +135,11 @@
 	return r.Labels[len(r.Labels)-1]
 }
 
+// hasLabel reports whether the runner's present incarnation has a label, or none is asked for. It may be of another kind
+// than the one whose entry is known.
 func (r *runner) hasLabel(label string) bool {
-	return label == "" || slices.Contains(r.Labels, label)
+	current := r.entryBorn == 0 || r.entryBorn >= r.Born
+	return label == "" || (current && slices.Contains(r.Labels, label))
 }
 
 // countRuns returns the number of the step's runs on the runner.
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -44,7 +44,7 @@
 	}
 	r.Runner = info
 	r.Born = born
-	r.listed = true
+	r.listed, r.entryBorn = true, info.Born
 }
 
 // endReplaced drops runners that were started earlier on the same machine. crashed states that they have crashed, unless
--- a/sched/runner_restart_test.go
+++ b/sched/runner_restart_test.go
@@ -115,3 +115,32 @@
 		})
 	}
 }
+
+// Guards against tasks on a runner of another kind that restarted under the same ID, while its new entry is on its way.
+func TestTaskWithALabelWaitsForTheEntryOfTheNewIncarnation(t *testing.T) {
+	for name, tc := range map[string]struct {
+		labels []string // of the new incarnation
+		starts int
+	}{
+		"of the same kind":  {[]string{"a", "rack0"}, 1},
+		"of another kind":   {[]string{"b", "rack0"}, 0},
+		"without any label": {nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakePool(t, 1, 4)
+			f.restart("r0")
+			f.advance(tickInterval)
+			f.advance(tickInterval)
+			step := stepOf(1, 2000)
+			step.RequiredLabel = "a"
+			f.accept("a", testQueue, step)
+			f.accept("b", testQueue, stepOf(1, 1000))
+			require.Len(t, starts(f.advance(tickInterval)), 1, "only the task that needs no label starts")
+
+			info := f.runners["r0"].info
+			info.Labels = tc.labels
+			f.pool.UpdateRunner(f.now, info)
+			require.Len(t, starts(f.advance(tickInterval)), tc.starts)
+		})
+	}
+}
