Stand-in: calls for a runner's former life reach the new one

The stand-in dropped delayed orders when the runner had restarted, and never carried out a call sent while it was down, so that no scenario could show what such calls do.

A delayed order is applied by the incarnation that runs then; a poll can be delayed as well. A runner that goes down while it serves a call no longer answers 503.

The timer of a lease ends with the incarnation.

--- a/standin/runner.go
+++ b/standin/runner.go
@@ -19,16 +19,16 @@
 	crashDelay         = 10 * time.Millisecond  // from the start of a run that crashes its runner until it does
 	orderLatency       = time.Millisecond
 	maxEndsPerPoll     = 500
-	minOrderDelay      = 2 * time.Second // bounds of an order's delay under DelayedOrderRate
-	maxOrderDelay      = 12 * time.Second
 )
 
 // RunnerFaults are the faults that a Runner injects; the zero value injects none.
 type RunnerFaults struct {
-	FailRuns         bool    // every run fails after stopTime
-	StallRuns        bool    // no run makes progress
-	SlowdownFactor   float64 // multiplies the remaining time of runs; values below 1 count as 1
-	DelayedOrderRate float64 // fraction of orders that get no reply and are applied seconds later
+	FailRuns         bool      // every run fails after stopTime
+	StallRuns        bool      // no run makes progress
+	SlowdownFactor   float64   // multiplies the remaining time of runs; values below 1 count as 1
+	DelayedOrderRate float64   // fraction of orders that get no reply and are applied seconds later
+	DelayedPollRate  float64   // fraction of polls that get no reply and are applied seconds later
+	DelayUntil       time.Time // when delayed orders and polls are applied; drawn for each if zero
 }
 
 // Runner emulates the runner of a machine from one boot of the machine to the next. It may crash and restart under its
@@ -61,7 +61,7 @@
 	ends       [][]any               // unacknowledged ends in the protocol's form, oldest first
 	lastEnd    int64                 // number of the newest end
 	acked      int64                 // highest end number acknowledged
-	wake       chan struct{}         // closed and replaced on every end and crash
+	wake       chan struct{}         // closed and replaced on every end, crash and restart
 	faults     RunnerFaults
 	crashed    bool
 	leaseTimer *time.Timer // calls expireLease; nil before the first lease
@@ -173,6 +173,10 @@
 	r.born = max(r.born+1, r.startedAt.UnixMilli())
 	r.token, r.leaseUntil, r.lastEnd, r.acked, r.ends = 0, 0, 0, 0, nil
 	r.lastRuns = map[string]int{}
+	if r.leaseTimer != nil {
+		r.leaseTimer.Stop() // it belongs to the lease of the earlier incarnation
+	}
+	r.wakeWaiters()
 }
 
 // clock returns the runner's monotonic clock, which starts at 0 with each incarnation.
@@ -180,7 +184,7 @@
 	return time.Duration(float64(time.Since(r.startedAt)) * r.clockRate)
 }
 
-// wakeWaiters wakes all polls that wait for an end.
+// wakeWaiters wakes all polls that wait for an end, and all calls that wait for a restart.
 func (r *Runner) wakeWaiters() {
 	close(r.wake)
 	r.wake = make(chan struct{})
@@ -203,13 +207,6 @@
 
 // ServeHTTP serves orders and polls.
 func (r *Runner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	r.mu.Lock()
-	crashed, delayed := r.crashed, r.rand.Float64() < r.faults.DelayedOrderRate
-	r.mu.Unlock()
-	if crashed {
-		withholdReply(req)
-		return
-	}
 	if id := req.Header.Get("X-Gypsumlead-Expect-Instance"); id != "" && id != r.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -220,30 +217,35 @@
 		return
 	}
 	o.contactSince = r.checker.contactOf(req.RemoteAddr)
-	time.Sleep(orderLatency)
 	path := req.URL.Path
-	if delayed && path != "/gypsumlead/hold" {
-		r.mu.Lock()
-		delay := minOrderDelay + time.Duration(r.rand.Int64N(int64(maxOrderDelay-minOrderDelay)))
-		born := r.born
-		r.mu.Unlock()
-		go func() {
-			time.Sleep(delay)
-			r.mu.Lock()
-			sameIncarnation := r.born == born // an order is lost with the incarnation that received it
-			r.mu.Unlock()
-			if sameIncarnation {
-				r.applyOrder(path, o, true)
-			}
-		}()
+	r.mu.Lock()
+	crashed := r.crashed
+	delay, delayed := r.drawDelay(path)
+	r.mu.Unlock()
+	if crashed {
+		r.serveAfterRestart(w, req, o)
+		return
+	}
+	time.Sleep(orderLatency)
+	if delayed {
+		go r.applyLate(path, o, delay)
 		withholdReply(req)
 		return
 	}
-	if path == "/gypsumlead/hold" {
+	r.serveCall(w, req, o, false)
+}
+
+// serveCall serves an order or poll, which may have been delayed. A runner that is down sends no reply.
+func (r *Runner) serveCall(w http.ResponseWriter, req *http.Request, o wireOrder, delayed bool) {
+	if r.down() {
+		withholdReply(req)
+		return
+	}
+	if req.URL.Path == pollPath {
 		r.servePoll(w, req, o)
 		return
 	}
-	status, body := r.applyOrder(path, o, false)
+	status, body := r.applyOrder(req.URL.Path, o, delayed)
 	w.WriteHeader(status)
 	writeJSON(w, body)
 }
@@ -285,23 +287,30 @@
 	return http.StatusOK, reply
 }
 
-// servePoll extends the lease, drops acknowledged ends, and replies with the active runs and the ends. It waits for an
-// end up to the request's WaitMs.
-func (r *Runner) servePoll(w http.ResponseWriter, req *http.Request, o wireOrder) {
-	r.mu.Lock()
+// applyPoll extends the lease and drops acknowledged ends. It returns false if the poll has a lower fencing token than an
+// earlier call; the caller holds r.mu.
+func (r *Runner) applyPoll(o wireOrder) bool {
 	if o.FencingToken < r.token {
-		r.mu.Unlock()
-		w.WriteHeader(http.StatusConflict)
-		writeJSON(w, wireClock{Reason: "fence"})
-		return
+		return false
 	}
 	r.token = o.FencingToken
 	if o.DeadlineMs > 0 {
 		r.extendLease(time.Duration(o.DeadlineMs) * time.Millisecond)
 	}
 	r.ack(o.AckCursor)
-	born := r.born
+	return true
+}
+
+// servePoll applies a poll and replies with the active runs and the ends. It waits for an end up to the request's WaitMs.
+func (r *Runner) servePoll(w http.ResponseWriter, req *http.Request, o wireOrder) {
+	r.mu.Lock()
+	accepted, born := r.applyPoll(o), r.born
 	r.mu.Unlock()
+	if !accepted {
+		w.WriteHeader(http.StatusConflict)
+		writeJSON(w, wireClock{Reason: "fence"})
+		return
+	}
 	timeout := time.NewTimer(time.Duration(o.WaitMs) * time.Millisecond)
 	defer timeout.Stop()
 	for {
