--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -21,6 +21,38 @@
 	}
 }
 
+// Guards against tasks that start twice when runners restart under their IDs and are cut off soon after, beside other faults.
+func TestRandomDaysOfRestarts(t *testing.T) {
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			runScenario(t, randomSite(seed), seed, func(t *testing.T, c *Cluster) {
+				c.wg.Go(func() { restartAndCutRunners(c, seed) })
+				runRandomFaults(t, c, seed)
+			})
+		})
+	}
+}
+
+// restartAndCutRunners twice restarts some runners of s0 with long tasks under their IDs, and cuts them off soon after.
+func restartAndCutRunners(c *Cluster, seed uint64) {
+	rng := rand.New(rand.NewPCG(seed, 98))
+	for range 2 {
+		time.Sleep(3 * time.Second)
+		submitEvenly(c, "s0", 8, 2*time.Second, longShape)
+		var ids []string
+		for _, id := range c.Runners() {
+			if rng.IntN(3) == 0 {
+				ids = append(ids, id)
+				c.CrashRunner(id, longDowntime)
+			}
+		}
+		submitEvenly(c, "s0", 8, longDowntime+2*time.Second, longShape)
+		cutOff(c, ids)
+		time.Sleep(6 * time.Second)
+	}
+}
+
 // runRandomFaults generates half a minute of load with a fault or a repair about every second, and then repairs
 // everything.
 func runRandomFaults(t *testing.T, c *Cluster, seed uint64) {
