--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -89,3 +89,37 @@
 		})
 	}
 }
+
+// Guards against a second run after two changes of leader: the leader between them had learnt of the restart, and had given the
+// runner work, but its first commit doesn't say so.
+func TestLeaderStoresARestartWithItsFirstCommit(t *testing.T) {
+	store := newTestStore(t, standin.NewStore(rand.New(rand.NewPCG(1, 1))))
+	runner := work.Runner{ID: "r", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1}
+	first := newRestartLeader(store)
+	first.RunnerListed(runner)
+	first.commitOnce(t.Context())
+	pollOnce(first, "r", 1)
+
+	ordinary := slowed(restartLeases.TTL)
+	second := New(Lease{AcquiredAt: time.Now(), Row: first.leaseRow, Version: first.leaseVersion, Token: first.leaseVersion, InheritedTTL: ordinary}, restartLeases, first.Deps)
+	require.NoError(t, second.Restore(t.Context()))
+	second.RunnerListed(runner)
+	pollOnce(second, "r", 2) // a poll of the first leader may have given it the longest lease just before
+	second.commitOnce(t.Context())
+	require.Contains(t, second.pool.RestartedRunners(time.Now()), "r")
+
+	begun := time.Now()
+	third := New(Lease{AcquiredAt: begun, InheritedTTL: ordinary}, restartLeases, first.Deps)
+	require.NoError(t, third.Restore(t.Context()))
+	runner.Born = 2
+	third.RunnerListed(runner)
+	waited := time.Duration(0)
+	for {
+		third.pool.Plan(begun.Add(waited), begun.Add(waited), true)
+		if waiting, _ := third.pool.Unresolved(); len(waiting) == 0 {
+			break
+		}
+		waited += 50 * time.Millisecond
+	}
+	require.GreaterOrEqual(t, waited.Seconds(), 6/(1-sched.MaxClockSkew)-0.2)
+}
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -53,6 +53,7 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	l.inboxReadAt = readAt
+	l.storeTime, l.storeTimeReadAt = stamp.Now, readAt
 	l.storedSilent = map[string]time.Time{}
 	for _, runner := range runners.Runners {
 		endsAt := time.Time{}
--- a/sched/fence.go
+++ b/sched/fence.go
@@ -78,7 +78,7 @@
 // startFencing handles a restart of a runner. The new incarnation may carry out orders for earlier ones, whose deadlines mean
 // nothing on its clock, as late as any order.
 func (p *Pool) startFencing(now time.Time, r *runner) {
-	r.fencing.pending = r.fencing.pending || r.fencing.leased
+	r.fencing.pending = r.fencing.pending || r.fencing.leased || r.inherited
 	last := now // when the last such order is carried out
 	switch {
 	case !r.resolved():
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -116,3 +116,31 @@
 	f.poll()
 	require.Empty(t, starts(f.planCommitted(true)), "the new incarnation has answered no stop of %s", task)
 }
+
+// newSuccessorPool returns a pool of a later leader that inherits the runners of an earlier one and a job, of which the store
+// has a placement on r0.
+func newSuccessorPool(t *testing.T) (*fakePool, work.Task) {
+	f := &fakePool{t: t, now: time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC), runners: map[string]*fakeRunner{}, stored: map[work.ID][]byte{}, version: 100}
+	leases := testLeases
+	leases.MaxTTL, leases.LateOrders, leases.InheritedPlacements = 6*time.Second, 12*time.Second, true
+	f.pool = New(f.now, 2, leases, WithToken(100), WithCheckInterval(0), WithStopTime(200*time.Millisecond))
+	info := work.Runner{ID: "r0", Machine: "m0", Service: "s", Room: work.Resources{CPU: 4000, Mem: 1 << 20}, Labels: []string{"a", "rack0"}, Born: 1}
+	f.pool.InheritRunner(info, time.Time{}, time.Time{})
+	f.runners["r0"] = &fakeRunner{info: info, runs: map[string]work.Run{}}
+	id := work.ID("000000000000000a")
+	f.pool.RestoreJob(f.now, id, testQueue, work.Job{Spec: "a", Steps: []work.Step{stepOf(1, 2000)}}, f.now, &Progress{Runners: []string{"r0"}})
+	f.pool.UpdateRunner(f.now, info)
+	return f, taskOf(id, 0, 0)
+}
+
+// Guards against work on a restarted runner of which the store, and so the leader after this one, doesn't know that orders of
+// an earlier leader may have given it the longest lease.
+func TestRunnerThatRestartedBetweenTwoLeadersGetsNoWorkBeforeTheStoreKnows(t *testing.T) {
+	f, _ := newSuccessorPool(t)
+	f.restart("r0")
+	f.pool.PollSent(f.now, "r0", 0)
+	require.Zero(t, f.pool.ExtendLease(f.now, "r0"))
+	f.pool.HandlePollResult(f.now, "r0", f.now, f.pool.Fence("r0"), work.PollResult{Born: 2, Clock: time.Second})
+	require.Contains(t, f.pool.RestartedRunners(f.now), "r0", "a later leader has to wait for the longest lease")
+	require.Empty(t, starts(f.pool.Plan(f.now, f.now, true)), "nothing is stored yet: %+v", f.pool.runners["r0"].fencing)
+}
