--- a/leader/commit_batch.go
+++ b/leader/commit_batch.go
@@ -157,7 +157,7 @@
 		silent, keeps = nil, nil // times are stored on the store's clock, which is still unknown
 	}
 	unchanged := maps.EqualFunc(runners, l.storedRunners, sameIncarnation)
-	if unchanged && !l.silentDirty && len(l.changedKeeps(keeps)) == 0 && maps.EqualFunc(silent, l.storedSilent, func(_, _ time.Time) bool { return true }) {
+	if unchanged && !l.pool.AwaitsRecords() && !l.silentDirty && len(l.changedKeeps(keeps)) == 0 && maps.EqualFunc(silent, l.storedSilent, func(_, _ time.Time) bool { return true }) {
 		return
 	}
 	batch.runners, batch.silent, batch.keeps = runners, silent, keeps
--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -123,3 +123,53 @@
 	}
 	require.GreaterOrEqual(t, waited.Seconds(), 6/(1-sched.MaxClockSkew)-0.2)
 }
+
+func pendingRestart(t *testing.T) (*Leader, work.Runner) {
+	store := newTestStore(t, standin.NewStore(rand.New(rand.NewPCG(1, 1))))
+	l := newRestartLeader(store)
+	runner := work.Runner{ID: "r", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1}
+	l.RunnerListed(runner)
+	l.commitOnce(t.Context())
+	pollOnce(l, "r", 1)
+	pollOnce(l, "r", 1)
+	return l, runner
+}
+
+func settle(t *testing.T, l *Leader) {
+	for range 5 {
+		l.commitOnce(t.Context())
+		pollOnce(l, "r", l.pool.Fence("r").Born)
+	}
+}
+
+// Guards against a runner that gets no work for ever because it was out of the list while its restart was being stored.
+func TestRunnerThatIsListedAgainWhileItsRestartIsStoredGetsWork(t *testing.T) {
+	l, runner := pendingRestart(t)
+	runner.Born = 2
+	l.RunnerListed(runner)
+	require.True(t, l.pool.AwaitsRecord("r"))
+	batch, tx, err := l.prepareCommit(time.Now())
+	require.NoError(t, err)
+	l.RunnerUnlisted("r")
+	require.False(t, l.pool.HasRunner("r"))
+	stamp, err := l.Store.Commit(t.Context(), tx)
+	require.NoError(t, err)
+	l.handleCommitResult(batch, stamp, nil)
+	l.RunnerListed(runner) // before the commit loop has looked at the list again
+	require.True(t, l.pool.AwaitsRecord("r"))
+	settle(t, l)
+	require.False(t, l.pool.AwaitsRecord("r"))
+}
+
+// Guards against a runner that gets no work for ever because its third incarnation came shortly after its second, at another
+// address.
+func TestRunnerThatRestartsTwiceAtOnceGetsWork(t *testing.T) {
+	l, runner := pendingRestart(t)
+	pollOnce(l, "r", 2) // the restart is known
+	runner.Addr, runner.Born = netip.MustParseAddrPort("10.0.0.2:80"), 3
+	l.RunnerListed(runner)
+	l.commitOnce(t.Context())
+	require.True(t, l.pool.AwaitsRecord("r"))
+	settle(t, l)
+	require.False(t, l.pool.AwaitsRecord("r"))
+}
--- a/sched/fence.go
+++ b/sched/fence.go
@@ -48,6 +48,16 @@
 	return ok && r.fencing.pending && r.fencing.recorded != r.Born
 }
 
+// AwaitsRecords reports whether any runner waits until the store has recorded its new incarnation.
+func (p *Pool) AwaitsRecords() bool {
+	for id := range p.runners {
+		if p.AwaitsRecord(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // IncarnationRecorded records that a commit of the given version has recorded an incarnation of a runner, and until when
 // orders for earlier ones may keep its runs alive: the time that RestartedRunners returned for it, or zero.
 func (p *Pool) IncarnationRecorded(now time.Time, id string, born, version int64, keep time.Time) {
