--- a/sched/fence.go
+++ b/sched/fence.go
@@ -135,15 +135,16 @@
 
 // removedRunner is what is kept of a removed runner, in case it comes back.
 type removedRunner struct {
-	born    int64
-	fencing fencing
+	born      int64
+	fencing   fencing
+	keepUntil time.Time // as of RunnerLease
 }
 
 // remove removes a runner. If this leader has extended its lease, orders for it may still be on their way.
 func (p *Pool) remove(r *runner) {
 	delete(p.runners, r.ID)
 	if r.fencing.leased {
-		p.removed[r.ID] = removedRunner{r.Born, r.fencing}
+		p.removed[r.ID] = removedRunner{r.Born, r.fencing, r.lease.keepUntil}
 	}
 }
 
@@ -151,6 +152,7 @@
 func (p *Pool) takeBack(r *runner) {
 	if f, ok := p.removed[r.ID]; ok {
 		r.Born, r.fencing = f.born, f.fencing
+		r.lease.KeepUntil(f.keepUntil)
 		delete(p.removed, r.ID)
 	}
 }
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -144,3 +144,31 @@
 	require.Contains(t, f.pool.RestartedRunners(f.now), "r0", "a later leader has to wait for the longest lease")
 	require.Empty(t, starts(f.pool.Plan(f.now, f.now, true)), "nothing is stored yet: %+v", f.pool.runners["r0"].fencing)
 }
+
+// Guards against a lease that is counted as shorter than it is because the runner was removed from the list for a moment.
+func TestRelistedRunnerKeepsTheTimeThatEarlierOrdersMayKeepRunsAlive(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	f.pool.leases.MaxTTL, f.pool.leases.LateOrders = 6*time.Second, 12*time.Second
+	f.advance(tickInterval)
+	f.restart("r0")
+	f.poll()
+	f.commit()
+	f.poll()
+	require.False(t, f.pool.runners["r0"].fencing.pending)
+	fenced := f.now
+	f.pool.MarkUnlisted(f.now, "r0")
+	require.False(t, f.pool.HasRunner("r0"))
+	f.pool.UpdateRunner(f.now, f.runners["r0"].info)
+	task := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
+	for f.runnerOf(task) == "" {
+		require.Less(t, f.now.Sub(fenced), time.Second)
+		f.advance(tickInterval)
+	}
+	f.runners["r0"].silent = true
+	f.addRunner("r1", 4)
+	var again []Start
+	for len(again) == 0 {
+		again = starts(f.advance(tickInterval))
+	}
+	require.GreaterOrEqual(t, f.now.Sub(fenced).Seconds(), 6/(1-MaxClockSkew))
+}
