--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -172,3 +172,18 @@
 	}
 	require.GreaterOrEqual(t, f.now.Sub(fenced).Seconds(), 6/(1-MaxClockSkew))
 }
+
+// Guards against a second run after the answer of another runner at the address of the earlier incarnation was taken for an
+// answer of the present one.
+func TestReplacedAnswerForAnEarlierIncarnationDoesNotEndRunsOfThePresentOne(t *testing.T) {
+	f := newFakePool(t, 2, 4)
+	id := f.accept("a", testQueue, stepOf(1, 2000))
+	require.Len(t, starts(f.advance(tickInterval)), 1)
+	task := taskOf(id, 0, 0)
+	runner := f.runnerOf(task)
+	earlier := f.pool.Fence(runner)
+	f.runners[runner].info.Born++ // the start may have reached the new incarnation
+	f.pool.UpdateRunner(f.now, f.runners[runner].info)
+	f.pool.HandlePollResult(f.now, runner, f.now, earlier, work.PollResult{Replaced: true})
+	require.Empty(t, starts(f.planCommitted(true)))
+}
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -184,6 +184,9 @@
 		p.fenced = p.fenced || !p.superseded(r, fence)
 		return
 	}
+	if result.Replaced && fence.Born != r.Born {
+		return // the earlier incarnation may have had another address
+	}
 	if result.Replaced {
 		p.handleCrash(now, r)
 		p.runnerGone(now, r)
