--- a/sched/fence.go
+++ b/sched/fence.go
@@ -72,13 +72,12 @@
 	r.fencing.recorded, r.fencing.token, r.fencing.recordedKeep = born, version, keep
 }
 
-// RestartedRunners returns the runners on which orders for earlier incarnations may keep runs alive for longer than an order
-// that is sent now, with the time until which they may.
+// RestartedRunners returns the runners on which orders for earlier incarnations may keep runs alive, with the time until which
+// they may.
 func (p *Pool) RestartedRunners(now time.Time) map[string]time.Time {
 	list := map[string]time.Time{}
-	ordinary := now.Add(p.ordinaryLease())
 	for id, r := range p.runners {
-		if r.lease.keepUntil.After(ordinary) {
+		if r.lease.keepUntil.After(now) {
 			list[id] = r.lease.keepUntil
 		}
 	}
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -187,3 +187,18 @@
 	f.pool.HandlePollResult(f.now, runner, f.now, earlier, work.PollResult{Replaced: true})
 	require.Empty(t, starts(f.planCommitted(true)))
 }
+
+// Guards against a time that this leader counts on, and later leaders aren't told.
+func TestLaterLeadersAreToldHowLongEarlierOrdersMayKeepRunsAlive(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	f.pool.leases.TTL, f.pool.leases.MaxTTL, f.pool.leases.LateOrders = 7500*time.Millisecond, 10*time.Second, 12*time.Second // tvl-refill
+	f.advance(tickInterval)
+	f.restart("r0")
+	f.poll()
+	f.commit()
+	f.poll()
+	keep := f.pool.runners["r0"].lease.keepUntil
+	f.now = f.now.Add(2600 * time.Millisecond)
+	require.Greater(t, keep.Sub(f.now).Seconds(), 7.5)
+	require.Contains(t, f.pool.RestartedRunners(f.now), "r0")
+}
