--- a/leader/commit.go
+++ b/leader/commit.go
@@ -48,8 +48,9 @@
 		l.storeLink.Doubt()
 	}
 	l.mu.Lock()
+	sentAt := l.commitSentAt
 	l.commitSentAt, l.commitFailed = time.Time{}, err != nil && !fault.Is(err, fault.Conflict)
-	more := l.handleCommitResult(batch, stamp, err)
+	more := l.handleCommitResult(batch, stamp, sentAt, err)
 	l.mu.Unlock()
 	if err != nil && !fault.Is(err, fault.Conflict) {
 		sleep.ForOrWake(ctx, storeRetryInterval, nil)
@@ -117,11 +118,11 @@
 }
 
 // handleCommitResult handles the result of a commit and reports whether another should follow immediately.
-func (l *Leader) handleCommitResult(batch commitBatch, stamp platform.Stamp, err error) bool {
+func (l *Leader) handleCommitResult(batch commitBatch, stamp platform.Stamp, sentAt time.Time, err error) bool {
 	switch {
 	case err == nil:
 		l.leaseVersion = stamp.Version
-		l.storeTime, l.storeTimeReadAt = stamp.Now, l.Now()
+		l.storeTime, l.storeTimeReadAt = stamp.Now, sentAt // the answer may have been slow
 		l.epoch = batch.epoch
 		l.applyBatch(batch)
 		clear(l.unanswered)
--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -154,7 +156,7 @@
 	require.False(t, l.pool.HasRunner("r"))
 	stamp, err := l.Store.Commit(t.Context(), tx)
 	require.NoError(t, err)
-	l.handleCommitResult(batch, stamp, nil)
+	l.handleCommitResult(batch, stamp, time.Now(), nil)
 	l.RunnerListed(runner) // before the commit loop has looked at the list again
 	require.True(t, l.pool.AwaitsRecord("r"))
 	settle(t, l)
@@ -173,3 +175,40 @@
 	settle(t, l)
 	require.False(t, l.pool.AwaitsRecord("r"))
 }
+
+// slowAnswers answers each call late; what the store says of its clock is as old as the answer is late.
+type slowAnswers struct {
+	inner http.Handler
+	delay time.Duration
+}
+
+func (s *slowAnswers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	s.inner.ServeHTTP(answer, r)
+	time.Sleep(s.delay)
+	for key, values := range answer.Header() {
+		w.Header()[key] = values
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
+// Guards against a next leader that waits too briefly because an answer of the store was slow.
+func TestNextLeaderWaitsLongEnoughThoughAnswersOfTheStoreAreSlow(t *testing.T) {
+	handler := &slowAnswers{inner: standin.NewStore(rand.New(rand.NewPCG(1, 1)))}
+	l := newRestartLeader(newTestStore(t, handler))
+	runner := work.Runner{ID: "r", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Born: 1}
+	l.RunnerListed(runner)
+	handler.delay = 1500 * time.Millisecond
+	l.commitOnce(t.Context())
+	handler.delay = 0
+	pollOnce(l, "r", 1)
+	pollOnce(l, "r", 1)
+	pollOnce(l, "r", 2)
+	l.commitOnce(t.Context())
+	want := l.storedKeeps["r"]
+	require.False(t, want.IsZero())
+	next := New(Lease{AcquiredAt: time.Now()}, restartLeases, l.Deps)
+	require.NoError(t, next.Restore(t.Context()))
+	require.False(t, next.storedKeeps["r"].Before(want), "it is %s early", want.Sub(next.storedKeeps["r"]))
+}
