--- a/sched/fence.go
+++ b/sched/fence.go
@@ -102,7 +102,7 @@
 // refuses the orders for earlier ones; those that it carried out before count from now.
 func (p *Pool) confirmFence(now time.Time, r *runner, fence Fence) {
 	keep := now.Add(p.longestLease())
-	if !r.resolved() && r.lease.keepUntil.After(keep) {
+	if !r.fencing.pending && !r.resolved() && r.lease.keepUntil.After(keep) {
 		r.lease.KeepOnlyUntil(keep) // it has seen the token of this term, which is higher than those of earlier leaders
 	}
 	if !r.fencing.pending || r.fencing.recorded != r.Born || fence != p.fence(r) {
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -202,3 +202,18 @@
 	require.Greater(t, keep.Sub(f.now).Seconds(), 7.5)
 	require.Contains(t, f.pool.RestartedRunners(f.now), "r0")
 }
+
+// Guards against a wait that ends too early because a poll is answered that the earlier incarnation's orders can still overtake.
+func TestUnlistedEndsDoNotEndTheWaitForThisLeadersEarlierOrders(t *testing.T) {
+	f, _ := newSuccessorPool(t)
+	answer := func(born int64) {
+		f.pool.PollSent(f.now, "r0", 0)
+		f.pool.ExtendLease(f.now, "r0")
+		f.pool.HandlePollResult(f.now, "r0", f.now, f.pool.Fence("r0"), work.PollResult{Born: born, Clock: time.Second, MoreEnds: true})
+	}
+	answer(1)
+	answer(1)
+	answer(2)
+	require.True(t, f.pool.runners["r0"].fencing.pending)
+	require.Greater(t, f.pool.runners["r0"].lease.keepUntil.Sub(f.now).Seconds(), 12.0, "a poll for the earlier incarnation may be carried out until then")
+}
