--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -92,6 +92,7 @@
 	recheck    chan struct{}             // wakes runElections
 	readiness  readiness
 
+	callers        *callerServer
 	callerListener net.Listener
 	readyListener  net.Listener
 	peerListener   net.Listener
@@ -182,7 +183,11 @@
 	if err := d.setUpMetrics(); err != nil {
 		return nil, err
 	}
-	return d, d.openListeners()
+	if err := d.openListeners(); err != nil {
+		return nil, err
+	}
+	d.callers = newCallerServer(d.jobHandler, d.callerListener, d.log)
+	return d, nil
 }
 
 // leaseConfigOf returns the configuration of runners' leases from the settings.
@@ -226,9 +231,8 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	callers := newCallerServer(d.jobHandler, d.callerListener, d.log)
 	ready := &http.Server{Handler: d.platformHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	g.Go(callers.serve)
+	g.Go(d.callers.serve)
 	g.Go(func() error {
 		if err := ready.Serve(d.readyListener); err != http.ErrServerClosed {
 			return err
@@ -256,7 +260,7 @@
 		case <-ctx.Done():
 		case <-serveCtx.Done():
 		}
-		d.shutDown(callers)
+		d.shutDown()
 		_ = ready.Close() // readiness is no longer needed
 		stop()
 		return nil
@@ -268,7 +272,7 @@
 
 // shutDown releases the leases of leadership, lets the load balancer notice that the daemon is not ready, and ends the
 // callers' server once requests in progress have been answered.
-func (d *Daemon) shutDown(callers *callerServer) {
+func (d *Daemon) shutDown() {
 	begun := time.Now()
 	d.log.Info("daemon shutting down")
 	d.mu.Lock()
@@ -277,7 +281,7 @@
 	d.members.Leave()
 	d.releaseLeases(d.localLeaders())
 	d.members.SetLedServices(nil)
-	callers.shutDown(begun, shutdownTimesOf(d.settings))
+	d.callers.shutDown(begun, shutdownTimesOf(d.settings))
 }
 
 // releaseLeases releases the leases of the leaders concurrently.
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -24,6 +24,7 @@
 	relayedCalls, carriedCalls, refusedCalls                                               metric.Int64ObservableCounter
 	rackWaited, relayedTime                                                                metric.Float64ObservableCounter
 	terms, waiting, running, excluded, silent, moving, configVersion                       metric.Int64ObservableGauge
+	connections, arriving                                                                  metric.Int64ObservableGauge
 	oldest, configAge                                                                      metric.Float64ObservableGauge
 }
 
@@ -64,6 +65,8 @@
 	in.silent = in.gauge("gypsumlead.runners.silent", "runners that don't answer, by service")
 	in.moving = in.gauge("gypsumlead.machines.moving", "machines being moved to another pool")
 	in.configVersion = in.gauge("gypsumlead.config.version", "version of the configuration in force")
+	in.connections = in.gauge("gypsumlead.callers.connections", "open connections of callers")
+	in.arriving = in.gauge("gypsumlead.bodies.arriving", "bytes of callers' bodies that have arrived in part")
 	in.oldest = in.secondsGauge("gypsumlead.jobs.oldest", "age of the oldest job that hasn't started, by service")
 	in.configAge = in.secondsGauge("gypsumlead.config.age", "time since the store confirmed the configuration in force")
 	if in.err != nil {
@@ -83,7 +86,7 @@
 		d.observe(o, in)
 		return nil
 	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.copies, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
-		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge)
+		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge, in.connections, in.arriving)
 	return err
 }
 
@@ -128,6 +131,8 @@
 	for status, n := range d.jobHandler.Counts.Snapshot() {
 		o.ObserveInt64(in.answers, n, label("status", status))
 	}
+	o.ObserveInt64(in.connections, int64(d.callers.openConns()))
+	o.ObserveInt64(in.arriving, d.jobHandler.Arriving.Load())
 	for reason, n := range d.jobHandler.KeyRefusals.Snapshot() {
 		o.ObserveInt64(in.keyRefusals, n, label("why", reason))
 	}
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -42,6 +43,7 @@
 	log           *zap.Logger
 	revocation    revocation
 	Counts        StatusCounts
+	Arriving      atomic.Int64                         // bytes of bodies that have arrived in part
 	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
 }
@@ -154,7 +156,9 @@
 	if maxBody <= 0 {
 		maxBody = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	arrived := countingReader{http.MaxBytesReader(w, r.Body, maxBody), &h.Arriving, 0}
+	body, err := io.ReadAll(&arrived)
+	h.Arriving.Add(-arrived.n)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		h.writeError(w, http.StatusRequestEntityTooLarge, 0, err.Error())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,6 +16,7 @@
 	Listen   Listen         `json:"listen" doc:"Addresses that the daemon listens on."`
 	Weight   float64        `json:"weight" validate:"gt=0" doc:"Share of a processor that this instance has; larger ones schedule more services."`
 	MemoryMB int64          `json:"memory" validate:"min=32" doc:"Memory in MB that the process may take."`
+	MaxFiles int            `json:"descriptors" validate:"min=300" doc:"Descriptors that the process may have open, files and sockets."`
 	Bounds   Bounds         `json:"bounds" doc:"Figures that the platform promises or demands."`
 	LogLevel string         `json:"log" validate:"oneof=debug info warn error" doc:"Least severe level that is logged."`
 }
@@ -54,6 +55,7 @@
 	return Settings{
 		Weight:   1,
 		MemoryMB: 256,
+		MaxFiles: 4096,
 		Bounds: Bounds{
 			MaxRunnerLease:  6 * time.Second,
 			MachineLease:    3 * time.Second,
