Bound the memory of bodies that are being read

Callers saw a process end for lack of memory when many clients sent large bodies, in any way, and stopped just short of their end. Cause: each body was kept until its last byte, without a bound on their sum or on their time, in buffers that io.ReadAll grows beyond what has arrived; the memory of the settings only tells the garbage collector when to work harder.

A body takes of it as it arrives, and keeps that until its request has been answered. When the budget is used up, the longest unfinished body gives way: its read is cut off, its memory is released before anybody else gets it, and its caller is answered 504 with Retry-After on a connection that is then closed. Ordinary requests are newer than the crowd and arrive at once, so that they get in; a lone sender fits. Nothing was done of a request that gave way, but an earlier try of the same ID may have been stored by another daemon, so that it isn't answered 503. A body has 30 s to arrive (bounds.body); 262,144 bytes take 1.05 s at 2 Mbit/s.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumlead/admission"
 	"gypsumlead/cache"
 	"gypsumlead/claims"
 	"gypsumlead/clock"
@@ -67,6 +68,7 @@
 	members         *member.Members
 	mesh            *peer.Mesh
 	peerServer      *peer.Server
+	bodyBudget      *admission.Budget
 	jobHandler      *jobapi.Handler
 	metricsHandler  http.Handler
 	operatorHandler http.Handler
@@ -173,7 +175,8 @@
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
 	d.peerServer = peer.NewServer(identity, d, d.log)
-	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin))
+	d.bodyBudget = admission.NewBudget(limitsOf(conf).bodies)
+	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin), jobapi.WithBodies(d.bodyBudget, conf.Bounds.BodyTime))
 	d.setUpMachines()
 	operatorHandler, err := d.newOperatorHandler()
 	if err != nil {
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -7,11 +7,11 @@
 	"math"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gypsumlead/admission"
 	"gypsumlead/cache"
 	"gypsumlead/leader"
 	"gypsumlead/platform"
@@ -43,8 +43,9 @@
 	log           *zap.Logger
 	revocation    revocation
 	Counts        StatusCounts
-	Arriving      atomic.Int64                         // bytes of bodies that have arrived in part
+	bodies        bodyLimits
 	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
+	BodyRefusals  StatusCounts                         // refusals of bodies that did not arrive, by cause
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
 }
 
@@ -61,6 +62,7 @@
 // New returns a handler that looks up queues and keys in config and passes requests to dispatcher.
 func New(config ConfigSource, dispatcher Dispatcher, log *zap.Logger, opts ...Option) *Handler {
 	h := &Handler{config: config, dispatcher: dispatcher, log: log, ObserveSubmit: func(string, time.Duration) {}}
+	h.bodies = bodyLimits{admission.NewBudget(defaultBodyBudget), defaultBodyTime}
 	for _, o := range opts {
 		o(h)
 	}
@@ -156,15 +158,21 @@
 	if maxBody <= 0 {
 		maxBody = defaultMaxBody
 	}
-	arrived := countingReader{http.MaxBytesReader(w, r.Body, maxBody), &h.Arriving, 0}
-	body, err := io.ReadAll(&arrived)
-	h.Arriving.Add(-arrived.n)
+	maxBody = min(maxBody, h.bodies.budget.Limit())
+	conn := http.NewResponseController(w)
+	held := h.bodies.budget.Begin(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }) // in the past
+	defer held.Release()
+	body, err := h.readBody(w, r, held, maxBody)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		h.writeError(w, http.StatusRequestEntityTooLarge, 0, err.Error())
 		return
-	}
-	if err != nil {
+	case errors.Is(err, admission.ErrEvicted), errors.Is(err, errBodyTooSlow):
+		held.Release() // before the response, which may have to wait for the caller
+		h.writeUnread(w, err)
+		return
+	case err != nil:
 		h.Counts.add("broken")
 		return // the caller closed the connection, so no response is possible
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -46,6 +46,7 @@
 	CancelWithin    time.Duration `json:"cancel" validate:"min=1500ms" doc:"Time within which no task of a cancelled job is started any more."`
 	StatusFor       time.Duration `json:"status" validate:"min=1s" doc:"Time for which callers may ask for the state of a job after its end."`
 	ShutdownTime    time.Duration `json:"grace" validate:"min=5s" doc:"Time from the signal to stop until the platform kills the process."`
+	BodyTime        time.Duration `json:"body" validate:"min=5s" doc:"Time within which the whole body of a caller's request has to arrive."`
 	RateWindow      time.Duration `json:"window" validate:"min=0" doc:"Time over which the jobs of a workspace are counted against its rate."`
 	LeasePercent    float64       `json:"percent" validate:"min=0,max=100" doc:"Share in percent of Hold that runners are given; less frees a silent runner's tasks earlier."`
 }
@@ -71,6 +72,7 @@
 			CancelWithin:    3 * time.Second,
 			StatusFor:       2 * time.Minute,
 			ShutdownTime:    6 * time.Second,
+			BodyTime:        30 * time.Second,
 			RateWindow:      5 * time.Second,
 			LeasePercent:    75,
 		},
