Bound the time of bodies that no handler reads

A request whose body stops short of its end and that no handler reads (GET, DELETE, unknown routes, wrong keys, everything on the readiness port) held its connection, descriptor and goroutine for as long as its client stayed: net/http reads up to 256 KB of such a body before it answers, and waits for them without end.

A guard in front of both HTTP servers gives each body its part of the budget when its request arrives. What the handler has not read has 5 s to arrive, or less if the body has to give way; then the response is sent and the connection is closed. A body that arrives is read as before, and its connection kept. Handlers find their part in the request's context, so that a request has one part and complete bodies are never interrupted.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -30,15 +30,13 @@
 	place     *list.Element // in arriving; nil once the body is complete, evicted or released
 	queued    *list.Element // in waiting
 	evicted   bool
+	complete  bool
 	woken     chan struct{} // receives when the body no longer waits
 }
 
 // NewBudget returns a Budget of a number of bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Limit returns the size of the budget in bytes.
-func (b *Budget) Limit() int64 { return b.limit }
-
 // Used returns the number of bytes taken.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
@@ -105,10 +103,20 @@
 	if y.evicted {
 		return ErrEvicted
 	}
+	y.complete = true
 	y.leaveArriving()
 	return nil
 }
 
+func (y *Body) isComplete() bool {
+	y.budget.mu.Lock()
+	defer y.budget.mu.Unlock()
+	return y.complete
+}
+
+// Limit returns the most bytes that the body may take.
+func (y *Body) Limit() int64 { return y.budget.limit }
+
 // Release returns the body's bytes to the budget; further calls do nothing.
 func (y *Body) Release() {
 	b := y.budget
--- /dev/null
+++ b/admission/guard.go
@@ -0,0 +1,45 @@
+package admission
+
+import (
+	"context"
+	"io"
+	"math"
+	"net/http"
+	"time"
+)
+
+// maxDrained is how much of a body that its handler hasn't read is read and dropped, so that its connection can be kept; net/http does
+// the same, but waits for it without end.
+const maxDrained = 256 << 10 // bytes
+
+// longAgo is a deadline that makes pending reads fail.
+var longAgo = time.Unix(1, 0)
+
+type bodyKey struct{}
+
+// Guard returns a handler that makes each request's body a part of the budget, which BodyOf returns. What the handler next leaves unread
+// has to arrive within a time, unless it gives way before; otherwise the connection is closed after the response.
+func (b *Budget) Guard(next http.Handler, unreadWithin time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body == http.NoBody {
+			next.ServeHTTP(w, r)
+			return
+		}
+		conn := http.NewResponseController(w)
+		body := b.Begin(func() { _ = conn.SetReadDeadline(longAgo) }) // only fails for writers without a connection
+		defer body.Release()
+		_ = conn.SetReadDeadline(time.Now().Add(unreadWithin))
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
+		if !body.isComplete() {
+			_, _ = io.CopyN(io.Discard, r.Body, maxDrained) // after an error net/http closes the connection
+		}
+	})
+}
+
+// BodyOf returns the part of the budget that a request's body has. Without a Guard, or without a body, it is one without a bound.
+func BodyOf(ctx context.Context) *Body {
+	if y, ok := ctx.Value(bodyKey{}).(*Body); ok {
+		return y
+	}
+	return NewBudget(math.MaxInt64).Begin(func() {})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -38,6 +38,7 @@
 	releaseTimeout    = 2400 * time.Millisecond // for releasing all leases of leadership; a slow store takes a second
 	readHeaderTimeout = 3 * time.Second         // for reading a request's header
 	idleTimeout       = 15 * time.Second        // until a connection's next request
+	unreadBodyTime    = 5 * time.Second         // for a body that no handler reads
 	maxHeaderBytes    = 16 << 10                // of a caller's request
 	pingInterval      = 2 * time.Second         // between pings to another daemon
 )
@@ -176,7 +177,7 @@
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
 	d.peerServer = peer.NewServer(identity, d, d.log)
 	d.bodyBudget = admission.NewBudget(limitsOf(conf).bodies)
-	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin), jobapi.WithBodies(d.bodyBudget, conf.Bounds.BodyTime))
+	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin), jobapi.WithBodyTime(conf.Bounds.BodyTime))
 	d.setUpMachines()
 	operatorHandler, err := d.newOperatorHandler()
 	if err != nil {
@@ -189,7 +190,7 @@
 	if err := d.openListeners(); err != nil {
 		return nil, err
 	}
-	d.callers = newCallerServer(d.jobHandler, d.callerListener, d.log)
+	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, unreadBodyTime), d.callerListener, d.log)
 	return d, nil
 }
 
@@ -234,7 +235,7 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	ready := &http.Server{Handler: d.platformHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	ready := &http.Server{Handler: admission.NewBudget(0).Guard(d.platformHandler(), unreadBodyTime), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
 	g.Go(d.callers.serve)
 	g.Go(func() error {
 		if err := ready.Serve(d.readyListener); err != http.ErrServerClosed {
--- a/jobapi/body.go
+++ b/jobapi/body.go
@@ -15,23 +15,16 @@
 
 // Defaults and sizes of bodies.
 const (
-	defaultBodyBudget = 32 << 20         // bytes, if none is set
-	defaultBodyTime   = 30 * time.Second // for the whole body, if none is set
-	firstBodyBuffer   = 512              // bytes
+	defaultBodyTime = 30 * time.Second // for the whole body, if none is set
+	firstBodyBuffer = 512              // bytes
 )
 
 // errBodyTooSlow is the error of a body that hasn't arrived within the time for bodies.
 var errBodyTooSlow = errors.New("the body has not arrived in time")
 
-// bodyLimits bound the bodies that are being read.
-type bodyLimits struct {
-	budget *admission.Budget
-	time   time.Duration // from the first byte to the last
-}
-
-// WithBodies sets the budget of memory for bodies and the time within which a body has to arrive.
-func WithBodies(budget *admission.Budget, within time.Duration) Option {
-	return func(h *Handler) { h.bodies = bodyLimits{budget, within} }
+// WithBodyTime sets the time within which a body has to arrive.
+func WithBodyTime(within time.Duration) Option {
+	return func(h *Handler) { h.bodyTime = within }
 }
 
 // readBody reads a body of at most limit bytes as held grants the memory. Its connection's reads are cut off when the time for bodies
@@ -39,7 +32,7 @@
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, held *admission.Body, limit int64) ([]byte, error) {
 	conn := http.NewResponseController(w)
 	// Not supported by some tests' writers; they aren't slow.
-	_ = conn.SetReadDeadline(time.Now().Add(h.bodies.time))
+	_ = conn.SetReadDeadline(time.Now().Add(h.bodyTime))
 	body, err := readGranted(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, held)
 	if evicted := held.Complete(); evicted != nil {
 		return nil, evicted
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -43,7 +43,7 @@
 	log           *zap.Logger
 	revocation    revocation
 	Counts        StatusCounts
-	bodies        bodyLimits
+	bodyTime      time.Duration                        // from a body's first byte to its last
 	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
 	BodyRefusals  StatusCounts                         // refusals of bodies that did not arrive, by cause
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
@@ -61,8 +61,7 @@
 
 // New returns a handler that looks up queues and keys in config and passes requests to dispatcher.
 func New(config ConfigSource, dispatcher Dispatcher, log *zap.Logger, opts ...Option) *Handler {
-	h := &Handler{config: config, dispatcher: dispatcher, log: log, ObserveSubmit: func(string, time.Duration) {}}
-	h.bodies = bodyLimits{admission.NewBudget(defaultBodyBudget), defaultBodyTime}
+	h := &Handler{config: config, dispatcher: dispatcher, log: log, bodyTime: defaultBodyTime, ObserveSubmit: func(string, time.Duration) {}}
 	for _, o := range opts {
 		o(h)
 	}
@@ -158,11 +157,8 @@
 	if maxBody <= 0 {
 		maxBody = defaultMaxBody
 	}
-	maxBody = min(maxBody, h.bodies.budget.Limit())
-	conn := http.NewResponseController(w)
-	held := h.bodies.budget.Begin(func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) }) // in the past
-	defer held.Release()
-	body, err := h.readBody(w, r, held, maxBody)
+	held := admission.BodyOf(r.Context())
+	body, err := h.readBody(w, r, held, min(maxBody, held.Limit()))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
