Bound the open connections of callers

Callers' connections took descriptors and memory without a bound: 600 of them, idle, with short bodies or with bodies that no handler reads, took 618 to 939 of 400 descriptors. A process without descriptors can't reach the store, its runners or the other daemons.

At the bound, a new connection now waits until another one is closed: the longest one that waits for a request, or else the one with the longest unfinished body, whose caller is answered first. So neither idle connections nor stalled bodies keep others out. The bound is a quarter of the descriptors that aren't reserved for files, and at most what a quarter of the memory holds at 32 KB each: 975 with 4,100 descriptors and 184 MB. GET for unknown jobs take a connection to the store each, which the shares leave room for.

--- /dev/null
+++ b/admission/connections_test.go
@@ -0,0 +1,59 @@
+package admission
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// startBound returns the address of a server with a bound on its connections, which reads all bodies.
+func startBound(t *testing.T, limit int) (addr string, conns *Connections) {
+	bodies := NewBudget(1 << 20)
+	conns = NewConnections(limit, bodies)
+	server := httptest.NewUnstartedServer(bodies.Guard(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err == nil {
+			_ = BodyOf(r.Context()).Complete()
+		}
+	}), time.Minute))
+	server.Config.ConnState = conns.Track
+	server.Listener = conns.Listen(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String(), conns
+}
+
+// Guards against connections that send nothing, or bodies without an end, and keep all others out.
+func TestConnectionsWithoutRequestsKeepOthersOut(t *testing.T) {
+	const limit = 5
+	for _, scenario := range []struct{ name, sent string }{
+		{"nothing sent", ""},
+		{"part of a head", "GET / HTTP/1.1\r\nHo"},
+		{"idle after a request", "GET / HTTP/1.1\r\nHost: h\r\n\r\n"},
+		{"part of a body", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1"},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			addr, conns := startBound(t, limit)
+			for range 4 * limit {
+				conn, err := net.Dial("tcp", addr)
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = conn.Close() })
+				_, err = io.WriteString(conn, scenario.sent)
+				require.NoError(t, err)
+				require.LessOrEqual(t, conns.Len(), limit)
+			}
+			last, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = last.Close() })
+			status, _ := exchange(t, last, fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", 3, "abc"))
+			require.Equal(t, http.StatusOK, status)
+			require.LessOrEqual(t, conns.Len(), limit)
+			require.Positive(t, conns.Evicted())
+		})
+	}
+}
--- a/daemon/caller_server.go
+++ b/daemon/caller_server.go
@@ -5,11 +5,11 @@
 	"errors"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"gypsumlead/admission"
 	"gypsumlead/settings"
 	"gypsumlead/sleep"
 )
@@ -20,10 +20,7 @@
 	listener    net.Listener
 	log         *zap.Logger
 	endRequests context.CancelFunc
-
-	mu     sync.Mutex
-	open   map[net.Conn]struct{} // connections that aren't closed
-	closed chan struct{}         // woken when one has been closed
+	conns       *admission.Connections
 }
 
 // shutdownTimes are the times, counted from the signal to shut down, of the steps of a callerServer's shutdown.
@@ -39,14 +36,14 @@
 	return shutdownTimes{drained: drainDelay, ended: closed - answerTime, closed: closed}
 }
 
-// newCallerServer returns a server of the connections of a listener. The context of each request ends with the time for
-// requests.
-func newCallerServer(handler http.Handler, listener net.Listener, log *zap.Logger) *callerServer {
+// newCallerServer returns a server of the connections of a listener, as far as conns admits them. The context of each request ends with
+// the time for requests.
+func newCallerServer(handler http.Handler, listener net.Listener, conns *admission.Connections, log *zap.Logger) *callerServer {
 	requests, end := context.WithCancel(context.Background())
-	s := &callerServer{listener: listener, log: log, endRequests: end, open: map[net.Conn]struct{}{}, closed: make(chan struct{}, 1)}
+	s := &callerServer{listener: conns.Listen(listener), log: log, endRequests: end, conns: conns}
 	s.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(log), BaseContext: func(net.Listener) context.Context { return requests }, ConnState: s.trackConn,
+		ErrorLog: zap.NewStdLog(log), BaseContext: func(net.Listener) context.Context { return requests }, ConnState: conns.Track,
 	}
 	return s
 }
@@ -59,27 +56,6 @@
 	return nil
 }
 
-// trackConn keeps track of the open connections.
-func (s *callerServer) trackConn(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	switch state {
-	case http.StateNew:
-		s.open[conn] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
-		delete(s.open, conn)
-		sleep.Wake(s.closed)
-	case http.StateActive, http.StateIdle:
-	}
-}
-
-// openConns returns the number of open connections.
-func (s *callerServer) openConns() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.open)
-}
-
 // shutDown goes on serving until the load balancer has noticed that the daemon is not ready, then waits for the requests in
 // progress. Those that can't be served in time end early enough to be answered. It doesn't use http.Server.Shutdown, which
 // closes a connection without an answer if it reads a request from it after that.
@@ -91,10 +67,10 @@
 	defer ender.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(times.closed))
 	defer cancel()
-	for s.openConns() > 0 && ctx.Err() == nil {
-		sleep.ForOrWake(ctx, time.Second, s.closed)
+	for s.conns.Len() > 0 && ctx.Err() == nil {
+		sleep.ForOrWake(ctx, time.Second, s.conns.Changed())
 	}
-	if n := s.openConns(); n > 0 {
+	if n := s.conns.Len(); n > 0 {
 		s.log.Warn("aborting requests in progress", zap.Int("connections", n))
 	}
 	_ = s.server.Close() // the platform kills the process next
--- a/daemon/caller_server_test.go
+++ b/daemon/caller_server_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap"
 
+	"gypsumlead/admission"
 	"gypsumlead/settings"
 )
 
@@ -30,7 +31,7 @@
 		case <-r.Context().Done():
 			w.WriteHeader(http.StatusGatewayTimeout)
 		}
-	}), listener, zap.NewNop())
+	}), listener, admission.NewConnections(100, admission.NewBudget(0)), zap.NewNop())
 	go func() { _ = s.serve() }()
 	return s
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -190,7 +190,7 @@
 	if err := d.openListeners(); err != nil {
 		return nil, err
 	}
-	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, unreadBodyTime), d.callerListener, d.log)
+	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, unreadBodyTime), d.callerListener, admission.NewConnections(limitsOf(conf).callers, d.bodyBudget), d.log)
 	return d, nil
 }
 
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -2,18 +2,27 @@
 
 import "gypsumlead/settings"
 
-// bodyShare is the share of the allowed memory for callers' bodies that are being read or served.
-const bodyShare = 0.125
+// Shares of the allowed memory, and what a connection takes of it at the most without its body.
+const (
+	bodyShare        = 0.125    // for callers' bodies that are being read or served
+	connMemoryShare  = 0.25     // for callers' connections
+	memoryPerConn    = 32 << 10 // bytes: a goroutine, its buffers and a request's header
+	reservedFiles    = 200      // descriptors that the platform keeps for files
+	callerFilesShare = 0.25     // of the other descriptors; the store, runners and other daemons need the rest
+)
 
 // limits bound what callers may take of the process.
 type limits struct {
-	bodies int64 // bytes
+	bodies  int64 // bytes
+	callers int   // connections
 }
 
 // limitsOf derives the limits from what the machine gives the process.
 func limitsOf(conf settings.Settings) limits {
 	memory := float64(conf.MemoryMB << 20)
+	sockets := float64(conf.MaxFiles - reservedFiles)
 	return limits{
-		bodies: int64(memory * bodyShare),
+		bodies:  int64(memory * bodyShare),
+		callers: int(min(sockets*callerFilesShare, memory*connMemoryShare/memoryPerConn)),
 	}
 }
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -19,13 +19,13 @@
 	meter metric.Meter
 	err   error
 
-	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests      metric.Int64ObservableCounter
-	refusals, keyRefusals, bodyRefusals, rackWaits, copies, leaseChanges, sampledLogs, lostLogs metric.Int64ObservableCounter
-	relayedCalls, carriedCalls, refusedCalls                                                    metric.Int64ObservableCounter
-	rackWaited, relayedTime                                                                     metric.Float64ObservableCounter
-	terms, waiting, running, excluded, silent, moving, configVersion                            metric.Int64ObservableGauge
-	connections, arriving                                                                       metric.Int64ObservableGauge
-	oldest, configAge                                                                           metric.Float64ObservableGauge
+	answers, calls, starts, ends, abandoned, stops, classes, paceChanges, approvalRequests                 metric.Int64ObservableCounter
+	refusals, keyRefusals, bodyRefusals, evictions, rackWaits, copies, leaseChanges, sampledLogs, lostLogs metric.Int64ObservableCounter
+	relayedCalls, carriedCalls, refusedCalls                                                               metric.Int64ObservableCounter
+	rackWaited, relayedTime                                                                                metric.Float64ObservableCounter
+	terms, waiting, running, excluded, silent, moving, configVersion                                       metric.Int64ObservableGauge
+	connections, arriving                                                                                  metric.Int64ObservableGauge
+	oldest, configAge                                                                                      metric.Float64ObservableGauge
 }
 
 // setUpMetrics creates the instruments and the callback that reads all of them.
@@ -39,6 +39,7 @@
 	in := &instruments{meter: sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("gypsumlead")}
 	in.answers = in.counter("gypsumlead.answers", "responses to callers, by status")
 	in.keyRefusals = in.counter("gypsumlead.keys.refused", "requests of callers refused because of their keys, by reason")
+	in.evictions = in.counter("gypsumlead.callers.evicted", "connections of callers that gave way to new ones")
 	in.bodyRefusals = in.counter("gypsumlead.bodies.refused", "requests of callers refused because their bodies had not arrived, by reason")
 	in.calls = in.counter("gypsumlead.calls", "calls to the store, runners, machines and the policy service, by name and answer")
 	in.starts = in.counter("gypsumlead.starts", "orders to start a run, by service")
@@ -87,7 +88,7 @@
 		d.observe(o, in)
 		return nil
 	}, in.answers, in.calls, in.starts, in.ends, in.abandoned, in.stops, in.classes, in.refusals, in.paceChanges, in.approvalRequests, in.rackWaits, in.rackWaited, in.copies, in.keyRefusals, in.leaseChanges, in.sampledLogs, in.lostLogs,
-		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge, in.connections, in.arriving, in.bodyRefusals)
+		in.relayedCalls, in.carriedCalls, in.refusedCalls, in.relayedTime, in.terms, in.waiting, in.running, in.excluded, in.silent, in.moving, in.oldest, in.configVersion, in.configAge, in.connections, in.arriving, in.bodyRefusals, in.evictions)
 	return err
 }
 
@@ -132,11 +133,12 @@
 	for status, n := range d.jobHandler.Counts.Snapshot() {
 		o.ObserveInt64(in.answers, n, label("status", status))
 	}
-	o.ObserveInt64(in.connections, int64(d.callers.openConns()))
+	o.ObserveInt64(in.connections, int64(d.callers.conns.Len()))
 	o.ObserveInt64(in.arriving, d.bodyBudget.Used())
 	for reason, n := range d.jobHandler.KeyRefusals.Snapshot() {
 		o.ObserveInt64(in.keyRefusals, n, label("why", reason))
 	}
+	o.ObserveInt64(in.evictions, d.callers.conns.Evicted())
 	for reason, n := range d.jobHandler.BodyRefusals.Snapshot() {
 		o.ObserveInt64(in.bodyRefusals, n, label("why", reason))
 	}
