Bound the connections to the readiness port

The port that serves readiness, metrics and the operators' API took connections without a bound: 600 clients, idle or with bodies that nothing reads, took 615 to 619 of 400 descriptors, and each could send a header of 1 MB. Whoever reaches that port could so keep the process from its store.

Its server now has the bound of the callers' server, with a share of its own: 3% of the descriptors that aren't reserved for files, at least 16; the longest idle connection gives way to a new one. Headers may have 16 KB, as callers' may.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -235,14 +234,9 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	ready := &http.Server{Handler: admission.NewBudget(0).Guard(d.platformHandler(), unreadBodyTime), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	ready := d.newPlatformServer()
 	g.Go(d.callers.serve)
-	g.Go(func() error {
-		if err := ready.Serve(d.readyListener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	g.Go(ready.serve)
 	g.Go(func() error { return d.peerServer.Serve(serveCtx, d.peerListener) })
 	g.Go(func() error { return d.mesh.Run(serveCtx) })
 	g.Go(func() error { return d.storeRelay.Run(serveCtx) })
@@ -265,7 +259,7 @@
 		case <-serveCtx.Done():
 		}
 		d.shutDown()
-		_ = ready.Close() // readiness is no longer needed
+		_ = ready.server.Close() // readiness is no longer needed
 		stop()
 		return nil
 	})
@@ -299,35 +293,6 @@
 	wg.Wait()
 }
 
-// Paths served in addition to the readiness check.
-const (
-	pathMetrics     = "/metrics"
-	pathOperatorAPI = "/v1/"
-)
-
-// platformHandler serves the readiness check, the metrics and the operators' API.
-func (d *Daemon) platformHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == pathMetrics {
-			d.metricsHandler.ServeHTTP(w, r)
-			return
-		}
-		if strings.HasPrefix(r.URL.Path, pathOperatorAPI) {
-			d.operatorHandler.ServeHTTP(w, r)
-			return
-		}
-		if r.URL.Path != platform.ReadyPath {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		if !d.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-}
-
 // dialPeer opens a connection to another daemon.
 func (d *Daemon) dialPeer(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return d.dial(ctx, "tcp", addr.String())
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -9,12 +9,15 @@
 	memoryPerConn    = 32 << 10 // bytes: a goroutine, its buffers and a request's header
 	reservedFiles    = 200      // descriptors that the platform keeps for files
 	callerFilesShare = 0.25     // of the other descriptors; the store, runners and other daemons need the rest
+	readyFilesShare  = 0.03     // of the other descriptors, for the balancer and operators
+	minReadyConns    = 16
 )
 
-// limits bound what callers may take of the process.
+// limits bound what others may take of the process.
 type limits struct {
 	bodies  int64 // bytes
 	callers int   // connections
+	ready   int   // connections to the readiness port
 }
 
 // limitsOf derives the limits from what the machine gives the process.
@@ -24,5 +27,6 @@
 	return limits{
 		bodies:  int64(memory * bodyShare),
 		callers: int(min(sockets*callerFilesShare, memory*connMemoryShare/memoryPerConn)),
+		ready:   max(minReadyConns, int(sockets*readyFilesShare)),
 	}
 }
