Bound the sessions of other daemons by the machine's descriptors

The peer port took up to 512 connections whatever the machine's limit of descriptors was: 600 idle clients took 531 of 400 descriptors. It now takes an eighth of the descriptors that aren't reserved for files, and 512 at the most: 487 with 4,100, where the largest site has 300 daemons.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -174,7 +174,7 @@
 	d.members = member.New(d.store, d.self(), d.log, d.now, d.candidateCount, d.membersChanged)
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
-	d.peerServer = peer.NewServer(identity, d, d.log)
+	d.peerServer = peer.NewServer(identity, d, d.log, peer.WithMaxSessions(limitsOf(conf).peers))
 	d.bodyBudget = admission.NewBudget(limitsOf(conf).bodies)
 	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin), jobapi.WithBodyTime(conf.Bounds.BodyTime))
 	d.setUpMachines()
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -11,6 +11,8 @@
 	callerFilesShare = 0.25     // of the other descriptors; the store, runners and other daemons need the rest
 	readyFilesShare  = 0.03     // of the other descriptors, for the balancer and operators
 	minReadyConns    = 16
+	peerFilesShare   = 0.125 // of the other descriptors, for sessions that other daemons open
+	maxPeerSessions  = 512
 )
 
 // limits bound what others may take of the process.
@@ -18,6 +20,7 @@
 	bodies  int64 // bytes
 	callers int   // connections
 	ready   int   // connections to the readiness port
+	peers   int   // sessions that other daemons open
 }
 
 // limitsOf derives the limits from what the machine gives the process.
@@ -27,6 +30,7 @@
 	return limits{
 		bodies:  int64(memory * bodyShare),
 		callers: int(min(sockets*callerFilesShare, memory*connMemoryShare/memoryPerConn)),
+		peers:   min(maxPeerSessions, int(sockets*peerFilesShare)),
 		ready:   max(minReadyConns, int(sockets*readyFilesShare)),
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	maxSessions         = 512                   // further connections are closed immediately
+	defaultMaxSessions  = 512                   // further connections are closed immediately
 	acceptRetryInterval = 50 * time.Millisecond // after a connection that could not be accepted
 	defaultIdleTimeout  = time.Minute           // more than ten pings from another data centre at defaultPingInterval
 )
@@ -33,6 +33,7 @@
 	handler     Handler
 	log         *zap.Logger
 	idleTimeout time.Duration
+	maxSessions int
 
 	mu     sync.Mutex
 	conns  map[net.Conn]struct{}
@@ -49,9 +50,14 @@
 	return func(s *Server) { s.idleTimeout = timeout }
 }
 
+// WithMaxSessions sets how many connections the server has at most.
+func WithMaxSessions(n int) ServerOption {
+	return func(s *Server) { s.maxSessions = n }
+}
+
 // NewServer returns a Server of the daemon local that answers requests with handler.
 func NewServer(local Identity, handler Handler, log *zap.Logger, opts ...ServerOption) *Server {
-	s := &Server{local: local, handler: handler, log: log, idleTimeout: defaultIdleTimeout, conns: map[net.Conn]struct{}{}}
+	s := &Server{local: local, handler: handler, log: log, idleTimeout: defaultIdleTimeout, maxSessions: defaultMaxSessions, conns: map[net.Conn]struct{}{}}
 	for _, o := range opts {
 		o(s)
 	}
@@ -87,11 +93,11 @@
 	}
 }
 
-// add registers an accepted connection. It returns false if the server is closed or has maxSessions connections.
+// add registers an accepted connection. It returns false if the server is closed or has as many connections as it may.
 func (s *Server) add(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxSessions {
+	if s.closed || len(s.conns) >= s.maxSessions {
 		return false
 	}
 	s.conns[c] = struct{}{}
