Bound the time that callers take for their responses

With a bound on connections, clients that send requests and never take the responses could hold all of them, and a daemon would accept nobody else for good: net/http writes without a deadline. Found while reading for the same class; before the bound each of them held a descriptor and a goroutine for good.

From the begin of a response its caller has 15 s to take it, then its connection is closed. Responses to callers have some 100 bytes.

Evidence: without the deadline (a trial), TestResponsesThatAreNotTakenKeepOthersOut gets no response within 30 s; with it, it passes.

--- a/admission/connections_test.go
+++ b/admission/connections_test.go
@@ -16,11 +16,14 @@
 func startBound(t *testing.T, limit int) (addr string, conns *Connections) {
 	bodies := NewBudget(1 << 20)
 	conns = NewConnections(limit, bodies)
-	server := httptest.NewUnstartedServer(bodies.Guard(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+	server := httptest.NewUnstartedServer(bodies.Guard(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := io.ReadAll(r.Body); err == nil {
 			_ = BodyOf(r.Context()).Complete()
 		}
-	}), time.Minute))
+		if r.URL.Path == "/large" {
+			_, _ = w.Write(make([]byte, 32<<20)) // more than buffers of connections hold
+		}
+	}), Times{Unread: time.Minute, Answer: time.Second}))
 	server.Config.ConnState = conns.Track
 	server.Listener = conns.Listen(server.Listener)
 	server.Start()
@@ -28,6 +31,26 @@
 	return server.Listener.Addr().String(), conns
 }
 
+// Guards against clients that take no responses, on all connections that there may be, and keep others out for good.
+func TestResponsesThatAreNotTakenKeepOthersOut(t *testing.T) {
+	const limit = 3
+	addr, _ := startBound(t, limit)
+	for range limit {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		_, err = io.ReadFull(conn, make([]byte, 1)) // the response has begun
+		require.NoError(t, err)
+	}
+	last, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = last.Close() })
+	status, _ := exchange(t, last, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+}
+
 // Guards against connections that send nothing, or bodies without an end, and keep all others out.
 func TestConnectionsWithoutRequestsKeepOthersOut(t *testing.T) {
 	const limit = 5
--- a/admission/guard.go
+++ b/admission/guard.go
@@ -17,19 +17,28 @@
 
 type bodyKey struct{}
 
+// Times are how long clients may hold their connections.
+type Times struct {
+	Unread time.Duration // for a body that its handler doesn't read
+	Answer time.Duration // for a response, from its begin
+}
+
 // Guard returns a handler that makes each request's body a part of the budget, which BodyOf returns. What the handler next leaves unread
-// has to arrive within a time, unless it gives way before; otherwise the connection is closed after the response.
-func (b *Budget) Guard(next http.Handler, unreadWithin time.Duration) http.Handler {
+// has to arrive in time, unless it gives way before, and responses have to be taken in time; otherwise the connection is closed.
+func (b *Budget) Guard(next http.Handler, times Times) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := http.NewResponseController(w)
+		_ = conn.SetWriteDeadline(time.Time{}) // of the response before
+		answer := &timedWriter{ResponseWriter: w, conn: conn, within: times.Answer}
+		defer answer.begin()
 		if r.Body == http.NoBody {
-			next.ServeHTTP(w, r)
+			next.ServeHTTP(answer, r)
 			return
 		}
-		conn := http.NewResponseController(w)
 		body := b.Begin(func() { _ = conn.SetReadDeadline(longAgo) }) // only fails for writers without a connection
 		defer body.Release()
-		_ = conn.SetReadDeadline(time.Now().Add(unreadWithin))
-		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
+		_ = conn.SetReadDeadline(time.Now().Add(times.Unread))
+		next.ServeHTTP(answer, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
 		if !body.isComplete() {
 			_, _ = io.CopyN(io.Discard, r.Body, maxDrained) // after an error net/http closes the connection
 		}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,7 +37,6 @@
 	releaseTimeout    = 2400 * time.Millisecond // for releasing all leases of leadership; a slow store takes a second
 	readHeaderTimeout = 3 * time.Second         // for reading a request's header
 	idleTimeout       = 15 * time.Second        // until a connection's next request
-	unreadBodyTime    = 5 * time.Second         // for a body that no handler reads
 	maxHeaderBytes    = 16 << 10                // of a caller's request
 	pingInterval      = 2 * time.Second         // between pings to another daemon
 )
@@ -189,7 +188,7 @@
 	if err := d.openListeners(); err != nil {
 		return nil, err
 	}
-	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, unreadBodyTime), d.callerListener, admission.NewConnections(limitsOf(conf).callers, d.bodyBudget), d.log)
+	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, guardTimes()), d.callerListener, admission.NewConnections(limitsOf(conf).callers, d.bodyBudget), d.log)
 	return d, nil
 }
 
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -1,6 +1,11 @@
 package daemon
 
-import "gypsumlead/settings"
+import (
+	"time"
+
+	"gypsumlead/admission"
+	"gypsumlead/settings"
+)
 
 // Shares of the allowed memory, and what a connection takes of it at the most without its body.
 const (
@@ -15,6 +20,11 @@
 	maxPeerSessions  = 512
 )
 
+// guardTimes returns how long clients may hold their connections. A body of full size takes a second at 2 Mbit/s.
+func guardTimes() admission.Times {
+	return admission.Times{Unread: 5 * time.Second, Answer: 15 * time.Second}
+}
+
 // limits bound what others may take of the process.
 type limits struct {
 	bodies  int64 // bytes
--- a/daemon/platform_server.go
+++ b/daemon/platform_server.go
@@ -22,7 +22,7 @@
 	conns := admission.NewConnections(limitsOf(d.settings).ready, bodies)
 	return &platformServer{
 		server: &http.Server{
-			Handler: bodies.Guard(d.platformHandler(), unreadBodyTime), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+			Handler: bodies.Guard(d.platformHandler(), guardTimes()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ConnState: conns.Track,
 		},
 		listener: conns.Listen(d.readyListener),
