--- a/jobapi/body.go
+++ b/jobapi/body.go
@@ -11,12 +11,16 @@
 
 	"gypsumlead/admission"
 	"gypsumlead/leader"
+	"gypsumlead/platform"
+	"gypsumlead/work"
 )
 
 // Defaults and sizes of bodies.
 const (
 	defaultBodyTime = 30 * time.Second // for the whole body, if none is set
 	firstBodyBuffer = 512              // bytes
+	largeBody       = 16 << 10         // bytes, from which a body is decoded beside few others only
+	largeDecodings  = 4                // at the same time
 )
 
 // errBodyTooSlow is the error of a body that hasn't arrived within the time for bodies.
@@ -77,6 +81,15 @@
 	return min(max(2*full, firstBodyBuffer), limit)
 }
 
+// decodeJob decodes a job. Few large ones are decoded at the same time, as decoding takes several times their size.
+func (h *Handler) decodeJob(body []byte) (work.Job, error) {
+	if len(body) >= largeBody {
+		h.decodings <- struct{}{}
+		defer func() { <-h.decodings }()
+	}
+	return platform.DecodeJob(body)
+}
+
 // writeUnread responds to a submission whose body could not be read. Nothing was done of it, but an earlier try of the same job may have
 // been stored, so that it isn't refused.
 func (h *Handler) writeUnread(w http.ResponseWriter, err error) {
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -44,6 +44,7 @@
 	revocation    revocation
 	Counts        StatusCounts
 	bodyTime      time.Duration                        // from a body's first byte to its last
+	decodings     chan struct{}                        // has an entry for each large body that is being decoded
 	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
 	BodyRefusals  StatusCounts                         // refusals of bodies that did not arrive, by cause
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
@@ -61,7 +62,7 @@
 
 // New returns a handler that looks up queues and keys in config and passes requests to dispatcher.
 func New(config ConfigSource, dispatcher Dispatcher, log *zap.Logger, opts ...Option) *Handler {
-	h := &Handler{config: config, dispatcher: dispatcher, log: log, bodyTime: defaultBodyTime, ObserveSubmit: func(string, time.Duration) {}}
+	h := &Handler{config: config, dispatcher: dispatcher, log: log, bodyTime: defaultBodyTime, decodings: make(chan struct{}, largeDecodings), ObserveSubmit: func(string, time.Duration) {}}
 	for _, o := range opts {
 		o(h)
 	}
@@ -172,7 +173,7 @@
 		h.Counts.add("broken")
 		return // the caller closed the connection, so no response is possible
 	}
-	job, err := platform.DecodeJob(body)
+	job, err := h.decodeJob(body)
 	if err != nil {
 		h.writeError(w, http.StatusBadRequest, 0, err.Error())
 		return
--- a/overload/crowd_test.go
+++ b/overload/crowd_test.go
@@ -132,7 +132,11 @@
 // Guards against bodies that take many times their size once decoded.
 func TestDecodedBodiesExhaustMemory(t *testing.T) {
 	steps := `{"JobSteps":[` + strings.Repeat("{},", maxBody/3-8) + "{}]}"
-	play(t, []crowd{{"steps without fields", 32, callers, "POST" + withLength, fmt.Appendf(nil, "%-*s", maxBody, steps), 1}})
+	after := `{"JobSteps":[{"Count":1},{"Count":1,"After":[` + strings.Repeat("0,", maxBody/2-100) + "0]}]}"
+	play(t, []crowd{
+		{"steps without fields", 32, callers, "POST" + withLength, fmt.Appendf(nil, "%-*s", maxBody, steps), 1},
+		{"after one step many times", 160, callers, "POST" + withLength, fmt.Appendf(nil, "%-*s", maxBody, after), 1},
+	})
 }
 
 // Guards against limits that refuse a client inside the documented limits.
