--- /dev/null
+++ b/jobapi/unfinished_body_test.go
@@ -0,0 +1,53 @@
+package jobapi
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gypsumlead/admission"
+)
+
+// Guards against unfinished bodies that are submitted, or refused although an earlier try of the same job may have been stored.
+func TestUnfinishedBodyIsNeitherSubmittedNorRefused(t *testing.T) {
+	for _, scenario := range []struct {
+		name     string
+		bodyTime time.Duration
+		evict    bool
+		why      string
+	}{
+		{"gives way", time.Minute, true, "memory"},
+		{"takes too long", 50 * time.Millisecond, false, "time"},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := newSite(t, WithBodyTime(scenario.bodyTime))
+			budget := admission.NewBudget(1 << 20)
+			server := httptest.NewServer(budget.Guard(s.handler, admission.Times{Unread: time.Minute, Answer: time.Minute}))
+			t.Cleanup(server.Close)
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "POST /p/00000000000000aa HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n{")
+			require.NoError(t, err)
+			if scenario.evict {
+				require.Eventually(t, func() bool { return budget.Used() > 0 }, 30*time.Second, time.Millisecond)
+				require.True(t, budget.EvictLongest())
+			}
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, http.StatusGatewayTimeout, response.StatusCode)
+			require.Equal(t, "1", response.Header.Get("Retry-After"))
+			require.True(t, response.Close)
+			require.Empty(t, s.callers)
+			require.EqualValues(t, 1, s.handler.BodyRefusals.Snapshot()[scenario.why])
+		})
+	}
+}
