Close connections with unfinished bodies before those that have just been opened

A connection has now a second to begin its request, as long as one with an unfinished body can give way.

--- a/admission/connections.go
+++ b/admission/connections.go
@@ -8,11 +8,14 @@
 	"time"
 )
 
-// retryEviction is when an eviction that has not closed a connection is followed by another.
-const retryEviction = 100 * time.Millisecond
+// Times of evictions.
+const (
+	retryEviction = 100 * time.Millisecond // an eviction that has not closed a connection is followed by another
+	timeToBegin   = time.Second            // for a connection's next request to arrive while others have unfinished bodies
+)
 
-// Connections bounds the open connections of a server. At the bound a new connection waits until another one is closed: the longest
-// one that waits for a request, or else the one with the longest unfinished body. It knows connections by the listener that Listen returns and by
+// Connections bounds the open connections of a server. At the bound a new connection waits until another one is closed: the one that has waited
+// longest for a request, if that is over timeToBegin; or else the one with the longest unfinished body, or without such bodies the first one again. It knows connections by the listener that Listen returns and by
 // Track, the server's ConnState hook.
 type Connections struct {
 	limit  int
@@ -20,12 +23,18 @@
 
 	mu      sync.Mutex
 	open    map[net.Conn]*list.Element // its place in waiting, nil while it has a request
-	waiting list.List                  // of net.Conn, the longest first
+	waiting list.List                  // of waitingConn, the longest first
 	evicted int64
 	changed chan struct{} // woken when a connection is closed or begins to wait
 	ended   chan struct{} // closed with the listener
 }
 
+// waitingConn is a connection that waits for a request.
+type waitingConn struct {
+	net.Conn
+	since time.Time
+}
+
 // NewConnections returns the bound of a server whose bodies are parts of a budget.
 func NewConnections(limit int, bodies *Budget) *Connections {
 	return &Connections{limit: limit, bodies: bodies, open: map[net.Conn]*list.Element{}, changed: make(chan struct{}, 1), ended: make(chan struct{})}
@@ -61,7 +70,7 @@
 	}
 	switch state {
 	case http.StateNew, http.StateIdle:
-		c.open[conn] = c.waiting.PushBack(conn)
+		c.open[conn] = c.waiting.PushBack(waitingConn{conn, time.Now()})
 	case http.StateActive:
 		c.open[conn] = nil
 		return
@@ -122,22 +131,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.open) < c.limit {
-		c.open[conn] = c.waiting.PushBack(conn)
+		c.open[conn] = c.waiting.PushBack(waitingConn{conn, time.Now()})
 		return true
 	}
 	select {
 	case <-c.changed: // of before
 	default:
 	}
-	if longest := c.waiting.Front(); longest != nil {
-		victim := c.waiting.Remove(longest).(net.Conn)
-		c.open[victim] = nil
-		c.evicted++
-		_ = victim.Close() // its server's pending read fails, and Track learns of it
-		return false
-	}
-	if c.bodies.EvictLongest() {
+	if c.evictWaiting(timeToBegin) || c.bodies.EvictLongest() || c.evictWaiting(0) {
 		c.evicted++
 	}
 	return false
 }
+
+// evictWaiting closes the connection that has waited longest for a request. It returns false if none has waited for so long.
+func (c *Connections) evictWaiting(atLeast time.Duration) bool {
+	longest := c.waiting.Front()
+	if longest == nil || time.Since(longest.Value.(waitingConn).since) < atLeast {
+		return false
+	}
+	victim := c.waiting.Remove(longest).(waitingConn)
+	c.open[victim.Conn] = nil
+	_ = victim.Close() // its server's pending read fails, and Track learns of it
+	return true
+}
--- a/admission/connections_test.go
+++ b/admission/connections_test.go
@@ -31,6 +31,32 @@
 	return server.Listener.Addr().String(), conns
 }
 
+// Guards against connections that are closed before their request can arrive, although others never finish their bodies.
+func TestNewConnectionIsClosedInsteadOfUnfinishedBody(t *testing.T) {
+	addr, conns := startBound(t, 2)
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn
+	}
+	stalled := dial()
+	_, err := io.WriteString(stalled, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return conns.bodies.unfinished() == 1 }, 30*time.Second, time.Millisecond)
+	fresh, newest := dial(), dial()
+	status, _ := exchange(t, newest, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+	status, _ = exchange(t, fresh, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+}
+
+func (b *Budget) unfinished() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.arriving.Len()
+}
+
 // Guards against clients that take no responses, on all connections that there may be, and keep others out for good.
 func TestResponsesThatAreNotTakenKeepOthersOut(t *testing.T) {
 	const limit = 3
