--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumlead/admission"
 	"gypsumlead/cache"
 	"gypsumlead/claims"
 	"gypsumlead/clock"
@@ -67,6 +67,7 @@
 	members         *member.Members
 	mesh            *peer.Mesh
 	peerServer      *peer.Server
+	bodyBudget      *admission.Budget
 	jobHandler      *jobapi.Handler
 	metricsHandler  http.Handler
 	operatorHandler http.Handler
@@ -92,6 +93,7 @@
 	recheck    chan struct{}             // wakes runElections
 	readiness  readiness
 
+	callers        *callerServer
 	callerListener net.Listener
 	readyListener  net.Listener
 	peerListener   net.Listener
@@ -171,8 +173,9 @@
 	d.members = member.New(d.store, d.self(), d.log, d.now, d.candidateCount, d.membersChanged)
 	identity := peer.Identity{Instance: conf.Instance, Boot: d.boot, Centre: conf.Centre, Region: conf.Region}
 	d.mesh = peer.NewMesh(identity, d.log, peer.WithPing(pingInterval), peer.WithDial(d.dialPeer), peer.WithClock(d.now))
-	d.peerServer = peer.NewServer(identity, d, d.log)
-	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin))
+	d.peerServer = peer.NewServer(identity, d, d.log, peer.WithMaxSessions(limitsOf(conf).peers))
+	d.bodyBudget = admission.NewBudget(limitsOf(conf).bodies)
+	d.jobHandler = jobapi.New(d.operatorState, d, d.log, jobapi.WithRevocation(conf.Bounds.RevokeStrict, conf.Bounds.RevokedWithin), jobapi.WithBodyTime(conf.Bounds.BodyTime))
 	d.setUpMachines()
 	operatorHandler, err := d.newOperatorHandler()
 	if err != nil {
@@ -182,7 +185,11 @@
 	if err := d.setUpMetrics(); err != nil {
 		return nil, err
 	}
-	return d, d.openListeners()
+	if err := d.openListeners(); err != nil {
+		return nil, err
+	}
+	d.callers = newCallerServer(d.bodyBudget.Guard(d.jobHandler, guardTimes()), d.callerListener, admission.NewConnections(limitsOf(conf).callers, d.bodyBudget), d.log)
+	return d, nil
 }
 
 // leaseConfigOf returns the configuration of runners' leases from the settings.
@@ -226,15 +233,9 @@
 	serveCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	g, serveCtx := errgroup.WithContext(serveCtx)
-	callers := newCallerServer(d.jobHandler, d.callerListener, d.log)
-	ready := &http.Server{Handler: d.platformHandler(), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
-	g.Go(callers.serve)
-	g.Go(func() error {
-		if err := ready.Serve(d.readyListener); err != http.ErrServerClosed {
-			return err
-		}
-		return nil
-	})
+	ready := d.newPlatformServer()
+	g.Go(d.callers.serve)
+	g.Go(ready.serve)
 	g.Go(func() error { return d.peerServer.Serve(serveCtx, d.peerListener) })
 	g.Go(func() error { return d.mesh.Run(serveCtx) })
 	g.Go(func() error { return d.storeRelay.Run(serveCtx) })
@@ -256,8 +257,8 @@
 		case <-ctx.Done():
 		case <-serveCtx.Done():
 		}
-		d.shutDown(callers)
-		_ = ready.Close() // readiness is no longer needed
+		d.shutDown()
+		_ = ready.server.Close() // readiness is no longer needed
 		stop()
 		return nil
 	})
@@ -268,7 +269,7 @@
 
 // shutDown releases the leases of leadership, lets the load balancer notice that the daemon is not ready, and ends the
 // callers' server once requests in progress have been answered.
-func (d *Daemon) shutDown(callers *callerServer) {
+func (d *Daemon) shutDown() {
 	begun := time.Now()
 	d.log.Info("daemon shutting down")
 	d.mu.Lock()
@@ -277,7 +278,7 @@
 	d.members.Leave()
 	d.releaseLeases(d.localLeaders())
 	d.members.SetLedServices(nil)
-	callers.shutDown(begun, shutdownTimesOf(d.settings))
+	d.callers.shutDown(begun, shutdownTimesOf(d.settings))
 }
 
 // releaseLeases releases the leases of the leaders concurrently.
@@ -291,35 +292,6 @@
 	wg.Wait()
 }
 
-// Paths served in addition to the readiness check.
-const (
-	pathMetrics     = "/metrics"
-	pathOperatorAPI = "/v1/"
-)
-
-// platformHandler serves the readiness check, the metrics and the operators' API.
-func (d *Daemon) platformHandler() http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == pathMetrics {
-			d.metricsHandler.ServeHTTP(w, r)
-			return
-		}
-		if strings.HasPrefix(r.URL.Path, pathOperatorAPI) {
-			d.operatorHandler.ServeHTTP(w, r)
-			return
-		}
-		if r.URL.Path != platform.ReadyPath {
-			w.WriteHeader(http.StatusNotFound)
-			return
-		}
-		if !d.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-}
-
 // dialPeer opens a connection to another daemon.
 func (d *Daemon) dialPeer(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 	return d.dial(ctx, "tcp", addr.String())
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/admission"
 	"gypsumlead/cache"
 	"gypsumlead/leader"
 	"gypsumlead/platform"
@@ -42,7 +43,10 @@
 	log           *zap.Logger
 	revocation    revocation
 	Counts        StatusCounts
+	bodyTime      time.Duration                        // from a body's first byte to its last
+	decodings     chan struct{}                        // has an entry for each large body that is being decoded
 	KeyRefusals   StatusCounts                         // refusals because of keys, by workspace.Reason
+	BodyRefusals  StatusCounts                         // refusals of bodies that did not arrive, by cause
 	ObserveSubmit func(answer string, d time.Duration) // called with the result and latency of each submitted job
 }
 
@@ -58,7 +62,7 @@
 
 // New returns a handler that looks up queues and keys in config and passes requests to dispatcher.
 func New(config ConfigSource, dispatcher Dispatcher, log *zap.Logger, opts ...Option) *Handler {
-	h := &Handler{config: config, dispatcher: dispatcher, log: log, ObserveSubmit: func(string, time.Duration) {}}
+	h := &Handler{config: config, dispatcher: dispatcher, log: log, bodyTime: defaultBodyTime, decodings: make(chan struct{}, largeDecodings), ObserveSubmit: func(string, time.Duration) {}}
 	for _, o := range opts {
 		o(h)
 	}
@@ -154,17 +158,22 @@
 	if maxBody <= 0 {
 		maxBody = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	held := admission.BodyOf(r.Context())
+	body, err := h.readBody(w, r, held, min(maxBody, held.Limit()))
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		h.writeError(w, http.StatusRequestEntityTooLarge, 0, err.Error())
 		return
-	}
-	if err != nil {
+	case errors.Is(err, admission.ErrEvicted), errors.Is(err, errBodyTooSlow):
+		held.Release() // before the response, which may have to wait for the caller
+		h.writeUnread(w, err)
+		return
+	case err != nil:
 		h.Counts.add("broken")
 		return // the caller closed the connection, so no response is possible
 	}
-	job, err := platform.DecodeJob(body)
+	job, err := h.decodeJob(body)
 	if err != nil {
 		h.writeError(w, http.StatusBadRequest, 0, err.Error())
 		return
