--- a/sched/approval.go
+++ b/sched/approval.go
@@ -14,20 +14,13 @@
 	approvalFactor        = 4               // maximum number of runners to ask for, as a multiple of the waiting tasks
 )
 
-// ensureApproved reports whether a runner with room is approved for the step, so that placing it can be tried. If not,
+// ensureApproved reports whether enough runners with room are approved for the step, so that placing it can be tried. If not,
 // it orders an approval request unless one is pending.
 func (p *Pool) ensureApproved(now time.Time, s *step) bool {
-	a := s.job.queue.Advice
-	if a == nil {
+	if s.job.queue.Advice == nil || s.endsAsGang() {
 		return true
 	}
-	usable := 0
-	for _, r := range p.runners {
-		if r.schedulable(now) && s.approvedOn(now, r) && s.spec.Resources.Fits(r.free()) {
-			usable++
-		}
-	}
-	if usable > 0 {
+	if p.countPlaces(s, func(r *runner) bool { return r.schedulable(now) && s.approvedOn(now, r) }) >= s.placesNeeded() {
 		return true
 	}
 	if !s.approvalSentAt.IsZero() && now.Sub(s.approvalSentAt) < approvalRetryInterval {
@@ -41,7 +34,50 @@
 	return false
 }
 
-// approvalCandidates returns the best runners for the step among those without a valid answer of the policy service.
+// endsAsGang reports whether the step is a gang of which some runs are left, which has to be stopped before it starts again.
+func (s *step) endsAsGang() bool {
+	return s.spec.Gang && slices.ContainsFunc(s.tasks, func(t *task) bool { return len(t.runs) > 0 })
+}
+
+// placesNeeded returns for how many of the step's tasks there must be approved room before any of them starts.
+func (s *step) placesNeeded() int {
+	if s.spec.Gang {
+		return len(s.tasks)
+	}
+	return 1
+}
+
+// countPlaces returns how many tasks of the step the runners have room for that may is true of, up to what the step needs.
+func (p *Pool) countPlaces(s *step, may func(*runner) bool) int {
+	places := 0
+	for _, r := range p.runners {
+		if places >= s.placesNeeded() {
+			break
+		}
+		if may(r) {
+			places += r.countPlaces(s)
+		}
+	}
+	return places
+}
+
+// countPlaces returns how many more tasks of the step the runner has room for, up to the number of its tasks.
+func (r *runner) countPlaces(s *step) int {
+	need, free, n := s.spec.Resources, r.free(), int64(len(s.tasks))
+	for _, resource := range [][2]int64{{need.CPU, free.CPU}, {need.Mem, free.Mem}, {need.GPU, free.GPU}} {
+		if resource[0] > 0 {
+			n = min(n, resource[1]/resource[0])
+		}
+	}
+	if s.spec.MaxPerRunner > 0 {
+		n = min(n, int64(s.spec.MaxPerRunner-r.countRuns(s)))
+	}
+	return int(max(0, n))
+}
+
+// approvalCandidates returns the runners to ask about: of those without a valid answer of the policy service, the best for the
+// step. The service's policy doesn't change, so those that it approved before come first if they are enough; otherwise those
+// that it was never asked about, and those that it refused last.
 func (p *Pool) approvalCandidates(now time.Time, s *step) []string {
 	var list []*runner
 	for _, r := range p.runners {
@@ -49,12 +85,16 @@
 		if answered && a.born == r.Born && now.Before(a.validUntil) {
 			continue
 		}
-		if r.schedulable(now) && r.hasLabel(s.spec.RequiredLabel) && s.spec.Resources.Fits(r.free()) {
+		if r.schedulable(now) && r.hasLabel(s.spec.RequiredLabel) && r.countPlaces(s) > 0 {
 			list = append(list, r)
 		}
 	}
+	enough := p.countPlaces(s, func(r *runner) bool { return r.schedulable(now) && s.approvals[r.ID].ticket != "" }) >= s.placesNeeded()
 	rack := s.spec.PreferredRack
 	slices.SortFunc(list, func(a, b *runner) int {
+		if c := cmp.Compare(s.askingOrder(a, enough), s.askingOrder(b, enough)); c != 0 {
+			return c
+		}
 		if c := slices.Compare(costForStep(a, s, rack), costForStep(b, s, rack)); c != 0 {
 			return c
 		}
@@ -68,6 +108,21 @@
 	return ids
 }
 
+// askingOrder returns the place of a runner among those to ask about, by the last answer; enough states that the approved ones
+// suffice for the step.
+func (s *step) askingOrder(r *runner, enough bool) int {
+	a, answered := s.approvals[r.ID]
+	switch {
+	case answered && a.ticket != "" && enough:
+		return 0
+	case !answered:
+		return 1
+	case a.ticket != "":
+		return 2
+	}
+	return 3
+}
+
 // costForStep returns the cost of placing a task of the step on a runner.
 func costForStep(r *runner, s *step, rack string) []int64 {
 	c := cost(r, s.tasks[0], rack)
