--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -145,11 +145,14 @@
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	result, err := leader.HandOffCancel(ctx, d.store, q.Service, id, caller)
+	stored, err := leader.HandOffCancel(ctx, d.store, q.Service, id, caller)
 	if err != nil {
 		return notStored(err)
 	}
-	return result
+	if stored.Verdict == leader.Absent && (delivered != answered || result.Verdict != leader.Absent) {
+		return leader.Result{Verdict: leader.Unknown, Retry: retryDelay, Why: "the leader has not answered, and may be storing the job"}
+	}
+	return stored
 }
 
 // State returns the state of a job from the leader of its service, or from the store if the leader doesn't know it.
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -121,8 +121,11 @@
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. If ctx ends first, the verdict is Unknown. The verdict
-// is Absent for a job that doesn't exist for the caller.
+// is Absent for a job that doesn't exist for the caller. A job that is being stored is waited for.
 func (l *Leader) Cancel(ctx context.Context, id work.ID, caller workspace.Caller) Result {
+	if !l.awaitSubmission(ctx, id) {
+		return Result{Verdict: Unknown, Why: "the job is being stored"}
+	}
 	l.mu.Lock()
 	if owner, ok := l.pool.Owner(id); !ok || !caller.MaySee(owner) {
 		l.mu.Unlock()
@@ -141,6 +144,22 @@
 	return await(ctx, reply)
 }
 
+// awaitSubmission waits until no submission of a job waits for the store, and returns false if ctx or the leadership ends first.
+func (l *Leader) awaitSubmission(ctx context.Context, id work.ID) bool {
+	for {
+		l.mu.Lock()
+		pending, lost, commitDone := l.pendingSubmission(id), l.lostErr, l.commitDone
+		l.mu.Unlock()
+		if pending == nil {
+			return true
+		}
+		if lost != nil || ctx.Err() != nil {
+			return false
+		}
+		sleep.ForOrWake(ctx, idleInterval, commitDone)
+	}
+}
+
 // State returns the state of a job as the store has it, or Running once a task has started. The verdict is Absent for
 // a job that doesn't exist for the caller.
 func (l *Leader) State(id work.ID, caller workspace.Caller) Result {
