--- a/emulator/random_faults_test.go
+++ b/emulator/random_faults_test.go
@@ -29,6 +29,7 @@
 			runScenario(t, randomSite(seed), seed, func(t *testing.T, c *Cluster) {
 				c.wg.Go(func() { restartAndCutRunners(c, seed) })
 				runRandomFaults(t, c, seed)
+				time.Sleep(time.Minute) // long tasks may have waited for room, behind others
 			})
 		})
 	}
--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -212,3 +212,18 @@
 	require.NoError(t, next.Restore(t.Context()))
 	require.False(t, next.storedKeeps["r"].Before(want), "it is %s early", want.Sub(next.storedKeeps["r"]))
 }
+
+// Guards against work on a runner that the store doesn't list, because it came back while a commit without it was on its way.
+func TestRunnerThatComesBackDuringACommitGetsNoWorkBeforeTheStoreListsIt(t *testing.T) {
+	l, runner := pendingRestart(t)
+	l.RunnerUnlisted("r")
+	batch, tx, err := l.prepareCommit(time.Now())
+	require.NoError(t, err)
+	require.NotContains(t, batch.runners, "r")
+	l.RunnerListed(runner)
+	stamp, err := l.Store.Commit(t.Context(), tx)
+	require.NoError(t, err)
+	l.handleCommitResult(batch, stamp, time.Now(), nil)
+	require.NotContains(t, l.storedRunners, "r")
+	require.False(t, l.pool.HasRunner("r"), "the next leader doesn't know of it")
+}
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -217,3 +217,35 @@
 	require.True(t, f.pool.runners["r0"].fencing.pending)
 	require.Greater(t, f.pool.runners["r0"].lease.keepUntil.Sub(f.now).Seconds(), 12.0, "a poll for the earlier incarnation may be carried out until then")
 }
+
+// Guards against a start after an end as done that a poll for the earlier incarnation made the new one forget: ends are
+// numbered from 1 again.
+func TestPollForAnEarlierIncarnationAcknowledgesNoEndOfThePresentOne(t *testing.T) {
+	f := newFakePool(t, 1, 4)
+	first := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
+	f.advance(tickInterval)
+	f.endRun("r0", first, work.EndDone)
+	f.advance(tickInterval)
+	f.advance(tickInterval)
+	inFlight := f.pool.AckCursor("r0") // of a poll that is sent now, long after an answered one has acknowledged that end
+
+	require.EqualValues(t, 1, inFlight)
+	second := taskOf(f.accept("b", testQueue, stepOf(1, 2000)), 0, 0)
+	ordered := starts(f.planCommitted(true))
+	require.Len(t, ordered, 1)
+	r := f.runners["r0"]
+	f.pool.HandleStartResult(f.now, ordered[0], OutcomeUnknown, "", 0)
+	f.restart("r0")
+	r.runs[second.String()] = work.Run{Task: second, Run: 1} // the start reaches the new incarnation
+	f.endRun("r0", second, work.EndDone)
+	var left []work.RunEnd
+	for _, e := range r.ends {
+		if e.N > inFlight {
+			left = append(left, e)
+		}
+	}
+	r.ends = left // the poll reaches it, too
+	for range 10 {
+		require.Empty(t, starts(f.advance(tickInterval)), "it has ended as done, and that is acknowledged")
+	}
+}
