--- a/leader/commit.go
+++ b/leader/commit.go
@@ -160,13 +160,13 @@
 	}
 	l.markCommitted(now, batch.progress)
 	if batch.runners != nil {
-		l.storedRunners, l.storedSilent, l.storedKeeps, l.silentDirty = batch.runners, batch.silent, batch.keeps, false
+		l.storedRunners, l.storedSilent, l.storedKeepUntil, l.silentDirty = batch.runners, batch.silent, batch.keepUntil, false
 		l.pool.SilentSaved(batch.silent)
 		for id, runner := range batch.runners {
 			if current, ok := l.listedRunners[id]; ok && current.Addr == runner.Addr {
 				l.admitRunner(current)
 			}
-			l.pool.IncarnationRecorded(now, id, runner.Born, l.leaseVersion, batch.keeps[id])
+			l.pool.IncarnationRecorded(now, id, runner.Born, l.leaseVersion, batch.keepUntil[id])
 		}
 	}
 	l.answerCancels()
--- a/leader/commit_batch.go
+++ b/leader/commit_batch.go
@@ -14,15 +14,15 @@
 
 // commitBatch is the content of one commit.
 type commitBatch struct {
-	commitNo int64
-	intents  []*intent
-	progress []progressPut
-	shards   []platform.Row         // the changed rows of the runners
-	runners  map[string]work.Runner // runners that may have work; nil if neither they nor the silent runners have changed
-	silent   map[string]time.Time   // runners that don't answer; set together with runners
-	keeps    map[string]time.Time   // runners that have restarted lately; set together with runners
-	epoch    int64                  // heartbeat epoch when the commit was sent
-	renewal  bool                   // the commit has to confirm the lease
+	commitNo  int64
+	intents   []*intent
+	progress  []progressPut
+	shards    []platform.Row         // the changed rows of the runners
+	runners   map[string]work.Runner // runners that may have work; nil if neither they nor the silent runners have changed
+	silent    map[string]time.Time   // runners that don't answer; set together with runners
+	keepUntil map[string]time.Time   // runners that have restarted lately; set together with runners
+	epoch     int64                  // heartbeat epoch when the commit was sent
+	renewal   bool                   // the commit has to confirm the lease
 }
 
 func (b commitBatch) empty() bool { return len(b.parts()) == 0 && !b.renewal }
@@ -152,15 +152,15 @@
 		runner.Born = max(runner.Born, l.pool.Fence(id).Born) // a poll may have shown a restart before the runner's entry does
 		runners[id] = runner
 	}
-	silent, keeps := l.pool.SilentRunners(now), l.pool.RestartedRunners(now)
+	silent, keepUntil := l.pool.SilentRunners(now), l.pool.RestartedRunners(now)
 	if l.storeTime == 0 {
-		silent, keeps = nil, nil // times are stored on the store's clock, which is still unknown
+		silent, keepUntil = nil, nil // times are stored on the store's clock, which is still unknown
 	}
 	unchanged := maps.EqualFunc(runners, l.storedRunners, sameIncarnation)
-	if unchanged && !l.pool.AwaitsRecords() && !l.silentDirty && len(l.changedKeeps(keeps)) == 0 && maps.EqualFunc(silent, l.storedSilent, func(_, _ time.Time) bool { return true }) {
+	if unchanged && !l.pool.AwaitsRecords() && !l.silentDirty && len(l.changedKeepUntil(keepUntil)) == 0 && maps.EqualFunc(silent, l.storedSilent, func(_, _ time.Time) bool { return true }) {
 		return
 	}
-	batch.runners, batch.silent, batch.keeps = runners, silent, keeps
+	batch.runners, batch.silent, batch.keepUntil = runners, silent, keepUntil
 	l.silentDirty = true // until the store confirms the commit
 	l.pool.SilentSaveStarted(silent)
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -58,7 +58,7 @@
 	listedRunners   map[string]work.Runner // runners in the platform's list, which the store is to list too
 	silentDirty     bool                   // the store may list silent runners that storedSilent doesn't have
 	storedSilent    map[string]time.Time   // silent runners in the store, with the time when all their runs have ended
-	storedKeeps     map[string]time.Time   // restarted runners in the store, with the time until which earlier orders may keep their runs alive
+	storedKeepUntil map[string]time.Time   // restarted runners in the store, with the time until which earlier orders may keep their runs alive
 	storeTime       time.Duration          // the store's clock at the last commit that it answered
 	storeTimeReadAt time.Time              // when storeTime was read, on this daemon's clock
 	leaseRow        LeaseRow
@@ -93,29 +93,29 @@
 	config.LateOrders = lateOrders
 	config.InheritedTTL, config.InheritedPlacements = lease.InheritedTTL, lease.Row.Placements
 	l := &Leader{
-		Deps:          deps,
-		lease:         lease,
-		leaseConfig:   config,
-		storeLink:     newStoreLink(deps.Store, lease.Service, deps.Now),
-		sessions:      map[string]*session{},
-		storedRunners: map[string]work.Runner{},
-		listedRunners: map[string]work.Runner{},
-		storedKeeps:   map[string]time.Time{},
-		leaseRow:      lease.Row,
-		leaseVersion:  lease.Version,
-		cancelWaiters: map[work.ID][]chan Result{},
-		unloadedJobs:  map[work.ID]string{},
-		unanswered:    map[int64]commitBatch{},
-		progressRows:  map[work.ID]int{},
-		isolation:     newIsolation(),
-		admission:     newAdmission(),
-		commitDone:    make(chan struct{}),
-		wakePlan:      make(chan struct{}, 1),
-		wakeCommit:    make(chan struct{}, 1),
-		done:          make(chan struct{}),
-		epoch:         lease.HeartbeatEpoch,
-		confirmedAck:  lease.AcquiredAt.Add(-deps.HeartbeatTimeout), // a daemon acquires a lease only with a heartbeat that recent
-		caps:          newCaps(lease),
+		Deps:            deps,
+		lease:           lease,
+		leaseConfig:     config,
+		storeLink:       newStoreLink(deps.Store, lease.Service, deps.Now),
+		sessions:        map[string]*session{},
+		storedRunners:   map[string]work.Runner{},
+		listedRunners:   map[string]work.Runner{},
+		storedKeepUntil: map[string]time.Time{},
+		leaseRow:        lease.Row,
+		leaseVersion:    lease.Version,
+		cancelWaiters:   map[work.ID][]chan Result{},
+		unloadedJobs:    map[work.ID]string{},
+		unanswered:      map[int64]commitBatch{},
+		progressRows:    map[work.ID]int{},
+		isolation:       newIsolation(),
+		admission:       newAdmission(),
+		commitDone:      make(chan struct{}),
+		wakePlan:        make(chan struct{}, 1),
+		wakeCommit:      make(chan struct{}, 1),
+		done:            make(chan struct{}),
+		epoch:           lease.HeartbeatEpoch,
+		confirmedAck:    lease.AcquiredAt.Add(-deps.HeartbeatTimeout), // a daemon acquires a lease only with a heartbeat that recent
+		caps:            newCaps(lease),
 	}
 	l.Log = deps.Log.With(zap.String("service", lease.Service), zap.Int("term", lease.Row.Term))
 	l.pool = sched.New(lease.AcquiredAt, lease.Row.Term, config, sched.WithToken(lease.Token), sched.WithRateWindow(deps.RateWindow), sched.WithViolationHook(deps.OnViolation), sched.WithAbandonHook(l.logAbandoned), sched.WithJobEndHook(l.logFinished), sched.WithHeldUpHook(l.logHeldUp),
--- a/leader/restart_test.go
+++ b/leader/restart_test.go
@@ -206,11 +206,11 @@
 	pollOnce(l, "r", 1)
 	pollOnce(l, "r", 2)
 	l.commitOnce(t.Context())
-	want := l.storedKeeps["r"]
+	want := l.storedKeepUntil["r"]
 	require.False(t, want.IsZero())
 	next := New(Lease{AcquiredAt: time.Now()}, restartLeases, l.Deps)
 	require.NoError(t, next.Restore(t.Context()))
-	require.False(t, next.storedKeeps["r"].Before(want), "it is %s early", want.Sub(next.storedKeeps["r"]))
+	require.False(t, next.storedKeepUntil["r"].Before(want), "it is %s early", want.Sub(next.storedKeepUntil["r"]))
 }
 
 // Guards against work on a runner that the store doesn't list, because it came back while a commit without it was on its way.
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -64,7 +64,7 @@
 		keep := time.Time{}
 		if storeKeep, ok := runners.Restarted[runner.ID]; ok {
 			keep = now.Add(storeKeep - stamp.Now + clockSlack)
-			l.storedKeeps[runner.ID] = keep
+			l.storedKeepUntil[runner.ID] = keep
 		}
 		l.pool.InheritRunner(runner, endsAt, keep)
 		l.storedRunners[runner.ID] = runner
--- a/leader/shards.go
+++ b/leader/shards.go
@@ -37,7 +37,7 @@
 		}
 		content.Silent[id] = l.storeTime + endsAt.Sub(l.storeTimeReadAt)
 	}
-	for id, keep := range batch.keeps {
+	for id, keep := range batch.keepUntil {
 		content := &contents[shardOf(id)]
 		if content.Restarted == nil {
 			content.Restarted = map[string]time.Duration{}
@@ -63,14 +63,14 @@
 func (l *Leader) shardChanged(shard int, batch commitBatch) bool {
 	return !sameShard(shard, l.storedRunners, batch.runners, sameIncarnation) ||
 		!sameShard(shard, l.storedSilent, batch.silent, func(_, _ time.Time) bool { return true }) ||
-		slices.ContainsFunc(l.changedKeeps(batch.keeps), func(id string) bool { return shardOf(id) == shard })
+		slices.ContainsFunc(l.changedKeepUntil(batch.keepUntil), func(id string) bool { return shardOf(id) == shard })
 }
 
-// changedKeeps returns the runners whose time in keeps differs from the stored one. A stored time that is over does no harm.
-func (l *Leader) changedKeeps(keeps map[string]time.Time) []string {
+// changedKeepUntil returns the runners whose time in keepUntil differs from the stored one. A stored time that is over does no harm.
+func (l *Leader) changedKeepUntil(keepUntil map[string]time.Time) []string {
 	var changed []string
-	for id, keep := range keeps {
-		stored, ok := l.storedKeeps[id]
+	for id, keep := range keepUntil {
+		stored, ok := l.storedKeepUntil[id]
 		if !ok || stored.Sub(keep).Abs() > clockSlack {
 			changed = append(changed, id)
 		}
--- a/sched/fake_test.go
+++ b/sched/fake_test.go
@@ -224,3 +224,18 @@
 func taskOf(id work.ID, stepIndex, index int) work.Task {
 	return work.Task{Job: id, Step: stepIndex, Index: index}
 }
+
+// loseRunnerOf runs a new job's task on r0, makes r0 silent, and returns once the task has started again on a new runner.
+func (f *fakePool) loseRunnerOf(job string) {
+	task := taskOf(f.accept(job, testQueue, stepOf(1, 2000)), 0, 0)
+	for begun := f.now; f.runnerOf(task) == ""; f.advance(tickInterval) {
+		require.Less(f.t, f.now.Sub(begun), time.Second)
+	}
+	f.runners["r0"].silent = true
+	f.addRunner("r1", 4)
+	var again []Start
+	for len(again) == 0 {
+		again = starts(f.advance(tickInterval))
+	}
+	require.Equal(f.t, "r1", again[0].Runner)
+}
--- a/sched/fence.go
+++ b/sched/fence.go
@@ -16,8 +16,8 @@
 	pending  bool  // it has restarted since, and may carry out orders for earlier incarnations until one with token is answered
 	recorded int64 // incarnation that the store recorded last; 0 before the first restart
 	token    int64 // version of that commit; 0 before the first restart
-	// until when later leaders reckon with runs that orders for earlier incarnations keep alive
-	recordedKeep time.Time
+	// until when later leaders wait for runs that orders for earlier incarnations keep alive
+	recordedKeepUntil time.Time
 }
 
 // WithToken sets the fencing token of the leader's term.
@@ -67,9 +67,9 @@
 	}
 	keep = later(keep, now.Add(p.ordinaryLease()))
 	if keep.Before(r.lease.keepUntil) {
-		return
+		return // the commit tells later leaders too little
 	}
-	r.fencing.recorded, r.fencing.token, r.fencing.recordedKeep = born, version, keep
+	r.fencing.recorded, r.fencing.token, r.fencing.recordedKeepUntil = born, version, keep
 }
 
 // RestartedRunners returns the runners on which orders for earlier incarnations may keep runs alive, with the time until which
@@ -108,7 +108,7 @@
 	if !r.fencing.pending || r.fencing.recorded != r.Born || fence != p.fence(r) {
 		return
 	}
-	if keep.After(later(r.fencing.recordedKeep, now.Add(p.ordinaryLease()))) {
+	if keep.After(later(r.fencing.recordedKeepUntil, now.Add(p.ordinaryLease()))) {
 		r.fencing.recorded = 0 // later leaders wouldn't wait for so long: it is recorded once more
 		r.lease.KeepUntil(keep.Add(p.leases.LateOrders))
 		return
@@ -147,8 +147,8 @@
 	}
 }
 
-// takeBack continues with what is kept of a removed runner that comes back.
-func (p *Pool) takeBack(r *runner) {
+// restoreRemoved restores what is kept of a removed runner that comes back.
+func (p *Pool) restoreRemoved(r *runner) {
 	if f, ok := p.removed[r.ID]; ok {
 		r.Born, r.fencing = f.born, f.fencing
 		r.lease.KeepUntil(f.keepUntil)
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -159,17 +159,7 @@
 	f.pool.MarkUnlisted(f.now, "r0")
 	require.False(t, f.pool.HasRunner("r0"))
 	f.pool.UpdateRunner(f.now, f.runners["r0"].info)
-	task := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
-	for f.runnerOf(task) == "" {
-		require.Less(t, f.now.Sub(fenced), time.Second)
-		f.advance(tickInterval)
-	}
-	f.runners["r0"].silent = true
-	f.addRunner("r1", 4)
-	var again []Start
-	for len(again) == 0 {
-		again = starts(f.advance(tickInterval))
-	}
+	f.loseRunnerOf("a")
 	require.GreaterOrEqual(t, f.now.Sub(fenced).Seconds(), 6/(1-MaxClockSkew))
 }
 
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -27,7 +27,7 @@
 	r, ok := p.runners[info.ID]
 	if !ok {
 		r = newRunner(info)
-		p.takeBack(r)
+		p.restoreRemoved(r)
 		p.runners[info.ID] = r
 	}
 	return r
--- a/sched/runner_restart_test.go
+++ b/sched/runner_restart_test.go
@@ -99,18 +99,7 @@
 				f.poll()
 			}
 			learned := f.now
-			task := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
-			for f.runnerOf(task) == "" {
-				require.Less(t, f.now.Sub(learned), time.Second)
-				f.advance(tickInterval)
-			}
-			f.runners["r0"].silent = true
-			f.addRunner("r1", 4)
-			var again []Start
-			for len(again) == 0 {
-				again = starts(f.advance(tickInterval))
-			}
-			require.Equal(t, "r1", again[0].Runner)
+			f.loseRunnerOf("a")
 			require.GreaterOrEqual(t, f.now.Sub(learned).Seconds(), 6/(1-MaxClockSkew))
 		})
 	}
