Let bodies that are too large give way until they have ended

A body above the configuration's limit counted as complete once that was known, and its time for reading was lifted. net/http then waited without end for up to 256 KB more before it sent the 413, and neither the budget nor the bound on connections could make the request give way: as many such clients as there may be connections kept everybody else out.

Only a body that has arrived whole is complete; any other keeps its deadline and its place among those that give way.

--- a/admission/budget.go
+++ b/admission/budget.go
@@ -108,6 +108,13 @@
 	return nil
 }
 
+// Evicted reports whether the body has to give way.
+func (y *Body) Evicted() bool {
+	y.budget.mu.Lock()
+	defer y.budget.mu.Unlock()
+	return y.evicted
+}
+
 func (y *Body) isComplete() bool {
 	y.budget.mu.Lock()
 	defer y.budget.mu.Unlock()
--- a/jobapi/body.go
+++ b/jobapi/body.go
@@ -38,14 +38,19 @@
 	// Not supported by some tests' writers; they aren't slow.
 	_ = conn.SetReadDeadline(time.Now().Add(h.bodyTime))
 	body, err := readGranted(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, held)
-	if evicted := held.Complete(); evicted != nil {
-		return nil, evicted
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case held.Evicted():
+		return nil, admission.ErrEvicted
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, errBodyTooSlow
+	case err != nil:
+		return nil, err // it isn't complete, and may still give way
+	}
+	if err := held.Complete(); err != nil {
+		return nil, err
 	}
 	_ = conn.SetReadDeadline(time.Time{})
-	return body, err
+	return body, nil
 }
 
 // readGranted reads all of r into memory that is granted as bytes arrive. A size of -1 is unknown.
--- a/jobapi/unfinished_body_test.go
+++ b/jobapi/unfinished_body_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -51,3 +52,31 @@
 		})
 	}
 }
+
+// Guards against connections that are held for good, and can't give way, by a body that is too large and stops short of its end.
+func TestTooLargeBodyThatStopsHoldsItsConnection(t *testing.T) {
+	for _, scenario := range []struct{ name, head, chunk string }{
+		{"announced", "Content-Length: 300000", ""},
+		{"in chunks", "Transfer-Encoding: chunked", "493e0\r\n"},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := newSite(t, WithBodyTime(time.Minute))
+			budget := admission.NewBudget(1 << 20)
+			server := httptest.NewServer(budget.Guard(s.handler, admission.Times{Unread: time.Minute, Answer: time.Minute}))
+			t.Cleanup(server.Close)
+			conn, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "POST /p/00000000000000aa HTTP/1.1\r\nHost: h\r\n"+scenario.head+"\r\n\r\n"+scenario.chunk+strings.Repeat(" ", defaultMaxBody+1000))
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return s.handler.Counts.Snapshot()["413"] == 1 }, 30*time.Second, time.Millisecond)
+			require.True(t, budget.EvictLongest())
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.NoError(t, response.Body.Close())
+			require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+			require.True(t, response.Close)
+		})
+	}
+}
