Answer no 200 to a submission whose body is broken

A submission whose body ended early, on a connection that its client only half-closed, or whose chunks can't be read, was answered 200 though nothing was stored: the handler returned without a response, in the belief that none could arrive, and net/http sends a 200 then. To the caller, a 200 means that the job is stored.

The handler now aborts, which closes the connection without a response; the request may come again under the same ID.

--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -171,7 +171,7 @@
 		return
 	case err != nil:
 		h.Counts.add("broken")
-		return // the caller closed the connection, so no response is possible
+		panic(http.ErrAbortHandler) // closes the connection: after a return, net/http would send a 200
 	}
 	job, err := h.decodeJob(body)
 	if err != nil {
--- a/jobapi/unfinished_body_test.go
+++ b/jobapi/unfinished_body_test.go
@@ -80,3 +80,27 @@
 		})
 	}
 }
+
+// Guards against a 200, which means that the job is stored, for a submission whose body is broken.
+func TestSubmissionWithBrokenBodyIsAccepted(t *testing.T) {
+	for _, scenario := range []struct{ name, head, body string }{
+		{"shorter than announced", "Content-Length: 100", "{"},
+		{"chunk without a size", "Transfer-Encoding: chunked", "size\r\n"},
+		{"chunk that ends early", "Transfer-Encoding: chunked", "9\r\n{"},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			s := newSite(t)
+			conn, err := net.Dial("tcp", s.server.Listener.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = io.WriteString(conn, "POST /p/00000000000000aa HTTP/1.1\r\nHost: h\r\n"+scenario.head+"\r\n\r\n"+scenario.body)
+			require.NoError(t, err)
+			require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
+			answer, err := io.ReadAll(conn)
+			require.NoError(t, err)
+			require.Empty(t, string(answer), "the connection is closed without a response")
+			require.Empty(t, s.callers)
+		})
+	}
+}
