--- a/overload/daemon_test.go
+++ b/overload/daemon_test.go
@@ -68,13 +68,7 @@
 	store := standin.NewStore(rand.New(rand.NewPCG(1, 2)))
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
-	store.Put("op", "config", map[string]any{
-		"Version":  7,
-		"Routes":   []any{map[string]any{"Name": "q", "Host": host, "Prefix": "/jobs/", "Kind": "non_idempotent", "TimeoutMs": 3000, "SloMs": 600, "Service": "desk", "MaxAttempts": 3, "SlackFactor": 1.6}},
-		"Services": []any{map[string]any{"Name": "desk", "HealthPath": "/health", "MaxConns": 64, "Protocol": "h1"}},
-		"Tenants":  []any{map[string]any{"Name": "t-1", "ApiKeys": []string{key}, "Weight": 50}},
-		"Limits":   map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": maxBody, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
-	})
+	store.Put("op", "config", standin.QueueConfig(host, key, maxBody))
 	d := &daemon{t: t, ended: make(chan struct{}), callers: freeAddr(t), ready: freeAddr(t), peers: freeAddr(t)}
 	file := filepath.Join(t.TempDir(), "settings.json")
 	content, err := json.Marshal(map[string]any{
--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -181,7 +181,7 @@
 // Guards against a time that this leader counts on, and later leaders aren't told.
 func TestLaterLeadersAreToldHowLongEarlierOrdersMayKeepRunsAlive(t *testing.T) {
 	f := newFakePool(t, 1, 4)
-	f.pool.leases.TTL, f.pool.leases.MaxTTL, f.pool.leases.LateOrders = 7500*time.Millisecond, 10*time.Second, 12*time.Second // tvl-refill
+	f.pool.leases.TTL, f.pool.leases.MaxTTL, f.pool.leases.LateOrders = 7500*time.Millisecond, 10*time.Second, 12*time.Second
 	f.advance(tickInterval)
 	f.restart("r0")
 	f.poll()
