--- a/jobapi/body.go
+++ b/jobapi/body.go
@@ -1,6 +1,7 @@
 package jobapi
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -19,7 +20,8 @@
 const (
 	defaultBodyTime = 30 * time.Second // for the whole body, if none is set
 	firstBodyBuffer = 512              // bytes
-	largeBody       = 16 << 10         // bytes, from which a body is decoded beside few others only
+	memoryPerStep   = 256              // bytes that a decoded step takes at the least
+	largeBody       = 1 << 10          // bytes, from which a body is decoded beside few others only
 	largeDecodings  = 4                // at the same time
 )
 
@@ -46,6 +48,9 @@
 	case err != nil:
 		return nil, err // it isn't complete, and may still give way
 	}
+	if err := held.Grow(decodedSize(body)); err != nil {
+		return nil, err
+	}
 	if err := held.Complete(); err != nil {
 		return nil, err
 	}
@@ -75,6 +80,11 @@
 	}
 }
 
+// decodedSize returns the memory that a body's steps take once decoded: a job of many short steps takes 20 times its text.
+func decodedSize(body []byte) int64 {
+	return int64(min(bytes.Count(body, []byte("{")), work.MaxSteps)) * memoryPerStep
+}
+
 // nextCapacity returns the capacity that follows a full buffer: twice as much, but no more than the body can need.
 func nextCapacity(full, size, limit int64) int64 {
 	if size >= 0 {
--- a/jobapi/body_test.go
+++ b/jobapi/body_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -44,3 +46,14 @@
 		})
 	}
 }
+
+// Guards against jobs of many short steps, which take far more memory than the budget counts for their bodies.
+func TestBudgetCountsDecodedSteps(t *testing.T) {
+	s := newSite(t)
+	budget := admission.NewBudget(100 << 10)
+	body := `{"JobSteps":[` + strings.Repeat(`{"Count":1},`, 499) + `{"Count":1}]}`
+	r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(body))
+	held := budget.Begin(func() {})
+	_, err := s.handler.readBody(httptest.NewRecorder(), r, held, 256<<10)
+	require.ErrorIs(t, err, admission.ErrEvicted, "%d bytes of the budget are used", budget.Used())
+}
--- a/jobapi/unfinished_body_test.go
+++ b/jobapi/unfinished_body_test.go
@@ -38,7 +38,7 @@
 			require.NoError(t, err)
 			if scenario.evict {
 				require.Eventually(t, func() bool { return budget.Used() > 0 }, 30*time.Second, time.Millisecond)
-				require.True(t, budget.EvictLongest())
+				require.True(t, budget.EvictLongest(0))
 			}
 			require.NoError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -70,7 +70,7 @@
 			_, err = io.WriteString(conn, "POST /p/00000000000000aa HTTP/1.1\r\nHost: h\r\n"+scenario.head+"\r\n\r\n"+scenario.chunk+strings.Repeat(" ", defaultMaxBody+1000))
 			require.NoError(t, err)
 			require.Eventually(t, func() bool { return s.handler.Counts.Snapshot()["413"] == 1 }, 30*time.Second, time.Millisecond)
-			require.True(t, budget.EvictLongest())
+			require.True(t, budget.EvictLongest(0))
 			require.NoError(t, conn.SetReadDeadline(time.Now().Add(30*time.Second)))
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			require.NoError(t, err)
