--- a/admission/guard.go
+++ b/admission/guard.go
@@ -28,7 +28,7 @@
 func (b *Budget) Guard(next http.Handler, times Times) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := http.NewResponseController(w)
-		_ = conn.SetWriteDeadline(time.Time{}) // of the response before
+		_ = conn.SetWriteDeadline(time.Now().Add(times.Answer)) // of a 100 Continue
 		answer := &timedWriter{ResponseWriter: w, conn: conn, within: times.Answer}
 		defer answer.begin()
 		if r.Body == http.NoBody {
--- a/daemon/caller_server.go
+++ b/daemon/caller_server.go
@@ -42,7 +42,7 @@
 	requests, end := context.WithCancel(context.Background())
 	s := &callerServer{listener: conns.Listen(listener), log: log, endRequests: end, conns: conns}
 	s.server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: guardTimes().Answer, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(log), BaseContext: func(net.Listener) context.Context { return requests }, ConnState: conns.Track,
 	}
 	return s
--- a/daemon/platform_server.go
+++ b/daemon/platform_server.go
@@ -23,7 +23,7 @@
 	return &platformServer{
 		server: &http.Server{
 			Handler: bodies.Guard(d.platformHandler(), guardTimes()), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ConnState: conns.Track,
+			WriteTimeout: guardTimes().Answer, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.Track,
 		},
 		listener: conns.Listen(d.readyListener),
 	}
