--- a/admission/budget.go
+++ b/admission/budget.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"gypsumlead/fault"
 )
@@ -24,6 +25,7 @@
 // Body is one body's part of a Budget.
 type Body struct {
 	budget    *Budget
+	begun     time.Time
 	interrupt func() // makes a pending read of the body fail
 	held      int64
 	wanted    int64         // while it waits
@@ -49,17 +51,17 @@
 func (b *Budget) Begin(interrupt func()) *Body {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	y := &Body{budget: b, interrupt: interrupt, woken: make(chan struct{}, 1)}
+	y := &Body{budget: b, begun: time.Now(), interrupt: interrupt, woken: make(chan struct{}, 1)}
 	y.place = b.arriving.PushBack(y)
 	return y
 }
 
-// EvictLongest evicts the longest unfinished body. It returns false if no body is unfinished.
-func (b *Budget) EvictLongest() bool {
+// EvictLongest evicts the longest unfinished body. It returns false if none has been unfinished for so long.
+func (b *Budget) EvictLongest(atLeast time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	victim := b.longest(nil)
-	if victim == nil {
+	if victim == nil || time.Since(victim.begun) < atLeast {
 		return false
 	}
 	b.evict(victim)
--- a/admission/budget_test.go
+++ b/admission/budget_test.go
@@ -52,10 +52,10 @@
 	require.EqualValues(t, 80, b.Used())
 
 	require.Equal(t, []int{1, 0, 0}, []int{*oldestInterrupted, *completeInterrupted, *newerInterrupted})
-	require.True(t, b.EvictLongest())
+	require.True(t, b.EvictLongest(0))
 	require.ErrorIs(t, newer.Complete(), ErrEvicted)
-	require.True(t, b.EvictLongest())
-	require.False(t, b.EvictLongest(), "the complete body doesn't give way")
+	require.True(t, b.EvictLongest(0))
+	require.False(t, b.EvictLongest(0), "the complete body doesn't give way")
 	for _, y := range []*Body{complete, newer, newcomer} {
 		y.Release()
 	}
@@ -79,7 +79,7 @@
 	first, _ := begin(t, b, 50)
 	waits := grow(first, 50)
 	require.Eventually(t, func() bool { return b.waitingBodies() == 1 }, 30*time.Second, time.Millisecond)
-	require.True(t, b.EvictLongest())
+	require.True(t, b.EvictLongest(0))
 	require.ErrorIs(t, result(t, waits), ErrEvicted)
 }
 
--- a/admission/connections.go
+++ b/admission/connections.go
@@ -11,12 +11,13 @@
 // Times of evictions.
 const (
 	retryEviction = 100 * time.Millisecond // an eviction that has not closed a connection is followed by another
-	timeToBegin   = time.Second            // for a connection's next request to arrive while others have unfinished bodies
+	timeToBegin   = time.Second            // for a connection's next request to arrive before it gives way to a new connection
+	timeToArrive  = 500 * time.Millisecond // for a request's body
 )
 
-// Connections bounds the open connections of a server. At the bound a new connection waits until another one is closed: the one that has waited
-// longest for a request, if that is over timeToBegin; or else the one with the longest unfinished body, or without such bodies the first one again. It knows connections by the listener that Listen returns and by
-// Track, the server's ConnState hook.
+// Connections bounds the open connections of a server. At the bound a new connection waits until another one is closed. Those give
+// way that have waited longest for a request, or else have the longest unfinished body, but none younger than timeToBegin or timeToArrive.
+// It knows connections by the listener that Listen returns and by Track, the server's ConnState hook.
 type Connections struct {
 	limit  int
 	bodies *Budget
@@ -25,7 +26,7 @@
 	open    map[net.Conn]*list.Element // its place in waiting, nil while it has a request
 	waiting list.List                  // of waitingConn, the longest first
 	evicted int64
-	changed chan struct{} // woken when a connection is closed or begins to wait
+	changed chan struct{} // woken when a connection is closed; both who wait for it also look again after a time
 	ended   chan struct{} // closed with the listener
 }
 
@@ -54,7 +55,7 @@
 	return c.evicted
 }
 
-// Changed receives when a connection has been closed or has begun to wait for a request.
+// Changed receives when a connection has been closed.
 func (c *Connections) Changed() <-chan struct{} { return c.changed }
 
 // Track keeps track of a connection's state.
@@ -71,6 +72,7 @@
 	switch state {
 	case http.StateNew, http.StateIdle:
 		c.open[conn] = c.waiting.PushBack(waitingConn{conn, time.Now()})
+		return // it is too young to give way
 	case http.StateActive:
 		c.open[conn] = nil
 		return
@@ -138,7 +140,7 @@
 	case <-c.changed: // of before
 	default:
 	}
-	if c.evictWaiting(timeToBegin) || c.bodies.EvictLongest() || c.evictWaiting(0) {
+	if c.evictWaiting(timeToBegin) || c.bodies.EvictLongest(timeToArrive) {
 		c.evicted++
 	}
 	return false
--- a/admission/guard_test.go
+++ b/admission/guard_test.go
@@ -55,7 +55,7 @@
 			t.Cleanup(func() { _ = conn.Close() })
 			if scenario.evict {
 				go func() {
-					for !b.EvictLongest() {
+					for !b.EvictLongest(0) {
 						time.Sleep(time.Millisecond)
 					}
 				}()
@@ -75,7 +75,7 @@
 		_, err := io.ReadAll(r.Body)
 		require.NoError(t, err)
 		require.NoError(t, BodyOf(r.Context()).Complete())
-		require.False(t, b.EvictLongest())
+		require.False(t, b.EvictLongest(0))
 		require.NoError(t, r.Context().Err())
 	}), Times{Unread: time.Minute, Answer: time.Minute}))
 	t.Cleanup(server.Close)
--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -64,3 +64,72 @@
 	time.Sleep(time.Second)
 	require.Eventually(t, func() bool { return conns.Len() == 0 }, 30*time.Second, 10*time.Millisecond)
 }
+
+// Guards against a new connection that is closed for the next one before its request can arrive.
+func TestNewConnectionIsClosedForAnother(t *testing.T) {
+	release := make(chan struct{})
+	_, dial := startServer(t, 2, Times{Unread: minute, Answer: minute}, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-release
+		}
+	})
+	t.Cleanup(func() { close(release) })
+	busy := dial()
+	_, err := io.WriteString(busy, "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	second := dial()
+	time.Sleep(20 * time.Millisecond)
+	_ = dial()
+	time.Sleep(20 * time.Millisecond)
+	status, _ := exchange(t, second, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.Equal(t, http.StatusOK, status)
+}
+
+// Guards against a body that has just been sent and gives way to a new connection before its handler reads it.
+func TestFreshBodyGivesWayToAConnection(t *testing.T) {
+	_, dial := startServer(t, 1, Times{Unread: minute, Answer: minute}, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(100 * time.Millisecond) // as when the configuration is confirmed by the store
+		readAll(w, r)
+	})
+	conn := dial()
+	time.AfterFunc(20*time.Millisecond, func() { dial() })
+	status, _ := exchange(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	require.Equal(t, http.StatusOK, status)
+}
+
+// Guards against one new connection for which several others give way.
+func TestOneConnectionEvictsMany(t *testing.T) {
+	const stalled, busy = 10, 4
+	conns, dial := startServer(t, stalled+busy, Times{Unread: minute, Answer: minute}, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			time.Sleep(50 * time.Millisecond)
+			return
+		}
+		_ = BodyOf(r.Context()).Complete()
+	})
+	for range stalled {
+		_, err := io.WriteString(dial(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n1")
+		require.NoError(t, err)
+	}
+	for range busy {
+		conn := dial()
+		go func() {
+			response := make([]byte, 4096)
+			for {
+				if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+					return
+				}
+				if _, err := conn.Read(response); err != nil {
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+	}
+	require.Eventually(t, func() bool { return conns.bodies.unfinished() == stalled && conns.Len() == stalled+busy }, minute, time.Millisecond)
+	time.Sleep(2 * timeToBegin) // the bodies are old enough to give way
+	_ = dial()
+	time.Sleep(500 * time.Millisecond)
+	require.LessOrEqual(t, conns.Evicted(), int64(2))
+}
