--- a/admission/guard.go
+++ b/admission/guard.go
@@ -39,7 +39,7 @@
 		defer body.Release()
 		_ = conn.SetReadDeadline(time.Now().Add(times.Unread))
 		next.ServeHTTP(answer, r.WithContext(context.WithValue(r.Context(), bodyKey{}, body)))
-		if !body.isComplete() {
+		if !body.isComplete() && r.Header.Get("Expect") == "" { // net/http closes the connection of a body that it hasn't asked for
 			_, _ = io.CopyN(io.Discard, r.Body, maxDrained) // after an error net/http closes the connection
 		}
 	})
--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -133,3 +133,14 @@
 	time.Sleep(500 * time.Millisecond)
 	require.LessOrEqual(t, conns.Evicted(), int64(2))
 }
+
+// Guards against a refusal that a client which waits for 100 Continue gets only after the time for unread bodies.
+func TestRefusalWaitsForABodyThatIsNotSent(t *testing.T) {
+	_, dial := startServer(t, 2, Times{Unread: 2 * minute, Answer: minute}, func(w http.ResponseWriter, _ *http.Request) {
+		http.Error(w, "no", http.StatusUnauthorized)
+	})
+	conn := dial()
+	_ = conn.SetDeadline(time.Now().Add(minute))
+	status, _ := exchange(t, conn, "POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 9\r\n\r\n")
+	require.Equal(t, http.StatusUnauthorized, status)
+}
