--- a/standin/late_calls_test.go
+++ b/standin/late_calls_test.go
@@ -49,6 +49,12 @@
 	return wireOrder{Task: testTask, Run: run, Spec: spec.Text(), DeadlineMs: (uptime + testLease/2).Milliseconds()}
 }
 
+func countRuns(r *Runner) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
 func newTestChecker() *Checker {
 	c := NewChecker()
 	c.Submitted("00000000000000aa", work.Job{Steps: []work.Step{{Count: 1}}}, 2)
@@ -77,11 +83,11 @@
 				r := newTestRunner(newTestChecker(), "r0")
 				time.Sleep(uptime)
 				play(t, r)
-				require.Len(t, r.runs, 1)
+				require.Equal(t, 1, countRuns(r))
 				time.Sleep(testLease - 200*time.Millisecond)
-				require.Len(t, r.runs, 1, "a deadline of the former clock gives the longest lease")
+				require.Equal(t, 1, countRuns(r), "a deadline of the former clock gives the longest lease")
 				time.Sleep(time.Second)
-				require.Empty(t, r.runs)
+				require.Zero(t, countRuns(r))
 			})
 		})
 	}
@@ -98,9 +104,9 @@
 		r.Restart()
 		require.Equal(t, http.StatusOK, call(t, r, "/gypsumlead/run-start", startOrder(1, 0), time.Second))
 		time.Sleep(testLease)
-		require.Len(t, r.runs, 1)
+		require.Equal(t, 1, countRuns(r))
 		time.Sleep(2 * time.Second)
-		require.Empty(t, r.runs)
+		require.Zero(t, countRuns(r))
 	})
 }
 
