--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -149,8 +149,8 @@
 	if err != nil {
 		return notStored(err)
 	}
-	if stored.Verdict == leader.Absent && (delivered != answered || result.Verdict != leader.Absent) {
-		return leader.Result{Verdict: leader.Unknown, Retry: retryDelay, Why: "the leader has not answered, and may be storing the job"}
+	if stored.Verdict == leader.Absent && delivered == answered && result.Verdict == leader.Unknown {
+		return result // the leader is storing the job
 	}
 	return stored
 }
--- a/leader/cancel_test.go
+++ b/leader/cancel_test.go
@@ -35,3 +35,10 @@
 	require.Equal(t, work.Cancelled, state)
 	require.Equal(t, Absent, l.Cancel(t.Context(), jobID(2), anyone).Verdict)
 }
+
+// Guards against a wait that tells a caller of another workspace's job.
+func TestCancelDoesNotWaitForAnotherWorkspacesSubmission(t *testing.T) {
+	l := newConfirmedLeader(newTestStore(t, standin.NewStore(rand.New(rand.NewPCG(1, 1)))))
+	_, _ = l.submit(jobID(1), servedQueue, wideJob, 0) // of workspace a
+	require.Equal(t, Absent, l.Cancel(t.Context(), jobID(1), workspace.Of("b")).Verdict)
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -123,7 +123,7 @@
 // Cancel cancels a job and returns once the cancellation is stored. If ctx ends first, the verdict is Unknown. The verdict
 // is Absent for a job that doesn't exist for the caller. A job that is being stored is waited for.
 func (l *Leader) Cancel(ctx context.Context, id work.ID, caller workspace.Caller) Result {
-	if !l.awaitSubmission(ctx, id) {
+	if !l.awaitSubmission(ctx, id, caller) {
 		return Result{Verdict: Unknown, Why: "the job is being stored"}
 	}
 	l.mu.Lock()
@@ -144,13 +144,14 @@
 	return await(ctx, reply)
 }
 
-// awaitSubmission waits until no submission of a job waits for the store, and returns false if ctx or the leadership ends first.
-func (l *Leader) awaitSubmission(ctx context.Context, id work.ID) bool {
+// awaitSubmission waits until no submission of a job that exists for the caller waits for the store. It returns false if ctx or the
+// leadership ends first.
+func (l *Leader) awaitSubmission(ctx context.Context, id work.ID, caller workspace.Caller) bool {
 	for {
 		l.mu.Lock()
 		pending, lost, commitDone := l.pendingSubmission(id), l.lostErr, l.commitDone
 		l.mu.Unlock()
-		if pending == nil {
+		if pending == nil || !caller.MaySee(pending.row.Job.Workspace) {
 			return true
 		}
 		if lost != nil || ctx.Err() != nil {
