--- a/budget/granter.go
+++ b/budget/granter.go
@@ -116,6 +116,9 @@
 	return a, true
 }
 
+// Deposed reports whether a leader has applied an answer of a later granter. This one answers no report any more.
+func (g *Granter) Deposed() bool { return g.deposed }
+
 // accept records a report. It returns false for a report that is outdated.
 func (g *Granter) accept(now time.Time, r Report) bool {
 	s := g.service(r.Service)
--- a/daemon/caps.go
+++ b/daemon/caps.go
@@ -98,7 +98,11 @@
 			g.granter.Alive(now, service)
 		}
 	}
-	return g.granter.Handle(now, r)
+	answer, ok := g.granter.Handle(now, r)
+	if g.granter.Deposed() {
+		g.leader.Doubt()
+	}
+	return answer, ok
 }
 
 // updateGranter creates or drops the granter as this daemon leads the coordinator's service or not, and gives it the
@@ -107,7 +111,7 @@
 	g := &d.granter
 	c := d.operatorState.Config()
 	l := d.leaderOf(d.coordinatorService())
-	if c == nil || l == nil || !l.MayGrant() {
+	if c == nil || l == nil || !l.HasAuthority() {
 		g.granter, g.leader = nil, nil
 		return false
 	}
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,6 +51,7 @@
 			started = true
 			d.updateInterests(d.ledServices())
 		}
+		d.deposeSucceeded()
 		for _, l := range d.leadersToTransfer(d.now()) {
 			g.Go(func() error {
 				d.releaseLeases([]*leader.Leader{l})
@@ -198,6 +200,14 @@
 	})
 }
 
+// deposeSucceeded ends the leaders here of whose services a daemon has announced a later term. A leader with nothing to commit
+// and no runners meets its successor nowhere else.
+func (d *Daemon) deposeSucceeded() {
+	for _, l := range d.localLeaders() {
+		l.ObserveTerm(d.members.NewestTerm(l.Service()))
+	}
+}
+
 // abandon releases the lease of a leader that doesn't run.
 func (d *Daemon) abandon(l *leader.Leader) {
 	ctx, cancel := context.WithTimeout(context.Background(), abandonTimeout)
@@ -218,9 +228,12 @@
 
 // publishLedServices announces to the other daemons which services are led here, and updates the interests.
 func (d *Daemon) publishLedServices() {
-	names := d.ledServices()
-	d.members.SetLedServices(names)
-	d.updateInterests(names)
+	terms := map[string]int{}
+	for _, l := range d.localLeaders() {
+		terms[l.Service()] = l.Term()
+	}
+	d.members.SetLedServices(terms)
+	d.updateInterests(slices.Sorted(maps.Keys(terms)))
 }
 
 // leaderOf returns the leader of a service if it runs on this daemon, or nil.
--- a/leader/caps.go
+++ b/leader/caps.go
@@ -175,10 +175,6 @@
 	return l.caps.logLines <= maxCapLogs
 }
 
-// MayGrant reports whether this leader may still act for its service, so that its daemon may grant portions if that is the
-// coordinator's.
-func (l *Leader) MayGrant() bool { return l.mayOrder(l.Now()) }
-
 // TermAge returns for how long this leader has held its lease.
 func (l *Leader) TermAge() time.Duration { return l.Now().Sub(l.lease.AcquiredAt) }
 
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -122,6 +122,7 @@
 	switch {
 	case err == nil:
 		l.leaseVersion = stamp.Version
+		l.noteLeaseSeen(sentAt)
 		l.storeTime, l.storeTimeReadAt = stamp.Now, sentAt // the answer may have been slow
 		l.epoch = batch.epoch
 		l.applyBatch(batch)
@@ -271,7 +272,7 @@
 		return false
 	}
 	landed, ok := l.unanswered[current.Commits]
-	if !ok || current.Holder != l.leaseRow.Holder || current.Boot != l.leaseRow.Boot || current.Term != l.leaseRow.Term {
+	if !ok || !l.owns(current) {
 		l.loseLease(fault.New(fault.Fenced, "%s is now the leader of %s", current.Holder, l.lease.Service))
 		return false
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -67,6 +67,7 @@
 	lostErr         error
 	epoch           int64              // heartbeat epoch in which the store last confirmed the lease
 	confirmedAck    time.Time          // when the newest acknowledged heartbeat of that epoch was sent
+	leaseSeenAt     time.Time          // when the store last had the lease row as this leader's
 	inboxReadAt     time.Time          // when the store last answered a reading of the inbox, all of which was applied
 	unloadedJobs    map[work.ID]string // jobs that inbox rows submit and that are not loaded yet, with their queues
 	progressRows    map[work.ID]int    // rows of progress that the store may have of each job
@@ -80,12 +81,13 @@
 	commitSentAt    time.Time // when the commit that is being sent began; zero if there is none
 	commitFailed    bool      // the last commit was refused or not answered
 
-	wakePlan   chan struct{}
-	wakeCommit chan struct{}
-	group      *errgroup.Group
-	ctx        context.Context
-	stop       context.CancelFunc
-	done       chan struct{} // closed when Run returns
+	wakePlan    chan struct{}
+	wakeCommit  chan struct{}
+	wakeConfirm chan struct{}
+	group       *errgroup.Group
+	ctx         context.Context
+	stop        context.CancelFunc
+	done        chan struct{} // closed when Run returns
 }
 
 // New returns a Leader for an acquired lease. Call Restore and then Run.
@@ -112,6 +114,8 @@
 		commitDone:      make(chan struct{}),
 		wakePlan:        make(chan struct{}, 1),
 		wakeCommit:      make(chan struct{}, 1),
+		wakeConfirm:     make(chan struct{}, 1),
+		leaseSeenAt:     lease.AcquiredAt,
 		done:            make(chan struct{}),
 		epoch:           lease.HeartbeatEpoch,
 		confirmedAck:    lease.AcquiredAt.Add(-deps.HeartbeatTimeout), // a daemon acquires a lease only with a heartbeat that recent
@@ -166,6 +170,9 @@
 	defer l.stop()
 	l.group, l.ctx = errgroup.WithContext(ctx)
 	l.mu.Lock()
+	if l.lostErr != nil {
+		l.stop() // a later leader was announced before this one began
+	}
 	for id := range l.sessions {
 		l.runSession(l.sessions[id])
 	}
@@ -174,6 +181,7 @@
 	l.group.Go(func() error { return l.commitLoop(l.ctx) })
 	l.group.Go(func() error { return l.inboxLoop(l.ctx) })
 	l.group.Go(func() error { return l.resolveLoop(l.ctx) })
+	l.group.Go(func() error { return l.confirmLoop(l.ctx) })
 	err := l.group.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -11,6 +11,8 @@
 	restoreTimeout      = 20 * time.Second        // for loading the state of earlier leaders, which takes many calls one after the other
 	restoreCallTimeout  = 4 * time.Second         // for each of them; three are made at the same time
 	restorePageRows     = 100                     // rows that one of them loads, so that a slow link carries them in time
+	confirmInterval     = 2 * time.Second         // after the last sign that the lease is still this leader's, until it is read
+	confirmRetryDelay   = 500 * time.Millisecond  // after a reading of it that failed
 	slowCommit          = 700 * time.Millisecond  // a commit that takes longer may never be answered; a slow store takes some 400 ms
 	storeRetryInterval  = 100 * time.Millisecond  // between attempts of a call to the store
 	pollWait            = time.Second             // how long a runner holds a poll open until a run ends
--- a/leader/release.go
+++ b/leader/release.go
@@ -86,8 +86,7 @@
 			l.Log.Error("cannot decode the lease row", zap.Error(err))
 			return platform.Row{}, false
 		}
-		own := current.Holder == l.leaseRow.Holder && current.Boot == l.leaseRow.Boot && current.Term == l.leaseRow.Term
-		return row, own && !current.Released
+		return row, l.owns(current) && !current.Released
 	}
 	return platform.Row{}, false
 }
--- a/member/candidates_test.go
+++ b/member/candidates_test.go
@@ -93,6 +93,6 @@
 	nodes := fleet(4, 2)
 	m := testMembers(nodes[3], append(append([]Node{}, nodes[:3]...), nodes[4:]...), &now, 12)
 	require.True(t, m.updateFrequency())
-	m.SetLedServices([]string{"s"})
+	m.SetLedServices(map[string]int{"s": 1})
 	require.False(t, m.updateFrequency())
 }
--- a/member/members.go
+++ b/member/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -51,6 +52,7 @@
 	self         Node
 	nodes        map[string]nodeRow
 	endedBoots   map[string]struct{} // name/boot of incarnations that a later one has replaced
+	newestTerms  map[string]int      // newest term of leadership that any daemon's row has named, by service
 	lastAcked    time.Time           // when the newest acknowledged write of this daemon's row was sent
 	epoch        int64               // incremented when others may have considered this daemon dead
 	lastContact  time.Time           // when the store last answered a poll
@@ -86,8 +88,11 @@
 		self:       self,
 		nodes:      map[string]nodeRow{},
 		endedBoots: map[string]struct{}{},
-		onChange:   onChange,
-		wake:       make(chan struct{}, 1),
+
+		newestTerms: map[string]int{},
+
+		onChange: onChange,
+		wake:     make(chan struct{}, 1),
 	}
 }
 
@@ -171,10 +176,11 @@
 	return nil
 }
 
-// SetLedServices sets the services that this daemon's row names as led by it, and has the row written immediately.
-func (m *Members) SetLedServices(services []string) {
+// SetLedServices sets the services that this daemon's row names as led by it, with their terms, and has the row written
+// immediately.
+func (m *Members) SetLedServices(terms map[string]int) {
 	m.mu.Lock()
-	m.self.Holds = services
+	m.self.Holds, m.self.Terms = slices.Sorted(maps.Keys(terms)), terms
 	m.mu.Unlock()
 	m.writeNow()
 }
@@ -246,11 +252,14 @@
 		if ok && old.version == r.Version {
 			continue
 		}
-		changed = changed || !ok || old.node.Boot != n.Boot || old.node.Leaving != n.Leaving || old.node.Infrequent != n.Infrequent || !slices.Equal(old.node.Holds, n.Holds) || now.Sub(old.changedAt) > old.node.timeout()
+		changed = changed || !ok || old.node.Boot != n.Boot || old.node.Leaving != n.Leaving || old.node.Infrequent != n.Infrequent || !slices.Equal(old.node.Holds, n.Holds) || !maps.Equal(old.node.Terms, n.Terms) || now.Sub(old.changedAt) > old.node.timeout()
 		if ok && old.node.Boot != n.Boot {
 			m.endedBoots[n.Name+"/"+old.node.Boot] = struct{}{}
 		}
 		m.nodes[r.Key] = nodeRow{n, r.Version, now}
+		for service, term := range n.Terms {
+			m.newestTerms[service] = max(m.newestTerms[service], term)
+		}
 	}
 	return changed
 }
@@ -311,14 +320,27 @@
 	m.contactSince = time.Time{}
 }
 
-// Leader returns the live daemon whose row names it as the leader of a service, and false if there is none.
+// Leader returns the live daemon whose row names it as the leader of a service, and false if there is none. Of several it is the
+// one with the newest term: the others have not learned yet that they were succeeded.
 func (m *Members) Leader(service string) (Node, bool) {
+	var leader Node
+	found := false
 	for _, n := range m.Live() {
-		if slices.Contains(n.Holds, service) {
-			return n, true
+		if slices.Contains(n.Holds, service) && (!found || n.Terms[service] > leader.Terms[service]) {
+			leader, found = n, true
 		}
 	}
-	return Node{}, false
+	if term, ok := leader.Terms[service]; ok && term < m.NewestTerm(service) {
+		return Node{}, false
+	}
+	return leader, found
+}
+
+// NewestTerm returns the newest term of leadership of a service that any daemon's row has named, or 0.
+func (m *Members) NewestTerm(service string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.newestTerms[service]
 }
 
 // Gone reports whether an incarnation of a daemon is not live any more: the daemon has started again, or its row has not changed
