--- a/daemon/caps.go
+++ b/daemon/caps.go
@@ -61,7 +61,7 @@
 
 // sendUsage delivers a report to the granter, the daemon that leads the given service. The bool reports whether it answered.
 func (d *Daemon) sendUsage(ctx context.Context, service string, r budget.Report) (budget.Answer, bool) {
-	if d.leaderOf(service) != nil {
+	if d.coordinatorLeader() != nil {
 		return d.grant(r)
 	}
 	n, ok := d.members.Leader(service)
@@ -110,8 +110,8 @@
 func (d *Daemon) updateGranter() bool {
 	g := &d.granter
 	c := d.operatorState.Config()
-	l := d.leaderOf(d.coordinatorService())
-	if c == nil || l == nil || !l.HasAuthority() {
+	l := d.coordinatorLeader()
+	if c == nil || l == nil {
 		g.granter, g.leader = nil, nil
 		return false
 	}
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -52,7 +52,7 @@
 		OrderRate:           d.settings.Bounds.OrdersPerSecond,
 		RequestedWaves:      d.operatorState.Waves,
 		SparePool:           d.standbyService,
-		Held:                func() bool { return d.leaderOf(d.coordinatorService()) != nil },
+		Held:                func() bool { return d.coordinatorLeader() != nil },
 	})
 }
 
@@ -103,13 +103,22 @@
 	return slices.Min(names)
 }
 
+// coordinatorLeader returns the leader here in whose term this daemon coordinates machines and grants portions of caps, or nil if
+// another daemon does, or if it may not act any more.
+func (d *Daemon) coordinatorLeader() *leader.Leader {
+	l := d.leaderOf(d.coordinatorService())
+	if l == nil || !l.HasAuthority() {
+		return nil
+	}
+	return l
+}
+
 // sendReport delivers a pool's report to the coordinator; the bool reports whether it replied.
 func (d *Daemon) sendReport(ctx context.Context, r machines.Report) (machines.Reply, bool) {
-	service := d.coordinatorService()
-	if d.leaderOf(service) != nil {
+	if d.coordinatorLeader() != nil {
 		return d.coordinator.HandleReport(r), true
 	}
-	n, ok := d.members.Leader(service)
+	n, ok := d.members.Leader(d.coordinatorService())
 	if !ok {
 		return machines.Reply{}, false
 	}
@@ -126,7 +135,7 @@
 // handleReport passes a report from another daemon to the coordinator, if it is this daemon.
 func (d *Daemon) handleReport(r *wire.Report) *wire.Response {
 	reported := &wire.Reported{}
-	if d.coordinator != nil && d.leaderOf(d.coordinatorService()) != nil {
+	if d.coordinator != nil && d.coordinatorLeader() != nil {
 		reply := d.coordinator.HandleReport(decodeReport(r))
 		reported.Held, reported.Known, reported.Short, reported.Floor = true, reply.Known, int32(reply.Short), int32(reply.Floor)
 	}
@@ -134,7 +143,7 @@
 }
 
 func encodeReport(r machines.Report) *wire.Report {
-	w := &wire.Report{Service: r.Service, Want: int32(r.Want), Machines: r.Machines, Offers: r.Offers}
+	w := &wire.Report{Service: r.Service, Term: int64(r.Term), Want: int32(r.Want), Machines: r.Machines, Offers: r.Offers}
 	for _, ready := range r.Ready {
 		w.Ready = append(w.Ready, &wire.Ready{Machine: ready.Machine, Wave: ready.Wave})
 	}
@@ -142,7 +151,7 @@
 }
 
 func decodeReport(w *wire.Report) machines.Report {
-	r := machines.Report{Service: w.Service, Want: int(w.Want), Machines: w.Machines, Offers: w.Offers}
+	r := machines.Report{Service: w.Service, Term: int(w.Term), Want: int(w.Want), Machines: w.Machines, Offers: w.Offers}
 	for _, ready := range w.Ready {
 		r.Ready = append(r.Ready, machines.ReadyMachine{Machine: ready.Machine, Wave: ready.Wave})
 	}
--- a/machines/coordinator.go
+++ b/machines/coordinator.go
@@ -84,11 +84,14 @@
 	}
 }
 
-// HandleReport records a pool's report and returns the reply for the daemon that sent it.
+// HandleReport records a pool's report and returns the reply for the daemon that sent it. It ignores the report of a leader
+// that has a successor, as that one's machines and offers are another's to report.
 func (c *Coordinator) HandleReport(r Report) Reply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reports[r.Service] = timedReport{r, c.Now()}
+	if r.Term == 0 || r.Term >= c.reports[r.Service].Term {
+		c.reports[r.Service] = timedReport{r, c.Now()}
+	}
 	return c.reply
 }
 
--- a/machines/coordinator_test.go
+++ b/machines/coordinator_test.go
@@ -312,3 +312,21 @@
 		})
 	}
 }
+
+// A leader that had a successor offered machines on which that one already ran tasks, and they were moved.
+func TestOffersOfALeaderWithASuccessorAreIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t)
+		s.machines.Add(&standin.Machine{Name: "m0", Pool: "s0"})
+		s.first.held.Store(true)
+		successor := Report{Service: "s0", Term: 2, Machines: []string{"m0"}, Want: 1}
+		s.first.report(time.Second, successor)
+		former := Report{Service: "s0", Term: 1, Offers: []string{"m0"}}
+		s.first.report(3*time.Second, successor, former, Report{Service: "s1", Term: 1, Want: 1})
+		require.Equal(t, []string{"m0"}, s.machines.Names("s0"))
+
+		s.first.report(4*time.Second, Report{Service: "s0", Term: 2, Offers: []string{"m0"}}, former, Report{Service: "s1", Term: 1, Want: 1})
+		require.Equal(t, []string{"m0"}, s.machines.Names("s1"), "what the successor offers is moved")
+		require.Empty(t, s.checker.Violations)
+	})
+}
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -138,7 +138,7 @@
 	if p.terms[leader.Service()] != leader.Term() {
 		p.beginTerm(leader, runners)
 	}
-	report := Report{Service: leader.Service()}
+	report := Report{Service: leader.Service(), Term: leader.Term()}
 	if p.SparePool() != "" {
 		p.scale(now, leader, runners, &report)
 	}
--- a/machines/report.go
+++ b/machines/report.go
@@ -3,6 +3,7 @@
 // Report is a pool's state and needs, sent to the coordinator.
 type Report struct {
 	Service  string
+	Term     int            // of the pool's leader; 0 in reports of earlier releases
 	Want     int            // desired number of machines
 	Machines []string       // machines that take work, or will soon
 	Offers   []string       // empty machines that may be moved to another pool
