--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"gypsumlead/claims"
 	"gypsumlead/clock"
 	"gypsumlead/contact"
+	"gypsumlead/home"
 	"gypsumlead/jobapi"
 	"gypsumlead/leader"
 	"gypsumlead/machines"
@@ -58,6 +59,7 @@
 	carrier        carrier
 	storeLink      *contact.Link
 	runnerClient   *platform.RunnerClient
+	homes          *home.Directory
 	handoff        *leader.Handoff
 	machineClient  *platform.MachineClient
 	approvalClient *platform.ApprovalClient
@@ -160,7 +162,8 @@
 	d.store.Use(d.storeRelay)
 	d.storeLink = contact.New(d.probeStore, storeFreshness, d.now)
 	d.store.SetAnswerHook(d.storeLink.Heard)
-	d.handoff = leader.NewHandoff(d.store, d.log, d.now)
+	d.homes = home.NewDirectory(d.store, d.log)
+	d.handoff = leader.NewHandoff(d.store, d.homes, d.log, d.now)
 	d.runnerClient = platform.NewRunnerClient(d.dial, d.meter)
 	if conf.Machines.IsValid() {
 		d.machineClient = platform.NewMachineClient(conf.Machines, d.dial, d.meter)
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/home"
 	"gypsumlead/leader"
 	"gypsumlead/member"
 	"gypsumlead/peer"
@@ -43,10 +44,25 @@
 		if !notStored || ctx.Err() != nil || !d.now().Add(resubmitInterval).Before(giveUpAt) {
 			return result
 		}
+		if result.Moved > 0 {
+			q = d.newestTerms(ctx, q, result.Moved)
+		}
 		sleep.ForOrWake(ctx, resubmitInterval, nil)
 	}
 }
 
+// newestTerms returns the terms of a queue by a version of the configuration that another daemon goes by, or by the newest that can
+// be read now.
+func (d *Daemon) newestTerms(ctx context.Context, q work.Queue, version int64) work.Queue {
+	d.operatorState.CatchUp(ctx, version)
+	for _, route := range d.operatorState.Config().Routes {
+		if route.Queue.Same(q) {
+			return route.Queue
+		}
+	}
+	return q // its route was removed
+}
+
 // submitOnce tries once to have a job stored.
 func (d *Daemon) submitOnce(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) leader.Result {
 	if d.isIsolated() {
@@ -69,7 +85,7 @@
 		}
 		mayBeStored = delivered == unconfirmed || (delivered == answered && result.Retry == 0)
 	}
-	result := d.handOff(ctx, id, q, job)
+	result := d.handOff(ctx, id, q, job, seen)
 	if mayBeStored {
 		result.Retry = 0
 	}
@@ -77,11 +93,11 @@
 }
 
 // handOff stores a job for the leader of its service, unless the store is silent.
-func (d *Daemon) handOff(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
+func (d *Daemon) handOff(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) leader.Result {
 	if err := d.storeLink.Check(ctx); err != nil {
 		return notStored(err)
 	}
-	return d.handoff.Submit(ctx, id, q, job)
+	return d.handoff.Submit(ctx, id, q, job, seen)
 }
 
 // notStored returns the result of a job that was not sent anywhere. It is no refusal: an earlier try of the same job may
@@ -111,7 +127,11 @@
 	}
 	r := &wire.Relay{Verb: wire.Relay_SUBMIT, Service: q.Service, Id: string(id), Queue: q.Name, Terms: queueJSON, Job: jobJSON, Seen: seen}
 	if _, ok := d.members.Leader(q.Service); ok {
-		return d.relay(ctx, r)
+		result, delivered := d.relay(ctx, r)
+		if result.Gate.Version != 0 {
+			d.homes.Record(q, result.Gate.Version, result.Gate.Former)
+		}
+		return result, delivered
 	}
 	// The service has no leader. All daemons relay its jobs to the planned leader, which stores them in batches.
 	n, ok := d.plannedLeader(q.Service)
@@ -133,19 +153,28 @@
 	return live[i], true
 }
 
-// Cancel cancels a job through the leader of its service, or through the store if the leader doesn't accept it.
+// Cancel cancels a job where it is stored: by the configuration's service of its queue, or by one that the queue was sent to before.
 func (d *Daemon) Cancel(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
+	result := d.cancelAt(ctx, id, q.Service, caller)
+	if result.Verdict != leader.Absent {
+		return result
+	}
+	return d.askElsewhere(ctx, q, func(service string) leader.Result { return d.cancelAt(ctx, id, service, caller) })
+}
+
+// cancelAt cancels a job through the leader of a service, or through the store if the leader doesn't accept it.
+func (d *Daemon) cancelAt(ctx context.Context, id work.ID, service string, caller workspace.Caller) leader.Result {
 	var result leader.Result
 	delivered := answered
-	if l := d.leaderOf(q.Service); l != nil {
+	if l := d.leaderOf(service); l != nil {
 		result = l.Cancel(ctx, id, caller)
 	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: q.Service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
+		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
 	}
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	stored, err := leader.HandOffCancel(ctx, d.store, q.Service, id, caller)
+	stored, err := leader.HandOffCancel(ctx, d.store, service, id, caller)
 	if err != nil {
 		return notStored(err)
 	}
@@ -155,31 +184,76 @@
 	return stored
 }
 
-// State returns the state of a job from the leader of its service, or from the store if the leader doesn't know it.
+// askElsewhere asks the other services that may have jobs of a queue, until one of them knows the job.
+func (d *Daemon) askElsewhere(ctx context.Context, q work.Queue, ask func(service string) leader.Result) leader.Result {
+	services, err := d.homes.Services(ctx, q.Key())
+	if err != nil {
+		return notStored(err)
+	}
+	for _, service := range services {
+		if service == q.Service {
+			continue
+		}
+		if result := ask(service); result.Verdict != leader.Absent {
+			return result
+		}
+	}
+	return leader.Result{Verdict: leader.Absent}
+}
+
+// State returns the state of a job from where it is stored: the configuration's service of its queue, or one that the queue was sent
+// to before.
 func (d *Daemon) State(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
+	result := d.stateAt(ctx, id, q.Service, caller)
+	if result.Verdict != leader.Absent {
+		return result
+	}
+	return d.askElsewhere(ctx, q, func(service string) leader.Result { return d.stateAt(ctx, id, service, caller) })
+}
+
+// stateAt returns the state of a job from the leader of a service, or from the store if the leader doesn't know it.
+func (d *Daemon) stateAt(ctx context.Context, id work.ID, service string, caller workspace.Caller) leader.Result {
 	var result leader.Result
 	delivered := answered
-	if l := d.leaderOf(q.Service); l != nil {
+	if l := d.leaderOf(service); l != nil {
 		result = l.State(id, caller)
 	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: q.Service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
+		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
 	}
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	result, err := leader.StoredState(ctx, d.store, q.Service, id, caller)
+	result, err := leader.StoredState(ctx, d.store, service, id, caller)
 	if err != nil {
 		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
 	}
 	return result
 }
 
-// Pending returns the number of a queue's jobs that haven't started.
+// Pending returns the number of a queue's jobs that haven't started, in all services that have some.
 func (d *Daemon) Pending(ctx context.Context, q work.Queue) leader.Result {
-	if l := d.leaderOf(q.Service); l != nil {
-		return l.Pending(q.Name)
+	result := d.pendingAt(ctx, q, q.Service)
+	for _, service := range result.Former {
+		if result.Verdict != leader.Accepted {
+			break
+		}
+		former := d.pendingAt(ctx, q, service)
+		former.Pending += result.Pending
+		result = former
 	}
-	result, delivered := d.relay(ctx, &wire.Relay{Verb: wire.Relay_PENDING, Service: q.Service, Queue: q.Name})
+	return result
+}
+
+// pendingAt returns the number of a queue's jobs in one service that haven't started.
+func (d *Daemon) pendingAt(ctx context.Context, q work.Queue, service string) leader.Result {
+	if l := d.leaderOf(service); l != nil {
+		return l.Pending(ctx, q)
+	}
+	terms, err := json.Marshal(q)
+	if err != nil {
+		return notStored(err)
+	}
+	result, delivered := d.relay(ctx, &wire.Relay{Verb: wire.Relay_PENDING, Service: service, Queue: q.Name, Terms: terms})
 	if delivered != answered {
 		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: "nobody is known to schedule the service"}
 	}
@@ -223,6 +297,9 @@
 		State:   work.State(relayed.State),
 		Pending: int(relayed.Pending),
 		Why:     relayed.Why,
+		Moved:   relayed.Moved,
+		Former:  relayed.Former,
+		Gate:    home.Gate{Version: relayed.Gate, Former: relayed.Former},
 	}, answered
 }
 
@@ -250,6 +327,9 @@
 			State:   string(result.State),
 			Pending: int64(result.Pending),
 			Why:     result.Why,
+			Moved:   result.Moved,
+			Former:  append(result.Former, result.Gate.Former...),
+			Gate:    result.Gate.Version,
 		}}}, nil
 	}
 	return nil, fault.New(fault.Invalid, "unknown request of a peer")
@@ -265,36 +345,55 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.Wait)*time.Millisecond)
 	defer cancel()
 	id, caller := work.ID(r.Id), workspace.Caller{Workspace: r.Workspace, Any: r.Any}
+	q, err := d.relayedQueue(ctx, r)
+	if err != nil {
+		return leader.Result{}, true, err
+	}
 	switch r.Verb {
 	case wire.Relay_SUBMIT:
-		var q work.Queue
-		var job work.Job
-		if err := json.Unmarshal(r.Terms, &q); err != nil {
-			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "queue of a relayed job")
-		}
-		if err := json.Unmarshal(r.Job, &job); err != nil {
-			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
-		}
-		if err := job.Check(); err != nil {
-			return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
-		}
-		if err := d.storeLink.Check(ctx); err != nil {
-			d.log.Info("relayed job not taken", zap.String("job", r.Id), zap.Error(err))
-			return leader.Result{}, false, nil // the daemon that relays the job may reach the store
-		}
-		d.operatorState.CatchUp(ctx, q.Version)
-		if l == nil {
-			return d.handoff.Submit(ctx, id, q, job), true, nil
-		}
-		return l.Submit(ctx, id, q, job, r.Seen), true, nil
+		return d.submitRelayed(ctx, l, q, r)
 	case wire.Relay_CANCEL:
 		return l.Cancel(ctx, id, caller), true, nil
 	case wire.Relay_PENDING:
-		return l.Pending(r.Queue), true, nil
+		return l.Pending(ctx, q), true, nil
 	}
 	return l.State(id, caller), true, nil
 }
 
+// relayedQueue returns the queue of a relayed request, by a configuration that is at least as new as the sender's if it can be read.
+// Messages of earlier releases have a name instead, or no path.
+func (d *Daemon) relayedQueue(ctx context.Context, r *wire.Relay) (work.Queue, error) {
+	if len(r.Terms) == 0 {
+		return work.Queue{Name: r.Queue}, nil
+	}
+	var q work.Queue
+	if err := json.Unmarshal(r.Terms, &q); err != nil {
+		return q, fault.Wrap(fault.Invalid, err, "queue of a relayed request")
+	}
+	d.operatorState.CatchUp(ctx, q.Version)
+	return q, nil
+}
+
+// submitRelayed submits a relayed job to the leader of its service, or hands it off if this daemon has none. The bool is false if
+// nothing was done.
+func (d *Daemon) submitRelayed(ctx context.Context, l *leader.Leader, q work.Queue, r *wire.Relay) (leader.Result, bool, error) {
+	var job work.Job
+	if err := json.Unmarshal(r.Job, &job); err != nil {
+		return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
+	}
+	if err := job.Check(); err != nil {
+		return leader.Result{}, true, fault.Wrap(fault.Invalid, err, "relayed job")
+	}
+	if err := d.storeLink.Check(ctx); err != nil {
+		d.log.Info("relayed job not taken", zap.String("job", r.Id), zap.Error(err))
+		return leader.Result{}, false, nil // the daemon that relays the job may reach the store
+	}
+	if l == nil {
+		return d.handoff.Submit(ctx, work.ID(r.Id), q, job, r.Seen), true, nil
+	}
+	return l.Submit(ctx, work.ID(r.Id), q, job, r.Seen), true, nil
+}
+
 // updatePeerTargets limits peer sessions to the daemons that lead a service or are planned to, and to minCarriers: no
 // other daemon receives requests, and each session costs pings.
 func (d *Daemon) updatePeerTargets() {
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -145,6 +145,7 @@
 	lease.HeartbeatEpoch = epoch
 	l := leader.New(*lease, d.leaseConfig, leader.Deps{
 		Store:            d.store,
+		Homes:            d.homes,
 		Runners:          d.runnerClient,
 		Approvals:        d.approvalClient,
 		RunnersReadAt:    d.runnerList.ReadAt,
@@ -249,11 +250,9 @@
 	if c == nil {
 		return
 	}
-	var queues []work.Queue
+	queues := make([]work.Queue, 0, len(c.Routes))
 	for _, r := range c.Routes {
-		if r.Queue.Service == l.Service() {
-			queues = append(queues, r.Queue)
-		}
+		queues = append(queues, r.Queue)
 	}
 	guarded := slices.ContainsFunc(c.Services, func(s platform.Service) bool { return s.Name == l.Service() && s.RejectsOverload })
 	l.Configure(c.Version, queues, guarded, c.Workspaces, len(c.Services))
--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -181,6 +181,15 @@
 	return false
 }
 
+// submitOnce submits a registered job at one daemon, and tells the Checker of the answer. The caller leaves after patience.
+func (c *Cluster) submitOnce(node *daemonNode, service string, id work.ID, body []byte, patience time.Duration) int {
+	ctx, cancel := context.WithTimeout(c.ctx, patience)
+	defer cancel()
+	status, _, _ := c.requestTo(ctx, node, http.MethodPost, service, string(id), body)
+	c.Checker.SubmitAnswered(id, status == http.StatusOK, status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable)
+	return status
+}
+
 // pollUntilFinal polls the state of a job until it is final.
 func (c *Cluster) pollUntilFinal(id work.ID, sub *submission, rng *rand.Rand) {
 	for c.sleep(pollInterval) {
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"gypsumlead/fault"
+	"gypsumlead/home"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/sleep"
@@ -97,6 +98,7 @@
 		return tx, err
 	}
 	tx.Puts = append(tx.Puts, platform.Row{RowKey: leaseKey, Value: value})
+	tx.Conditions = append(tx.Conditions, gatesOf(batch.intents).conditions()...)
 	for _, in := range batch.intents {
 		jobKey := rowKey(tableJobs, service, string(in.id))
 		switch in.kind {
@@ -260,6 +262,11 @@
 			l.handleExistingJob(batch, row)
 		}
 	}
+	for _, row := range conflict.Rows {
+		if home.IsGate(row.RowKey) {
+			l.handleGateChange(row) // of jobs that the store doesn't have yet
+		}
+	}
 	return true
 }
 
--- a/leader/commit_batch.go
+++ b/leader/commit_batch.go
@@ -70,14 +70,14 @@
 	}
 	// New jobs leave room for the starts of accepted ones.
 	forStarts := min(l.pool.StartsWaiting(), maxStartEntries)
-	batch.intents = l.nextIntents((platform.MaxTxEntries-fixedEntries-forStarts)/entriesPerJob, min(maxBatchBytes, maxTxBytes-batch.size()), may)
+	batch.intents = l.nextIntents((platform.MaxTxEntries-fixedEntries-maxBatchGates-forStarts)/entriesPerJob, min(maxBatchBytes, maxTxBytes-batch.size()), may)
 	return batch, l.addProgress(now, &batch, may)
 }
 
 // addProgress adds the progress of jobs, as much as there is room for in the transaction.
 func (l *Leader) addProgress(now time.Time, batch *commitBatch, may func(commitPart) bool) error {
 	n := len(batch.intents)
-	entries, bytes := platform.MaxTxEntries-fixedEntries-entriesPerJob*n, maxTxBytes-batch.size()
+	entries, bytes := platform.MaxTxEntries-fixedEntries-len(gatesOf(batch.intents))-entriesPerJob*n, maxTxBytes-batch.size()
 	for _, job := range l.pool.UncommittedBatch(now, entries, n > 0 || l.isolation.active()) {
 		if !may(commitPart{job: job.ID}) {
 			continue
@@ -110,6 +110,7 @@
 // nextIntents returns up to limit pending intents of those that may be committed, as many as fit into a number of bytes.
 func (l *Leader) nextIntents(limit, bytes int, may func(commitPart) bool) []*intent {
 	var next []*intent
+	gates := gateSet{}
 	size := 0
 	for _, in := range l.intents {
 		if !may(commitPart{intent: in}) {
@@ -121,6 +122,9 @@
 		if in.submission() && slices.ContainsFunc(next, func(earlier *intent) bool { return earlier.kind == deleteJob && earlier.id == in.id }) {
 			continue // one transaction can't both delete and write a row
 		}
+		if !gates.add(in.gate) {
+			continue // one of the next commits has room for its gate
+		}
 		size += len(in.value)
 		if len(next) == min(limit, maxBatchJobs) || (size > bytes && len(next) > 0) {
 			break
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -11,19 +11,22 @@
 
 	"gypsumlead/contact"
 	"gypsumlead/fault"
+	"gypsumlead/home"
 	"gypsumlead/platform"
 	"gypsumlead/sleep"
 	"gypsumlead/work"
 )
 
-// maxHandoffJobs limits the jobs in one transaction. Each takes three entries: a condition, its row and its inbox row.
-const maxHandoffJobs = platform.MaxTxEntries / 3
+// maxHandoffJobs limits the jobs in one transaction. Each takes three entries: a condition, its row and its inbox row. The gates of
+// their queues take one each.
+const maxHandoffJobs = (platform.MaxTxEntries - maxBatchGates) / 3
 
 // Handoff writes jobs to the store when the leader of their service can't be reached. The next leader loads them from
 // there. The jobs of a service are sent in batches, one transaction at a time: the store runs transactions on the same
 // partition one after the other, and many of them would delay the next leader's acquisition of the lease.
 type Handoff struct {
 	store *platform.Store
+	homes *home.Directory
 	log   *zap.Logger
 	now   func() time.Time
 
@@ -44,6 +47,7 @@
 	job         work.Job
 	value       []byte // of the job's row
 	inboxValue  []byte
+	gate        home.Gate
 	reply       chan Result // has room for one result
 	unconfirmed bool        // it was sent and not answered, so it may be stored
 	abandoned   bool        // its caller no longer waits
@@ -51,21 +55,29 @@
 }
 
 // NewHandoff returns a Handoff without pending jobs.
-func NewHandoff(store *platform.Store, log *zap.Logger, now func() time.Time) *Handoff {
-	return &Handoff{store: store, log: log, now: now, queues: map[string]*serviceQueue{}}
+func NewHandoff(store *platform.Store, homes *home.Directory, log *zap.Logger, now func() time.Time) *Handoff {
+	return &Handoff{store: store, homes: homes, log: log, now: now, queues: map[string]*serviceQueue{}}
 }
 
-// Submit stores a job and returns the result. If ctx ends first, or while the store is silent, the verdict is Unknown.
-func (h *Handoff) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) Result {
+// Submit stores a job and returns the result. If ctx ends first, or while the store is silent, the verdict is Unknown. seen is as in
+// Leader.Submit.
+func (h *Handoff) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) Result {
+	gate, err := h.homes.Open(ctx, q)
+	if err != nil {
+		return notOpened(err)
+	}
+	if result, found := submitElsewhere(ctx, h.store, gate, id, job, seen); found {
+		return result
+	}
 	value, err := encodeJob(jobRow{Queue: q, Job: job, At: h.now()})
 	if err != nil {
 		return tooLarge(err)
 	}
-	inboxValue, err := encode(inboxRow{Queue: q.Name})
+	inboxValue, err := encode(inboxRow{Queue: q.Name, Path: q.Path})
 	if err != nil {
 		return notStored(err.Error())
 	}
-	pending := &pendingJob{id: id, job: job, value: value, inboxValue: inboxValue, reply: make(chan Result, 1)}
+	pending := &pendingJob{id: id, job: job, value: value, inboxValue: inboxValue, gate: gate, reply: make(chan Result, 1)}
 	h.enqueue(q.Service, pending)
 	select {
 	case result := <-pending.reply:
@@ -147,11 +159,15 @@
 	var batch []*pendingJob
 	size := 0
 	ids := map[work.ID]struct{}{}
+	gates := gateSet{}
 	queue.waiting = slices.DeleteFunc(queue.waiting, func(pending *pendingJob) bool {
 		_, duplicate := ids[pending.id] // a transaction can't put the same row twice
 		if duplicate || len(batch) == maxHandoffJobs || (len(batch) > 0 && (pending.alone || batch[0].alone)) || (len(batch) > 0 && size+len(pending.value) > maxBatchBytes) {
 			return false
 		}
+		if !gates.add(pending.gate) {
+			return false
+		}
 		ids[pending.id] = struct{}{}
 		size += len(pending.value)
 		batch = append(batch, pending)
@@ -164,13 +180,16 @@
 // handoffTx returns a transaction that stores new jobs, each with an inbox row for the leader.
 func handoffTx(service string, batch []*pendingJob) platform.Tx {
 	var tx platform.Tx
+	gates := gateSet{}
 	for _, pending := range batch {
+		gates.add(pending.gate)
 		jobKey := rowKey(tableJobs, service, string(pending.id))
 		tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey})
 		tx.Puts = append(tx.Puts,
 			platform.Row{RowKey: jobKey, Value: pending.value},
 			platform.Row{RowKey: rowKey(tableInbox, service, string(pending.id)), Value: pending.inboxValue})
 	}
+	tx.Conditions = append(tx.Conditions, gates.conditions()...)
 	return tx
 }
 
@@ -241,25 +260,35 @@
 	queue.waiting = append(batch, queue.waiting...)
 }
 
-// requeue answers the jobs for which the store already has a row, and puts the others back at the front of the queue.
+// requeue answers the jobs for which the store already has a row, or whose queue's gate has changed, and puts the others back at
+// the front of the queue.
 func (h *Handoff) requeue(queue *serviceQueue, batch []*pendingJob, conflict *platform.Conflict) {
-	stored := map[string]platform.Row{}
+	stored, gates := map[string]platform.Row{}, map[platform.RowKey]int64{}
 	for _, row := range conflict.Rows {
-		if row.Table == tableJobs && row.Version != 0 {
+		switch {
+		case row.Table == tableJobs && row.Version != 0:
 			stored[row.Key] = row
+		case home.IsGate(row.RowKey):
+			gates[row.RowKey] = row.Version
 		}
 	}
-	if len(stored) == 0 {
-		answerAll(batch, Result{Verdict: Unknown, Why: "the store's conflict names no job"})
-		return
-	}
 	var remaining []*pendingJob
 	for _, pending := range batch {
-		if row, ok := stored[string(pending.id)]; ok {
+		row, exists := stored[string(pending.id)]
+		version, ok := gates[pending.gate.Key()]
+		switch {
+		case exists:
 			pending.reply <- pending.exists(row)
-			continue
+		case ok && version != pending.gate.Version:
+			h.homes.Forget(pending.gate)
+			pending.reply <- notStored("the queue's gate has changed") // an earlier transaction can't take effect any more either
+		default:
+			remaining = append(remaining, pending)
 		}
-		remaining = append(remaining, pending)
+	}
+	if len(remaining) == len(batch) {
+		answerAll(batch, Result{Verdict: Unknown, Why: "the store's conflict names no job"})
+		return
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -85,16 +85,16 @@
 		if err := decode(row, &value); err != nil {
 			l.Log.Error("cannot decode an inbox row", zap.Error(err)) // its key is enough to load the job
 		}
-		l.unloadedJobs[id] = value.Queue
+		l.unloadedJobs[id] = work.Queue{Name: value.Queue, Path: value.Path}
 	}
 }
 
 // countUnloaded returns the number of a queue's jobs that are in the inbox and not loaded yet. Those whose queue is
 // unknown count for every queue.
-func (l *Leader) countUnloaded(queue string) int {
+func (l *Leader) countUnloaded(queue work.Queue) int {
 	n := 0
 	for id, q := range l.unloadedJobs {
-		if (q == queue || q == "") && !l.pool.HasJob(id) {
+		if (q.Same(queue) || q.Name == "") && !l.pool.HasJob(id) {
 			n++
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -11,6 +11,7 @@
 	"gypsumlead/clock"
 	"gypsumlead/contact"
 	"gypsumlead/fault"
+	"gypsumlead/home"
 	"gypsumlead/member"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
@@ -21,6 +22,7 @@
 // Deps are the dependencies of a Leader.
 type Deps struct {
 	Store            *platform.Store
+	Homes            *home.Directory // which service holds the jobs of a queue
 	Runners          *platform.RunnerClient
 	Approvals        *platform.ApprovalClient // nil if the platform has no policy service
 	RunnersReadAt    func() time.Time         // when the runners' list was last read
@@ -65,14 +67,16 @@
 	leaseVersion    int64         // version of the lease row
 	commitDone      chan struct{} // closed and replaced after each commit that took effect
 	lostErr         error
-	epoch           int64              // heartbeat epoch in which the store last confirmed the lease
-	confirmedAck    time.Time          // when the newest acknowledged heartbeat of that epoch was sent
-	leaseSeenAt     time.Time          // when the store last had the lease row as this leader's
-	inboxReadAt     time.Time          // when the store last answered a reading of the inbox, all of which was applied
-	unloadedJobs    map[work.ID]string // jobs that inbox rows submit and that are not loaded yet, with their queues
-	progressRows    map[work.ID]int    // rows of progress that the store may have of each job
+	epoch           int64                  // heartbeat epoch in which the store last confirmed the lease
+	confirmedAck    time.Time              // when the newest acknowledged heartbeat of that epoch was sent
+	leaseSeenAt     time.Time              // when the store last had the lease row as this leader's
+	inboxReadAt     time.Time              // when the store last answered a reading of the inbox, all of which was applied
+	unloadedJobs    map[work.ID]work.Queue // jobs that inbox rows submit and that are not loaded yet, with the name and path of their queues
+	progressRows    map[work.ID]int        // rows of progress that the store may have of each job
 	isolation       isolation
 	admission       admission
+	sentTo          map[string]string    // service that the configuration sends each queue to, by the queue's key
+	queuesAhead     []work.Queue         // whose gates are to be opened before jobs need them
 	guarded         bool                 // the service's runners reject what exceeds their room
 	workspaces      []platform.Workspace // as configured; empty if callers need no keys
 	services        int                  // number of configured services
@@ -84,6 +88,7 @@
 	wakePlan    chan struct{}
 	wakeCommit  chan struct{}
 	wakeConfirm chan struct{}
+	wakeGates   chan struct{}
 	group       *errgroup.Group
 	ctx         context.Context
 	stop        context.CancelFunc
@@ -106,7 +111,7 @@
 		leaseRow:        lease.Row,
 		leaseVersion:    lease.Version,
 		cancelWaiters:   map[work.ID][]chan Result{},
-		unloadedJobs:    map[work.ID]string{},
+		unloadedJobs:    map[work.ID]work.Queue{},
 		unanswered:      map[int64]commitBatch{},
 		progressRows:    map[work.ID]int{},
 		isolation:       newIsolation(),
@@ -115,6 +120,7 @@
 		wakePlan:        make(chan struct{}, 1),
 		wakeCommit:      make(chan struct{}, 1),
 		wakeConfirm:     make(chan struct{}, 1),
+		wakeGates:       make(chan struct{}, 1),
 		leaseSeenAt:     lease.AcquiredAt,
 		done:            make(chan struct{}),
 		epoch:           lease.HeartbeatEpoch,
@@ -182,6 +188,7 @@
 	l.group.Go(func() error { return l.inboxLoop(l.ctx) })
 	l.group.Go(func() error { return l.resolveLoop(l.ctx) })
 	l.group.Go(func() error { return l.confirmLoop(l.ctx) })
+	l.group.Go(func() error { return l.gateLoop(l.ctx) })
 	err := l.group.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -350,12 +357,13 @@
 	l.forgetRefused(now)
 }
 
-// Configure sets the queues of the service by a version of the configuration, whether its runners reject what exceeds their
-// room, and the workspaces with the number of services that they share.
+// Configure sets the queues of a version of the configuration, whether the service's runners reject what exceeds their room, and the
+// workspaces with the number of services that they share.
 func (l *Leader) Configure(version int64, queues []work.Queue, guarded bool, workspaces []platform.Workspace, services int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pool.SetQueues(version, queues)
+	l.noteQueues(queues)
 	l.guarded = guarded
 	l.workspaces, l.services = workspaces, services
 	l.configureCaps(workspaces)
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -23,6 +23,7 @@
 	orderTimeout        = 600 * time.Millisecond  // for an order to a runner; allows for many round trips
 	startTime           = 500 * time.Millisecond  // from the decision to start a task until it has started: an order and its way
 	countFreshness      = 2 * time.Second         // of the last reading of the inbox, for counts of pending jobs, which may be 2 s old
+	formerTimeout       = 600 * time.Millisecond  // for reading which services have jobs of a queue, for a number of pending jobs
 	idleInterval        = 200 * time.Millisecond  // between plans, and between checks for changes to commit, without an event
 	minPlanInterval     = 5 * time.Millisecond    // between plans, so that events in this time are planned together
 	planShare           = 3                       // the pause between plans is at least this many times as long as the last plan took
@@ -31,6 +32,8 @@
 	forgetInterval      = 5 * time.Second         // between removals of finished jobs
 	maxBatchJobs        = 40                      // jobs in one transaction
 	maxStartEntries     = 50                      // transaction entries that new jobs leave to the progress of jobs whose starts wait
+	maxGatesAhead       = 16                      // gates of queues that are opened at a change of the configuration; the others when a job needs them
+	maxBatchGates       = 8                       // queues of the jobs in one transaction; each takes an entry
 	maxBatchBytes       = 400 << 10               // of these jobs' rows
 	maxTxBytes          = 700 << 10               // of all rows of a transaction; the store accepts 1 MB, and its encoding adds a third
 	entriesPerJob       = 2                       // transaction entries for each job: its condition and its row, or two rows to delete
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"gypsumlead/home"
 	"gypsumlead/sleep"
 	"gypsumlead/work"
 	"gypsumlead/workspace"
@@ -31,6 +32,10 @@
 	State   work.State
 	Pending int
 	Why     string
+	Moved   int64     // for Unknown: version of the configuration that sends the queue to another service; 0 if none is known to
+	Service string    // of a cancellation: the service that has the job, if it is another one
+	Gate    home.Gate // of a submission: the gate that was open when it arrived, for the daemon that relays it
+	Former  []string  // of a number of pending jobs: other services that may have jobs of the queue
 }
 
 // intentKind is the kind of change that an intent makes to the store.
@@ -51,6 +56,7 @@
 	row     jobRow
 	value   []byte
 	version int64         // of the refused row that a submission replaces; 0 if there is none
+	gate    home.Gate     // through which a submission is stored
 	seen    int64         // version of the store that was known before the try arrived
 	retry   time.Duration // of a refusal
 	replies []chan Result
@@ -69,17 +75,27 @@
 // verdict is Unknown. seen is the version of the store that the daemon which received the try knew before that; a try
 // replaces a refusal only with an earlier version.
 func (l *Leader) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job, seen int64) Result {
+	var gate home.Gate
 	if !l.knows(id) {
 		if err := l.storeLink.Check(ctx); err != nil {
 			return notStored("the store is silent: " + err.Error())
 		}
+		var err error
+		if gate, err = l.Homes.Open(ctx, q); err != nil {
+			return notOpened(err)
+		}
+		if result, found := submitElsewhere(ctx, l.Store, gate, id, job, seen); found {
+			return result
+		}
 	}
-	reply, result := l.submit(id, q, job, seen)
+	reply, result := l.submit(id, q, job, gate, seen)
 	if reply == nil {
 		return result
 	}
 	sleep.Wake(l.wakeCommit)
-	return await(ctx, reply)
+	result = await(ctx, reply)
+	result.Gate = gate
+	return result
 }
 
 // knows reports whether a job is accepted or may be stored already.
@@ -90,7 +106,7 @@
 }
 
 // submit queues a job and returns the channel for its result. If the channel is nil, the returned result is final.
-func (l *Leader) submit(id work.ID, q work.Queue, job work.Job, seen int64) (chan Result, Result) {
+func (l *Leader) submit(id work.ID, q work.Queue, job work.Job, gate home.Gate, seen int64) (chan Result, Result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if owner, ok := l.pool.Owner(id); ok {
@@ -107,12 +123,15 @@
 		in.replies = append(in.replies, reply)
 		return reply, Result{}
 	}
+	if gate.Version == 0 {
+		return nil, notStored("the job was forgotten meanwhile")
+	}
 	row := jobRow{Queue: q, Job: job, At: time.Now()}
 	value, err := encodeJob(row)
 	if err != nil {
 		return nil, tooLarge(err)
 	}
-	in := &intent{kind: storeJob, id: id, row: row, value: value, seen: seen, replies: []chan Result{reply}}
+	in := &intent{kind: storeJob, id: id, row: row, value: value, gate: gate, seen: seen, replies: []chan Result{reply}}
 	if !l.admit(in) {
 		return nil, olderTry()
 	}
@@ -173,14 +192,30 @@
 	return Result{State: state}
 }
 
-// Pending returns the number of jobs of a queue that have not started. It refuses while other daemons may have stored or
-// accepted jobs that this leader doesn't know.
-func (l *Leader) Pending(queue string) Result {
+// Pending returns the number of jobs of a queue that have not started, and, if the queue is sent to this service, which others may
+// have more. It refuses while other daemons may have stored or accepted jobs that this leader doesn't know.
+func (l *Leader) Pending(ctx context.Context, queue work.Queue) Result {
+	result := l.countPending(queue)
+	if result.Verdict != Accepted || queue.Service != l.lease.Service {
+		return result
+	}
+	ctx, cancel := context.WithTimeout(ctx, formerTimeout)
+	defer cancel()
+	former, err := l.Homes.Former(ctx, queue, l.Now())
+	if err != nil {
+		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "cannot read which services have jobs of the queue: " + err.Error()}
+	}
+	result.Former = former
+	return result
+}
+
+// countPending returns the number of jobs of a queue in this service that have not started.
+func (l *Leader) countPending(queue work.Queue) Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
 	pending, unloaded, unanswered := l.pool.Pending(queue), l.countUnloaded(queue), l.countUnanswered(queue)
-	l.Log.Info("pending jobs counted", zap.String("queue", queue), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
+	l.Log.Info("pending jobs counted", zap.String("queue", queue.Name), zap.Int("pending", pending.Jobs), zap.Int("placed", pending.Placed),
 		zap.Int("unloaded", unloaded), zap.Int("unanswered", unanswered), zap.Duration("inboxAge", now.Sub(l.inboxReadAt)), zap.Bool("confirmed", l.leaseConfirmed(now)))
 	if l.lostErr != nil || now.Sub(l.inboxReadAt) > countFreshness || !l.leaseConfirmed(now) {
 		return Result{Verdict: Refused, Retry: callerRetryDelay, Why: "the service may have another leader, or the store has not answered lately"}
@@ -190,12 +225,12 @@
 
 // countUnanswered returns the number of a queue's jobs in commits that the store has not answered. It may have them, and
 // then another daemon accepts them, which leaves no row in the inbox.
-func (l *Leader) countUnanswered(queue string) int {
+func (l *Leader) countUnanswered(queue work.Queue) int {
 	ids := map[work.ID]struct{}{}
 	for _, batch := range l.unanswered {
 		for _, in := range batch.intents {
 			_, unloaded := l.unloadedJobs[in.id]
-			if in.kind == storeJob && in.row.Queue.Name == queue && !unloaded && !l.pool.HasJob(in.id) {
+			if in.kind == storeJob && in.row.Queue.Same(queue) && !unloaded && !l.pool.HasJob(in.id) {
 				ids[in.id] = struct{}{}
 			}
 		}
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -52,7 +52,8 @@
 
 // inboxRow is the value of an inbox row. The key has the job's ID and whether the row cancels the job.
 type inboxRow struct {
-	Queue string `json:"queue,omitempty"` // of a submitted job; empty in rows of earlier releases
+	Queue string `json:"queue,omitempty"` // name of a submitted job's queue; empty in rows of earlier releases
+	Path  string `json:"path,omitempty"`  // of the queue
 }
 
 // runnersRow is one shard of the runners that may have work. shardOf returns the shard of a runner.
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -158,12 +158,16 @@
 	return p
 }
 
-// SetQueues replaces the queues that a version of the configuration assigns to this pool.
+// SetQueues replaces the queues of a version of the configuration. They may be sent to other pools: the jobs of a queue that was
+// sent to this one before go by its newest terms, too.
 func (p *Pool) SetQueues(version int64, queues []work.Queue) {
 	p.version = version
 	p.queues = map[string]work.Queue{}
 	for _, q := range queues {
-		p.queues[q.Name] = q
+		p.queues[q.Name] = q // for jobs of earlier releases
+	}
+	for _, q := range queues {
+		p.queues[q.Key()] = q
 	}
 	for _, j := range p.live {
 		j.queue = p.newestTerms(j.queue)
@@ -174,7 +178,7 @@
 // newestTerms returns the terms of a job's queue: the pool's own, unless the daemon that let the job in went by a newer
 // configuration.
 func (p *Pool) newestTerms(queue work.Queue) work.Queue {
-	if own, ok := p.queues[queue.Name]; ok && own.Version >= queue.Version {
+	if own, ok := p.queues[queue.Key()]; ok && own.Version >= queue.Version {
 		return own
 	}
 	return queue
@@ -223,10 +227,10 @@
 }
 
 // Pending counts the accepted jobs of the queue that haven't begun.
-func (p *Pool) Pending(queue string) PendingJobs {
+func (p *Pool) Pending(queue work.Queue) PendingJobs {
 	var pending PendingJobs
 	for _, j := range p.live {
-		if j.queue.Name != queue || j.state != work.Queued {
+		if !j.queue.Same(queue) || j.state != work.Queued {
 			continue
 		}
 		pending.Jobs++
--- a/work/state.go
+++ b/work/state.go
@@ -1,6 +1,9 @@
 package work
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // State is the state of a job.
 type State string
@@ -42,6 +45,20 @@
 	Aim      time.Duration   // see Slack
 	Advice   *ApprovalTiming // nil if every runner of the service may run its steps
 	Version  int64           `json:",omitempty"` // of the configuration that these terms are of
+	// Path is the host and prefix of the queue's requests. It identifies the queue, whose name and service may change with the
+	// configuration. Rows and messages of earlier releases lack it.
+	Path string `json:",omitempty"`
+}
+
+// Key returns what identifies the queue in all versions of the configuration.
+func (q Queue) Key() string { return cmp.Or(q.Path, q.Name) }
+
+// Same reports whether other is the same queue. The name has to do where a row or message of an earlier release lacks the path.
+func (q Queue) Same(other Queue) bool {
+	if q.Path == "" || other.Path == "" {
+		return q.Name == other.Name
+	}
+	return q.Path == other.Path
 }
 
 // ApprovalTiming describes how long requests to the queue's policy service take and how long approvals are valid.
