--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -153,35 +153,81 @@
 	return live[i], true
 }
 
-// Cancel cancels a job where it is stored: by the configuration's service of its queue, or by one that the queue was sent to before.
+// Cancel cancels a job where it is stored: by the configuration's service of its queue, or by one that the queue was sent to before. It
+// is absent only once nothing of it that may still arrive can be stored. An attempt that did nothing is repeated for up to
+// submitPatience.
 func (d *Daemon) Cancel(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
-	result := d.cancelAt(ctx, id, q.Service, caller)
-	if result.Verdict != leader.Absent {
+	if !id.Valid() {
+		return leader.Result{Verdict: leader.Absent} // nobody can submit it
+	}
+	giveUpAt := d.now().Add(submitPatience)
+	for {
+		result := d.cancelOnce(ctx, id, q, caller)
+		nothingDone := result.Verdict == leader.Unknown && result.Retry > 0
+		if !nothingDone || ctx.Err() != nil || !d.now().Add(resubmitInterval).Before(giveUpAt) {
+			return result
+		}
+		if result.Moved > 0 {
+			q = d.newestTerms(ctx, q, result.Moved)
+		}
+		sleep.ForOrWake(ctx, resubmitInterval, nil)
+	}
+}
+
+// cancelOnce tries once to cancel a job: through the leader of its queue's service, or through the store if the leader doesn't settle
+// it.
+func (d *Daemon) cancelOnce(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result {
+	result, delivered := d.askToCancel(ctx, id, q.Service, q, caller)
+	if delivered != answered || !settled(result) {
+		if err := d.storeLink.Check(ctx); err != nil {
+			return notStored(err)
+		}
+		result = d.handoff.Cancel(ctx, id, q, caller)
+	}
+	if result.Service == "" {
 		return result
 	}
-	return d.askElsewhere(ctx, q, func(service string) leader.Result { return d.cancelAt(ctx, id, service, caller) })
+	return d.cancelFormer(ctx, id, result.Service, caller)
+}
+
+// settled reports whether a leader's answer to a cancellation needs no look into the store: the job is cancelled, can't be stored any
+// more, or is another service's; or this configuration is too old.
+func settled(r leader.Result) bool {
+	return r.Verdict == leader.Accepted || r.Final || r.Service != "" || r.Moved > 0
 }
 
-// cancelAt cancels a job through the leader of a service, or through the store if the leader doesn't accept it.
-func (d *Daemon) cancelAt(ctx context.Context, id work.ID, service string, caller workspace.Caller) leader.Result {
-	var result leader.Result
-	delivered := answered
+// askToCancel asks the leader of a service to cancel a job. The queue is the zero value if it is sent to another service.
+func (d *Daemon) askToCancel(ctx context.Context, id work.ID, service string, q work.Queue, caller workspace.Caller) (leader.Result, delivery) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
 	if l := d.leaderOf(service); l != nil {
-		result = l.Cancel(ctx, id, caller)
-	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_CANCEL, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
+		return l.Cancel(ctx, id, q, caller), answered
+	}
+	r := &wire.Relay{Verb: wire.Relay_CANCEL, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any}
+	if q.Service != "" {
+		terms, err := json.Marshal(q)
+		if err != nil {
+			return notStored(err), notSent
+		}
+		r.Terms = terms
 	}
+	return d.relay(ctx, r)
+}
+
+// cancelFormer cancels a job that a service has which its queue was sent to before.
+func (d *Daemon) cancelFormer(ctx context.Context, id work.ID, service string, caller workspace.Caller) leader.Result {
+	result, delivered := d.askToCancel(ctx, id, service, work.Queue{}, caller)
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	stored, err := leader.HandOffCancel(ctx, d.store, service, id, caller)
-	if err != nil {
-		return notStored(err)
+	result, err := leader.CancelStored(ctx, d.store, service, id, caller)
+	switch {
+	case err != nil:
+		return leader.Result{Verdict: leader.Unknown, Why: err.Error()}
+	case result.Verdict == leader.Absent:
+		return leader.Result{Verdict: leader.Unknown, Retry: retryDelay, Why: "the job has been removed meanwhile"}
 	}
-	if stored.Verdict == leader.Absent && delivered == answered && result.Verdict == leader.Unknown {
-		return result // the leader is storing the job
-	}
-	return stored
+	return result
 }
 
 // askElsewhere asks the other services that may have jobs of a queue, until one of them knows the job.
@@ -213,21 +259,28 @@
 
 // stateAt returns the state of a job from the leader of a service, or from the store if the leader doesn't know it.
 func (d *Daemon) stateAt(ctx context.Context, id work.ID, service string, caller workspace.Caller) leader.Result {
-	var result leader.Result
-	delivered := answered
-	if l := d.leaderOf(service); l != nil {
-		result = l.State(id, caller)
-	} else {
-		result, delivered = d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
-	}
+	result, delivered := d.askState(ctx, id, service, caller)
 	if delivered == answered && result.Verdict == leader.Accepted {
 		return result
 	}
-	result, err := leader.StoredState(ctx, d.store, service, id, caller)
+	stored, err := leader.StoredState(ctx, d.store, service, id, caller)
 	if err != nil {
 		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: err.Error()}
 	}
-	return result
+	if stored.Verdict == leader.Absent && delivered == answered && result.Verdict == leader.Unknown {
+		return leader.Result{Verdict: leader.Refused, Retry: retryDelay, Why: result.Why} // the leader is storing the job
+	}
+	return stored
+}
+
+// askState asks the leader of a service for the state of a job.
+func (d *Daemon) askState(ctx context.Context, id work.ID, service string, caller workspace.Caller) (leader.Result, delivery) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	if l := d.leaderOf(service); l != nil {
+		return l.State(ctx, id, caller), answered
+	}
+	return d.relay(ctx, &wire.Relay{Verb: wire.Relay_STATE, Service: service, Id: string(id), Workspace: caller.Workspace, Any: caller.Any})
 }
 
 // Pending returns the number of a queue's jobs that haven't started, in all services that have some.
@@ -290,14 +343,20 @@
 	if relayed == nil || !relayed.Held {
 		return leader.Result{}, notSent
 	}
+	verdict := leader.Verdict(relayed.Verdict)
+	if relayed.Gone {
+		verdict = leader.Withdrawn
+	}
 	return leader.Result{
-		Verdict: leader.Verdict(relayed.Verdict),
+		Verdict: verdict,
 		Full:    relayed.Full,
 		Retry:   time.Duration(relayed.Retry) * time.Millisecond,
 		State:   work.State(relayed.State),
 		Pending: int(relayed.Pending),
 		Why:     relayed.Why,
 		Moved:   relayed.Moved,
+		Service: relayed.Service,
+		Final:   relayed.Final,
 		Former:  relayed.Former,
 		Gate:    home.Gate{Version: relayed.Gate, Former: relayed.Former},
 	}, answered
@@ -321,7 +380,10 @@
 		}
 		return &wire.Response{Body: &wire.Response_Relayed{Relayed: &wire.Relayed{
 			Held:    led,
-			Verdict: int32(result.Verdict),
+			Verdict: verdictOnWire(result.Verdict),
+			Gone:    result.Verdict == leader.Withdrawn,
+			Service: result.Service,
+			Final:   result.Final,
 			Full:    result.Full,
 			Retry:   result.Retry.Milliseconds(),
 			State:   string(result.State),
@@ -335,6 +397,14 @@
 	return nil, fault.New(fault.Invalid, "unknown request of a peer")
 }
 
+// verdictOnWire returns a verdict as daemons of earlier releases understand it.
+func verdictOnWire(v leader.Verdict) int32 {
+	if v == leader.Withdrawn {
+		v = leader.Unknown
+	}
+	return int32(v)
+}
+
 // handleRelay carries out a request relayed by another daemon. The bool is false if this daemon doesn't lead the
 // service, so that nothing was done.
 func (d *Daemon) handleRelay(ctx context.Context, r *wire.Relay) (leader.Result, bool, error) {
@@ -353,11 +423,11 @@
 	case wire.Relay_SUBMIT:
 		return d.submitRelayed(ctx, l, q, r)
 	case wire.Relay_CANCEL:
-		return l.Cancel(ctx, id, caller), true, nil
+		return l.Cancel(ctx, id, q, caller), true, nil
 	case wire.Relay_PENDING:
 		return l.Pending(ctx, q), true, nil
 	}
-	return l.State(id, caller), true, nil
+	return l.State(ctx, id, caller), true, nil
 }
 
 // relayedQueue returns the queue of a relayed request, by a configuration that is at least as new as the sender's if it can be read.
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -195,6 +195,8 @@
 		h.writeError(w, refusalStatus(result), result.Retry, result.Why)
 	case leader.Taken:
 		h.writeError(w, http.StatusConflict, 0, result.Why)
+	case leader.Withdrawn:
+		h.writeError(w, http.StatusGone, 0, result.Why)
 	case leader.Unknown, leader.Absent:
 		// The job may have been stored, so it can be reported neither as accepted nor as refused.
 		h.writeUnknown(w, result)
@@ -207,6 +209,8 @@
 	leader.Unknown:  "unknown",
 	leader.Absent:   "absent",
 	leader.Taken:    "taken",
+
+	leader.Withdrawn: "withdrawn",
 }
 
 // refusalStatus returns 429 if the service lacks the capacity for the job, 413 if the job can't be stored at all, and 503
@@ -240,7 +244,7 @@
 		h.writeResponse(w, http.StatusOK, platform.EncodeState(result.State))
 	case leader.Absent:
 		h.writeResponse(w, http.StatusGone, nil)
-	case leader.Refused, leader.Unknown, leader.Taken:
+	case leader.Refused, leader.Unknown, leader.Taken, leader.Withdrawn:
 		h.writeRetryLater(w, http.StatusServiceUnavailable, result.Retry, result.Why)
 	}
 }
@@ -254,7 +258,7 @@
 		h.writeResponse(w, http.StatusOK, []byte("{}"))
 	case leader.Absent:
 		h.writeResponse(w, http.StatusGone, nil)
-	case leader.Refused, leader.Unknown, leader.Taken:
+	case leader.Refused, leader.Unknown, leader.Taken, leader.Withdrawn:
 		h.writeUnknown(w, result) // a cancellation may be carried out though nothing has confirmed it
 	}
 }
--- a/leader/admission.go
+++ b/leader/admission.go
@@ -3,37 +3,30 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
-	"gypsumlead/platform"
 	"gypsumlead/work"
 )
 
 const (
-	refusedTTL     = 120 * time.Second // refused rows stay in the store for this long; writes of earlier tries are carried out seconds later at most
-	decisionShare  = 50                // the pause between two decisions is at least this many times as long as the last one took:
-	cheapDecision  = time.Millisecond  // plans are due most when most jobs wait, and a decision then takes longer than a plan
-	fleetFreshness = 30 * time.Second  // of the list of machines, for refusals; machines are added and removed by operators
+	decisionShare  = 50               // the pause between two decisions is at least this many times as long as the last one took:
+	cheapDecision  = time.Millisecond // plans are due most when most jobs wait, and a decision then takes longer than a plan
+	fleetFreshness = 30 * time.Second // of the list of machines, for refusals; machines are added and removed by operators
 )
 
 // Causes of refusals and of tries that are turned down because of one, for the metrics.
 const (
 	causeFull    = "full"    // the job is certain to miss its late objective
 	causeEarlier = "earlier" // the try may be older than a refused one; answered as unknown
+	causeCancel  = "cancel"  // the job was cancelled before it was stored
 )
 
-// refusedRow is a row at a job's key which states that no try of the job was accepted. While it is there, each late write
-// of an earlier try fails.
-type refusedRow struct {
-	version int64
-	at      time.Time
-}
-
 // admission is the state on which a leader decides whether to refuse jobs.
 type admission struct {
-	refused     map[work.ID]refusedRow
+	refused     refusedRows
 	causes      map[string]int64
 	fleetCPU    int64 // of all machines, which a move may bring
 	fleetReadAt time.Time
@@ -43,7 +36,7 @@
 }
 
 func newAdmission() admission {
-	return admission{refused: map[work.ID]refusedRow{}, causes: map[string]int64{}}
+	return admission{refused: newRefusedRows(), causes: map[string]int64{}}
 }
 
 // Refusals returns how many jobs were refused and how many tries were turned down because of a refusal, by cause.
@@ -53,36 +46,40 @@
 	return maps.Clone(l.admission.causes)
 }
 
-// admit decides on a new submission: it may become a refusal, or replace a refused row. It returns false if the try may be
-// older than the refusal of another one, whose caller was told that no earlier try ever runs.
-func (l *Leader) admit(in *intent) bool {
-	if row, ok := l.admission.refused[in.id]; ok {
+// admit decides on a new submission: it may become a refusal, or replace a refused row. It returns a result and false if a refused
+// row keeps the try out.
+func (l *Leader) admit(in *intent) (Result, bool) {
+	if row, ok := l.admission.refused.byID[in.id]; ok {
 		in.version = row.version
-		if in.seen < row.version {
-			l.admission.causes[causeEarlier]++
-			return false
+		if result, out := l.keptOut(row, in); out {
+			return result, false
 		}
 	}
 	now := l.Now()
 	if len(l.workspaces) == 0 || !l.leaseConfirmed(now) || !l.pool.MayRefuse(now, in.row.Queue, in.row.Job) || !l.fleetKnown(now) {
-		return true
+		return Result{}, true
 	}
 	if l.admission.took > cheapDecision && now.Sub(l.admission.decidedAt) < decisionShare*l.admission.took {
-		return true
+		return Result{}, true
 	}
 	retry, refused := l.pool.Refusal(now, time.Now(), in.id, in.row.Queue, in.row.Job, l.admission.fleetCPU)
 	l.admission.decidedAt = l.Now()
 	l.admission.took = l.admission.decidedAt.Sub(now)
-	if !refused {
-		return true
+	if refused {
+		in.kind, in.retry = refuseJob, retry
 	}
-	value, err := encode(jobRow{Refused: true, At: in.row.At})
-	if err != nil {
-		l.Log.Error("cannot encode a refusal", zap.Error(err))
-		return true
+	return Result{}, true
+}
+
+// keptOut returns the result of a try that a refused row keeps out, and false if it may replace the row.
+func (l *Leader) keptOut(row refusedRow, in *intent) (Result, bool) {
+	result, out := row.check(in.row.Job.Workspace, in.seen)
+	if out && result.Verdict == Withdrawn {
+		l.admission.causes[causeCancel]++
+	} else if out {
+		l.admission.causes[causeEarlier]++
 	}
-	in.kind, in.value, in.retry = refuseJob, value, retry
-	return true
+	return result, out
 }
 
 // fleetKnown reports whether the list of machines was read lately. If not, it is read in the background.
@@ -122,46 +119,33 @@
 
 // refusedStored answers the callers of a job whose refusal is stored.
 func (l *Leader) refusedStored(in *intent) {
-	l.admission.refused[in.id] = refusedRow{l.leaseVersion, in.row.At}
+	l.admission.refused.note(in.id, refusedRow{version: l.leaseVersion, at: in.row.At, refusedAt: l.leaseVersion, cancelled: in.replaced.cancelled})
 	l.admission.causes[causeFull]++
 	l.Log.Info("job refused", zap.String("job", string(in.id)), zap.String("workspace", in.row.Job.Workspace), zap.Duration("retry", in.retry))
 	in.reply(Result{Verdict: Refused, Full: true, Retry: in.retry, Why: "the service can't finish the job in time"})
 }
 
-// noteRefused records a refused row that the store has.
-func (l *Leader) noteRefused(row platform.Row, stored jobRow) {
-	l.admission.refused[work.ID(row.Key)] = refusedRow{row.Version, stored.At}
-}
-
-// handleRefusedRow prepares an intent whose commit met a refused row for the next commit, unless its try may be older than
-// the refusal.
-func (l *Leader) handleRefusedRow(in *intent, row platform.Row, stored jobRow) {
-	l.noteRefused(row, stored)
-	if in.kind == storeJob && in.seen < row.Version {
-		l.admission.causes[causeEarlier]++
-		l.removeIntent(in)
-		in.reply(olderTry())
-		return
-	}
-	in.version = row.Version
-}
-
 // olderTry returns the result of a try that may be older than a refused one. It claims nothing, and nothing of it is stored.
 func olderTry() Result {
 	return Result{Verdict: Unknown, Why: "another try of the job was refused, and this one may be older"}
 }
 
-// forgetRefused removes the refused rows that no late write of an earlier try can meet any more.
+// forgetRefused removes the refused rows that no late write of an earlier try, and no repeat, can meet any more.
 func (l *Leader) forgetRefused(now time.Time) {
-	for id, row := range l.admission.refused {
-		if now.Sub(row.at) < refusedTTL || l.pendingSubmission(id) != nil {
+	for id, row := range l.admission.refused.byID {
+		if now.Sub(row.at) < refusedTTL || l.writesJobRow(id) {
 			continue
 		}
-		delete(l.admission.refused, id)
-		l.intents = append(l.intents, &intent{kind: deleteJob, id: id})
+		l.admission.refused.forget(id)
+		l.intents = append(l.intents, &intent{kind: deleteRefused, id: id, version: row.version})
 	}
 }
 
+// writesJobRow reports whether a pending intent is to write the row at a job's key.
+func (l *Leader) writesJobRow(id work.ID) bool {
+	return slices.ContainsFunc(l.intents, func(in *intent) bool { return in.id == id && (in.submission() || in.kind == keepOut) })
+}
+
 // pendingSubmission returns the pending submission or refusal of a job, or nil.
 func (l *Leader) pendingSubmission(id work.ID) *intent {
 	for _, in := range l.intents {
@@ -172,5 +156,8 @@
 	return nil
 }
 
-// submission reports whether callers wait for the intent's job.
+// submission reports whether callers wait for the intent's job to be stored.
 func (in *intent) submission() bool { return in.kind == storeJob || in.kind == refuseJob }
+
+// answered reports whether callers wait for the intent.
+func (in *intent) answered() bool { return in.submission() || in.kind == keepOut }
--- a/leader/commit.go
+++ b/leader/commit.go
@@ -13,6 +13,7 @@
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/sleep"
+	"gypsumlead/work"
 )
 
 // callerRetryDelay is the delay after which callers may retry a request that was not carried out.
@@ -101,12 +102,20 @@
 	tx.Conditions = append(tx.Conditions, gatesOf(batch.intents).conditions()...)
 	for _, in := range batch.intents {
 		jobKey := rowKey(tableJobs, service, string(in.id))
+		if err := l.prepareRow(in); err != nil {
+			return tx, err
+		}
 		switch in.kind {
-		case storeJob, refuseJob:
-			tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey, Version: in.version})
-			tx.Puts = append(tx.Puts, platform.Row{RowKey: jobKey, Value: in.value})
+		case storeJob, refuseJob, keepOut:
+			if in.value != nil {
+				tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey, Version: in.version})
+				tx.Puts = append(tx.Puts, platform.Row{RowKey: jobKey, Value: in.value})
+			}
 		case deleteJob:
 			tx.Deletes = append(tx.Deletes, jobKey, progressKey(service, in.id, 0))
+		case deleteRefused:
+			tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey, Version: in.version})
+			tx.Deletes = append(tx.Deletes, jobKey)
 		case deleteInbox:
 			tx.Deletes = append(tx.Deletes, rowKey(tableInbox, service, in.key))
 		}
@@ -119,6 +128,21 @@
 	return tx, nil
 }
 
+// prepareRow sets the refused row that an intent writes, by the one that it replaces as far as is known now.
+func (l *Leader) prepareRow(in *intent) error {
+	switch in.kind {
+	case refuseJob:
+		in.replaced = l.admission.refused.byID[in.id]
+		value, err := encodeRefused(in.replaced, in.row.At)
+		in.value = value
+		return err
+	case keepOut:
+		return l.prepareKeepOut(in)
+	case storeJob, deleteJob, deleteRefused, deleteInbox:
+	}
+	return nil
+}
+
 // handleCommitResult handles the result of a commit and reports whether another should follow immediately.
 func (l *Leader) handleCommitResult(batch commitBatch, stamp platform.Stamp, sentAt time.Time, err error) bool {
 	switch {
@@ -153,12 +177,14 @@
 		l.removeIntent(in)
 		switch in.kind {
 		case storeJob:
-			delete(l.admission.refused, in.id)
+			l.admission.refused.forget(in.id)
 			l.pool.Accept(now, in.id, in.row.Queue, in.row.Job)
 			in.reply(Result{Verdict: Accepted})
 		case refuseJob:
 			l.refusedStored(in)
-		case deleteJob, deleteInbox:
+		case keepOut:
+			l.keepOutStored(in)
+		case deleteJob, deleteRefused, deleteInbox:
 		}
 	}
 	l.markCommitted(now, batch.progress)
@@ -197,11 +223,15 @@
 		l.pool.PostponeCommit(part.job, now.Add(isolationRetry))
 	}
 	l.Log.Error("store refuses the content of a commit", zap.Int("parts", len(batch.parts())), zap.Bool("alone", alone), zap.String("job", string(part.job)), zap.Error(err))
-	if !alone || part.intent == nil || !part.intent.submission() || len(l.unanswered) > 0 {
+	if !alone || part.intent == nil || !part.intent.answered() || len(l.unanswered) > 0 {
 		return
 	}
 	delete(l.isolation.refused, part)
 	l.removeIntent(part.intent)
+	if part.intent.kind == keepOut {
+		part.intent.reply(notStored(err.Error()))
+		return
+	}
 	part.intent.reply(tooLarge(err))
 }
 
@@ -226,15 +256,15 @@
 	}
 }
 
-// dropSubmissions handles a commit that the store refused and thus did not apply. It drops the submissions in it, so
-// that their callers can retry.
+// dropSubmissions handles a commit that the store refused and thus did not apply. It drops what callers wait for in it, so
+// that they can retry.
 func (l *Leader) dropSubmissions(batch commitBatch, err error) {
 	l.Log.Warn("store refused a commit", zap.Error(err))
 	if len(l.unanswered) > 0 {
 		return // an earlier attempt with the same intents may still take effect
 	}
 	for _, in := range batch.intents {
-		if in.submission() {
+		if in.answered() {
 			l.removeIntent(in)
 			in.reply(notStored("the store refuses: " + err.Error()))
 		}
@@ -259,7 +289,7 @@
 	}
 	for _, row := range conflict.Rows {
 		if row.Table == tableJobs {
-			l.handleExistingJob(batch, row)
+			l.handleJobRow(batch, row)
 		}
 	}
 	for _, row := range conflict.Rows {
@@ -289,34 +319,71 @@
 	return true
 }
 
-// handleExistingJob accepts a submitted job that the store already has, unless it is another workspace's, and notes whether
-// it has a refused row.
-func (l *Leader) handleExistingJob(batch commitBatch, row platform.Row) {
+// handleJobRow handles a job's row of which the store has another version than a commit required, for all intents of the commit that
+// need it.
+func (l *Leader) handleJobRow(batch commitBatch, row platform.Row) {
+	id := work.ID(row.Key)
+	refused, isRefused := storedRefusal(row)
+	switch {
+	case row.Version == 0:
+		l.admission.refused.forget(id)
+	case isRefused:
+		l.admission.refused.note(id, refused)
+	}
 	for _, in := range batch.intents {
-		if !in.submission() || string(in.id) != row.Key {
-			continue
-		}
-		if row.Version == 0 {
+		switch {
+		case in.id != id:
+		case in.kind == deleteRefused && in.version != row.Version:
+			l.removeIntent(in) // another row has replaced it, or it is gone
+		case in.submission() && row.Version == 0:
 			in.version = 0
-			delete(l.admission.refused, in.id)
-			continue
-		}
-		stored, err := decodeJob(row)
-		if err != nil {
-			l.Log.Error("cannot decode a stored job", zap.Error(err))
-			if in.row.Job.Workspace != "" {
-				l.removeIntent(in)
-				in.reply(unreadableOwner(err)) // it may be another workspace's
-				continue
-			}
-			stored = in.row // the same caller submitted it under the same ID
+		case in.submission() && isRefused:
+			l.replaceRefused(in, refused)
+		case in.submission():
+			l.handleExistingJob(in, row)
+		case in.kind == keepOut && row.Version != 0 && !isRefused:
+			l.acceptStored(in, row)
 		}
-		if stored.Refused {
-			l.handleRefusedRow(in, row, stored)
-			continue
+	}
+}
+
+// replaceRefused prepares a submission whose commit met a refused row for the next commit, unless the row keeps it out.
+func (l *Leader) replaceRefused(in *intent, row refusedRow) {
+	in.version = row.version
+	if in.kind == refuseJob {
+		return
+	}
+	if result, out := l.keptOut(row, in); out {
+		l.removeIntent(in)
+		in.reply(result)
+	}
+}
+
+// handleExistingJob accepts a submitted job that the store already has, unless it is another workspace's.
+func (l *Leader) handleExistingJob(in *intent, row platform.Row) {
+	stored, err := decodeJob(row)
+	if err != nil {
+		l.Log.Error("cannot decode a stored job", zap.Error(err))
+		if in.row.Job.Workspace != "" {
+			l.removeIntent(in)
+			in.reply(unreadableOwner(err)) // it may be another workspace's
+			return
 		}
+		stored = in.row // the same caller submitted it under the same ID
+	}
+	l.removeIntent(in)
+	l.pool.Accept(l.Now(), in.id, stored.Queue, stored.Job)
+	in.reply(known(stored.Job.Workspace, in.row.Job))
+}
+
+// acceptStored accepts a job that the store has and this leader doesn't know yet, for a cancellation that met its row.
+func (l *Leader) acceptStored(in *intent, row platform.Row) {
+	stored, err := decodeJob(row)
+	if err != nil {
+		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		l.removeIntent(in)
-		l.pool.Accept(l.Now(), in.id, stored.Queue, stored.Job)
-		in.reply(known(stored.Job.Workspace, in.row.Job))
+		in.reply(unreadableOwner(err))
+		return
 	}
+	l.pool.Accept(l.Now(), in.id, stored.Queue, stored.Job)
 }
--- a/leader/commit_batch.go
+++ b/leader/commit_batch.go
@@ -119,8 +119,8 @@
 		if in.kind == deleteInbox && !l.inboxRowDone(in) {
 			continue // the inbox row is the only record of the request that the next leader would find
 		}
-		if in.submission() && slices.ContainsFunc(next, func(earlier *intent) bool { return earlier.kind == deleteJob && earlier.id == in.id }) {
-			continue // one transaction can't both delete and write a row
+		if in.kind != deleteInbox && slices.ContainsFunc(next, func(earlier *intent) bool { return earlier.kind != deleteInbox && earlier.id == in.id }) {
+			continue // a transaction can write or delete a job's row once
 		}
 		if !gates.add(in.gate) {
 			continue // one of the next commits has room for its gate
--- a/leader/handoff.go
+++ b/leader/handoff.go
@@ -30,8 +30,9 @@
 	log   *zap.Logger
 	now   func() time.Time
 
-	mu     sync.Mutex
-	queues map[string]*serviceQueue // by service
+	mu      sync.Mutex
+	queues  map[string]*serviceQueue // by service
+	keptOut map[string]keptOutRate   // by service
 }
 
 // serviceQueue holds the pending jobs of one service.
@@ -48,6 +49,7 @@
 	value       []byte // of the job's row
 	inboxValue  []byte
 	gate        home.Gate
+	version     int64       // of the refused row that it replaces; 0 if there is none
 	reply       chan Result // has room for one result
 	unconfirmed bool        // it was sent and not answered, so it may be stored
 	abandoned   bool        // its caller no longer waits
@@ -56,7 +58,7 @@
 
 // NewHandoff returns a Handoff without pending jobs.
 func NewHandoff(store *platform.Store, homes *home.Directory, log *zap.Logger, now func() time.Time) *Handoff {
-	return &Handoff{store: store, homes: homes, log: log, now: now, queues: map[string]*serviceQueue{}}
+	return &Handoff{store: store, homes: homes, log: log, now: now, queues: map[string]*serviceQueue{}, keptOut: map[string]keptOutRate{}}
 }
 
 // Submit stores a job and returns the result. If ctx ends first, or while the store is silent, the verdict is Unknown. seen is as in
@@ -184,7 +186,7 @@
 	for _, pending := range batch {
 		gates.add(pending.gate)
 		jobKey := rowKey(tableJobs, service, string(pending.id))
-		tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey})
+		tx.Conditions = append(tx.Conditions, platform.Condition{RowKey: jobKey, Version: pending.version})
 		tx.Puts = append(tx.Puts,
 			platform.Row{RowKey: jobKey, Value: pending.value},
 			platform.Row{RowKey: rowKey(tableInbox, service, string(pending.id)), Value: pending.inboxValue})
@@ -263,30 +265,30 @@
 // requeue answers the jobs for which the store already has a row, or whose queue's gate has changed, and puts the others back at
 // the front of the queue.
 func (h *Handoff) requeue(queue *serviceQueue, batch []*pendingJob, conflict *platform.Conflict) {
-	stored, gates := map[string]platform.Row{}, map[platform.RowKey]int64{}
+	rows := map[platform.RowKey]platform.Row{}
 	for _, row := range conflict.Rows {
-		switch {
-		case row.Table == tableJobs && row.Version != 0:
-			stored[row.Key] = row
-		case home.IsGate(row.RowKey):
-			gates[row.RowKey] = row.Version
-		}
+		rows[row.RowKey] = row
 	}
 	var remaining []*pendingJob
+	changed := false // the next transaction may succeed
 	for _, pending := range batch {
-		row, exists := stored[string(pending.id)]
-		version, ok := gates[pending.gate.Key()]
+		row := rows[rowKey(tableJobs, pending.gate.Service, string(pending.id))]
+		gate, ok := rows[pending.gate.Key()]
 		switch {
-		case exists:
+		case row.Version != pending.version && !pending.replace(row):
 			pending.reply <- pending.exists(row)
-		case ok && version != pending.gate.Version:
+			changed = true
+		case ok && gate.Version != pending.gate.Version:
 			h.homes.Forget(pending.gate)
 			pending.reply <- notStored("the queue's gate has changed") // an earlier transaction can't take effect any more either
+			changed = true
 		default:
+			changed = changed || row.Version != pending.version
+			pending.version = row.Version
 			remaining = append(remaining, pending)
 		}
 	}
-	if len(remaining) == len(batch) {
+	if !changed {
 		answerAll(batch, Result{Verdict: Unknown, Why: "the store's conflict names no job"})
 		return
 	}
@@ -295,13 +297,30 @@
 	queue.waiting = append(remaining, queue.waiting...)
 }
 
+// replace reports whether a job may be stored in place of a row at its key: there is none any more, or others have cancelled a job
+// of this ID. A row that keeps out earlier tries than a refused one stays: leaders know which tries are later.
+func (p *pendingJob) replace(row platform.Row) bool {
+	if row.Version == 0 {
+		return true
+	}
+	refused, ok := storedRefusal(row)
+	if !ok || refused.refusedAt != 0 {
+		return false
+	}
+	_, out := refused.check(p.job.Workspace, 0)
+	return !out
+}
+
 // exists returns the result of a job at whose key the store already has a row.
 func (p *pendingJob) exists(row platform.Row) Result {
+	if refused, ok := storedRefusal(row); ok {
+		if result, out := refused.check(p.job.Workspace, refused.refusedAt); out {
+			return result
+		}
+		return olderTry() // this try may be older than the refused one
+	}
 	stored, err := decodeJob(row)
 	switch {
-	case err == nil && stored.Refused:
-		// This try may be older than the refused one. Leaders know which tries are newer and replace the row.
-		return olderTry()
 	case err == nil:
 		return known(stored.Job.Workspace, p.job)
 	case p.job.Workspace != "":
--- a/leader/home.go
+++ b/leader/home.go
@@ -11,6 +11,7 @@
 	"gypsumlead/platform"
 	"gypsumlead/sleep"
 	"gypsumlead/work"
+	"gypsumlead/workspace"
 )
 
 // gateLoop opens the gates of queues ahead of their jobs, so that these need not wait: of those that move to this service, and in a
@@ -105,14 +106,29 @@
 		return unreadableOwner(err), true
 	case err != nil:
 		return Result{Verdict: Accepted}, true // the same caller submitted it under the same ID
-	case stored.Refused && seen < moved.row.Version:
-		return olderTry(), true
 	case stored.Refused:
-		return Result{}, false
+		return newRefusedRow(moved.row.Version, stored).check(job.Workspace, seen)
 	}
 	return known(stored.Job.Workspace, job), true
 }
 
+// visibleElsewhere returns the service that the queue of a job was sent to before and that has the job, or "" if none has one that
+// exists for the caller.
+func visibleElsewhere(ctx context.Context, store *platform.Store, gate home.Gate, id work.ID, caller workspace.Caller) (string, error) {
+	moved, found, err := findElsewhere(ctx, store, gate, id)
+	if err != nil || !found {
+		return "", err
+	}
+	stored, err := decodeJob(moved.row)
+	if err != nil && !caller.Any {
+		return "", err // without the owner nothing may be told of the job
+	}
+	if err == nil && (stored.Refused || !caller.MaySee(stored.Job.Workspace)) {
+		return "", nil
+	}
+	return moved.service, nil
+}
+
 // notOpened returns the result of a request that was not carried out, because the queue's gate can't be opened here.
 func notOpened(err error) Result {
 	result := notStored("the queue's gate is not open here: " + err.Error())
--- a/leader/inbox.go
+++ b/leader/inbox.go
@@ -146,11 +146,12 @@
 		l.Log.Error("cannot decode a stored job", zap.Error(err))
 		return nil // a retry would read the same value
 	}
-	if job.Refused {
-		return nil // nothing to load; the inbox row cancels a job that was never accepted
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if job.Refused { // the inbox row cancels a job that was never accepted
+		l.admission.refused.note(id, newRefusedRow(page.Rows[0].Version, job))
+		return nil
+	}
 	now := l.Now()
 	if !l.leaseConfirmed(now) {
 		return fault.New(fault.Fenced, "%s may have another leader by now", l.lease.Service)
--- a/leader/ownership.go
+++ b/leader/ownership.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"gypsumlead/fault"
 	"gypsumlead/platform"
 	"gypsumlead/sched"
 	"gypsumlead/work"
@@ -32,8 +31,7 @@
 	if caller.Any {
 		return storedState(ctx, store, service, id)
 	}
-	result, _, err := ownedState(ctx, store, service, id, caller)
-	return result, err
+	return ownedState(ctx, store, service, id, caller)
 }
 
 // storedState reads a job's state from the store, for a caller that may see all jobs.
@@ -46,35 +44,37 @@
 	if err != nil {
 		return Result{}, err
 	}
-	if len(page.Rows) == 0 || isRefused(page.Rows[0]) {
+	if len(page.Rows) == 0 {
+		return Result{Verdict: Absent}, nil
+	}
+	if _, refused := storedRefusal(page.Rows[0]); refused {
 		return Result{Verdict: Absent}, nil
 	}
 	return Result{State: work.Queued}, nil
 }
 
-// ownedState reads a job's state from the store for a caller that may not see all jobs, and the version of the job's row.
-// The owner is read first: without it nothing may be told of the job.
-func ownedState(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (Result, int64, error) {
+// ownedState reads a job's state from the store for a caller that may not see all jobs. The owner is read first: without it nothing may
+// be told of the job.
+func ownedState(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (Result, error) {
 	page, err := store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
 	if err != nil {
-		return Result{}, 0, err
+		return Result{}, err
 	}
 	if len(page.Rows) == 0 {
-		return Result{Verdict: Absent}, 0, nil
+		return Result{Verdict: Absent}, nil
 	}
-	row := page.Rows[0]
-	job, err := decodeJob(row)
+	job, err := decodeJob(page.Rows[0])
 	if err != nil {
-		return Result{}, 0, err
+		return Result{}, err
 	}
 	if job.Refused || !caller.MaySee(job.Job.Workspace) {
-		return Result{Verdict: Absent}, 0, nil
+		return Result{Verdict: Absent}, nil
 	}
 	state, started, err := progressState(ctx, store, service, id)
 	if err == nil && !started {
 		state = work.Queued
 	}
-	return Result{State: state}, row.Version, err
+	return Result{State: state}, err
 }
 
 // progressState reads the state in a job's progress from the store, and whether the store has progress of it.
@@ -88,35 +88,6 @@
 	return progress.State, true, err
 }
 
-// HandOffCancel writes the cancellation of a job to the inbox of its service, for the leader to apply. The verdict is
-// Absent if the store has no such job that exists for the caller. After an error nothing was written, or the cancellation
-// of that job may have been.
-func HandOffCancel(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (Result, error) {
-	var tx platform.Tx
-	var result Result
-	var err error
-	if caller.Any {
-		result, err = storedState(ctx, store, service, id)
-	} else {
-		var version int64
-		result, version, err = ownedState(ctx, store, service, id, caller)
-		// The store may carry this out seconds later, when another job may have the ID.
-		tx.Conditions = []platform.Condition{{RowKey: rowKey(tableJobs, service, string(id)), Version: version}}
-	}
-	if err != nil || result.Verdict == Absent {
-		return result, err
-	}
-	value, err := encode(inboxRow{})
-	if err != nil {
-		return Result{}, err
-	}
-	tx.Puts = []platform.Row{{RowKey: rowKey(tableInbox, service, string(id)+cancelSuffix), Value: value}}
-	if _, err = store.Commit(ctx, tx); fault.Is(err, fault.Conflict) {
-		return Result{}, fault.Wrap(fault.Unavailable, err, "the job has changed")
-	}
-	return Result{Verdict: Accepted, State: work.Cancelled}, err
-}
-
 // WorkspaceField returns the field of a log line that names the workspace of a job, none if the job has none.
 func WorkspaceField(name string) zap.Field {
 	if name == "" {
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -17,11 +17,12 @@
 
 // Verdicts on a request.
 const (
-	Accepted Verdict = iota // accepted and stored
-	Refused                 // nothing was done; of a job: no try of it was or will be stored, so it never runs
-	Unknown                 // this try, or an earlier one of the same job, may have been stored
-	Absent                  // no such job, or none that exists for this caller
-	Taken                   // of a submission: another workspace's job has this ID
+	Accepted  Verdict = iota // accepted and stored
+	Refused                  // nothing was done; of a job: no try of it was or will be stored, so it never runs
+	Unknown                  // this try, or an earlier one of the same job, may have been stored
+	Absent                   // no such job, or none that exists for this caller
+	Taken                    // of a submission: another workspace's job has this ID
+	Withdrawn                // of a submission: the job was cancelled before it was stored, and never runs
 )
 
 // Result is the answer to a caller's request.
@@ -34,6 +35,7 @@
 	Why     string
 	Moved   int64     // for Unknown: version of the configuration that sends the queue to another service; 0 if none is known to
 	Service string    // of a cancellation: the service that has the job, if it is another one
+	Final   bool      // for Absent, of a cancellation: the store keeps out every try of the job that may still arrive
 	Gate    home.Gate // of a submission: the gate that was open when it arrived, for the daemon that relays it
 	Former  []string  // of a number of pending jobs: other services that may have jobs of the queue
 }
@@ -44,7 +46,9 @@
 const (
 	storeJob  intentKind = iota
 	refuseJob            // store a refused row
+	keepOut              // store a refused row that keeps out tries of a cancelled job
 	deleteJob
+	deleteRefused
 	deleteInbox
 )
 
@@ -55,11 +59,14 @@
 	key     string // key of the inbox row, for deleteInbox
 	row     jobRow
 	value   []byte
-	version int64         // of the refused row that a submission replaces; 0 if there is none
+	version int64         // of the refused row that the intent replaces or deletes; 0 if there is none
 	gate    home.Gate     // through which a submission is stored
 	seen    int64         // version of the store that was known before the try arrived
 	retry   time.Duration // of a refusal
 	replies []chan Result
+
+	replaced refusedRow       // the refused row that refuseJob or keepOut replaces
+	caller   workspace.Caller // that cancels, for keepOut
 }
 
 // notStored returns the result of a try that was certainly not stored. It is no refusal: an earlier try of the same job
@@ -132,57 +139,19 @@
 		return nil, tooLarge(err)
 	}
 	in := &intent{kind: storeJob, id: id, row: row, value: value, gate: gate, seen: seen, replies: []chan Result{reply}}
-	if !l.admit(in) {
-		return nil, olderTry()
+	if result, ok := l.admit(in); !ok {
+		return nil, result
 	}
 	l.intents = append(l.intents, in)
 	return reply, Result{}
 }
 
-// Cancel cancels a job and returns once the cancellation is stored. If ctx ends first, the verdict is Unknown. The verdict
-// is Absent for a job that doesn't exist for the caller. A job that is being stored is waited for.
-func (l *Leader) Cancel(ctx context.Context, id work.ID, caller workspace.Caller) Result {
+// State returns the state of a job as the store has it, or Running once a task has started. The verdict is Absent for
+// a job that doesn't exist for the caller, and Unknown if the job is still being stored when ctx ends.
+func (l *Leader) State(ctx context.Context, id work.ID, caller workspace.Caller) Result {
 	if !l.awaitSubmission(ctx, id, caller) {
-		return Result{Verdict: Unknown, Why: "the job is being stored"}
-	}
-	l.mu.Lock()
-	if owner, ok := l.pool.Owner(id); !ok || !caller.MaySee(owner) {
-		l.mu.Unlock()
-		return Result{Verdict: Absent}
-	}
-	l.pool.Cancel(l.Now(), id)
-	if state, _ := l.pool.State(id); state.Final() {
-		l.mu.Unlock()
-		return Result{Verdict: Accepted, State: state}
-	}
-	reply := make(chan Result, 1)
-	l.cancelWaiters[id] = append(l.cancelWaiters[id], reply)
-	l.mu.Unlock()
-	sleep.Wake(l.wakePlan)
-	sleep.Wake(l.wakeCommit)
-	return await(ctx, reply)
-}
-
-// awaitSubmission waits until no submission of a job that exists for the caller waits for the store. It returns false if ctx or the
-// leadership ends first.
-func (l *Leader) awaitSubmission(ctx context.Context, id work.ID, caller workspace.Caller) bool {
-	for {
-		l.mu.Lock()
-		pending, lost, commitDone := l.pendingSubmission(id), l.lostErr, l.commitDone
-		l.mu.Unlock()
-		if pending == nil || !caller.MaySee(pending.row.Job.Workspace) {
-			return true
-		}
-		if lost != nil || ctx.Err() != nil {
-			return false
-		}
-		sleep.ForOrWake(ctx, idleInterval, commitDone)
+		return beingStored()
 	}
-}
-
-// State returns the state of a job as the store has it, or Running once a task has started. The verdict is Absent for
-// a job that doesn't exist for the caller.
-func (l *Leader) State(id work.ID, caller workspace.Caller) Result {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state, ok := l.pool.State(id)
--- a/leader/restore.go
+++ b/leader/restore.go
@@ -130,7 +130,7 @@
 		return
 	}
 	if job.Refused {
-		l.noteRefused(row, job)
+		l.admission.refused.note(work.ID(row.Key), newRefusedRow(row.Version, job))
 		return
 	}
 	now := l.Now()
--- a/leader/rows.go
+++ b/leader/rows.go
@@ -48,6 +48,12 @@
 	At    time.Time  `json:"at"`
 	// Refused states that no try of the job was accepted so far; the row has no job then.
 	Refused bool `json:"refused,omitempty"`
+	// Cancelled has the workspaces for which the job was cancelled before it was stored, "" for none. The row keeps every try of
+	// theirs out, and nobody else's.
+	Cancelled []string `json:"cancelled,omitempty"`
+	// RefusedAt is the version of the store at which the newest try was refused: this row's own if it is missing, and 0 if none
+	// was. Earlier tries than that are kept out, whoever's.
+	RefusedAt *int64 `json:"refusedAt,omitempty"`
 }
 
 // inboxRow is the value of an inbox row. The key has the job's ID and whether the row cancels the job.
@@ -91,12 +97,6 @@
 	return job, fault.Wrap(fault.Invalid, job.Job.Check(), "row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
 }
 
-// isRefused reports whether a row at a job's key states that the job was refused.
-func isRefused(row platform.Row) bool {
-	var job jobRow
-	return decode(row, &job) == nil && job.Refused
-}
-
 func decode(row platform.Row, into any) error {
 	return fault.Wrap(fault.Invalid, json.Unmarshal(row.Value, into), "decode row %s of table %s in partition %s", row.Key, row.Table, row.Partition)
 }
--- a/standin/verify.go
+++ b/standin/verify.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
+	"time"
 
 	"gypsumlead/work"
 )
 
 // Verify returns all violations; call it once every job has had time to finish. Beside those recorded so far, it
 // reports accepted jobs that are not finished or whose state doesn't match their runs, jobs that ran though they were
-// refused, and long-running tasks that aren't running.
+// refused, jobs that run though they were cancelled, and long-running tasks that aren't running.
 func (c *Checker) Verify(stateOf func(id work.ID) work.State) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -21,7 +22,7 @@
 
 // verifyJob returns what is wrong with a job in its last state.
 func (c *Checker) verifyJob(id work.ID, jr *jobRecord, state work.State) []string {
-	started, done, failed, crashed := false, true, false, false
+	started, done, failed, crashed, active := false, true, false, false, false
 	for stepIndex, step := range jr.job.Steps {
 		for i := range step.Count {
 			tr := c.tasks[work.Task{Job: id, Step: stepIndex, Index: i}.String()]
@@ -30,6 +31,7 @@
 				continue
 			}
 			started = true
+			active = active || len(tr.active) > 0
 			done = done && tr.done != nil
 			failed = failed || len(tr.fails) >= jr.attempts
 			crashed = crashed || tr.crashes >= minRunnerCrashes
@@ -40,6 +42,8 @@
 		return []string{fmt.Sprintf("job %s ran though every reply refused it", id)}
 	case jr.lastRefused && started:
 		return []string{fmt.Sprintf("job %s ran though the reply to its last try refused it", id)}
+	case active && !jr.cancelledAt.IsZero():
+		return []string{fmt.Sprintf("tasks of job %s run at the end, %v after its cancellation", id, time.Since(jr.cancelledAt))}
 	case !jr.accepted:
 	case state == work.Done && !done:
 		return []string{fmt.Sprintf("job %s is reported as completed, but not all of its tasks are done", id)}
