--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -34,9 +34,10 @@
 const retryDelay = time.Second
 
 // Submit submits a job to the leader of its service, here or on another daemon. If the leader can't be reached, the
-// job is handed off through the store. A try that was certainly not stored is repeated for up to submitPatience.
-func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result {
-	giveUpAt := d.now().Add(submitPatience)
+// job is handed off through the store. A try that was certainly not stored is repeated for up to submitPatience, of which the request
+// has waited a part.
+func (d *Daemon) Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job, waited time.Duration) leader.Result {
+	giveUpAt := d.now().Add(submitPatience - waited)
 	seen := d.store.SeenVersion() // what is stored by then was there before this try
 	for {
 		result := d.submitOnce(ctx, id, q, job, seen)
--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -30,7 +30,8 @@
 
 // Dispatcher executes callers' requests, here or on another daemon; it is safe for concurrent use.
 type Dispatcher interface {
-	Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job) leader.Result
+	// Submit submits a job whose request has already waited for the configuration to be confirmed.
+	Submit(ctx context.Context, id work.ID, q work.Queue, job work.Job, waited time.Duration) leader.Result
 	Cancel(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result
 	State(ctx context.Context, id work.ID, q work.Queue, caller workspace.Caller) leader.Result
 	Pending(ctx context.Context, q work.Queue) leader.Result
@@ -77,6 +78,7 @@
 		return
 	}
 	routes, confirmed := h.freshConfig(r.Context())
+	waited := time.Since(arrivedAt)
 	if routes == nil {
 		h.writeRetryLater(w, http.StatusServiceUnavailable, noConfigRetry, "no configuration yet")
 		return
@@ -95,7 +97,7 @@
 	defer cancel()
 	switch r.Method {
 	case http.MethodPost:
-		h.submit(ctx, w, r, routes, route, work.ID(id), caller)
+		h.submit(ctx, w, r, submission{routes, route, work.ID(id), caller, waited})
 	case http.MethodGet, http.MethodHead:
 		h.read(ctx, w, route, work.ID(id), caller)
 	case http.MethodDelete:
@@ -148,13 +150,22 @@
 	return time.Duration(float64(d) * (1 - replyReserve))
 }
 
+// submission is what is known of a request that submits a job before its body is read.
+type submission struct {
+	routes *cache.RouteTable
+	route  platform.Route
+	id     work.ID
+	caller workspace.Caller
+	waited time.Duration // for the configuration
+}
+
 // submit decodes a job, submits it and writes the response.
-func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, routes *cache.RouteTable, route platform.Route, id work.ID, caller workspace.Caller) {
-	if !id.Valid() {
+func (h *Handler) submit(ctx context.Context, w http.ResponseWriter, r *http.Request, s submission) {
+	if !s.id.Valid() {
 		h.writeError(w, http.StatusBadRequest, 0, "the path must end with the job's ID of 16 hexadecimal digits")
 		return
 	}
-	maxBody := routes.Limits.Body
+	maxBody := s.routes.Limits.Body
 	if maxBody <= 0 {
 		maxBody = defaultMaxBody
 	}
@@ -178,14 +189,14 @@
 		h.writeError(w, http.StatusBadRequest, 0, err.Error())
 		return
 	}
-	if !route.Public {
-		job.Workspace = caller.Workspace
+	if !s.route.Public {
+		job.Workspace = s.caller.Workspace
 	}
 	start := time.Now()
-	result := h.dispatcher.Submit(ctx, id, route.Queue, job)
+	result := h.dispatcher.Submit(ctx, s.id, s.route.Queue, job, s.waited)
 	took := time.Since(start)
 	h.ObserveSubmit(verdictLabels[result.Verdict], took)
-	h.log.Info("job", zap.String("job", string(id)), zap.String("queue", route.Queue.Name), leader.WorkspaceField(job.Workspace), zap.Int64("config", routes.Version),
+	h.log.Info("job", zap.String("job", string(s.id)), zap.String("queue", s.route.Queue.Name), leader.WorkspaceField(job.Workspace), zap.Int64("config", s.routes.Version),
 		zap.String("answer", verdictLabels[result.Verdict]), zap.String("why", result.Why), zap.Duration("retry", result.Retry), zap.Duration("took", took))
 	switch result.Verdict {
 	case leader.Accepted:
--- a/jobapi/keys_test.go
+++ b/jobapi/keys_test.go
@@ -43,7 +43,7 @@
 	return s.result
 }
 
-func (s *site) Submit(_ context.Context, _ work.ID, _ work.Queue, job work.Job) leader.Result {
+func (s *site) Submit(_ context.Context, _ work.ID, _ work.Queue, job work.Job, _ time.Duration) leader.Result {
 	return s.record(workspace.Of(job.Workspace))
 }
 
