--- a/sched/incarnation.go
+++ b/sched/incarnation.go
@@ -71,7 +71,7 @@
 				run.carryOver()
 			}
 		}
-		r.lastEnd, r.ackedEnd, r.pendingEnds = 0, 0, nil
+		r.lastEnd, r.ackedEnd, r.droppedEnd, r.pendingEnds = 0, 0, 0, nil
 		r.health = health{}
 		r.forgetOrphans()
 		r.answerDueAt, r.pollFailed = time.Time{}, false
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -24,6 +24,7 @@
 	inheritedExpiry time.Time     // if inherited: when everything an earlier leader ordered has certainly ended
 	lastEnd         int64         // highest end number handled
 	ackedEnd        int64         // ends up to this number may be acknowledged
+	droppedEnd      int64         // ends up to this number are no longer listed
 	pendingEnds     []pendingEnd
 	runs            map[*taskRun]struct{}
 	trials          int       // runs that are trials
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -159,15 +159,24 @@
 	return deadline
 }
 
-// AckCursor returns the number up to which a runner's ends are committed, so that the runner may drop them.
+// AckCursor returns the number up to which a runner's ends are committed, so that the runner may drop them. It returns 0 once the runner
+// lists none of them any more: a poll that reaches its next incarnation, which numbers its ends from 1 again, must drop none there.
 func (p *Pool) AckCursor(id string) int64 {
 	r, ok := p.runners[id]
-	if !ok || r.pollFailed {
-		return 0 // it may have restarted and number its ends from 1 again
+	if !ok || r.pollFailed || r.ackedEnd <= r.droppedEnd {
+		return 0
 	}
 	return r.ackedEnd
 }
 
+// noteDropped records which ends the runner has dropped, by the list in its answer.
+func (r *runner) noteDropped(ends []work.RunEnd) {
+	r.droppedEnd = r.ackedEnd
+	if len(ends) > 0 {
+		r.droppedEnd = min(r.droppedEnd, ends[0].N-1)
+	}
+}
+
 // HasUncommittedEnds reports whether ends of the runner's runs wait for a commit.
 func (p *Pool) HasUncommittedEnds(id string) bool {
 	r, ok := p.runners[id]
@@ -202,6 +211,7 @@
 	r.lease.ObserveClock(result.Clock, now)
 	r.polledAt, r.listedClock = now, result.Clock
 	r.answerDueAt, r.pollFailed = time.Time{}, false
+	r.noteDropped(result.Ends)
 	for _, e := range result.Ends {
 		p.handleEnd(now, r, e)
 	}
