--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,8 +93,12 @@
 	acquiring  map[string]struct{}       // services whose lease is being acquired
 	unfitUntil map[string]time.Time      // until when services whose state couldn't be loaded are left to other daemons
 	recheck    chan struct{}             // wakes runElections
+	configured []string                  // services of the configuration last seen
+	stranded   []string                  // services that are not configured and have jobs
 	readiness  readiness
 
+	serviceLeft chan struct{} // wakes runStranded
+
 	callers        *callerServer
 	callerListener net.Listener
 	readyListener  net.Listener
@@ -149,6 +153,7 @@
 		acquiring:   map[string]struct{}{},
 		unfitUntil:  map[string]time.Time{},
 		recheck:     make(chan struct{}, 1),
+		serviceLeft: make(chan struct{}, 1),
 		leaseConfig: leaseConfigOf(conf),
 		interests:   newInterests(),
 	}
@@ -248,6 +253,7 @@
 	g.Go(func() error { return d.runnerList.Run(serveCtx) })
 	g.Go(func() error { return d.runnerList.ExpireMissing(serveCtx) })
 	g.Go(func() error { return d.runElections(serveCtx, g) })
+	g.Go(func() error { return d.runStranded(serveCtx) })
 	g.Go(func() error { return d.watchReadiness(serveCtx) })
 	if d.claims != nil {
 		g.Go(func() error { return d.claims.Watch(serveCtx) })
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -83,7 +83,7 @@
 	if !slices.ContainsFunc(live, func(n member.Node) bool { return n.Boot == d.boot }) {
 		return nil
 	}
-	services := d.services()
+	services := d.servicesToServe()
 	plan := member.Assign(services, live)
 	var list []string
 	for i, s := range services {
@@ -263,6 +263,7 @@
 	for _, l := range d.localLeaders() {
 		d.configure(l)
 	}
+	d.noteServices()
 	d.updatePeerTargets()
 	d.updateInterests(d.ledServices())
 	d.wakeElections()
--- a/daemon/machines.go
+++ b/daemon/machines.go
@@ -39,6 +39,7 @@
 		RecentClaims:   d.claims.Recent,
 		Leaders:        d.machineLeaders,
 		SparePool:      d.standbyService,
+		Configured:     func(service string) bool { return slices.Contains(d.services(), service) },
 		Send:           d.sendReport,
 	})
 	d.coordinator = machines.NewCoordinator(machines.CoordinatorDeps{
--- a/daemon/operator_api.go
+++ b/daemon/operator_api.go
@@ -61,14 +61,27 @@
 	}
 }
 
+// servicesOfJobs returns the services that may have jobs: the configured ones, and those that have jobs in the store. After an error
+// the latter are missing.
+func (d *Daemon) servicesOfJobs(ctx context.Context) ([]string, error) {
+	services := d.services()
+	withJobs, err := leader.ServicesWithJobs(ctx, d.store)
+	for _, service := range withJobs {
+		if !slices.Contains(services, service) {
+			services = append(services, service)
+		}
+	}
+	return services, err
+}
+
 // GetJob returns the state of a job; it asks all services for it.
 func (o operatorAPI) GetJob(ctx context.Context, p oas.GetJobParams) (*oas.Job, error) {
 	if o.d.operatorState.Config() == nil {
 		return nil, fault.New(fault.Unavailable, "no configuration yet, so the services are unknown: ask another daemon")
 	}
-	var last error
-	for _, name := range o.d.services() {
-		result := o.d.State(ctx, work.ID(p.ID), work.Queue{Service: name}, workspace.Anyone())
+	services, last := o.d.servicesOfJobs(ctx)
+	for _, name := range services {
+		result := o.d.stateAt(ctx, work.ID(p.ID), name, workspace.Anyone())
 		switch result.Verdict {
 		case leader.Accepted:
 			return &oas.Job{ID: p.ID, Service: name, State: string(result.State), Waits: o.d.rackWaits(name, work.ID(p.ID))}, nil
--- a/daemon/transfer.go
+++ b/daemon/transfer.go
@@ -25,7 +25,7 @@
 		return nil
 	}
 	live := d.members.Candidates()
-	plan := member.Assign(d.services(), live)
+	plan := member.Assign(d.servicesToServe(), live)
 	var list []*leader.Leader
 	for s, l := range d.leaders {
 		i := slices.IndexFunc(live, func(n member.Node) bool { return n.Name == plan[s] })
--- a/emulator/moved_queue_test.go
+++ b/emulator/moved_queue_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -151,6 +152,58 @@
 	}
 }
 
+// Guards against jobs that nobody runs any more, since their service has left the configuration: it is led until it has no jobs, also by
+// daemons that have started after that.
+func TestJobsOutliveTheirService(t *testing.T) {
+	for i, scenario := range []struct {
+		name   string
+		losses func(c *Cluster, leader string)
+	}{
+		{"nothing else happens", func(*Cluster, string) {}},
+		{"its leader is killed", func(c *Cluster, leader string) { killAndStart(c, leader) }},
+		{"its leader shuts down for good", func(c *Cluster, leader string) { c.Stop(leader) }},
+		{"all daemons start anew", func(c *Cluster, _ string) { c.PowerCycle(500 * time.Millisecond) }},
+	} {
+		t.Run(scenario.name, func(t *testing.T) {
+			size := Small
+			size.SteadyConfig, size.SpareMachines = true, 0
+			runScenario(t, size, uint64(170+i), func(t *testing.T, c *Cluster) {
+				jobs, lasting := acceptJobs(t, c, "s0")
+				c.changeConfig(func(config *config) {
+					config.sendQueue("s0", "s1")
+					config.Services = slices.DeleteFunc(config.Services, func(s configService) bool { return s.Name == "s0" })
+				})
+				time.Sleep(configTime)
+				scenario.losses(c, c.Leader("s0"))
+				time.Sleep(6 * time.Second)
+				requireKnownEverywhere(t, c, "s0", jobs)
+				submitEvenly(c, "s0", 6, 2*time.Second, batchShape)
+				time.Sleep(40 * time.Second)
+				for _, job := range jobs {
+					require.Equal(t, work.Done, c.State(job.id), job.id)
+				}
+				require.True(t, c.Cancel(lasting))
+				time.Sleep(5 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a leader of a service that isn't configured and has no jobs.
+func TestServiceWithoutJobsIsNotLedOnceItLeaves(t *testing.T) {
+	size := Small
+	size.SteadyConfig, size.SpareMachines = true, 0
+	runScenario(t, size, 174, func(t *testing.T, c *Cluster) {
+		submitEvenly(c, "s1", 3, time.Second, batchShape)
+		c.changeConfig(func(config *config) {
+			config.sendQueue("s0", "s1")
+			config.Services = slices.DeleteFunc(config.Services, func(s configService) bool { return s.Name == "s0" })
+		})
+		time.Sleep(2 * configTime)
+		require.Contains(t, string(c.Store.Get("hold", "s0", "seat")), `"released":true`)
+	})
+}
+
 // Guards against a job that two services store: its caller leaves early and hands it in again at the next daemon, while a version of
 // the configuration spreads that sends the queue to another service, over a store that is slow, loses answers or writes late.
 func TestJobIsStoredOnceWhileItsQueueMoves(t *testing.T) {
--- a/home/directory.go
+++ b/home/directory.go
@@ -169,6 +169,34 @@
 	return services, nil
 }
 
+// DropFormer drops a former service of an open gate, which has no jobs of the queue any more and can get none while the gate is
+// open. It returns the gate without it.
+func (d *Directory) DropFormer(ctx context.Context, g Gate, service string) (Gate, error) {
+	home, version, err := d.readHome(ctx, g.Path)
+	if err != nil {
+		return g, err
+	}
+	if home.Service == g.Service && slices.Contains(home.Former, service) {
+		home.Former = without(home.Former, service)
+		if _, err := d.put(ctx, homeKey(g.Path), version, home); err != nil {
+			return g, err
+		}
+	}
+	d.Forget(g)
+	next := Gate{Service: g.Service, Path: g.Path, Former: without(g.Former, service)}
+	if next.Version, err = d.put(ctx, g.Key(), g.Version, gateRow{Open: true, Config: home.Config, Former: next.Former}); err != nil {
+		return g, err
+	}
+	d.log.Info("queue has no jobs left where it was sent before", zap.String("path", g.Path), zap.String("service", service))
+	d.Record(work.Queue{Service: g.Service, Path: g.Path}, next.Version, next.Former)
+	return next, nil
+}
+
+// without returns the services other than one.
+func without(services []string, service string) []string {
+	return slices.DeleteFunc(slices.Clone(services), func(name string) bool { return name == service })
+}
+
 // Services returns the services whose partitions may hold jobs of a queue, by a reading of the store: that which takes new ones
 // first. It returns none if no job of the queue was ever stored.
 func (d *Directory) Services(ctx context.Context, path string) ([]string, error) {
--- a/home/directory_test.go
+++ b/home/directory_test.go
@@ -133,6 +133,31 @@
 	})
 }
 
+// A queue that has moved must not cost a read for each new job for good.
+func TestFormerServiceWithoutJobsIsDropped(t *testing.T) {
+	onSite(t, 1, 1, func(t *testing.T, s *site) {
+		d := NewDirectory(s.clients[0], zap.NewNop())
+		for version, service := range []string{"a", "b", "c"} {
+			_, err := d.Open(t.Context(), queueAt(service, int64(version)))
+			require.NoError(t, err)
+		}
+		gate, err := d.Open(t.Context(), queueAt("c", 2))
+		require.NoError(t, err)
+		require.Equal(t, []string{"a", "b"}, gate.Former)
+		dropped, err := d.DropFormer(t.Context(), gate, "a")
+		require.NoError(t, err)
+		require.Equal(t, []string{"b"}, dropped.Former)
+		again, err := NewDirectory(s.clients[0], zap.NewNop()).Open(t.Context(), queueAt("c", 2))
+		require.NoError(t, err)
+		require.Equal(t, dropped, again)
+		services, err := d.Services(t.Context(), "jobs.example/q/")
+		require.NoError(t, err)
+		require.Equal(t, []string{"c", "b"}, services)
+		_, err = d.DropFormer(t.Context(), gate, "b")
+		require.Error(t, err, "by an earlier version of the gate")
+	})
+}
+
 // Long paths have keys of their own within the store's limit.
 func TestKeysOfLongPaths(t *testing.T) {
 	long := "jobs.example/" + strings.Repeat("x", 300)
@@ -157,6 +182,7 @@
 	if err != nil {
 		return
 	}
+	gate = p.dropEmpty(ctx, gate)
 	for _, former := range gate.Former {
 		page, err := p.client.GetRow(ctx, platform.RowKey{Table: "job", Partition: former, Key: id})
 		if err != nil || len(page.Rows) > 0 {
@@ -175,6 +201,21 @@
 	}
 }
 
+// dropEmpty drops the first former service that has no jobs, as leaders do from time to time.
+func (p *placer) dropEmpty(ctx context.Context, gate Gate) Gate {
+	for _, former := range gate.Former {
+		page, err := p.client.ScanPartition(ctx, "job", former)
+		if err != nil || len(page.Rows) > 0 {
+			continue
+		}
+		if gate, err = p.directory.DropFormer(ctx, gate, former); err != nil {
+			p.directory.Forget(gate)
+		}
+		break
+	}
+	return gate
+}
+
 // Guards against a job that is stored by two services: daemons with different versions of the configuration hand in the same jobs at
 // the same time, again and again, while queues move there and back, answers are lost and writes are carried out late.
 func TestNoJobIsStoredByTwoServices(t *testing.T) {
--- a/leader/home.go
+++ b/leader/home.go
@@ -51,12 +51,17 @@
 // first, and then of those that move to it. The caller holds l.mu.
 func (l *Leader) noteQueues(queues []work.Queue) {
 	sentTo := make(map[string]string, len(queues))
+	l.queues = nil
 	for _, q := range queues {
+		sentTo[q.Key()] = q.Service
+		if q.Service != l.lease.Service {
+			continue
+		}
+		l.queues = append(l.queues, q)
 		before, known := l.sentTo[q.Key()]
-		if q.Service == l.lease.Service && (l.sentTo == nil || (known && before != q.Service)) {
+		if l.sentTo == nil || (known && before != q.Service) {
 			l.queuesAhead = append(l.queuesAhead, q)
 		}
-		sentTo[q.Key()] = q.Service
 	}
 	l.sentTo = sentTo
 	if len(l.queuesAhead) > 0 {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -76,6 +76,7 @@
 	isolation       isolation
 	admission       admission
 	sentTo          map[string]string    // service that the configuration sends each queue to, by the queue's key
+	queues          []work.Queue         // that the configuration sends to this service
 	queuesAhead     []work.Queue         // whose gates are to be opened before jobs need them
 	guarded         bool                 // the service's runners reject what exceeds their room
 	workspaces      []platform.Workspace // as configured; empty if callers need no keys
@@ -189,6 +190,7 @@
 	l.group.Go(func() error { return l.resolveLoop(l.ctx) })
 	l.group.Go(func() error { return l.confirmLoop(l.ctx) })
 	l.group.Go(func() error { return l.gateLoop(l.ctx) })
+	l.group.Go(func() error { return l.formerLoop(l.ctx) })
 	err := l.group.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/machines/pool_manager.go
+++ b/machines/pool_manager.go
@@ -47,6 +47,7 @@
 	RecentClaims   func() map[string]int64                           // versions of the claims by which orders may take machines down now, by machine
 	Leaders        func() []Leader                                   // the services that this daemon leads
 	SparePool      func() string                                     // service of the spare pool, or "" if there is none
+	Configured     func(service string) bool                         // the configuration has the service, and thus its pool
 	Send           func(ctx context.Context, r Report) (Reply, bool) // sends a report to the coordinator; false if it was not delivered
 }
 
@@ -139,7 +140,7 @@
 		p.beginTerm(leader, runners)
 	}
 	report := Report{Service: leader.Service(), Term: leader.Term()}
-	if p.SparePool() != "" {
+	if p.SparePool() != "" && p.Configured(leader.Service()) {
 		p.scale(now, leader, runners, &report)
 	}
 	p.maintain(now, leader, runners, &report)
--- a/machines/pool_manager_term_test.go
+++ b/machines/pool_manager_term_test.go
@@ -57,7 +57,7 @@
 	now := time.Date(2026, 1, 1, 5, 0, 0, 0, time.UTC)
 	p := NewPoolManager(PoolManagerDeps{
 		Log: zap.NewNop(), Now: func() time.Time { return now }, Waves: NewWaveTracker(nil, zap.NewNop(), watch.NewInterest()),
-		RequestedWaves: func() []platform.Wave { return waves }, RecentClaims: func() map[string]int64 { return nil }, SparePool: func() string { return spare },
+		RequestedWaves: func() []platform.Wave { return waves }, RecentClaims: func() map[string]int64 { return nil }, SparePool: func() string { return spare }, Configured: func(string) bool { return true },
 		Send: func(context.Context, Report) (Reply, bool) { return Reply{Known: true}, true },
 	})
 	p.replies[fakeService] = Reply{Known: true, Short: 6}
--- a/machines/pool_manager_test.go
+++ b/machines/pool_manager_test.go
@@ -75,6 +75,7 @@
 		RecentClaims:   func() map[string]int64 { return nil },
 		Leaders:        func() []Leader { return []Leader{pt.leader} },
 		SparePool:      func() string { return sparePool },
+		Configured:     func(string) bool { return true },
 		Send:           func(context.Context, Report) (Reply, bool) { return pt.reply, true },
 	})
 	return pt
