--- a/jobapi/handler.go
+++ b/jobapi/handler.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,7 +85,7 @@
 		return
 	}
 	route, id, ok := routes.Match(r.Host, r.URL.Path)
-	if !ok {
+	if !ok || strings.Contains(id, "/") { // of a queue below this one's prefix, which may have been removed
 		h.log.Info("no such queue", zap.String("method", r.Method), zap.Int64("config", routes.Version), zap.Duration("confirmed", h.config.Age()))
 		h.writeNotFound(w, r, confirmed)
 		return
--- a/jobapi/verdict_test.go
+++ b/jobapi/verdict_test.go
@@ -38,3 +38,13 @@
 		require.NotEmpty(t, verdictLabels[v], "%d", v)
 	}
 }
+
+// Guards against an answer that an accepted job doesn't exist, because its queue's route is removed and its path begins with another
+// queue's prefix.
+func TestPathOfARemovedQueueBelowAnother(t *testing.T) {
+	s := newSite(t)
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodDelete} {
+		s.request(http.StatusNotFound, method, "/q/removed/0123456789abcdef", "Bearer k1")
+	}
+	require.Empty(t, s.callers)
+}
