--- a/emulator/callers.go
+++ b/emulator/callers.go
@@ -122,10 +122,7 @@
 // submitInBackground submits a registered job and polls it until it ends, in a new goroutine.
 func (c *Cluster) submitInBackground(id work.ID, sub *submission, wire wireJob) {
 	rng := c.newRand()
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
+	body := encodeJob(wire)
 	c.wg.Go(func() {
 		if c.submitWithRetry(id, sub, body, rng) {
 			c.pollUntilFinal(id, sub, rng)
@@ -133,6 +130,15 @@
 	})
 }
 
+// encodeJob returns the body of a request that submits a job.
+func encodeJob(wire wireJob) []byte {
+	body, err := json.Marshal(wire)
+	if err != nil {
+		panic(err) // values made by the emulator always encode
+	}
+	return body
+}
+
 // register gives a new job an ID and a workspace, in turn, and tells the Checker of it.
 func (c *Cluster) register(service string, job work.Job) (work.ID, *submission) {
 	c.mu.Lock()
--- a/emulator/cancel_test.go
+++ b/emulator/cancel_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -53,10 +52,7 @@
 // submitAndCancel submits a job and may cancel it some time later; the job may then be submitted again.
 func submitAndCancel(c *Cluster, service string, shape JobShape) {
 	wire, job := c.NewBatchJob(shape)
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
+	body := encodeJob(wire)
 	id, sub := c.register(service, job)
 	rng := c.newRand()
 	c.wg.Go(func() {
--- a/emulator/cancel_unstored_test.go
+++ b/emulator/cancel_unstored_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -18,10 +17,7 @@
 // acknowledged: with 200, or 410 as there is no such job. The submission may then arrive once more.
 func submitAndLeave(c *Cluster, queue string, patience time.Duration, between func(taker string)) {
 	wire, job := c.NewLongRunningJob(2, 1, 500)
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
+	body := encodeJob(wire)
 	id, sub := c.register(queue, job)
 	rng := c.newRand()
 	c.wg.Go(func() {
@@ -125,22 +121,12 @@
 			runScenario(t, randomSite(seed), seed, func(_ *testing.T, c *Cluster) {
 				rng := rand.New(rand.NewPCG(seed, 96))
 				submitEvenly(c, "s0", 4, time.Second, batchShape)
-				for n := range 100 {
-					queue := serviceName(rng.IntN(2))
+				runMovingQueues(c, rng, 12, func(n int, queue string) {
 					submitAndLeave(c, queue, time.Duration(50+rng.IntN(1500))*time.Millisecond, func(string) {})
 					if n%5 == 0 {
 						submitAndCancel(c, queue, batchShape)
 					}
-					if rng.IntN(4) == 0 {
-						injectOutage(c, rng)
-					}
-					if rng.IntN(12) == 0 {
-						sendQueue(c, queue, serviceName(rng.IntN(2)))
-					}
-					time.Sleep(300 * time.Millisecond)
-				}
-				repairAll(c)
-				time.Sleep(30 * time.Second)
+				})
 			})
 		})
 	}
--- a/emulator/moved_queue_test.go
+++ b/emulator/moved_queue_test.go
@@ -243,10 +243,7 @@
 // submitImpatiently submits a job, each time at another daemon, until it is accepted. The caller waits for each answer for a time only.
 func submitImpatiently(c *Cluster, queue string, patience time.Duration) {
 	wire, job := c.NewBatchJob(batchShape)
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
+	body := encodeJob(wire)
 	id, sub := c.register(queue, job)
 	rng := c.newRand()
 	c.wg.Go(func() {
@@ -282,23 +279,31 @@
 			size.Services = 3
 			runScenario(t, size, seed, func(t *testing.T, c *Cluster) {
 				rng := rand.New(rand.NewPCG(seed, 97))
-				for n := range 100 {
-					queue := serviceName(rng.IntN(2))
+				runMovingQueues(c, rng, 6, func(n int, queue string) {
 					submitImpatiently(c, queue, time.Duration(200+rng.IntN(2000))*time.Millisecond)
 					if n%4 == 0 {
 						submitAndCancel(c, queue, batchShape)
 					}
-					if rng.IntN(4) == 0 {
-						injectOutage(c, rng)
-					}
-					if rng.IntN(6) == 0 {
-						sendQueue(c, queue, serviceName(rng.IntN(3)))
-					}
-					time.Sleep(300 * time.Millisecond)
-				}
-				repairAll(c)
-				time.Sleep(30 * time.Second)
+				})
 			})
 		})
 	}
 }
+
+// runMovingQueues has callers hand in jobs of two queues, while daemons and the store have random troubles and a queue is sent to another
+// service at one of so many steps.
+func runMovingQueues(c *Cluster, rng *rand.Rand, moveEach int, submit func(n int, queue string)) {
+	for n := range 100 {
+		queue := serviceName(rng.IntN(2))
+		submit(n, queue)
+		if rng.IntN(4) == 0 {
+			injectOutage(c, rng)
+		}
+		if rng.IntN(moveEach) == 0 {
+			sendQueue(c, queue, serviceName(rng.IntN(c.size.Services)))
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	repairAll(c)
+	time.Sleep(30 * time.Second)
+}
--- a/emulator/refusal_test.go
+++ b/emulator/refusal_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -95,10 +94,7 @@
 // does something else instead, or submits the job again later if returns says so.
 func submitTrusting(c *Cluster, service string, shape JobShape, returns func(*rand.Rand) bool) {
 	wire, job := c.NewBatchJob(shape)
-	body, err := json.Marshal(wire)
-	if err != nil {
-		panic(err) // values made by the emulator always encode
-	}
+	body := encodeJob(wire)
 	id, sub := c.register(service, job)
 	rng := c.newRand()
 	c.wg.Go(func() {
--- a/leader/confirm_test.go
+++ b/leader/confirm_test.go
@@ -28,6 +28,16 @@
 	return l, ended
 }
 
+// leadIdle starts a daemon that leads the service, which has no jobs and no runners. The channel is closed when the leadership has ended.
+func (f *fleet) leadIdle(ctx context.Context, t *testing.T) (*fleetMember, *Leader, chan struct{}) {
+	m := f.start("old", "1", 1)
+	time.Sleep(2 * time.Second)
+	lease, err := f.acquire(ctx, m)
+	require.NoError(t, err)
+	l, ended := f.lead(ctx, m, lease)
+	return m, l, ended
+}
+
 // Guards against a leader that goes on for good beside its successor, because it has nothing to commit and no runners.
 func TestIdleLeaderLearnsOfItsSuccessor(t *testing.T) {
 	for _, scenario := range []struct {
@@ -41,13 +51,9 @@
 	} {
 		t.Run(scenario.name, func(t *testing.T) {
 			onFleet(t, func(t *testing.T, f *fleet) {
-				m := f.start("old", "1", 1)
-				time.Sleep(2 * time.Second)
-				lease, err := f.acquire(t.Context(), m)
-				require.NoError(t, err)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				l, ended := f.lead(ctx, m, lease)
+				m, l, ended := f.leadIdle(ctx, t)
 				time.Sleep(9 * time.Second)
 				require.True(t, l.HasAuthority(), "the lease is still its own")
 				l.Doubt()
@@ -75,13 +81,9 @@
 // confirmInterval, and no write.
 func TestIdleLeaderConfirmsItsLeaseRarely(t *testing.T) {
 	onFleet(t, func(t *testing.T, f *fleet) {
-		m := f.start("old", "1", 1)
-		time.Sleep(2 * time.Second)
-		lease, err := f.acquire(t.Context(), m)
-		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		l, _ := f.lead(ctx, m, lease)
+		_, l, _ := f.leadIdle(ctx, t)
 		time.Sleep(7 * time.Second)
 		before, commits := f.store.CallCounts(), l.leaseRow.Commits
 		time.Sleep(10 * confirmInterval)
--- a/leader/handoff_cancel.go
+++ b/leader/handoff_cancel.go
@@ -117,11 +117,11 @@
 	if refused, ok := storedRefusal(job); ok {
 		return refused, Result{Verdict: Absent, Final: true}, !refused.cancels(caller)
 	}
-	stored, err := decodeJob(job)
+	visible, err := isVisible(job, caller)
 	switch {
-	case err != nil && !caller.Any:
+	case err != nil:
 		return refusedRow{}, unreadableOwner(err), false
-	case err == nil && !caller.MaySee(stored.Job.Workspace):
+	case !visible:
 		return refusedRow{}, Result{Verdict: Absent, Final: true}, false
 	}
 	if err := cancelRow(ctx, h.store, gate.Service, id, job.Version); err != nil {
@@ -135,21 +135,14 @@
 // store has no such job that exists for the caller. After an error nothing was written, or the cancellation of that job may have
 // been.
 func CancelStored(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (Result, error) {
-	page, err := store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
-	if err != nil {
-		return Result{}, err
-	}
-	if len(page.Rows) == 0 {
-		return Result{Verdict: Absent}, nil
-	}
-	job, err := decodeJob(page.Rows[0])
+	row, ok, err := visibleJob(ctx, store, service, id, caller)
 	switch {
-	case err != nil && !caller.Any:
-		return Result{}, err // without the owner nothing may be done
-	case err == nil && (job.Refused || !caller.MaySee(job.Job.Workspace)):
+	case err != nil:
+		return Result{}, err
+	case !ok:
 		return Result{Verdict: Absent}, nil
 	}
-	return Result{Verdict: Accepted, State: work.Cancelled}, cancelRow(ctx, store, service, id, page.Rows[0].Version)
+	return Result{Verdict: Accepted, State: work.Cancelled}, cancelRow(ctx, store, service, id, row.Version)
 }
 
 // cancelRow writes the cancellation of a stored job to the inbox of its service. The job's row must have a version: the store may
--- a/leader/home.go
+++ b/leader/home.go
@@ -124,12 +124,8 @@
 	if err != nil || !found {
 		return "", err
 	}
-	stored, err := decodeJob(moved.row)
-	if err != nil && !caller.Any {
-		return "", err // without the owner nothing may be told of the job
-	}
-	if err == nil && (stored.Refused || !caller.MaySee(stored.Job.Workspace)) {
-		return "", nil
+	if visible, err := isVisible(moved.row, caller); err != nil || !visible {
+		return "", err
 	}
 	return moved.service, nil
 }
--- a/leader/ownership.go
+++ b/leader/ownership.go
@@ -40,14 +40,11 @@
 	if err != nil || started {
 		return Result{State: state}, err
 	}
-	page, err := store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
-	if err != nil {
+	_, ok, err := visibleJob(ctx, store, service, id, workspace.Caller{Any: true})
+	switch {
+	case err != nil:
 		return Result{}, err
-	}
-	if len(page.Rows) == 0 {
-		return Result{Verdict: Absent}, nil
-	}
-	if _, refused := storedRefusal(page.Rows[0]); refused {
+	case !ok:
 		return Result{Verdict: Absent}, nil
 	}
 	return Result{State: work.Queued}, nil
@@ -56,18 +53,11 @@
 // ownedState reads a job's state from the store for a caller that may not see all jobs. The owner is read first: without it nothing may
 // be told of the job.
 func ownedState(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (Result, error) {
-	page, err := store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
-	if err != nil {
-		return Result{}, err
-	}
-	if len(page.Rows) == 0 {
-		return Result{Verdict: Absent}, nil
-	}
-	job, err := decodeJob(page.Rows[0])
-	if err != nil {
+	_, ok, err := visibleJob(ctx, store, service, id, caller)
+	switch {
+	case err != nil:
 		return Result{}, err
-	}
-	if job.Refused || !caller.MaySee(job.Job.Workspace) {
+	case !ok:
 		return Result{Verdict: Absent}, nil
 	}
 	state, started, err := progressState(ctx, store, service, id)
@@ -77,6 +67,29 @@
 	return Result{State: state}, err
 }
 
+// visibleJob reads the row of a job, and reports whether the store has it and it exists for the caller.
+func visibleJob(ctx context.Context, store *platform.Store, service string, id work.ID, caller workspace.Caller) (platform.Row, bool, error) {
+	page, err := store.GetRow(ctx, rowKey(tableJobs, service, string(id)))
+	if err != nil || len(page.Rows) == 0 {
+		return platform.Row{}, false, err
+	}
+	visible, err := isVisible(page.Rows[0], caller)
+	return page.Rows[0], visible, err
+}
+
+// isVisible reports whether the row at a job's key has a job that exists for the caller. After an error its owner is unknown, so that
+// nothing may be told of it.
+func isVisible(row platform.Row, caller workspace.Caller) (bool, error) {
+	job, err := decodeJob(row)
+	switch {
+	case err != nil && caller.Any:
+		return true, nil
+	case err != nil:
+		return false, err
+	}
+	return !job.Refused && caller.MaySee(job.Job.Workspace), nil
+}
+
 // progressState reads the state in a job's progress from the store, and whether the store has progress of it.
 func progressState(ctx context.Context, store *platform.Store, service string, id work.ID) (work.State, bool, error) {
 	first, last := progressKey(service, id, 0).Key, progressKey(service, id, maxProgressBytes/MaxRowBytes).Key
