--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds the stand of the scripts in review/11 and later, after the build of the deploy file.
+# Builds the stand-ins of the cases 11 to 15; the build of deploy/system.toml comes first. The cases 13 and 15 use those of the earlier reviews.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/stand3 ./review/stand3
+go build -tags review -ldflags=-linkmode=external -o target/ ./review/stand2 ./review/stand3
+go build -tags review -ldflags=-linkmode=external -o target/review-stand ./review/stand
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -1,10 +1,10 @@
+//go:build review
+
 package main
 
 import (
 	"errors"
 	"fmt"
-	"strings"
-	"sync"
 	"time"
 )
 
@@ -106,82 +106,3 @@
 	}
 	return ""
 }
-
-// flapCase: one of ten runners crashes again and again and comes back, while sound jobs run.
-func flapCase(s *scene) ([]string, error) {
-	s.addService("desk")
-	s.addQueue("desk", "desk", 0)
-	runners := s.addRunners("desk", 10, "a", capacity{16000, 65536, 0})
-	s.putConfig()
-	if err := s.addDaemons(3); err != nil {
-		return nil, err
-	}
-	time.Sleep(4 * time.Second)
-	var jobs []*job
-	for range 4 {
-		j := s.newJob("desk", step{Count: 5, CPU: 500, MemMb: 512, EstimateMs: 900, LongRunning: true})
-		jobs = append(jobs, j)
-		if !s.submit(j) {
-			return nil, errors.New("a lasting job was not accepted")
-		}
-	}
-	time.Sleep(3 * time.Second)
-	var wg sync.WaitGroup
-	stopAt := time.Now().Add(flapTime + 2*time.Second)
-	wg.Go(func() {
-		for time.Now().Before(stopAt) {
-			j := s.newJob("desk", step{Count: 6, CPU: 2200, MemMb: 2300, EstimateMs: 640, Work: 640 * time.Millisecond})
-			jobs = append(jobs, j)
-			s.submit(j)
-			time.Sleep(90 * time.Millisecond)
-		}
-	})
-	if s.trouble {
-		r := runners[4]
-		for end := time.Now().Add(flapTime); time.Now().Before(end); {
-			s.fleet.mu.Lock()
-			r.crash(false)
-			s.fleet.mu.Unlock()
-			time.Sleep(flapPeriod / 2)
-			s.fleet.mu.Lock()
-			r.start()
-			s.fleet.mu.Unlock()
-			time.Sleep(flapPeriod / 2)
-		}
-	}
-	wg.Wait()
-	s.note("end of the traffic")
-	time.Sleep(finishTime)
-	var broken []string
-	for _, j := range jobs {
-		if j.accepted.IsZero() {
-			continue
-		}
-		state := s.finalState(j)
-		if state == "failed" && s.fleet.failures(j) == 0 {
-			broken = append(broken, fmt.Sprintf("LOST: job %s is shown as failed, and no run of it has ended as failed", j.id))
-		} else if !j.lasts() && state != "completed" {
-			broken = append(broken, fmt.Sprintf("LOST: job %s is shown as %s", j.id, state))
-		}
-	}
-	return broken, nil
-}
-
-// failures returns how many runs of a job have ended as failed.
-func (f *fleet) failures(j *job) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for name, t := range f.tasks {
-		if strings.HasPrefix(name, j.id+".") {
-			n += len(t.failed)
-		}
-	}
-	return n
-}
-
-// Times of a runner that crashes again and again.
-const (
-	flapTime   = 6500 * time.Millisecond
-	flapPeriod = 1200 * time.Millisecond
-)
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/stand3/jobs.go
+++ b/review/stand3/jobs.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -86,16 +88,6 @@
 	return j.startAt.UnixMilli()
 }
 
-// lasts reports whether the job runs until it is cancelled.
-func (j *job) lasts() bool {
-	for _, st := range j.steps {
-		if st.LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // front returns the address of a random daemon.
 func (s *scene) front() string { return s.daemons[rand.IntN(len(s.daemons))].front }
 
@@ -140,16 +132,3 @@
 	_ = json.Unmarshal(body, &shown) // the status tells
 	return shown.State, status
 }
-
-// finalState asks for a job's state until some daemon shows one, for a while.
-func (s *scene) finalState(j *job) string {
-	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		if state, status := s.state(j); status == http.StatusOK || status == http.StatusGone {
-			if status == http.StatusGone {
-				return "gone"
-			}
-			return state
-		}
-	}
-	return "no answer"
-}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package main is the stand of the review's scripts: a platform, runners and clients on loopback addresses around the project's own
 // daemons, which run as separate processes on the real clock.
 package main
@@ -17,7 +19,7 @@
 
 // cases are the cases by name. A case returns what it found broken, or an error if it could not run.
 var cases = map[string]func(s *scene) ([]string, error){
-	"flap":   flapCase,
+	"late":   lateCase,
 	"spread": spreadCase,
 }
 
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -130,6 +132,9 @@
 // beat writes the runner's entry until its life ends, and removes it three intervals after that.
 func (r *runner) beat(life int) {
 	f := r.fleet
+	if life > 1 {
+		time.Sleep(time.Duration(rand.Int64N(int64(beatInterval)))) // it writes about every interval, not at its start
+	}
 	for {
 		f.mu.Lock()
 		if f.closed || r.life != life || r.down {
@@ -209,9 +214,11 @@
 			time.AfterFunc(delay, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
-				if r.life == life && !r.down {
-					r.carryOut(req.URL.Path, o)
+				if r.down {
+					return
 				}
+				_, reason := r.carryOut(req.URL.Path, o)
+				f.scene.note("%s of %s run %d, sent to life %d of %s, is carried out in life %d, %v after its start (%q)", req.URL.Path, o.Task, o.Run, life, r.id, r.life, time.Since(r.born), reason)
 			})
 		}
 		f.mu.Unlock()
@@ -478,7 +485,7 @@
 
 // extend extends the lease to a time on the runner's clock.
 func (r *runner) extend(until time.Duration) {
-	until = min(until, r.clock()+maxHold)
+	until = min(until, r.clock()+r.fleet.scene.maxHold)
 	if until <= r.lease {
 		return
 	}
--- a/review/stand3/scene.go
+++ b/review/stand3/scene.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -22,7 +24,6 @@
 
 // Bounds of the deployment, as of tvl-refill.
 const (
-	maxHold       = 10 * time.Second
 	stopTimeout   = 200 * time.Millisecond
 	gangTimeout   = 3 * time.Second
 	saveInterval  = time.Second
@@ -37,6 +38,7 @@
 // scene is a running deployment.
 type scene struct {
 	trouble bool
+	maxHold time.Duration // longest lease
 	begun   time.Time
 	mu      sync.Mutex
 	record  io.WriteCloser
@@ -79,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{trouble: trouble, begun: time.Now(), record: record, folder: folder}
+	s := &scene{trouble: trouble, maxHold: 10 * time.Second, begun: time.Now(), record: record, folder: folder}
 	s.store = standin.NewStore(rand.New(rand.NewPCG(1, 2)))
 	s.fleet = newFleet(s)
 	s.config = config{Version: 1, Limits: map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144}}
@@ -177,7 +179,7 @@
 			"memory":      memoryLimitMB,
 			"descriptors": 4100,
 			"bounds": map[string]any{
-				"hold": "10000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
+				"hold": fmt.Sprintf("%dms", s.maxHold.Milliseconds()), "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
 				"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 3,
 			},
 		}
