--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,6 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins of the cases 11 to 15; the build of deploy/system.toml comes first. The cases 13 and 15 use those of the earlier reviews.
+# Builds the stand-ins of the cases 11 to 15; the build of deploy/system.toml comes first.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -tags review -ldflags=-linkmode=external -o target/ ./review/stand2 ./review/stand3
-go build -tags review -ldflags=-linkmode=external -o target/review-stand ./review/stand
+go build -tags review -ldflags=-linkmode=external -o target/ ./review/stand3
--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -22,8 +22,8 @@
 func spreadCase(s *scene) ([]string, error) {
 	s.addService("desk")
 	s.addQueue("desk", "desk", 0)
-	s.addRunners("desk", 7, "a", capacity{16000, 65536, 0})
-	special := s.addRunners("desk", 2, "b", capacity{16000, 65536, 8})
+	s.addRunners("desk", 7, "a", worker)
+	special := s.addRunners("desk", 2, "b", capacity{64000, 262144, 8})
 	s.putConfig()
 	if err := s.addDaemons(3); err != nil {
 		return nil, err
--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -23,6 +24,7 @@
 	tasks   map[string]*taskLog
 	gangs   map[string]*gang
 	broken  []string
+	told    map[string][]string // what runners did with each task, for the record
 	next    int
 	closed  bool
 }
@@ -50,7 +52,7 @@
 }
 
 func newFleet(s *scene) *fleet {
-	return &fleet{scene: s, runners: map[string]*runner{}, jobs: map[string]*job{}, tasks: map[string]*taskLog{}, gangs: map[string]*gang{}}
+	return &fleet{scene: s, runners: map[string]*runner{}, jobs: map[string]*job{}, tasks: map[string]*taskLog{}, gangs: map[string]*gang{}, told: map[string][]string{}}
 }
 
 func (f *fleet) addJob(j *job) {
@@ -66,6 +68,29 @@
 	f.broken = append(f.broken, text)
 }
 
+// tell remembers a line on a task for the record. The caller holds f.mu.
+func (f *fleet) tell(task, format string, args ...any) {
+	f.told[task] = append(f.told[task], fmt.Sprintf("%9.3f  %s", time.Since(f.scene.begun).Seconds(), fmt.Sprintf(format, args...)))
+}
+
+// writeTasks writes what runners did with each task: in full, or in a line for each job where all of a job's tasks started once and ended as done.
+func (f *fleet) writeTasks() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	plain := map[string]int{}
+	for _, task := range slices.Sorted(maps.Keys(f.told)) {
+		lines := f.told[task]
+		if len(lines) == 2 && strings.HasSuffix(lines[1], ": done") {
+			plain[strings.Split(task, ".")[0]]++
+			continue
+		}
+		f.scene.note("task %s:\n           %s", task, strings.Join(lines, "\n           "))
+	}
+	for _, id := range slices.Sorted(maps.Keys(plain)) {
+		f.scene.note("job %s: %d of its tasks started once and ended as done", id, plain[id])
+	}
+}
+
 // log returns the log of a task, and its job and step; nil if no client sent such a task. The caller holds f.mu.
 func (f *fleet) log(name string) (*taskLog, *job, int) {
 	parts := strings.Split(name, ".")
--- a/review/stand3/late_case.go
+++ b/review/stand3/late_case.go
@@ -9,21 +9,19 @@
 
 // Times and doses of lateCase, as of ptscna-sched.
 const (
-	lateHold  = 6 * time.Second // longest lease
-	lateShare = 0.055           // of the orders that get no answer and are carried out later
+	lateShare = 0.055 // of the orders that get no answer and are carried out later
 	lateTime  = 5500 * time.Millisecond
 	rackDark  = 6500 * time.Millisecond
 	calmTime  = 9 * time.Second
-	lateCycle = 4 // how often it all happens
+	lateCycle = 3 // how often it all happens
 )
 
 // lateCase: for some seconds runners leave a share of their orders unanswered and carry them out later; then a rack crashes, and its runners
 // are back under their IDs.
 func lateCase(s *scene) ([]string, error) {
-	s.maxHold = lateHold
 	s.addService("desk")
 	s.addQueue("desk", "desk", 0)
-	runners := s.addRunners("desk", 9, "a", capacity{16000, 65536, 0})
+	runners := s.addRunners("desk", 9, "a", worker)
 	s.putConfig()
 	if err := s.addDaemons(3); err != nil {
 		return nil, err
@@ -33,7 +31,7 @@
 	stopAt := time.Now().Add(lateCycle * (lateTime + rackDark + calmTime))
 	wg.Go(func() {
 		for time.Now().Before(stopAt) {
-			s.submit(s.newJob("desk", step{Count: 12, CPU: 300, MemMb: 100, EstimateMs: 1500, Work: 1500 * time.Millisecond}))
+			s.submit(s.newJob("desk", step{Count: 12, CPU: 1200, MemMb: 400, EstimateMs: 1500, Work: 1500 * time.Millisecond}))
 			time.Sleep(60 * time.Millisecond)
 		}
 	})
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,6 +19,8 @@
 
 // cases are the cases by name. A case returns what it found broken, or an error if it could not run.
 var cases = map[string]func(s *scene) ([]string, error){
+	"advice": adviceCase,
+	"crowd":  crowdCase,
 	"late":   lateCase,
 	"spread": spreadCase,
 }
@@ -56,6 +58,7 @@
 		return exitFailed
 	}
 	broken = append(broken, s.fleet.violations()...)
+	s.fleet.writeTasks()
 	for _, b := range broken {
 		s.note("BROKEN: %s", b)
 		fmt.Println("broken:", b)
--- a/review/stand3/runner.go
+++ b/review/stand3/runner.go
@@ -81,6 +81,7 @@
 	AckCursor    int64
 	WaitMs       int64
 	Percent      int
+	Ticket       string
 }
 
 // addRunner starts a runner of a machine; the caller holds f.mu.
@@ -210,7 +211,7 @@
 	if r.cut || late {
 		if late && !r.cut {
 			delay := 2*time.Second + time.Duration(rand.Int64N(int64(10*time.Second)))
-			f.scene.note("%s of %s run %d is carried out %v later on %s", req.URL.Path, o.Task, o.Run, delay, r.id)
+			f.tell(o.Task, "%s of run %d gets no answer and is carried out %v later on %s", req.URL.Path, o.Run, delay, r.id)
 			time.AfterFunc(delay, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -218,7 +219,7 @@
 					return
 				}
 				_, reason := r.carryOut(req.URL.Path, o)
-				f.scene.note("%s of %s run %d, sent to life %d of %s, is carried out in life %d, %v after its start (%q)", req.URL.Path, o.Task, o.Run, life, r.id, r.life, time.Since(r.born), reason)
+				f.tell(o.Task, "%s of run %d, sent to life %d of %s, is carried out in life %d, %v after its start (%q)", req.URL.Path, o.Run, life, r.id, r.life, time.Since(r.born), reason)
 			})
 		}
 		f.mu.Unlock()
@@ -285,13 +286,16 @@
 	if t != nil && !r.fits(t.step) {
 		return "room"
 	}
+	if a := r.fleet.scene.adviser; a != nil && !a.valid(o, r.id) {
+		return "ticket"
+	}
 	log := r.fleet.checkStart(r, o)
 	if log == nil {
 		return "bad"
 	}
 	run = &activeRun{task: o.Task, run: o.Run, step: log.step, log: log, started: time.Now(), pace: 100, needs: log.step.Work}
 	if log.step.Affinity != "" && log.step.Affinity != r.labels[len(r.labels)-1] {
-		run.needs *= 3
+		run.needs *= 2
 	}
 	if o.Checkpoint != "" {
 		var ms int64
@@ -301,7 +305,7 @@
 	}
 	r.runs[o.Task] = run
 	log.active[r] = run
-	r.fleet.scene.note("start %s run %d on %s", o.Task, o.Run, r.id)
+	r.fleet.tell(o.Task, "start of run %d on %s", o.Run, r.id)
 	if log.step.Gang {
 		r.joinGang(run)
 		return ""
@@ -388,7 +392,7 @@
 	}
 	r.after(run, gangTimeout, func() {
 		if !g.begun {
-			f.scene.note("alone: %s run %d on %s", run.task, run.run, r.id)
+			f.tell(run.task, "run %d on %s is alone", run.run, r.id)
 			r.end(run, "alone")
 		}
 	})
@@ -428,7 +432,7 @@
 		return
 	}
 	run.stopping = true
-	r.fleet.scene.note("stop %s run %d on %s", o.Task, run.run, r.id)
+	r.fleet.tell(o.Task, "stop of run %d on %s", run.run, r.id)
 	for _, t := range run.timers {
 		t.Stop()
 	}
@@ -459,7 +463,7 @@
 	case "failed":
 		run.log.failed = append(run.log.failed, e)
 	}
-	r.fleet.scene.note("end %s run %d on %s: %s", run.task, run.run, r.id, how)
+	r.fleet.tell(run.task, "end of run %d on %s: %s", run.run, r.id, how)
 	r.breakGang(run)
 	close(r.wake)
 	r.wake = make(chan struct{})
@@ -485,7 +489,7 @@
 
 // extend extends the lease to a time on the runner's clock.
 func (r *runner) extend(until time.Duration) {
-	until = min(until, r.clock()+r.fleet.scene.maxHold)
+	until = min(until, r.clock()+maxHold)
 	if until <= r.lease {
 		return
 	}
--- a/review/stand3/scene.go
+++ b/review/stand3/scene.go
@@ -22,12 +22,13 @@
 	"gypsumlead/standin"
 )
 
-// Bounds of the deployment, as of tvl-refill.
+// Bounds of the deployment, as of ptscna-sched.
 const (
+	maxHold       = 6 * time.Second
 	stopTimeout   = 200 * time.Millisecond
 	gangTimeout   = 3 * time.Second
-	saveInterval  = time.Second
-	restoreTime   = 100 * time.Millisecond
+	saveInterval  = 500 * time.Millisecond
+	restoreTime   = 250 * time.Millisecond
 	beatInterval  = 1500 * time.Millisecond
 	finishTime    = 14 * time.Second
 	cancelTime    = 3 * time.Second
@@ -37,19 +38,20 @@
 
 // scene is a running deployment.
 type scene struct {
-	trouble bool
-	maxHold time.Duration // longest lease
-	begun   time.Time
-	mu      sync.Mutex
-	record  io.WriteCloser
-	folder  string
-	store   *standin.Store
-	fleet   *fleet
-	servers []*http.Server
-	daemons []*daemon
-	config  config
-	storeAt string
-	cloudAt string
+	trouble   bool
+	begun     time.Time
+	mu        sync.Mutex
+	record    io.WriteCloser
+	folder    string
+	store     *standin.Store
+	fleet     *fleet
+	servers   []*http.Server
+	daemons   []*daemon
+	config    config
+	storeAt   string
+	adviser   *adviser
+	adviserAt string
+	cloudAt   string
 }
 
 // config is the operator's configuration.
@@ -65,6 +67,7 @@
 	TimeoutMs, SloMs                  int
 	Priority, MaxAttempts             int
 	SlackFactor                       float64
+	Advice                            *terms `json:",omitempty"`
 }
 
 type service struct {
@@ -75,13 +78,16 @@
 
 const host = "jobs.example"
 
+// worker is the room of a runner.
+var worker = capacity{64000, 262144, 0}
+
 // newScene starts the platform. Its case then adds services, runners and daemons.
 func newScene(record io.WriteCloser, trouble bool) (*scene, error) {
 	folder, err := os.MkdirTemp("", "stand3-")
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{trouble: trouble, maxHold: 10 * time.Second, begun: time.Now(), record: record, folder: folder}
+	s := &scene{trouble: trouble, begun: time.Now(), record: record, folder: folder}
 	s.store = standin.NewStore(rand.New(rand.NewPCG(1, 2)))
 	s.fleet = newFleet(s)
 	s.config = config{Version: 1, Limits: map[string]int{"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144}}
@@ -179,10 +185,13 @@
 			"memory":      memoryLimitMB,
 			"descriptors": 4100,
 			"bounds": map[string]any{
-				"hold": fmt.Sprintf("%dms", s.maxHold.Milliseconds()), "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
-				"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 3,
+				"hold": "6000ms", "lease": "3000ms", "move": "1.5s", "upkeep": "2s", "beat": "1500ms", "stop": "200ms", "apply": "2000ms",
+				"contact": "3000ms", "drain": "2000ms", "cancel": "3000ms", "status": "120s", "grace": "6s", "orders": 64, "remote": 2,
 			},
 		}
+		if s.adviserAt != "" {
+			settings["policy"] = s.adviserAt
+		}
 		data, err := json.MarshalIndent(settings, "", "  ")
 		if err != nil {
 			return err
