sched: stop less urgent runs only where the step then starts

It looked for room for one task on one runner. For a gang that is never enough, and what had been freed went to others again before the next runner was cleared. It stopped runs on runners that are kept for another step, too, and waited for runs stopping on runners that the step may not use.

Now runs are stopped only if all places that the step needs come of it, on as many runners as it takes, and the room is kept for the step until it starts, for 1 s at most.

Evidence: TestNobodyIsStoppedForAGangThatCannotBePlaced (two of four cases) and TestGangStartsInTheRoomOfTheRunsStoppedForIt failed before. TestNobodyIsStoppedOnARunnerThatIsKeptForAnotherStep passed before.

Time of a plan: runs are sorted only where stopping them gives a place.

--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -46,3 +46,17 @@
 		f.pool.Plan(f.now, f.now, true)
 	}
 }
+
+// BenchmarkPlanWithUrgentJobs plans for 250 runners full of less urgent runs that can't be stopped, with 300 urgent jobs waiting.
+func BenchmarkPlanWithUrgentJobs(b *testing.B) {
+	f := newFakePool(&testing.T{}, 250, 64)
+	less := lessUrgentQueue()
+	for n := range 400 {
+		f.accept(fmt.Sprintf("%d", n), less, stepOf(8, 6200))
+	}
+	f.advance(50 * time.Millisecond)
+	for n := range 300 {
+		f.accept(fmt.Sprintf("a%d", n), testQueue, stepOf(8, 65000)) // larger than any room
+	}
+	planRepeatedly(b, f)
+}
--- a/sched/job.go
+++ b/sched/job.go
@@ -57,6 +57,7 @@
 	waited       bool          // a task of it has begun to wait for a rack
 	home         string        // rack that was chosen for such a step
 	spreads      bool          // it was decided to start them in several racks
+	madeRoom     madeRoom      // by stopping less urgent runs, until one of its tasks is started
 	// answers of the policy service by runner; only if the queue requires approval
 	approvals      map[string]approval
 	approvalSentAt time.Time
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -231,6 +231,7 @@
 	p.checkAllowance(run)
 	t, r, s := run.task, run.runner, run.task.step
 	run.phase, run.sentAt = sending, now
+	s.madeRoom = madeRoom{}
 	p.endWait(run)
 	order := Start{Target: p.target(r), Task: t.name, Run: run.number, Spec: s.job.spec.Spec}
 	if s.spec.Checkpointing {
