sched: keep no runners for a suspect gang that lacks places

Callers saw jobs that never started beside a gang that waits: after a crash under it, each member kept a runner for its next start, though the gang had more members than places and so never started.

Cause: reserveGangForTrial() asked for each member by itself whether a runner has room for it. Now it keeps runners only if there is room for all members.

Evidence: TestRunnersAreNotKeptForASuspectGangWithoutRoomForAllMembers failed before.

--- a/sched/crashes.go
+++ b/sched/crashes.go
@@ -119,8 +119,11 @@
 	return found
 }
 
-// reserveGangForTrial is like reserveForTrial for each member of a gang.
+// reserveGangForTrial is like reserveForTrial for each member of a gang, if there is room for all of them.
 func (p *Pool) reserveGangForTrial(now time.Time, s *step) bool {
+	if p.countPlaces(s, func(r *runner) bool { return p.hasRoom(now, r, s.tasks[0]) }) < s.placesNeeded() {
+		return false
+	}
 	for _, t := range s.tasks {
 		if !p.reserveForTrial(now, t) {
 			return false
