sched: copies of slow tasks don't wait for a task that fits nowhere

Callers waited for slow tasks that got no copies, for as long as any task waited in the pool that no runner can take: it counted as work that needs the copies' room.

Now a waiting step keeps room from copies only if the runners can take it in time.

Evidence: TestTaskThatNoRunnerCanTakeKeepsNoRoomFromCopies failed before.

--- a/sched/copies.go
+++ b/sched/copies.go
@@ -93,9 +93,9 @@
 	racks map[string]candidate // the most urgent one that waits for each rack
 }
 
-// note records a candidate after its placement.
-func (b *blockage) note(c candidate, placed bool) {
-	if !placed && b.first.step == nil {
+// note records a candidate after its placement. One that wasn't placed and isn't placeable in time keeps nothing from copies.
+func (b *blockage) note(c candidate, placed bool, placeable func() bool) {
+	if !placed && b.first.step == nil && placeable() {
 		b.first = c
 	}
 	if c.step.awaiting == 0 {
--- a/sched/copies_test.go
+++ b/sched/copies_test.go
@@ -221,6 +221,13 @@
 	}
 }
 
+// Guards against slow tasks that get no copies while a task waits that no runner can ever take.
+func TestTaskThatNoRunnerCanTakeKeepsNoRoomFromCopies(t *testing.T) {
+	c := newSlowStep(t, speculative())
+	c.accept("b", testQueue, stepOf(1, 41000))
+	require.Len(t, starts(c.advance(350*time.Millisecond)), 1)
+}
+
 // Tasks that are long wherever they run make copies lose: the queue gets no more, but for one now and then.
 func TestQueueStopsCopiesThatNeverWin(t *testing.T) {
 	record := &copyRecord{}
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -121,7 +121,7 @@
 			p.holdUp(c.step)
 			continue
 		}
-		blocked.note(c, placed)
+		blocked.note(c, placed, func() bool { return p.placeableInTime(now, c.step) })
 		if placed || c.step.spec.BestEffort {
 			continue
 		}
