sched: nobody gives way to tasks that are held

While leadership isn't confirmed, less urgent runs were stopped, and runners kept, for tasks that are held until it is: placing them counted as failed for want of room.

Evidence: both cases of TestNobodyGivesWayToHeldTasks failed before.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -2,13 +2,12 @@
 
 import "time"
 
-// placeGang starts all tasks of a gang or none, all with the same run number. It returns false if they don't fit or one
-// of them is held.
+// placeGang starts all tasks of a gang or none, all with the same run number. It returns false if they don't fit.
 func (p *Pool) placeGang(now time.Time, s *step) bool {
 	number := 0
 	for _, t := range s.tasks {
 		if t.held {
-			return false
+			return true // no room would change that
 		}
 		if len(t.runs) > 0 {
 			p.stopGang(s)
--- a/sched/job.go
+++ b/sched/job.go
@@ -218,6 +218,9 @@
 	return longest
 }
 
+// wantsRun reports whether the task waits for a run that may start now.
+func (t *task) wantsRun() bool { return !t.done && len(t.runs) == 0 && !t.held }
+
 // findRun returns the task's run with the given number on a runner, or nil.
 func (t *task) findRun(r *runner, number int) *taskRun {
 	for _, run := range t.runs {
--- a/sched/plan.go
+++ b/sched/plan.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"gypsumlead/work"
@@ -143,6 +144,9 @@
 	if s.spec.Gang {
 		return p.placeGang(now, s)
 	}
+	if !slices.ContainsFunc(s.tasks, (*task).wantsRun) {
+		return true
+	}
 	if !p.mayFit(now, s.spec) {
 		return false
 	}
@@ -150,7 +154,7 @@
 	var r *runner
 	waited := false // the task before waits for a rack, so that the next one would get the same runner
 	for _, t := range s.tasks {
-		if t.done || len(t.runs) > 0 || t.held {
+		if !t.wantsRun() {
 			continue
 		}
 		if p.heldByCap(s) {
