approvals: calls to the policy service go by its own terms

Cause: a deadline that doesn't come from the terms of the one who answers, and a retry without a change of what failed. The daemon named forty runners, which takes 2.2 s by the terms, hung up after 2 s and sent the same call again, beside the first one; a call of any kind was limited to 8 s. Each step asked by itself, although the service handles one call of a machine at a time, so that calls spent their timeout behind each other. While the service failed it was called every 2 s for each step, with a line in the log each.

A pool has two requests out at most. A step asks about the runners with room for its tasks, no more than can be answered in 1 s, except for a gang, whose tickets have to be valid at the same moment; about more after answers that approved few; and about a refused runner not again for 30 s, as a step's policy doesn't change. A planned run whose ticket has lapsed while its placement was stored is withdrawn instead of sent.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"gypsumlead/admission"
+	"gypsumlead/approvals"
 	"gypsumlead/cache"
 	"gypsumlead/claims"
 	"gypsumlead/clock"
@@ -53,16 +54,16 @@
 	bind        Bind
 	onViolation func(error)
 
-	meter          *platform.Meter
-	store          *platform.Store
-	storeRelay     *relay.Relay
-	carrier        carrier
-	storeLink      *contact.Link
-	runnerClient   *platform.RunnerClient
-	homes          *home.Directory
-	handoff        *leader.Handoff
-	machineClient  *platform.MachineClient
-	approvalClient *platform.ApprovalClient
+	meter         *platform.Meter
+	store         *platform.Store
+	storeRelay    *relay.Relay
+	carrier       carrier
+	storeLink     *contact.Link
+	runnerClient  *platform.RunnerClient
+	homes         *home.Directory
+	handoff       *leader.Handoff
+	machineClient *platform.MachineClient
+	approvals     *approvals.Sender
 
 	operatorState   *cache.OperatorState
 	runnerList      *cache.RunnerList
@@ -174,7 +175,7 @@
 		d.machineClient = platform.NewMachineClient(conf.Machines, d.dial, d.meter)
 	}
 	if conf.Policy.IsValid() {
-		d.approvalClient = platform.NewApprovalClient(conf.Policy, d.dial, d.meter)
+		d.approvals = approvals.New(platform.NewApprovalClient(conf.Policy, d.dial, d.meter).Approve, d.log, d.now)
 	}
 	d.operatorState = cache.NewOperatorState(d.store, d.log, d.now, conf.Bounds.ApplyWithin, d.configChanged)
 	d.runnerList = cache.NewRunnerList(d.store, d.log, d.now, conf.Bounds.DrainWithin, conf.Bounds.RunnerHeartbeat, d.interests.runners, d.runnerListed, d.runnerUnlisted)
--- a/daemon/election.go
+++ b/daemon/election.go
@@ -147,7 +147,7 @@
 		Store:            d.store,
 		Homes:            d.homes,
 		Runners:          d.runnerClient,
-		Approvals:        d.approvalClient,
+		Approvals:        d.approvals,
 		RunnersReadAt:    d.runnerList.ReadAt,
 		Machines:         d.machineLister(),
 		Log:              d.log,
--- a/emulator/cluster.go
+++ b/emulator/cluster.go
@@ -27,6 +27,7 @@
 var (
 	storeAddr    = netip.MustParseAddrPort("10.200.1.7:8621")
 	machinesAddr = netip.MustParseAddrPort("10.200.0.107:8621")
+	policyAddr   = netip.MustParseAddrPort("10.200.1.9:8621")
 	clientAddr   = netip.MustParseAddr("10.100.0.1")
 )
 
@@ -52,18 +53,27 @@
 	RunnersPerService int
 	SpareMachines     int // machines of the spare service
 	CoresPerMachine   int64
-	Unguarded         bool          // runners start whatever they are told, even without room
-	Workspaces        int           // callers' accounts; 0 is a site whose callers need no keys
-	SteadyConfig      bool          // no routes are added and dropped all the time
-	StrictRevocation  bool          // daemons whose copy of the configuration is old refuse requests that need a key
-	ContactTime       time.Duration // of the settings; 0 is the default
-	RunnerLease       time.Duration // longest of a runner; 0 is maxLease
-	Weights           []float64     // processor shares of the daemons, by turns; none is the default for all
+	Unguarded         bool                 // runners start whatever they are told, even without room
+	Workspaces        int                  // callers' accounts; 0 is a site whose callers need no keys
+	SteadyConfig      bool                 // no routes are added and dropped all the time
+	StrictRevocation  bool                 // daemons whose copy of the configuration is old refuse requests that need a key
+	ContactTime       time.Duration        // of the settings; 0 is the default
+	RunnerLease       time.Duration        // longest of a runner; 0 is maxLease
+	Weights           []float64            // processor shares of the daemons, by turns; none is the default for all
+	Policy            *standin.PolicyTerms // of a service that approves the runners of all steps; nil if none has to
 }
 
 // longestLease returns the longest lease of a runner.
 func (s Size) longestLease() time.Duration { return cmp.Or(s.RunnerLease, maxLease) }
 
+// advice returns the policy's terms as the configuration has them.
+func (s Size) advice() *configAdvice {
+	if s.Policy == nil {
+		return nil
+	}
+	return &configAdvice{s.Policy.Base.Milliseconds(), s.Policy.Each.Milliseconds(), s.Policy.Valid.Milliseconds()}
+}
+
 // Small exercises every decision of the daemons and runs quickly.
 var Small = Size{Centres: []string{"c1", "c2"}, Daemons: 3, Services: 2, RunnersPerService: 4, SpareMachines: 3, CoresPerMachine: 16}
 
@@ -75,6 +85,7 @@
 	Net      *standin.Network
 	Store    *standin.Store
 	Machines *standin.MachineService
+	Policy   *standin.PolicyService // nil if steps need no approval
 	Checker  *standin.Checker
 	size     Size
 	log      *zap.Logger
@@ -147,6 +158,10 @@
 	c.ctx, c.stop = context.WithCancel(ctx)
 	c.http = &http.Client{Transport: &http.Transport{DialContext: c.Net.Dialer(clientAddr), MaxIdleConnsPerHost: 8, IdleConnTimeout: 5 * time.Second}}
 	c.serve(storeAddr, c.Store)
+	if size.Policy != nil {
+		c.Policy = standin.NewPolicyService(c.ctx, *size.Policy)
+		c.serve(policyAddr, c.Policy)
+	}
 	c.makeConfig()
 	c.makeMachines()
 	c.serve(machinesAddr, c.Machines)
@@ -318,6 +333,9 @@
 	s := settings.Defaults()
 	s.Instance, s.Region, s.Centre = node.name, "r1", node.centre
 	s.Store, s.Machines = storeAddr, machinesAddr
+	if c.Policy != nil {
+		s.Policy = policyAddr
+	}
 	s.Listen.Callers = netip.AddrPortFrom(node.addr, portCallers)
 	s.Listen.Ready = netip.AddrPortFrom(node.addr, portReady)
 	s.Listen.Peers = netip.AddrPortFrom(node.addr, portPeers)
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -32,6 +32,15 @@
 	MaxAttempts int     `json:"MaxAttempts"`
 	SlackFactor float64 `json:"SlackFactor"`
 	Public      bool    `json:"Public,omitempty"`
+
+	Advice *configAdvice `json:"Advice,omitempty"`
+}
+
+// configAdvice is the terms of the service that approves the queue's runners.
+type configAdvice struct {
+	DecisionMs  int64 `json:"DecisionMs"`
+	PerWorkerMs int64 `json:"PerWorkerMs"`
+	ValidMs     int64 `json:"ValidMs"`
 }
 
 // configService is a service of the configuration.
@@ -57,7 +66,7 @@
 		c.config.Services = append(c.config.Services, configService{Name: service, RejectsOverload: !c.size.Unguarded})
 		c.config.Routes = append(c.config.Routes, configRoute{
 			Name: "q-" + service, Host: "jobs.example", Prefix: "/" + service + "/", Kind: "non_idempotent",
-			TimeoutMs: 3000, SloMs: 600, Service: service, MaxAttempts: maxAttempts, SlackFactor: 1.6,
+			TimeoutMs: 3000, SloMs: 600, Service: service, MaxAttempts: maxAttempts, SlackFactor: 1.6, Advice: c.size.advice(),
 		})
 	}
 	if c.size.SpareMachines > 0 {
@@ -125,6 +134,7 @@
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 2, byte(number), byte(1 + boot%250)}), 8080)
 	r := standin.NewRunner(id, m.Name, m.Pool, addr, m.Centre, m.Rack, m.Room, c.size.longestLease(), c.Checker, c.newRand())
 	r.Unguarded = c.size.Unguarded
+	r.RequireTickets(c.Policy)
 	r.SetCrashHook(func() { c.handleFatalRun(r, boot) })
 	server := &runnerServer{runner: r, seq: 1}
 	server.httpServer = c.serve(addr, r)
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"gypsumlead/approvals"
 	"gypsumlead/clock"
 	"gypsumlead/contact"
 	"gypsumlead/fault"
@@ -24,9 +25,9 @@
 	Store            *platform.Store
 	Homes            *home.Directory // which service holds the jobs of a queue
 	Runners          *platform.RunnerClient
-	Approvals        *platform.ApprovalClient // nil if the platform has no policy service
-	RunnersReadAt    func() time.Time         // when the runners' list was last read
-	Machines         MachineLister            // nil if the platform has no machine service
+	Approvals        *approvals.Sender // nil if the platform has no policy service
+	RunnersReadAt    func() time.Time  // when the runners' list was last read
+	Machines         MachineLister     // nil if the platform has no machine service
 	Log              *zap.Logger
 	Heartbeat        func() member.HeartbeatState // state of this daemon's own heartbeat
 	HeartbeatTimeout time.Duration                // how long an acknowledged heartbeat keeps the daemon alive
@@ -332,15 +333,13 @@
 		return
 	}
 	l.group.Go(func() error {
-		ctx, cancel := context.WithTimeout(l.ctx, callTimeout)
-		defer cancel()
-		approval, err := l.Approvals.Approve(ctx, request.Step, request.Runners)
+		approval, err := l.Approvals.Ask(l.ctx, approvals.Request{Step: request.Step, Runners: request.Runners, Terms: request.Terms, Priority: request.Priority})
+		l.mu.Lock()
 		if err != nil {
-			l.Log.Warn("cannot get approvals from the policy service", zap.String("step", request.Step), zap.Error(err))
-			return nil // the scheduler asks again
+			l.pool.HandleApprovalFailure(request) // the scheduler asks again
+		} else {
+			l.pool.HandleApproval(l.Now(), request, approval.Tickets, approval.Valid)
 		}
-		l.mu.Lock()
-		l.pool.HandleApproval(l.Now(), request, approval.Tickets, approval.Valid)
 		l.mu.Unlock()
 		sleep.Wake(l.wakePlan)
 		return nil
--- a/leader/limits.go
+++ b/leader/limits.go
@@ -7,7 +7,7 @@
 	LeaseGrace          = 6500 * time.Millisecond // a leader that the store does not answer continues for this long after its last heartbeat has timed out, and so do leases of runners
 	lateOrders          = 12 * time.Second        // after which an order that wasn't answered isn't executed any more
 	clockSlack          = 500 * time.Millisecond  // added to computed end times, for a runner's clock and orders in transit
-	callTimeout         = 2 * time.Second         // for a call to the store or the policy service; a slow store takes several hundred milliseconds
+	callTimeout         = 2 * time.Second         // for a call to the store; a slow store takes several hundred milliseconds
 	restoreTimeout      = 20 * time.Second        // for loading the state of earlier leaders, which takes many calls one after the other
 	restoreCallTimeout  = 4 * time.Second         // for each of them; three are made at the same time
 	restorePageRows     = 100                     // rows that one of them loads, so that a slow link carries them in time
--- a/sched/approval.go
+++ b/sched/approval.go
@@ -8,10 +8,15 @@
 
 // Limits for requests to the policy service.
 const (
-	spareApprovals        = 4               // runners asked for beyond twice the waiting tasks, as some won't be approved; also the minimum to ask for
-	maxApprovalRunners    = 100             // runners that one request may name, as stated by the service's interface
-	approvalRetryInterval = 2 * time.Second // an unanswered request is repeated after this
-	approvalFactor        = 4               // maximum number of runners to ask for, as a multiple of the waiting tasks
+	spareApprovals      = 4                      // runners asked for beyond those for the waiting tasks, as some won't be approved; also the minimum to ask for
+	approvalFactor      = 4                      // maximum number of runners to ask for, as a multiple of the waiting tasks
+	placeFactor         = 2                      // places that the runners to ask for have, as a multiple of the waiting tasks
+	maxApprovalRunners  = 100                    // runners that one request may name, as stated by the service's interface
+	maxApprovalRequests = 2                      // unanswered requests of a pool: one at the service, and one that follows it at once
+	shortAnswer         = time.Second            // an answer that takes longer than this, and twice its fixed part, is asked for in parts
+	refusalValid        = 30 * time.Second       // a step's policy doesn't change, so that a refused runner isn't asked about again for this long
+	maxStartDelay       = 200 * time.Millisecond // from the decision to start a task until its ticket is checked
+	maxDoublings        = 4                      // of the number of runners to ask for, after answers that approved too few
 )
 
 // ensureApproved reports whether enough runners with room are approved for the step, so that placing it can be tried. If not,
@@ -23,13 +28,14 @@
 	if p.countPlaces(s, func(r *runner) bool { return r.schedulable(now) && s.approvedOn(now, r) }) >= s.placesNeeded() {
 		return true
 	}
-	if !s.approvalSentAt.IsZero() && now.Sub(s.approvalSentAt) < approvalRetryInterval {
+	name := s.tasks[0].name.StepName()
+	if _, pending := p.approvalRequests[name]; pending || len(p.approvalRequests) >= maxApprovalRequests {
 		return false
 	}
 	ids := p.approvalCandidates(now, s)
 	if len(ids) > 0 {
-		s.approvalSentAt = now
-		p.orders = append(p.orders, ApprovalRequest{s.tasks[0].name.StepName(), s.tasks[0].name, ids})
+		p.approvalRequests[name] = struct{}{}
+		p.orders = append(p.orders, ApprovalRequest{name, s.tasks[0].name, ids, *s.job.queue.Advice, s.job.queue.Priority})
 	}
 	return false
 }
@@ -100,14 +106,34 @@
 		}
 		return cmp.Compare(a.ID, b.ID)
 	})
-	limit := min(len(list), maxApprovalRunners, max(spareApprovals, min(s.waiting*2+spareApprovals, s.waiting*approvalFactor)))
-	ids := make([]string, limit)
-	for i, r := range list[:limit] {
-		ids[i] = r.ID
+	ids := make([]string, s.runnersToAsk(list))
+	for i := range ids {
+		ids[i] = list[i].ID
 	}
 	return ids
 }
 
+// runnersToAsk returns how many of the listed runners to ask about: those with room for the waiting tasks and some more, but no more
+// than can be answered soon. A gang starts with all its members or none, and the approvals of an answer are valid for the same
+// time, so that it asks about enough runners at once, however long that takes.
+func (s *step) runnersToAsk(list []*runner) int {
+	enough, places := 0, 0
+	for enough < len(list) && places < placeFactor*s.waiting {
+		places += list[enough].countPlaces(s)
+		enough++
+	}
+	n := min(enough+spareApprovals, s.waiting*placeFactor+spareApprovals, s.waiting*approvalFactor)
+	n = max(spareApprovals, n<<min(s.fewApproved, maxDoublings))
+	if terms := s.job.queue.Advice; terms.Each > 0 {
+		soon := max(1, int(max(shortAnswer-terms.Base, terms.Base)/terms.Each))
+		if s.spec.Gang {
+			soon = max(soon, enough+spareApprovals)
+		}
+		n = min(n, soon)
+	}
+	return min(n, len(list), maxApprovalRunners)
+}
+
 // askingOrder returns the place of a runner among those to ask about, by the last answer; enough states that the approved ones
 // suffice for the step.
 func (s *step) askingOrder(r *runner, enough bool) int {
--- a/sched/job.go
+++ b/sched/job.go
@@ -59,8 +59,8 @@
 	spreads      bool          // it was decided to start them in several racks
 	madeRoom     madeRoom      // by stopping less urgent runs, until one of its tasks is started
 	// answers of the policy service by runner; only if the queue requires approval
-	approvals      map[string]approval
-	approvalSentAt time.Time
+	approvals   map[string]approval
+	fewApproved int // successive answers that approved under half of the runners
 }
 
 // approval is the policy service's answer for one step on one runner.
--- a/sched/order.go
+++ b/sched/order.go
@@ -47,9 +47,11 @@
 
 // ApprovalRequest asks the policy service which of the runners may run a step.
 type ApprovalRequest struct {
-	Step    string
-	Task    work.Task // any task of the step
-	Runners []string
+	Step     string
+	Task     work.Task // any task of the step
+	Runners  []string
+	Terms    work.ApprovalTiming
+	Priority int // of the step's queue; 0 is the most urgent
 }
 
 func (Start) order()           {}
--- a/sched/placements.go
+++ b/sched/placements.go
@@ -185,7 +185,8 @@
 // unwanted reports whether a planned run is to be dropped.
 func (p *Pool) unwanted(now time.Time, run *taskRun) bool {
 	stuck := !p.storeAvailable && now.Sub(run.sentAt) > maxPlannedAge && !run.stored()
-	return run.withdrawn || stuck || p.overAllowance(run) || !p.startsAllowed || run.task.held || !run.runner.schedulable(now) || !run.runner.hasLabel(run.task.step.spec.RequiredLabel)
+	s, r := run.task.step, run.runner
+	return run.withdrawn || stuck || p.overAllowance(run) || !p.startsAllowed || run.task.held || !r.schedulable(now) || !r.hasLabel(s.spec.RequiredLabel) || !s.approvedOn(now, r)
 }
 
 // withGang returns a planned run with the planned runs of its gang.
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -59,13 +59,14 @@
 	startsAllowed       bool               // runs may be planned and started
 	storeAvailable      bool               // the store takes commits
 	reserved            map[*runner]reservation
-	unplaceable         []work.Resources // needs that no runner had room for in this plan
-	stopTime            time.Duration    // that runners take at the longest to stop a run
-	remoteFactor        float64          // by which tasks are slower away from their rack
-	outlook             *outlook         // of this plan; nil if no task may wait for a rack
-	awaiting            []*step          // steps with tasks that the last plan let wait for a rack
-	plannedAt           time.Time        // time of the last plan
-	leastUrgentPriority int              // largest priority number among preemptible runs in this plan
+	approvalRequests    map[string]struct{} // steps with a request to the policy service that isn't answered
+	unplaceable         []work.Resources    // needs that no runner had room for in this plan
+	stopTime            time.Duration       // that runners take at the longest to stop a run
+	remoteFactor        float64             // by which tasks are slower away from their rack
+	outlook             *outlook            // of this plan; nil if no task may wait for a rack
+	awaiting            []*step             // steps with tasks that the last plan let wait for a rack
+	plannedAt           time.Time           // time of the last plan
+	leastUrgentPriority int                 // largest priority number among preemptible runs in this plan
 }
 
 // orphan is a run that a runner lists and that belongs to no known task, or to a task that may not have it.
@@ -149,6 +150,7 @@
 		estimateRatios:      map[string]*estimateRatio{},
 		copyRecords:         map[string]*copyRecord{},
 		reserved:            map[*runner]reservation{},
+		approvalRequests:    map[string]struct{}{},
 		doneWithRuns:        map[*task]struct{}{},
 		shares:              newShares(),
 	}
--- a/sched/results.go
+++ b/sched/results.go
@@ -110,6 +110,7 @@
 // HandleApproval records which runners the policy service approves for a step: those that tickets has a ticket for.
 // valid is how long the answer is valid.
 func (p *Pool) HandleApproval(now time.Time, order ApprovalRequest, tickets map[string]string, valid time.Duration) {
+	delete(p.approvalRequests, order.Step)
 	j, ok := p.jobs[order.Task.Job]
 	if !ok {
 		return
@@ -119,20 +120,31 @@
 		return
 	}
 	s := t.step
-	s.approvalSentAt = time.Time{}
 	if s.approvals == nil {
 		s.approvals = map[string]approval{}
 	}
+	approved := 0
 	for _, id := range order.Runners {
-		a := approval{validUntil: now.Add(valid)}
+		a := approval{validUntil: now.Add(max(valid, refusalValid))}
 		if text, ok := tickets[id]; ok {
-			a.ticket = text
+			a.ticket, a.validUntil = text, now.Add(valid-min(valid/4, maxStartDelay))
+			approved++
 		}
 		if r, ok := p.runners[id]; ok {
 			a.born = r.Born
 		}
 		s.approvals[id] = a
 	}
+	if 2*approved < len(order.Runners) {
+		s.fewApproved++
+	} else {
+		s.fewApproved = 0
+	}
+}
+
+// HandleApprovalFailure handles a request that the policy service didn't answer.
+func (p *Pool) HandleApprovalFailure(order ApprovalRequest) {
+	delete(p.approvalRequests, order.Step)
 }
 
 // later returns the later of two times.
--- a/standin/runner.go
+++ b/standin/runner.go
@@ -64,8 +64,9 @@
 	wake       chan struct{}         // closed and replaced on every end, crash and restart
 	faults     RunnerFaults
 	crashed    bool
-	leaseTimer *time.Timer // calls expireLease; nil before the first lease
-	onCrash    func()      // called when a run crashes the runner
+	leaseTimer *time.Timer    // calls expireLease; nil before the first lease
+	onCrash    func()         // called when a run crashes the runner
+	policy     *PolicyService // whose tickets starts need; nil if they need none
 }
 
 // pastRoom is what a runner had for runs until a moment.
@@ -98,6 +99,13 @@
 	}
 }
 
+// RequireTickets has the runner reject starts without a ticket of the policy service.
+func (r *Runner) RequireTickets(p *PolicyService) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.policy = p
+}
+
 // Heartbeat returns the value of the runner's row in the store.
 func (r *Runner) Heartbeat(seq int64, state string) map[string]any {
 	r.mu.Lock()
@@ -198,6 +206,7 @@
 	DeadlineMs   int64  `json:"DeadlineMs"`
 	FencingToken int64  `json:"FencingToken"`
 	Checkpoint   string `json:"Checkpoint"`
+	Ticket       string `json:"Ticket"`
 	AckCursor    int64  `json:"AckCursor"`
 	WaitMs       int64  `json:"WaitMs"`
 	Percent      int    `json:"Percent"`
--- a/standin/runner_runs.go
+++ b/standin/runner_runs.go
@@ -21,6 +21,9 @@
 	if r.lastRuns[o.Task] >= o.Run || r.runs[o.Task] != nil {
 		return "old"
 	}
+	if r.policy != nil && !r.policy.valid(o.Task, r.ID, o.Ticket) {
+		return "ticket"
+	}
 	t, taskOK := work.ParseTask(o.Task)
 	spec, specOK := parseSpec(o.Spec)
 	if !taskOK || !specOK || t.Step >= len(spec.Steps) {
