--- a/approvals/sender.go
+++ b/approvals/sender.go
@@ -165,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.failures == 0 {
-		s.log.Warn("the policy service fails; steps of its queues wait for approvals", zap.String("step", r.Step), zap.Int("runners", len(r.Runners)),
+		s.log.Warn("cannot get approvals from the policy service", zap.String("step", r.Step), zap.Int("runners", len(r.Runners)),
 			zap.Duration("by its terms", r.answerTime()), zap.Error(err))
 	}
 	s.failures++
--- a/sched/approval.go
+++ b/sched/approval.go
@@ -68,18 +68,7 @@
 }
 
 // countPlaces returns how many more tasks of the step the runner has room for, up to the number of its tasks.
-func (r *runner) countPlaces(s *step) int {
-	need, free, n := s.spec.Resources, r.free(), int64(len(s.tasks))
-	for _, resource := range [][2]int64{{need.CPU, free.CPU}, {need.Mem, free.Mem}, {need.GPU, free.GPU}} {
-		if resource[0] > 0 {
-			n = min(n, resource[1]/resource[0])
-		}
-	}
-	if s.spec.MaxPerRunner > 0 {
-		n = min(n, int64(s.spec.MaxPerRunner-r.countRuns(s)))
-	}
-	return int(max(0, n))
-}
+func (r *runner) countPlaces(s *step) int { return int(placesIn(r.free(), r, s, len(s.tasks))) }
 
 // approvalCandidates returns the runners to ask about: of those without a valid answer of the policy service, the best for the
 // step. The service's policy doesn't change, so those that it approved before come first if they are enough; otherwise those
--- a/sched/placement.go
+++ b/sched/placement.go
@@ -174,8 +174,13 @@
 
 // countFittingInto returns how many waiting tasks of the step fit into the given room of the runner.
 func countFittingInto(free work.Resources, r *runner, s *step) int64 {
+	return placesIn(free, r, s, s.waiting)
+}
+
+// placesIn returns how many more tasks of the step, up to a limit, fit into the given room of the runner.
+func placesIn(free work.Resources, r *runner, s *step, limit int) int64 {
 	need := s.spec.Resources
-	n := int64(s.waiting)
+	n := int64(limit)
 	if need.CPU > 0 {
 		n = min(n, free.CPU/need.CPU)
 	}
