--- a/standin/network.go
+++ b/standin/network.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,6 +17,7 @@
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
 	cutLinks  map[link]struct{}
+	heldLinks map[link]struct{}
 	conns     map[*conn]struct{}
 	brokenAt  map[netip.Addr]time.Time // when open connections of a host were last broken
 }
@@ -25,7 +27,7 @@
 
 // NewNetwork returns a network whose links all work.
 func NewNetwork() *Network {
-	return &Network{listeners: map[netip.AddrPort]*listener{}, cutLinks: map[link]struct{}{}, conns: map[*conn]struct{}{}, brokenAt: map[netip.Addr]time.Time{}}
+	return &Network{listeners: map[netip.AddrPort]*listener{}, cutLinks: map[link]struct{}{}, heldLinks: map[link]struct{}{}, conns: map[*conn]struct{}{}, brokenAt: map[netip.Addr]time.Time{}}
 }
 
 // listener is a net.Listener of a Network.
@@ -102,7 +104,7 @@
 var errRefused = errors.New("connection refused")
 
 func (n *Network) dial(ctx context.Context, from netip.Addr, to netip.AddrPort) (net.Conn, error) {
-	if n.cut(from, to.Addr()) || n.cut(to.Addr(), from) {
+	if n.cut(from, to.Addr()) || n.cut(to.Addr(), from) || n.holds(from, to.Addr()) {
 		<-ctx.Done() // packets are dropped, so the dial gets no reply
 		return nil, ctx.Err()
 	}
@@ -129,13 +131,18 @@
 }
 
 // conn is one end of a connection. A write while the link is cut is lost, and so is every later write, even once the
-// link is restored.
+// link is restored. What is written while the link is held arrives once it is restored, also if the connection was closed
+// meanwhile, unless it was closed with a reset.
 type conn struct {
 	net.Conn
 	net        *Network
 	from, to   netip.Addr
 	mu         sync.Mutex
 	blackholed bool
+	held       [][]byte
+	releasing  bool // held writes are being delivered
+	resets     bool // closing it drops what wasn't delivered
+	closed     bool // while writes were held
 }
 
 // Write delivers b, or drops it and reports success if the link is cut or the connection is blackholed.
@@ -144,22 +151,68 @@
 	if c.net.cut(c.from, c.to) {
 		c.blackholed = true
 	}
-	lost := c.blackholed
+	lost, held := c.blackholed, c.releasing || len(c.held) > 0 || c.net.holds(c.from, c.to)
+	if held && !lost {
+		c.held = append(c.held, slices.Clone(b))
+	}
 	c.mu.Unlock()
-	if lost {
+	if lost || held {
 		return len(b), nil
 	}
 	return c.Conn.Write(b)
 }
 
-// Close closes this end of the connection; the other end then reads io.EOF.
+// SetLinger sets, as that of a TCP connection, whether closing drops what wasn't delivered: it does if sec is 0.
+func (c *conn) SetLinger(sec int) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.resets = sec == 0
+	return nil
+}
+
+// Close closes this end of the connection; the other end then reads io.EOF, once the link is restored if it is held.
 func (c *conn) Close() error {
+	c.mu.Lock()
+	if c.resets {
+		c.held = nil
+	}
+	if c.releasing || len(c.held) > 0 || c.net.holds(c.from, c.to) {
+		c.closed = true
+		c.mu.Unlock()
+		return c.Conn.SetReadDeadline(time.Now())
+	}
+	c.mu.Unlock()
+	return c.close()
+}
+
+func (c *conn) close() error {
 	c.net.mu.Lock()
 	delete(c.net.conns, c)
 	c.net.mu.Unlock()
 	return c.Conn.Close()
 }
 
+// release delivers what was held.
+func (c *conn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.releasing {
+		return
+	}
+	c.releasing = true
+	for len(c.held) > 0 {
+		next := c.held[0]
+		c.held = c.held[1:]
+		c.mu.Unlock()
+		_, _ = c.Conn.Write(next) // the other end may be gone
+		c.mu.Lock()
+	}
+	c.releasing = false
+	if c.closed {
+		_ = c.close() // it was closed before
+	}
+}
+
 // RemoteAddr returns the address of the host at the other end; the port has no meaning.
 func (c *conn) RemoteAddr() net.Addr { return &net.TCPAddr{IP: c.to.AsSlice(), Port: 1} }
 
@@ -175,23 +228,41 @@
 }
 
 // Cut cuts the links between two groups of hosts in both directions.
-func (n *Network) Cut(a, b []netip.Addr) {
+func (n *Network) Cut(a, b []netip.Addr) { n.mark(n.cutLinks, a, b) }
+
+// Hold holds the links between two groups of hosts in both directions: what is written arrives once they are restored.
+func (n *Network) Hold(a, b []netip.Addr) { n.mark(n.heldLinks, a, b) }
+
+// mark adds the links between two groups of hosts in both directions to a set.
+func (n *Network) mark(set map[link]struct{}, a, b []netip.Addr) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for _, from := range a {
 		for _, to := range b {
 			if from != to {
-				n.cutLinks[link{from, to}], n.cutLinks[link{to, from}] = struct{}{}, struct{}{}
+				set[link{from, to}], set[link{to, from}] = struct{}{}, struct{}{}
 			}
 		}
 	}
 }
 
+// holds reports whether the link is held in this direction.
+func (n *Network) holds(from, to netip.Addr) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.heldLinks[link{from, to}]
+	return ok
+}
+
 // Heal restores all links; connections that lost a write keep dropping every write.
 func (n *Network) Heal() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	clear(n.cutLinks)
+	clear(n.heldLinks)
+	for c := range n.conns {
+		go c.release()
+	}
 }
 
 // Blackhole makes every open connection of a host drop all further writes; new connections work.
