--- a/cache/runner_list_test.go
+++ b/cache/runner_list_test.go
@@ -16,7 +16,7 @@
 
 // entry returns a runner's row with the given cores.
 func entry(cores int) platform.Row {
-	value := fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:80","Zone":"c1","State":"ready","SeqNo":4,"Capacity":{"Cpu":%d}}`, cores*1000)
+	value := fmt.Sprintf(`{"Service":"s","Address":"10.0.0.1:80","Zone":"c1","Version":"v1","Slots":8,"ColdLeftMs":0,"State":"ready","SeqNo":4,"Capacity":{"Cpu":%d}}`, cores*1000)
 	return platform.Row{RowKey: platform.RowKey{Table: platform.TableRunners, Key: "r1"}, Value: []byte(value)}
 }
 
--- a/emulator/held_calls_test.go
+++ b/emulator/held_calls_test.go
@@ -20,6 +20,7 @@
 	crashAfter  time.Duration // from the cut
 	heldFor     time.Duration
 	crashBehind bool
+	lose        func(c *Cluster, leader string) // what happens to the leader at the cut
 }
 
 // play plays a day with the given seed.
@@ -35,6 +36,9 @@
 			}
 			submitSpread(c, 6, longDowntime+d.cutAfter)
 			time.Sleep(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
+			if d.lose != nil {
+				d.lose(c, c.Leader("s0"))
+			}
 			holdOff(c, ids)
 			submitSpread(c, 10, time.Second) // while the leader takes the runners for reachable
 			time.Sleep(d.crashAfter - time.Second)
@@ -75,9 +79,9 @@
 // out.
 func TestStartThatACutHoldsIsNotCarriedOutBesideAnother(t *testing.T) {
 	for _, d := range []heldDay{
-		{"restart and cut", 2 * time.Second, 2 * time.Second, 9600 * time.Millisecond, false},
-		{"crash behind the cut", 2 * time.Second, 2 * time.Second, 9600 * time.Millisecond, true},
-		{"crash late behind the cut", 300 * time.Millisecond, 7 * time.Second, 9600 * time.Millisecond, true},
+		{"restart and cut", 2 * time.Second, 2 * time.Second, 9600 * time.Millisecond, false, nil},
+		{"crash behind the cut", 2 * time.Second, 2 * time.Second, 9600 * time.Millisecond, true, nil},
+		{"crash late behind the cut", 300 * time.Millisecond, 7 * time.Second, 9600 * time.Millisecond, true, nil},
 	} {
 		for i := range *seedCount {
 			seed := *firstSeed + uint64(i)
@@ -85,3 +89,18 @@
 		}
 	}
 }
+
+// Guards against the same on days whose moments and losses of the leader are random.
+func TestStartsThatCutsHoldOnRandomDays(t *testing.T) {
+	losses := []func(*Cluster, string){nil, nil, killLeader, stopLeader, replaceProcess, isolateLeader}
+	for i := range *seedCount {
+		seed := *firstSeed + uint64(i)
+		rng := rand.New(rand.NewPCG(seed, 96))
+		between := func(low, high time.Duration) time.Duration { return low + time.Duration(rng.Int64N(int64(high-low))) }
+		d := heldDay{
+			name: "random", cutAfter: between(100*time.Millisecond, 3*time.Second), crashAfter: between(time.Second, 9*time.Second),
+			heldFor: between(9*time.Second, 13*time.Second), crashBehind: rng.IntN(3) > 0, lose: losses[rng.IntN(len(losses))],
+		}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { d.play(t, 400+seed) })
+	}
+}
