sched: a runner has ended once its successor has answered

Now the runner counts as ended once the other one has answered a poll in the incarnation that the entry names. A runner that nobody can reach proves nothing; the old one's lease decides then, as for any silent runner. After a real replacement this takes one poll more.

--- a/sched/runner.go
+++ b/sched/runner.go
@@ -19,6 +19,7 @@
 	listedClock     time.Duration // its clock in that answer
 	answerDueAt     time.Time     // by when the oldest unanswered poll should have been answered; zero if there is none
 	pollFailed      bool          // the last poll wasn't answered; its lease isn't extended until one is
+	succeeds        bool          // by its entry, another runner was started on its machine before; a poll is to confirm it
 	held            bool          // restarted while leadership wasn't confirmed: no work until it is
 	storedSilent    bool          // the store may list it as silent; its lease isn't extended until that is corrected
 	inheritedExpiry time.Time     // if inherited: when everything an earlier leader ordered has certainly ended
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -36,7 +36,7 @@
 // UpdateRunner adds or updates a runner from its entry in the platform's list.
 func (p *Pool) UpdateRunner(now time.Time, info work.Runner) {
 	r := p.getOrAddRunner(info)
-	p.endReplaced(now, info, true)
+	r.succeeds = r.succeeds || p.hasPredecessor(info)
 	p.setIncarnation(now, r, info.Born)
 	born := max(r.Born, info.Born)
 	if info.Draining && !r.Draining {
@@ -47,14 +47,27 @@
 	r.listed, r.entryBorn = true, info.Born
 }
 
+// hasPredecessor reports whether a runner was started earlier on the same machine. The entry alone doesn't prove that it has ended:
+// it may be of another writer. Once its successor has answered a poll, it has.
+func (p *Pool) hasPredecessor(info work.Runner) bool {
+	for _, old := range p.runners {
+		if old.precedes(info) {
+			return true
+		}
+	}
+	return false
+}
+
+// precedes reports whether the runner was started earlier on the machine of another one.
+func (r *runner) precedes(info work.Runner) bool {
+	return info.Machine != "" && r.Machine == info.Machine && r.ID != info.ID && r.Born < info.Born
+}
+
 // endReplaced drops runners that were started earlier on the same machine. crashed states that they have crashed, unless
 // their ends were planned.
 func (p *Pool) endReplaced(now time.Time, info work.Runner, crashed bool) {
-	if info.Machine == "" {
-		return
-	}
 	for _, old := range p.runners {
-		if old.Machine == info.Machine && old.ID != info.ID && old.Born < info.Born {
+		if old.precedes(info) {
 			if crashed {
 				p.handleCrash(now, old)
 			}
@@ -208,6 +221,10 @@
 	if result.Born == r.Born {
 		p.confirmFence(now, r, fence)
 	}
+	if r.succeeds {
+		r.succeeds = false
+		p.endReplaced(now, r.Runner, true)
+	}
 	r.lease.ObserveClock(result.Clock, now)
 	r.polledAt, r.listedClock = now, result.Clock
 	r.answerDueAt, r.pollFailed = time.Time{}, false
--- a/sched/runner_restart_test.go
+++ b/sched/runner_restart_test.go
@@ -133,3 +133,24 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice because an entry names the machine of its runner, which is at work (review/2).
+func TestRunnerEndsOnlyOnceItsSuccessorHasAnswered(t *testing.T) {
+	f := newFakePool(t, 2, 4)
+	task := taskOf(f.accept("a", testQueue, stepOf(1, 2000)), 0, 0)
+	f.advance(tickInterval)
+	old := f.runnerOf(task)
+	successor := f.runners[old].info
+	successor.ID, successor.Born = "successor", successor.Born+1
+	f.pool.UpdateRunner(f.now, successor)
+	for range 5 {
+		require.Empty(t, starts(f.advance(tickInterval)), "nothing answers at the successor's address")
+	}
+	delete(f.runners, old) // its machine has started anew
+	f.runners["successor"] = &fakeRunner{info: successor, runs: map[string]work.Run{}}
+	started := 0
+	for range 3 {
+		started += len(starts(f.advance(tickInterval)))
+	}
+	require.Equal(t, 1, started)
+}
