sched: a task waits while its unanswered start may be carried out

Callers may see a task run twice (TWICE): its start wasn't answered, its runner was silent for a whole lease, the task was started elsewhere, and the first start was then carried out by the runner's next life, which has heard of no fence, or late by the runner itself ("It may also be executed seconds later, after newer calls"). docs/design/81 called it not covered.

Now such a start holds its own task, not the runner, until it can no longer be carried out (12 s after it was sent), unless the incarnation that it could reach has answered with its fence, or with the list of its runs.

Cost: tasks whose start met a silent runner and that don't last start up to 7 s later.

--- a/sched/fence_test.go
+++ b/sched/fence_test.go
@@ -240,3 +240,45 @@
 		require.Empty(t, starts(f.advance(tickInterval)), "it has ended as done, and that is acknowledged")
 	}
 }
+
+// Guards against a task that runs twice because its start, which nobody answered, is carried out when its runner's lease is over: by the
+// runner's next life, or late.
+func TestTaskWaitsForAsLongAsAnUnansweredStartMayBeCarriedOut(t *testing.T) {
+	for name, c := range map[string]struct {
+		lasts    bool
+		then     func(f *fakePool) // once the lease is over
+		min, max time.Duration     // from the start until the task starts elsewhere
+	}{
+		"silent runner":                    {false, func(*fakePool) {}, 12 * time.Second, 13 * time.Second},
+		"silent runner, a task that lasts": {true, func(*fakePool) {}, 4 * time.Second, 6 * time.Second},
+		"the runner answers":               {false, func(f *fakePool) { f.runners["r0"].silent = false }, 4 * time.Second, 8 * time.Second},
+		"its next life answers": {false, func(f *fakePool) {
+			f.runners["r0"].silent = false
+			f.restart("r0")
+		}, 4 * time.Second, 8 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			leases := testLeases
+			leases.LateOrders = 12 * time.Second
+			f := newFakePool(t, 1, 4)
+			f.pool.leases = leases
+			s := stepOf(1, 2000)
+			s.LongRunning = c.lasts
+			task := taskOf(f.accept("a", testQueue, s), 0, 0)
+			f.runners["r0"].silent = true
+			require.Len(t, starts(f.planCommitted(true)), 1)
+			f.pool.HandleStartResult(f.now, Start{Target: f.pool.target(f.pool.runners["r0"]), Task: task, Run: 1}, OutcomeUnknown, "", 0)
+			sentAt := f.now
+			f.addRunner("r1", 4)
+			for f.runnerOf(task) == "" {
+				if f.now.Sub(sentAt) > 6*time.Second {
+					c.then(f)
+					c.then = func(*fakePool) {}
+				}
+				f.advance(tickInterval)
+				require.LessOrEqual(t, f.now.Sub(sentAt), c.max)
+			}
+			require.GreaterOrEqual(t, f.now.Sub(sentAt), c.min)
+		})
+	}
+}
--- a/sched/runner_events.go
+++ b/sched/runner_events.go
@@ -264,6 +264,13 @@
 	p.removeIfUnused(now, r)
 }
 
+// mayStartLater reports whether the start of a run that nobody answered may still be carried out, by the incarnation of its runner
+// that it was meant for or by a later one, which hasn't been fenced. Tasks that last don't wait for that: they would be away for
+// longer than callers are promised.
+func (p *Pool) mayStartLater(now time.Time, run *taskRun) bool {
+	return !run.begun() && !run.listed && !run.task.step.spec.LongRunning && now.Before(run.sentAt.Add(p.leases.LateOrders))
+}
+
 // expire abandons the runs on runners whose lease has certainly expired. An inherited runner that has not listed all its
 // runs and ends counts as known once everything that an earlier leader ordered on it has certainly ended, unless this
 // leader's lease keeps its unlisted ends valid.
@@ -279,7 +286,7 @@
 		}
 		p.suspendBlame(r)
 		for run := range r.runs {
-			if run.phase != planned && run.sentAt.Before(expiry) {
+			if run.phase != planned && run.sentAt.Before(expiry) && !p.mayStartLater(now, run) {
 				p.abandon(now, run, "its runner is silent and the lease is over")
 			}
 		}
