--- a/sched/reservation_test.go
+++ b/sched/reservation_test.go
@@ -142,3 +142,16 @@
 		})
 	}
 }
+
+// Guards against runners that are kept without end for a suspect gang with more members than places.
+func TestRunnersAreNotKeptForASuspectGangWithoutRoomForAllMembers(t *testing.T) {
+	f := newFakePool(t, 2, 8)
+	gang := stepOf(5, 4000)
+	gang.Gang = true
+	id := f.accept("a", testQueue, gang)
+	f.pool.jobs[id].findTask(taskOf(id, 0, 0)).suspect = true
+	f.advance(tickInterval)
+	other := f.accept("b", testQueue, stepOf(1, 1000))
+	f.advance(tickInterval)
+	require.NotEmpty(t, f.runnerOf(taskOf(other, 0, 0)))
+}
